--- /dev/null
+++ b/topazring/__init__.py
@@ -0,0 +1,1 @@
+"""A shared database proxy with session consistency."""
--- /dev/null
+++ b/topazring/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Let operators configure the fleet and see what it does."""
--- /dev/null
+++ b/topazring/admin/changes.py
@@ -0,0 +1,149 @@
+"""Change one configured value, and find out what came of it."""
+
+import asyncio
+import dataclasses
+import json
+import uuid
+
+from topazring import catalogue
+from topazring import platform_client
+
+__all__ = [
+    'Accepted',
+    'Lost',
+    'NotReached',
+    'Raced',
+    'Unchanged',
+    'change',
+    'key_of',
+    'read_value',
+    'wait_everywhere',
+]
+
+TRIES = 20
+PAUSE_S = 0.25
+POLL_S = 0.1
+_CHANGE_ID = 'change_id'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """Report that the change is in force from `revision` on."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unchanged:
+    """Report that the value was so already."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Raced:
+    """Report that another operator was first, with both versions."""
+
+    theirs: object
+    ours: object
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Report that the service did not say whether the change took effect."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotReached:
+    """Name the proxies that do not confirm the revision in time."""
+
+    proxies: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """Hold a value as the service has it."""
+
+    value: dict | None
+    revision: int | None
+    change_id: str
+
+
+def key_of(kind: str, name: str) -> str:
+    """Return the key under which a configured thing is kept."""
+    return f'{catalogue.PREFIX}{kind}/{name}'
+
+
+async def read_value(
+    platform: platform_client.PlatformClient, kind: str, name: str
+) -> Stored | Lost:
+    """Read what the service has."""
+    found = await platform.get(key_of(kind, name))
+    match found:
+        case platform_client.Missing():
+            return Stored(None, None, '')
+        case platform_client.Unavailable(detail=detail):
+            return Lost(detail)
+    value = json.loads(found.value)
+    change_id = value.pop(_CHANGE_ID, '')
+    return Stored(value, found.revision, change_id)
+
+
+async def change(
+    platform: platform_client.PlatformClient,
+    kind: str,
+    name: str,
+    value: dict,
+    expected: int | None,
+) -> Accepted | Unchanged | Raced | Lost:
+    """Set a value by compare-and-swap against the revision `expected`.
+
+    The answer to a swap can be lost after it took effect. The change's own
+    id in the value tells: if it is there on reading back, the change is in
+    force; trying again blindly would report a race with oneself.
+    """
+    change_id = uuid.uuid4().hex
+    text = json.dumps({**value, _CHANGE_ID: change_id})
+    detail = ''
+    for _ in range(TRIES):
+        written = await platform.put(key_of(kind, name), text, expected)
+        if isinstance(written, platform_client.Written):
+            return Accepted(written.revision)
+        stored = await read_value(platform, kind, name)
+        if isinstance(stored, Lost):
+            detail = stored.detail
+            await asyncio.sleep(PAUSE_S)
+            continue
+        if stored.change_id == change_id:
+            return Accepted(stored.revision)
+        if stored.revision != expected:
+            if stored.value == value:
+                return Unchanged(stored.revision)
+            return Raced(stored.value, value, stored.revision or 0)
+    return Lost(detail)
+
+
+async def wait_everywhere(
+    fetch, proxies: list[dict], revision: int, timeout_s: float
+) -> NotReached | None:
+    """Wait until every proxy has the revision; name those that do not.
+
+    `fetch(proxy)` returns a proxy's status, or None if it cannot be reached.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + timeout_s
+    missing = {proxy['name']: proxy for proxy in proxies}
+    while True:
+        names = list(missing)
+        found = await asyncio.gather(*(fetch(missing[n]) for n in names))
+        for name, status in zip(names, found, strict=True):
+            if status and status['seen']['configuration'] >= revision:
+                del missing[name]
+        if not missing:
+            return None
+        if loop.time() >= until:
+            return NotReached(sorted(missing))
+        await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/topazring/admin/main.py
@@ -0,0 +1,355 @@
+"""Configure and inspect: `topazring-admin`."""
+
+import asyncio
+import dataclasses
+import difflib
+import json
+import sys
+import typing
+
+import cappa
+import json5
+import pydantic
+from tornado import httpclient
+
+from topazring.admin import changes
+from topazring import catalogue
+from topazring import platform_client
+
+__all__ = ['main']
+
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+EXIT_RACED = 3
+EXIT_UNREACHED = 4
+FETCH_S = 2.0
+
+PlatformArg = typing.Annotated[
+    str,
+    cappa.Arg(
+        long='--platform',
+        help='HOST:PORT of the platform service',
+    ),
+]
+KindArg = typing.Annotated[
+    str, cappa.Arg(help='profile, organisation, database or token-key')
+]
+NameArg = typing.Annotated[str, cappa.Arg(help='its name')]
+ValueArg = typing.Annotated[
+    str, cappa.Arg(help='its value as JSON with comments, or @FILE')
+]
+DEFAULT_PLATFORM = '127.0.0.1:7100'
+
+
+def fail(code: int, text: str) -> typing.NoReturn:
+    """End with one line and an exit code."""
+    print(f'topazring-admin: {text}', file=sys.stderr)
+    sys.exit(code)
+
+
+def _client(platform: str) -> platform_client.PlatformClient:
+    host, _, port = platform.rpartition(':')
+    if not host or not port.isdigit():
+        fail(EXIT_BAD_INPUT, f'--platform {platform}: want HOST:PORT')
+    return platform_client.PlatformClient(host, int(port), 'admin')
+
+
+def _checked(kind: str, text: str) -> dict:
+    """Return the value in full, or end with the first fault."""
+    if kind not in catalogue.kinds():
+        kinds = ', '.join(catalogue.kinds())
+        fail(EXIT_BAD_INPUT, f'{kind}: unknown kind; want one of {kinds}')
+    try:
+        if text.startswith('@'):
+            with open(text[1:], encoding='utf-8') as file:
+                text = file.read()
+        return catalogue.check(kind, json5.loads(text)).model_dump()
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        key = '.'.join(str(part) for part in first['loc']) or '(whole)'
+        fail(EXIT_BAD_INPUT, f'{kind}: {key}: {first["msg"]}')
+    except (OSError, ValueError) as error:
+        fail(EXIT_BAD_INPUT, f'{kind}: {error}')
+
+
+def _read(
+    platform: platform_client.PlatformClient, kind: str, name: str
+) -> changes.Stored:
+    stored = asyncio.run(changes.read_value(platform, kind, name))
+    if isinstance(stored, changes.Lost):
+        fail(EXIT_UNREACHED, f'the service is away: {stored.detail}')
+    return stored
+
+
+def _show(value: object) -> str:
+    return json.dumps(value, indent=2, sort_keys=True)
+
+
+@cappa.command(name='get', help='Show a configured value.')
+@dataclasses.dataclass
+class Get:
+    """Show a value."""
+
+    kind: KindArg
+    name: NameArg
+    platform: PlatformArg = DEFAULT_PLATFORM
+
+    def __call__(self) -> None:
+        """Print the value with its revision."""
+        stored = _read(_client(self.platform), self.kind, self.name)
+        if stored.value is None:
+            fail(EXIT_REFUSED, f'{self.kind} {self.name}: not configured')
+        print(f'// revision {stored.revision}')
+        print(_show(stored.value))
+
+
+@cappa.command(name='set', help='Set a value; see --expect for races.')
+@dataclasses.dataclass
+class Set:
+    """Set a value by compare-and-swap."""
+
+    kind: KindArg
+    name: NameArg
+    value: ValueArg
+    platform: PlatformArg = DEFAULT_PLATFORM
+    expect: typing.Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            help='the revision that was read; 0: must not exist yet',
+        ),
+    ] = None
+    wait: typing.Annotated[
+        bool, cappa.Arg(long=True, help='wait until every proxy has it')
+    ] = False
+    timeout_s: typing.Annotated[
+        float, cappa.Arg(long=True, help='how long to wait')
+    ] = 5.0
+
+    def __call__(self) -> None:
+        """Set, and say which revision is in force."""
+        value = _checked(self.kind, self.value)
+        asyncio.run(self._set(value))
+
+    async def _set(self, value: dict) -> None:
+        platform = _client(self.platform)
+        expected = self.expect or None
+        if self.expect is None:
+            stored = await changes.read_value(platform, self.kind, self.name)
+            if isinstance(stored, changes.Lost):
+                fail(EXIT_UNREACHED, f'the service is away: {stored.detail}')
+            expected = stored.revision
+        result = await changes.change(
+            platform, self.kind, self.name, value, expected
+        )
+        match result:
+            case changes.Accepted(revision=revision):
+                print(f'accepted as revision {revision}')
+            case changes.Unchanged(revision=revision):
+                print(f'unchanged since revision {revision}')
+            case changes.Raced():
+                print('another operator was first; yours is not in force')
+                print(f'theirs, revision {result.revision}:')
+                print(_show(result.theirs))
+                print('yours:')
+                print(_show(result.ours))
+                sys.exit(EXIT_RACED)
+            case changes.Lost(detail=detail):
+                fail(
+                    EXIT_UNREACHED,
+                    f'whether it is in force is not known: {detail}',
+                )
+        if self.wait:
+            await self._wait(platform, revision)
+
+    async def _wait(
+        self, platform: platform_client.PlatformClient, revision: int
+    ) -> None:
+        proxies = await list_proxies(platform)
+        missing = await changes.wait_everywhere(
+            fetch_status, proxies, revision, self.timeout_s
+        )
+        if missing is not None:
+            names = ', '.join(missing.proxies)
+            fail(EXIT_UNREACHED, f'not confirmed by: {names}')
+        print(f'in force on {len(proxies)} proxies')
+
+
+@cappa.command(name='list', help='List what is configured.')
+@dataclasses.dataclass
+class List:
+    """List names by kind."""
+
+    kind: typing.Annotated[str, cappa.Arg(help='only this kind')] = ''
+    platform: PlatformArg = DEFAULT_PLATFORM
+
+    def __call__(self) -> None:
+        """Print a line for each configured thing."""
+        asyncio.run(self._list())
+
+    async def _list(self) -> None:
+        found = await _client(self.platform).changes(catalogue.PREFIX, 0)
+        if isinstance(found, platform_client.Unavailable):
+            fail(EXIT_UNREACHED, f'the service is away: {found.detail}')
+        for change in sorted(found.changes, key=lambda c: c.key):
+            _, kind, name = change.key.split('/', 2)
+            if change.value is not None and self.kind in ('', kind):
+                print(f'{kind} {name} (revision {change.revision})')
+
+
+@cappa.command(name='validate', help='Check a value; change nothing.')
+@dataclasses.dataclass
+class Validate:
+    """Check a value."""
+
+    kind: KindArg
+    value: ValueArg
+
+    def __call__(self) -> None:
+        """Print the value in full, defaults included."""
+        print(_show(_checked(self.kind, self.value)))
+
+
+@cappa.command(name='diff', help='Compare a value with the one in force.')
+@dataclasses.dataclass
+class Diff:
+    """Show what a set would change."""
+
+    kind: KindArg
+    name: NameArg
+    value: ValueArg
+    platform: PlatformArg = DEFAULT_PLATFORM
+
+    def __call__(self) -> None:
+        """Print a unified diff; exit 1 if there is a difference."""
+        new = _checked(self.kind, self.value)
+        stored = _read(_client(self.platform), self.kind, self.name)
+        lines = difflib.unified_diff(
+            _show(stored.value or {}).splitlines(),
+            _show(new).splitlines(),
+            'in force',
+            'new',
+            lineterm='',
+        )
+        text = '\n'.join(lines)
+        if text:
+            print(text)
+            sys.exit(EXIT_REFUSED)
+
+
+@cappa.command(name='status', help='Show every proxy of the list.')
+@dataclasses.dataclass
+class Status:
+    """Show the fleet."""
+
+    platform: PlatformArg = DEFAULT_PLATFORM
+    as_json: typing.Annotated[
+        bool, cappa.Arg(long='--json', help='print JSON')
+    ] = False
+
+    def __call__(self) -> None:
+        """Print a line for each proxy."""
+        asyncio.run(self._status())
+
+    async def _status(self) -> None:
+        proxies = await list_proxies(_client(self.platform))
+        found = await asyncio.gather(*(fetch_status(p) for p in proxies))
+        if self.as_json:
+            names = [p['name'] for p in proxies]
+            print(_show(dict(zip(names, found, strict=True))))
+            return
+        for proxy, status in zip(proxies, found, strict=True):
+            print(_status_line(proxy, status))
+
+
+def _status_line(proxy: dict, status: dict | None) -> str:
+    if status is None:
+        return f'{proxy["name"]}: not reached'
+    age_ms = status['confirmed_ms_ago']['configuration']
+    age = 'never' if age_ms is None else f'{age_ms / 1000:.1f} s ago'
+    return (
+        f'{status["name"]}: {status["state"]}, {status["sessions"]} '
+        f'sessions, owns {len(status["owns"])}, configuration at '
+        f'{status["seen"]["configuration"]} (confirmed {age})'
+    )
+
+
+@cappa.command(name='explain', help='Show what owners decided, and why.')
+@dataclasses.dataclass
+class Explain:
+    """Explain a database's primary and its changes."""
+
+    database: typing.Annotated[str, cappa.Arg(help='database name')]
+    platform: PlatformArg = DEFAULT_PLATFORM
+
+    def __call__(self) -> None:
+        """Print the owners' decisions in the order of their time."""
+        asyncio.run(self._explain())
+
+    async def _explain(self) -> None:
+        proxies = await list_proxies(_client(self.platform))
+        found = await asyncio.gather(
+            *(fetch(p, f'/explain/{self.database}') for p in proxies)
+        )
+        owners = [one for one in found if one and 'state' in one]
+        if not owners:
+            fail(EXIT_REFUSED, f'{self.database}: no owner answers')
+        for one in owners:
+            state = one['state']
+            print(
+                f'term {state["term"]}, primary '
+                f'{state["primary"] or "unknown"}, owners '
+                f'{", ".join(state["owners"])}'
+            )
+        explanations = [e for one in owners for e in one['explanations']]
+        explanations.sort(key=lambda e: e['wall_ms'])
+        for e in explanations:
+            print(f'{e["wall_ms"]} {e["owner"]}: {e["what"]} ({e["why"]})')
+
+
+async def list_proxies(
+    platform: platform_client.PlatformClient,
+) -> list[dict]:
+    """Return the proxies on the platform's list."""
+    found = await platform.instances(0)
+    if isinstance(found, platform_client.Unavailable):
+        fail(EXIT_UNREACHED, f'the service is away: {found.detail}')
+    listed = [json.loads(c.value) for c in found.changes if c.value]
+    proxies = [i for i in listed if i['kind'] == 'proxy']
+    return sorted(proxies, key=lambda p: p['name'])
+
+
+async def fetch(proxy: dict, path: str) -> dict | None:
+    """Fetch from a proxy's operators' port; None if it is not reached."""
+    url = f'http://{proxy["host"]}:{proxy["operator_port"]}{path}'
+    try:
+        reply = await httpclient.AsyncHTTPClient().fetch(
+            url, request_timeout=FETCH_S, raise_error=False
+        )
+        return json.loads(reply.body)
+    except (OSError, ValueError, TypeError, httpclient.HTTPError):
+        return None
+
+
+async def fetch_status(proxy: dict) -> dict | None:
+    """Fetch a proxy's status."""
+    return await fetch(proxy, '/status')
+
+
+@cappa.command(name='topazring-admin')
+@dataclasses.dataclass
+class Admin:
+    """Configure the fleet and see what it does."""
+
+    command: cappa.Subcommands[
+        Get | Set | List | Validate | Diff | Status | Explain
+    ]
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(Admin)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/topazring/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Start fleets of real processes for demos, tests and measurements."""
--- /dev/null
+++ b/topazring/bench/fleet.py
@@ -0,0 +1,426 @@
+"""Run a small fleet: platform, upstreams, proxies, as real processes.
+
+Only demos, tests and measurements start processes this way; no process of
+the product starts another.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+
+from tornado import httpclient
+
+from topazring import catalogue
+from topazring import client
+from topazring import platform_client
+
+__all__ = ['Fleet', 'Plan', 'ballinure', 'dizon', 'wait_until']
+
+START_S = 30.0
+POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Describe a fleet."""
+
+    data_centres: tuple[str, ...] = ('cork', 'galway')
+    proxies: int = 3
+    databases: tuple[str, ...] = ('calc1',)
+    organisations: tuple[str, ...] = ('ballinure', 'dizon')
+    upstreams_each: int = 3
+    slots: int = 3
+    connections: int = 25
+    connect_delay_ms: int = 10
+    statement_ms: float = 1.0
+    lag_ms: float = 5.0
+    list_lag_ms: int = 1000
+    drain_ms: int = 10_000
+    # Put a fault-injecting link between each two that talk.
+    faults: bool = False
+
+
+def ballinure(**changes) -> Plan:
+    """Return Ballinure's sizes, as the brief gives them."""
+    plan = Plan(
+        data_centres=('cork', 'galway', 'sligo'),
+        proxies=7,
+        databases=('calc1', 'calc2', 'calc3'),
+        slots=3,
+        connections=25,
+        connect_delay_ms=10,
+    )
+    return dataclasses.replace(plan, **changes)
+
+
+def dizon(**changes) -> Plan:
+    """Return Dizon's sizes, as the brief gives them."""
+    plan = Plan(
+        data_centres=('quiapo', 'cubao', 'makati', 'pasig'),
+        proxies=8,
+        databases=('league1', 'league2', 'league3'),
+        slots=2,
+        connections=30,
+        connect_delay_ms=30,
+    )
+    return dataclasses.replace(plan, **changes)
+
+
+PROFILES = {
+    'saves': {'repeatable': False},
+    'retried': {'repeatable': True},
+    'browse': {'max_staleness_ms': 2000},
+    'strict': {'max_staleness_ms': 0},
+    'impatient': {
+        'write_deadline_ms': 1000,
+        'read_deadline_ms': 500,
+        'max_staleness_ms': 1000,
+    },
+}
+
+
+class Fleet:
+    """Own the processes of a fleet and the folder of their settings."""
+
+    def __init__(self, plan: Plan):
+        self.plan = plan
+        self.folder = tempfile.TemporaryDirectory(prefix='topazring-')
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.commands: dict[str, list[str]] = {}
+        self.ports: dict[str, int] = {}
+        self.links: list[dict] = []
+        self.platform: platform_client.PlatformClient | None = None
+        self.http = httpclient.AsyncHTTPClient(
+            force_instance=True, max_clients=50
+        )
+
+    # ---- life ----
+
+    async def start(self) -> None:
+        """Start everything and wait until every proxy is ready."""
+        await self._start_platform()
+        for database in self.plan.databases:
+            for name in self.upstream_names(database):
+                self._prepare_upstream(database, name)
+        for number in range(self.plan.proxies):
+            self._prepare_proxy(f'p{number + 1}')
+        if self.plan.faults:
+            await self._start_faults()
+        for name in list(self.commands):
+            if name not in self.processes:
+                await self.spawn(name)
+        await self._configure()
+        for number in range(self.plan.proxies):
+            await self.wait_ready(f'p{number + 1}')
+        for database in self.plan.databases:
+            await self.wait_primary(database)
+
+    async def close(self) -> None:
+        """End every process."""
+        for name in list(self.processes):
+            self.send_signal(name, signal.SIGKILL)
+        for process in self.processes.values():
+            await process.wait()
+        if self.platform is not None:
+            self.platform.close()
+        self.http.close()
+        self.folder.cleanup()
+
+    def upstream_names(self, database: str) -> list[str]:
+        """Return the names of a database's upstreams."""
+        count = self.plan.upstreams_each
+        return [f'{database}-u{number + 1}' for number in range(count)]
+
+    async def spawn(self, name: str) -> None:
+        """Start a process, again if it ended."""
+        log = open(pathlib.Path(self.folder.name) / f'{name}.log', 'ab')
+        with log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                *self.commands[name], stdout=log, stderr=log
+            )
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Signal one of this fleet's own processes, if it still runs."""
+        process = self.processes[name]
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(number)
+
+    async def kill(self, name: str) -> None:
+        """Kill a process."""
+        self.send_signal(name, signal.SIGKILL)
+        await self.processes[name].wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.send_signal(name, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a stopped process go on."""
+        self.send_signal(name, signal.SIGCONT)
+
+    def log_of(self, name: str) -> str:
+        """Return what a process has logged."""
+        path = pathlib.Path(self.folder.name) / f'{name}.log'
+        return path.read_text(errors='replace')
+
+    # ---- settings ----
+
+    def port(self, name: str) -> int:
+        """Return the port of this name, chosen free at first use."""
+        if name not in self.ports:
+            with socket.socket() as probe:
+                probe.bind(('127.0.0.1', 0))
+                port = probe.getsockname()[1]
+            if port in self.ports.values():
+                return self.port(name)
+            self.ports[name] = port
+        return self.ports[name]
+
+    def _write(self, name: str, value: dict) -> str:
+        path = pathlib.Path(self.folder.name) / f'{name}.json'
+        path.write_text(json.dumps(value))
+        return str(path)
+
+    def _module(self, module: str, *words: str) -> list[str]:
+        return [sys.executable, '-m', module, *words]
+
+    def through(self, link: str, target: str) -> int:
+        """Return the port to reach `target` by, through a link if wanted."""
+        if not self.plan.faults:
+            return self.port(target)
+        self.links.append(
+            {
+                'name': link,
+                'port': self.port(f'link {link}'),
+                'target_port': self.port(target),
+            }
+        )
+        return self.port(f'link {link}')
+
+    async def _start_platform(self) -> None:
+        settings = {
+            'port': self.port('platform'),
+            'list_lag_ms': self.plan.list_lag_ms,
+            'state_file': str(pathlib.Path(self.folder.name) / 'platform.db'),
+        }
+        file = self._write('platform', settings)
+        self.commands['platform'] = self._module(
+            'topazring.standin.main', 'platform', file
+        )
+        await self.spawn('platform')
+        self.platform = platform_client.PlatformClient(
+            '127.0.0.1', self.port('platform'), 'fleet'
+        )
+        await wait_until(self._platform_answers, 'the platform answers')
+
+    async def _platform_answers(self) -> bool:
+        found = await self.platform.get('any')
+        return not isinstance(found, platform_client.Unavailable)
+
+    def _prepare_upstream(self, database: str, name: str) -> None:
+        peers = [
+            {'name': peer, 'port': self.through(f'{name}/{peer}', peer)}
+            for peer in self.upstream_names(database)
+            if peer != name
+        ]
+        settings = {
+            'name': name,
+            'port': self.port(name),
+            'peers': peers,
+            'slots': self.plan.slots,
+            'connections': self.plan.connections,
+            'connect_delay_ms': self.plan.connect_delay_ms,
+            'statement_ms': self.plan.statement_ms,
+            'lag_ms': self.plan.lag_ms,
+        }
+        file = self._write(name, settings)
+        self.commands[name] = self._module(
+            'topazring.standin.main', 'upstream', file
+        )
+
+    def _prepare_proxy(self, name: str) -> None:
+        number = int(name[1:])
+        centres = self.plan.data_centres
+        routes = {}
+        if self.plan.faults:
+            for database in self.plan.databases:
+                for upstream in self.upstream_names(database):
+                    port = self.through(f'{name}/{upstream}', upstream)
+                    routes[upstream] = {'port': port}
+        platform = self.through(f'{name}/platform', 'platform')
+        seeds = [
+            {'port': self.port(f'p{peer + 1} gossip')}
+            for peer in range(self.plan.proxies)
+            if peer + 1 != number
+        ]
+        settings = {
+            'name': name,
+            'region': 'home',
+            'data_centre': centres[number % len(centres)],
+            'caller_port': self.port(f'{name} caller'),
+            'hop_port': self.port(f'{name} hop'),
+            'gossip_port': self.port(f'{name} gossip'),
+            'operator_port': self.port(f'{name} operator'),
+            'platform': {'port': platform},
+            'seeds': seeds,
+            'routes': routes,
+            'limits': {'drain_ms': self.plan.drain_ms},
+        }
+        file = self._write(name, settings)
+        self.commands[name] = self._module('topazring.proxy.main', 'run', file)
+
+    async def _start_faults(self) -> None:
+        settings = {'port': self.port('faults'), 'links': self.links}
+        file = self._write('faults', settings)
+        self.commands['faults'] = self._module(
+            'topazring.standin.main', 'faults', file
+        )
+        await self.spawn('faults')
+
+    async def set_link(self, link: str, **modes) -> None:
+        """Set the modes of a link; see topazring.standin.faults."""
+        await self.post(f'faults/links/{link.replace("/", "%2F")}', modes)
+
+    async def post(self, target: str, arguments: dict) -> bytes:
+        """Post to a stand-in; `target` is NAME/PATH."""
+        name, _, path = target.partition('/')
+        query = '&'.join(f'{k}={v}' for k, v in arguments.items())
+        url = f'http://127.0.0.1:{self.port(name)}/{path}?{query}'
+        reply = await self.http.fetch(url, method='POST', body='')
+        return reply.body
+
+    async def get(self, port_name: str, path: str) -> dict | None:
+        """Get JSON from a process; None if it does not answer."""
+        url = f'http://127.0.0.1:{self.port(port_name)}{path}'
+        try:
+            reply = await self.http.fetch(
+                url, request_timeout=2.0, raise_error=False
+            )
+            return json.loads(reply.body)
+        except (OSError, ValueError, TypeError, httpclient.HTTPError):
+            return None
+
+    # ---- configuration ----
+
+    async def _configure(self) -> None:
+        await self.put('token-key', '2026', {'secret_hex': 'a5' * 32})
+        for name, value in PROFILES.items():
+            await self.put('profile', name, value)
+        for name in self.plan.organisations:
+            key = catalogue.hash_key(f'{name}-key')
+            await self.put('organisation', name, {'key_sha256': key})
+        for database in self.plan.databases:
+            await self.put('database', database, self._database(database))
+
+    def _database(self, database: str) -> dict:
+        upstreams = [
+            {'name': name, 'port': self.port(name)}
+            for name in self.upstream_names(database)
+        ]
+        return {
+            'region': 'home',
+            'organisations': list(self.plan.organisations),
+            'upstreams': upstreams,
+            'slots': self.plan.slots,
+            'connections': self.plan.connections,
+        }
+
+    async def put(self, kind: str, name: str, value: dict) -> None:
+        """Configure something that is not configured yet."""
+        key = f'{catalogue.PREFIX}{kind}/{name}'
+        written = await self.platform.put(key, json.dumps(value), None)
+        if not isinstance(written, platform_client.Written):
+            raise RuntimeError(f'{key}: {written}')
+
+    # ---- what is seen ----
+
+    async def wait_ready(self, proxy: str) -> None:
+        """Wait until a proxy is ready and knows all others."""
+
+        async def ready() -> bool:
+            status = await self.get(f'{proxy} operator', '/status')
+            if status is None or status['state'] != 'ready':
+                return False
+            return len(status['members']) == self.plan.proxies
+
+        await wait_until(ready, f'{proxy} is ready')
+
+    async def wait_primary(self, database: str) -> str:
+        """Wait until an owner knows a primary; return its name."""
+
+        async def known() -> str:
+            return await self.primary_of(database)
+
+        return await wait_until(known, f'{database} has a primary')
+
+    async def primary_of(self, database: str) -> str:
+        """Return the upstream that leads the highest term, or ''."""
+        best = (0, '')
+        for name in self.upstream_names(database):
+            process = self.processes[name]
+            if process.returncode is not None:
+                continue
+            ledger = await self.get(name, '/ledger')
+            if ledger and ledger['leads']:
+                best = max(best, (ledger['term'], name))
+        return best[1]
+
+    async def ledger(self, name: str) -> dict:
+        """Return an upstream's ledger and log."""
+        return await self.get(name, '/ledger')
+
+    async def owners_of(self, database: str) -> list[str]:
+        """Return the proxies that own a database, in preference order."""
+        for number in range(self.plan.proxies):
+            name = f'p{number + 1}'
+            found = await self.get(f'{name} operator', f'/explain/{database}')
+            if found and 'state' in found and found['state']['owners']:
+                return found['state']['owners']
+        return []
+
+    def url(self, proxy: str) -> str:
+        """Return the address that callers connect to."""
+        return f'ws://127.0.0.1:{self.port(f"{proxy} caller")}/session'
+
+    async def session(
+        self,
+        proxy: str,
+        profile: str = 'saves',
+        database: str = '',
+        organisation: str = '',
+        token: str = '',
+    ) -> client.Session:
+        """Open a session at a proxy."""
+        organisation = organisation or self.plan.organisations[0]
+        session = client.Session(
+            self.url(proxy),
+            organisation,
+            f'{organisation}-key',
+            database or self.plan.databases[0],
+            profile,
+            token,
+        )
+        answer = await session.start()
+        if not answer.done:
+            raise RuntimeError(f'no session at {proxy}: {answer}')
+        return session
+
+
+async def wait_until(condition, what: str, limit_s: float = START_S):
+    """Wait for a condition; raise TimeoutError with its name if it fails."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + limit_s
+    while True:
+        found = await condition()
+        if found:
+            return found
+        if loop.time() > until:
+            raise TimeoutError(f'waited {limit_s} s in vain: {what}')
+        await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/topazring/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide without input or output: values in, values out."""
--- /dev/null
+++ b/topazring/core/failover.py
@@ -0,0 +1,371 @@
+"""Decide when to promote, and see a promotion through."""
+
+from topazring.core import messages
+from topazring.core import promotion
+from topazring.core import rounds
+from topazring.core import serving
+from topazring.core import state as states
+from topazring.core import suspicion
+from topazring.core import view as views
+
+__all__ = [
+    'fence_replied',
+    'grants_seen',
+    'lead_replied',
+    'leaving_seen',
+    'owners_seen',
+    'peer_suspects',
+    'probe_failed',
+    'status_seen',
+    'take_status',
+    'watch_over',
+]
+
+Out = list
+
+# Owners lower in the preference order hold back that long for each above.
+STAGGER_MS = 500
+TELL_MS = 200
+# A peer's word is taken for that long.
+PEER_WORD_MS = 1500
+# Silent peers are not waited for longer than this.
+ALONE_AFTER_MS = 1500
+GRANTS_WANTED = 3
+ASK_GRANTS_MS = 1000
+# A hand-over waits that long for writes and transactions to end.
+HAND_OVER_MS = 2000
+
+
+# ---- what is heard -------------------------------------------------------
+
+
+def take_status(
+    state: states.OwnerState, now_ms: int, status: messages.Status
+) -> Out:
+    """Take in a status and what a new term or primary entails."""
+    changed = views.observe(state.view, now_ms, status)
+    if status.upstream == state.view.primary and status.leads:
+        suspicion.note_alive(state.evidence, now_ms)
+    if not changed:
+        return []
+    suspicion.forget(state.evidence, now_ms)
+    outs = _turn_term(state, now_ms)
+    if state.view.primary:
+        state.handing_over_since_ms = None
+        outs.append(
+            messages.Explained(
+                f'{state.view.primary} leads term {state.view.term}',
+                f'seen at {state.name}',
+            )
+        )
+    return outs
+
+
+def _turn_term(state: states.OwnerState, now_ms: int) -> Out:
+    """Leave the old term: what waited for it has an open fate now."""
+    if state.round_state.term == state.view.term:
+        return []
+    waiters = rounds.take_all(state.round_state)
+    state.round_state.term = state.view.term
+    outs: Out = []
+    for waiter in waiters:
+        work = state.work.get(waiter.key)
+        if work is not None:
+            reason = serving.Reason.REPLACED
+            outs += serving.reopen(state, now_ms, work, reason)
+    for key, transaction in list(state.transactions.items()):
+        if transaction.term < state.view.term and not transaction.busy:
+            outs += serving.withdraw(state, now_ms, messages.Withdraw(key))
+    return outs
+
+
+def status_seen(
+    state: states.OwnerState, now_ms: int, message: messages.StatusSeen
+) -> Out:
+    """Take in the reply to a heartbeat or to a round."""
+    status = message.status
+    outs = take_status(state, now_ms, status)
+    if message.round_id:
+        needed = views.majority(state.view)
+        for waiter in rounds.note_status(
+            state.round_state, message.round_id, status, needed
+        ):
+            outs += serving.confirmed(state, now_ms, waiter)
+        return outs
+    _sample(state, message)
+    return outs
+
+
+def _sample(state: states.OwnerState, message: messages.StatusSeen) -> None:
+    """Have the age of the primary's place confirmed by the next round."""
+    status = message.status
+    current = status.accepted_term == state.view.term and status.leads
+    if not current or status.place.log_term != state.view.term:
+        return
+    key = state.next_sample_key
+    state.next_sample_key -= 1
+    rounds.add_waiter(
+        state.round_state,
+        key,
+        status.place,
+        message.sent_ms,
+        needs_place=False,
+    )
+
+
+def probe_failed(
+    state: states.OwnerState, now_ms: int, message: messages.ProbeFailed
+) -> Out:
+    """Take in that an upstream did not answer."""
+    rounds.forget_asks(state.round_state, message.upstream)
+    if message.upstream == state.view.primary:
+        suspicion.note_failure(state.evidence, now_ms, message.kind)
+    return []
+
+
+def peer_suspects(
+    state: states.OwnerState, now_ms: int, message: messages.PeerSuspects
+) -> Out:
+    """Take in what another owner thinks of the primary."""
+    if message.term < state.view.term:
+        return []
+    if message.suspects:
+        state.peer_suspects[message.owner] = (message.term, now_ms)
+    else:
+        state.peer_suspects[message.owner] = (-1, now_ms)
+    return []
+
+
+def owners_seen(
+    state: states.OwnerState, now_ms: int, message: messages.OwnersSeen
+) -> Out:
+    """Take in who the live owners are."""
+    state.owners = message.owners
+    return []
+
+
+def grants_seen(
+    state: states.OwnerState, now_ms: int, message: messages.GrantsSeen
+) -> Out:
+    """Take in the terms that are this owner's alone."""
+    usable = {term for term in message.terms if term > state.view.term}
+    if state.attempt is not None:
+        usable.discard(state.attempt.term)
+    state.grants = usable - state.used_terms
+    return []
+
+
+def leaving_seen(
+    state: states.OwnerState,
+    now_ms: int,
+    message: messages.UpstreamsLeaving,
+) -> Out:
+    """Take in which upstreams are leaving."""
+    state.leaving = message.names
+    return []
+
+
+# ---- what is decided -----------------------------------------------------
+
+
+def watch_over(state: states.OwnerState, now_ms: int) -> Out:
+    """Judge the primary and take the next step of a promotion."""
+    verdict, why = suspicion.judge(state.evidence, state.view, now_ms)
+    outs = _tell_peers(state, now_ms, verdict)
+    outs += _want_grants(state, now_ms)
+    if state.attempt is not None:
+        return outs + _drive(state, now_ms)
+    if verdict is suspicion.Verdict.SUSPECT:
+        return outs + _consider(state, now_ms, why)
+    state.suspected_ms = None
+    outs += _note_cut_off(state, now_ms, verdict)
+    return outs + _hand_over(state, now_ms)
+
+
+def _note_cut_off(
+    state: states.OwnerState, now_ms: int, verdict: suspicion.Verdict
+) -> Out:
+    """Notice that the primary is there but not for this owner."""
+    unreachable = state.evidence.refused >= 2 or state.evidence.silent_new
+    if verdict is not suspicion.Verdict.UNKNOWN or not unreachable:
+        state.cut_off_since_ms = None
+        return []
+    if state.cut_off_since_ms is None:
+        state.cut_off_since_ms = now_ms
+    if not serving.is_cut_off(state, now_ms):
+        return []
+    return serving.hand_back(state, now_ms)
+
+
+def _tell_peers(
+    state: states.OwnerState, now_ms: int, verdict: suspicion.Verdict
+) -> Out:
+    suspects = verdict is suspicion.Verdict.SUSPECT
+    asked = any(
+        term >= state.view.term and now_ms - at_ms < TELL_MS * 2
+        for term, at_ms in state.peer_suspects.values()
+    )
+    alive = verdict is suspicion.Verdict.ALIVE
+    if not suspects and not (alive and asked):
+        return []
+    first = suspects and state.suspected_ms is None
+    if not first and now_ms - state.told_suspicion_ms < TELL_MS:
+        return []
+    state.told_suspicion_ms = now_ms
+    return [messages.TellSuspicion(state.view.term, suspects)]
+
+
+def _want_grants(state: states.OwnerState, now_ms: int) -> Out:
+    if now_ms - state.asked_grants_ms < ASK_GRANTS_MS:
+        return []
+    usable = [term for term in state.grants if term > state.view.term]
+    if len(usable) >= GRANTS_WANTED:
+        return []
+    state.asked_grants_ms = now_ms
+    return [messages.NeedGrants(state.view.term)]
+
+
+def _consider(state: states.OwnerState, now_ms: int, why: str) -> Out:
+    outs: Out = []
+    if state.suspected_ms is None:
+        state.suspected_ms = now_ms
+        outs.append(messages.Explained('suspects its primary', why))
+    agreed, grounds = _agreed(state, now_ms)
+    hold_ms = STAGGER_MS * _rank(state)
+    ready = now_ms >= max(
+        state.retry_promotion_ms, state.suspected_ms + hold_ms
+    )
+    if not agreed or not ready:
+        return outs
+    return outs + _begin(state, now_ms, f'{why}; {grounds}')
+
+
+def _rank(state: states.OwnerState) -> int:
+    if state.name in state.owners:
+        return state.owners.index(state.name)
+    return len(state.owners)
+
+
+def _agreed(state: states.OwnerState, now_ms: int) -> tuple[bool, str]:
+    """Say whether another owner agrees, or none is there to ask."""
+    others = [name for name in state.owners if name != state.name]
+    if not others:
+        return True, 'no other owner is alive'
+    words = {
+        name: term
+        for name, (term, at_ms) in state.peer_suspects.items()
+        if name in others and now_ms - at_ms <= PEER_WORD_MS
+    }
+    for name, term in words.items():
+        if term >= state.view.term:
+            return True, f'{name} agrees'
+    if words:
+        return False, 'the other owners do not agree'
+    if now_ms - state.suspected_ms >= ALONE_AFTER_MS:
+        return True, 'no other owner answers'
+    return False, 'no other owner has answered yet'
+
+
+def _begin(state: states.OwnerState, now_ms: int, why: str) -> Out:
+    usable = [term for term in state.grants if term > state.view.term]
+    if not usable:
+        state.counters['promotion_without_grant'] += 1
+        return []
+    term = min(usable)
+    # Used up whatever comes of it: a term serves one attempt.
+    state.grants.discard(term)
+    state.used_terms.add(term)
+    avoid = state.leaving | {state.view.primary}
+    state.attempt, fences = promotion.begin(
+        term, now_ms, tuple(state.view.upstreams), avoid, why
+    )
+    state.counters['promotions_begun'] += 1
+    began = messages.Explained(f'begins a promotion under term {term}', why)
+    return [began, *fences]
+
+
+def fence_replied(
+    state: states.OwnerState, now_ms: int, message: messages.FenceReply
+) -> Out:
+    """Take in the reply to a fence."""
+    outs = take_status(state, now_ms, message.status)
+    if state.attempt is None:
+        return outs
+    outs += promotion.note_fenced(state.attempt, now_ms, message)
+    return outs + _conclude(state, now_ms)
+
+
+def lead_replied(
+    state: states.OwnerState, now_ms: int, message: messages.LeadReply
+) -> Out:
+    """Take in the reply of the upstream that was told to lead."""
+    outs = take_status(state, now_ms, message.status)
+    if state.attempt is None:
+        return outs
+    promotion.note_leading(state.attempt, message)
+    return outs + _conclude(state, now_ms)
+
+
+def _drive(state: states.OwnerState, now_ms: int) -> Out:
+    outs: Out = list(promotion.resend(state.attempt, now_ms))
+    promotion.expire(state.attempt, now_ms)
+    return outs + _conclude(state, now_ms)
+
+
+def _conclude(state: states.OwnerState, now_ms: int) -> Out:
+    attempt = state.attempt
+    if attempt.phase is promotion.Phase.WON:
+        state.attempt = None
+        state.suspected_ms = None
+        state.handing_over_since_ms = None
+        state.counters['promotions_won'] += 1
+        took_ms = now_ms - attempt.began_ms
+        return [
+            messages.PrimaryChosen(attempt.term, attempt.chosen),
+            messages.Explained(
+                f'promoted {attempt.chosen} under term {attempt.term} in '
+                f'{took_ms} ms',
+                attempt.why,
+            ),
+        ]
+    if attempt.phase is promotion.Phase.FAILED:
+        state.attempt = None
+        pause_ms = 100 + state.rng.randrange(200) + 200 * _rank(state)
+        state.retry_promotion_ms = now_ms + pause_ms
+        state.counters['promotions_failed'] += 1
+        return [
+            messages.Explained(
+                f'gave up the promotion under term {attempt.term}',
+                f'fenced {sorted(attempt.fenced)}, chose '
+                f'{attempt.chosen or "none"}, highest term seen '
+                f'{state.view.term}',
+            )
+        ]
+    return []
+
+
+def _hand_over(state: states.OwnerState, now_ms: int) -> Out:
+    """Move the lead off a primary that is leaving, without cutting writes."""
+    leaving = state.view.primary in state.leaving
+    if not leaving or _rank(state) != 0:
+        state.handing_over_since_ms = None
+        return []
+    if state.handing_over_since_ms is None:
+        state.handing_over_since_ms = now_ms
+    waited_ms = now_ms - state.handing_over_since_ms
+    in_flight = state.in_work.get(state.view.primary, 0)
+    quiet = not in_flight and not state.transactions and _caught_up(state)
+    if not quiet and waited_ms < HAND_OVER_MS:
+        return []
+    if now_ms < state.retry_promotion_ms:
+        return []
+    return _begin(state, now_ms, f'{state.view.primary} is leaving')
+
+
+def _caught_up(state: states.OwnerState) -> bool:
+    primary = state.view.upstreams[state.view.primary]
+    return any(
+        seen.place >= primary.place
+        for seen in state.view.upstreams.values()
+        if seen.name != state.view.primary and seen.name not in state.leaving
+    )
--- /dev/null
+++ b/topazring/core/forwarding.py
@@ -0,0 +1,149 @@
+"""Decide at the entry which owner gets a request, and what after a loss."""
+
+import dataclasses
+
+from topazring.core import messages
+from topazring.core import outcomes
+from topazring.core import requests
+
+__all__ = ['Finish', 'Pause', 'Plan', 'Send', 'begin', 'next_step', 'note']
+
+Kind = requests.Kind
+Reason = outcomes.Reason
+
+PAUSE_MS = 50
+# The hop back needs a little of the caller's time.
+MARGIN_MS = 20
+# These say that the owner cannot, not that the request is at fault.
+OWNER_CANNOT = frozenset(
+    {Reason.NO_PRIMARY, Reason.DRAINING, Reason.NO_CONFIGURATION}
+)
+ON_CONNECTION = frozenset({Kind.EXECUTE, Kind.COMMIT, Kind.ROLLBACK})
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Hold how far a request has come at the entry."""
+
+    kind: Kind
+    repeatable: bool
+    deadline_ms: int
+    # The only owner that holds the transaction's connection.
+    bound_to: str = ''
+    tried: list[str] = dataclasses.field(default_factory=list)
+    settling: bool = False
+    maybe_ran: bool = False
+    last: outcomes.Outcome | None = None
+    final: outcomes.Outcome | None = None
+    reason: Reason = Reason.NO_OWNER
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request to an owner, as a settle if its fate is open."""
+
+    owner: str
+    settle: bool
+    left_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """Wait before the next round over the owners."""
+
+    ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finish:
+    """Give the caller the final answer."""
+
+    outcome: outcomes.Outcome
+
+
+def begin(
+    kind: Kind,
+    repeatable: bool,
+    deadline_ms: int,
+    bound_to: str = '',
+    repeat: bool = False,
+) -> Plan:
+    """Return the plan of a request that was just taken in.
+
+    A `repeat` may have run as an earlier copy, and so may a commit whose
+    transaction is no longer open here.
+    """
+    plan = Plan(kind, repeatable, deadline_ms, bound_to)
+    plan.settling = kind is Kind.COMMIT and not bound_to
+    plan.maybe_ran = repeat or plan.settling
+    return plan
+
+
+def next_step(
+    plan: Plan, now_ms: int, owners: tuple[str, ...]
+) -> Send | Pause | Finish:
+    """Return what to do next, given the live owners in preference order."""
+    if plan.final is not None:
+        return Finish(plan.final)
+    left_ms = plan.deadline_ms - now_ms
+    if left_ms <= MARGIN_MS:
+        return Finish(_give_up(plan, Reason.DEADLINE))
+    if plan.bound_to and not plan.settling:
+        return Send(plan.bound_to, False, left_ms - MARGIN_MS)
+    for owner in owners:
+        if owner not in plan.tried:
+            return Send(owner, plan.settling, left_ms - MARGIN_MS)
+    if plan.maybe_ran and owners:
+        # Its fate is open: keep asking whoever is there until it is known.
+        plan.tried.clear()
+        return Pause(min(PAUSE_MS, left_ms))
+    return Finish(_give_up(plan, plan.reason))
+
+
+def _give_up(plan: Plan, reason: Reason) -> outcomes.Outcome:
+    if plan.maybe_ran:
+        return outcomes.Unknown(Reason.OWNER_LOST)
+    if plan.last is not None:
+        return plan.last
+    return outcomes.NotRun(reason, 200)
+
+
+def note(
+    plan: Plan, owner: str, result: outcomes.Outcome | messages.Lost
+) -> None:
+    """Take in what an owner answered, or that it was lost."""
+    plan.tried.append(owner)
+    if isinstance(result, messages.Lost):
+        _note_lost(plan, result)
+        return
+    bound = plan.kind in ON_CONNECTION and not plan.settling
+    match result:
+        case outcomes.NotRun(reason=reason) if reason in OWNER_CANNOT:
+            if not bound:
+                plan.last = result
+                plan.reason = reason
+                return
+        case outcomes.Unknown(reason=reason) if reason in OWNER_CANNOT:
+            # Another owner may still reach the primary and find out.
+            _note_lost(plan, messages.Lost(reason, True))
+            return
+    plan.final = result
+
+
+def _note_lost(plan: Plan, lost: messages.Lost) -> None:
+    plan.reason = lost.reason
+    if plan.kind in (Kind.EXECUTE, Kind.ROLLBACK):
+        # The owner closes a transaction's connection with its entry's link,
+        # and the upstream rolls back what it held.
+        plan.final = outcomes.NotRun(Reason.TRANSACTION_LOST, 50)
+        return
+    if not lost.sent:
+        if plan.kind is Kind.COMMIT and not plan.settling:
+            plan.final = outcomes.NotRun(Reason.TRANSACTION_LOST, 50)
+        return
+    if plan.kind is Kind.BEGIN:
+        return
+    plan.maybe_ran = True
+    again = plan.repeatable and plan.kind is Kind.WRITE
+    if plan.kind in requests.WRITES and not again:
+        plan.settling = True
--- /dev/null
+++ b/topazring/core/hashing.py
@@ -0,0 +1,56 @@
+"""Choose the owners of a database by rendezvous hashing."""
+
+import collections.abc
+import dataclasses
+import hashlib
+
+__all__ = ['Candidate', 'choose_owners', 'score']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """Name a proxy that could own databases."""
+
+    name: str
+    region: str
+    data_centre: str
+
+
+def score(database: str, name: str) -> int:
+    """Return the weight of a proxy for a database; the highest wins.
+
+    Every proxy computes the same weights, so owners follow from the list of
+    members without any message. When one leaves, only its databases move.
+    Thaler and Ravishankar, "A Name-Based Mapping Scheme for Rendezvous"
+    (1996).
+    """
+    text = f'{database}\0{name}'.encode()
+    digest = hashlib.blake2b(text, digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def choose_owners(
+    database: str,
+    region: str,
+    candidates: collections.abc.Iterable[Candidate],
+    count: int,
+) -> tuple[str, ...]:
+    """Return the owners in preference order, spread over data centres.
+
+    Proxies of the database's own region come first. A data centre is used
+    twice only when there are fewer centres than owners.
+    """
+    everyone = list(candidates)
+    local = [c for c in everyone if c.region == region]
+    pool = local or everyone
+    pool.sort(key=lambda c: score(database, c.name), reverse=True)
+    chosen: list[Candidate] = []
+    centres: set[str] = set()
+    for candidate in pool:
+        if len(chosen) < count and candidate.data_centre not in centres:
+            chosen.append(candidate)
+            centres.add(candidate.data_centre)
+    for candidate in pool:
+        if len(chosen) < count and candidate not in chosen:
+            chosen.append(candidate)
+    return tuple(candidate.name for candidate in chosen)
--- /dev/null
+++ b/topazring/core/messages.py
@@ -0,0 +1,263 @@
+"""Type the messages that enter and leave an owner's core."""
+
+import dataclasses
+import typing
+
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core import requests
+
+__all__ = [
+    'Answer',
+    'AskStatus',
+    'CloseTransaction',
+    'Executed',
+    'Execute',
+    'Explained',
+    'Fence',
+    'FenceReply',
+    'GrantsSeen',
+    'Lead',
+    'LeadReply',
+    'Lost',
+    'NeedGrants',
+    'OwnersSeen',
+    'PeerSuspects',
+    'PrimaryChosen',
+    'ProbeFailed',
+    'Ran',
+    'Refused',
+    'Status',
+    'StatusSeen',
+    'Submit',
+    'SqlFailed',
+    'TellSuspicion',
+    'Tick',
+    'UpstreamsLeaving',
+    'Withdraw',
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """Report what an upstream says of itself."""
+
+    upstream: str
+    accepted_term: int
+    leads: bool
+    place: places.Place
+    # How long ago this replica last heard from its primary; 0 on a primary.
+    primary_silent_ms: int = 0
+
+
+# ---- into the core -------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    request: requests.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Report that the caller's session ended and its transaction with it."""
+
+    transaction: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ran:
+    """Report an execution with the place the upstream had after it."""
+
+    rows: list[list[typing.Any]]
+    place: places.Place
+    accepted_term: int
+    repeated: bool = False
+    cancelled: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Report that the upstream certainly did not run the statement."""
+
+    reason: outcomes.Reason
+    status: Status | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SqlFailed:
+    """Report that the statement is at fault and left nothing behind."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Report a connection lost or silent; `sent` leaves the fate open."""
+
+    reason: outcomes.Reason
+    sent: bool
+
+
+Result = Ran | Refused | SqlFailed | Lost
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Executed:
+    key: int
+    attempt: int
+    upstream: str
+    result: Result
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusSeen:
+    """Report a status; `round_id` is 0 outside a confirmation round."""
+
+    status: Status
+    round_id: int = 0
+    sent_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeFailed:
+    """Report what a probe met: `refused`, `silent` or `silent_new`.
+
+    `silent` is silence on a connection that worked; `silent_new` on one
+    opened for the probe.
+    """
+
+    upstream: str
+    kind: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSuspects:
+    owner: str
+    term: int
+    suspects: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnersSeen:
+    """Report the live owners of the database in preference order."""
+
+    owners: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantsSeen:
+    """Report the terms that are this owner's alone to use."""
+
+    terms: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsLeaving:
+    names: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceReply:
+    term: int
+    accepted: bool
+    status: Status
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadReply:
+    term: int
+    accepted: bool
+    status: Status
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Let time pass; `paused_ms` is how late the timer woke."""
+
+    paused_ms: int = 0
+
+
+# ---- out of the core -----------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Execute:
+    key: int
+    attempt: int
+    upstream: str
+    term: int
+    kind: requests.Kind
+    request: requests.Request
+    at_replica: bool = False
+    # A replica runs the read once it has reached this place.
+    wait_place: places.Place = places.ORIGIN
+    wait_ms: int = 0
+    timeout_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    key: int
+    outcome: outcomes.Outcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskStatus:
+    """Ask for a status as soon as it answers the round.
+
+    That is when `place` is held under `term`, when a higher term was
+    accepted, or when `wait_ms` is over.
+    """
+
+    upstream: str
+    round_id: int
+    term: int
+    place: places.Place
+    wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fence:
+    upstream: str
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lead:
+    upstream: str
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellSuspicion:
+    term: int
+    suspects: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NeedGrants:
+    above_term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimaryChosen:
+    """Ask for the platform's record to be brought up to date."""
+
+    term: int
+    primary: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseTransaction:
+    """Give up a transaction's connection without reusing it."""
+
+    transaction: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explained:
+    """Tell the operators what was decided and on what grounds."""
+
+    what: str
+    why: str
--- /dev/null
+++ b/topazring/core/outcomes.py
@@ -0,0 +1,89 @@
+"""Tag what became of a request."""
+
+import dataclasses
+import enum
+import typing
+
+from topazring.core import places
+
+__all__ = [
+    'Done',
+    'NotRun',
+    'Outcome',
+    'Reason',
+    'Rejected',
+    'Unknown',
+]
+
+
+class Reason(enum.StrEnum):
+    """Name why a request was refused, retried or left open."""
+
+    BACKLOG = 'backlog'
+    CANCELLED = 'cancelled'
+    CONFLICT = 'conflict'
+    CONNECTION_LIMIT = 'connection_limit'
+    CONNECTION_LOST = 'connection_lost'
+    DEADLINE = 'deadline'
+    DRAINING = 'draining'
+    NO_CONFIGURATION = 'no_configuration'
+    NO_FRESH_REPLICA = 'no_fresh_replica'
+    NO_OWNER = 'no_owner'
+    NO_PRIMARY = 'no_primary'
+    NOT_CONFIRMED = 'not_confirmed'
+    OVERLOAD = 'overload'
+    OWNER_LOST = 'owner_lost'
+    REPLACED = 'replaced'
+    REPLICA_BEHIND = 'replica_behind'
+    REPLICAS_BEHIND = 'replicas_behind'
+    RETRY_BUDGET = 'retry_budget'
+    SLOTS_BUSY = 'slots_busy'
+    TRANSACTION_LOST = 'transaction_lost'
+    UPSTREAM_TIMEOUT = 'upstream_timeout'
+    # Rejected input: the caller has to change something first.
+    BAD_FRAME = 'bad_frame'
+    BAD_REQUEST_ID = 'bad_request_id'
+    BAD_STATEMENT = 'bad_statement'
+    BAD_TOKEN = 'bad_token'
+    FORBIDDEN = 'forbidden'
+    NO_TRANSACTION = 'no_transaction'
+    REQUEST_ID_TOO_OLD = 'request_id_too_old'
+    TOO_LARGE = 'too_large'
+    UNKNOWN_DATABASE = 'unknown_database'
+    UNKNOWN_PROFILE = 'unknown_profile'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """Report that the request ran and a majority holds what it saw."""
+
+    rows: list[list[typing.Any]]
+    place: places.Place
+    served_by: str = ''
+    repeated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """Report that the request did not run and never will under its id."""
+
+    reason: Reason
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """Report that whether the request ran could not be found out."""
+
+    reason: Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """Report that the request itself is wrong; a repeat fails alike."""
+
+    reason: Reason
+    detail: str
+
+
+Outcome = Done | NotRun | Unknown | Rejected
--- /dev/null
+++ b/topazring/core/owner.py
@@ -0,0 +1,94 @@
+"""Drive one database at one owner: messages in, messages out."""
+
+import collections.abc
+
+from topazring.core import failover
+from topazring.core import messages
+from topazring.core import places
+from topazring.core import rounds
+from topazring.core import serving
+from topazring.core import state as states
+from topazring.core import suspicion
+
+__all__ = ['handles', 'step']
+
+Handler = collections.abc.Callable[[states.OwnerState, int, object], list]
+_handlers: dict[type, Handler] = {}
+
+
+def handles(kind: type) -> collections.abc.Callable[[Handler], Handler]:
+    """Register the handler of one kind of message."""
+
+    def register(handler: Handler) -> Handler:
+        _handlers[kind] = handler
+        return handler
+
+    return register
+
+
+def step(state: states.OwnerState, now_ms: int, message: object) -> list:
+    """Take in one message; return what is to be done about it."""
+    outs = _handlers[type(message)](state, now_ms, message)
+    outs += serving.dispatch(state, now_ms)
+    outs += _ask_replicas(state, now_ms)
+    return outs
+
+
+def _ask_replicas(state: states.OwnerState, now_ms: int) -> list:
+    replicas = [
+        name for name in state.view.upstreams if name != state.view.primary
+    ]
+    asks = rounds.ask(state.round_state, now_ms, replicas)
+    for ask in asks:
+        state.asked_ms[ask.upstream] = now_ms
+    return asks
+
+
+handles(messages.Submit)(serving.submit)
+handles(messages.Withdraw)(serving.withdraw)
+handles(messages.StatusSeen)(failover.status_seen)
+handles(messages.ProbeFailed)(failover.probe_failed)
+handles(messages.PeerSuspects)(failover.peer_suspects)
+handles(messages.OwnersSeen)(failover.owners_seen)
+handles(messages.GrantsSeen)(failover.grants_seen)
+handles(messages.UpstreamsLeaving)(failover.leaving_seen)
+handles(messages.FenceReply)(failover.fence_replied)
+handles(messages.LeadReply)(failover.lead_replied)
+
+
+@handles(messages.Executed)
+def _executed(
+    state: states.OwnerState, now_ms: int, message: messages.Executed
+) -> list:
+    outs = []
+    result = message.result
+    if isinstance(result, messages.Refused) and result.status is not None:
+        if result.status.accepted_term > state.view.term:
+            outs += failover.take_status(state, now_ms, result.status)
+    return outs + serving.executed(state, now_ms, message)
+
+
+@handles(messages.Tick)
+def _tick(
+    state: states.OwnerState, now_ms: int, message: messages.Tick
+) -> list:
+    suspicion.note_pause(state.evidence, now_ms, message.paused_ms)
+    outs = serving.expire(state, now_ms)
+    outs += _heartbeat(state, now_ms)
+    outs += failover.watch_over(state, now_ms)
+    return outs
+
+
+def _heartbeat(state: states.OwnerState, now_ms: int) -> list:
+    """Ask the primary, and each replica that no round asks, how it is."""
+    outs = []
+    for name in state.view.upstreams:
+        period_ms = state.limits.heartbeat_ms
+        if name != state.view.primary:
+            # The round that the primary's own reply starts comes first.
+            period_ms += period_ms // 2
+        if now_ms - state.asked_ms.get(name, -10_000) < period_ms:
+            continue
+        state.asked_ms[name] = now_ms
+        outs.append(messages.AskStatus(name, 0, 0, places.ORIGIN, 0))
+    return outs
--- /dev/null
+++ b/topazring/core/places.py
@@ -0,0 +1,32 @@
+"""Name places in a replicated log."""
+
+import dataclasses
+
+__all__ = ['ORIGIN', 'Place', 'majority_of']
+
+
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Place:
+    """Locate an entry by the term that wrote it, then by its position.
+
+    The term comes first: the tail of a replaced primary can be longer than
+    its successor's log and is behind it all the same.
+
+    >>> Place(2, 5) > Place(1, 900)
+    True
+    """
+
+    log_term: int
+    position: int
+
+
+ORIGIN = Place(0, 0)
+
+
+def majority_of(count: int) -> int:
+    """Return how many of `count` members make a majority.
+
+    >>> majority_of(3)
+    2
+    """
+    return count // 2 + 1
--- /dev/null
+++ b/topazring/core/routing.py
@@ -0,0 +1,120 @@
+"""Choose the upstream that serves a read."""
+
+import dataclasses
+
+from topazring.core import places
+from topazring.core import requests
+from topazring.core import view as views
+
+__all__ = ['Route', 'choose_replica', 'required_place', 'valid_at_replica']
+
+# A replica unheard of for longer gets no new reads.
+FRESH_STATUS_MS = 1500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Name a replica, the place it has to reach, and the wait allowed."""
+
+    upstream: str
+    place: places.Place
+    wait_ms: int
+
+
+def required_place(
+    view: views.GroupView, now_ms: int, request: requests.Request
+) -> places.Place | None:
+    """Return the place a replica has to reach for this read, if any will do.
+
+    The token's place gives read-your-writes and keeps the session from
+    going back; the sample's place bounds the age.
+    """
+    staleness_ms = request.profile.max_staleness_ms
+    if staleness_ms <= 0:
+        return None
+    place = views.staleness_place(view, now_ms, staleness_ms)
+    if place is None:
+        return None
+    return max(place, request.token_place)
+
+
+def choose_replica(
+    view: views.GroupView,
+    now_ms: int,
+    request: requests.Request,
+    free_slots: dict[str, int],
+    leaving: frozenset[str],
+) -> Route | None:
+    """Return the replica to read from, or None for the primary.
+
+    Replicas that are there already come first, the least busy before the
+    others; then one that is predicted to arrive within the profile's wait.
+    """
+    place = required_place(view, now_ms, request)
+    if place is None:
+        return None
+    ready = []
+    arriving = []
+    for name, seen in view.upstreams.items():
+        if not _usable(view, now_ms, seen) or name in leaving:
+            continue
+        if free_slots.get(name, 0) <= 0:
+            continue
+        if seen.place >= place:
+            ready.append((-free_slots[name], name))
+            continue
+        wait_ms = _predict_wait(view, now_ms, seen, place)
+        if wait_ms <= request.profile.replica_wait_ms:
+            arriving.append((wait_ms, name))
+    if ready:
+        return Route(_spread(ready, request.key), place, 0)
+    if arriving:
+        wait_ms = request.profile.replica_wait_ms
+        return Route(min(arriving)[1], place, wait_ms)
+    return None
+
+
+def _spread(ready: list[tuple[int, str]], key: int) -> str:
+    """Take the least busy; among equals turn about by the request's key."""
+    most_free = min(ready)[0]
+    names = sorted(name for free, name in ready if free == most_free)
+    return names[key % len(names)]
+
+
+def _usable(
+    view: views.GroupView, now_ms: int, seen: views.UpstreamView
+) -> bool:
+    if seen.name == view.primary or seen.seen_ms is None:
+        return False
+    if seen.accepted_term != view.term:
+        return False
+    return now_ms - seen.seen_ms <= FRESH_STATUS_MS
+
+
+def _predict_wait(
+    view: views.GroupView,
+    now_ms: int,
+    seen: views.UpstreamView,
+    place: places.Place,
+) -> float:
+    """Predict when the replica reaches `place` from its usual lag."""
+    for sample in view.samples:
+        if sample.place >= place:
+            return max(0.0, sample.sent_ms + seen.lag_ms - now_ms)
+    return seen.lag_ms
+
+
+def valid_at_replica(
+    view: views.GroupView, place: places.Place, accepted_term: int
+) -> bool:
+    """Say whether no promotion can take back what a replica showed.
+
+    A place known to be majority-held is safe. In a group of three so is the
+    last entry of the replica's own term: its primary and it are a majority.
+    An older entry that the replica is only catching up with is not (the
+    case of figure 8 in Ongaro and Ousterhout, "In Search of an
+    Understandable Consensus Algorithm", 2014).
+    """
+    if place <= view.committed:
+        return True
+    return views.majority(view) <= 2 and place.log_term == accepted_term
--- /dev/null
+++ b/topazring/core/tokens.py
@@ -0,0 +1,63 @@
+"""Sign and check session tokens."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import msgspec
+
+from topazring.core import places
+
+__all__ = ['Session', 'TokenError', 'read_token', 'write_token']
+
+MAC_BYTES = 16
+
+
+class Session(msgspec.Struct, frozen=True, array_like=True):
+    """State what a session has seen, and whose session it is."""
+
+    organisation: str
+    database: str
+    log_term: int
+    position: int
+
+    def place(self) -> places.Place:
+        """Return the place that the session has seen."""
+        return places.Place(self.log_term, self.position)
+
+
+class TokenError(ValueError):
+    """Say why a token is refused."""
+
+
+def write_token(session: Session, key: bytes) -> str:
+    """Return a signed token that any proxy can check without state."""
+    body = msgspec.msgpack.encode(session)
+    return base64.urlsafe_b64encode(_mac(body, key) + body).decode()
+
+
+def read_token(
+    token: str, keys: list[bytes], organisation: str, database: str
+) -> Session:
+    """Check a token; raise TokenError if it is forged or foreign.
+
+    A caller that could name any place could hold up reads for good, or be
+    told by waiting times how far another organisation's log has come.
+    """
+    try:
+        raw = base64.urlsafe_b64decode(token.encode())
+    except (binascii.Error, ValueError):
+        raise TokenError('the token is not well-formed') from None
+    mac, body = raw[:MAC_BYTES], raw[MAC_BYTES:]
+    known = any(hmac.compare_digest(mac, _mac(body, key)) for key in keys)
+    if not known:
+        raise TokenError('the token was not signed here')
+    session = msgspec.msgpack.decode(body, type=Session)
+    if (session.organisation, session.database) != (organisation, database):
+        raise TokenError('the token is of another organisation or database')
+    return session
+
+
+def _mac(body: bytes, key: bytes) -> bytes:
+    return hmac.new(key, body, hashlib.sha256).digest()[:MAC_BYTES]
--- /dev/null
+++ b/topazring/core/view.py
@@ -0,0 +1,138 @@
+"""Keep what one owner has seen of a database group."""
+
+import collections
+import dataclasses
+
+from topazring.core import messages
+from topazring.core import places
+
+__all__ = [
+    'GroupView',
+    'Sample',
+    'UpstreamView',
+    'add_sample',
+    'make_view',
+    'majority',
+    'observe',
+    'staleness_place',
+]
+
+SAMPLES_KEPT = 512
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamView:
+    """Hold the last that was heard of one upstream."""
+
+    name: str
+    accepted_term: int = 0
+    leads: bool = False
+    place: places.Place = places.ORIGIN
+    seen_ms: int | None = None
+    primary_silent_ms: int = 0
+    # How long this replica takes to reach a place, as a moving average.
+    lag_ms: float = 0.0
+    # The sample whose arrival at this replica is measured next.
+    awaited: 'Sample | None' = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Bind a place to a time.
+
+    All that was acknowledged before `sent_ms` is at or before `place`.
+    """
+
+    sent_ms: int
+    place: places.Place
+
+
+@dataclasses.dataclass(slots=True)
+class GroupView:
+    """Hold one owner's knowledge of the group; it may be stale."""
+
+    upstreams: dict[str, UpstreamView]
+    term: int = 0
+    primary: str = ''
+    committed: places.Place = places.ORIGIN
+    samples: collections.deque[Sample] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=SAMPLES_KEPT)
+    )
+    # When the primary was last found or lost.
+    changed_ms: int | None = None
+
+
+def make_view(names: list[str]) -> GroupView:
+    """Return the view of a group of which nothing was heard yet."""
+    return GroupView({name: UpstreamView(name) for name in names})
+
+
+def majority(view: GroupView) -> int:
+    """Return how many upstreams make a majority of the group."""
+    return places.majority_of(len(view.upstreams))
+
+
+def observe(view: GroupView, now_ms: int, status: messages.Status) -> bool:
+    """Take in a status; say whether the term or the primary changed."""
+    seen = view.upstreams.get(status.upstream)
+    if seen is None or status.accepted_term < seen.accepted_term:
+        return False
+    seen.accepted_term = status.accepted_term
+    seen.leads = status.leads
+    seen.place = status.place
+    seen.seen_ms = now_ms
+    seen.primary_silent_ms = status.primary_silent_ms
+    _measure_lag(seen, now_ms)
+    changed = False
+    if view.changed_ms is None:
+        view.changed_ms = now_ms
+    if status.accepted_term > view.term:
+        view.term = status.accepted_term
+        view.primary = ''
+        view.changed_ms = now_ms
+        changed = True
+    leads_now = status.leads and status.accepted_term == view.term
+    if leads_now and view.primary != status.upstream:
+        view.primary = status.upstream
+        view.changed_ms = now_ms
+        changed = True
+    return changed
+
+
+def _measure_lag(seen: UpstreamView, now_ms: int) -> None:
+    if seen.awaited is None or seen.place < seen.awaited.place:
+        return
+    measured = now_ms - seen.awaited.sent_ms
+    seen.lag_ms += (measured - seen.lag_ms) * 0.3
+    seen.awaited = None
+
+
+def add_sample(view: GroupView, sample: Sample) -> None:
+    """Remember a sample whose term a majority confirmed after it was sent.
+
+    Samples can be confirmed out of order; an older one adds nothing that a
+    later, already confirmed one does not say.
+    """
+    if view.samples and sample.sent_ms <= view.samples[-1].sent_ms:
+        return
+    view.samples.append(sample)
+    for seen in view.upstreams.values():
+        if seen.awaited is None and seen.name != view.primary:
+            seen.awaited = sample
+
+
+def staleness_place(
+    view: GroupView, now_ms: int, max_staleness_ms: int
+) -> places.Place | None:
+    """Return the place that a read of that age has to reach.
+
+    None means that no sample is recent enough: the age of any replica is
+    unknown, which is not the same as fresh.
+    """
+    oldest_ms = now_ms - max_staleness_ms
+    found = None
+    for sample in reversed(view.samples):
+        if sample.sent_ms < oldest_ms:
+            break
+        found = sample.place
+    return found
--- /dev/null
+++ b/topazring/load/main.py
@@ -0,0 +1,1 @@
+"""placeholder"""
--- /dev/null
+++ b/topazring/platform_client.py
@@ -0,0 +1,196 @@
+"""Call the platform's service: values, compare-and-swap, watches."""
+
+import collections
+import dataclasses
+import json
+import urllib.parse
+
+from tornado import httpclient
+
+from topazring.core import revisions
+
+__all__ = [
+    'Changes',
+    'Conflict',
+    'Found',
+    'Missing',
+    'PlatformClient',
+    'Unavailable',
+    'Written',
+]
+
+REQUEST_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """Hold a value and the tag that a swap has to name."""
+
+    value: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Missing:
+    """Report that there is no such value."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Written:
+    """Report that a write took effect."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Report that another write came first."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """Report that the service did not answer; a write may have happened."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Hold what changed after `since`, up to `upto`."""
+
+    since: int
+    upto: int
+    changes: list[revisions.Change]
+
+
+class PlatformClient:
+    """Own the connections to the platform's service; count each call."""
+
+    def __init__(self, host: str, port: int, caller: str):
+        self.base = f'http://{host}:{port}'
+        self.caller = caller
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.client = httpclient.AsyncHTTPClient(
+            force_instance=True, max_clients=20
+        )
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.client.close()
+
+    async def get(self, key: str) -> Found | Missing | Unavailable:
+        """Return a value."""
+        reply = await self._call('GET', f'/kv/{key}')
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.code == 404:
+            return Missing()
+        return Found(reply.body.decode(), _revision(reply))
+
+    async def put(
+        self, key: str, value: str, revision: int | None
+    ) -> Written | Conflict | Unavailable:
+        """Write a value if it is still at `revision`; None: still absent."""
+        reply = await self._call(
+            'PUT', f'/kv/{key}', body=value, headers=_condition(revision)
+        )
+        return _written(reply)
+
+    async def delete(
+        self, key: str, revision: int
+    ) -> Written | Conflict | Unavailable:
+        """Delete a value if it is still at `revision`."""
+        reply = await self._call(
+            'DELETE', f'/kv/{key}', headers=_condition(revision)
+        )
+        return _written(reply)
+
+    async def changes(
+        self, prefix: str, since: int, wait_ms: int = 0
+    ) -> Changes | Unavailable:
+        """Return what changed under a prefix, waiting for the first."""
+        query = urllib.parse.urlencode(
+            {'prefix': prefix, 'since': since, 'wait_ms': wait_ms}
+        )
+        return await self._changes(f'/watch?{query}', since, wait_ms)
+
+    async def instances(
+        self, since: int, wait_ms: int = 0
+    ) -> Changes | Unavailable:
+        """Return what changed in the list of instances."""
+        query = f'since={since}&wait_ms={wait_ms}'
+        return await self._changes(f'/instances?{query}', since, wait_ms)
+
+    async def announce(self, name: str, instance: dict) -> bool:
+        """Have this instance listed; say whether the service answered."""
+        reply = await self._call(
+            'PUT', f'/instances/{name}', body=json.dumps(instance)
+        )
+        return not isinstance(reply, Unavailable)
+
+    async def withdraw(self, name: str) -> bool:
+        """Have this instance taken off the list."""
+        reply = await self._call('DELETE', f'/instances/{name}')
+        return not isinstance(reply, Unavailable)
+
+    async def _changes(
+        self, path: str, since: int, wait_ms: int
+    ) -> Changes | Unavailable:
+        reply = await self._call('GET', path, wait_ms=wait_ms)
+        if isinstance(reply, Unavailable):
+            return reply
+        raw = json.loads(reply.body)
+        changes = [
+            revisions.Change(c['key'], c['revision'], c['value'])
+            for c in raw['changes']
+        ]
+        return Changes(since, raw['revision'], changes)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: str | None = None,
+        headers: dict | None = None,
+        wait_ms: int = 0,
+    ) -> httpclient.HTTPResponse | Unavailable:
+        self.calls[method.lower()] += 1
+        try:
+            reply = await self.client.fetch(
+                self.base + path,
+                method=method,
+                body=body,
+                headers={'X-Caller': self.caller, **(headers or {})},
+                connect_timeout=REQUEST_S,
+                request_timeout=REQUEST_S + wait_ms / 1000,
+                raise_error=False,
+            )
+        except (OSError, httpclient.HTTPError) as error:
+            self.calls['unavailable'] += 1
+            return Unavailable(str(error))
+        if reply.code == 599 or reply.code >= 500:
+            self.calls['unavailable'] += 1
+            return Unavailable(str(reply.error))
+        return reply
+
+
+def _condition(revision: int | None) -> dict[str, str]:
+    if revision is None:
+        return {'If-None-Match': '*'}
+    return {'If-Match': f'"{revision}"'}
+
+
+def _revision(reply: httpclient.HTTPResponse) -> int:
+    return int(reply.headers['ETag'].strip('"'))
+
+
+def _written(
+    reply: httpclient.HTTPResponse | Unavailable,
+) -> Written | Conflict | Unavailable:
+    if isinstance(reply, Unavailable):
+        return reply
+    if reply.code in (404, 412):
+        return Conflict()
+    if reply.code == 413:
+        return Unavailable('the value is too large for the service')
+    return Written(_revision(reply))
--- /dev/null
+++ b/topazring/plumbing/__init__.py
@@ -0,0 +1,1 @@
+"""Join libraries to the rest: settings files, logs, metrics, tasks."""
--- /dev/null
+++ b/topazring/plumbing/logs.py
@@ -0,0 +1,34 @@
+"""Write short log lines with a fixed prefix for each part."""
+
+import logging
+import sys
+
+from absl import flags
+from absl import logging as absl_logging
+
+__all__ = ['PartLogger', 'configure', 'part_logger']
+
+
+class PartLogger(logging.LoggerAdapter):
+    """Put the part's name before each line."""
+
+    def process(self, msg, kwargs):
+        """Return the line with its prefix."""
+        return f'[{self.extra["part"]}] {msg}', kwargs
+
+
+def part_logger(part: str) -> PartLogger:
+    """Return the logger of one part, over absl's."""
+    return PartLogger(absl_logging.get_absl_logger(), {'part': part})
+
+
+def configure(verbose: bool = False) -> None:
+    """Send absl's log to standard error."""
+    # The command line is cappa's; absl would warn that its own is unread.
+    flags.FLAGS.mark_as_parsed()
+    absl_logging.use_absl_handler()
+    level = absl_logging.DEBUG if verbose else absl_logging.INFO
+    absl_logging.set_verbosity(level)
+    absl_logging.set_stderrthreshold(level)
+    logging.getLogger('tornado.access').setLevel(logging.ERROR)
+    sys.stderr.reconfigure(line_buffering=True)
--- /dev/null
+++ b/topazring/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers as an entry, and databases as an owner."""
--- /dev/null
+++ b/topazring/proxy/entry.py
@@ -0,0 +1,237 @@
+"""Take a caller's request to an owner and see it to its final answer."""
+
+import asyncio
+import dataclasses
+
+from topazring import catalogue
+from topazring.core import forwarding
+from topazring.core import members as membership
+from topazring.core import messages
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core import requests
+from topazring.plumbing import clock
+from topazring.proxy import hop
+from topazring.proxy import knowledge as knowledges
+from topazring.proxy import ownership as ownerships
+
+__all__ = ['Bound', 'Entry', 'Job']
+
+Kind = requests.Kind
+Reason = outcomes.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bound:
+    """Name the owner that holds a transaction, and its number there."""
+
+    owner: str
+    transaction: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """Hold a caller's request as the entry takes it in."""
+
+    kind: Kind
+    organisation: str
+    database: catalogue.Database
+    profile: requests.Profile
+    deadline_ms: int
+    statements: tuple[requests.Statement, ...] = ()
+    request_id: str = ''
+    token_place: places.Place = places.ORIGIN
+    bound: Bound | None = None
+    repeat: bool = False
+
+
+class Entry:
+    """Own the streams to owners; forward jobs."""
+
+    def __init__(
+        self,
+        name: str,
+        knowledge: knowledges.Knowledge,
+        ownership: ownerships.Ownership,
+    ):
+        self.name = name
+        self.knowledge = knowledge
+        self.ownership = ownership
+        self.clients: dict[str, hop.HopClient] = {}
+        self.retries: dict[str, int] = {}
+        self.hops = 0
+        self.in_flight = 0
+
+    def close(self) -> None:
+        """Close the streams."""
+        for client in self.clients.values():
+            client.close()
+        self.clients.clear()
+
+    def refresh(self) -> None:
+        """Close streams to processes that are gone."""
+        listed = self.knowledge.members.listed
+        for key, client in list(self.clients.items()):
+            name, incarnation = key
+            member = listed.get(name)
+            gone = member is None or member.incarnation != incarnation
+            # A leaving owner still answers what it has.
+            if gone and not client.waiting:
+                client.close()
+                del self.clients[key]
+
+    async def run(self, job: Job) -> tuple[outcomes.Outcome, Bound | None]:
+        """Return the final outcome, and the transaction if one began."""
+        self.in_flight += 1
+        try:
+            return await self._run(job)
+        finally:
+            self.in_flight -= 1
+
+    async def _run(self, job: Job) -> tuple[outcomes.Outcome, Bound | None]:
+        plan = forwarding.begin(
+            job.kind,
+            job.profile.repeatable,
+            job.deadline_ms,
+            job.bound.owner if job.bound else '',
+            job.repeat,
+        )
+        while True:
+            now_ms = clock.monotonic_ms()
+            step = forwarding.next_step(plan, now_ms, self._owners(job))
+            match step:
+                case forwarding.Finish(outcome=outcome):
+                    return outcome, None
+                case forwarding.Pause(ms=ms):
+                    await asyncio.sleep(ms / 1000)
+                    continue
+            result = await self._send(job, step)
+            if isinstance(result, messages.Lost):
+                self._note_lost(step.owner, now_ms, result)
+                forwarding.note(plan, step.owner, result)
+                continue
+            outcome, transaction = result
+            forwarding.note(plan, step.owner, outcome)
+            if transaction:
+                return outcome, Bound(step.owner, transaction)
+
+    def _owners(self, job: Job) -> tuple[str, ...]:
+        """Return the owners, those first that can be reached from here."""
+        owners = self.ownership.owners_of(job.database)
+        now_ms = clock.monotonic_ms()
+        members = self.knowledge.members
+        near = [n for n in owners if membership.reachable(members, n, now_ms)]
+        return (*near, *(n for n in owners if n not in near))
+
+    def _note_lost(self, owner: str, now_ms: int, lost: messages.Lost) -> None:
+        membership.saw_failure(self.knowledge.members, owner, now_ms)
+        key = f'{lost.reason}_{"sent" if lost.sent else "not_sent"}'
+        self.retries[key] = self.retries.get(key, 0) + 1
+
+    async def _send(
+        self, job: Job, step: forwarding.Send
+    ) -> tuple[outcomes.Outcome, int] | messages.Lost:
+        kind = Kind.SETTLE if step.settle else job.kind
+        transaction = job.bound.transaction if job.bound else 0
+        if step.owner == self.name:
+            return await self._submit_here(job, step, kind, transaction)
+        client = self._client(step.owner)
+        if client is None:
+            return messages.Lost(Reason.OWNER_LOST, False)
+        self.hops += 1
+        place = (job.token_place.log_term, job.token_place.position)
+
+        def make_frame(frame_id: int) -> hop.HopRequest:
+            return hop.HopRequest(
+                frame_id,
+                str(kind),
+                job.organisation,
+                job.database.name,
+                job.profile,
+                step.left_ms,
+                list(job.statements),
+                job.request_id,
+                place,
+                transaction,
+                job.repeat,
+            )
+
+        return await client.call(make_frame)
+
+    async def _submit_here(
+        self,
+        job: Job,
+        step: forwarding.Send,
+        kind: Kind,
+        transaction: int,
+    ) -> tuple[outcomes.Outcome, int]:
+        answered = asyncio.get_running_loop().create_future()
+
+        def answer(key: int, outcome: outcomes.Outcome) -> None:
+            if not answered.done():
+                answered.set_result((key, outcome))
+
+        request = requests.Request(
+            0,
+            kind,
+            job.organisation,
+            job.profile,
+            clock.monotonic_ms() + step.left_ms,
+            job.statements,
+            job.request_id,
+            job.token_place,
+            transaction,
+            job.repeat,
+        )
+        self.ownership.submit(job.database.name, request, answer)
+        key, outcome = await answered
+        done = isinstance(outcome, outcomes.Done)
+        began = kind is Kind.BEGIN and done
+        return outcome, key if began else 0
+
+    def _client(self, owner: str) -> hop.HopClient | None:
+        member = self.knowledge.members.listed.get(owner)
+        if member is None:
+            return self._old_client(owner)
+        key = (owner, member.incarnation)
+        client = self.clients.get(key)
+        if client is None:
+            client = hop.HopClient(owner, member.host, member.hop_port)
+            client.start()
+            self.clients[key] = client
+        return client
+
+    def _old_client(self, owner: str) -> hop.HopClient | None:
+        """Return the stream to an owner that left the list already."""
+        for (name, _), client in self.clients.items():
+            if name == owner:
+                return client
+        return None
+
+    def withdraw(self, database: str, bound: Bound) -> None:
+        """Roll back a transaction whose session ended."""
+        if bound.owner == self.name:
+            self.ownership.withdraw(database, bound.transaction)
+            return
+        client = self._old_client(bound.owner)
+        if client is not None:
+            client.withdraw(database, bound.transaction)
+
+    def serve_hop(self, frame, answer) -> None:
+        """Serve another entry's frame as an owner."""
+        if isinstance(frame, hop.Withdraw):
+            self.ownership.withdraw(frame.database, frame.transaction)
+            return
+        request = requests.Request(
+            0,
+            Kind(frame.kind),
+            frame.organisation,
+            frame.profile,
+            clock.monotonic_ms() + frame.left_ms,
+            tuple(frame.statements),
+            frame.request_id,
+            places.Place(*frame.token),
+            frame.transaction,
+            frame.repeat,
+        )
+        self.ownership.submit(frame.database, request, answer)
--- /dev/null
+++ b/topazring/proxy/hop.py
@@ -0,0 +1,325 @@
+"""Carry requests between an entry and an owner over one TCP stream.
+
+Frames are length-prefixed msgpack with ids of our own. A lost stream is
+never sent over again: whether a request ran is then an open fate, and the
+entry decides what to do about it.
+"""
+
+import asyncio
+import collections.abc
+import struct
+import typing
+
+import msgspec
+from tornado import iostream
+from tornado import tcpclient
+from tornado import tcpserver
+
+from topazring.core import messages
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core import requests
+from topazring.plumbing import clock
+from topazring.plumbing import logs
+
+__all__ = ['HopAnswer', 'HopClient', 'HopRequest', 'HopServer', 'Withdraw']
+
+logger = logs.part_logger('hop')
+
+_LENGTH = struct.Struct('>I')
+MOST_FRAME_BYTES = 8_000_000
+CONNECT_S = 1.0
+PING_MS = 500
+SILENT_MS = 1500
+TICK_S = 0.1
+
+
+class HopRequest(msgspec.Struct, array_like=True, tag='q'):
+    """Carry a request, with its profile as the entry has it in force."""
+
+    id: int
+    kind: str
+    organisation: str
+    database: str
+    profile: requests.Profile
+    left_ms: int
+    statements: list[requests.Statement]
+    request_id: str
+    token: tuple[int, int]
+    transaction: int
+    repeat: bool = False
+
+
+class HopAnswer(msgspec.Struct, array_like=True, tag='a'):
+    """Carry an outcome; `transaction` names one that began."""
+
+    id: int
+    outcome: str
+    rows: list[list[typing.Any]] = []
+    place: tuple[int, int] = (0, 0)
+    reason: str = ''
+    retry_after_ms: int = 0
+    detail: str = ''
+    served_by: str = ''
+    repeated: bool = False
+    transaction: int = 0
+
+
+class Withdraw(msgspec.Struct, array_like=True, tag='w'):
+    """Say that a transaction's caller is gone."""
+
+    database: str
+    transaction: int
+
+
+class Ping(msgspec.Struct, array_like=True, tag='p'):
+    """Ask for a sign of life."""
+
+
+class Pong(msgspec.Struct, array_like=True, tag='o'):
+    """Give a sign of life."""
+
+
+Frame = HopRequest | HopAnswer | Withdraw | Ping | Pong
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Frame).decode
+
+
+def to_answer(
+    frame_id: int, outcome: outcomes.Outcome, transaction: int
+) -> HopAnswer:
+    """Return the frame for an outcome."""
+    match outcome:
+        case outcomes.Done():
+            place = (outcome.place.log_term, outcome.place.position)
+            return HopAnswer(
+                frame_id,
+                'done',
+                outcome.rows,
+                place,
+                served_by=outcome.served_by,
+                repeated=outcome.repeated,
+                transaction=transaction,
+            )
+        case outcomes.NotRun():
+            return HopAnswer(
+                frame_id,
+                'not_run',
+                reason=outcome.reason,
+                retry_after_ms=outcome.retry_after_ms,
+            )
+        case outcomes.Unknown():
+            return HopAnswer(frame_id, 'unknown', reason=outcome.reason)
+        case outcomes.Rejected():
+            return HopAnswer(
+                frame_id,
+                'rejected',
+                reason=outcome.reason,
+                detail=outcome.detail,
+            )
+
+
+def to_outcome(answer: HopAnswer) -> outcomes.Outcome:
+    """Return the outcome that a frame carries."""
+    match answer.outcome:
+        case 'done':
+            return outcomes.Done(
+                answer.rows,
+                places.Place(*answer.place),
+                answer.served_by,
+                answer.repeated,
+            )
+        case 'not_run':
+            reason = outcomes.Reason(answer.reason)
+            return outcomes.NotRun(reason, answer.retry_after_ms)
+        case 'unknown':
+            return outcomes.Unknown(outcomes.Reason(answer.reason))
+    return outcomes.Rejected(outcomes.Reason(answer.reason), answer.detail)
+
+
+async def _read_frame(stream: iostream.IOStream) -> Frame:
+    (length,) = _LENGTH.unpack(await stream.read_bytes(_LENGTH.size))
+    if length > MOST_FRAME_BYTES:
+        stream.close()
+        raise iostream.StreamClosedError()
+    return _decode(await stream.read_bytes(length))
+
+
+def _write_frame(stream: iostream.IOStream, frame: Frame) -> bool:
+    """Write a frame; False if the stream is closed."""
+    body = _encode(frame)
+    try:
+        stream.write(_LENGTH.pack(len(body)) + body)
+    except iostream.StreamClosedError:
+        return False
+    return True
+
+
+class HopServer(tcpserver.TCPServer):
+    """Take requests from entries and answer them as they end."""
+
+    def __init__(self, serve: collections.abc.Callable):
+        """Serve with `serve(frame, answer)` and `serve(withdraw, None)`."""
+        super().__init__()
+        self.serve = serve
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple
+    ) -> None:
+        """Serve one entry until its stream ends."""
+        stream.set_nodelay(True)
+        begun: dict[tuple[str, int], None] = {}
+        try:
+            while True:
+                frame = await _read_frame(stream)
+                self._take(stream, frame, begun)
+        except (iostream.StreamClosedError, msgspec.MsgspecError):
+            stream.close()
+        # The entry is gone, and with it the sessions that could go on with
+        # these transactions. Each would hold a connection until its end.
+        for database, transaction in begun:
+            self.serve(Withdraw(database, transaction), None)
+
+    def _take(
+        self,
+        stream: iostream.IOStream,
+        frame: Frame,
+        begun: dict[tuple[str, int], None],
+    ) -> None:
+        match frame:
+            case HopRequest():
+
+                def answer(key: int, outcome: outcomes.Outcome) -> None:
+                    transaction = 0
+                    done = isinstance(outcome, outcomes.Done)
+                    if frame.kind == requests.Kind.BEGIN and done:
+                        transaction = key
+                        begun[(frame.database, key)] = None
+                    reply = to_answer(frame.id, outcome, transaction)
+                    written = _write_frame(stream, reply)
+                    if not written and transaction:
+                        gone = Withdraw(frame.database, transaction)
+                        self.serve(gone, None)
+
+                self.serve(frame, answer)
+                if frame.kind in ('commit', 'rollback'):
+                    begun.pop((frame.database, frame.transaction), None)
+            case Withdraw():
+                begun.pop((frame.database, frame.transaction), None)
+                self.serve(frame, None)
+            case Ping():
+                _write_frame(stream, Pong())
+
+
+class HopClient:
+    """Own the stream to one owner; match answers to requests."""
+
+    def __init__(self, name: str, host: str, port: int):
+        self.name = name
+        self.host = host
+        self.port = port
+        self.stream: iostream.IOStream | None = None
+        self.opening: asyncio.Task | None = None
+        self.waiting: dict[int, asyncio.Future] = {}
+        self.next_id = 1
+        self.heard_ms = 0
+        self.pinged_ms = 0
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to look after the stream."""
+        self.task = asyncio.create_task(self._tick_forever())
+
+    def close(self) -> None:
+        """Close the stream."""
+        if self.task is not None:
+            self.task.cancel()
+        self._lose()
+
+    async def call(
+        self, make_frame: collections.abc.Callable[[int], HopRequest]
+    ) -> tuple[outcomes.Outcome, int] | messages.Lost:
+        """Send a request; return its outcome and transaction, or a loss."""
+        if self.stream is None and not await self._connect():
+            return messages.Lost(outcomes.Reason.OWNER_LOST, False)
+        frame_id = self.next_id
+        self.next_id += 1
+        answered = asyncio.get_running_loop().create_future()
+        self.waiting[frame_id] = answered
+        if not self.waiting or len(self.waiting) == 1:
+            self.heard_ms = max(self.heard_ms, clock.monotonic_ms())
+        if not _write_frame(self.stream, make_frame(frame_id)):
+            self.waiting.pop(frame_id, None)
+            self._lose()
+            return messages.Lost(outcomes.Reason.OWNER_LOST, True)
+        return await answered
+
+    def withdraw(self, database: str, transaction: int) -> None:
+        """Tell the owner that a transaction's caller is gone."""
+        if self.stream is not None:
+            _write_frame(self.stream, Withdraw(database, transaction))
+
+    async def _connect(self) -> bool:
+        if self.opening is None:
+            self.opening = asyncio.create_task(self._open())
+        await asyncio.shield(self.opening)
+        return self.stream is not None
+
+    async def _open(self) -> None:
+        try:
+            self.stream = await asyncio.wait_for(
+                tcpclient.TCPClient().connect(self.host, self.port),
+                CONNECT_S,
+            )
+        except (OSError, asyncio.TimeoutError, iostream.StreamClosedError):
+            self.stream = None
+        finally:
+            self.opening = None
+        if self.stream is not None:
+            self.stream.set_nodelay(True)
+            self.heard_ms = clock.monotonic_ms()
+            self.pinged_ms = 0
+            asyncio.create_task(self._read(self.stream))
+
+    async def _read(self, stream: iostream.IOStream) -> None:
+        try:
+            while True:
+                frame = await _read_frame(stream)
+                self.heard_ms = clock.monotonic_ms()
+                self.pinged_ms = 0
+                if isinstance(frame, HopAnswer):
+                    self._answered(frame)
+        except (iostream.StreamClosedError, msgspec.MsgspecError):
+            if self.stream is stream:
+                self._lose()
+
+    def _answered(self, frame: HopAnswer) -> None:
+        waiting = self.waiting.pop(frame.id, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result((to_outcome(frame), frame.transaction))
+
+    def _lose(self) -> None:
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            stream.close()
+        waiting = list(self.waiting.values())
+        self.waiting.clear()
+        for future in waiting:
+            if not future.done():
+                lost = messages.Lost(outcomes.Reason.OWNER_LOST, True)
+                future.set_result(lost)
+
+    async def _tick_forever(self) -> None:
+        """Find a stream that went silent while requests wait on it."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self.stream is None or not self.waiting:
+                continue
+            now_ms = clock.monotonic_ms()
+            quiet_ms = now_ms - self.heard_ms
+            if self.pinged_ms and now_ms - self.pinged_ms > SILENT_MS:
+                logger.warning('%s went silent', self.name)
+                self._lose()
+            elif not self.pinged_ms and quiet_ms > PING_MS:
+                self.pinged_ms = now_ms
+                _write_frame(self.stream, Ping())
--- /dev/null
+++ b/topazring/proxy/main.py
@@ -0,0 +1,90 @@
+"""Run a proxy: `topazring-proxy run FILE`, or check its settings."""
+
+import asyncio
+import dataclasses
+import signal
+import sys
+import typing
+
+import cappa
+
+from topazring.plumbing import logs
+from topazring.plumbing import settings_file
+from topazring.proxy import process
+from topazring.proxy import settings
+
+__all__ = ['main']
+
+EXIT_BAD_SETTINGS = 2
+
+
+@cappa.command(name='run', help='Run a proxy until it is told to stop.')
+@dataclasses.dataclass
+class Run:
+    """Serve callers and own databases."""
+
+    file: typing.Annotated[str, cappa.Arg(help='settings file')]
+    verbose: typing.Annotated[bool, cappa.Arg(long=True, help='log more')] = (
+        False
+    )
+
+    def __call__(self) -> None:
+        """Run; SIGTERM drains, a second one ends at once."""
+        config = _read(self.file)
+        logs.configure(self.verbose)
+        asyncio.run(_serve(config))
+
+
+@cappa.command(name='check', help='Check settings; start nothing.')
+@dataclasses.dataclass
+class Check:
+    """Check a settings file."""
+
+    file: typing.Annotated[str, cappa.Arg(help='settings file')]
+
+    def __call__(self) -> None:
+        """Print `ok`, or the first fault with exit code 2."""
+        config = _read(self.file)
+        print(f'{self.file}: ok ({config.name} in {config.data_centre})')
+
+
+@cappa.command(name='topazring-proxy')
+@dataclasses.dataclass
+class ProxyCommand:
+    """Run one proxy of the fleet."""
+
+    command: cappa.Subcommands[Run | Check]
+
+
+def _read(file: str) -> settings.ProxySettings:
+    try:
+        return settings_file.read_settings(file, settings.ProxySettings)
+    except settings_file.SettingsError as error:
+        print(f'topazring-proxy: {error}', file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+
+
+async def _serve(config: settings.ProxySettings) -> None:
+    loop = asyncio.get_running_loop()
+    told = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    proxy = process.Proxy(config)
+    await proxy.start()
+    await told.wait()
+    told.clear()
+    draining = asyncio.create_task(proxy.drain())
+    again = asyncio.create_task(told.wait())
+    await asyncio.wait({draining, again}, return_when=asyncio.FIRST_COMPLETED)
+    draining.cancel()
+    again.cancel()
+    await proxy.close()
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(ProxyCommand)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/topazring/proxy/ownership.py
@@ -0,0 +1,185 @@
+"""Run an owner task for each database that this proxy owns."""
+
+import asyncio
+import collections.abc
+
+from topazring import catalogue
+from topazring.core import members as membership
+from topazring.core import messages
+from topazring.core import outcomes
+from topazring.core import requests
+from topazring.core import state as states
+from topazring import platform_client
+from topazring.plumbing import clock
+from topazring.plumbing import logs
+from topazring.proxy import gossip as gossips
+from topazring.proxy import knowledge as knowledges
+from topazring.proxy import owner_task
+from topazring.proxy import settings
+
+__all__ = ['Ownership']
+
+logger = logs.part_logger('ownership')
+Reason = outcomes.Reason
+Answer = collections.abc.Callable[[int, outcomes.Outcome], None]
+
+# A database that was asked for here without being owned here, say by an
+# entry with an older list, is let go after being idle for so long.
+IDLE_MS = 60_000
+
+
+class Ownership:
+    """Own the owner tasks of one proxy."""
+
+    def __init__(
+        self,
+        config: settings.ProxySettings,
+        incarnation: str,
+        platform: platform_client.PlatformClient,
+        knowledge: knowledges.Knowledge,
+    ):
+        self.config = config
+        self.incarnation = incarnation
+        self.platform = platform
+        self.knowledge = knowledge
+        self.owners: dict[str, owner_task.OwnerTask] = {}
+        self.used_ms: dict[str, int] = {}
+        self.draining = False
+        self.closing: set[asyncio.Task] = set()
+
+    async def close(self) -> None:
+        """Close every owner task."""
+        for owner in list(self.owners.values()):
+            await owner.close()
+        self.owners.clear()
+
+    def owners_of(self, database: catalogue.Database) -> tuple[str, ...]:
+        """Return the owners of a database, in preference order."""
+        return membership.owners_of(
+            self.knowledge.members,
+            database.name,
+            database.region,
+            self.config.owners_a_database,
+        )
+
+    def refresh(self) -> None:
+        """Follow a change of the configuration or of the instances."""
+        wanted = self.knowledge.catalogue.databases
+        for name, owner in list(self.owners.items()):
+            if wanted.get(name) != owner.database:
+                self._let_go(name)
+        for database in wanted.values():
+            self._refresh_one(database)
+
+    def _refresh_one(self, database: catalogue.Database) -> None:
+        owners = self.owners_of(database)
+        owned = self.config.name in owners
+        if owned and not self.draining:
+            self._take(database)
+        owner = self.owners.get(database.name)
+        if owner is None:
+            return
+        owner.post(messages.OwnersSeen(owners))
+        leaving = self.knowledge.leaving_upstreams
+        owner.post(messages.UpstreamsLeaving(leaving))
+        idle_ms = clock.monotonic_ms() - self.used_ms[database.name]
+        if not owned and idle_ms > IDLE_MS and not owner.answers:
+            self._let_go(database.name)
+
+    def _take(self, database: catalogue.Database) -> owner_task.OwnerTask:
+        owner = self.owners.get(database.name)
+        if owner is not None:
+            return owner
+        count = self.config.owners_a_database
+        limits = states.Limits(
+            slots=database.slots,
+            connections=max(2, (database.connections - count) // count),
+            queue=self.config.limits.queue,
+            heartbeat_ms=self.config.heartbeat_ms,
+        )
+        owner = owner_task.OwnerTask(
+            self.config.name,
+            self.incarnation,
+            database,
+            count,
+            limits,
+            self.platform,
+            self.knowledge,
+            {n: f'{e.host}:{e.port}' for n, e in self.config.routes.items()},
+        )
+        self.owners[database.name] = owner
+        self.used_ms[database.name] = clock.monotonic_ms()
+        owner.start()
+        logger.info('owns %s', database.name)
+        return owner
+
+    def _let_go(self, name: str) -> None:
+        owner = self.owners.pop(name)
+        task = asyncio.create_task(owner.close())
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+        logger.info('owns %s no longer', name)
+
+    def submit(
+        self,
+        database: str,
+        request: requests.Request,
+        answer: Answer,
+    ) -> int:
+        """Give a request to the database's owner task."""
+        owner = self.owners.get(database)
+        if owner is None:
+            owner = self._open(database)
+        if owner is None:
+            refused = outcomes.NotRun(Reason.NO_CONFIGURATION, 200)
+            answer(0, refused)
+            return 0
+        if self.draining and request.kind not in _WHILE_DRAINING:
+            answer(0, outcomes.NotRun(Reason.DRAINING, 0))
+            return 0
+        self.used_ms[database] = clock.monotonic_ms()
+        return owner.submit(request, answer)
+
+    def _open(self, name: str) -> owner_task.OwnerTask | None:
+        database = self.knowledge.catalogue.databases.get(name)
+        if database is None or self.draining:
+            return None
+        owner = self._take(database)
+        self._refresh_one(database)
+        return owner
+
+    def withdraw(self, database: str, transaction: int) -> None:
+        """Roll back a transaction whose caller is gone."""
+        owner = self.owners.get(database)
+        if owner is not None:
+            owner.post(messages.Withdraw(transaction))
+
+    def suspected(self, message: gossips.Suspicion) -> None:
+        """Pass on what another owner thinks of a primary."""
+        owner = self.owners.get(message.database)
+        if owner is not None:
+            owner.post(
+                messages.PeerSuspects(
+                    message.name, message.term, message.suspects
+                )
+            )
+
+    def drain(self) -> None:
+        """Take nothing new from now on; finish what is here."""
+        self.draining = True
+
+    def busy(self) -> int:
+        """Return how many requests and transactions are still open."""
+        return sum(
+            len(owner.answers) + len(owner.state.transactions)
+            for owner in self.owners.values()
+        )
+
+
+_WHILE_DRAINING = frozenset(
+    {
+        requests.Kind.EXECUTE,
+        requests.Kind.COMMIT,
+        requests.Kind.ROLLBACK,
+    }
+)
--- /dev/null
+++ b/topazring/proxy/sessions.py
@@ -0,0 +1,338 @@
+"""Serve callers' sessions over WebSocket."""
+
+import asyncio
+import dataclasses
+import hmac
+
+from tornado import websocket
+
+from topazring import catalogue
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core import request_ids
+from topazring.core import requests
+from topazring.core import tokens
+from topazring.plumbing import clock
+from topazring.proxy import entry as entries
+from topazring.proxy import frames
+from topazring.proxy import knowledge as knowledges
+from topazring.proxy import metrics as metric_sets
+from topazring.proxy import settings
+
+__all__ = ['Front', 'Session', 'SessionSocket']
+
+Kind = requests.Kind
+Reason = outcomes.Reason
+RETRY_MS = 200
+CLOSE_GOING_AWAY = 1001
+
+_KINDS = {
+    'read': Kind.READ,
+    'write': Kind.WRITE,
+    'batch': Kind.WRITE,
+    'begin': Kind.BEGIN,
+    'execute': Kind.EXECUTE,
+    'commit': Kind.COMMIT,
+    'rollback': Kind.ROLLBACK,
+}
+_NEEDS_TRANSACTION = frozenset({Kind.EXECUTE, Kind.COMMIT, Kind.ROLLBACK})
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """Hold what a session is, and the furthest place it has seen."""
+
+    organisation: str
+    database: str
+    profile: str
+    place: places.Place
+    bound: entries.Bound | None = None
+    in_flight: int = 0
+
+
+class Front:
+    """Hold what all sessions of this proxy share."""
+
+    def __init__(
+        self,
+        config: settings.ProxySettings,
+        knowledge: knowledges.Knowledge,
+        entry: entries.Entry,
+        metrics: metric_sets.Metrics,
+    ):
+        self.config = config
+        self.knowledge = knowledge
+        self.entry = entry
+        self.metrics = metrics
+        self.sockets: set[SessionSocket] = set()
+        self.draining = False
+
+    def drain(self) -> None:
+        """Take no new session, and end those that have nothing open."""
+        self.draining = True
+        for socket in list(self.sockets):
+            socket.close_if_quiet()
+
+    def busy(self) -> int:
+        """Return how many sessions have something open."""
+        return sum(1 for socket in self.sockets if socket.is_busy())
+
+
+class SessionSocket(websocket.WebSocketHandler):
+    """Own one caller's connection."""
+
+    def initialize(self, front: Front) -> None:
+        self.front = front
+        self.session: Session | None = None
+        self.tasks: set[asyncio.Task] = set()
+
+    def prepare(self) -> None:
+        limit = self.front.config.limits.sessions
+        full = len(self.front.sockets) >= limit
+        if self.front.draining or full:
+            self.set_header('Retry-After', '1')
+            self.set_status(503)
+            self.finish('leaving' if self.front.draining else 'full')
+
+    def check_origin(self, origin: str) -> bool:
+        """Accept services of any origin: the key is what counts."""
+        return True
+
+    def open(self) -> None:
+        self.set_nodelay(True)
+        self.front.sockets.add(self)
+
+    def on_close(self) -> None:
+        self.front.sockets.discard(self)
+        session = self.session
+        if session is not None and session.bound is not None:
+            self.front.entry.withdraw(session.database, session.bound)
+            session.bound = None
+
+    def is_busy(self) -> bool:
+        """Say whether something of this session is open."""
+        session = self.session
+        if session is None:
+            return False
+        return session.in_flight > 0 or session.bound is not None
+
+    def close_if_quiet(self) -> None:
+        """End a session that has nothing open."""
+        if not self.is_busy():
+            self.close(CLOSE_GOING_AWAY, 'leaving')
+
+    def on_message(self, raw: str | bytes) -> None:
+        try:
+            frame = frames.parse(raw)
+        except frames.FrameError as error:
+            bad = outcomes.Rejected(Reason.BAD_FRAME, str(error))
+            self._reply(error.frame_id, 'frame', bad, clock.monotonic_ms())
+            return
+        if isinstance(frame, frames.Hello):
+            self._hello(frame)
+            return
+        task = asyncio.create_task(self._serve(frame))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _reply(
+        self,
+        frame_id: int | None,
+        kind: str,
+        outcome: outcomes.Outcome,
+        began_ms: int,
+        token: str = '',
+    ) -> None:
+        took_ms = clock.monotonic_ms() - began_ms
+        self.front.metrics.note(kind, outcome, took_ms)
+        try:
+            self.write_message(frames.encode(frame_id, outcome, token))
+        except websocket.WebSocketClosedError:
+            return
+
+    # ---- hello ----
+
+    def _hello(self, frame: frames.Hello) -> None:
+        began_ms = clock.monotonic_ms()
+        refusal = self._open_session(frame)
+        if refusal is None:
+            outcome = outcomes.Done([], self.session.place)
+            token = self._token()
+        else:
+            outcome, token = refusal, ''
+        self._reply(frame.id, 'hello', outcome, began_ms, token)
+
+    def _open_session(
+        self, frame: frames.Hello
+    ) -> outcomes.NotRun | outcomes.Rejected | None:
+        if self.session is not None:
+            return outcomes.Rejected(Reason.BAD_FRAME, 'a second hello')
+        if not self.front.knowledge.ready():
+            return outcomes.NotRun(Reason.NO_CONFIGURATION, RETRY_MS)
+        known = self.front.knowledge.catalogue
+        organisation = known.organisations.get(frame.organisation)
+        given = catalogue.hash_key(frame.key)
+        expected = organisation.key_sha256 if organisation else ''
+        if not hmac.compare_digest(given, expected):
+            return outcomes.Rejected(
+                Reason.FORBIDDEN, 'no such organisation and key'
+            )
+        database = known.databases.get(frame.database)
+        if database is None or (
+            frame.organisation not in database.organisations
+        ):
+            # The same answer for both: whether a database exists is not
+            # for other organisations to know.
+            return outcomes.Rejected(Reason.UNKNOWN_DATABASE, frame.database)
+        if frame.profile not in known.profiles:
+            return outcomes.Rejected(Reason.UNKNOWN_PROFILE, frame.profile)
+        place = places.ORIGIN
+        if frame.token:
+            try:
+                place = tokens.read_token(
+                    frame.token,
+                    known.verifying_keys(),
+                    frame.organisation,
+                    frame.database,
+                ).place()
+            except tokens.TokenError as error:
+                return outcomes.Rejected(Reason.BAD_TOKEN, str(error))
+        self.session = Session(
+            frame.organisation, frame.database, frame.profile, place
+        )
+        return None
+
+    def _token(self) -> str:
+        session = self.session
+        key = self.front.knowledge.catalogue.signing_key()
+        if key is None:
+            return ''
+        return tokens.write_token(
+            tokens.Session(
+                session.organisation,
+                session.database,
+                session.place.log_term,
+                session.place.position,
+            ),
+            key,
+        )
+
+    # ---- requests ----
+
+    async def _serve(self, frame: frames.CallerFrame) -> None:
+        began_ms = clock.monotonic_ms()
+        kind = _KINDS[frame.type]
+        job = self._job(frame, kind, began_ms)
+        if not isinstance(job, entries.Job):
+            self._reply(frame.id, frame.type, job, began_ms)
+            return
+        session = self.session
+        session.in_flight += 1
+        try:
+            outcome, bound = await self.front.entry.run(job)
+        finally:
+            session.in_flight -= 1
+        self._note_transaction(kind, outcome, bound)
+        token = ''
+        if isinstance(outcome, outcomes.Done):
+            session.place = max(session.place, outcome.place)
+            token = self._token()
+        self._reply(frame.id, frame.type, outcome, began_ms, token)
+        if self.front.draining:
+            self.close_if_quiet()
+
+    def _note_transaction(
+        self,
+        kind: Kind,
+        outcome: outcomes.Outcome,
+        bound: entries.Bound | None,
+    ) -> None:
+        session = self.session
+        if bound is not None:
+            if self.ws_connection is None:
+                # The caller left while its transaction began.
+                self.front.entry.withdraw(session.database, bound)
+                return
+            session.bound = bound
+        lost = getattr(outcome, 'reason', None) is Reason.TRANSACTION_LOST
+        ended = kind in (Kind.COMMIT, Kind.ROLLBACK)
+        if lost or ended:
+            session.bound = None
+
+    def _job(
+        self, frame: frames.CallerFrame, kind: Kind, now_ms: int
+    ) -> entries.Job | outcomes.Outcome:
+        """Return the job for a frame, or why there is none."""
+        session = self.session
+        if session is None:
+            return outcomes.Rejected(Reason.BAD_FRAME, 'hello comes first')
+        known = self.front.knowledge.catalogue
+        database = known.databases.get(session.database)
+        if database is None:
+            return outcomes.Rejected(Reason.UNKNOWN_DATABASE, session.database)
+        profile = known.profiles.get(session.profile)
+        if profile is None:
+            return outcomes.Rejected(Reason.UNKNOWN_PROFILE, session.profile)
+        refusal = self._refuse(frame, kind)
+        if refusal is not None:
+            return refusal
+        return entries.Job(
+            kind,
+            session.organisation,
+            database,
+            profile,
+            now_ms + _deadline_ms(kind, profile),
+            _statements(frame),
+            getattr(frame, 'request_id', ''),
+            session.place,
+            session.bound if kind in _NEEDS_TRANSACTION else None,
+            getattr(frame, 'repeat', False),
+        )
+
+    def _refuse(
+        self, frame: frames.CallerFrame, kind: Kind
+    ) -> outcomes.Outcome | None:
+        session = self.session
+        most = self.front.config.limits.requests_a_session
+        if session.in_flight >= most:
+            return outcomes.NotRun(Reason.OVERLOAD, RETRY_MS)
+        if self.front.draining and kind not in _NEEDS_TRANSACTION:
+            return outcomes.NotRun(Reason.DRAINING, 0)
+        request_id = getattr(frame, 'request_id', None)
+        if request_id is not None and not request_ids.is_well_formed(
+            request_id
+        ):
+            return outcomes.Rejected(
+                Reason.BAD_REQUEST_ID, 'want HEXMILLISECONDS-RANDOM'
+            )
+        if kind is Kind.BEGIN and session.bound is not None:
+            return outcomes.Rejected(
+                Reason.BAD_FRAME, 'a transaction is open already'
+            )
+        if kind in _NEEDS_TRANSACTION and session.bound is None:
+            if kind is Kind.COMMIT:
+                # Perhaps a second copy of a commit that took effect.
+                return None
+            return outcomes.Rejected(
+                Reason.NO_TRANSACTION, 'no transaction is open'
+            )
+        return None
+
+
+def _deadline_ms(kind: Kind, profile: requests.Profile) -> int:
+    if kind in (Kind.READ, Kind.EXECUTE):
+        return profile.read_deadline_ms
+    return profile.write_deadline_ms
+
+
+def _statements(
+    frame: frames.CallerFrame,
+) -> tuple[requests.Statement, ...]:
+    if isinstance(frame, frames.Batch):
+        return tuple(
+            requests.Statement(sql, values) for sql, values in frame.statements
+        )
+    sql = getattr(frame, 'statement', None)
+    if sql is None:
+        return ()
+    return (requests.Statement(sql, frame.parameters),)
--- /dev/null
+++ b/topazring/standin/database.py
@@ -0,0 +1,194 @@
+"""Run real SQL for one upstream, a schema for each organisation."""
+
+import dataclasses
+import sqlite3
+import typing
+
+from topazring.standin import log as logs
+
+__all__ = [
+    'Databases',
+    'Record',
+    'StatementError',
+    'apply_entry',
+    'find_record',
+    'read',
+    'rebuild',
+    'run_and_undo',
+]
+
+RECORDS = 'topazring_requests'
+RECORD_KEPT_MS = 600_000
+SWEEP_EVERY = 1000
+MOST_ROWS = 5000
+
+Rows = list[list[typing.Any]]
+Statements = typing.Iterable[tuple[str, typing.Sequence[typing.Any]]]
+
+
+class StatementError(ValueError):
+    """Say what is wrong with a statement."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """Hold what a request record says."""
+
+    cancelled: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Databases:
+    """Hold the connection of each organisation."""
+
+    connections: dict[str, sqlite3.Connection] = dataclasses.field(
+        default_factory=dict
+    )
+    applied: int = 0
+    # Whether the statement at work is a caller's.
+    guarded: bool = False
+
+
+# A caller's statement may not end the transaction that it runs in, nor leave
+# its own database or change how the connection works.
+FORBIDDEN_ACTIONS = frozenset(
+    {
+        sqlite3.SQLITE_ATTACH,
+        sqlite3.SQLITE_DETACH,
+        sqlite3.SQLITE_PRAGMA,
+        sqlite3.SQLITE_SAVEPOINT,
+        sqlite3.SQLITE_TRANSACTION,
+    }
+)
+
+
+def _guard(databases: Databases):
+    """Return the check that SQLite makes of each statement it prepares."""
+
+    def authorize(action, name, *_):
+        if not databases.guarded:
+            return sqlite3.SQLITE_OK
+        if action in FORBIDDEN_ACTIONS or name == RECORDS:
+            return sqlite3.SQLITE_DENY
+        return sqlite3.SQLITE_OK
+
+    return authorize
+
+
+def _connection(databases: Databases, organisation: str) -> sqlite3.Connection:
+    connection = databases.connections.get(organisation)
+    if connection is None:
+        # A cached statement would not be authorised again.
+        connection = sqlite3.connect(
+            ':memory:', isolation_level=None, cached_statements=0
+        )
+        connection.set_authorizer(_guard(databases))
+        connection.execute(
+            f'CREATE TABLE {RECORDS} (request_id TEXT PRIMARY KEY, '
+            'cancelled INTEGER NOT NULL, at_ms INTEGER NOT NULL)'
+        )
+        connection.execute('PRAGMA query_only=ON')
+        databases.connections[organisation] = connection
+    return connection
+
+
+def read(
+    databases: Databases, organisation: str, statements: Statements
+) -> Rows:
+    """Run statements that may not write; raise StatementError if one does."""
+    connection = _connection(databases, organisation)
+    return _run(databases, connection, statements)
+
+
+def _run(
+    databases: Databases,
+    connection: sqlite3.Connection,
+    statements: Statements,
+) -> Rows:
+    rows: Rows = []
+    databases.guarded = True
+    try:
+        for sql, parameters in statements:
+            cursor = connection.execute(sql, parameters)
+            rows = [list(row) for row in cursor.fetchmany(MOST_ROWS + 1)]
+            if len(rows) > MOST_ROWS:
+                raise StatementError(f'the answer has over {MOST_ROWS} rows')
+    except (sqlite3.Error, sqlite3.Warning, ValueError) as error:
+        raise StatementError(str(error)) from None
+    finally:
+        databases.guarded = False
+    return rows
+
+
+def run_and_undo(
+    databases: Databases, organisation: str, statements: Statements
+) -> Rows:
+    """Return what the statements would give, and leave nothing behind."""
+    connection = _connection(databases, organisation)
+    _begin(connection)
+    try:
+        return _run(databases, connection, statements)
+    finally:
+        _end(connection, 'ROLLBACK')
+
+
+def _begin(connection: sqlite3.Connection) -> None:
+    connection.execute('PRAGMA query_only=OFF')
+    connection.execute('BEGIN')
+
+
+def _end(connection: sqlite3.Connection, verb: str) -> None:
+    # A failed statement can have ended the transaction by itself.
+    if connection.in_transaction:
+        connection.execute(verb)
+    connection.execute('PRAGMA query_only=ON')
+
+
+def find_record(
+    databases: Databases, organisation: str, request_id: str
+) -> Record | None:
+    """Return the request record of an id, if it is kept."""
+    connection = _connection(databases, organisation)
+    row = connection.execute(
+        f'SELECT cancelled FROM {RECORDS} WHERE request_id=?', (request_id,)
+    ).fetchone()
+    return Record(bool(row[0])) if row else None
+
+
+def apply_entry(
+    databases: Databases, entry: logs.Entry, position: int
+) -> Rows:
+    """Commit an entry's statements and its request record as one."""
+    if not entry.organisation:
+        databases.applied = position
+        return []
+    connection = _connection(databases, entry.organisation)
+    _begin(connection)
+    try:
+        rows = _run(databases, connection, entry.statements)
+        if entry.request_id:
+            connection.execute(
+                f'INSERT INTO {RECORDS} VALUES (?, ?, ?)',
+                (entry.request_id, entry.cancelled, entry.at_ms),
+            )
+        if position % SWEEP_EVERY == 0:
+            connection.execute(
+                f'DELETE FROM {RECORDS} WHERE at_ms < ?',
+                (entry.at_ms - 2 * RECORD_KEPT_MS,),
+            )
+    except BaseException:
+        _end(connection, 'ROLLBACK')
+        raise
+    _end(connection, 'COMMIT')
+    databases.applied = position
+    return rows
+
+
+def rebuild(databases: Databases, entries: list[logs.Entry]) -> None:
+    """Run the log again from its start, after it was cut back."""
+    for connection in databases.connections.values():
+        connection.close()
+    databases.connections.clear()
+    databases.applied = 0
+    for position, entry in enumerate(entries, start=1):
+        apply_entry(databases, entry, position)
--- /dev/null
+++ b/topazring/wire.py
@@ -0,0 +1,99 @@
+"""Define the frames between proxies and upstreams."""
+
+import typing
+
+import msgspec
+
+from topazring.core import messages
+from topazring.core import places
+
+__all__ = [
+    'ControlAsk',
+    'ControlReply',
+    'SqlAsk',
+    'SqlReply',
+    'decode_control_ask',
+    'decode_control_reply',
+    'decode_sql_ask',
+    'decode_sql_reply',
+    'encode',
+    'status_of',
+]
+
+
+class SqlAsk(msgspec.Struct, omit_defaults=True):
+    """Ask an upstream to run statements."""
+
+    id: int
+    kind: str
+    organisation: str
+    term: int
+    statements: list[tuple[str, list[typing.Any]]] = []
+    request_id: str = ''
+    # A replica runs the read once it has reached this place.
+    at_replica: bool = False
+    wait_log_term: int = 0
+    wait_position: int = 0
+    wait_ms: int = 0
+
+
+class SqlReply(msgspec.Struct, omit_defaults=True):
+    """Say what became of the statements: ran, refused or failed."""
+
+    id: int
+    result: str
+    accepted_term: int
+    log_term: int
+    position: int
+    rows: list[list[typing.Any]] = []
+    repeated: bool = False
+    cancelled: bool = False
+    reason: str = ''
+    leads: bool = False
+
+
+class ControlAsk(msgspec.Struct, omit_defaults=True):
+    """Ask an upstream for its status, to accept a term, or to lead it."""
+
+    id: int
+    kind: str
+    term: int = 0
+    claimant: str = ''
+    log_term: int = 0
+    position: int = 0
+    wait_ms: int = 0
+
+
+class ControlReply(msgspec.Struct, omit_defaults=True):
+    """Report an upstream's status, and whether it did as asked."""
+
+    id: int
+    accepted_term: int
+    log_term: int
+    position: int
+    leads: bool = False
+    primary_silent_ms: int = 0
+    accepted: bool = True
+
+
+encode = msgspec.json.Encoder().encode
+decode_sql_ask = msgspec.json.Decoder(SqlAsk).decode
+decode_sql_reply = msgspec.json.Decoder(SqlReply).decode
+decode_control_ask = msgspec.json.Decoder(ControlAsk).decode
+decode_control_reply = msgspec.json.Decoder(ControlReply).decode
+
+
+def status_of(
+    upstream: str, reply: ControlReply | SqlReply
+) -> messages.Status:
+    """Return the status that a reply carries."""
+    silent_ms = 0
+    if isinstance(reply, ControlReply):
+        silent_ms = reply.primary_silent_ms
+    return messages.Status(
+        upstream,
+        reply.accepted_term,
+        reply.leads,
+        places.Place(reply.log_term, reply.position),
+        silent_ms,
+    )
