Fuzz the core against an oracle, and mend two faults it found

A world of three owners, three upstreams and faults (losses, late and second copies, pauses, restarts, a service that loses answers, false alarms) checks each answer. It failed first, with two real faults:

A read sent to a replica was answered by an upstream that had been promoted meanwhile. Its last entry is of its own term, which passed for majority-held, but a primary may be the only holder. A replica's place was taken for safe when it sorted at or before the last confirmed place. A replaced primary's tail (4, 19) sorts before (7, 17) and is in nobody's log. Only a place of the same term counts now.

Ruled out: the choice at promotion (the chosen logs were the furthest of their majorities in both traces) and the oracle (the reads had been answered).

--- /dev/null
+++ b/topazring/bench/ablations.py
@@ -0,0 +1,225 @@
+"""Break one rule of the core at a time, to see that the walk notices.
+
+`python -m topazring.bench.ablations --walks 400` prints, for each rule left
+out, how many random walks break a promise. Zero means that the walk cannot
+tell, and that nothing proves the rule.
+"""
+
+import argparse
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import time
+from unittest import mock
+
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core import promotion
+from topazring.core import requests
+from topazring.core import rounds
+from topazring.core import routing
+from topazring.core import serving
+from topazring.core import state as states
+from topazring.core.tests import world
+from topazring.core import view as views
+
+__all__ = ['ablation', 'ablations', 'count_failures', 'main']
+
+_ablations: dict[str, collections.abc.Callable] = {}
+
+
+def ablation(function: collections.abc.Callable) -> collections.abc.Callable:
+    """Register a context manager that leaves out one rule."""
+    _ablations[function.__name__] = function
+    return function
+
+
+def ablations() -> dict[str, collections.abc.Callable]:
+    """Return what can be left out, by name."""
+    return dict(_ablations)
+
+
+@ablation
+def nothing():
+    """Leave out nothing: the control."""
+    return contextlib.nullcontext()
+
+
+@ablation
+def majority():
+    """Acknowledge on any reply of a replica, whatever it holds."""
+
+    def confirm_all(state, round_id, status, majority):
+        state.asked.get(status.upstream, {}).pop(round_id, None)
+        confirmed = list(state.waiters.values())
+        state.waiters.clear()
+        return confirmed
+
+    return mock.patch.object(rounds, 'note_status', confirm_all)
+
+
+@ablation
+def log_term_of_holders():
+    """Count holders by the accepted term, whatever their last entry is."""
+
+    def holds(state, status, place):
+        return status.place.position >= place.position
+
+    return mock.patch.object(rounds, '_holds', holds)
+
+
+@ablation
+def round_after_the_request():
+    """Let a round that began earlier confirm a request."""
+    note = rounds.note_status
+
+    def note_early(state, round_id, status, majority):
+        for waiter in state.waiters.values():
+            waiter.first_round = min(waiter.first_round, round_id)
+        return note(state, round_id, status, majority)
+
+    return mock.patch.object(rounds, 'note_status', note_early)
+
+
+@ablation
+def term_before_position():
+    """Promote the longest log instead of the furthest place."""
+    note = promotion.note_fenced
+
+    def note_by_length(attempt, now_ms, reply):
+        flat = places.Place(1, reply.status.place.position)
+        status = dataclasses.replace(reply.status, place=flat)
+        reply = dataclasses.replace(reply, status=status)
+        return note(attempt, now_ms, reply)
+
+    return mock.patch.object(promotion, 'note_fenced', note_by_length)
+
+
+@ablation
+def furthest_log():
+    """Promote any upstream of the majority."""
+
+    def choose(attempt, now_ms):
+        if len(attempt.fenced) < 2:
+            return []
+        attempt.chosen = min(attempt.fenced)
+        attempt.phase = promotion.Phase.LEADING
+        lead = promotion.messages.Lead(attempt.chosen, attempt.term)
+        return [lead]
+
+    return mock.patch.object(promotion, '_choose', choose)
+
+
+@ablation
+def confirmed_primary_read():
+    """Answer a read at the primary without a round."""
+    ran = serving._ran
+
+    def ran_at_once(state, now_ms, work, result):
+        read = work.request.kind is requests.Kind.READ
+        if not read or work.at_replica:
+            return ran(state, now_ms, work, result)
+        done = outcomes.Done(result.rows, result.place, work.upstream)
+        return serving._finish(state, work, done)
+
+    return mock.patch.object(serving, '_ran', ran_at_once)
+
+
+@ablation
+def validity_at_replica():
+    """Answer with whatever a replica shows."""
+    return mock.patch.object(
+        routing, 'valid_at_replica', lambda view, result: True
+    )
+
+
+@ablation
+def session_token():
+    """Read at a replica without regard to the session's place."""
+
+    def required(view, now_ms, request):
+        staleness_ms = request.profile.max_staleness_ms
+        if staleness_ms <= 0:
+            return None
+        return views.staleness_place(view, now_ms, staleness_ms)
+
+    return mock.patch.object(routing, 'required_place', required)
+
+
+@ablation
+def staleness():
+    """Read at a replica of any age."""
+
+    def required(view, now_ms, request):
+        if request.profile.max_staleness_ms <= 0:
+            return None
+        return request.token_place
+
+    return mock.patch.object(routing, 'required_place', required)
+
+
+@ablation
+def settling():
+    """Say that a write did not run when its answer was lost."""
+
+    def reopen(state, now_ms, work, reason):
+        work.result = None
+        if work.request.kind is requests.Kind.READ:
+            return serving._requeue(state, now_ms, work, reason, False)
+        lost = outcomes.NotRun(reason, 50)
+        return serving._finish(state, work, lost)
+
+    return mock.patch.object(serving, 'reopen', reopen)
+
+
+@ablation
+def slot_limit():
+    """Forget how many statements are in work."""
+
+    def free_slots(state, now_ms):
+        return dict.fromkeys(state.view.upstreams, 10)
+
+    return mock.patch.object(states, 'free_slots', free_slots)
+
+
+def count_failures(
+    name: str, walks: int, steps: int, first: int = 0
+) -> tuple[int, collections.Counter]:
+    """Return how many walks break a promise, and what happened in all."""
+    failed = 0
+    counts: collections.Counter = collections.Counter()
+    with _ablations[name]():
+        for seed in range(first, first + walks):
+            try:
+                counts.update(world.walk(seed, steps).counts)
+            except world.Violation:
+                failed += 1
+    return failed, counts
+
+
+def main() -> None:
+    """Print a line for each rule left out."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--walks', type=int, default=400)
+    parser.add_argument('--steps', type=int, default=400)
+    parser.add_argument('--first', type=int, default=0)
+    parser.add_argument('--only', default='')
+    arguments = parser.parse_args()
+    for name in _ablations:
+        if arguments.only not in ('', name):
+            continue
+        began = time.monotonic()
+        failed, counts = count_failures(
+            name, arguments.walks, arguments.steps, arguments.first
+        )
+        took_s = time.monotonic() - began
+        print(
+            f'{name:26} {failed:5} of {arguments.walks} walks fail '
+            f'({took_s:.0f} s, {dict(counts)})',
+            flush=True,
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/topazring/core/messages.py
+++ b/topazring/core/messages.py
@@ -74,6 +74,7 @@
     accepted_term: int
     repeated: bool = False
     cancelled: bool = False
+    leads: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/core/routing.py
+++ b/topazring/core/routing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from topazring.core import messages
 from topazring.core import places
 from topazring.core import requests
 from topazring.core import view as views
@@ -104,17 +105,21 @@
     return seen.lag_ms
 
 
-def valid_at_replica(
-    view: views.GroupView, place: places.Place, accepted_term: int
-) -> bool:
+def valid_at_replica(view: views.GroupView, result: messages.Ran) -> bool:
     """Say whether no promotion can take back what a replica showed.
 
-    A place known to be majority-held is safe. In a group of three so is the
-    last entry of the replica's own term: its primary and it are a majority.
-    An older entry that the replica is only catching up with is not (the
-    case of figure 8 in Ongaro and Ousterhout, "In Search of an
-    Understandable Consensus Algorithm", 2014).
+    What a majority is known to hold is safe up to its place, but only in
+    the log of the same term: a replaced primary's tail sorts before the
+    places of a later term and is in nobody's log. In a group of three the
+    last entry of a replica's own term is safe too: its primary and it are a
+    majority. An entry of an older term is not (the case of figure 8 in
+    Ongaro and Ousterhout, "In Search of an Understandable Consensus
+    Algorithm", 2014), nor is anything that the upstream shows when it leads
+    by now: it may be the only holder.
     """
-    if place <= view.committed:
+    place = result.place
+    same_log = place.log_term == view.committed.log_term
+    if same_log and place <= view.committed:
         return True
-    return views.majority(view) <= 2 and place.log_term == accepted_term
+    own_term = place.log_term == result.accepted_term
+    return views.majority(view) <= 2 and own_term and not result.leads
--- a/topazring/core/serving.py
+++ b/topazring/core/serving.py
@@ -374,9 +374,7 @@
     work: states.Work,
     result: messages.Ran,
 ) -> Out:
-    valid = routing.valid_at_replica(
-        state.view, result.place, result.accepted_term
-    )
+    valid = routing.valid_at_replica(state.view, result)
     if not valid:
         work.primary_only = True
         return _requeue(state, now_ms, work, Reason.NOT_CONFIRMED, False)
--- /dev/null
+++ b/topazring/core/tests/world.py
@@ -0,0 +1,630 @@
+"""A small world of owners, upstreams and faults, with its oracle.
+
+Everything is driven by the caller: what is delivered, lost, late or twice,
+when time passes and who lies. The oracle looks at every answer.
+"""
+
+import collections
+import dataclasses
+import random
+
+from topazring.core import grants
+from topazring.core import messages
+from topazring.core import outcomes
+from topazring.core import owner
+from topazring.core import places
+from topazring.core import requests
+from topazring.core import state as states
+from topazring.standin import log as logs
+
+OWNERS = ('a', 'b', 'c')
+UPSTREAMS = ('u1', 'u2', 'u3')
+ORGANISATIONS = ('ballinure', 'dizon')
+SLOTS = 2
+QUEUE = 6
+Kind = requests.Kind
+Reason = outcomes.Reason
+
+PROFILES = (
+    requests.Profile('saves', write_deadline_ms=4000),
+    requests.Profile('retried', repeatable=True, write_deadline_ms=4000),
+    requests.Profile('browse', max_staleness_ms=1000),
+    requests.Profile('strict', max_staleness_ms=0),
+)
+
+
+class Violation(AssertionError):
+    """Say which promise was broken."""
+
+
+@dataclasses.dataclass
+class Mail:
+    """Hold one message under way, as the call that delivers it."""
+
+    deliver: object
+    # Posted if the message is lost; None for what may vanish unseen.
+    lost: object = None
+    # It arrived at a process that does not run just now.
+    arrived: bool = False
+
+
+@dataclasses.dataclass
+class Asked:
+    """Hold a submitted request and what the oracle needs to judge it."""
+
+    owner: str
+    request: requests.Request
+    session: int
+    began_ms: int
+    must_see: frozenset
+    answered: bool = False
+
+
+@dataclasses.dataclass
+class Session:
+    """Hold a session's token and what it has seen or done."""
+
+    organisation: str
+    place: places.Place = places.ORIGIN
+    seen: set = dataclasses.field(default_factory=set)
+
+
+class World:
+    """Hold all parts; every method is one thing that can happen."""
+
+    def __init__(self, seed: int = 0):
+        self.now = 10_000
+        self.rng = random.Random(seed)
+        self.mail: list[Mail] = []
+        self.logs = {name: logs.Log(name) for name in UPSTREAMS}
+        self.heard = dict.fromkeys(UPSTREAMS, self.now)
+        self.silence_lie = False
+        self.paused: set[str] = set()
+        self.owners = {name: self._make_owner(name) for name in OWNERS}
+        self.incarnations = dict.fromkeys(OWNERS, 0)
+        self.record = grants.GroupRecord()
+        self.store = 'up'
+        self.parked: list[tuple[str, messages.AskStatus, object]] = []
+        self.running: dict[tuple[str, int, int], str] = {}
+        self.asked: dict[tuple[str, int], Asked] = {}
+        self.sessions = [
+            Session(ORGANISATIONS[i % len(ORGANISATIONS)]) for i in range(4)
+        ]
+        self.next_key = 1
+        self.ids: list[tuple[str, str]] = []
+        # What the oracle knows.
+        self.led: dict[int, str] = {}
+        self.promised: dict[tuple[str, str], int] = {}
+        self.denied: dict[tuple[str, str], Reason] = {}
+        self.copies: collections.Counter = collections.Counter()
+        self.acked_at: list[tuple[int, str, str]] = []
+        self.counts = {'done': 0, 'not_run': 0, 'unknown': 0, 'lead': 0}
+        for name in OWNERS:
+            self.post(name, messages.OwnersSeen(OWNERS))
+
+    def _make_owner(self, name: str) -> states.OwnerState:
+        limits = states.Limits(slots=SLOTS, connections=6, queue=QUEUE)
+        return states.make_owner(
+            name, 'calc1', list(UPSTREAMS), limits, random.Random(name)
+        )
+
+    # ---- things that happen ----
+
+    def advance(self, ms: int) -> None:
+        """Let time pass; owners that are not paused tick."""
+        self.now += ms
+        for name in OWNERS:
+            if name not in self.paused:
+                self.post(name, messages.Tick())
+        self._wake_parked()
+
+    def pause(self, name: str) -> None:
+        """Stop an owner's process, or let it go on, late."""
+        if name not in self.paused:
+            self.paused.add(name)
+            return
+        self.paused.discard(name)
+        self.post(name, messages.Tick(self.rng.choice((0, 400))))
+
+    def restart(self, name: str) -> None:
+        """Replace an owner's process by one that knows nothing."""
+        self.incarnations[name] += 1
+        self.owners[name] = self._make_owner(name)
+        self.paused.discard(name)
+        for key in [k for k in self.running if k[0] == name]:
+            del self.running[key]
+        # Its callers see their connection end: the fate is open.
+        for asked in self.asked.values():
+            if asked.owner == name:
+                asked.answered = True
+        self.asked = {k: v for k, v in self.asked.items() if v.owner != name}
+        self.post(name, messages.OwnersSeen(OWNERS))
+
+    def deliver(self, index: int) -> None:
+        """Deliver one message, in any order."""
+        if self.mail:
+            mail = self.mail.pop(index % len(self.mail))
+            mail.deliver()
+
+    def lose(self, index: int, late: bool) -> None:
+        """Lose one message; or say so while it is still under way."""
+        if not self.mail:
+            return
+        index %= len(self.mail)
+        mail = self.mail[index]
+        if mail.arrived:
+            return
+        if not late:
+            self.mail.pop(index)
+        if mail.lost is not None:
+            lost, mail.lost = mail.lost, None
+            lost()
+
+    def replicate(self, source: str, target: str) -> None:
+        """Send a copy of the log; it may arrive late."""
+        log = self.logs[source]
+        if not log.leads or source == target:
+            return
+        term, entries = log.accepted_term, list(log.entries)
+
+        def arrive() -> None:
+            if term >= self.logs[target].accepted_term:
+                self.heard[target] = self.now
+            # From the start each time: what fits already is passed over.
+            logs.extend(self.logs[target], term, places.ORIGIN, entries)
+            self._wake_parked()
+
+        self.mail.append(Mail(arrive))
+
+    def suspect(self, name: str, kind: str) -> None:
+        """Have a probe of the primary fail, truly or not."""
+        primary = self.owners[name].view.primary
+        if primary:
+            self.post(name, messages.ProbeFailed(primary, kind))
+
+    def submit(
+        self, name: str, session: int, profile: int, write: bool
+    ) -> None:
+        """Have a session send a read or a write to an owner."""
+        chosen = PROFILES[profile % len(PROFILES)]
+        kind = Kind.WRITE if write else Kind.READ
+        who = self.sessions[session]
+        request_id = f'{self.next_key}' if write else ''
+        self._submit(name, session, kind, chosen, request_id)
+        if write:
+            self.ids.append((who.organisation, request_id))
+
+    def repeat(self, name: str, index: int, settle: bool) -> None:
+        """Have a caller or an entry send an old write once more."""
+        if not self.ids:
+            return
+        organisation, request_id = self.ids[index % len(self.ids)]
+        for number, session in enumerate(self.sessions):
+            if session.organisation == organisation:
+                kind = Kind.SETTLE if settle else Kind.WRITE
+                profile = PROFILES[index % 2]
+                self._submit(name, number, kind, profile, request_id, True)
+                return
+
+    def _submit(
+        self, name, session, kind, profile, request_id, repeat=False
+    ) -> None:
+        who = self.sessions[session]
+        key = self.next_key
+        self.next_key += 1
+        deadline_ms = profile.write_deadline_ms
+        if kind is Kind.READ:
+            deadline_ms = profile.read_deadline_ms
+        request = requests.Request(
+            key,
+            kind,
+            who.organisation,
+            profile,
+            self.now + deadline_ms,
+            (),
+            request_id,
+            who.place,
+            0,
+            repeat,
+        )
+        oldest_ms = self.now - profile.max_staleness_ms
+        must_see = {
+            rid
+            for at_ms, organisation, rid in self.acked_at
+            if organisation == who.organisation and at_ms <= oldest_ms
+        }
+        if kind is Kind.WRITE:
+            copy_of = (who.organisation, request_id)
+            self.copies[copy_of] += 1
+            if self.denied.get(copy_of) is not Reason.CANCELLED:
+                self.denied.pop(copy_of, None)
+        self.asked[(name, key)] = Asked(
+            name,
+            request,
+            session,
+            self.now,
+            frozenset(must_see | who.seen),
+        )
+        self.post(name, messages.Submit(request))
+
+    # ---- what owners do ----
+
+    def post(self, name: str, message: object) -> None:
+        """Give an owner a message and do what it says."""
+        if name in self.paused and not isinstance(message, messages.Tick):
+            mail = Mail(self._poster(name, message), arrived=True)
+            self.mail.append(mail)
+            return
+        state = self.owners[name]
+        for out in owner.step(state, self.now, message):
+            self._perform(name, out)
+        for upstream, count in state.in_work.items():
+            if not 0 <= count <= SLOTS:
+                raise Violation(f'{count} in work at {upstream}')
+        waiting = state.primary_queue.count + state.replica_queue.count
+        if waiting > 2 * QUEUE:
+            raise Violation(f'{waiting} wait at {name}')
+
+    def _perform(self, name: str, out: object) -> None:
+        match out:
+            case messages.Execute():
+                self._execute(name, out)
+            case messages.Answer():
+                self._answered(name, out)
+            case messages.AskStatus():
+                mail = Mail(lambda: self._ask(name, out))
+                mail.lost = self._loser(name, out.upstream)
+                self.mail.append(mail)
+            case messages.Fence() | messages.Lead():
+                claimant = f'{name}{self.incarnations[name]}'
+                self.mail.append(
+                    Mail(lambda: self._promote(name, claimant, out))
+                )
+            case messages.TellSuspicion():
+                for peer in OWNERS:
+                    if peer != name:
+                        word = messages.PeerSuspects(
+                            name, out.term, out.suspects
+                        )
+                        self.mail.append(Mail(self._poster(peer, word)))
+            case messages.NeedGrants():
+                self._grant(name, out.above_term)
+
+    def _poster(self, name: str, message: object):
+        incarnation = self.incarnations[name]
+
+        def deliver() -> None:
+            if self.incarnations[name] == incarnation:
+                self.post(name, message)
+
+        return deliver
+
+    def _loser(self, name: str, upstream: str):
+        return self._poster(name, messages.ProbeFailed(upstream, 'silent'))
+
+    def _grant(self, name: str, above: int) -> None:
+        """Compare and swap; the answer may be lost after the effect."""
+        if self.store == 'down':
+            return
+        claimant = f'{name}{self.incarnations[name]}'
+        self.record = grants.allot(self.record, claimant, above, 3, 'x')
+        if self.store == 'lossy' and self.rng.random() < 0.5:
+            return
+        terms = grants.terms_of(self.record, claimant)
+        self.mail.append(Mail(self._poster(name, messages.GrantsSeen(terms))))
+
+    def _execute(self, name: str, out: messages.Execute) -> None:
+        key = (name, out.key, out.attempt)
+        incarnation = self.incarnations[name]
+        self.running[key] = out.upstream
+
+        def finish(result: object) -> None:
+            if self.incarnations[name] != incarnation:
+                return
+            if self.running.pop(key, None) is None:
+                return
+            self.post(
+                name,
+                messages.Executed(out.key, out.attempt, out.upstream, result),
+            )
+
+        def lost() -> None:
+            finish(messages.Lost(Reason.CONNECTION_LOST, True))
+
+        def arrive() -> None:
+            result = self._run(out)
+            self.mail.append(Mail(lambda: finish(result), lost))
+
+        self.mail.append(Mail(arrive, lost))
+
+    def _status(self, name: str) -> messages.Status:
+        log = self.logs[name]
+        silent_ms = self.now - self.heard[name]
+        if self.silence_lie:
+            silent_ms = 10_000
+        return messages.Status(
+            name,
+            log.accepted_term,
+            log.leads,
+            logs.last_place(log),
+            0 if log.leads else silent_ms,
+        )
+
+    def _run(self, out: messages.Execute) -> object:
+        """Do as the stand-in does, on a log without SQL."""
+        log = self.logs[out.upstream]
+        request = out.request
+        if out.at_replica:
+            if logs.last_place(log) < out.wait_place:
+                return messages.Refused(Reason.REPLICA_BEHIND)
+        elif not log.leads or log.accepted_term != out.term:
+            return messages.Refused(
+                Reason.REPLACED, self._status(out.upstream)
+            )
+        if out.kind is Kind.READ:
+            return self._ran(log, rows=_ids(log, request.organisation))
+        for entry in log.entries:
+            same = entry.organisation == request.organisation
+            if same and entry.request_id == request.request_id:
+                return self._ran(log, True, entry.cancelled)
+        cancelled = out.kind is Kind.SETTLE
+        logs.append(
+            log,
+            logs.Entry(
+                log.accepted_term,
+                request.organisation,
+                (),
+                request.request_id,
+                cancelled,
+            ),
+        )
+        self._wake_parked()
+        return self._ran(log, False, cancelled)
+
+    def _ran(self, log, repeated=False, cancelled=False, rows=()):
+        return messages.Ran(
+            list(rows),
+            logs.last_place(log),
+            log.accepted_term,
+            repeated,
+            cancelled,
+            log.leads,
+        )
+
+    def _ask(self, name: str, out: messages.AskStatus) -> None:
+        reply = self._replier(name, out)
+        if self._held(out):
+            reply()
+        else:
+            self.parked.append((self.now + out.wait_ms, out, reply))
+
+    def _replier(self, name: str, out: messages.AskStatus):
+        sent_ms = self.now
+        incarnation = self.incarnations[name]
+
+        def reply() -> None:
+            if self.incarnations[name] != incarnation:
+                return
+            seen = messages.StatusSeen(
+                self._status(out.upstream), out.round_id, sent_ms
+            )
+            mail = Mail(self._poster(name, seen))
+            mail.lost = self._loser(name, out.upstream)
+            self.mail.append(mail)
+
+        return reply
+
+    def _held(self, out: messages.AskStatus) -> bool:
+        log = self.logs[out.upstream]
+        last = logs.last_place(log)
+        return (
+            out.place == places.ORIGIN
+            or log.accepted_term > out.term
+            or (last.log_term == out.term and last >= out.place)
+        )
+
+    def _wake_parked(self) -> None:
+        parked, self.parked = self.parked, []
+        for until, out, reply in parked:
+            if self._held(out) or self.now >= until:
+                reply()
+            else:
+                self.parked.append((until, out, reply))
+
+    def _promote(self, name: str, claimant: str, out: object) -> None:
+        log = self.logs[out.upstream]
+        if isinstance(out, messages.Fence):
+            accepted = logs.fence(log, out.term, claimant)
+            make = messages.FenceReply
+        else:
+            accepted = logs.lead(log, out.term, claimant)
+            make = messages.LeadReply
+            if accepted:
+                self._note_lead(out.term, out.upstream)
+        reply = make(out.term, accepted, self._status(out.upstream))
+        self.mail.append(Mail(self._poster(name, reply)))
+        self._wake_parked()
+
+    # ---- the oracle ----
+
+    def _note_lead(self, term: int, upstream: str) -> None:
+        known = self.led.setdefault(term, upstream)
+        if known != upstream:
+            raise Violation(f'{known} and {upstream} both lead term {term}')
+        self.counts['lead'] += 1
+        self._check_promises()
+
+    def _leader(self) -> logs.Log | None:
+        leaders = [log for log in self.logs.values() if log.leads]
+        return max(leaders, key=lambda log: log.accepted_term, default=None)
+
+    def _check_promises(self) -> None:
+        """Look for all that was promised in the latest primary's log."""
+        log = self._leader()
+        if log is None or log.accepted_term != max(self.led):
+            return
+        held = {}
+        for entry in log.entries:
+            key = (entry.organisation, entry.request_id)
+            if entry.request_id and key in held:
+                raise Violation(f'{key} ran twice')
+            held[key] = entry.cancelled
+        for key in self.promised:
+            if held.get(key, True):
+                raise Violation(f'{key} was promised and is not there')
+        for key in self.denied:
+            if not held.get(key, True):
+                raise Violation(f'{key} was said not to have run')
+
+    def _answered(self, name: str, out: messages.Answer) -> None:
+        asked = self.asked.get((name, out.key))
+        if asked is None or asked.answered:
+            raise Violation(f'{out.key} is answered twice or unasked')
+        asked.answered = True
+        match out.outcome:
+            case outcomes.Done():
+                self.counts['done'] += 1
+                self._judge_done(asked, out.outcome)
+            case outcomes.NotRun():
+                self.counts['not_run'] += 1
+                if asked.request.request_id:
+                    self._deny(asked, out.outcome.reason)
+            case outcomes.Unknown():
+                self.counts['unknown'] += 1
+        self._check_promises()
+
+    def _deny(self, asked: Asked, reason: Reason) -> None:
+        """Note what was said not to have run.
+
+        A cancelled id never runs. Any other refusal speaks of its own copy:
+        of the request only while no other copy was sent.
+        """
+        key = (asked.request.organisation, asked.request.request_id)
+        if reason is Reason.CANCELLED or self.copies[key] == 1:
+            self.denied[key] = reason
+        elif asked.request.repeat:
+            raise Violation(f'a repeat of {key} was refused as not run')
+
+    def _judge_done(self, asked: Asked, done: outcomes.Done) -> None:
+        session = self.sessions[asked.session]
+        request = asked.request
+        session.place = max(session.place, done.place)
+        if request.kind is not Kind.READ:
+            key = (request.organisation, request.request_id)
+            self.promised.setdefault(key, self.now)
+            self.acked_at.append((self.now, *key))
+            session.seen.add(request.request_id)
+            return
+        seen = {row[0] for row in done.rows}
+        missing = asked.must_see - seen
+        if missing:
+            raise Violation(
+                f'{request.profile.name} read at {done.served_by} misses '
+                f'{sorted(missing)}'
+            )
+        known = {r for o, r in self.ids if o == request.organisation}
+        if not seen <= known:
+            raise Violation(f'read what is not its own: {seen - known}')
+        session.seen |= seen
+        for request_id in seen:
+            key = (request.organisation, request_id)
+            self.promised.setdefault(key, self.now)
+
+    def calm(self, rounds: int) -> None:
+        """Let everything work as it should for a while."""
+        for _ in range(rounds):
+            for _ in range(len(self.mail)):
+                self.deliver(0)
+            for source in UPSTREAMS:
+                for target in UPSTREAMS:
+                    self.replicate(source, target)
+            self.advance(25)
+
+    def settle_down(self) -> None:
+        """Heal everything; then every request has to have its answer."""
+        self.silence_lie = False
+        self.store = 'up'
+        for name in list(self.paused):
+            self.pause(name)
+        self.calm(400)
+        unanswered = [a for a in self.asked.values() if not a.answered]
+        if unanswered:
+            raise Violation(f'never answered: {unanswered}')
+        if not any(log.leads for log in self.logs.values()):
+            raise Violation('no primary after all healed')
+        self._check_promises()
+
+
+def _ids(log: logs.Log, organisation: str) -> list[list[str]]:
+    return [
+        [entry.request_id]
+        for entry in log.entries
+        if entry.organisation == organisation and not entry.cancelled
+    ]
+
+
+ACTIONS = (
+    ('advance', 20),
+    ('deliver', 60),
+    ('replicate', 24),
+    ('submit', 24),
+    ('repeat', 4),
+    ('lose', 4),
+    ('suspect', 2),
+    ('lie', 4),
+    ('pause', 1),
+    ('store', 1),
+    ('restart', 1),
+)
+
+
+def walk(seed: int, steps: int) -> World:
+    """Walk at random; raise Violation when a promise is broken."""
+    rng = random.Random(seed)
+    world = World(seed)
+    world.calm(20)
+    names = [name for name, _ in ACTIONS]
+    weights = [weight for _, weight in ACTIONS]
+    for action in rng.choices(names, weights, k=steps):
+        act(world, action, rng)
+    world.settle_down()
+    return world
+
+
+def act(world: World, action: str, rng: random.Random) -> None:
+    """Do one thing, with what it needs taken from `rng`."""
+    match action:
+        case 'advance':
+            world.advance(rng.choice((1, 5, 20, 60, 200, 700)))
+        case 'deliver':
+            for _ in range(rng.randrange(1, 2 + len(world.mail) // 2)):
+                late = rng.random() < 0.2
+                world.deliver(rng.randrange(1000) if late else 0)
+        case 'replicate':
+            world.replicate(rng.choice(UPSTREAMS), rng.choice(UPSTREAMS))
+        case 'submit':
+            world.submit(
+                rng.choice(OWNERS),
+                rng.randrange(4),
+                rng.randrange(4),
+                rng.random() < 0.5,
+            )
+        case 'repeat':
+            index = rng.randrange(1000)
+            world.repeat(rng.choice(OWNERS), index, rng.random() < 0.5)
+        case 'lose':
+            world.lose(rng.randrange(1000), rng.random() < 0.5)
+        case 'suspect':
+            kind = rng.choice(('refused', 'silent_new'))
+            world.suspect(rng.choice(OWNERS), kind)
+        case 'lie':
+            # A false alarm: replicas and owners agree on it.
+            world.silence_lie = not world.silence_lie
+            for name in OWNERS:
+                world.suspect(name, 'silent_new')
+        case 'pause':
+            world.pause(rng.choice(OWNERS))
+        case 'store':
+            world.store = rng.choice(('up', 'down', 'lossy'))
+        case 'restart':
+            world.restart(rng.choice(OWNERS))
--- a/topazring/proxy/sql_pool.py
+++ b/topazring/proxy/sql_pool.py
@@ -260,6 +260,7 @@
             reply.accepted_term,
             reply.repeated,
             reply.cancelled,
+            reply.leads,
         )
     if reply.result == 'failed':
         return messages.SqlFailed(reply.reason)
