Load a fleet, check every answer, measure the failover gap

topazring-load run sends a mix at a rate and checks each read for the session's own work, for going back and for age; experiment starts fleets of stand-ins and causes faults.

A start failed once in 27: a proxy's port had been taken by another process's outgoing connection. Ports now come from below the system's range for those.

--- a/topazring/bench/fleet.py
+++ b/topazring/bench/fleet.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -24,6 +25,7 @@
 
 START_S = 30.0
 POLL_S = 0.05
+PORTS = (10_000, 32_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,12 +177,7 @@
     def port(self, name: str) -> int:
         """Return the port of this name, chosen free at first use."""
         if name not in self.ports:
-            with socket.socket() as probe:
-                probe.bind(('127.0.0.1', 0))
-                port = probe.getsockname()[1]
-            if port in self.ports.values():
-                return self.port(name)
-            self.ports[name] = port
+            self.ports[name] = _free_port()
         return self.ports[name]
 
     def _write(self, name: str, value: dict) -> str:
@@ -350,7 +347,10 @@
                 return False
             return len(status['members']) == self.plan.proxies
 
-        await wait_until(ready, f'{proxy} is ready')
+        try:
+            await wait_until(ready, f'{proxy} is ready')
+        except TimeoutError as error:
+            raise TimeoutError(f'{error}\n{self.log_of(proxy)}') from None
 
     async def wait_primary(self, database: str) -> str:
         """Wait until an owner knows a primary; return its name."""
@@ -413,6 +413,28 @@
         return session
 
 
+_given_ports: set[int] = set()
+
+
+def _free_port() -> int:
+    """Return a port that nobody listens on.
+
+    It lies below the ports that the system gives to outgoing connections;
+    one of those could take it before its process starts.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
+
+
 async def wait_until(condition, what: str, limit_s: float = START_S):
     """Wait for a condition; raise TimeoutError with its name if it fails."""
     loop = asyncio.get_running_loop()
--- a/topazring/client.py
+++ b/topazring/client.py
@@ -99,15 +99,21 @@
             self.socket.close()
             self.socket = None
 
-    async def read(self, statement: str, parameters=()) -> Answer:
-        """Run a statement that changes nothing."""
-        return await self.send(
-            {
-                'type': 'read',
-                'statement': statement,
-                'parameters': list(parameters),
-            }
-        )
+    async def read(
+        self, statement: str, parameters=(), token: str = ''
+    ) -> Answer:
+        """Run a statement that changes nothing.
+
+        `token` is what another session of the same caller has seen.
+        """
+        frame = {
+            'type': 'read',
+            'statement': statement,
+            'parameters': list(parameters),
+        }
+        if token:
+            frame['token'] = token
+        return await self.send(frame)
 
     async def write(
         self,
--- a/topazring/load/main.py
+++ b/topazring/load/main.py
@@ -1,1 +1,127 @@
-"""placeholder"""
+"""Load a fleet: `topazring-load run`; or run an experiment on stand-ins."""
+
+import asyncio
+import dataclasses
+import json
+import sys
+import typing
+
+import cappa
+
+from topazring.load import experiments
+from topazring.load import generator
+from topazring.load import report
+
+__all__ = ['main']
+
+EXIT_VIOLATIONS = 1
+EXIT_BAD_INPUT = 2
+
+
+@cappa.command(name='run', help='Load proxies that run already.')
+@dataclasses.dataclass
+class Run:
+    """Send reads and writes at a rate and sum up the answers."""
+
+    url: typing.Annotated[
+        list[str],
+        cappa.Arg(long=True, help='ws://HOST:PORT/session of a proxy'),
+    ]
+    organisation: typing.Annotated[str, cappa.Arg(long=True)]
+    key: typing.Annotated[str, cappa.Arg(long=True, help='its key')]
+    database: typing.Annotated[str, cappa.Arg(long=True)]
+    profile: typing.Annotated[str, cappa.Arg(long=True)] = 'browse'
+    max_staleness_ms: typing.Annotated[
+        int, cappa.Arg(long=True, help='what the profile promises')
+    ] = 2000
+    sessions: typing.Annotated[int, cappa.Arg(long=True)] = 40
+    rate: typing.Annotated[
+        float, cappa.Arg(long=True, help='requests a second in all')
+    ] = 200.0
+    read_share: typing.Annotated[float, cappa.Arg(long=True)] = 0.9
+    seconds: typing.Annotated[float, cappa.Arg(long=True)] = 10.0
+    as_json: typing.Annotated[
+        bool, cappa.Arg(long='--json', help='print JSON')
+    ] = False
+
+    def __call__(self) -> None:
+        """Run the load; exit 1 if a promise was broken."""
+        if not self.url or not 0 <= self.read_share <= 1:
+            print(
+                'topazring-load: want --url and --read-share from 0 to 1',
+                file=sys.stderr,
+            )
+            sys.exit(EXIT_BAD_INPUT)
+        summary = asyncio.run(self._run())
+        if self.as_json:
+            print(json.dumps(dataclasses.asdict(summary), indent=2))
+        else:
+            print(report.render(summary))
+        sys.exit(EXIT_VIOLATIONS if summary.violations else 0)
+
+    async def _run(self) -> report.Summary:
+        mix = generator.Mix(
+            self.sessions,
+            self.rate,
+            self.read_share,
+            self.profile,
+            self.max_staleness_ms,
+            self.seconds,
+        )
+        load = generator.Load(
+            self.url, self.organisation, self.key, self.database, mix
+        )
+        await load.start()
+        stats = await load.run()
+        await load.close()
+        return report.summarize(stats, self.seconds)
+
+
+@cappa.command(name='experiment', help='Run an experiment on stand-ins.')
+@dataclasses.dataclass
+class Experiment:
+    """Start a fleet of stand-ins, cause faults, print the figures."""
+
+    name: typing.Annotated[
+        str, cappa.Arg(help='its name, or `list` for all names')
+    ]
+    runs: typing.Annotated[int, cappa.Arg(long=True)] = 10
+    as_json: typing.Annotated[
+        bool, cappa.Arg(long='--json', help='print JSON')
+    ] = False
+
+    def __call__(self) -> None:
+        """Run it and print a table."""
+        known = experiments.experiments()
+        if self.name == 'list':
+            for name, function in known.items():
+                print(f'{name:20} {function.__doc__.splitlines()[0]}')
+            return
+        if self.name not in known:
+            print(
+                f'topazring-load: {self.name}: no such experiment',
+                file=sys.stderr,
+            )
+            sys.exit(EXIT_BAD_INPUT)
+        rows = asyncio.run(known[self.name](self.runs))
+        if self.as_json:
+            print(json.dumps(rows, indent=2))
+        else:
+            print(experiments.render(rows))
+
+
+@cappa.command(name='topazring-load')
+@dataclasses.dataclass
+class LoadCommand:
+    """Load a fleet and measure it."""
+
+    command: cappa.Subcommands[Run | Experiment]
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(LoadCommand)
+
+
+if __name__ == '__main__':
+    main()
--- a/topazring/proxy/frames.py
+++ b/topazring/proxy/frames.py
@@ -36,6 +36,8 @@
     type: typing.Literal['read']
     statement: Sql
     parameters: list[Value] = []
+    # What another session of the same caller has seen.
+    token: str | None = None
 
 
 class Write(_Frame):
--- a/topazring/proxy/sessions.py
+++ b/topazring/proxy/sessions.py
@@ -187,19 +187,30 @@
         if frame.profile not in known.profiles:
             return outcomes.Rejected(Reason.UNKNOWN_PROFILE, frame.profile)
         place = places.ORIGIN
-        if frame.token:
-            try:
-                place = tokens.read_token(
-                    frame.token,
-                    known.verifying_keys(),
-                    frame.organisation,
-                    frame.database,
-                ).place()
-            except tokens.TokenError as error:
-                return outcomes.Rejected(Reason.BAD_TOKEN, str(error))
-        self.session = Session(
+        session = Session(
             frame.organisation, frame.database, frame.profile, place
         )
+        if frame.token:
+            refusal = self._take_token(session, frame.token)
+            if refusal is not None:
+                return refusal
+        self.session = session
+        return None
+
+    def _take_token(
+        self, session: Session, token: str
+    ) -> outcomes.Rejected | None:
+        """Have the session see at least what the token has seen."""
+        try:
+            told = tokens.read_token(
+                token,
+                self.front.knowledge.catalogue.verifying_keys(),
+                session.organisation,
+                session.database,
+            )
+        except tokens.TokenError as error:
+            return outcomes.Rejected(Reason.BAD_TOKEN, str(error))
+        session.place = max(session.place, told.place())
         return None
 
     def _token(self) -> str:
@@ -274,6 +285,9 @@
         if profile is None:
             return outcomes.Rejected(Reason.UNKNOWN_PROFILE, session.profile)
         refusal = self._refuse(frame, kind)
+        token = getattr(frame, 'token', None)
+        if refusal is None and token:
+            refusal = self._take_token(session, token)
         if refusal is not None:
             return refusal
         return entries.Job(
