Prove the failover with real processes under faults

Kill, freeze and thaw, cut off with a longer log, service down, first owner dead at that moment, two failures in one outage, replicas far behind, a roaming session: each under load, each compared with the survivors' log.

Cause: the stand-in's primary went back from what it had sent since, not from the place that was refused, so it asked for the same place for ever. Ruled out: an error in the replica's rebuilding (none logged) and the fence (its term was accepted). Now the refusal names the place. The cut left the first owner cut off too, so the old primary's log never grew; it now keeps its owner.

--- a/topazring/client.py
+++ b/topazring/client.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import json
 import secrets
@@ -20,6 +19,7 @@
 from tornado import websocket
 
 from topazring.core import request_ids
+from topazring.plumbing import sockets
 
 __all__ = ['Answer', 'ConnectionLost', 'Session', 'new_request_id']
 
@@ -184,8 +184,8 @@
         self.next_id += 1
         answered = asyncio.get_running_loop().create_future()
         self.waiting[frame_id] = answered
-        with contextlib.suppress(websocket.WebSocketClosedError):
-            self.socket.write_message(json.dumps({**frame, 'id': frame_id}))
+        text = json.dumps({**frame, 'id': frame_id})
+        sockets.write_quietly(self.socket, text)
         return await answered
 
     def _received(self, raw: str | None) -> None:
--- a/topazring/load/experiments.py
+++ b/topazring/load/experiments.py
@@ -74,16 +74,22 @@
 
 
 async def cut(fleet: fleets.Fleet, primary: str) -> None:
-    """Cut the primary off from its replicas and half of the proxies."""
+    """Cut the primary off from its replicas and half of the proxies.
+
+    The first owner still reaches it and goes on giving it writes.
+    """
     database = fleet.plan.databases[0]
     for peer in fleet.upstream_names(database):
         if peer != primary:
             await fleet.set_link(
                 f'{primary}/{peer}', forward='silent', backward='silent'
             )
-    for number in range(0, fleet.plan.proxies, 2):
+    owners = await fleet.owners_of(database)
+    names = [f'p{number + 1}' for number in range(fleet.plan.proxies)]
+    others = [name for name in names if name != owners[0]]
+    for name in others[: (len(names) + 1) // 2]:
         await fleet.set_link(
-            f'p{number + 1}/{primary}', forward='silent', backward='silent'
+            f'{name}/{primary}', forward='silent', backward='silent'
         )
 
 
--- a/topazring/load/generator.py
+++ b/topazring/load/generator.py
@@ -58,6 +58,9 @@
     # (time, upstream) of each acknowledged write.
     acknowledged: list = dataclasses.field(default_factory=list)
     roams: int = 0
+    # What became of each write, for the upstreams' ledgers to confirm.
+    done_ids: set = dataclasses.field(default_factory=set)
+    not_run_ids: set = dataclasses.field(default_factory=set)
 
     def record(self, kind: str, seconds: float) -> None:
         """Record how long an answer took."""
@@ -193,8 +196,11 @@
                 repeat = True
                 await self._roam(user, session)
         self._note('write', answer, began)
+        if answer.outcome == 'not_run':
+            self.stats.not_run_ids.add(request_id)
         if not answer.done:
             return
+        self.stats.done_ids.add(request_id)
         now = time.monotonic()
         self.stats.acknowledged.append((now, answer.served_by))
         user.acked = max(user.acked, n)
--- a/topazring/proxy/control_link.py
+++ b/topazring/proxy/control_link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import dataclasses
 
 from tornado import websocket
@@ -10,6 +9,7 @@
 from topazring.core import messages
 from topazring.core import places
 from topazring.plumbing import clock
+from topazring.plumbing import sockets
 from topazring import wire
 
 __all__ = ['ControlLink', 'abort']
@@ -71,8 +71,7 @@
         ask = self._encode(message)
         prompt = not ask.wait_ms
         self.pending[ask.id] = Pending(message, now_ms, prompt)
-        with contextlib.suppress(websocket.WebSocketClosedError):
-            self.socket.write_message(wire.encode(ask))
+        sockets.write_quietly(self.socket, wire.encode(ask))
 
     def _encode(self, message: object) -> wire.ControlAsk:
         ask_id = self.next_id
--- a/topazring/proxy/sessions.py
+++ b/topazring/proxy/sessions.py
@@ -13,6 +13,7 @@
 from topazring.core import requests
 from topazring.core import tokens
 from topazring.plumbing import clock
+from topazring.plumbing import sockets
 from topazring.proxy import entry as entries
 from topazring.proxy import frames
 from topazring.proxy import knowledge as knowledges
@@ -145,10 +146,7 @@
     ) -> None:
         took_ms = clock.monotonic_ms() - began_ms
         self.front.metrics.note(kind, outcome, took_ms)
-        try:
-            self.write_message(frames.encode(frame_id, outcome, token))
-        except websocket.WebSocketClosedError:
-            return
+        sockets.write_quietly(self, frames.encode(frame_id, outcome, token))
 
     # ---- hello ----
 
--- a/topazring/proxy/sql_pool.py
+++ b/topazring/proxy/sql_pool.py
@@ -11,6 +11,7 @@
 from topazring.core import outcomes
 from topazring.core import requests
 from topazring.plumbing import clock
+from topazring.plumbing import sockets
 from topazring.proxy import control_link
 from topazring import wire
 
@@ -96,9 +97,7 @@
         self.sent = True
         self.pinged_ms = 0
         self.heard_ms = clock.monotonic_ms()
-        try:
-            self.socket.write_message(wire.encode(ask))
-        except websocket.WebSocketClosedError:
+        if not sockets.write_quietly(self.socket, wire.encode(ask)):
             self.lose(Reason.CONNECTION_LOST)
 
     def _heard(self, data: bytes) -> None:
--- a/topazring/standin/replication.py
+++ b/topazring/standin/replication.py
@@ -35,6 +35,8 @@
     accepted_term: int
     position: int
     fits: bool
+    # The position that did not fit.
+    after: int = 0
 
 
 encode = msgspec.json.Encoder().encode
@@ -121,7 +123,9 @@
                 self.on_higher_term(reply.accepted_term)
                 return
             if not reply.fits:
-                back = min(self.next_position - 1, reply.position + 1)
+                # Back from what was refused, not from what was sent since:
+                # that would ask for the same place for ever.
+                back = min(reply.after, reply.position + 1)
                 self.next_position = max(1, back)
                 self.changed.set()
 
@@ -150,12 +154,13 @@
         after = places.Place(*message.after)
         fits, cut = logs.extend(self.log, message.term, after, message.entries)
         self.on_extended(cut)
-        return self._acknowledge(fits)
+        return self._acknowledge(fits, after.position)
 
     def silent_ms(self) -> int:
         """Return how long nothing was heard of a primary."""
         return int((time.monotonic() - self.heard_at) * 1000)
 
-    def _acknowledge(self, fits: bool) -> Acknowledge:
+    def _acknowledge(self, fits: bool, after: int = 0) -> Acknowledge:
         position = len(self.log.entries)
-        return Acknowledge(self.log.accepted_term, position, fits)
+        term = self.log.accepted_term
+        return Acknowledge(term, position, fits, after)
--- a/topazring/standin/upstream.py
+++ b/topazring/standin/upstream.py
@@ -1,7 +1,6 @@
 """Run one upstream: slots, connections, replicated SQL."""
 
 import asyncio
-import contextlib
 import dataclasses
 import json
 import time
@@ -16,6 +15,7 @@
 from topazring.core import requests
 from topazring.plumbing import clock
 from topazring.plumbing import logs as part_logs
+from topazring.plumbing import sockets
 from topazring.standin import database
 from topazring.standin import log as logs
 from topazring.standin import replication
@@ -341,8 +341,7 @@
 
     def reply(self, message) -> None:
         """Send a reply, if there is still someone to read it."""
-        with contextlib.suppress(websocket.WebSocketClosedError):
-            self.write_message(wire.encode(message))
+        sockets.write_quietly(self, wire.encode(message))
 
 
 class SqlSocket(_CountedSocket):
@@ -436,8 +435,7 @@
                 self._send(reply)
 
     def _send(self, reply: replication.Acknowledge) -> None:
-        with contextlib.suppress(websocket.WebSocketClosedError):
-            self.write_message(replication.encode(reply))
+        sockets.write_quietly(self, replication.encode(reply))
 
     def on_close(self) -> None:
         if self.worker is not None:
