--- a/topazring/client.py
+++ b/topazring/client.py
@@ -80,6 +80,8 @@
         self.socket: websocket.WebSocketClientConnection | None = None
         self.waiting: dict[int, asyncio.Future] = {}
         self.next_id = 1
+        # The proxy asked this session to move, with its token, elsewhere.
+        self.leaving = False
 
     async def start(self) -> Answer:
         """Connect and open the session."""
@@ -193,6 +195,9 @@
             self._lost()
             return
         frame = json.loads(raw)
+        if frame['outcome'] == 'leaving':
+            self.leaving = True
+            return
         answered = self.waiting.pop(frame.pop('id'), None)
         answer = Answer(**frame)
         if answer.token:
--- a/topazring/load/generator.py
+++ b/topazring/load/generator.py
@@ -162,11 +162,9 @@
     def _send_one(self, count: int) -> None:
         user = self.users[count % len(self.users)]
         if self.rng.random() < self.mix.read_share:
-            task = asyncio.create_task(self._read(user))
+            self._spawn(self._read(user))
         else:
-            task = asyncio.create_task(self._write(user))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+            self._spawn(self._write(user))
 
     def _note(self, kind: str, answer: client.Answer, began: float) -> None:
         name = f'{kind} {answer.outcome}'
@@ -183,7 +181,7 @@
         began = time.monotonic()
         repeat = False
         while True:
-            session = user.session
+            session = await self._session_of(user)
             try:
                 answer = await session.write(
                     WRITE, [user.number, n], request_id, repeat
@@ -206,6 +204,24 @@
         user.acked = max(user.acked, n)
         self.history.setdefault(user.number, []).append((now, user.acked))
 
+    async def _session_of(self, user: User) -> client.Session:
+        """Return the user's session, moved if its proxy is leaving."""
+        session = user.session
+        if session.leaving:
+            await self._roam(user, session)
+            self._spawn(self._close_when_quiet(session))
+        return user.session
+
+    async def _close_when_quiet(self, session: client.Session) -> None:
+        while session.waiting:
+            await asyncio.sleep(RECONNECT_S)
+        await session.close()
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     async def _roam(self, user: User, lost: client.Session) -> None:
         """Take the session to another proxy, once for all that wait."""
         async with user.moving:
@@ -220,7 +236,7 @@
         floor = max(own, user.seen.get(target.number, 0))
         began = time.monotonic()
         aged = self._acked_before(target, began)
-        session = user.session
+        session = await self._session_of(user)
         try:
             answer = await session.read(READ, [target.number])
         except client.ConnectionLost:
--- a/topazring/proxy/frames.py
+++ b/topazring/proxy/frames.py
@@ -7,7 +7,7 @@
 
 from topazring.core import outcomes
 
-__all__ = ['CallerFrame', 'FrameError', 'encode', 'parse']
+__all__ = ['LEAVING', 'CallerFrame', 'FrameError', 'encode', 'parse']
 
 Value = str | int | float | bool | None
 Sql = typing.Annotated[str, pydantic.Field(min_length=1)]
@@ -141,6 +141,8 @@
 
 
 _encode = msgspec.json.Encoder().encode
+# Tells a caller to move its session when it has nothing open here.
+LEAVING = _encode(AnswerFrame(None, 'leaving'))
 
 
 def encode(
--- a/topazring/proxy/process.py
+++ b/topazring/proxy/process.py
@@ -27,6 +27,8 @@
 DRAIN_POLL_S = 0.02
 # Time for the balancer and the peers to notice before sessions are ended.
 LEAVING_S = 0.3
+# A session that is silent for so long after the notice is ended.
+QUIET_MS = 1000
 
 
 class Proxy:
@@ -138,7 +140,8 @@
         self.front.drain()
         until_ms = clock.monotonic_ms() + self.config.limits.drain_ms
         while clock.monotonic_ms() < until_ms:
-            if not self._busy():
+            self.front.end_quiet(QUIET_MS)
+            if not self.front.sockets and not self.ownership.busy():
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         else:
--- a/topazring/proxy/sessions.py
+++ b/topazring/proxy/sessions.py
@@ -69,10 +69,21 @@
         self.draining = False
 
     def drain(self) -> None:
-        """Take no new session, and end those that have nothing open."""
+        """Take no new session, and ask the others to move.
+
+        Closing them from here would cut off requests that are on their way
+        already. A caller that closes by itself has none.
+        """
         self.draining = True
         for socket in list(self.sockets):
-            socket.close_if_quiet()
+            sockets.write_quietly(socket, frames.LEAVING)
+
+    def end_quiet(self, quiet_ms: int) -> None:
+        """End the sessions whose callers do not heed the notice."""
+        now_ms = clock.monotonic_ms()
+        for socket in list(self.sockets):
+            if now_ms - socket.heard_ms >= quiet_ms:
+                socket.close_if_quiet()
 
     def busy(self) -> int:
         """Return how many sessions have something open."""
@@ -86,6 +97,7 @@
         self.front = front
         self.session: Session | None = None
         self.tasks: set[asyncio.Task] = set()
+        self.heard_ms = clock.monotonic_ms()
 
     def prepare(self) -> None:
         limit = self.front.config.limits.sessions
@@ -123,6 +135,7 @@
             self.close(CLOSE_GOING_AWAY, 'leaving')
 
     def on_message(self, raw: str | bytes) -> None:
+        self.heard_ms = clock.monotonic_ms()
         try:
             frame = frames.parse(raw)
         except frames.FrameError as error:
@@ -247,8 +260,6 @@
             session.place = max(session.place, outcome.place)
             token = self._token()
         self._reply(frame.id, frame.type, outcome, began_ms, token)
-        if self.front.draining:
-            self.close_if_quiet()
 
     def _note_transaction(
         self,
@@ -308,8 +319,6 @@
         most = self.front.config.limits.requests_a_session
         if session.in_flight >= most:
             return outcomes.NotRun(Reason.OVERLOAD, RETRY_MS)
-        if self.front.draining and kind not in _NEEDS_TRANSACTION:
-            return outcomes.NotRun(Reason.DRAINING, 0)
         request_id = getattr(frame, 'request_id', None)
         if request_id is not None and not request_ids.is_well_formed(
             request_id
