Keep placement by increments, and make control frames small

Cause: owners were worked out anew for every database at every change of the list, and at every request: 3,200 x 2,000 hashes are seconds. Checked against working it out anew over random joins and departures (test_placement).

--- a/topazring/core/members.py
+++ b/topazring/core/members.py
@@ -8,7 +8,7 @@
 __all__ = [
     'Member',
     'Members',
-    'owners_of',
+    'candidates_of',
     'reachable',
     'saw_answer',
     'saw_failure',
@@ -100,20 +100,17 @@
     return failed_ms is None or now_ms - failed_ms > FAILED_MS
 
 
-def owners_of(
-    members: Members, database: str, region: str, count: int
-) -> tuple[str, ...]:
-    """Return the owners by the list alone, in preference order.
+def candidates_of(members: Members) -> list[hashing.Candidate]:
+    """Return who could own databases, by the list alone.
 
     What this proxy cannot reach stays in: everyone has to come to much the
     same owners, or each would hold connections of its own.
     """
-    candidates = [
+    return [
         hashing.Candidate(m.name, m.region, m.data_centre)
         for m in members.listed.values()
         if not m.leaving
     ]
-    return hashing.choose_owners(database, region, candidates, count)
 
 
 def watchers_of(members: Members, region: str) -> tuple[str, ...]:
--- a/topazring/core/tests/test_members.py
+++ b/topazring/core/tests/test_members.py
@@ -47,7 +47,8 @@
         state = members.Members()
         listed = [member('p1'), member('p2', leaving=True)]
         members.take_list(state, listed)
-        self.assertEqual(('p1',), members.owners_of(state, 'd', 'home', 2))
+        names = [c.name for c in members.candidates_of(state)]
+        self.assertEqual(['p1'], names)
 
 
 class TestHashing(testtools.TestCase):
--- /dev/null
+++ b/topazring/core/tests/test_placement.py
@@ -0,0 +1,71 @@
+"""The kept owners are those that working them out anew gives."""
+
+import random
+
+import testtools
+
+from topazring.core import hashing
+from topazring.core import placement as placements
+
+
+class TestPlacement(testtools.TestCase):
+    """Follow joins and departures without drifting."""
+
+    def setUp(self):
+        super().setUp()
+        self.rng = random.Random(1)
+        self.placement = placements.Placement(2)
+        self.databases = {}
+        for number in range(60):
+            region = f'r{number % 3}'
+            self.databases[f'd{number}'] = region
+            placements.set_database(self.placement, f'd{number}', region)
+
+    def candidate(self, number):
+        return hashing.Candidate(
+            f'p{number}', f'r{number % 3}', f'c{number % 9}'
+        )
+
+    def expect(self, name, candidates):
+        return hashing.choose_owners(name, self.databases[name], candidates, 2)
+
+    def test_joins_and_departures(self):
+        """Symptom: two proxies disagree for good on who owns a database.
+
+        Sequence: many joins and departures in differing batches. Cause:
+        kept candidates that miss one that a fresh look would find.
+        """
+        present = set(range(40))
+        for _ in range(60):
+            flips = self.rng.sample(range(60), self.rng.randrange(1, 12))
+            present ^= set(flips)
+            candidates = [self.candidate(n) for n in sorted(present)]
+            placements.set_candidates(self.placement, candidates)
+            for name in self.databases:
+                self.assertEqual(
+                    self.expect(name, candidates),
+                    placements.owners_of(self.placement, name),
+                )
+
+    def test_region_without_proxies_is_served_by_others(self):
+        others = [self.candidate(n) for n in (1, 2, 4, 5)]
+        placements.set_candidates(self.placement, others)
+        self.assertEqual(
+            self.expect('d0', others),
+            placements.owners_of(self.placement, 'd0'),
+        )
+        own = self.candidate(0)
+        changed = placements.set_candidates(self.placement, [*others, own])
+        self.assertIn('d0', changed)
+        self.assertEqual(('p0',), placements.owners_of(self.placement, 'd0'))
+
+    def test_only_what_changes_hands_is_named(self):
+        candidates = [self.candidate(n) for n in range(30)]
+        placements.set_candidates(self.placement, candidates)
+        before = {
+            name: placements.owners_of(self.placement, name)
+            for name in self.databases
+        }
+        changed = placements.set_candidates(self.placement, candidates[1:])
+        for name, owners in before.items():
+            self.assertEqual('p0' in owners, name in changed)
--- a/topazring/proxy/control_link.py
+++ b/topazring/proxy/control_link.py
@@ -52,6 +52,8 @@
         self.socket: websocket.WebSocketClientConnection | None = None
         self.pending: dict[int, Pending] = {}
         self.next_id = 1
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.proven = False
         self.failures = 0
         self.retry_ms = 0
@@ -71,7 +73,9 @@
         ask = self._encode(message)
         prompt = not ask.wait_ms
         self.pending[ask.id] = Pending(message, now_ms, prompt)
-        sockets.write_quietly(self.socket, wire.encode(ask))
+        raw = wire.encode_control(ask)
+        self.sent_bytes += len(raw)
+        sockets.write_quietly(self.socket, raw, True)
 
     def _encode(self, message: object) -> wire.ControlAsk:
         ask_id = self.next_id
@@ -80,16 +84,20 @@
             case messages.AskStatus(term=term, place=place, wait_ms=wait_ms):
                 return wire.ControlAsk(
                     ask_id,
-                    'status',
+                    's',
                     term,
                     log_term=place.log_term,
                     position=place.position,
                     wait_ms=wait_ms,
                 )
             case messages.Fence(term=term):
-                return wire.ControlAsk(ask_id, 'fence', term, self.claimant)
+                return wire.ControlAsk(
+                    ask_id, 'fence', term, claimant=self.claimant
+                )
             case messages.Lead(term=term):
-                return wire.ControlAsk(ask_id, 'lead', term, self.claimant)
+                return wire.ControlAsk(
+                    ask_id, 'lead', term, claimant=self.claimant
+                )
         raise TypeError(f'no control message: {message}')
 
     def tick(self, now_ms: int) -> None:
@@ -138,6 +146,7 @@
             if self.socket is not None:
                 self._lose('silent')
             return
+        self.received_bytes += len(raw)
         reply = wire.decode_control_reply(raw)
         pending = self.pending.pop(reply.id, None)
         if pending is None:
--- a/topazring/proxy/knowledge.py
+++ b/topazring/proxy/knowledge.py
@@ -53,7 +53,7 @@
         config: settings.ProxySettings,
         incarnation: str,
         platform: platform_client.PlatformClient,
-        changed: collections.abc.Callable[[str], None],
+        changed: collections.abc.Callable[[set[str]], None],
         suspected: collections.abc.Callable[[gossips.Suspicion], None],
     ):
         self.config = config
@@ -67,6 +67,7 @@
         }
         self.catalogue = catalogue.Catalogue()
         self.members = membership.Members()
+        self.listed: dict[str, membership.Member] = {}
         self.leaving_upstreams: frozenset[str] = frozenset()
         self.gossip = gossips.Gossip(
             f'tcp://{config.host}:{config.gossip_port}', self._received
@@ -245,7 +246,7 @@
             return
         for address in self._some_peers(FANOUT):
             self.gossip.send(address, message)
-        self.changed(INSTANCES)
+        self.changed(set())
 
     def tell_leaving(self) -> None:
         """Tell all peers that this process leaves."""
@@ -280,7 +281,7 @@
             return
         if new:
             self._apply(name, new)
-            self.changed(name)
+            self.changed(_databases_in(name, new))
         if new:
             self._tell(FANOUT)
 
@@ -290,24 +291,37 @@
             for fault in faults:
                 logger.error('passed over %s', fault)
             return
-        self._apply_instances()
-
-    def _apply_instances(self) -> None:
-        """Sort the list into proxies and leaving upstreams."""
-        listed = []
-        leaving = set()
-        for change in self.streams[INSTANCES].revisions.changes.values():
+        self._apply_instances(changes)
+
+    def _apply_instances(self, changes: list[revisions.Change]) -> None:
+        """Sort what changed in the list into proxies and upstreams."""
+        leaving = set(self.leaving_upstreams)
+        for change in changes:
+            self.listed.pop(change.key, None)
+            leaving.discard(change.key)
             if change.value is None:
                 continue
             raw = json.loads(change.value)
             if raw.get('kind') == 'proxy':
-                listed.append(_member(raw))
+                self.listed[change.key] = _member(raw)
             elif raw.get('state') == 'leaving':
-                leaving.add(raw['name'])
-        membership.take_list(self.members, listed)
+                leaving.add(change.key)
+        membership.take_list(self.members, self.listed.values())
         self.leaving_upstreams = frozenset(leaving)
 
 
+def _databases_in(stream: str, changes: list[revisions.Change]) -> set[str]:
+    """Return the databases among what changed in the configuration."""
+    if stream != CONFIGURATION:
+        return set()
+    prefix = f'{catalogue.PREFIX}database/'
+    return {
+        change.key.removeprefix(prefix)
+        for change in changes
+        if change.key.startswith(prefix)
+    }
+
+
 def _gossip_address(host: str, port: int) -> str:
     return f'tcp://{host}:{port}'
 
--- a/topazring/proxy/ownership.py
+++ b/topazring/proxy/ownership.py
@@ -7,6 +7,7 @@
 from topazring.core import members as membership
 from topazring.core import messages
 from topazring.core import outcomes
+from topazring.core import placement as placements
 from topazring.core import requests
 from topazring.core import state as states
 from topazring import platform_client
@@ -44,6 +45,7 @@
         self.knowledge = knowledge
         self.owners: dict[str, owner_task.OwnerTask] = {}
         self.used_ms: dict[str, int] = {}
+        self.placement = placements.Placement(config.owners_a_database)
         self.draining = False
         self.closing: set[asyncio.Task] = set()
 
@@ -55,21 +57,46 @@
 
     def owners_of(self, database: catalogue.Database) -> tuple[str, ...]:
         """Return the owners of a database, in preference order."""
-        return membership.owners_of(
-            self.knowledge.members,
-            database.name,
-            database.region,
-            self.config.owners_a_database,
-        )
+        return placements.owners_of(self.placement, database.name)
+
+    def follow(self, databases: set[str]) -> None:
+        """Follow a change of the instances, and of these databases.
+
+        Only what changed hands is looked at: with 3,200 databases a look at
+        all of them would take seconds at each restart of a proxy.
+        """
+        wanted = self.knowledge.catalogue.databases
+        for name in databases:
+            self._take_configuration(name, wanted.get(name))
+        candidates = membership.candidates_of(self.knowledge.members)
+        moved = placements.set_candidates(self.placement, candidates)
+        for name in moved | databases:
+            if name in wanted and self._may_own(wanted[name]):
+                self._refresh_one(wanted[name])
+        self.refresh()
+
+    def _may_own(self, database: catalogue.Database) -> bool:
+        """Say whether it is worth working out the owners beforehand."""
+        home = database.region == self.config.region
+        return home or database.region not in self.placement.regions
+
+    def _take_configuration(
+        self, name: str, database: catalogue.Database | None
+    ) -> None:
+        owner = self.owners.get(name)
+        if owner is not None and owner.database != database:
+            self._let_go(name)
+        if database is None:
+            placements.drop_database(self.placement, name)
+        else:
+            region = database.region
+            placements.set_database(self.placement, name, region)
 
     def refresh(self) -> None:
-        """Follow a change of the configuration or of the instances."""
+        """Look after the databases that have an owner task here."""
         wanted = self.knowledge.catalogue.databases
-        for name, owner in list(self.owners.items()):
-            if wanted.get(name) != owner.database:
-                self._let_go(name)
-        for database in wanted.values():
-            self._refresh_one(database)
+        for name in list(self.owners):
+            self._refresh_one(wanted[name])
 
     def _refresh_one(self, database: catalogue.Database) -> None:
         owners = self.owners_of(database)
@@ -168,6 +195,18 @@
         """Take nothing new from now on; finish what is here."""
         self.draining = True
 
+    def control_bytes(self) -> list[int]:
+        """Return the bytes sent to and received from upstreams for control."""
+        links = [
+            link
+            for owner in self.owners.values()
+            for link in owner.links.values()
+        ]
+        return [
+            sum(link.sent_bytes for link in links),
+            sum(link.received_bytes for link in links),
+        ]
+
     def busy(self) -> int:
         """Return how many requests and transactions are still open."""
         return sum(
--- a/topazring/proxy/process.py
+++ b/topazring/proxy/process.py
@@ -106,8 +106,8 @@
                 total[name] = total.get(name, 0) + count
         return total
 
-    def _changed(self, stream: str) -> None:
-        self.ownership.refresh()
+    def _changed(self, databases: set[str]) -> None:
+        self.ownership.follow(databases)
         self.entry.refresh()
 
     def _suspected(self, message) -> None:
@@ -184,6 +184,8 @@
                 self.knowledge.gossip.sent_bytes,
                 self.knowledge.gossip.received_bytes,
             ],
+            'control_bytes': self.ownership.control_bytes(),
+            'databases': len(self.knowledge.catalogue.databases),
             'processor_s': round(usage.ru_utime + usage.ru_stime, 3),
             'resident_kb': usage.ru_maxrss,
         }
--- a/topazring/standin/upstream.py
+++ b/topazring/standin/upstream.py
@@ -339,10 +339,6 @@
             self.counted = False
             self.upstream.connections -= 1
 
-    def reply(self, message) -> None:
-        """Send a reply, if there is still someone to read it."""
-        sockets.write_quietly(self, wire.encode(message))
-
 
 class SqlSocket(_CountedSocket):
     """Serve statements, one at a time, and perhaps a transaction."""
@@ -356,7 +352,7 @@
             self.opened = Open(ask.organisation, ask.term)
         elif ask.kind in (Kind.COMMIT, Kind.ROLLBACK):
             self.opened = None
-        self.reply(reply)
+        sockets.write_quietly(self, wire.encode(reply))
 
 
 class ControlSocket(_CountedSocket):
@@ -383,17 +379,16 @@
         elif ask.wait_ms:
             await self._wait(ask)
         place = logs.last_place(log)
-        self.reply(
-            wire.ControlReply(
-                ask.id,
-                log.accepted_term,
-                place.log_term,
-                place.position,
-                log.leads,
-                self.upstream.silent_ms(),
-                accepted,
-            )
+        reply = wire.ControlReply(
+            ask.id,
+            log.accepted_term,
+            place.log_term,
+            place.position,
+            log.leads,
+            self.upstream.silent_ms(),
+            accepted,
         )
+        sockets.write_quietly(self, wire.encode_control(reply), True)
 
     async def _wait(self, ask: wire.ControlAsk) -> None:
         log = self.upstream.log
--- a/topazring/wire.py
+++ b/topazring/wire.py
@@ -17,6 +17,7 @@
     'decode_sql_ask',
     'decode_sql_reply',
     'encode',
+    'encode_control',
     'status_of',
 ]
 
@@ -52,19 +53,23 @@
     leads: bool = False
 
 
-class ControlAsk(msgspec.Struct, omit_defaults=True):
-    """Ask an upstream for its status, to accept a term, or to lead it."""
+class ControlAsk(msgspec.Struct, array_like=True, omit_defaults=True):
+    """Ask an upstream for its status, to accept a term, or to lead it.
+
+    Control frames are msgpack arrays: an owner sends and gets some 30 a
+    second for each database, and the control budget is 3 KB a second.
+    """
 
     id: int
     kind: str
     term: int = 0
-    claimant: str = ''
     log_term: int = 0
     position: int = 0
     wait_ms: int = 0
+    claimant: str = ''
 
 
-class ControlReply(msgspec.Struct, omit_defaults=True):
+class ControlReply(msgspec.Struct, array_like=True, omit_defaults=True):
     """Report an upstream's status, and whether it did as asked."""
 
     id: int
@@ -79,8 +84,9 @@
 encode = msgspec.json.Encoder().encode
 decode_sql_ask = msgspec.json.Decoder(SqlAsk).decode
 decode_sql_reply = msgspec.json.Decoder(SqlReply).decode
-decode_control_ask = msgspec.json.Decoder(ControlAsk).decode
-decode_control_reply = msgspec.json.Decoder(ControlReply).decode
+encode_control = msgspec.msgpack.Encoder().encode
+decode_control_ask = msgspec.msgpack.Decoder(ControlAsk).decode
+decode_control_reply = msgspec.msgpack.Decoder(ControlReply).decode
 
 
 def status_of(
