Read the platform's changes in pages, and databases as they come

Cause of 70 MB with 3,200 databases configured and 2,000 proxies listed (limit 64): each database was held parsed, and the first answer of the service was taken in one piece, whose garbage stayed behind. Ruled out: the list of members (56.3 MB with 2,000). Now a database is built when asked for, and an answer has at most 200 changes.

--- a/topazring/admin/main.py
+++ b/topazring/admin/main.py
@@ -188,7 +188,7 @@
         asyncio.run(self._list())
 
     async def _list(self) -> None:
-        found = await _client(self.platform).changes(catalogue.PREFIX, 0)
+        found = await _client(self.platform).all_changes(catalogue.PREFIX)
         if isinstance(found, platform_client.Unavailable):
             fail(EXIT_UNREACHED, f'the service is away: {found.detail}')
         for change in sorted(found.changes, key=lambda c: c.key):
@@ -311,7 +311,7 @@
     platform: platform_client.PlatformClient,
 ) -> list[dict]:
     """Return the proxies on the platform's list."""
-    found = await platform.instances(0)
+    found = await platform.all_instances()
     if isinstance(found, platform_client.Unavailable):
         fail(EXIT_UNREACHED, f'the service is away: {found.detail}')
     listed = [json.loads(c.value) for c in found.changes if c.value]
--- a/topazring/catalogue.py
+++ b/topazring/catalogue.py
@@ -1,8 +1,10 @@
 """Check and hold what operators configure."""
 
+import collections
 import dataclasses
 import hashlib
 import json
+import sys
 import typing
 
 import pydantic
@@ -24,6 +26,7 @@
 ]
 
 PREFIX = 'configuration/'
+BUILT_KEPT = 512
 
 _kinds: dict[str, type[pydantic.BaseModel]] = {}
 
@@ -139,9 +142,30 @@
     organisations: dict[str, Organisation] = dataclasses.field(
         default_factory=dict
     )
-    databases: dict[str, Database] = dataclasses.field(default_factory=dict)
+    # Most of 3,200 databases are of no use to one proxy: they are kept as
+    # they came, with their regions, and built when asked for.
+    database_texts: dict[str, str] = dataclasses.field(default_factory=dict)
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
+    built: collections.OrderedDict[str, Database] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
     token_keys: dict[str, bytes] = dataclasses.field(default_factory=dict)
 
+    def database(self, name: str) -> Database | None:
+        """Return a database, built anew if it was not used lately."""
+        found = self.built.get(name)
+        if found is not None:
+            self.built.move_to_end(name)
+            return found
+        text = self.database_texts.get(name)
+        if text is None:
+            return None
+        found = _build('database', name, _parse('database', text))
+        self.built[name] = found
+        while len(self.built) > BUILT_KEPT:
+            self.built.popitem(last=False)
+        return found
+
     def verifying_keys(self) -> list[bytes]:
         """Return the keys that a token may be signed with."""
         return list(self.token_keys.values())
@@ -179,24 +203,41 @@
             faults.append(f'{change.key}: unknown kind')
             continue
         if change.value is None:
-            _table(catalogue, kind).pop(name, None)
+            _drop(catalogue, kind, name)
             continue
         try:
-            raw = json.loads(change.value)
-            raw.pop('change_id', None)
-            model = check(kind, raw)
+            model = _parse(kind, change.value)
         except ValueError as error:
             faults.append(f'{change.key}: {error}')
             continue
-        _table(catalogue, kind)[name] = _build(kind, name, model)
+        if kind == 'database':
+            catalogue.built.pop(name, None)
+            catalogue.database_texts[name] = change.value
+            catalogue.regions[name] = sys.intern(model.region)
+        else:
+            _table(catalogue, kind)[name] = _build(kind, name, model)
     return faults
 
 
+def _parse(kind: str, text: str) -> pydantic.BaseModel:
+    raw = json.loads(text)
+    raw.pop('change_id', None)
+    return check(kind, raw)
+
+
+def _drop(catalogue: Catalogue, kind: str, name: str) -> None:
+    if kind != 'database':
+        _table(catalogue, kind).pop(name, None)
+        return
+    catalogue.built.pop(name, None)
+    catalogue.database_texts.pop(name, None)
+    catalogue.regions.pop(name, None)
+
+
 def _table(catalogue: Catalogue, kind: str) -> dict:
     return {
         'profile': catalogue.profiles,
         'organisation': catalogue.organisations,
-        'database': catalogue.databases,
         'token-key': catalogue.token_keys,
     }[kind]
 
--- a/topazring/platform_client.py
+++ b/topazring/platform_client.py
@@ -5,6 +5,7 @@
 import json
 import urllib.parse
 
+import msgspec
 from tornado import httpclient
 
 from topazring.core import revisions
@@ -61,6 +62,17 @@
     since: int
     upto: int
     changes: list[revisions.Change]
+    # The answer was cut; what follows `upto` is to be asked for at once.
+    more: bool = False
+
+
+class _Page(msgspec.Struct):
+    revision: int
+    changes: list[revisions.Change]
+    more: bool = False
+
+
+_decode_page = msgspec.json.Decoder(_Page).decode
 
 
 class PlatformClient:
@@ -121,6 +133,14 @@
         query = f'since={since}&wait_ms={wait_ms}'
         return await self._changes(f'/instances?{query}', since, wait_ms)
 
+    async def all_changes(self, prefix: str) -> Changes | Unavailable:
+        """Return all values under a prefix, page by page."""
+        return await _collect(lambda since: self.changes(prefix, since))
+
+    async def all_instances(self) -> Changes | Unavailable:
+        """Return the whole list of instances, page by page."""
+        return await _collect(self.instances)
+
     async def announce(self, name: str, instance: dict) -> bool:
         """Have this instance listed; say whether the service answered."""
         reply = await self._call(
@@ -139,12 +159,8 @@
         reply = await self._call('GET', path, wait_ms=wait_ms)
         if isinstance(reply, Unavailable):
             return reply
-        raw = json.loads(reply.body)
-        changes = [
-            revisions.Change(c['key'], c['revision'], c['value'])
-            for c in raw['changes']
-        ]
-        return Changes(since, raw['revision'], changes)
+        page = _decode_page(reply.body)
+        return Changes(since, page.revision, page.changes, page.more)
 
     async def _call(
         self,
@@ -174,6 +190,19 @@
         return reply
 
 
+async def _collect(ask) -> Changes | Unavailable:
+    found: list[revisions.Change] = []
+    since = 0
+    while True:
+        page = await ask(since)
+        if isinstance(page, Unavailable):
+            return page
+        found += page.changes
+        since = page.upto
+        if not page.more:
+            return Changes(0, since, found)
+
+
 def _condition(revision: int | None) -> dict[str, str]:
     if revision is None:
         return {'If-None-Match': '*'}
--- a/topazring/proxy/knowledge.py
+++ b/topazring/proxy/knowledge.py
@@ -164,7 +164,7 @@
                 asked_ms, clock.monotonic_ms() - wait_ms
             )
             self._merge(name, found.since, found.upto, found.changes)
-            if not self._watches():
+            if not self._watches() and not found.more:
                 await asyncio.sleep(POLL_S * self.rng.uniform(0.5, 1.5))
 
     async def _ask(
--- a/topazring/proxy/ownership.py
+++ b/topazring/proxy/ownership.py
@@ -65,57 +65,58 @@
         Only what changed hands is looked at: with 3,200 databases a look at
         all of them would take seconds at each restart of a proxy.
         """
-        wanted = self.knowledge.catalogue.databases
         for name in databases:
-            self._take_configuration(name, wanted.get(name))
+            self._take_configuration(name)
         candidates = membership.candidates_of(self.knowledge.members)
         moved = placements.set_candidates(self.placement, candidates)
         for name in moved | databases:
-            if name in wanted and self._may_own(wanted[name]):
-                self._refresh_one(wanted[name])
+            if self._may_own(name):
+                self._refresh_one(name)
         self.refresh()
 
-    def _may_own(self, database: catalogue.Database) -> bool:
+    def _may_own(self, name: str) -> bool:
         """Say whether it is worth working out the owners beforehand."""
-        home = database.region == self.config.region
-        return home or database.region not in self.placement.regions
-
-    def _take_configuration(
-        self, name: str, database: catalogue.Database | None
-    ) -> None:
+        region = self.knowledge.catalogue.regions.get(name)
+        if region is None:
+            return False
+        home = region == self.config.region
+        return home or region not in self.placement.regions
+
+    def _take_configuration(self, name: str) -> None:
+        known = self.knowledge.catalogue
         owner = self.owners.get(name)
-        if owner is not None and owner.database != database:
+        if owner is not None and owner.database != known.database(name):
             self._let_go(name)
-        if database is None:
+        region = known.regions.get(name)
+        if region is None:
             placements.drop_database(self.placement, name)
         else:
-            region = database.region
             placements.set_database(self.placement, name, region)
 
     def refresh(self) -> None:
         """Look after the databases that have an owner task here."""
-        wanted = self.knowledge.catalogue.databases
         for name in list(self.owners):
-            self._refresh_one(wanted[name])
+            self._refresh_one(name)
 
-    def _refresh_one(self, database: catalogue.Database) -> None:
-        owners = self.owners_of(database)
+    def _refresh_one(self, name: str) -> None:
+        owners = placements.owners_of(self.placement, name)
         owned = self.config.name in owners
         if owned and not self.draining:
-            self._take(database)
-        owner = self.owners.get(database.name)
+            self._take(name)
+        owner = self.owners.get(name)
         if owner is None:
             return
         owner.post(messages.OwnersSeen(owners))
         leaving = self.knowledge.leaving_upstreams
         owner.post(messages.UpstreamsLeaving(leaving))
-        idle_ms = clock.monotonic_ms() - self.used_ms[database.name]
+        idle_ms = clock.monotonic_ms() - self.used_ms[name]
         if not owned and idle_ms > IDLE_MS and not owner.answers:
-            self._let_go(database.name)
+            self._let_go(name)
 
-    def _take(self, database: catalogue.Database) -> owner_task.OwnerTask:
-        owner = self.owners.get(database.name)
-        if owner is not None:
+    def _take(self, name: str) -> owner_task.OwnerTask | None:
+        owner = self.owners.get(name)
+        database = self.knowledge.catalogue.database(name)
+        if owner is not None or database is None:
             return owner
         count = self.config.owners_a_database
         limits = states.Limits(
@@ -168,12 +169,10 @@
         return owner.submit(request, answer)
 
     def _open(self, name: str) -> owner_task.OwnerTask | None:
-        database = self.knowledge.catalogue.databases.get(name)
-        if database is None or self.draining:
+        if self.draining or self._take(name) is None:
             return None
-        owner = self._take(database)
-        self._refresh_one(database)
-        return owner
+        self._refresh_one(name)
+        return self.owners.get(name)
 
     def withdraw(self, database: str, transaction: int) -> None:
         """Roll back a transaction whose caller is gone."""
--- a/topazring/proxy/process.py
+++ b/topazring/proxy/process.py
@@ -31,6 +31,13 @@
 QUIET_MS = 1000
 
 
+def resident_kb() -> int:
+    """Return the memory that this process holds now."""
+    with open('/proc/self/statm', encoding='ascii') as file:
+        pages = int(file.read().split()[1])
+    return pages * resource.getpagesize() // 1024
+
+
 class Proxy:
     """Own all parts of one proxy process."""
 
@@ -185,7 +192,8 @@
                 self.knowledge.gossip.received_bytes,
             ],
             'control_bytes': self.ownership.control_bytes(),
-            'databases': len(self.knowledge.catalogue.databases),
+            'databases': len(self.knowledge.catalogue.regions),
             'processor_s': round(usage.ru_utime + usage.ru_stime, 3),
-            'resident_kb': usage.ru_maxrss,
+            'resident_kb': resident_kb(),
+            'peak_kb': usage.ru_maxrss,
         }
--- a/topazring/proxy/sessions.py
+++ b/topazring/proxy/sessions.py
@@ -188,7 +188,7 @@
             return outcomes.Rejected(
                 Reason.FORBIDDEN, 'no such organisation and key'
             )
-        database = known.databases.get(frame.database)
+        database = known.database(frame.database)
         if database is None or (
             frame.organisation not in database.organisations
         ):
@@ -287,7 +287,7 @@
         if session is None:
             return outcomes.Rejected(Reason.BAD_FRAME, 'hello comes first')
         known = self.front.knowledge.catalogue
-        database = known.databases.get(session.database)
+        database = known.database(session.database)
         if database is None:
             return outcomes.Rejected(Reason.UNKNOWN_DATABASE, session.database)
         profile = known.profiles.get(session.profile)
--- a/topazring/standin/platform.py
+++ b/topazring/standin/platform.py
@@ -20,6 +20,8 @@
 PROBE_S = 0.5
 PROBES_LOST = 2
 MOST_WAIT_MS = 60_000
+# Changes in one answer; the rest is asked for next.
+PAGE = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,7 +174,10 @@
             async with store.changed:
                 with contextlib.suppress(asyncio.TimeoutError):
                     await asyncio.wait_for(store.changed.wait(), left_s)
-        self.write({'revision': store.revision, 'changes': changes})
+        page = changes[:PAGE]
+        more = len(page) < len(changes)
+        revision = page[-1]['revision'] if more else store.revision
+        self.write({'revision': revision, 'changes': page, 'more': more})
 
 
 class ValueHandler(_Handler):
