Measure overload, replica share by lag, and the cost of rounds

Baselines replace one rule of the proxy: reads at the primary only, any replica blindly, answers without rounds.

--- a/topazring/bench/ablations.py
+++ b/topazring/bench/ablations.py
@@ -114,11 +114,20 @@
 @ablation
 def confirmed_primary_read():
     """Answer a read at the primary without a round."""
+    return _at_once({requests.Kind.READ})
+
+
+@ablation
+def unconfirmed():
+    """Answer reads and writes as soon as the primary has run them."""
+    return _at_once({requests.Kind.READ, requests.Kind.WRITE})
+
+
+def _at_once(kinds):
     ran = serving._ran
 
     def ran_at_once(state, now_ms, work, result):
-        read = work.request.kind is requests.Kind.READ
-        if not read or work.at_replica:
+        if work.request.kind not in kinds or work.at_replica:
             return ran(state, now_ms, work, result)
         done = outcomes.Done(result.rows, result.place, work.upstream)
         return serving._finish(state, work, done)
--- a/topazring/bench/fleet.py
+++ b/topazring/bench/fleet.py
@@ -44,6 +44,8 @@
     lag_ms: float = 5.0
     list_lag_ms: int = 1000
     drain_ms: int = 10_000
+    # A baseline of topazring.bench.baselines in place of the product.
+    baseline: str = ''
     # Put a fault-injecting link between each two that talk.
     faults: bool = False
 
@@ -271,7 +273,10 @@
             'limits': {'drain_ms': self.plan.drain_ms},
         }
         file = self._write(name, settings)
-        self.commands[name] = self._module('topazring.proxy.main', 'run', file)
+        words = ('topazring.proxy.main',)
+        if self.plan.baseline:
+            words = ('topazring.bench.baselines', self.plan.baseline)
+        self.commands[name] = self._module(*words, 'run', file)
 
     async def _start_faults(self) -> None:
         settings = {'port': self.port('faults'), 'links': self.links}
