--- a/topazring/bench/ablations.py
+++ b/topazring/bench/ablations.py
@@ -13,13 +13,14 @@
 import time
 from unittest import mock
 
+from topazring.core import fates
 from topazring.core import outcomes
 from topazring.core import places
 from topazring.core import promotion
 from topazring.core import requests
+from topazring.core import results
 from topazring.core import rounds
 from topazring.core import routing
-from topazring.core import serving
 from topazring.core import state as states
 from topazring.core.tests import world
 from topazring.core import view as views
@@ -124,15 +125,15 @@
 
 
 def _at_once(kinds):
-    ran = serving._ran
+    ran = results._ran
 
     def ran_at_once(state, now_ms, work, result):
         if work.request.kind not in kinds or work.at_replica:
             return ran(state, now_ms, work, result)
         done = outcomes.Done(result.rows, result.place, work.upstream)
-        return serving._finish(state, work, done)
+        return fates.finish(state, work, done)
 
-    return mock.patch.object(serving, '_ran', ran_at_once)
+    return mock.patch.object(results, '_ran', ran_at_once)
 
 
 @ablation
@@ -175,11 +176,11 @@
     def reopen(state, now_ms, work, reason):
         work.result = None
         if work.request.kind is requests.Kind.READ:
-            return serving._requeue(state, now_ms, work, reason, False)
+            return fates.requeue(state, now_ms, work, reason, False)
         lost = outcomes.NotRun(reason, 50)
-        return serving._finish(state, work, lost)
+        return fates.finish(state, work, lost)
 
-    return mock.patch.object(serving, 'reopen', reopen)
+    return mock.patch.object(fates, 'reopen', reopen)
 
 
 @ablation
--- /dev/null
+++ b/topazring/core/arrival.py
@@ -0,0 +1,101 @@
+"""Admit a request or refuse it at once."""
+
+from topazring.core import admission
+from topazring.core import expiry
+from topazring.core import fates
+from topazring.core import messages
+from topazring.core import outcomes
+from topazring.core import requests
+from topazring.core import state as states
+from topazring.core import view as views
+
+__all__ = [
+    'submit',
+]
+
+Out = list
+Reason = outcomes.Reason
+Kind = requests.Kind
+
+
+def submit(
+    state: states.OwnerState, now_ms: int, message: messages.Submit
+) -> Out:
+    """Admit a request or refuse it at once."""
+    request = message.request
+    work = states.Work(request, now_ms, maybe_ran=request.repeat)
+    state.work[request.key] = work
+    if request.kind is Kind.SETTLE:
+        work.settling = True
+        work.maybe_ran = True
+        state.urgent.append(request.key)
+        return []
+    if request.kind in fates.IN_TRANSACTION:
+        return _submit_in_transaction(state, work)
+    refusal = _refusal_on_arrival(state, now_ms, request)
+    if refusal is not None:
+        after_ms = refusal.retry_after_ms
+        return fates.give_up(state, work, refusal.reason, after_ms)
+    return fates.enqueue(state, now_ms, work)
+
+
+def _submit_in_transaction(state: states.OwnerState, work: states.Work) -> Out:
+    request = work.request
+    transaction = state.transactions.get(request.transaction)
+    if transaction is not None and not transaction.busy:
+        transaction.busy = True
+        state.urgent.append(request.key)
+        return []
+    if transaction is None and request.kind is Kind.COMMIT:
+        # It may be a second copy of a commit that took effect; only the
+        # record knows.
+        work.settling = True
+        work.maybe_ran = True
+        state.urgent.append(request.key)
+        return []
+    lost = outcomes.NotRun(Reason.TRANSACTION_LOST, fates.LEAST_RETRY_AFTER_MS)
+    return fates.finish(state, work, lost)
+
+
+def _refusal_on_arrival(
+    state: states.OwnerState, now_ms: int, request: requests.Request
+) -> outcomes.NotRun | None:
+    """Refuse what cannot make its deadline while it has cost nothing yet."""
+    left_ms = request.deadline_ms - now_ms
+    primary_needed = (
+        fates.queue_for(state, request, False) is state.primary_queue
+    )
+    if primary_needed and expiry.is_cut_off(state, now_ms):
+        return fates.refuse(Reason.NO_PRIMARY, expiry.CUT_OFF_MS)
+    queue = fates.queue_for(state, request, primary_only=False)
+    wait_ms = admission.estimate_wait(
+        queue, request.organisation, state.limits.slots, state.service_ms
+    )
+    if wait_ms > left_ms:
+        return fates.refuse(Reason.OVERLOAD, wait_ms - left_ms)
+    if request.kind is Kind.WRITE:
+        lag_ms = _majority_lag(state, now_ms)
+        if lag_ms > left_ms:
+            return fates.refuse(Reason.REPLICAS_BEHIND, lag_ms - left_ms)
+    if request.kind is Kind.BEGIN:
+        most = state.limits.connections - state.limits.slots - 1
+        if len(state.transactions) >= max(1, most):
+            return fates.refuse(Reason.CONNECTION_LIMIT, 0)
+    return None
+
+
+def _majority_lag(state: states.OwnerState, now_ms: int) -> float:
+    """Return how long a majority usually takes to hold a new place."""
+    lags = []
+    for seen in state.view.upstreams.values():
+        if seen.name == state.view.primary:
+            continue
+        lag_ms = seen.lag_ms
+        if seen.awaited is not None:
+            lag_ms = max(lag_ms, now_ms - seen.awaited.sent_ms)
+        lags.append(lag_ms)
+    lags.sort()
+    replicas_needed = views.majority(state.view) - 1
+    if not state.view.primary or len(lags) < replicas_needed:
+        return 0.0
+    return lags[replicas_needed - 1]
--- /dev/null
+++ b/topazring/core/dispatch.py
@@ -0,0 +1,158 @@
+"""Give waiting requests to upstreams that have room for them."""
+
+from topazring.core import admission
+from topazring.core import fates
+from topazring.core import messages
+from topazring.core import places
+from topazring.core import requests
+from topazring.core import routing
+from topazring.core import state as states
+
+__all__ = [
+    'dispatch',
+]
+
+Out = list
+Kind = requests.Kind
+
+# A read waits that long for a busy replica before it takes the primary.
+REPLICA_QUEUE_MS = 50
+
+
+def dispatch(state: states.OwnerState, now_ms: int) -> Out:
+    """Give waiting requests to upstreams that have room for them."""
+    free = states.free_slots(state, now_ms)
+    outs: Out = []
+    for key in list(state.urgent):
+        outs += _dispatch_urgent(state, now_ms, key, free)
+    outs += _dispatch_primary(state, now_ms, free)
+    outs += _dispatch_replicas(state, now_ms, free)
+    return outs
+
+
+def _dispatch_urgent(
+    state: states.OwnerState, now_ms: int, key: int, free: dict[str, int]
+) -> Out:
+    work = state.work[key]
+    if work.settling:
+        upstream = state.view.primary
+        term = state.view.term
+    else:
+        transaction = state.transactions.get(work.request.transaction)
+        if transaction is None:
+            state.urgent.remove(key)
+            return fates.lose_transaction_of(state, work)
+        upstream = transaction.upstream
+        term = transaction.term
+    if not upstream or free.get(upstream, 0) <= 0:
+        return []
+    state.urgent.remove(key)
+    return [_send(state, now_ms, work, upstream, term, free)]
+
+
+def _dispatch_primary(
+    state: states.OwnerState, now_ms: int, free: dict[str, int]
+) -> Out:
+    primary = state.view.primary
+    if not primary or state.handing_over_since_ms is not None:
+        return []
+    outs: Out = []
+    while free[primary] > 0:
+        key = admission.pop(state.primary_queue)
+        if key is None:
+            break
+        work = state.work[key]
+        term = state.view.term
+        outs.append(_send(state, now_ms, work, primary, term, free))
+    return outs
+
+
+def _dispatch_replicas(
+    state: states.OwnerState, now_ms: int, free: dict[str, int]
+) -> Out:
+    outs: Out = []
+    while admission.size(state.replica_queue):
+        any_free = any(
+            count > 0
+            for name, count in free.items()
+            if name != state.view.primary
+        )
+        if not any_free and not _overflows(state, free):
+            break
+        key = admission.pop(state.replica_queue)
+        work = state.work[key]
+        route = routing.choose_replica(
+            state.view, now_ms, work.request, free, state.leaving
+        )
+        if route is None:
+            work.primary_only = True
+            outs += _to_primary(state, now_ms, work, free)
+            continue
+        outs.append(
+            _send(
+                state,
+                now_ms,
+                work,
+                route.upstream,
+                state.view.term,
+                free,
+                route,
+            )
+        )
+    return outs
+
+
+def _overflows(state: states.OwnerState, free: dict[str, int]) -> bool:
+    """Say whether the primary should help out with the replicas' queue."""
+    waiting = admission.size(state.replica_queue)
+    slots = state.limits.slots * max(1, len(free) - 1)
+    spare = free.get(state.view.primary, 0) > 1
+    return spare and waiting * state.service_ms / slots > REPLICA_QUEUE_MS
+
+
+def _to_primary(
+    state: states.OwnerState,
+    now_ms: int,
+    work: states.Work,
+    free: dict[str, int],
+) -> Out:
+    primary = state.view.primary
+    held = state.handing_over_since_ms is not None
+    idle = not held and not admission.size(state.primary_queue)
+    if primary and idle and free[primary] > 0:
+        term = state.view.term
+        return [_send(state, now_ms, work, primary, term, free)]
+    return fates.enqueue(state, now_ms, work)
+
+
+def _send(
+    state: states.OwnerState,
+    now_ms: int,
+    work: states.Work,
+    upstream: str,
+    term: int,
+    free: dict[str, int],
+    route: routing.Route | None = None,
+) -> messages.Execute:
+    work.phase = states.Phase.RUNNING
+    work.attempt += 1
+    work.upstream = upstream
+    work.term = term
+    work.sent_ms = now_ms
+    work.at_replica = route is not None
+    free[upstream] -= 1
+    state.in_work[upstream] = state.in_work.get(upstream, 0) + 1
+    left_ms = max(1, work.request.deadline_ms - now_ms)
+    return messages.Execute(
+        work.request.key,
+        work.attempt,
+        upstream,
+        term,
+        Kind.SETTLE if work.settling else work.request.kind,
+        work.request,
+        work.at_replica,
+        route.place if route else places.ORIGIN,
+        route.wait_ms if route else 0,
+        # A read that a replica leaves unanswered still has time elsewhere.
+        max(1, left_ms // 2) if route else left_ms,
+    )
--- /dev/null
+++ b/topazring/core/expiry.py
@@ -0,0 +1,81 @@
+"""End what is past its time or can be served only elsewhere."""
+
+from topazring.core import fates
+from topazring.core import messages
+from topazring.core import outcomes
+from topazring.core import state as states
+
+__all__ = [
+    'CUT_OFF_MS',
+    'expire',
+    'hand_back',
+    'is_cut_off',
+    'withdraw',
+]
+
+Out = list
+Reason = outcomes.Reason
+
+# So long the primary may be unreachable from here before work goes back.
+CUT_OFF_MS = 400
+
+
+def is_cut_off(state: states.OwnerState, now_ms: int) -> bool:
+    """Say whether this owner has long failed to reach a live primary."""
+    since_ms = state.cut_off_since_ms
+    return since_ms is not None and now_ms - since_ms >= CUT_OFF_MS
+
+
+def hand_back(state: states.OwnerState, now_ms: int) -> Out:
+    """Give back what needs a primary that only others can reach.
+
+    The symptom without it: requests wait here to their deadlines while
+    another owner could have served them at once.
+    """
+    outs: Out = []
+    for work in list(state.work.values()):
+        waits = work.phase is states.Phase.QUEUED
+        queue = fates.queue_for(state, work.request, work.primary_only)
+        urgent = work.request.key in state.urgent
+        if waits and (urgent or queue is state.primary_queue):
+            outs += fates.give_up(state, work, Reason.NO_PRIMARY, CUT_OFF_MS)
+    return outs
+
+
+def expire(state: states.OwnerState, now_ms: int) -> Out:
+    """Answer what is past its deadline; end what holds on too long."""
+    outs: Out = []
+    for work in list(state.work.values()):
+        if now_ms >= work.request.deadline_ms:
+            outs += _expire_work(state, work)
+    for key, transaction in list(state.transactions.items()):
+        if now_ms >= transaction.deadline_ms and not transaction.busy:
+            outs += withdraw(state, now_ms, messages.Withdraw(key))
+    return outs
+
+
+def _expire_work(state: states.OwnerState, work: states.Work) -> Out:
+    if work.phase is states.Phase.CONFIRMING:
+        work.maybe_ran = True
+        return fates.give_up(state, work, Reason.NOT_CONFIRMED, 0)
+    if work.phase is states.Phase.RUNNING:
+        work.maybe_ran = True
+        outs = fates.give_up(state, work, Reason.UPSTREAM_TIMEOUT, 0)
+        key = work.request.transaction
+        if state.transactions.pop(key, None) is not None:
+            outs.append(messages.CloseTransaction(key))
+        return outs
+    reason = work.last_reason
+    if work.attempt == 0 and state.view.primary:
+        reason = Reason.DEADLINE
+    return fates.give_up(state, work, reason, fates.LEAST_RETRY_AFTER_MS)
+
+
+def withdraw(
+    state: states.OwnerState, now_ms: int, message: messages.Withdraw
+) -> Out:
+    """Roll back a transaction whose caller is gone."""
+    transaction = state.transactions.pop(message.transaction, None)
+    if transaction is None:
+        return []
+    return [messages.CloseTransaction(message.transaction)]
--- a/topazring/core/failover.py
+++ b/topazring/core/failover.py
@@ -1,9 +1,12 @@
 """Decide when to promote, and see a promotion through."""
 
+from topazring.core import expiry
+from topazring.core import fates
 from topazring.core import messages
+from topazring.core import outcomes
 from topazring.core import promotion
+from topazring.core import results
 from topazring.core import rounds
-from topazring.core import serving
 from topazring.core import state as states
 from topazring.core import suspicion
 from topazring.core import view as views
@@ -71,11 +74,11 @@
     for waiter in waiters:
         work = state.work.get(waiter.key)
         if work is not None:
-            reason = serving.Reason.REPLACED
-            outs += serving.reopen(state, now_ms, work, reason)
+            reason = outcomes.Reason.REPLACED
+            outs += fates.reopen(state, now_ms, work, reason)
     for key, transaction in list(state.transactions.items()):
         if transaction.term < state.view.term and not transaction.busy:
-            outs += serving.withdraw(state, now_ms, messages.Withdraw(key))
+            outs += expiry.withdraw(state, now_ms, messages.Withdraw(key))
     return outs
 
 
@@ -90,7 +93,7 @@
         for waiter in rounds.note_status(
             state.round_state, message.round_id, status, needed
         ):
-            outs += serving.confirmed(state, now_ms, waiter)
+            outs += results.confirmed(state, now_ms, waiter)
         return outs
     _sample(state, message)
     return outs
@@ -191,9 +194,9 @@
         return []
     if state.cut_off_since_ms is None:
         state.cut_off_since_ms = now_ms
-    if not serving.is_cut_off(state, now_ms):
+    if not expiry.is_cut_off(state, now_ms):
         return []
-    return serving.hand_back(state, now_ms)
+    return expiry.hand_back(state, now_ms)
 
 
 def _tell_peers(
--- a/topazring/core/owner.py
+++ b/topazring/core/owner.py
@@ -2,11 +2,14 @@
 
 import collections.abc
 
+from topazring.core import arrival
+from topazring.core import dispatch
+from topazring.core import expiry
 from topazring.core import failover
 from topazring.core import messages
 from topazring.core import places
+from topazring.core import results
 from topazring.core import rounds
-from topazring.core import serving
 from topazring.core import state as states
 from topazring.core import suspicion
 
@@ -32,7 +35,7 @@
 def step(state: states.OwnerState, now_ms: int, message: object) -> list:
     """Take in one message; return what is to be done about it."""
     outs = _handlers[type(message)](state, now_ms, message)
-    outs += serving.dispatch(state, now_ms)
+    outs += dispatch.dispatch(state, now_ms)
     outs += _ask_replicas(state, now_ms)
     return outs
 
@@ -47,8 +50,8 @@
     return asks
 
 
-handles(messages.Submit)(serving.submit)
-handles(messages.Withdraw)(serving.withdraw)
+handles(messages.Submit)(arrival.submit)
+handles(messages.Withdraw)(expiry.withdraw)
 handles(messages.StatusSeen)(failover.status_seen)
 handles(messages.ProbeFailed)(failover.probe_failed)
 handles(messages.PeerSuspects)(failover.peer_suspects)
@@ -68,7 +71,7 @@
     if isinstance(result, messages.Refused) and result.status is not None:
         if result.status.accepted_term > state.view.term:
             outs += failover.take_status(state, now_ms, result.status)
-    return outs + serving.executed(state, now_ms, message)
+    return outs + results.executed(state, now_ms, message)
 
 
 @handles(messages.Tick)
@@ -76,7 +79,7 @@
     state: states.OwnerState, now_ms: int, message: messages.Tick
 ) -> list:
     suspicion.note_pause(state.evidence, now_ms, message.paused_ms)
-    outs = serving.expire(state, now_ms)
+    outs = expiry.expire(state, now_ms)
     outs += _heartbeat(state, now_ms)
     outs += failover.watch_over(state, now_ms)
     return outs
