Fuzz transactions too; split the world from its oracle

Sessions begin, go on, commit, roll back and vanish; a statement on another connection than its transaction's is a violation, and so is one left open.

Two of the world's own faults were mended with it: a lost BEGIN closes its connection, and so does a lost commit.

--- a/topazring/bench/ablations.py
+++ b/topazring/bench/ablations.py
@@ -22,7 +22,8 @@
 from topazring.core import rounds
 from topazring.core import routing
 from topazring.core import state as states
-from topazring.core.tests import world
+from topazring.core.tests import oracle
+from topazring.core.tests import walks as random_walks
 from topazring.core import view as views
 
 __all__ = ['ablation', 'ablations', 'count_failures', 'main']
@@ -202,8 +203,8 @@
     with _ablations[name]():
         for seed in range(first, first + walks):
             try:
-                counts.update(world.walk(seed, steps).counts)
-            except world.Violation:
+                counts.update(random_walks.walk(seed, steps).oracle.counts)
+            except oracle.Violation:
                 failed += 1
     return failed, counts
 
--- a/topazring/core/results.py
+++ b/topazring/core/results.py
@@ -74,7 +74,11 @@
     if kind is Kind.BEGIN:
         return _began(state, work)
     if kind is Kind.EXECUTE:
-        state.transactions[work.request.transaction].busy = False
+        transaction = state.transactions.get(work.request.transaction)
+        if transaction is None:
+            # It was withdrawn or timed out while this statement ran.
+            return fates.lose_transaction_of(state, work)
+        transaction.busy = False
         done = outcomes.Done(result.rows, places.ORIGIN, work.upstream)
         return fates.finish(state, work, done)
     if kind in fates.IN_TRANSACTION:
--- a/topazring/core/tests/test_owner_fuzz.py
+++ b/topazring/core/tests/test_owner_fuzz.py
@@ -50,6 +50,14 @@
     def submit(self, owner, session, profile, write):
         self.world.submit(owner, session, profile, write)
 
+    @stateful.rule(owner=OWNERS, session=SESSIONS, what=SESSIONS)
+    def transact(self, owner, session, what):
+        self.world.transact(owner, session, what)
+
+    @stateful.rule(session=SESSIONS)
+    def withdraw(self, session):
+        self.world.withdraw(session)
+
     @stateful.rule(owner=OWNERS, index=INDEX, settle=strategies.booleans())
     def repeat(self, owner, index, settle):
         self.world.repeat(owner, index, settle)
--- a/topazring/core/tests/world.py
+++ b/topazring/core/tests/world.py
@@ -4,7 +4,6 @@
 when time passes and who lies. The oracle looks at every answer.
 """
 
-import collections
 import dataclasses
 import random
 
@@ -15,6 +14,7 @@
 from topazring.core import places
 from topazring.core import requests
 from topazring.core import state as states
+from topazring.core.tests import oracle as oracles
 from topazring.standin import log as logs
 
 OWNERS = ('a', 'b', 'c')
@@ -33,10 +33,6 @@
 )
 
 
-class Violation(AssertionError):
-    """Say which promise was broken."""
-
-
 @dataclasses.dataclass
 class Mail:
     """Hold one message under way, as the call that delivers it."""
@@ -48,27 +44,6 @@
     arrived: bool = False
 
 
-@dataclasses.dataclass
-class Asked:
-    """Hold a submitted request and what the oracle needs to judge it."""
-
-    owner: str
-    request: requests.Request
-    session: int
-    began_ms: int
-    must_see: frozenset
-    answered: bool = False
-
-
-@dataclasses.dataclass
-class Session:
-    """Hold a session's token and what it has seen or done."""
-
-    organisation: str
-    place: places.Place = places.ORIGIN
-    seen: set = dataclasses.field(default_factory=set)
-
-
 class World:
     """Hold all parts; every method is one thing that can happen."""
 
@@ -86,19 +61,14 @@
         self.store = 'up'
         self.parked: list[tuple[str, messages.AskStatus, object]] = []
         self.running: dict[tuple[str, int, int], str] = {}
-        self.asked: dict[tuple[str, int], Asked] = {}
+        self.closed: set[tuple[str, int, int]] = set()
+        self.opened: dict[tuple[str, int, int], tuple[str, int]] = {}
         self.sessions = [
-            Session(ORGANISATIONS[i % len(ORGANISATIONS)]) for i in range(4)
+            oracles.Session(ORGANISATIONS[i % len(ORGANISATIONS)])
+            for i in range(4)
         ]
         self.next_key = 1
-        self.ids: list[tuple[str, str]] = []
-        # What the oracle knows.
-        self.led: dict[int, str] = {}
-        self.promised: dict[tuple[str, str], int] = {}
-        self.denied: dict[tuple[str, str], Reason] = {}
-        self.copies: collections.Counter = collections.Counter()
-        self.acked_at: list[tuple[int, str, str]] = []
-        self.counts = {'done': 0, 'not_run': 0, 'unknown': 0, 'lead': 0}
+        self.oracle = oracles.Oracle(self.logs, self.sessions)
         for name in OWNERS:
             self.post(name, messages.OwnersSeen(OWNERS))
 
@@ -133,11 +103,11 @@
         self.paused.discard(name)
         for key in [k for k in self.running if k[0] == name]:
             del self.running[key]
+        for session in self.sessions:
+            if session.bound and session.bound[0] == name:
+                session.bound = None
         # Its callers see their connection end: the fate is open.
-        for asked in self.asked.values():
-            if asked.owner == name:
-                asked.answered = True
-        self.asked = {k: v for k, v in self.asked.items() if v.owner != name}
+        self.oracle.forget(name)
         self.post(name, messages.OwnersSeen(OWNERS))
 
     def deliver(self, index: int) -> None:
@@ -192,13 +162,44 @@
         request_id = f'{self.next_key}' if write else ''
         self._submit(name, session, kind, chosen, request_id)
         if write:
-            self.ids.append((who.organisation, request_id))
+            self.oracle.ids.append((who.organisation, request_id))
+
+    def transact(self, name: str, number: int, what: int) -> None:
+        """Begin a transaction, or take the next step of an open one."""
+        session = self.sessions[number]
+        profile = PROFILES[0]
+        if session.bound is None:
+            self._submit(name, number, Kind.BEGIN, profile, '')
+            return
+        owner_name, key = session.bound
+        kind = (Kind.EXECUTE, Kind.EXECUTE, Kind.COMMIT, Kind.ROLLBACK)[
+            what % 4
+        ]
+        request_id = ''
+        if kind is Kind.COMMIT:
+            request_id = f'{self.next_key}'
+            self.oracle.ids.append((session.organisation, request_id))
+        if kind is not Kind.EXECUTE:
+            session.bound = None
+        self._submit(
+            owner_name, number, kind, profile, request_id, transaction=key
+        )
+
+    def withdraw(self, number: int) -> None:
+        """Have a session end with its transaction open."""
+        session = self.sessions[number]
+        if session.bound is not None:
+            name, key = session.bound
+            session.bound = None
+            self.post(name, messages.Withdraw(key))
 
     def repeat(self, name: str, index: int, settle: bool) -> None:
         """Have a caller or an entry send an old write once more."""
-        if not self.ids:
+        if not self.oracle.ids:
             return
-        organisation, request_id = self.ids[index % len(self.ids)]
+        organisation, request_id = self.oracle.ids[
+            index % len(self.oracle.ids)
+        ]
         for number, session in enumerate(self.sessions):
             if session.organisation == organisation:
                 kind = Kind.SETTLE if settle else Kind.WRITE
@@ -207,7 +208,14 @@
                 return
 
     def _submit(
-        self, name, session, kind, profile, request_id, repeat=False
+        self,
+        name,
+        session,
+        kind,
+        profile,
+        request_id,
+        repeat=False,
+        transaction=0,
     ) -> None:
         who = self.sessions[session]
         key = self.next_key
@@ -224,27 +232,10 @@
             (),
             request_id,
             who.place,
-            0,
+            transaction,
             repeat,
         )
-        oldest_ms = self.now - profile.max_staleness_ms
-        must_see = {
-            rid
-            for at_ms, organisation, rid in self.acked_at
-            if organisation == who.organisation and at_ms <= oldest_ms
-        }
-        if kind is Kind.WRITE:
-            copy_of = (who.organisation, request_id)
-            self.copies[copy_of] += 1
-            if self.denied.get(copy_of) is not Reason.CANCELLED:
-                self.denied.pop(copy_of, None)
-        self.asked[(name, key)] = Asked(
-            name,
-            request,
-            session,
-            self.now,
-            frozenset(must_see | who.seen),
-        )
+        self.oracle.submitted(self.now, name, session, request)
         self.post(name, messages.Submit(request))
 
     # ---- what owners do ----
@@ -260,17 +251,17 @@
             self._perform(name, out)
         for upstream, count in state.in_work.items():
             if not 0 <= count <= SLOTS:
-                raise Violation(f'{count} in work at {upstream}')
+                raise oracles.Violation(f'{count} in work at {upstream}')
         waiting = state.primary_queue.count + state.replica_queue.count
         if waiting > 2 * QUEUE:
-            raise Violation(f'{waiting} wait at {name}')
+            raise oracles.Violation(f'{waiting} wait at {name}')
 
     def _perform(self, name: str, out: object) -> None:
         match out:
             case messages.Execute():
                 self._execute(name, out)
             case messages.Answer():
-                self._answered(name, out)
+                self.oracle.answered(self.now, name, out)
             case messages.AskStatus():
                 mail = Mail(lambda: self._ask(name, out))
                 mail.lost = self._loser(name, out.upstream)
@@ -280,6 +271,9 @@
                 self.mail.append(
                     Mail(lambda: self._promote(name, claimant, out))
                 )
+            case messages.CloseTransaction():
+                key = (name, self.incarnations[name], out.transaction)
+                self.opened.pop(key, None)
             case messages.TellSuspicion():
                 for peer in OWNERS:
                     if peer != name:
@@ -328,11 +322,21 @@
                 messages.Executed(out.key, out.attempt, out.upstream, result),
             )
 
+        transaction = (name, incarnation, out.request.transaction or out.key)
+
         def lost() -> None:
+            # The connection is closed, and with it what was open on it; a
+            # commit that is under way may still be read by the upstream.
+            if out.kind in (Kind.COMMIT, Kind.ROLLBACK):
+                self.closed.add(transaction)
+            elif out.kind is Kind.BEGIN:
+                self.opened.pop(transaction, None)
             finish(messages.Lost(Reason.CONNECTION_LOST, True))
 
         def arrive() -> None:
-            result = self._run(out)
+            if out.kind is Kind.BEGIN and key not in self.running:
+                return
+            result = self._run(name, incarnation, out)
             self.mail.append(Mail(lambda: finish(result), lost))
 
         self.mail.append(Mail(arrive, lost))
@@ -350,7 +354,9 @@
             0 if log.leads else silent_ms,
         )
 
-    def _run(self, out: messages.Execute) -> object:
+    def _run(
+        self, name: str, incarnation: int, out: messages.Execute
+    ) -> object:
         """Do as the stand-in does, on a log without SQL."""
         log = self.logs[out.upstream]
         request = out.request
@@ -361,6 +367,10 @@
             return messages.Refused(
                 Reason.REPLACED, self._status(out.upstream)
             )
+        if out.kind in (Kind.BEGIN, Kind.EXECUTE, Kind.ROLLBACK, Kind.COMMIT):
+            refused = self._run_in_transaction(name, incarnation, out)
+            if refused is not None or out.kind is not Kind.COMMIT:
+                return refused or self._ran(log)
         if out.kind is Kind.READ:
             return self._ran(log, rows=_ids(log, request.organisation))
         for entry in log.entries:
@@ -381,6 +391,26 @@
         self._wake_parked()
         return self._ran(log, False, cancelled)
 
+    def _run_in_transaction(
+        self, name: str, incarnation: int, out: messages.Execute
+    ) -> messages.Refused | None:
+        """Keep to the connection that the transaction began on."""
+        key = (name, incarnation, out.request.transaction or out.key)
+        opened = (out.upstream, out.term)
+        if out.kind is Kind.BEGIN:
+            self.opened[key] = opened
+            return None
+        known = self.opened.get(key)
+        if known is None:
+            return messages.Refused(Reason.TRANSACTION_LOST)
+        if known != opened:
+            raise oracles.Violation(
+                f'{key} began on {known}, goes on on {opened}'
+            )
+        if out.kind is not Kind.EXECUTE:
+            del self.opened[key]
+        return None
+
     def _ran(self, log, repeated=False, cancelled=False, rows=()):
         return messages.Ran(
             list(rows),
@@ -440,96 +470,11 @@
             accepted = logs.lead(log, out.term, claimant)
             make = messages.LeadReply
             if accepted:
-                self._note_lead(out.term, out.upstream)
+                self.oracle.note_lead(out.term, out.upstream)
         reply = make(out.term, accepted, self._status(out.upstream))
         self.mail.append(Mail(self._poster(name, reply)))
         self._wake_parked()
 
-    # ---- the oracle ----
-
-    def _note_lead(self, term: int, upstream: str) -> None:
-        known = self.led.setdefault(term, upstream)
-        if known != upstream:
-            raise Violation(f'{known} and {upstream} both lead term {term}')
-        self.counts['lead'] += 1
-        self._check_promises()
-
-    def _leader(self) -> logs.Log | None:
-        leaders = [log for log in self.logs.values() if log.leads]
-        return max(leaders, key=lambda log: log.accepted_term, default=None)
-
-    def _check_promises(self) -> None:
-        """Look for all that was promised in the latest primary's log."""
-        log = self._leader()
-        if log is None or log.accepted_term != max(self.led):
-            return
-        held = {}
-        for entry in log.entries:
-            key = (entry.organisation, entry.request_id)
-            if entry.request_id and key in held:
-                raise Violation(f'{key} ran twice')
-            held[key] = entry.cancelled
-        for key in self.promised:
-            if held.get(key, True):
-                raise Violation(f'{key} was promised and is not there')
-        for key in self.denied:
-            if not held.get(key, True):
-                raise Violation(f'{key} was said not to have run')
-
-    def _answered(self, name: str, out: messages.Answer) -> None:
-        asked = self.asked.get((name, out.key))
-        if asked is None or asked.answered:
-            raise Violation(f'{out.key} is answered twice or unasked')
-        asked.answered = True
-        match out.outcome:
-            case outcomes.Done():
-                self.counts['done'] += 1
-                self._judge_done(asked, out.outcome)
-            case outcomes.NotRun():
-                self.counts['not_run'] += 1
-                if asked.request.request_id:
-                    self._deny(asked, out.outcome.reason)
-            case outcomes.Unknown():
-                self.counts['unknown'] += 1
-        self._check_promises()
-
-    def _deny(self, asked: Asked, reason: Reason) -> None:
-        """Note what was said not to have run.
-
-        A cancelled id never runs. Any other refusal speaks of its own copy:
-        of the request only while no other copy was sent.
-        """
-        key = (asked.request.organisation, asked.request.request_id)
-        if reason is Reason.CANCELLED or self.copies[key] == 1:
-            self.denied[key] = reason
-        elif asked.request.repeat:
-            raise Violation(f'a repeat of {key} was refused as not run')
-
-    def _judge_done(self, asked: Asked, done: outcomes.Done) -> None:
-        session = self.sessions[asked.session]
-        request = asked.request
-        session.place = max(session.place, done.place)
-        if request.kind is not Kind.READ:
-            key = (request.organisation, request.request_id)
-            self.promised.setdefault(key, self.now)
-            self.acked_at.append((self.now, *key))
-            session.seen.add(request.request_id)
-            return
-        seen = {row[0] for row in done.rows}
-        missing = asked.must_see - seen
-        if missing:
-            raise Violation(
-                f'{request.profile.name} read at {done.served_by} misses '
-                f'{sorted(missing)}'
-            )
-        known = {r for o, r in self.ids if o == request.organisation}
-        if not seen <= known:
-            raise Violation(f'read what is not its own: {seen - known}')
-        session.seen |= seen
-        for request_id in seen:
-            key = (request.organisation, request_id)
-            self.promised.setdefault(key, self.now)
-
     def calm(self, rounds: int) -> None:
         """Let everything work as it should for a while."""
         for _ in range(rounds):
@@ -547,12 +492,17 @@
         for name in list(self.paused):
             self.pause(name)
         self.calm(400)
-        unanswered = [a for a in self.asked.values() if not a.answered]
+        unanswered = [a for a in self.oracle.asked.values() if not a.answered]
         if unanswered:
-            raise Violation(f'never answered: {unanswered}')
+            raise oracles.Violation(f'never answered: {unanswered}')
+        for key in self.opened.keys() - self.closed:
+            name, incarnation, transaction = key
+            current = incarnation == self.incarnations[name]
+            if current and transaction not in self.owners[name].transactions:
+                raise oracles.Violation(f'{key} was left open')
         if not any(log.leads for log in self.logs.values()):
-            raise Violation('no primary after all healed')
-        self._check_promises()
+            raise oracles.Violation('no primary after all healed')
+        self.oracle.check_promises()
 
 
 def _ids(log: logs.Log, organisation: str) -> list[list[str]]:
@@ -561,70 +511,3 @@
         for entry in log.entries
         if entry.organisation == organisation and not entry.cancelled
     ]
-
-
-ACTIONS = (
-    ('advance', 20),
-    ('deliver', 60),
-    ('replicate', 24),
-    ('submit', 24),
-    ('repeat', 4),
-    ('lose', 4),
-    ('suspect', 2),
-    ('lie', 4),
-    ('pause', 1),
-    ('store', 1),
-    ('restart', 1),
-)
-
-
-def walk(seed: int, steps: int) -> World:
-    """Walk at random; raise Violation when a promise is broken."""
-    rng = random.Random(seed)
-    world = World(seed)
-    world.calm(20)
-    names = [name for name, _ in ACTIONS]
-    weights = [weight for _, weight in ACTIONS]
-    for action in rng.choices(names, weights, k=steps):
-        act(world, action, rng)
-    world.settle_down()
-    return world
-
-
-def act(world: World, action: str, rng: random.Random) -> None:
-    """Do one thing, with what it needs taken from `rng`."""
-    match action:
-        case 'advance':
-            world.advance(rng.choice((1, 5, 20, 60, 200, 700)))
-        case 'deliver':
-            for _ in range(rng.randrange(1, 2 + len(world.mail) // 2)):
-                late = rng.random() < 0.2
-                world.deliver(rng.randrange(1000) if late else 0)
-        case 'replicate':
-            world.replicate(rng.choice(UPSTREAMS), rng.choice(UPSTREAMS))
-        case 'submit':
-            world.submit(
-                rng.choice(OWNERS),
-                rng.randrange(4),
-                rng.randrange(4),
-                rng.random() < 0.5,
-            )
-        case 'repeat':
-            index = rng.randrange(1000)
-            world.repeat(rng.choice(OWNERS), index, rng.random() < 0.5)
-        case 'lose':
-            world.lose(rng.randrange(1000), rng.random() < 0.5)
-        case 'suspect':
-            kind = rng.choice(('refused', 'silent_new'))
-            world.suspect(rng.choice(OWNERS), kind)
-        case 'lie':
-            # A false alarm: replicas and owners agree on it.
-            world.silence_lie = not world.silence_lie
-            for name in OWNERS:
-                world.suspect(name, 'silent_new')
-        case 'pause':
-            world.pause(rng.choice(OWNERS))
-        case 'store':
-            world.store = rng.choice(('up', 'down', 'lossy'))
-        case 'restart':
-            world.restart(rng.choice(OWNERS))
