Judge a long line by its own turns, and begin nothing that is too late

Cause: the flood's requests were admitted by the work ahead of them, but others' later ones have their turns first; so they began just before their deadlines, ran into doubt, and each took a second slot to be settled. Ruled out: the queue's turns (the ordinary lines were served in order) and the retry budget (no retry). Now the wait of a line is also judged by how far apart its turns came, and what cannot end in time is refused instead of begun.

--- a/topazring/bench/baselines.py
+++ b/topazring/bench/baselines.py
@@ -11,6 +11,7 @@
 from topazring.bench import ablations
 from topazring.core import places
 from topazring.core import routing
+from topazring.core import suspicion
 from topazring.proxy import main as proxy
 
 __all__ = ['baselines', 'main']
@@ -50,9 +51,19 @@
     return [ablations.unconfirmed()]
 
 
+def no_pause_discount():
+    """Take silence for silence, whether or not this process ran."""
+    return [mock.patch.object(suspicion, 'PAUSE_MS', 1_000_000)]
+
+
 def baselines() -> dict:
     """Return the baselines by name."""
-    found = (primary_only, blind_replica, unacknowledged)
+    found = (
+        primary_only,
+        blind_replica,
+        unacknowledged,
+        no_pause_discount,
+    )
     return {function.__name__: function for function in found}
 
 
--- a/topazring/bench/slopes.py
+++ b/topazring/bench/slopes.py
@@ -263,6 +263,84 @@
     return round(1000 * (time.monotonic() - began))
 
 
+@slope
+async def outage() -> Rows:
+    """The platform's calls before, in and after an outage, by proxies."""
+    rows = []
+    for count in (6, 24, 48):
+        fleet = fleets.Fleet(fleets.Plan(proxies=count))
+        try:
+            await fleet.start()
+            await asyncio.sleep(SETTLE_S)
+            row = {'proxies': count}
+            row['before, calls/s'] = await _calls(fleet, 10.0)
+            fleet.freeze('platform')
+            await asyncio.sleep(15.0)
+            fleet.thaw('platform')
+            row['first second after'] = await _calls(fleet, 1.0)
+            row['next 5 s, calls/s'] = await _calls(fleet, 5.0)
+            rows.append(row)
+            print(rows[-1], flush=True)
+        finally:
+            await fleet.close()
+    return rows
+
+
+async def _calls(fleet: fleets.Fleet, seconds: float) -> float:
+    """Return the calls a second that the platform counts of proxies."""
+    before = await fleet.get('platform', '/calls')
+    await asyncio.sleep(seconds)
+    after = await fleet.get('platform', '/calls')
+    names = [name for name in after if name.startswith('p')]
+    made = sum(after[name] - before.get(name, 0) for name in names)
+    return round(made / seconds, 2)
+
+
+@slope
+async def pauses() -> Rows:
+    """False suspicion after pauses of both owners, by the discount."""
+    rows = []
+    for baseline in ('', 'no_pause_discount'):
+        plan = fleets.Plan(baseline=baseline)
+        fleet = fleets.Fleet(plan)
+        try:
+            await fleet.start()
+            owners = await fleet.owners_of('calc1')
+            before = await _suspicions(fleet, owners)
+            for _ in range(20):
+                for name in owners:
+                    fleet.freeze(name)
+                await asyncio.sleep(0.7)
+                for name in owners:
+                    fleet.thaw(name)
+                await asyncio.sleep(1.0)
+            after = await _suspicions(fleet, owners)
+            rows.append(
+                {
+                    'discount': 'no' if baseline else 'yes',
+                    'pauses of both owners': 20,
+                    'suspicions': after[0] - before[0],
+                    'promotions': after[1] - before[1],
+                }
+            )
+            print(rows[-1], flush=True)
+        finally:
+            await fleet.close()
+    return rows
+
+
+async def _suspicions(
+    fleet: fleets.Fleet, owners: list[str]
+) -> tuple[int, int]:
+    suspicions = promotions = 0
+    for name in owners:
+        found = await fleet.get(f'{name} operator', '/explain/calc1')
+        for line in found['explanations']:
+            suspicions += line['what'].startswith('suspects')
+            promotions += line['what'].startswith('promoted')
+    return suspicions, promotions
+
+
 @slope
 async def sessions() -> Rows:
     """A proxy's memory, by its open and idle sessions."""
--- a/topazring/core/admission.py
+++ b/topazring/core/admission.py
@@ -6,6 +6,8 @@
 
 __all__ = ['FairQueue', 'estimate_wait', 'push', 'pop', 'remove', 'size']
 
+TURN_WEIGHT = 0.1
+
 
 @dataclasses.dataclass(slots=True)
 class FairQueue:
@@ -23,6 +25,9 @@
         default_factory=collections.deque
     )
     count: int = 0
+    # How far apart an organisation's turns came while it had a line.
+    turn_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    turned_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def size(queue: FairQueue) -> int:
@@ -48,18 +53,29 @@
     return last[1]
 
 
-def pop(queue: FairQueue) -> int | None:
+def pop(queue: FairQueue, now_ms: int) -> int | None:
     """Take the most urgent request of the organisation whose turn it is."""
     if not queue.turns:
         return None
     organisation = queue.turns[0]
     queue.turns.rotate(-1)
+    _note_turn(queue, organisation, now_ms)
     _, key = heapq.heappop(queue.lines[organisation])
     queue.count -= 1
     _drop_empty(queue, organisation)
     return key
 
 
+def _note_turn(queue: FairQueue, organisation: str, now_ms: int) -> None:
+    last_ms = queue.turned_ms.get(organisation)
+    queue.turned_ms[organisation] = now_ms
+    if last_ms is None:
+        return
+    known = queue.turn_ms.get(organisation, float(now_ms - last_ms))
+    known += (now_ms - last_ms - known) * TURN_WEIGHT
+    queue.turn_ms[organisation] = known
+
+
 def remove(queue: FairQueue, organisation: str, key: int) -> None:
     """Take out a request that no longer waits."""
     for item in queue.lines.get(organisation, ()):
@@ -81,6 +97,7 @@
         return
     del queue.lines[organisation]
     queue.turns.remove(organisation)
+    queue.turned_ms.pop(organisation, None)
 
 
 def estimate_wait(
@@ -89,8 +106,12 @@
     """Estimate how long a new request of this organisation would wait.
 
     Each turn serves one request of every waiting organisation, so a short
-    line moves at the pace of the turns, whatever the longest line holds.
+    line moves at the pace of the turns, whatever the longest line holds. A
+    long line waits for requests too that are yet to come: those of others
+    have their turns before it. How far apart its own turns came says so.
     """
     own = len(queue.lines.get(organisation, ()))
     ahead = sum(min(len(line), own + 1) for line in queue.lines.values())
-    return ahead * service_ms / max(1, slots)
+    by_lines = ahead * service_ms / max(1, slots)
+    by_turns = own * queue.turn_ms.get(organisation, 0.0)
+    return max(by_lines, by_turns)
--- a/topazring/core/arrival.py
+++ b/topazring/core/arrival.py
@@ -10,6 +10,7 @@
 from topazring.core import view as views
 
 __all__ = [
+    'majority_lag',
     'submit',
 ]
 
@@ -74,7 +75,7 @@
     if wait_ms > left_ms:
         return fates.refuse(Reason.OVERLOAD, wait_ms - left_ms)
     if request.kind is Kind.WRITE:
-        lag_ms = _majority_lag(state, now_ms)
+        lag_ms = majority_lag(state, now_ms)
         if lag_ms > left_ms:
             return fates.refuse(Reason.REPLICAS_BEHIND, lag_ms - left_ms)
     if request.kind is Kind.BEGIN:
@@ -84,7 +85,7 @@
     return None
 
 
-def _majority_lag(state: states.OwnerState, now_ms: int) -> float:
+def majority_lag(state: states.OwnerState, now_ms: int) -> float:
     """Return how long a majority usually takes to hold a new place."""
     lags = []
     for seen in state.view.upstreams.values():
--- a/topazring/core/dispatch.py
+++ b/topazring/core/dispatch.py
@@ -1,8 +1,10 @@
 """Give waiting requests to upstreams that have room for them."""
 
 from topazring.core import admission
+from topazring.core import arrival
 from topazring.core import fates
 from topazring.core import messages
+from topazring.core import outcomes
 from topazring.core import places
 from topazring.core import requests
 from topazring.core import routing
@@ -14,9 +16,12 @@
 
 Out = list
 Kind = requests.Kind
+Reason = outcomes.Reason
 
 # A read waits that long for a busy replica before it takes the primary.
 REPLICA_QUEUE_MS = 50
+# Time that has to be left, as a multiple of what is usually needed.
+TIGHT = 1.5
 
 
 def dispatch(state: states.OwnerState, now_ms: int) -> Out:
@@ -58,10 +63,13 @@
         return []
     outs: Out = []
     while free[primary] > 0:
-        key = admission.pop(state.primary_queue)
+        key = admission.pop(state.primary_queue, now_ms)
         if key is None:
             break
         work = state.work[key]
+        if _too_late(state, now_ms, work):
+            outs += fates.give_up(state, work, Reason.DEADLINE, 0)
+            continue
         term = state.view.term
         outs.append(_send(state, now_ms, work, primary, term, free))
     return outs
@@ -79,7 +87,7 @@
         )
         if not any_free and not _overflows(state, free):
             break
-        key = admission.pop(state.replica_queue)
+        key = admission.pop(state.replica_queue, now_ms)
         work = state.work[key]
         route = routing.choose_replica(
             state.view, now_ms, work.request, free, state.leaving
@@ -102,6 +110,21 @@
     return outs
 
 
+def _too_late(
+    state: states.OwnerState, now_ms: int, work: states.Work
+) -> bool:
+    """Say whether a request would end in doubt if it began now.
+
+    It would take a slot from one that can make it, and another to find out
+    what became of it.
+    """
+    left_ms = work.request.deadline_ms - now_ms
+    needed_ms = state.service_ms
+    if work.request.kind is Kind.WRITE:
+        needed_ms += arrival.majority_lag(state, now_ms)
+    return left_ms < needed_ms * TIGHT
+
+
 def _overflows(state: states.OwnerState, free: dict[str, int]) -> bool:
     """Say whether the primary should help out with the replicas' queue."""
     waiting = admission.size(state.replica_queue)
--- a/topazring/load/experiments.py
+++ b/topazring/load/experiments.py
@@ -365,3 +365,80 @@
         'refused p50 ms': told.get('p50', ''),
         'refused p99 ms': told.get('p99', ''),
     }
+
+
+# ---- one organisation's flood --------------------------------------------
+
+ORDINARY = 20
+ORDINARY_RATE = 20.0
+FLOOD_RATE = 10 * 25.0
+
+
+@experiment
+async def flood(runs: int) -> Rows:
+    """Twenty ordinary organisations, alone and beside one that floods."""
+    rows = []
+    for flooding in (False, True):
+        names = tuple(f'org{n}' for n in range(ORDINARY + 1))
+        plan = fleets.Plan(statement_ms=STATEMENT_MS, organisations=names)
+        fleet = fleets.Fleet(plan)
+        try:
+            await fleet.start()
+            found = await _run_all(fleet, flooding)
+        finally:
+            await fleet.close()
+        for who, stats in found.items():
+            rows.append(_flood_row(flooding, who, stats))
+            print(rows[-1], flush=True)
+    return rows
+
+
+async def _run_all(
+    fleet: fleets.Fleet, flooding: bool
+) -> dict[str, generator.Stats]:
+    """Run all loads at once; return the ordinary ones' and the flood's."""
+    loads = []
+    for number, name in enumerate(fleet.plan.organisations):
+        floods = number == ORDINARY
+        mix = generator.Mix(
+            sessions=20 if floods else 4,
+            rate=FLOOD_RATE if floods else ORDINARY_RATE,
+            read_share=0.0,
+            profile='impatient',
+            seconds=8,
+            seed=number,
+        )
+        if flooding or not floods:
+            loads.append(load_on(fleet, mix))
+            loads[-1].organisation = name
+            loads[-1].key = f'{name}-key'
+    await asyncio.gather(*(load.start() for load in loads))
+    stats = await asyncio.gather(*(load.run() for load in loads))
+    await asyncio.gather(*(load.close() for load in loads))
+    ordinary = generator.Stats()
+    for one in stats[:ORDINARY]:
+        ordinary.outcomes.update(one.outcomes)
+        for kind, recorded in one.latency.items():
+            if kind in ordinary.latency:
+                ordinary.latency[kind].add(recorded)
+            else:
+                ordinary.latency[kind] = recorded
+    found = {'20 ordinary': ordinary}
+    if flooding:
+        found['the flood'] = stats[ORDINARY]
+    return found
+
+
+def _flood_row(flooding: bool, who: str, stats: generator.Stats) -> dict:
+    summary = report.summarize(stats, 8.0)
+    done = summary.latency_ms.get('write', {})
+    asked = sum(summary.outcomes.values())
+    ran = summary.outcomes.get('write done', 0)
+    return {
+        'flood': 'yes' if flooding else 'no',
+        'who': who,
+        'asked': asked,
+        'done': f'{ran / asked:.2%}',
+        'done p50 ms': done.get('p50'),
+        'done p99 ms': done.get('p99'),
+    }
--- a/topazring/load/generator.py
+++ b/topazring/load/generator.py
@@ -149,12 +149,14 @@
         """Send at the rate, whether or not answers keep up."""
         began = time.monotonic()
         sent = 0
+        # Many slow loads in one process must not spend it on waking up.
+        pause_s = min(0.02, max(0.001, 0.2 / self.mix.rate))
         while time.monotonic() - began < self.mix.seconds:
             due = int((time.monotonic() - began) * self.mix.rate)
             while sent < due:
                 self._send_one(sent)
                 sent += 1
-            await asyncio.sleep(0.001)
+            await asyncio.sleep(pause_s)
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=60)
         return self.stats
