--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 topazring tools
+	$(BIN)/flake8 topazring tools docs
 
 measure: $(VENV)/ready
 	$(BIN)/python -m topazring.load.measure --all
--- a/topazring/admin/main.py
+++ b/topazring/admin/main.py
@@ -336,19 +336,44 @@
     return await fetch(proxy, '/status')
 
 
+@cappa.command(name='hash-key', help='Hash an organisation key.')
+@dataclasses.dataclass
+class HashKey:
+    """Read a key from standard input; print the hash to configure."""
+
+    def __call__(self) -> None:
+        """Print the hash."""
+        print(catalogue.hash_key(sys.stdin.readline().rstrip('\n')))
+
+
 @cappa.command(name='topazring-admin')
 @dataclasses.dataclass
 class Admin:
     """Configure the fleet and see what it does."""
 
     command: cappa.Subcommands[
-        Get | Set | List | Validate | Diff | Status | Explain
+        Get | Set | List | Validate | Diff | Status | Explain | HashKey
     ]
 
 
+VERBS = frozenset({'get', 'set', 'list', 'validate', 'diff'})
+
+
+def verb_first(words: list[str]) -> list[str]:
+    """Let operators write `profile set NAME` for `set profile NAME`.
+
+    >>> verb_first(['profile', 'set', 'browse', '{}'])
+    ['set', 'profile', 'browse', '{}']
+    """
+    if len(words) > 1 and words[0] in catalogue.kinds():
+        if words[1] in VERBS:
+            return [words[1], words[0], *words[2:]]
+    return words
+
+
 def main() -> None:
     """Run the command line."""
-    cappa.invoke(Admin)
+    cappa.invoke(Admin, argv=verb_first(sys.argv[1:]))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/topazring/core/tests/test_forwarding.py
@@ -0,0 +1,105 @@
+"""The entry's plan: every order of losses and answers ends in the truth."""
+
+import itertools
+
+import testtools
+
+from topazring.core import forwarding
+from topazring.core import messages
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core import requests
+
+Kind = requests.Kind
+Reason = outcomes.Reason
+OWNERS = ('a', 'b')
+DONE = outcomes.Done([], places.Place(1, 1))
+SENT = messages.Lost(Reason.OWNER_LOST, True)
+UNSENT = messages.Lost(Reason.OWNER_LOST, False)
+CANNOT = outcomes.NotRun(Reason.NO_PRIMARY, 100)
+CANCELLED = outcomes.NotRun(Reason.CANCELLED, 50)
+
+
+def run(kind, answers, repeatable=False, bound='', repeat=False):
+    """Play answers in order; return the steps and the final outcome."""
+    plan = forwarding.begin(kind, repeatable, 10_000, bound, repeat)
+    steps = []
+    now_ms = 0
+    answers = iter(answers)
+    while True:
+        step = forwarding.next_step(plan, now_ms, OWNERS)
+        if isinstance(step, forwarding.Finish):
+            return steps, step.outcome
+        if isinstance(step, forwarding.Pause):
+            now_ms += step.ms
+            continue
+        steps.append(step)
+        answer = next(answers, None)
+        if answer is None:
+            now_ms = 10_000
+        else:
+            forwarding.note(plan, step.owner, answer)
+
+
+class TestForwarding(testtools.TestCase):
+    """Never say not run of what may have run."""
+
+    def test_every_order(self):
+        """Symptom: a save is called not run, and is there.
+
+        Sequence: any mix of owners that are lost before or after the
+        request was sent, that cannot, and that answer. Cause: a refusal by
+        the second owner taken for the fate of the first one's copy.
+        """
+        answers = (SENT, UNSENT, CANNOT)
+        for count in range(4):
+            for sequence in itertools.product(answers, repeat=count):
+                for kind in (Kind.WRITE, Kind.READ):
+                    for repeatable in (False, True):
+                        steps, outcome = run(kind, sequence, repeatable)
+                        if SENT in sequence[: len(steps)]:
+                            self.assertNotIsInstance(
+                                outcome, outcomes.NotRun, (kind, sequence)
+                            )
+
+    def test_open_fate_is_settled_unless_repeatable(self):
+        steps, outcome = run(Kind.WRITE, [SENT, CANCELLED])
+        self.assertEqual([False, True], [s.settle for s in steps])
+        self.assertEqual(['a', 'b'], [s.owner for s in steps])
+        self.assertEqual(CANCELLED, outcome)
+        steps, outcome = run(Kind.WRITE, [SENT, DONE], repeatable=True)
+        self.assertEqual([False, False], [s.settle for s in steps])
+        self.assertEqual(DONE, outcome)
+
+    def test_owner_that_cannot_reach_the_primary(self):
+        steps, outcome = run(Kind.WRITE, [CANNOT, DONE])
+        self.assertEqual(['a', 'b'], [s.owner for s in steps])
+        self.assertEqual(DONE, outcome)
+        _, outcome = run(Kind.WRITE, [CANNOT, CANNOT])
+        self.assertEqual(CANNOT, outcome)
+
+    def test_unknown_of_one_owner_is_asked_of_the_other(self):
+        unknown = outcomes.Unknown(Reason.NO_PRIMARY)
+        steps, outcome = run(Kind.WRITE, [unknown, DONE])
+        self.assertEqual([False, True], [s.settle for s in steps])
+        self.assertEqual(DONE, outcome)
+
+    def test_transaction_stays_on_its_owner(self):
+        steps, outcome = run(Kind.EXECUTE, [SENT], bound='b')
+        self.assertEqual(['b'], [s.owner for s in steps])
+        self.assertEqual(Reason.TRANSACTION_LOST, outcome.reason)
+        steps, outcome = run(Kind.COMMIT, [SENT, DONE], bound='b')
+        self.assertEqual([('b', False), ('a', True)], _pairs(steps))
+        self.assertEqual(DONE, outcome)
+
+    def test_second_copy_of_a_commit_is_settled(self):
+        steps, _ = run(Kind.COMMIT, [DONE])
+        self.assertEqual([('a', True)], _pairs(steps))
+
+    def test_repeat_that_is_refused_is_unknown(self):
+        _, outcome = run(Kind.WRITE, [UNSENT, UNSENT], repeat=True)
+        self.assertIsInstance(outcome, outcomes.Unknown)
+
+
+def _pairs(steps):
+    return [(step.owner, step.settle) for step in steps]
--- /dev/null
+++ b/topazring/core/tests/test_limits.py
@@ -0,0 +1,177 @@
+"""Queues, budgets, suspicion and tokens, each by itself."""
+
+import testtools
+
+from topazring.core import admission
+from topazring.core import messages
+from topazring.core import places
+from topazring.core import retries
+from topazring.core import suspicion
+from topazring.core import tokens
+from topazring.core import view as views
+
+
+class TestAdmission(testtools.TestCase):
+    """Organisations take turns; in a line the first deadline is first."""
+
+    def setUp(self):
+        super().setUp()
+        self.queue = admission.FairQueue(limit=12)
+
+    def pop_all(self):
+        popped = []
+        while (key := admission.pop(self.queue, 0)) is not None:
+            popped.append(key)
+        return popped
+
+    def test_turns_and_deadlines(self):
+        for key in range(5):
+            admission.push(self.queue, 'flood', 100 - key, key)
+        admission.push(self.queue, 'other', 500, 90)
+        self.assertEqual([4, 90, 3, 2, 1, 0], self.pop_all())
+
+    def test_full_queue_takes_from_the_longest_line(self):
+        for key in range(11):
+            admission.push(self.queue, 'flood', key, key)
+        self.assertIsNone(admission.push(self.queue, 'other', 999, 90))
+        evicted = admission.push(self.queue, 'other', 999, 91)
+        self.assertEqual(10, evicted)
+        self.assertEqual(12, admission.size(self.queue))
+
+    def test_removed_requests_do_not_come_up(self):
+        for key in range(4):
+            admission.push(self.queue, 'a', key, key)
+        admission.remove(self.queue, 'a', 2)
+        admission.remove(self.queue, 'zebra', 2)
+        self.assertEqual([0, 1, 3], self.pop_all())
+        self.assertEqual(0, admission.size(self.queue))
+
+    def test_short_line_does_not_wait_for_a_long_one(self):
+        for key in range(10):
+            admission.push(self.queue, 'flood', key, key)
+        long = admission.estimate_wait(self.queue, 'flood', 1, 5.0)
+        short = admission.estimate_wait(self.queue, 'other', 1, 5.0)
+        self.assertEqual((50.0, 5.0), (long, short))
+
+    def test_long_line_waits_for_others_yet_to_come(self):
+        """Symptom: writes of a flood begin too late and end in doubt.
+
+        Sequence: one line is long, others are short but always refilled.
+        Cause: only the work that waits now was counted.
+        """
+        for key in range(8):
+            admission.push(self.queue, 'flood', key, key)
+        for turn in range(4):
+            admission.pop(self.queue, turn * 100)
+        wait = admission.estimate_wait(self.queue, 'flood', 1, 1.0)
+        self.assertGreaterEqual(wait, 4 * 100 * 0.9)
+
+
+class TestRetries(testtools.TestCase):
+    """Retries stay a tenth of the successes."""
+
+    def test_budget(self):
+        budget = retries.Budget()
+        spent = 0
+        while retries.spend(budget):
+            spent += 1
+        self.assertEqual(int(retries.RESERVE), spent)
+        for _ in range(100):
+            retries.earn(budget)
+        while retries.spend(budget):
+            spent += 1
+        self.assertLessEqual(spent, retries.RESERVE + 11)
+
+
+class TestSuspicion(testtools.TestCase):
+    """Tell a lost primary from a lost link and from a pause of our own."""
+
+    def setUp(self):
+        super().setUp()
+        self.evidence = suspicion.Evidence()
+        self.view = views.make_view(['u1', 'u2', 'u3'])
+        self.see('u1', leads=True)
+        self.replicas(50)
+
+    def see(self, name, leads=False, silent_ms=0, now_ms=1000):
+        status = messages.Status(name, 1, leads, places.Place(1, 1), silent_ms)
+        views.observe(self.view, now_ms, status)
+
+    def replicas(self, silent_ms, now_ms=1000):
+        for name in ('u2', 'u3'):
+            self.see(name, silent_ms=silent_ms, now_ms=now_ms)
+
+    def judge(self, now_ms=1000):
+        return suspicion.judge(self.evidence, self.view, now_ms)[0]
+
+    def test_alive(self):
+        self.assertEqual(suspicion.Verdict.ALIVE, self.judge())
+
+    def test_killed(self):
+        for _ in range(2):
+            suspicion.note_failure(self.evidence, 1000, 'refused')
+        self.replicas(600)
+        self.assertEqual(suspicion.Verdict.SUSPECT, self.judge())
+
+    def test_only_our_link_is_cut(self):
+        """Symptom: a promotion because one proxy lost its network.
+
+        Sequence: new connections of one owner go silent; replicas hear
+        from the primary all the time. Cause: its own silence taken for the
+        primary's.
+        """
+        suspicion.note_failure(self.evidence, 1000, 'silent_new')
+        self.assertEqual(suspicion.Verdict.OURS, self.judge())
+
+    def test_silence_of_an_old_connection_says_nothing(self):
+        suspicion.note_failure(self.evidence, 1000, 'silent')
+        self.replicas(600)
+        self.assertEqual(suspicion.Verdict.ALIVE, self.judge())
+
+    def test_cut_off_from_its_replicas(self):
+        self.replicas(suspicion.CUT_OFF_SILENCE_MS)
+        self.assertEqual(suspicion.Verdict.SUSPECT, self.judge())
+
+    def test_own_pause_discounts_silence(self):
+        """Symptom: a proxy that was stopped for a second starts a failover.
+
+        Sequence: it wakes, and all its probes are overdue. Cause: time in
+        which it did not run counts as the primary's silence.
+        """
+        suspicion.note_failure(self.evidence, 1000, 'silent_new')
+        self.replicas(600)
+        suspicion.note_pause(self.evidence, 1000, suspicion.PAUSE_MS)
+        self.assertEqual(suspicion.Verdict.UNKNOWN, self.judge())
+
+    def test_old_words_of_replicas_do_not_count(self):
+        for _ in range(2):
+            suspicion.note_failure(self.evidence, 1000, 'refused')
+        self.replicas(600)
+        later = 1000 + suspicion.WITNESS_AGE_MS + 1
+        self.assertEqual(suspicion.Verdict.UNKNOWN, self.judge(later))
+
+
+class TestTokens(testtools.TestCase):
+    """A forged or foreign token is refused."""
+
+    def setUp(self):
+        super().setUp()
+        self.session = tokens.Session('ballinure', 'calc1', 3, 7)
+        self.token = tokens.write_token(self.session, b'new')
+
+    def read(self, token, keys=(b'old', b'new'), database='calc1'):
+        return tokens.read_token(token, list(keys), 'ballinure', database)
+
+    def test_round_trip(self):
+        self.assertEqual(self.session, self.read(self.token))
+
+    def test_refused(self):
+        cases = (
+            (self.token, (b'other',), 'calc1'),
+            (self.token, (b'new',), 'calc2'),
+            (self.token[:-4], (b'new',), 'calc1'),
+            ('é', (b'new',), 'calc1'),
+            ('', (b'new',), 'calc1'),
+        )
+        for case in cases:
+            self.assertRaises(tokens.TokenError, self.read, *case)
