Split the stand-in's sockets and the fleet's plans off; end on a broken invariant

An exception in the core used to be logged by whichever callback had posted the message, and the request was never answered. The process now ends; the records and the other owner take over.

--- a/docs/example.py
+++ b/docs/example.py
@@ -6,6 +6,7 @@
 from tornado import websocket
 
 from topazring.bench import fleet as fleets
+from topazring.bench import plans
 from topazring import client
 
 
@@ -53,7 +54,7 @@
 
 async def main() -> None:
     """Run on a fleet of its own."""
-    fleet = fleets.Fleet(fleets.Plan())
+    fleet = fleets.Fleet(plans.Plan())
     try:
         await fleet.start()
         await talk(fleet.url('p1'))
--- a/topazring/bench/fleet.py
+++ b/topazring/bench/fleet.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import json
 import pathlib
 import random
@@ -17,82 +16,22 @@
 
 from tornado import httpclient
 
+from topazring.bench import plans
 from topazring import catalogue
 from topazring import client
 from topazring import platform_client
 
-__all__ = ['Fleet', 'Plan', 'ballinure', 'dizon', 'wait_until']
+__all__ = ['Fleet', 'wait_until']
 
 START_S = 30.0
 POLL_S = 0.05
 PORTS = (10_000, 32_000)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """Describe a fleet."""
-
-    data_centres: tuple[str, ...] = ('cork', 'galway')
-    proxies: int = 3
-    databases: tuple[str, ...] = ('calc1',)
-    organisations: tuple[str, ...] = ('ballinure', 'dizon')
-    upstreams_each: int = 3
-    slots: int = 3
-    connections: int = 25
-    connect_delay_ms: int = 10
-    statement_ms: float = 1.0
-    lag_ms: float = 5.0
-    list_lag_ms: int = 1000
-    drain_ms: int = 10_000
-    # A baseline of topazring.bench.baselines in place of the product.
-    baseline: str = ''
-    # Put a fault-injecting link between each two that talk.
-    faults: bool = False
-
-
-def ballinure(**changes) -> Plan:
-    """Return Ballinure's sizes, as the brief gives them."""
-    plan = Plan(
-        data_centres=('cork', 'galway', 'sligo'),
-        proxies=7,
-        databases=('calc1', 'calc2', 'calc3'),
-        slots=3,
-        connections=25,
-        connect_delay_ms=10,
-    )
-    return dataclasses.replace(plan, **changes)
-
-
-def dizon(**changes) -> Plan:
-    """Return Dizon's sizes, as the brief gives them."""
-    plan = Plan(
-        data_centres=('quiapo', 'cubao', 'makati', 'pasig'),
-        proxies=8,
-        databases=('league1', 'league2', 'league3'),
-        slots=2,
-        connections=30,
-        connect_delay_ms=30,
-    )
-    return dataclasses.replace(plan, **changes)
-
-
-PROFILES = {
-    'saves': {'repeatable': False},
-    'retried': {'repeatable': True},
-    'browse': {'max_staleness_ms': 2000},
-    'strict': {'max_staleness_ms': 0},
-    'impatient': {
-        'write_deadline_ms': 1000,
-        'read_deadline_ms': 500,
-        'max_staleness_ms': 1000,
-    },
-}
-
-
 class Fleet:
     """Own the processes of a fleet and the folder of their settings."""
 
-    def __init__(self, plan: Plan):
+    def __init__(self, plan: plans.Plan):
         self.plan = plan
         self.folder = tempfile.TemporaryDirectory(prefix='topazring-')
         self.processes: dict[str, asyncio.subprocess.Process] = {}
@@ -313,7 +252,7 @@
 
     async def _configure(self) -> None:
         await self.put('token-key', '2026', {'secret_hex': 'a5' * 32})
-        for name, value in PROFILES.items():
+        for name, value in plans.PROFILES.items():
             await self.put('profile', name, value)
         for name in self.plan.organisations:
             key = catalogue.hash_key(f'{name}-key')
--- /dev/null
+++ b/topazring/bench/plans.py
@@ -0,0 +1,66 @@
+"""Describe fleets, with the sizes of the brief's two users."""
+
+import dataclasses
+
+__all__ = ['PROFILES', 'Plan', 'ballinure', 'dizon']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Describe a fleet."""
+
+    data_centres: tuple[str, ...] = ('cork', 'galway')
+    proxies: int = 3
+    databases: tuple[str, ...] = ('calc1',)
+    organisations: tuple[str, ...] = ('ballinure', 'dizon')
+    upstreams_each: int = 3
+    slots: int = 3
+    connections: int = 25
+    connect_delay_ms: int = 10
+    statement_ms: float = 1.0
+    lag_ms: float = 5.0
+    list_lag_ms: int = 1000
+    drain_ms: int = 10_000
+    # A baseline of topazring.bench.baselines in place of the product.
+    baseline: str = ''
+    # Put a fault-injecting link between each two that talk.
+    faults: bool = False
+
+
+def ballinure(**changes) -> Plan:
+    """Return Ballinure's sizes, as the brief gives them."""
+    plan = Plan(
+        data_centres=('cork', 'galway', 'sligo'),
+        proxies=7,
+        databases=('calc1', 'calc2', 'calc3'),
+        slots=3,
+        connections=25,
+        connect_delay_ms=10,
+    )
+    return dataclasses.replace(plan, **changes)
+
+
+def dizon(**changes) -> Plan:
+    """Return Dizon's sizes, as the brief gives them."""
+    plan = Plan(
+        data_centres=('quiapo', 'cubao', 'makati', 'pasig'),
+        proxies=8,
+        databases=('league1', 'league2', 'league3'),
+        slots=2,
+        connections=30,
+        connect_delay_ms=30,
+    )
+    return dataclasses.replace(plan, **changes)
+
+
+PROFILES = {
+    'saves': {'repeatable': False},
+    'retried': {'repeatable': True},
+    'browse': {'max_staleness_ms': 2000},
+    'strict': {'max_staleness_ms': 0},
+    'impatient': {
+        'write_deadline_ms': 1000,
+        'read_deadline_ms': 500,
+        'max_staleness_ms': 1000,
+    },
+}
--- a/topazring/bench/slopes.py
+++ b/topazring/bench/slopes.py
@@ -11,6 +11,7 @@
 import time
 
 from topazring.bench import fleet as fleets
+from topazring.bench import plans
 from topazring import catalogue
 from topazring.load import experiments
 from topazring.load import generator
@@ -65,7 +66,7 @@
     rows = []
     for count in (1, 4, 8, 16):
         names = tuple(f'd{n}' for n in range(count))
-        plan = fleets.Plan(proxies=2, databases=names)
+        plan = plans.Plan(proxies=2, databases=names)
         fleet = fleets.Fleet(plan)
         try:
             await fleet.start()
@@ -83,7 +84,7 @@
     """An idle proxy, by the real proxies around it."""
     rows = []
     for count in (3, 6, 12, 24, 48):
-        plan = fleets.Plan(proxies=count)
+        plan = plans.Plan(proxies=count)
         fleet = fleets.Fleet(plan)
         try:
             await fleet.start()
@@ -125,7 +126,7 @@
     """A proxy's memory and time, by the length of the list."""
     rows = []
     for count in (0, 500, 1000, 2000):
-        fleet = fleets.Fleet(fleets.Plan(proxies=2, data_centres=('a', 'b')))
+        fleet = fleets.Fleet(plans.Plan(proxies=2, data_centres=('a', 'b')))
         try:
             await fleet.start()
             began = await fleet.get('p1 operator', '/status')
@@ -154,7 +155,7 @@
     """A proxy's memory and start, by the databases configured."""
     rows = []
     for count in (0, 800, 1600, 3200):
-        plan = fleets.Plan(proxies=2, data_centres=('a', 'b'))
+        plan = plans.Plan(proxies=2, data_centres=('a', 'b'))
         fleet = fleets.Fleet(plan)
         try:
             await fleet.start()
@@ -217,7 +218,7 @@
     """The time from a change to everywhere, and its cost, by proxies."""
     rows = []
     for count in (6, 12, 24, 48):
-        fleet = fleets.Fleet(fleets.Plan(proxies=count))
+        fleet = fleets.Fleet(plans.Plan(proxies=count))
         try:
             await fleet.start()
             await asyncio.sleep(SETTLE_S)
@@ -268,7 +269,7 @@
     """The platform's calls before, in and after an outage, by proxies."""
     rows = []
     for count in (6, 24, 48):
-        fleet = fleets.Fleet(fleets.Plan(proxies=count))
+        fleet = fleets.Fleet(plans.Plan(proxies=count))
         try:
             await fleet.start()
             await asyncio.sleep(SETTLE_S)
@@ -301,7 +302,7 @@
     """False suspicion after pauses of both owners, by the discount."""
     rows = []
     for baseline in ('', 'no_pause_discount'):
-        plan = fleets.Plan(baseline=baseline)
+        plan = plans.Plan(baseline=baseline)
         fleet = fleets.Fleet(plan)
         try:
             await fleet.start()
@@ -346,7 +347,7 @@
     """A proxy's memory, by its open and idle sessions."""
     rows = []
     for count in (0, 500, 1000, 2000):
-        fleet = fleets.Fleet(fleets.Plan(proxies=2))
+        fleet = fleets.Fleet(plans.Plan(proxies=2))
         opened = []
         try:
             await fleet.start()
@@ -374,7 +375,7 @@
 
 
 async def _statements(kind: str, read_share: float, rate: float) -> Rows:
-    plan = fleets.Plan(proxies=3, slots=40, connections=100, statement_ms=0)
+    plan = plans.Plan(proxies=3, slots=40, connections=100, statement_ms=0)
     fleet = fleets.Fleet(plan)
     rows = []
     try:
--- a/topazring/load/demo.py
+++ b/topazring/load/demo.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from topazring.bench import fleet as fleets
+from topazring.bench import plans
 
 __all__ = ['main']
 
@@ -50,7 +51,7 @@
 
 async def run() -> None:
     """Run the demo on a fleet of its own."""
-    fleet = fleets.Fleet(fleets.Plan())
+    fleet = fleets.Fleet(plans.Plan())
     try:
         await fleet.start()
         await show(fleet)
--- a/topazring/load/experiments.py
+++ b/topazring/load/experiments.py
@@ -6,6 +6,7 @@
 import time
 
 from topazring.bench import fleet as fleets
+from topazring.bench import plans
 from topazring.load import generator
 from topazring.load import report
 
@@ -55,7 +56,7 @@
     )
 
 
-SIZES = {'ballinure': fleets.ballinure, 'dizon': fleets.dizon}
+SIZES = {'ballinure': plans.ballinure, 'dizon': plans.dizon}
 SETTLE_S = 1.5
 AT_A_TIME = 3
 
@@ -139,11 +140,13 @@
             gaps = []
             totals = {'unknown': 0, 'not run': 0, 'done': 0}
             violations = 0
+            slowest_ms = 0.0
             for gap_ms, summary in await _repeat(
                 runs, lambda: one_failover(size, fault, store_down)
             ):
                 gaps.append(gap_ms)
                 violations += summary.violations
+                slowest_ms = max(slowest_ms, _slowest_write_ms(summary))
                 for name, count in summary.outcomes.items():
                     kind = name.split()[1].replace('_', ' ')
                     if name.startswith('write') and kind in totals:
@@ -161,6 +164,7 @@
                     'writes done': totals['done'],
                     'writes not run': totals['not run'],
                     'writes unknown': totals['unknown'],
+                    'slowest answer ms': slowest_ms,
                     'violations': violations,
                 }
             )
@@ -168,6 +172,15 @@
     return rows
 
 
+def _slowest_write_ms(summary: report.Summary) -> float:
+    """Return how long a write waited for its final answer at the most."""
+    return max(
+        figures['max']
+        for kind, figures in summary.latency_ms.items()
+        if kind.startswith('write')
+    )
+
+
 @experiment
 async def failover_ballinure(runs: int) -> Rows:
     """Failover gap at Ballinure's sizes: kill, freeze, cut."""
@@ -274,7 +287,7 @@
     """Latency of writes and primary reads, with and without rounds."""
     rows = []
     for baseline in ('', 'unacknowledged'):
-        plan = fleets.ballinure(databases=('calc1',), baseline=baseline)
+        plan = plans.ballinure(databases=('calc1',), baseline=baseline)
         fleet = fleets.Fleet(plan)
         mix = generator.Mix(
             rate=150, read_share=0.5, profile='strict', max_staleness_ms=0
@@ -313,7 +326,7 @@
     """Goodput, refusals and latency of writes at 0.5x to 5x the slots."""
     rows = []
     for factor in FACTORS:
-        plan = fleets.Plan(statement_ms=STATEMENT_MS)
+        plan = plans.Plan(statement_ms=STATEMENT_MS)
         fleet = fleets.Fleet(plan)
         mix = generator.Mix(
             rate=SLOT_RATE * factor,
@@ -380,7 +393,7 @@
     rows = []
     for flooding in (False, True):
         names = tuple(f'org{n}' for n in range(ORDINARY + 1))
-        plan = fleets.Plan(statement_ms=STATEMENT_MS, organisations=names)
+        plan = plans.Plan(statement_ms=STATEMENT_MS, organisations=names)
         fleet = fleets.Fleet(plan)
         try:
             await fleet.start()
--- a/topazring/proxy/owner_task.py
+++ b/topazring/proxy/owner_task.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import os
 import random
 import uuid
 
@@ -29,6 +30,8 @@
 WARM_CONNECTIONS = 4
 EXPLANATIONS_KEPT = 200
 EXPLAIN_MS = 1000
+# EX_SOFTWARE of sysexits.h.
+EXIT_BROKEN = 70
 STORE_RETRY_S = 0.5
 MOST_STORE_RETRY_S = 5.0
 
@@ -124,10 +127,7 @@
     def _ended(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            # A broken invariant: what this owner believes is not to be
-            # trusted any more. Say so and let the process end.
-            logger.critical('%s', task.exception(), exc_info=task.exception())
-            raise SystemExit(70)
+            _end_process(self.database.name, task.exception())
 
     # ---- messages ----
 
@@ -156,6 +156,8 @@
                 message = self.inbox.popleft()
                 for out in owner.step(self.state, now_ms, message):
                     self._perform(out, now_ms)
+        except Exception as error:
+            _end_process(self.database.name, error)
         finally:
             self.draining_inbox = False
 
@@ -316,3 +318,14 @@
             'upstreams': upstreams,
             'counters': dict(self.state.counters),
         }
+
+
+def _end_process(database: str, error: BaseException) -> None:
+    """End the process over a broken invariant.
+
+    What this owner believes is not to be trusted any more, and a message
+    was dropped half-way: its request would never be answered. The request
+    records and the other owner take over from here.
+    """
+    logger.critical('%s: broken invariant', database, exc_info=error)
+    os._exit(EXIT_BROKEN)
--- a/topazring/standin/upstream.py
+++ b/topazring/standin/upstream.py
@@ -1,13 +1,10 @@
 """Run one upstream: slots, connections, replicated SQL."""
 
 import asyncio
-import dataclasses
-import json
 import time
 
 from tornado import httpserver
 from tornado import web
-from tornado import websocket
 
 from topazring.core import outcomes
 from topazring.core import places
@@ -15,11 +12,11 @@
 from topazring.core import requests
 from topazring.plumbing import clock
 from topazring.plumbing import logs as part_logs
-from topazring.plumbing import sockets
 from topazring.standin import database
 from topazring.standin import log as logs
 from topazring.standin import replication
 from topazring.standin import settings
+from topazring.standin import upstream_sockets
 from topazring import wire
 
 __all__ = ['Upstream']
@@ -38,20 +35,6 @@
         self.reason = reason
 
 
-@dataclasses.dataclass(slots=True)
-class Open:
-    """Hold an interactive transaction: what ran and what it showed.
-
-    Its statements run again at commit. If they show something else by then,
-    another transaction came between, and the commit is refused.
-    """
-
-    organisation: str
-    term: int
-    statements: list = dataclasses.field(default_factory=list)
-    shown: list = dataclasses.field(default_factory=list)
-
-
 class Upstream:
     """Own the log, the databases and the sockets of one upstream."""
 
@@ -74,11 +57,15 @@
     async def start(self) -> None:
         """Listen, and send the log whenever this upstream leads."""
         routes = [
-            ('/sql', SqlSocket, {'upstream': self}),
-            ('/control', ControlSocket, {'upstream': self}),
-            ('/replicate', ReplicateSocket, {'upstream': self}),
-            ('/ledger', LedgerHandler, {'upstream': self}),
-            ('/set', SetHandler, {'upstream': self}),
+            ('/sql', upstream_sockets.SqlSocket, {'upstream': self}),
+            ('/control', upstream_sockets.ControlSocket, {'upstream': self}),
+            (
+                '/replicate',
+                upstream_sockets.ReplicateSocket,
+                {'upstream': self},
+            ),
+            ('/ledger', upstream_sockets.LedgerHandler, {'upstream': self}),
+            ('/set', upstream_sockets.SetHandler, {'upstream': self}),
         ]
         self.server = httpserver.HTTPServer(web.Application(routes))
         self.server.listen(
@@ -139,7 +126,7 @@
     # ---- statements ----
 
     async def run(
-        self, ask: wire.SqlAsk, opened: Open | None
+        self, ask: wire.SqlAsk, opened: upstream_sockets.Open | None
     ) -> wire.SqlReply:
         """Run one ask on a slot; say what became of it."""
         try:
@@ -173,7 +160,9 @@
                 raise Refusal(Reason.REPLICA_BEHIND)
             await self.wait_change(left_s)
 
-    def _run_now(self, ask: wire.SqlAsk, opened: Open | None) -> wire.SqlReply:
+    def _run_now(
+        self, ask: wire.SqlAsk, opened: upstream_sockets.Open | None
+    ) -> wire.SqlReply:
         """Run without giving way, so that nothing comes between."""
         if not ask.at_replica:
             self._check_term(ask)
@@ -247,7 +236,7 @@
         self.notify()
         return self._reply(ask, 'ran', rows=rows, cancelled=cancelled)
 
-    def _execute(self, ask: wire.SqlAsk, opened: Open | None):
+    def _execute(self, ask: wire.SqlAsk, opened: upstream_sockets.Open | None):
         if opened is None or opened.term != ask.term:
             raise Refusal(Reason.TRANSACTION_LOST)
         if len(opened.statements) >= MOST_TRANSACTION_STATEMENTS:
@@ -261,7 +250,7 @@
         opened.shown.append(rows)
         return self._reply(ask, 'ran', rows=rows)
 
-    def _commit(self, ask: wire.SqlAsk, opened: Open | None):
+    def _commit(self, ask: wire.SqlAsk, opened: upstream_sockets.Open | None):
         if opened is None or opened.term != ask.term:
             raise Refusal(Reason.TRANSACTION_LOST)
         record = self._find_record(ask)
@@ -306,182 +295,3 @@
             leads=self.log.leads,
             **more,
         )
-
-
-class _CountedSocket(websocket.WebSocketHandler):
-    """Count the connection and let it take its time to open."""
-
-    def initialize(self, upstream: Upstream) -> None:
-        self.upstream = upstream
-        self.counted = False
-
-    async def prepare(self) -> None:
-        if self.upstream.connections >= self.upstream.config.connections:
-            self.set_status(503)
-            self.finish('too many connections')
-            return
-        self.upstream.connections += 1
-        self.counted = True
-        await asyncio.sleep(self.upstream.config.connect_delay_ms / 1000)
-
-    def on_finish(self) -> None:
-        self._uncount()
-
-    def on_close(self) -> None:
-        self._uncount()
-
-    def on_connection_close(self) -> None:
-        super().on_connection_close()
-        self._uncount()
-
-    def _uncount(self) -> None:
-        if self.counted:
-            self.counted = False
-            self.upstream.connections -= 1
-
-
-class SqlSocket(_CountedSocket):
-    """Serve statements, one at a time, and perhaps a transaction."""
-
-    opened: Open | None = None
-
-    async def on_message(self, raw) -> None:
-        ask = wire.decode_sql_ask(raw)
-        reply = await self.upstream.run(ask, self.opened)
-        if reply.result == 'ran' and ask.kind == Kind.BEGIN:
-            self.opened = Open(ask.organisation, ask.term)
-        elif ask.kind in (Kind.COMMIT, Kind.ROLLBACK):
-            self.opened = None
-        sockets.write_quietly(self, wire.encode(reply))
-
-
-class ControlSocket(_CountedSocket):
-    """Serve statuses and terms; asks may be answered out of order."""
-
-    async def on_message(self, raw) -> None:
-        ask = wire.decode_control_ask(raw)
-        task = asyncio.create_task(self._answer(ask))
-        # A task without a reference can be collected before it ends.
-        self.tasks = getattr(self, 'tasks', set())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def _answer(self, ask: wire.ControlAsk) -> None:
-        log = self.upstream.log
-        accepted = True
-        if ask.kind == 'fence':
-            accepted = logs.fence(log, ask.term, ask.claimant)
-            self.upstream.notify()
-        elif ask.kind == 'lead':
-            accepted = logs.lead(log, ask.term, ask.claimant)
-            self.upstream.databases.applied = len(log.entries)
-            self.upstream.notify()
-        elif ask.wait_ms:
-            await self._wait(ask)
-        place = logs.last_place(log)
-        reply = wire.ControlReply(
-            ask.id,
-            log.accepted_term,
-            place.log_term,
-            place.position,
-            log.leads,
-            self.upstream.silent_ms(),
-            accepted,
-        )
-        sockets.write_quietly(self, wire.encode_control(reply), True)
-
-    async def _wait(self, ask: wire.ControlAsk) -> None:
-        log = self.upstream.log
-        wanted = places.Place(ask.log_term, ask.position)
-        until = time.monotonic() + ask.wait_ms / 1000
-        while log.accepted_term <= ask.term:
-            place = logs.last_place(log)
-            left_s = until - time.monotonic()
-            held = place.log_term == ask.term and place >= wanted
-            if held or wanted == places.ORIGIN or left_s <= 0:
-                return
-            await self.upstream.wait_change(left_s)
-
-
-class ReplicateSocket(websocket.WebSocketHandler):
-    """Take the log from a primary."""
-
-    def initialize(self, upstream: Upstream) -> None:
-        self.upstream = upstream
-        self.inbox: asyncio.Queue = asyncio.Queue()
-        self.worker: asyncio.Task | None = None
-
-    def open(self) -> None:
-        self.worker = asyncio.create_task(self._work())
-
-    def on_message(self, raw) -> None:
-        due, message, reply = self.upstream.receiver.hear(raw)
-        self._send(reply)
-        self.inbox.put_nowait((due, message))
-
-    async def _work(self) -> None:
-        while True:
-            due, message = await self.inbox.get()
-            delay_s = due - time.monotonic()
-            if delay_s > 0:
-                await asyncio.sleep(delay_s)
-            reply = self.upstream.receiver.apply(message)
-            if not reply.fits:
-                self._send(reply)
-
-    def _send(self, reply: replication.Acknowledge) -> None:
-        sockets.write_quietly(self, replication.encode(reply))
-
-    def on_close(self) -> None:
-        if self.worker is not None:
-            self.worker.cancel()
-
-
-class LedgerHandler(web.RequestHandler):
-    """Show what ran and what the log holds: the oracle of the tests."""
-
-    def initialize(self, upstream: Upstream) -> None:
-        self.upstream = upstream
-
-    def get(self) -> None:
-        log = self.upstream.log
-        entries = [
-            {
-                'term': entry.log_term,
-                'organisation': entry.organisation,
-                'request_id': entry.request_id,
-                'cancelled': entry.cancelled,
-            }
-            for entry in log.entries
-        ]
-        self.write(
-            json.dumps(
-                {
-                    'name': log.name,
-                    'term': log.accepted_term,
-                    'leads': log.leads,
-                    'connections': self.upstream.connections,
-                    'ledger': self.upstream.ledger,
-                    'log': entries,
-                }
-            )
-        )
-
-
-class SetHandler(web.RequestHandler):
-    """Change the lag or the statement's time while running."""
-
-    def initialize(self, upstream: Upstream) -> None:
-        self.upstream = upstream
-
-    def post(self) -> None:
-        lag_ms = self.get_argument('lag_ms', None)
-        if lag_ms is not None:
-            self.upstream.receiver.lag_ms = float(lag_ms)
-        statement_ms = self.get_argument('statement_ms', None)
-        if statement_ms is not None:
-            changed = {'statement_ms': float(statement_ms)}
-            self.upstream.config = self.upstream.config.model_copy(
-                update=changed
-            )
-        self.write('ok')
--- a/topazring/tests/support.py
+++ b/topazring/tests/support.py
@@ -6,6 +6,7 @@
 import testtools
 
 from topazring.bench import fleet as fleets
+from topazring.bench import plans
 from topazring.load import experiments
 from topazring.load import generator
 
@@ -19,7 +20,7 @@
 
     def on_fleet(self, steps, **plan):
         """Run `steps(fleet)` on a fleet with the given plan."""
-        asyncio.run(self._on_fleet(steps, fleets.Plan(**plan)))
+        asyncio.run(self._on_fleet(steps, plans.Plan(**plan)))
 
     async def _on_fleet(self, steps, plan):
         fleet = fleets.Fleet(plan)
--- a/topazring/tests/test_whole_path.py
+++ b/topazring/tests/test_whole_path.py
@@ -5,6 +5,7 @@
 import testtools
 
 from topazring.bench import fleet as fleets
+from topazring.bench import plans
 
 
 class TestWholePath(testtools.TestCase):
@@ -14,7 +15,7 @@
         asyncio.run(self._save_roam_read_back())
 
     async def _save_roam_read_back(self):
-        fleet = fleets.Fleet(fleets.Plan())
+        fleet = fleets.Fleet(plans.Plan())
         try:
             await fleet.start()
             cork = await fleet.session('p1', 'saves')
