Answer what is in hand when an owner task ends

Found by a test that changes a database's slots under load: the run took 126 s instead of 6. Cause: the closed owner task kept no timer but its requests, so they were answered by accident or not at all, and the entry waited. Now the task answers all it has (not run, or unknown where it had begun), the entry asks on, and closed pools and links open nothing anew.

--- a/topazring/core/expiry.py
+++ b/topazring/core/expiry.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     'CUT_OFF_MS',
+    'abandon',
     'expire',
     'hand_back',
     'is_cut_off',
@@ -54,6 +55,24 @@
     return outs
 
 
+def abandon(
+    state: states.OwnerState, now_ms: int, message: messages.Abandon
+) -> Out:
+    """Answer all that is in hand as far as it is known here.
+
+    The entry finds out the rest from another owner, or from this database's
+    next task: without an answer it would wait to the end of time.
+    """
+    outs: Out = []
+    for work in list(state.work.values()):
+        if work.phase is not states.Phase.QUEUED:
+            work.maybe_ran = True
+        outs += fates.give_up(state, work, Reason.DRAINING, 0)
+    for key in list(state.transactions):
+        outs += withdraw(state, now_ms, messages.Withdraw(key))
+    return outs
+
+
 def _expire_work(state: states.OwnerState, work: states.Work) -> Out:
     if work.phase is states.Phase.CONFIRMING:
         work.maybe_ran = True
--- a/topazring/core/messages.py
+++ b/topazring/core/messages.py
@@ -8,6 +8,7 @@
 from topazring.core import requests
 
 __all__ = [
+    'Abandon',
     'Answer',
     'AskStatus',
     'CloseTransaction',
@@ -158,6 +159,11 @@
     names: frozenset[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Abandon:
+    """Answer all that is in hand: this owner task ends."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FenceReply:
     term: int
--- a/topazring/core/owner.py
+++ b/topazring/core/owner.py
@@ -52,6 +52,7 @@
 
 handles(messages.Submit)(arrival.submit)
 handles(messages.Withdraw)(expiry.withdraw)
+handles(messages.Abandon)(expiry.abandon)
 handles(messages.StatusSeen)(failover.status_seen)
 handles(messages.ProbeFailed)(failover.probe_failed)
 handles(messages.PeerSuspects)(failover.peer_suspects)
--- a/topazring/load/generator.py
+++ b/topazring/load/generator.py
@@ -58,6 +58,7 @@
     # (time, upstream) of each acknowledged write.
     acknowledged: list = dataclasses.field(default_factory=list)
     roams: int = 0
+    sent: int = 0
     # What became of each write, for the upstreams' ledgers to confirm.
     done_ids: set = dataclasses.field(default_factory=set)
     not_run_ids: set = dataclasses.field(default_factory=set)
@@ -163,6 +164,7 @@
 
     def _send_one(self, count: int) -> None:
         user = self.users[count % len(self.users)]
+        self.stats.sent += 1
         if self.rng.random() < self.mix.read_share:
             self._spawn(self._read(user))
         else:
--- a/topazring/proxy/control_link.py
+++ b/topazring/proxy/control_link.py
@@ -54,13 +54,15 @@
         self.next_id = 1
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.closed = False
         self.proven = False
         self.failures = 0
         self.retry_ms = 0
         self.opening: asyncio.Task | None = None
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection and open no other."""
+        self.closed = True
         if self.opening is not None:
             self.opening.cancel()
         self._drop()
@@ -107,6 +109,8 @@
                 kind = 'silent' if self.proven else 'silent_new'
                 self._lose(kind)
                 break
+        if self.closed:
+            return
         if self.socket is None and self.opening is None:
             if now_ms >= self.retry_ms:
                 self.opening = asyncio.create_task(self._open())
--- a/topazring/proxy/owner_task.py
+++ b/topazring/proxy/owner_task.py
@@ -108,7 +108,8 @@
             pool.warm(WARM_CONNECTIONS)
 
     async def close(self) -> None:
-        """Close every connection; what is open is answered as unknown."""
+        """Answer what is in hand and close every connection."""
+        self.post(messages.Abandon())
         for task in list(self.tasks):
             task.cancel()
         for task in list(self.tasks):
--- a/topazring/proxy/sql_pool.py
+++ b/topazring/proxy/sql_pool.py
@@ -179,9 +179,11 @@
         self.transactions: dict[int, SqlConnection] = {}
         self.tasks: set[asyncio.Task] = set()
         self.silent = 0
+        self.closed = False
 
     def close(self) -> None:
-        """Close every connection."""
+        """Close every connection; nothing is run from now on."""
+        self.closed = True
         for connection in list(self.connections):
             connection.lose(Reason.CONNECTION_LOST)
 
@@ -192,6 +194,10 @@
 
     def run(self, execute: messages.Execute) -> None:
         """Run a statement; its result is posted exactly once."""
+        if self.closed:
+            lost = messages.Lost(Reason.DRAINING, False)
+            self.finish(execute, lost)
+            return
         if execute.kind in (Kind.EXECUTE, Kind.COMMIT, Kind.ROLLBACK):
             self._run_in_transaction(execute)
             return
--- a/topazring/tests/test_configuration.py
+++ b/topazring/tests/test_configuration.py
@@ -80,6 +80,42 @@
 
         self.on_fleet(steps)
 
+    def test_database_reconfigured_under_load(self):
+        """Symptom: requests that hang for good after a reconfiguration.
+
+        Sequence: an operator changes a database's slots under load; its
+        owners start anew with the new value. Cause: the old owner task is
+        closed with requests in hand, and nobody answers them.
+        """
+
+        async def steps(fleet):
+            stored = await changes.read_value(
+                fleet.platform, 'database', 'calc1'
+            )
+
+            async def fault():
+                revision = stored.revision
+                for slots in (2, 4, 3):
+                    result = await changes.change(
+                        fleet.platform,
+                        'database',
+                        'calc1',
+                        {**stored.value, 'slots': slots},
+                        revision,
+                    )
+                    revision = result.revision
+                    await asyncio.sleep(0.7)
+
+            stats = await self.load_through(fleet, fault, rate=300)
+            answered = sum(stats.outcomes.values())
+            self.assertEqual(stats.sent, answered)
+            self.assertFalse([n for n in stats.outcomes if 'unknown' in n])
+            for kind, recorded in stats.latency.items():
+                # Microseconds; the longest deadline is 8 s.
+                self.assertLess(recorded.get_max_value(), 20e6, kind)
+
+        self.on_fleet(steps)
+
     def test_operators_race_on_one_profile(self):
         """Symptom: an operator's change vanishes without a word.
 
