Hold work back while confirmations have stopped

Cause of 714 to 751 writes in 5,790 that ended not run (cancelled) when a primary was cut off and its first owner was not: the old primary went on taking writes for the 0.9 s until it was replaced, each a doubt to be settled. Ruled out: the settling (all were found out, none unknown) and the slots (free at once after each execution). Now nothing more is given to a primary once a confirmation has taken 100 ms, or three times the usual lag.

--- a/topazring/core/arrival.py
+++ b/topazring/core/arrival.py
@@ -12,6 +12,7 @@
 __all__ = [
     'majority_lag',
     'submit',
+    'usual_lag',
 ]
 
 Out = list
@@ -85,18 +86,28 @@
     return None
 
 
-def majority_lag(state: states.OwnerState, now_ms: int) -> float:
+def usual_lag(state: states.OwnerState) -> float:
     """Return how long a majority usually takes to hold a new place."""
-    lags = []
-    for seen in state.view.upstreams.values():
-        if seen.name == state.view.primary:
-            continue
-        lag_ms = seen.lag_ms
+    lags = {name: u.lag_ms for name, u in state.view.upstreams.items()}
+    return _lag_of_majority(state, lags)
+
+
+def majority_lag(state: states.OwnerState, now_ms: int) -> float:
+    """Return the same, or what it takes just now if that is longer."""
+    lags = {}
+    for name, seen in state.view.upstreams.items():
+        lags[name] = seen.lag_ms
         if seen.awaited is not None:
-            lag_ms = max(lag_ms, now_ms - seen.awaited.sent_ms)
-        lags.append(lag_ms)
-    lags.sort()
-    replicas_needed = views.majority(state.view) - 1
-    if not state.view.primary or len(lags) < replicas_needed:
+            lags[name] = max(seen.lag_ms, now_ms - seen.awaited.sent_ms)
+    return _lag_of_majority(state, lags)
+
+
+def _lag_of_majority(
+    state: states.OwnerState, lags: dict[str, float]
+) -> float:
+    primary = state.view.primary
+    others = sorted(lag for name, lag in lags.items() if name != primary)
+    needed = views.majority(state.view) - 1
+    if not primary or len(others) < needed:
         return 0.0
-    return lags[replicas_needed - 1]
+    return others[needed - 1]
--- a/topazring/core/dispatch.py
+++ b/topazring/core/dispatch.py
@@ -22,6 +22,10 @@
 REPLICA_QUEUE_MS = 50
 # Time that has to be left, as a multiple of what is usually needed.
 TIGHT = 1.5
+# So long, or so many times the usual lag, a confirmation may take before
+# nothing more is given to the primary.
+STALL_MS = 100
+STALL_LAGS = 3
 
 
 def dispatch(state: states.OwnerState, now_ms: int) -> Out:
@@ -59,7 +63,8 @@
     state: states.OwnerState, now_ms: int, free: dict[str, int]
 ) -> Out:
     primary = state.view.primary
-    if not primary or state.handing_over_since_ms is not None:
+    held = state.handing_over_since_ms is not None
+    if not primary or held or _stalled(state, now_ms):
         return []
     outs: Out = []
     while free[primary] > 0:
@@ -110,6 +115,19 @@
     return outs
 
 
+def _stalled(state: states.OwnerState, now_ms: int) -> bool:
+    """Say whether confirmations have stopped coming.
+
+    The symptom without this: a primary that is cut off from its replicas
+    takes in writes for as long as it takes to replace it, and each of them
+    is cancelled afterwards. Held back here they run at the next primary.
+    """
+    waiting = state.round_state.waiters.values()
+    oldest_ms = min((w.sent_ms for w in waiting if w.key > 0), default=now_ms)
+    allowed_ms = max(STALL_MS, arrival.usual_lag(state) * STALL_LAGS)
+    return now_ms - oldest_ms > allowed_ms
+
+
 def _too_late(
     state: states.OwnerState, now_ms: int, work: states.Work
 ) -> bool:
