Admit only what will not be too late when its turn comes

Cause: requests were admitted up to their whole deadline, and refused at dispatch for want of the time to run. Now the wait is taken a quarter longer than estimated and the time to run is added.

--- a/topazring/core/arrival.py
+++ b/topazring/core/arrival.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     'majority_lag',
+    'needed_ms',
     'submit',
     'usual_lag',
 ]
@@ -19,6 +20,12 @@
 Reason = outcomes.Reason
 Kind = requests.Kind
 
+# A wait is taken to be that much longer than estimated: who is admitted
+# and then too late has waited for nothing.
+CAUTION = 1.25
+# Time that has to be left, as a multiple of what is usually needed.
+TIGHT = 1.5
+
 
 def submit(
     state: states.OwnerState, now_ms: int, message: messages.Submit
@@ -73,6 +80,7 @@
     wait_ms = admission.estimate_wait(
         queue, request.organisation, state.limits.slots, state.service_ms
     )
+    wait_ms = wait_ms * CAUTION + needed_ms(state, now_ms, request.kind)
     if wait_ms > left_ms:
         return fates.refuse(Reason.OVERLOAD, wait_ms - left_ms)
     if request.kind is Kind.WRITE:
@@ -86,6 +94,14 @@
     return None
 
 
+def needed_ms(state: states.OwnerState, now_ms: int, kind: Kind) -> float:
+    """Return the time that a request should have left when it begins."""
+    needed = state.service_ms
+    if kind is Kind.WRITE:
+        needed += majority_lag(state, now_ms)
+    return needed * TIGHT
+
+
 def usual_lag(state: states.OwnerState) -> float:
     """Return how long a majority usually takes to hold a new place."""
     lags = {name: u.lag_ms for name, u in state.view.upstreams.items()}
--- a/topazring/core/dispatch.py
+++ b/topazring/core/dispatch.py
@@ -20,8 +20,6 @@
 
 # A read waits that long for a busy replica before it takes the primary.
 REPLICA_QUEUE_MS = 50
-# Time that has to be left, as a multiple of what is usually needed.
-TIGHT = 1.5
 # So long, or so many times the usual lag, a confirmation may take before
 # nothing more is given to the primary.
 STALL_MS = 100
@@ -137,10 +135,7 @@
     what became of it.
     """
     left_ms = work.request.deadline_ms - now_ms
-    needed_ms = state.service_ms
-    if work.request.kind is Kind.WRITE:
-        needed_ms += arrival.majority_lag(state, now_ms)
-    return left_ms < needed_ms * TIGHT
+    return left_ms < arrival.needed_ms(state, now_ms, work.request.kind)
 
 
 def _overflows(state: states.OwnerState, free: dict[str, int]) -> bool:
