--- a/topazring/proxy/entry.py
+++ b/topazring/proxy/entry.py
@@ -19,6 +19,7 @@
 
 Kind = requests.Kind
 Reason = outcomes.Reason
+TICK_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,9 +62,25 @@
         self.retries: dict[str, int] = {}
         self.hops = 0
         self.in_flight = 0
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to look after the streams."""
+        self.task = asyncio.create_task(self._tick_forever())
+
+    async def _tick_forever(self) -> None:
+        # One timer for all: with a stream to each of 2,000 owners, a timer
+        # a stream would be 20,000 wake-ups a second.
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_ms = clock.monotonic_ms()
+            for client in self.clients.values():
+                client.tick(now_ms)
 
     def close(self) -> None:
         """Close the streams."""
+        if self.task is not None:
+            self.task.cancel()
         for client in self.clients.values():
             client.close()
         self.clients.clear()
@@ -197,7 +214,6 @@
         client = self.clients.get(key)
         if client is None:
             client = hop.HopClient(owner, member.host, member.hop_port)
-            client.start()
             self.clients[key] = client
         return client
 
--- a/topazring/proxy/hop.py
+++ b/topazring/proxy/hop.py
@@ -31,7 +31,6 @@
 CONNECT_S = 1.0
 PING_MS = 500
 SILENT_MS = 1500
-TICK_S = 0.1
 
 
 class HopRequest(msgspec.Struct, array_like=True, tag='q'):
@@ -224,16 +223,9 @@
         self.next_id = 1
         self.heard_ms = 0
         self.pinged_ms = 0
-        self.task: asyncio.Task | None = None
-
-    def start(self) -> None:
-        """Begin to look after the stream."""
-        self.task = asyncio.create_task(self._tick_forever())
 
     def close(self) -> None:
         """Close the stream."""
-        if self.task is not None:
-            self.task.cancel()
         self._lose()
 
     async def call(
@@ -309,17 +301,13 @@
                 lost = messages.Lost(outcomes.Reason.OWNER_LOST, True)
                 future.set_result(lost)
 
-    async def _tick_forever(self) -> None:
+    def tick(self, now_ms: int) -> None:
         """Find a stream that went silent while requests wait on it."""
-        while True:
-            await asyncio.sleep(TICK_S)
-            if self.stream is None or not self.waiting:
-                continue
-            now_ms = clock.monotonic_ms()
-            quiet_ms = now_ms - self.heard_ms
-            if self.pinged_ms and now_ms - self.pinged_ms > SILENT_MS:
-                logger.warning('%s went silent', self.name)
-                self._lose()
-            elif not self.pinged_ms and quiet_ms > PING_MS:
-                self.pinged_ms = now_ms
-                _write_frame(self.stream, Ping())
+        if self.stream is None or not self.waiting:
+            return
+        if self.pinged_ms and now_ms - self.pinged_ms > SILENT_MS:
+            logger.warning('%s went silent', self.name)
+            self._lose()
+        elif not self.pinged_ms and now_ms - self.heard_ms > PING_MS:
+            self.pinged_ms = now_ms
+            _write_frame(self.stream, Ping())
--- a/topazring/proxy/process.py
+++ b/topazring/proxy/process.py
@@ -77,6 +77,7 @@
         self.hop_server.listen(config.hop_port, config.host)
         route = ('/session', sessions.SessionSocket, {'front': self.front})
         self._listen([route], config.caller_port)
+        self.entry.start()
         await self.knowledge.start()
         self.task = asyncio.create_task(self._refresh_forever())
         logger.info('%s runs as %s', config.name, self.incarnation)
