Prove two owners that promote at once; let views of the owners differ

A rival with granted terms of its own fences and promotes beside the owners, under load, with one replica lagging by 400 ms.

--- a/topazring/bench/slopes.py
+++ b/topazring/bench/slopes.py
@@ -369,7 +369,7 @@
     """Processor time a statement: at an owner, at an entry, behind a hop."""
     rows = []
     for kind, read_share in (('read', 1.0), ('write', 0.0)):
-        for rate in (200, 400, 800):
+        for rate in (200, 800, 3000):
             rows += await _statements(kind, read_share, rate)
     return rows
 
@@ -403,6 +403,8 @@
                     'path': where,
                     'asked a second': rate,
                     'done a second': round(done / mix.seconds),
+                    'owner core %': round(100 * spent[0] / mix.seconds),
+                    'entry core %': round(100 * spent[1] / mix.seconds),
                     'owner us a statement': round(1e6 * spent[0] / done),
                     'entry us a statement': round(1e6 * spent[1] / done),
                     'p50 ms': _percentile(stats, kind, 50),
--- a/topazring/core/fates.py
+++ b/topazring/core/fates.py
@@ -30,12 +30,14 @@
 
 
 def refuse(reason: Reason, after_ms: float) -> outcomes.NotRun:
+    """Return a refusal that says when to come back."""
     return outcomes.NotRun(reason, max(LEAST_RETRY_AFTER_MS, int(after_ms)))
 
 
 def queue_for(
     state: states.OwnerState, request: requests.Request, primary_only: bool
 ) -> admission.FairQueue:
+    """Return the queue for what only the primary, or a replica, serves."""
     may_be_stale = request.profile.max_staleness_ms > 0
     if request.kind is Kind.READ and may_be_stale and not primary_only:
         return state.replica_queue
@@ -43,6 +45,7 @@
 
 
 def enqueue(state: states.OwnerState, now_ms: int, work: states.Work) -> Out:
+    """Have a request wait; answer the one that has to make room."""
     request = work.request
     work.phase = states.Phase.QUEUED
     if work.settling or request.kind in IN_TRANSACTION:
@@ -89,6 +92,7 @@
     reason: Reason,
     charged: bool,
 ) -> Out:
+    """Have a request wait again, if deadline and budget allow."""
     work.last_reason = reason
     if now_ms >= work.request.deadline_ms:
         return give_up(state, work, reason, 0)
@@ -105,6 +109,7 @@
     reason: Reason,
     after_ms: float,
 ) -> Out:
+    """Answer a request that is given up, truly: not run, or unknown."""
     if work.maybe_ran:
         return finish(state, work, outcomes.Unknown(reason))
     return finish(state, work, refuse(reason, after_ms))
@@ -133,5 +138,6 @@
 
 
 def lose_transaction_of(state: states.OwnerState, work: states.Work) -> Out:
+    """Answer a statement whose transaction is gone."""
     lost = outcomes.NotRun(Reason.TRANSACTION_LOST, LEAST_RETRY_AFTER_MS)
     return finish(state, work, lost)
--- a/topazring/core/messages.py
+++ b/topazring/core/messages.py
@@ -56,6 +56,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Submit:
+    """Take in a request."""
+
     request: requests.Request
 
 
@@ -106,6 +108,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Executed:
+    """Report the one result of an Execute."""
+
     key: int
     attempt: int
     upstream: str
@@ -135,6 +139,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerSuspects:
+    """Report what another owner thinks of the primary of a term."""
+
     owner: str
     term: int
     suspects: bool
@@ -156,6 +162,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamsLeaving:
+    """Name the upstreams that the platform lists as leaving."""
+
     names: frozenset[str]
 
 
@@ -166,6 +174,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FenceReply:
+    """Report whether an upstream accepted the term."""
+
     term: int
     accepted: bool
     status: Status
@@ -173,6 +183,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeadReply:
+    """Report whether an upstream leads the term."""
+
     term: int
     accepted: bool
     status: Status
@@ -190,6 +202,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Execute:
+    """Have an upstream run a request; exactly one Executed follows."""
+
     key: int
     attempt: int
     upstream: str
@@ -205,6 +219,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
+    """Give the caller the one final answer."""
+
     key: int
     outcome: outcomes.Outcome
 
@@ -226,24 +242,32 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fence:
+    """Have an upstream accept a term and refuse lower ones."""
+
     upstream: str
     term: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lead:
+    """Have an upstream that accepted the term lead it."""
+
     upstream: str
     term: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TellSuspicion:
+    """Tell the other owners what this one thinks of the primary."""
+
     term: int
     suspects: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NeedGrants:
+    """Ask for terms above the highest that was seen."""
+
     above_term: int
 
 
--- a/topazring/core/tests/test_owner_fuzz.py
+++ b/topazring/core/tests/test_owner_fuzz.py
@@ -72,6 +72,10 @@
         for name in world.OWNERS:
             self.world.suspect(name, 'silent_new')
 
+    @stateful.rule(owner=OWNERS, count=SESSIONS)
+    def see_owners(self, owner, count):
+        self.world.see_owners(owner, count)
+
     @stateful.rule(owner=OWNERS)
     def pause(self, owner):
         self.world.pause(owner)
--- a/topazring/core/tests/walks.py
+++ b/topazring/core/tests/walks.py
@@ -21,6 +21,7 @@
     ('pause', 1),
     ('store', 1),
     ('restart', 1),
+    ('see_owners', 2),
 )
 
 
@@ -73,6 +74,8 @@
             world.silence_lie = not world.silence_lie
             for name in OWNERS:
                 world.suspect(name, 'silent_new')
+        case 'see_owners':
+            world.see_owners(rng.choice(OWNERS), rng.randrange(4))
         case 'pause':
             world.pause(rng.choice(OWNERS))
         case 'store':
--- a/topazring/core/tests/world.py
+++ b/topazring/core/tests/world.py
@@ -96,6 +96,11 @@
         self.paused.discard(name)
         self.post(name, messages.Tick(self.rng.choice((0, 400))))
 
+    def see_owners(self, name: str, count: int) -> None:
+        """Have an owner's list of the owners differ from the others'."""
+        order = self.rng.sample(OWNERS, len(OWNERS))
+        self.post(name, messages.OwnersSeen(tuple(order[:count])))
+
     def restart(self, name: str) -> None:
         """Replace an owner's process by one that knows nothing."""
         self.incarnations[name] += 1
@@ -491,6 +496,8 @@
         self.store = 'up'
         for name in list(self.paused):
             self.pause(name)
+        for name in OWNERS:
+            self.post(name, messages.OwnersSeen(OWNERS))
         self.calm(400)
         unanswered = [a for a in self.oracle.asked.values() if not a.answered]
         if unanswered:
--- a/topazring/load/report.py
+++ b/topazring/load/report.py
@@ -81,7 +81,8 @@
         f'answers            {summary.answers} in {summary.seconds:g} s',
         f'done a second      {summary.done_a_second}',
         f'replica read share {summary.replica_read_share:.2%}',
-        f'longest write gap  {summary.longest_write_gap_ms} ms',
+        f'failover gap       {summary.longest_write_gap_ms} ms at the most: '
+        'the longest time without an acknowledged write',
         f'violations         {summary.violations}',
         f'roams              {summary.roams}',
     ]
--- a/topazring/tests/test_failover.py
+++ b/topazring/tests/test_failover.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from topazring.load import experiments
+from topazring.tests import rivals
 from topazring.tests import support
 
 
@@ -167,6 +168,41 @@
 
         return await support.fleets.wait_until(other, 'a new primary')
 
+    def test_two_owners_promote_at_once(self):
+        """Symptom: two primaries, each with half of the saves.
+
+        Sequence: the primary is killed; a rival, which believes to be an
+        owner and was granted terms as one is, fences and promotes on its
+        own at the same time as the owners. Cause: a promotion that is safe
+        only if one owner promotes at a time.
+        """
+
+        async def steps(fleet):
+            primary = await fleet.primary_of('calc1')
+            rival = await rivals.make(fleet, 'calc1')
+            names = support.replicas_of(fleet, primary)
+            # One replica lags, so it matters which one is promoted.
+            await fleet.post(f'{names[0]}/set', {'lag_ms': 400})
+
+            async def fault():
+                await fleet.kill(primary)
+                for _ in range(4):
+                    await rival.promote(names)
+                    await asyncio.sleep(0.35)
+
+            await self.load_through(fleet, fault, seconds=7.0)
+            self.assertGreater(rival.promoted, 0)
+            leaders = {}
+            for name in names:
+                for entry in (await fleet.ledger(name))['ledger']:
+                    if entry['what'] == 'read':
+                        continue
+                    led = leaders.setdefault(entry['term'], name)
+                    self.assertEqual(led, name, entry)
+            await rival.close()
+
+        self.on_fleet(steps)
+
     def test_replicas_far_behind(self):
         """Symptom: writes end in doubt when replicas cannot keep up.
 
