Tell replicas that are behind from a full queue again

Ruled out: the lag itself (the writes were refused before they ran). The lag is judged first now, on arrival and at dispatch alike.

--- a/topazring/core/arrival.py
+++ b/topazring/core/arrival.py
@@ -11,7 +11,7 @@
 
 __all__ = [
     'majority_lag',
-    'needed_ms',
+    'too_late',
     'submit',
     'usual_lag',
 ]
@@ -25,6 +25,8 @@
 CAUTION = 1.25
 # Time that has to be left, as a multiple of what is usually needed.
 TIGHT = 1.5
+# Replicas whose lag is so many times a statement's time are the cause.
+LAG_IS_CAUSE = 10
 
 
 def submit(
@@ -76,17 +78,16 @@
     )
     if primary_needed and expiry.is_cut_off(state, now_ms):
         return fates.refuse(Reason.NO_PRIMARY, expiry.CUT_OFF_MS)
+    reason = too_late(state, now_ms, request)
+    if reason is not None:
+        return fates.refuse(reason, majority_lag(state, now_ms))
     queue = fates.queue_for(state, request, primary_only=False)
     wait_ms = admission.estimate_wait(
         queue, request.organisation, state.limits.slots, state.service_ms
     )
-    wait_ms = wait_ms * CAUTION + needed_ms(state, now_ms, request.kind)
+    wait_ms = wait_ms * CAUTION + _needed_ms(state, now_ms, request.kind)
     if wait_ms > left_ms:
         return fates.refuse(Reason.OVERLOAD, wait_ms - left_ms)
-    if request.kind is Kind.WRITE:
-        lag_ms = majority_lag(state, now_ms)
-        if lag_ms > left_ms:
-            return fates.refuse(Reason.REPLICAS_BEHIND, lag_ms - left_ms)
     if request.kind is Kind.BEGIN:
         most = state.limits.connections - state.limits.slots - 1
         if len(state.transactions) >= max(1, most):
@@ -94,7 +95,24 @@
     return None
 
 
-def needed_ms(state: states.OwnerState, now_ms: int, kind: Kind) -> float:
+def too_late(
+    state: states.OwnerState, now_ms: int, request: requests.Request
+) -> Reason | None:
+    """Say why a request would end in doubt if it began now, if it would.
+
+    It would take a slot from one that can make it, and another to find out
+    what became of it.
+    """
+    needed = _needed_ms(state, now_ms, request.kind)
+    if request.deadline_ms - now_ms >= needed:
+        return None
+    if request.kind is Kind.WRITE:
+        if majority_lag(state, now_ms) > state.service_ms * LAG_IS_CAUSE:
+            return Reason.REPLICAS_BEHIND
+    return Reason.DEADLINE
+
+
+def _needed_ms(state: states.OwnerState, now_ms: int, kind: Kind) -> float:
     """Return the time that a request should have left when it begins."""
     needed = state.service_ms
     if kind is Kind.WRITE:
--- a/topazring/core/dispatch.py
+++ b/topazring/core/dispatch.py
@@ -4,7 +4,6 @@
 from topazring.core import arrival
 from topazring.core import fates
 from topazring.core import messages
-from topazring.core import outcomes
 from topazring.core import places
 from topazring.core import requests
 from topazring.core import routing
@@ -16,7 +15,6 @@
 
 Out = list
 Kind = requests.Kind
-Reason = outcomes.Reason
 
 # A read waits that long for a busy replica before it takes the primary.
 REPLICA_QUEUE_MS = 50
@@ -70,8 +68,9 @@
         if key is None:
             break
         work = state.work[key]
-        if _too_late(state, now_ms, work):
-            outs += fates.give_up(state, work, Reason.DEADLINE, 0)
+        reason = arrival.too_late(state, now_ms, work.request)
+        if reason is not None:
+            outs += fates.give_up(state, work, reason, 0)
             continue
         term = state.view.term
         outs.append(_send(state, now_ms, work, primary, term, free))
@@ -126,18 +125,6 @@
     return now_ms - oldest_ms > allowed_ms
 
 
-def _too_late(
-    state: states.OwnerState, now_ms: int, work: states.Work
-) -> bool:
-    """Say whether a request would end in doubt if it began now.
-
-    It would take a slot from one that can make it, and another to find out
-    what became of it.
-    """
-    left_ms = work.request.deadline_ms - now_ms
-    return left_ms < arrival.needed_ms(state, now_ms, work.request.kind)
-
-
 def _overflows(state: states.OwnerState, free: dict[str, int]) -> bool:
     """Say whether the primary should help out with the replicas' queue."""
     waiting = admission.size(state.replica_queue)
