--- a/topazring/load/generator.py
+++ b/topazring/load/generator.py
@@ -39,6 +39,8 @@
     profile: str = 'browse'
     max_staleness_ms: int = 2000
     seconds: float = 10.0
+    # The share of requests before which the session moves to another proxy.
+    roam_share: float = 0.0
     seed: int = 1
 
 
@@ -209,9 +211,12 @@
         self.history.setdefault(user.number, []).append((now, user.acked))
 
     async def _session_of(self, user: User) -> client.Session:
-        """Return the user's session, moved if its proxy is leaving."""
+        """Return the user's session, moved if its proxy is leaving.
+
+        It also moves now and then by itself, if the mix says so.
+        """
         session = user.session
-        if session.leaving:
+        if session.leaving or self.rng.random() < self.mix.roam_share:
             await self._roam(user, session)
             self._spawn(self._close_when_quiet(session))
         return user.session
--- a/topazring/tests/support.py
+++ b/topazring/tests/support.py
@@ -46,7 +46,15 @@
 
     async def load_through(self, fleet, fault, seconds=5.0, **mix):
         """Load the fleet, cause the fault in the middle, check it all."""
-        wanted = {'rate': 100, 'read_share': 0.5, 'sessions': 12, **mix}
+        # Sessions move between proxies all the while, also in the middle
+        # of the fault.
+        wanted = {
+            'rate': 100,
+            'read_share': 0.5,
+            'sessions': 12,
+            'roam_share': 0.05,
+            **mix,
+        }
         load = experiments.load_on(
             fleet, generator.Mix(seconds=seconds, **wanted)
         )
@@ -56,6 +64,7 @@
         await fault()
         stats = await running
         await load.close()
+        self.assertGreater(stats.roams, 0)
         await self.check_ledgers(fleet, stats)
         return stats
 
