Do not strike a successor off the stand-in's list for its predecessor

Cause: the stand-in probes a listed process that is gone, waits for its lag, and then took off whatever was listed under the name by then, the successor included. Now the list changes only if the entry is still the one that was probed.

--- a/topazring/standin/platform.py
+++ b/topazring/standin/platform.py
@@ -126,7 +126,8 @@
 
     async def _probe(self, name: str) -> None:
         """Ask an instance how it is; drop it when it stays silent."""
-        known = json.loads(self.instances.values[name].value)
+        listed = self.instances.values[name]
+        known = json.loads(listed.value)
         if not known.get('health_port'):
             return
         url = f'http://{known["host"]}:{known["health_port"]}/health'
@@ -140,14 +141,23 @@
         if state is None:
             self.missed[name] = self.missed.get(name, 0) + 1
             if self.missed[name] >= PROBES_LOST:
-                await self._list(name, None)
+                await self._list(name, None, listed.revision)
             return
         self.missed[name] = 0
         if state == 'leaving' and known['state'] != 'leaving':
-            await self._list(name, {**known, 'state': 'leaving'})
+            changed = {**known, 'state': 'leaving'}
+            await self._list(name, changed, listed.revision)
 
-    async def _list(self, name: str, instance: dict | None) -> None:
+    async def _list(
+        self, name: str, instance: dict | None, revision: int
+    ) -> None:
+        """Change the list, late; not if the instance was listed anew.
+
+        A successor would be struck off for its predecessor's silence.
+        """
         await asyncio.sleep(self.config.list_lag_ms / 1000)
+        if self.instances.values[name].revision != revision:
+            return
         text = None if instance is None else json.dumps(instance)
         await self.instances.put(name, text)
 
