--- a/topazring/admin/changes.py
+++ b/topazring/admin/changes.py
@@ -6,6 +6,7 @@
 import uuid
 
 from topazring import catalogue
+from topazring import key_value
 from topazring import platform_client
 
 __all__ = [
@@ -83,9 +84,9 @@
     """Read what the service has."""
     found = await platform.get(key_of(kind, name))
     match found:
-        case platform_client.Missing():
+        case key_value.Missing():
             return Stored(None, None, '')
-        case platform_client.Unavailable(detail=detail):
+        case key_value.Unavailable(detail=detail):
             return Lost(detail)
     value = json.loads(found.value)
     change_id = value.pop(_CHANGE_ID, '')
@@ -110,7 +111,7 @@
     detail = ''
     for _ in range(TRIES):
         written = await platform.put(key_of(kind, name), text, expected)
-        if isinstance(written, platform_client.Written):
+        if isinstance(written, key_value.Written):
             return Accepted(written.revision)
         stored = await read_value(platform, kind, name)
         if isinstance(stored, Lost):
--- a/topazring/admin/main.py
+++ b/topazring/admin/main.py
@@ -14,6 +14,7 @@
 
 from topazring.admin import changes
 from topazring import catalogue
+from topazring import key_value
 from topazring import platform_client
 
 __all__ = ['main']
@@ -189,7 +190,7 @@
 
     async def _list(self) -> None:
         found = await _client(self.platform).all_changes(catalogue.PREFIX)
-        if isinstance(found, platform_client.Unavailable):
+        if isinstance(found, key_value.Unavailable):
             fail(EXIT_UNREACHED, f'the service is away: {found.detail}')
         for change in sorted(found.changes, key=lambda c: c.key):
             _, kind, name = change.key.split('/', 2)
@@ -312,7 +313,7 @@
 ) -> list[dict]:
     """Return the proxies on the platform's list."""
     found = await platform.all_instances()
-    if isinstance(found, platform_client.Unavailable):
+    if isinstance(found, key_value.Unavailable):
         fail(EXIT_UNREACHED, f'the service is away: {found.detail}')
     listed = [json.loads(c.value) for c in found.changes if c.value]
     proxies = [i for i in listed if i['kind'] == 'proxy']
--- a/topazring/bench/fleet.py
+++ b/topazring/bench/fleet.py
@@ -19,6 +19,7 @@
 from topazring.bench import plans
 from topazring import catalogue
 from topazring import client
+from topazring import key_value
 from topazring import platform_client
 
 __all__ = ['Fleet', 'wait_until']
@@ -160,7 +161,7 @@
 
     async def _platform_answers(self) -> bool:
         found = await self.platform.get('any')
-        return not isinstance(found, platform_client.Unavailable)
+        return not isinstance(found, key_value.Unavailable)
 
     def _prepare_upstream(self, database: str, name: str) -> None:
         peers = [
@@ -277,7 +278,7 @@
         """Configure something that is not configured yet."""
         key = f'{catalogue.PREFIX}{kind}/{name}'
         written = await self.platform.put(key, json.dumps(value), None)
-        if not isinstance(written, platform_client.Written):
+        if not isinstance(written, key_value.Written):
             raise RuntimeError(f'{key}: {written}')
 
     # ---- what is seen ----
--- a/topazring/core/outcomes.py
+++ b/topazring/core/outcomes.py
@@ -38,8 +38,10 @@
     REPLICA_BEHIND = 'replica_behind'
     REPLICAS_BEHIND = 'replicas_behind'
     RETRY_BUDGET = 'retry_budget'
+    SILENT = 'silent'
     SLOTS_BUSY = 'slots_busy'
     TRANSACTION_LOST = 'transaction_lost'
+    UPSTREAM_FAILED = 'upstream_failed'
     UPSTREAM_TIMEOUT = 'upstream_timeout'
     # Rejected input: the caller has to change something first.
     BAD_FRAME = 'bad_frame'
@@ -47,6 +49,7 @@
     BAD_STATEMENT = 'bad_statement'
     BAD_TOKEN = 'bad_token'
     FORBIDDEN = 'forbidden'
+    NO_STATEMENT = 'no_statement'
     NO_TRANSACTION = 'no_transaction'
     REQUEST_ID_TOO_OLD = 'request_id_too_old'
     TOO_LARGE = 'too_large'
@@ -62,6 +65,7 @@
         Reason.BAD_STATEMENT,
         Reason.BAD_TOKEN,
         Reason.FORBIDDEN,
+        Reason.NO_STATEMENT,
         Reason.NO_TRANSACTION,
         Reason.REQUEST_ID_TOO_OLD,
         Reason.TOO_LARGE,
@@ -79,6 +83,8 @@
     place: places.Place
     served_by: str = ''
     repeated: bool = False
+    # What the upstream signed its answer with, where it signs.
+    signature: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/topazring/core/synchronous/__init__.py
@@ -0,0 +1,1 @@
+"""Decide for groups whose writes wait for a replica's receipt."""
--- /dev/null
+++ b/topazring/core/synchronous/connections.py
@@ -0,0 +1,206 @@
+"""Keep the connections to a group's upstreams within this proxy's share.
+
+All proxies together may hold only so many connections to an upstream. Each
+takes an equal share and leaves a reserve for proxies that come while others
+leave; an upstream that is at its limit refuses, and is left alone for a
+moment.
+"""
+
+from topazring.core import outcomes
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+
+__all__ = [
+    'closed',
+    'dial_extra',
+    'drop',
+    'drop_all_of',
+    'ensure',
+    'make_idle',
+    'opened',
+    'set_share',
+    'share_of',
+]
+
+# Of an upstream's connections this part is left for proxies that come
+# before those that they replace have gone; a third of a fleet of eight is
+# replaced one by one within it.
+RESERVE_SHARE = 0.12
+# A refused dial costs the upstream little; the pause keeps a dead one from
+# being dialled in a tight loop.
+DIAL_PAUSE_MS = 100
+MOST_DIAL_PAUSE_MS = 1000
+# An upstream at its limit is left alone for about the time in which a proxy
+# that leaves gives its connections back.
+LIMIT_PAUSE_MS = 300
+# A dial takes a slot for some ten milliseconds, behind a full queue of
+# statements for some hundred. One that hangs for longer is lost: an instance
+# without power never answers.
+DIAL_TIMEOUT_MS = 700
+
+
+def share_of(max_connections: int, proxies: int) -> int:
+    """Return how many connections to one upstream each proxy may hold.
+
+    >>> share_of(23, 8)
+    2
+    >>> share_of(30, 7)
+    3
+    >>> share_of(34, 68)
+    1
+    """
+    usable = max_connections * (1 - RESERVE_SHARE)
+    return max(1, int(usable / max(1, proxies)))
+
+
+def set_share(
+    state: states.GroupState, now_ms: int, message: messages.InstancesSeen
+) -> list:
+    """Take in how many proxies there are; give back what is too much."""
+    share = share_of(message.max_connections, message.count)
+    if share == state.connection_share:
+        return []
+    before = state.connection_share
+    state.connection_share = share
+    outs: list = [
+        messages.Decided(
+            'connection share',
+            inputs={
+                'share': share,
+                'before': before,
+                'proxies': message.count,
+            },
+        )
+    ]
+    for upstream in state.upstreams:
+        spare = states.idle_connections(state, upstream)
+        excess = _count(state, upstream) - share
+        for connection in spare[: max(0, excess)]:
+            outs += drop(state, connection)
+    return outs
+
+
+def _count(state: states.GroupState, upstream: str) -> int:
+    return sum(
+        connection.upstream == upstream
+        for connection in state.connections.values()
+    )
+
+
+def ensure(state: states.GroupState, now_ms: int) -> list:
+    """Open what is missing, one dial an upstream at a time."""
+    outs: list = []
+    held: dict[str, int] = {}
+    opening = set()
+    for connection in state.connections.values():
+        held[connection.upstream] = held.get(connection.upstream, 0) + 1
+        if connection.phase is states.Phase.OPENING:
+            opening.add(connection.upstream)
+    for upstream in state.upstreams.values():
+        if upstream.name in opening or now_ms < upstream.dial_after_ms:
+            continue
+        if held.get(upstream.name, 0) >= state.connection_share:
+            continue
+        if not _wanted(state, now_ms, upstream):
+            continue
+        outs.append(_dial(state, now_ms, upstream))
+    return outs
+
+
+def _wanted(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> bool:
+    """Say whether an upstream is to be reached at all.
+
+    One that leaves as a replica gets nothing new, and its connections would
+    only take up room at its successor. A primary is reached to its end.
+    """
+    closes_ms = upstream.closed_to_work_ms
+    return closes_ms is None or now_ms < closes_ms
+
+
+def _dial(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> messages.Open:
+    number = state.next_connection
+    state.next_connection += 1
+    state.connections[number] = states.Connection(
+        number, upstream.name, sent_ms=now_ms
+    )
+    return messages.Open(number, upstream.name, upstream.address)
+
+
+def opened(
+    state: states.GroupState, now_ms: int, connection: states.Connection
+) -> None:
+    """Take in a connection that is ready."""
+    upstream = state.upstreams.get(connection.upstream)
+    make_idle(connection, now_ms)
+    if upstream is not None:
+        upstream.dial_after_ms = 0
+
+
+def make_idle(connection: states.Connection, now_ms: int) -> None:
+    """Have a connection wait for its next commands."""
+    connection.phase = states.Phase.IDLE
+    connection.errand = states.Errand.NONE
+    connection.commands = ()
+    connection.work = 0
+    connection.idle_since_ms = now_ms
+
+
+def closed(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    message: messages.Closed,
+) -> None:
+    """Strike off a connection that ended; pause before the next dial."""
+    del state.connections[connection.number]
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is None:
+        return
+    if connection.phase is not states.Phase.OPENING:
+        return
+    state.counters[f'dial_{message.reason}'] += 1
+    if message.reason is outcomes.Reason.CONNECTION_LIMIT:
+        upstream.limit_met_ms = now_ms
+        upstream.dial_after_ms = now_ms + LIMIT_PAUSE_MS
+        return
+    upstream.failed_dials += 1
+    if upstream.unheard_since_ms is None:
+        upstream.unheard_since_ms = connection.sent_ms
+    pause_ms = DIAL_PAUSE_MS * upstream.failed_dials
+    upstream.dial_after_ms = now_ms + min(pause_ms, MOST_DIAL_PAUSE_MS)
+
+
+def drop(
+    state: states.GroupState, connection: states.Connection
+) -> list[messages.Close]:
+    """Close a connection that is not to be used again."""
+    del state.connections[connection.number]
+    return [messages.Close(connection.number)]
+
+
+def drop_all_of(
+    state: states.GroupState, upstream: str
+) -> list[messages.Close]:
+    """Close the idle connections to an upstream."""
+    outs = []
+    for connection in states.idle_connections(state, upstream):
+        outs += drop(state, connection)
+    return outs
+
+
+def dial_extra(
+    state: states.GroupState, now_ms: int, upstream: str
+) -> list[messages.Open]:
+    """Dial beyond the share, where a group's fate waits for an answer."""
+    known = state.upstreams.get(upstream)
+    if known is None or now_ms < known.dial_after_ms:
+        return []
+    for connection in state.connections.values():
+        opening = connection.phase is states.Phase.OPENING
+        if connection.upstream == upstream and opening:
+            return []
+    return [_dial(state, now_ms, known)]
--- /dev/null
+++ b/topazring/core/synchronous/dispatch.py
@@ -0,0 +1,320 @@
+"""Give waiting requests an upstream and a connection."""
+
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import exchanges
+from topazring.core.synchronous import fates
+from topazring.core.synchronous import freshness
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+from topazring.core.synchronous import waiting
+
+__all__ = [
+    'continue_transaction',
+    'hedge',
+    'hedge_after_ms',
+    'needs_primary',
+    'run',
+    'send',
+    'stalled',
+    'undo',
+]
+
+Reason = outcomes.Reason
+
+# A read goes to another data centre, or to the primary, only if it is
+# served sooner there by this. Bytes between data centres cost money and the
+# primary alone can take writes; both are worth some waiting, and a typical
+# statement takes 10 to 20 ms.
+FOREIGN_COST_MS = 12.0
+PRIMARY_COST_MS = 6.0
+# A replica that lacked a place is not asked for it again until then; a
+# usual lag is 60 ms.
+LACKED_PAUSE_MS = 80
+# A read that has run for so many usual times is tried elsewhere as well.
+HEDGE_TIMES = 4.0
+LEAST_HEDGE_MS = 60
+
+
+def needs_primary(request: messages.Request) -> bool:
+    """Say whether only the primary can serve a request."""
+    if request.writes:
+        return True
+    if request.begins and not request.read_only:
+        return True
+    return request.policy.freshness is messages.Freshness.PRIMARY
+
+
+def run(state: states.GroupState, now_ms: int) -> list:
+    """Serve what waits, in order, as long as connections are free."""
+    outs: list = []
+    for primary_only in (True, False):
+        for key in waiting.heads(state, primary_only):
+            work = state.work[key]
+            if work.not_before_ms > now_ms:
+                continue
+            if primary_only:
+                outs += _at_primary(state, now_ms, work)
+            else:
+                outs += _anywhere(state, now_ms, work)
+    return outs
+
+
+def _at_primary(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> list:
+    upstream = state.upstreams.get(state.primary)
+    if upstream is None or _closed_to_work(upstream, now_ms):
+        return []
+    if upstream.busy_until_ms > now_ms:
+        return []
+    connection = _best_connection(state, upstream.name, work.request)
+    if connection is None:
+        return []
+    return _start(state, now_ms, work, connection, None)
+
+
+def _closed_to_work(upstream: states.Upstream, now_ms: int) -> bool:
+    closes_ms = upstream.closed_to_work_ms
+    return closes_ms is not None and now_ms >= closes_ms
+
+
+def _anywhere(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> list:
+    place = freshness.required_place(state, work.request)
+    if place is None:
+        return _move_to_primary(state, now_ms, work, 'no age is known')
+    able = [
+        upstream
+        for upstream in state.upstreams.values()
+        if _may_serve(state, now_ms, work, upstream, place)
+    ]
+    if not able:
+        return _move_to_primary(state, now_ms, work, 'no replica will do')
+    chosen = _choose(state, now_ms, able, work)
+    if chosen is None:
+        return []
+    return _start(state, now_ms, work, chosen, place)
+
+
+def _move_to_primary(
+    state: states.GroupState, now_ms: int, work: states.Work, why: str
+) -> list:
+    waiting.remove(state, work)
+    work.primary_only = True
+    waiting.add(state, work)
+    state.counters['read_moved_to_primary'] += 1
+    moved = messages.Decided(
+        'read needs the primary',
+        work.request.statement.request_id,
+        {
+            'why': why,
+            'samples': len(state.samples),
+            'passed_over': len(work.passed_over),
+        },
+    )
+    return [moved, *_at_primary(state, now_ms, work)]
+
+
+def _may_serve(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    upstream: states.Upstream,
+    place: places.Place,
+) -> bool:
+    if upstream.name in work.passed_over:
+        return False
+    if upstream.leaving and upstream.name != state.primary:
+        return False
+    if _closed_to_work(upstream, now_ms):
+        return False
+    if not _has_connection(state, upstream.name):
+        return False
+    if upstream.place >= place or upstream.name == state.primary:
+        return True
+    lately = now_ms - upstream.lacked_ms < LACKED_PAUSE_MS
+    return not (lately and upstream.lacked <= place)
+
+
+def _has_connection(state: states.GroupState, upstream: str) -> bool:
+    return any(
+        connection.upstream == upstream
+        and connection.phase is not states.Phase.OPENING
+        for connection in state.connections.values()
+    )
+
+
+def _choose(
+    state: states.GroupState,
+    now_ms: int,
+    able: list[states.Upstream],
+    work: states.Work,
+) -> states.Connection | None:
+    """Return a free connection to the upstream expected to answer first."""
+    ranked = sorted(
+        able,
+        key=lambda upstream: (
+            stalled(state, now_ms, upstream),
+            _expected_ms(state, now_ms, upstream),
+            upstream.name,
+        ),
+    )
+    for upstream in ranked:
+        connection = _best_connection(state, upstream.name, work.request)
+        if connection is not None:
+            return connection
+    return None
+
+
+def _expected_ms(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> float:
+    in_use = sum(
+        connection.upstream == upstream.name
+        and connection.phase is states.Phase.BUSY
+        for connection in state.connections.values()
+    )
+    expected_ms = upstream.service_ms * (1 + 0.5 * in_use)
+    expected_ms += max(0, upstream.busy_until_ms - now_ms)
+    if upstream.data_centre != state.data_centre:
+        expected_ms += FOREIGN_COST_MS
+    if upstream.name == state.primary:
+        expected_ms += PRIMARY_COST_MS
+    return expected_ms
+
+
+def stalled(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> bool:
+    """Say whether an upstream has left something unanswered for long.
+
+    Any later answer of it clears that: then the connection is at fault.
+    """
+    limit_ms = hedge_after_ms(upstream)
+    return any(
+        connection.upstream == upstream.name
+        and connection.phase is states.Phase.BUSY
+        and now_ms - connection.sent_ms > limit_ms
+        and upstream.heard_ms < connection.sent_ms
+        for connection in state.connections.values()
+    )
+
+
+def hedge_after_ms(upstream: states.Upstream) -> float:
+    """Return how long an answer may take before it is unusual."""
+    return max(LEAST_HEDGE_MS, upstream.service_ms * HEDGE_TIMES)
+
+
+def _best_connection(
+    state: states.GroupState, upstream: str, request: messages.Request
+) -> states.Connection | None:
+    """Return the free connection that needs the least adapting."""
+    free = states.idle_connections(state, upstream)
+    if not free:
+        return None
+    return min(free, key=lambda c: exchanges.adapt_cost(c, request))
+
+
+def _start(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    connection: states.Connection,
+    after: places.Place | None,
+) -> list:
+    request = work.request
+    if work.queued:
+        waiting.take(state, now_ms, work)
+    if work.offered_ms is None:
+        work.offered_ms = now_ms
+    _assign(work, connection)
+    if request.begins:
+        commands = exchanges.begin(connection, request, after)
+        return [send(connection, now_ms, states.Errand.BEGINNING, commands)]
+    commands = exchanges.single(connection, request, after)
+    return [send(connection, now_ms, states.Errand.STATEMENT, commands)]
+
+
+def _assign(work: states.Work, connection: states.Connection) -> None:
+    work.running.add(connection.number)
+    connection.work = work.request.key
+    connection.writing = work.request.writes
+
+
+def send(
+    connection: states.Connection,
+    now_ms: int,
+    errand: states.Errand,
+    commands: tuple[statements.Command, ...],
+) -> messages.Send:
+    """Send commands on a connection and note what for."""
+    connection.phase = states.Phase.BUSY
+    connection.errand = errand
+    connection.commands = commands
+    connection.sent_ms = now_ms
+    return messages.Send(connection.number, commands)
+
+
+def continue_transaction(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> list:
+    """Send a statement of an open transaction on its connection."""
+    request = work.request
+    transaction = state.transactions.get(request.transaction)
+    if transaction is None:
+        return fates.give_up(state, now_ms, work, Reason.TRANSACTION_LOST, 0)
+    connection = state.connections[transaction.connection]
+    commands = exchanges.adapt(connection, request)
+    commands.append(exchanges.statement_command(request))
+    work.offered_ms = now_ms
+    _assign(work, connection)
+    return [send(connection, now_ms, states.Errand.STATEMENT, tuple(commands))]
+
+
+def undo(
+    state: states.GroupState, now_ms: int, connection: states.Connection
+) -> list:
+    """Roll a connection back for its next use; close it if it is busy."""
+    connection.transaction = 0
+    connection.work = 0
+    if connection.phase is not states.Phase.IDLE:
+        return list(connections.drop(state, connection))
+    rollback = (statements.Rollback(),)
+    return [send(connection, now_ms, states.Errand.UNDOING, rollback)]
+
+
+def hedge(state: states.GroupState, now_ms: int, work: states.Work) -> list:
+    """Run a slow read a second time, at another upstream."""
+    request = work.request
+    busy_at = {state.connections[number].upstream for number in work.running}
+    place = freshness.required_place(state, request)
+    able = []
+    if place is not None:
+        able = [
+            upstream
+            for upstream in state.upstreams.values()
+            if upstream.name not in busy_at
+            and _may_serve(state, now_ms, work, upstream, place)
+        ]
+    chosen = _choose(state, now_ms, able, work)
+    if chosen is None and state.primary:
+        # A second connection to the primary: the first may be silent.
+        place = None
+        chosen = _best_connection(state, state.primary, request)
+    if chosen is None:
+        return []
+    work.hedges += 1
+    state.counters['hedged'] += 1
+    decided = messages.Decided(
+        'hedges',
+        request.statement.request_id,
+        {
+            'upstream': chosen.upstream,
+            'after_ms': now_ms - request.arrived_ms,
+        },
+    )
+    return [decided, *_start(state, now_ms, work, chosen, place)]
--- /dev/null
+++ b/topazring/core/synchronous/evidence.py
@@ -0,0 +1,128 @@
+"""Weigh the evidence that a primary is lost.
+
+Silence on one connection condemns that connection. Full slots are not
+silence either: a guard takes no slot, so an upstream that lives answers it
+whatever its load. What condemns a primary is that neither its connections
+nor a new dial are answered, or that it answers and cannot get a write
+confirmed, which is how one looks that is cut off from its replicas.
+"""
+
+import dataclasses
+
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = ['Loss', 'judge', 'needs_dial']
+
+# Guards go out every 100 ms while a loss would be noticed here, and are
+# answered within a few. Three missed in a row are no accident.
+SILENT_MS = 300
+# A silent connection is checked by a new dial after that long; a dial takes
+# 12 to 27 ms.
+DIAL_AFTER_MS = 120
+# A dial that is unanswered for so long counts as silence.
+DIAL_SILENT_MS = 150
+# A write takes some ten ms, and some hundred behind a full queue of the
+# upstream. One that hangs longer is not confirmed by any replica.
+HANGING_MS = 600
+# After a pause of this process, silence counts again once answers that were
+# under way had time to be read.
+BLIND_MS = 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """Report why a primary counts as lost."""
+
+    upstream: str
+    why: str
+    since_ms: int
+    # It answers, but its replicas do not confirm its writes.
+    unconfirmed: bool = False
+
+
+def judge(state: states.GroupState, now_ms: int) -> Loss | None:
+    """Return the loss of the primary, None while it may be alive."""
+    if now_ms - state.woke_ms < BLIND_MS and state.woke_ms:
+        return None
+    if not state.primary:
+        return None
+    upstream = state.upstreams.get(state.primary)
+    if upstream is None:
+        return Loss(state.primary, 'it is listed no more', now_ms)
+    silent = _silent(state, now_ms, upstream)
+    if silent is not None:
+        return silent
+    return _hanging(state, now_ms, upstream)
+
+
+def _silent(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> Loss | None:
+    """Return a loss if nothing gets an answer, a new dial neither."""
+    since_ms = unanswered_since(state, upstream)
+    if since_ms is None or now_ms - since_ms < SILENT_MS:
+        return None
+    if upstream.failed_dials >= 1:
+        return Loss(upstream.name, 'it refuses or is silent', since_ms)
+    for connection in state.connections.values():
+        if connection.upstream != upstream.name:
+            continue
+        if connection.phase is not states.Phase.OPENING:
+            continue
+        if now_ms - connection.sent_ms >= DIAL_SILENT_MS:
+            return Loss(upstream.name, 'a new dial is silent', since_ms)
+    return None
+
+
+def unanswered_since(
+    state: states.GroupState, upstream: states.Upstream
+) -> int | None:
+    """Return since when everything sent to an upstream is unanswered."""
+    asked = [
+        connection.sent_ms
+        for connection in state.connections.values()
+        if connection.upstream == upstream.name
+        and connection.phase is not states.Phase.IDLE
+        and connection.sent_ms > upstream.heard_ms
+    ]
+    if upstream.unheard_since_ms is not None:
+        asked.append(upstream.unheard_since_ms)
+    return min(asked, default=None)
+
+
+def needs_dial(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> bool:
+    """Say whether silence is to be checked by a new connection."""
+    since_ms = unanswered_since(state, upstream)
+    return since_ms is not None and now_ms - since_ms >= DIAL_AFTER_MS
+
+
+def _hanging(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> Loss | None:
+    """Return a loss if writes hang while everything else is answered."""
+    oldest_ms = None
+    for connection in state.connections.values():
+        if connection.upstream != upstream.name:
+            continue
+        if connection.errand is not states.Errand.STATEMENT:
+            continue
+        if not _waits_for_replica(connection):
+            continue
+        if oldest_ms is None or connection.sent_ms < oldest_ms:
+            oldest_ms = connection.sent_ms
+    if oldest_ms is None or now_ms - oldest_ms < HANGING_MS:
+        return None
+    if upstream.confirmed_ms > oldest_ms:
+        # Others were confirmed meanwhile: that answer alone is lost.
+        return None
+    return Loss(upstream.name, 'its writes are not confirmed', oldest_ms, True)
+
+
+def _waits_for_replica(connection: states.Connection) -> bool:
+    last = connection.commands[-1]
+    if isinstance(last, statements.Commit):
+        return True
+    return connection.writing and not connection.transaction
--- /dev/null
+++ b/topazring/core/synchronous/expiry.py
@@ -0,0 +1,99 @@
+"""End what has run out of time; try slow reads elsewhere."""
+
+from topazring.core import outcomes
+from topazring.core import retries
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import fates
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import results
+from topazring.core.synchronous import state as states
+
+__all__ = ['expire', 'expire_connections']
+
+Reason = outcomes.Reason
+
+# When a caller may come back whose request found no primary: a promotion
+# takes some hundred ms and finding the new primary a few more.
+NO_PRIMARY_RETRY_MS = 400
+RETRY_MS = 100
+# A connection whose commands have gone unanswered for so long carries
+# nothing any more; the longest statement takes a fifth of it.
+SILENT_MS = 1500
+# Guards take no slot, so their answer is never slow.
+SILENT_GUARD_MS = 400
+MOST_HEDGES = 2
+
+
+def expire(state: states.GroupState, now_ms: int) -> list:
+    """Give up what is late, and hedge reads that take unusually long."""
+    outs: list = []
+    for work in list(state.work.values()):
+        if now_ms >= work.deadline_ms:
+            outs += _too_late(state, now_ms, work)
+        elif work.running and _is_slow(state, now_ms, work):
+            if retries.spend(state.budget):
+                outs += dispatch.hedge(state, now_ms, work)
+    return outs
+
+
+def _too_late(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> list:
+    if work.running:
+        reason = Reason.UPSTREAM_TIMEOUT
+        return fates.give_up(
+            state, now_ms, work, reason, RETRY_MS, maybe_ran=True
+        )
+    retry_ms = RETRY_MS if state.primary else NO_PRIMARY_RETRY_MS
+    reason = work.last_reason if not state.primary else Reason.DEADLINE
+    return fates.give_up(state, now_ms, work, reason, retry_ms)
+
+
+def _is_slow(state: states.GroupState, now_ms: int, work: states.Work) -> bool:
+    request = work.request
+    if request.writes or request.transaction or work.hedges >= MOST_HEDGES:
+        return False
+    for number in work.running:
+        connection = state.connections[number]
+        upstream = state.upstreams.get(connection.upstream)
+        if upstream is None:
+            continue
+        took_ms = now_ms - connection.sent_ms
+        if took_ms <= dispatch.hedge_after_ms(upstream):
+            return False
+    return True
+
+
+def expire_connections(state: states.GroupState, now_ms: int) -> list:
+    """Close connections that went silent, as if the other end had."""
+    outs: list = []
+    for connection in list(state.connections.values()):
+        if connection.phase is states.Phase.IDLE:
+            continue
+        waited_ms = now_ms - max(connection.sent_ms, state.woke_ms)
+        if waited_ms < _patience(connection):
+            continue
+        outs.append(messages.Close(connection.number))
+        outs.append(
+            messages.Decided(
+                'connection silent',
+                inputs={
+                    'upstream': connection.upstream,
+                    'errand': str(connection.errand),
+                    'phase': str(connection.phase),
+                    'for_ms': now_ms - connection.sent_ms,
+                },
+            )
+        )
+        ended = messages.Closed(connection.number, Reason.SILENT)
+        outs += results.closed(state, now_ms, connection, ended)
+    return outs
+
+
+def _patience(connection: states.Connection) -> int:
+    if connection.phase is states.Phase.OPENING:
+        return connections.DIAL_TIMEOUT_MS
+    if connection.errand in (states.Errand.GUARD, states.Errand.BEGINNING):
+        return SILENT_GUARD_MS
+    return SILENT_MS
--- /dev/null
+++ b/topazring/core/synchronous/fates.py
@@ -0,0 +1,118 @@
+"""Give each request its one final answer, or put it back in line.
+
+What may be promised follows from what was sent. A read keeps nothing
+whatever became of it, and a transaction keeps nothing until its COMMIT was
+sent, for its connection is closed. A single write or a COMMIT that was sent
+and not answered may have taken effect; it is never sent again.
+"""
+
+from topazring.core import outcomes
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+from topazring.core.synchronous import waiting
+
+__all__ = ['answer', 'end_transaction', 'give_up', 'keeps_nothing', 'requeue']
+
+Reason = outcomes.Reason
+
+
+def keeps_nothing(work: states.Work) -> bool:
+    """Say whether nothing of the request can last, whatever became of it."""
+    request = work.request
+    if request.statement.verb is statements.Verb.COMMIT:
+        return False
+    return not request.writes or request.transaction != 0
+
+
+def answer(
+    state: states.GroupState, work: states.Work, outcome: outcomes.Outcome
+) -> list:
+    """Give the final answer.
+
+    Connections that still run a copy of the request go on: what they return
+    belongs to nobody any more.
+    """
+    del state.work[work.request.key]
+    if work.queued:
+        waiting.remove(state, work)
+    state.counters[_label(outcome)] += 1
+    return [messages.Answer(work.request.key, outcome)]
+
+
+def _label(outcome: outcomes.Outcome) -> str:
+    name = type(outcome).__name__.lower()
+    reason = getattr(outcome, 'reason', '')
+    return f'{name}_{reason}' if reason else name
+
+
+def give_up(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    reason: outcomes.Reason,
+    retry_after_ms: int,
+    maybe_ran: bool = False,
+) -> list:
+    """Refuse a request for good, and say truthfully what is kept of it."""
+    request = work.request
+    outcome: outcomes.Outcome = outcomes.NotRun(reason, retry_after_ms)
+    if maybe_ran and not keeps_nothing(work):
+        outcome = outcomes.Unknown(reason)
+    decided = messages.Decided(
+        'gave up',
+        request.statement.request_id,
+        {
+            'outcome': type(outcome).__name__,
+            'reason': str(reason),
+            'after_ms': now_ms - request.arrived_ms,
+            'offered': work.offered_ms is not None,
+            'primary': state.primary,
+            'primary_lost_ms': (
+                0
+                if state.primary_lost_ms is None
+                else now_ms - state.primary_lost_ms
+            ),
+            'retry_after_ms': retry_after_ms,
+        },
+    )
+    outs: list = [decided]
+    if request.transaction:
+        outs += end_transaction(state, request.transaction)
+    return outs + answer(state, work, outcome)
+
+
+def end_transaction(state: states.GroupState, key: int) -> list:
+    """Forget a transaction; closing its connection rolls it back."""
+    transaction = state.transactions.pop(key, None)
+    if transaction is None:
+        return []
+    connection = state.connections.get(transaction.connection)
+    if connection is None:
+        return []
+    return list(connections.drop(state, connection))
+
+
+def requeue(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    reason: outcomes.Reason,
+    pause_ms: int = 0,
+) -> list:
+    """Put a request that did not run back in line."""
+    state.counters[f'retry_{reason}'] += 1
+    work.last_reason = reason
+    work.not_before_ms = now_ms + pause_ms
+    if work.running:
+        # Another copy of a hedged read is still under way.
+        return []
+    waiting.add(state, work)
+    return [
+        messages.Decided(
+            'retries',
+            work.request.statement.request_id,
+            {'reason': str(reason), 'pause_ms': pause_ms},
+        )
+    ]
--- /dev/null
+++ b/topazring/core/synchronous/freshness.py
@@ -0,0 +1,66 @@
+"""Bound the age of what a read sees, without comparing clocks.
+
+A sample is the place at which the primary's log stood in the answer to a
+guard, bound to our time of sending. All that was acknowledged before that
+time is at or before the place, for a guard succeeds only at an upstream that
+leads after it was sent. A replica that holds the place of a sample taken
+at most the allowed staleness before a read arrived is fresh enough for it.
+"""
+
+from topazring.core import places
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+
+__all__ = ['add_sample', 'forget_samples', 'newest_ms', 'required_place']
+
+# Beyond the longest staleness in use a sample is worth nothing, except the
+# newest of those, which nothing younger replaces.
+KEPT_MS = 10_000
+# Samples closer together than this add nothing to the choice of a place.
+APART_MS = 50
+
+
+def add_sample(state: states.GroupState, sample: states.Sample) -> None:
+    """Take in a sample; one with a place behind a known one is dropped.
+
+    Answers come on several connections and can overtake each other.
+    """
+    samples = state.samples
+    if samples and sample.place < samples[-1].place:
+        return
+    if samples and sample.sent_ms - samples[-1].sent_ms < APART_MS:
+        return
+    samples.append(sample)
+    while samples[0].sent_ms < sample.sent_ms - KEPT_MS:
+        samples.popleft()
+
+
+def newest_ms(state: states.GroupState) -> int | None:
+    """Return when the newest sample was sent."""
+    return state.samples[-1].sent_ms if state.samples else None
+
+
+def forget_samples(state: states.GroupState) -> None:
+    """Trust no age: this process stood still, or its group began anew."""
+    state.samples.clear()
+
+
+def required_place(
+    state: states.GroupState, request: messages.Request
+) -> places.Place | None:
+    """Return the place that a replica has to hold, None if none will do.
+
+    The oldest sample that is young enough asks least of the replica.
+    """
+    policy = request.policy
+    if policy.freshness is messages.Freshness.PRIMARY:
+        return None
+    oldest_ms = request.arrived_ms - policy.max_staleness_ms
+    for sample in state.samples:
+        if sample.sent_ms >= oldest_ms:
+            break
+    else:
+        return None
+    if policy.freshness is messages.Freshness.SESSION:
+        return max(sample.place, request.session_place)
+    return sample.place
--- /dev/null
+++ b/topazring/core/synchronous/group.py
@@ -0,0 +1,216 @@
+"""Drive one group at one proxy: messages in, messages out."""
+
+import collections.abc
+
+from topazring.core import groups
+from topazring.core import outcomes
+from topazring.core.synchronous import arrival
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import evidence
+from topazring.core.synchronous import exchanges
+from topazring.core.synchronous import expiry
+from topazring.core.synchronous import fates
+from topazring.core.synchronous import freshness
+from topazring.core.synchronous import membership
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import primary
+from topazring.core.synchronous import promotion
+from topazring.core.synchronous import results
+from topazring.core.synchronous import state as states
+
+__all__ = ['SYNCHRONOUS', 'step']
+
+SYNCHRONOUS = 'synchronous'
+
+# Without other traffic to the primary a guard keeps the age of replicas
+# known. Much longer, and short staleness bounds send reads to the primary;
+# much shorter costs processor time for nothing.
+SAMPLE_MS = 300
+# The holder of the duty asks more often: a loss shows after three misses.
+HEARTBEAT_MS = 100
+# While no primary is known every upstream is asked.
+SEARCH_MS = 50
+# A timer that fires so late means that this process did not run.
+PAUSE_MS = 200
+
+Handler = collections.abc.Callable[[states.GroupState, int, object], list]
+_handlers: dict[type, Handler] = {}
+
+
+def _handles(kind: type) -> collections.abc.Callable[[Handler], Handler]:
+    """Register the handler of one kind of message."""
+
+    def register(handler: Handler) -> Handler:
+        _handlers[kind] = handler
+        return handler
+
+    return register
+
+
+@groups.register_step(SYNCHRONOUS)
+def step(state: states.GroupState, now_ms: int, message: object) -> list:
+    """Take in one message; return what is to be done about it."""
+    return _handlers[type(message)](state, now_ms, message)
+
+
+_handles(messages.Submit)(arrival.submit)
+_handles(messages.Withdraw)(arrival.withdraw)
+_handles(messages.InstancesSeen)(connections.set_share)
+_handles(messages.DutySeen)(promotion.duty_seen)
+
+
+@_handles(messages.UpstreamsSeen)
+def _upstreams_seen(
+    state: states.GroupState, now_ms: int, message: messages.UpstreamsSeen
+) -> list:
+    outs = membership.upstreams_seen(state, now_ms, message)
+    outs += primary.settle(state, now_ms)
+    outs += connections.ensure(state, now_ms)
+    return outs + dispatch.run(state, now_ms)
+
+
+@_handles(messages.Ordered)
+def _ordered(
+    state: states.GroupState, now_ms: int, message: messages.Ordered
+) -> list:
+    return promotion.ordered(state, now_ms, message)
+
+
+@_handles(messages.Opened)
+def _opened(
+    state: states.GroupState, now_ms: int, message: messages.Opened
+) -> list:
+    connection = state.connections.get(message.connection)
+    if connection is None:
+        return [messages.Close(message.connection)]
+    connections.opened(state, now_ms, connection)
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is None:
+        return list(connections.drop(state, connection))
+    primary.note_place(state, now_ms, upstream, message.place)
+    outs = connections.ensure(state, now_ms)
+    return outs + dispatch.run(state, now_ms)
+
+
+@_handles(messages.Replied)
+def _replied(
+    state: states.GroupState, now_ms: int, message: messages.Replied
+) -> list:
+    connection = state.connections.get(message.connection)
+    if connection is None:
+        return []
+    if connection.errand is states.Errand.CONTROL:
+        outs = _control_replied(state, now_ms, connection, message)
+    else:
+        outs = results.replied(state, now_ms, connection, message)
+    return outs + dispatch.run(state, now_ms)
+
+
+def _control_replied(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    message: messages.Replied,
+) -> list:
+    outs = results.note_places(state, now_ms, connection, message.replies)
+    reply = message.replies[-1]
+    outs += promotion.control_replied(state, now_ms, connection, reply)
+    connections.make_idle(connection, now_ms)
+    return outs
+
+
+@_handles(messages.Closed)
+def _closed(
+    state: states.GroupState, now_ms: int, message: messages.Closed
+) -> list:
+    connection = state.connections.get(message.connection)
+    if connection is None:
+        return []
+    outs = results.closed(state, now_ms, connection, message)
+    outs += connections.ensure(state, now_ms)
+    return outs + dispatch.run(state, now_ms)
+
+
+@_handles(messages.Tick)
+def _tick(
+    state: states.GroupState, now_ms: int, message: messages.Tick
+) -> list:
+    outs: list = []
+    if message.paused_ms >= PAUSE_MS:
+        outs += _wake(state, now_ms, message.paused_ms)
+    outs += expiry.expire(state, now_ms)
+    outs += expiry.expire_connections(state, now_ms)
+    outs += membership.close_leaving(state, now_ms)
+    outs += promotion.tick(state, now_ms)
+    outs += _guard(state, now_ms)
+    outs += connections.ensure(state, now_ms)
+    return outs + dispatch.run(state, now_ms)
+
+
+def _wake(state: states.GroupState, now_ms: int, paused_ms: int) -> list:
+    """Trust nothing that was known before this process stood still."""
+    state.woke_ms = now_ms
+    freshness.forget_samples(state)
+    for upstream in state.upstreams.values():
+        upstream.unheard_since_ms = None
+        upstream.failed_dials = 0
+    return [messages.Decided('woke', inputs={'paused_ms': paused_ms})]
+
+
+def _guard(state: states.GroupState, now_ms: int) -> list:
+    """Ask the primary whether it leads, or everyone while it is unknown."""
+    searching = not state.primary or state.promotion is not None
+    if searching:
+        period_ms = SEARCH_MS
+    elif state.holds_duty:
+        period_ms = HEARTBEAT_MS
+    else:
+        period_ms = SAMPLE_MS
+    if now_ms - state.guarded_ms < period_ms:
+        return []
+    newest_ms = freshness.newest_ms(state)
+    if not searching and newest_ms is not None:
+        if now_ms - newest_ms < period_ms:
+            return []
+    state.guarded_ms = now_ms
+    names = list(state.upstreams) if searching else [state.primary]
+    outs: list = []
+    for name in names:
+        outs += _guard_one(state, now_ms, name)
+    return outs
+
+
+def _guard_one(state: states.GroupState, now_ms: int, name: str) -> list:
+    upstream = state.upstreams.get(name)
+    if upstream is None:
+        return []
+    outs: list = []
+    if state.holds_duty and evidence.needs_dial(state, now_ms, upstream):
+        outs += connections.dial_extra(state, now_ms, name)
+    free = states.idle_connections(state, name)
+    if not free:
+        return outs
+    errand = states.Errand.GUARD
+    outs.append(dispatch.send(free[0], now_ms, errand, exchanges.GUARD))
+    return outs
+
+
+@_handles(messages.Abandon)
+def _abandon(
+    state: states.GroupState, now_ms: int, message: messages.Abandon
+) -> list:
+    outs: list = []
+    for work in list(state.work.values()):
+        outs += fates.give_up(
+            state,
+            now_ms,
+            work,
+            outcomes.Reason.DRAINING,
+            0,
+            maybe_ran=bool(work.running),
+        )
+    for connection in list(state.connections.values()):
+        outs += connections.drop(state, connection)
+    state.transactions.clear()
+    return outs
--- /dev/null
+++ b/topazring/core/synchronous/membership.py
@@ -0,0 +1,138 @@
+"""Take in which upstreams a group has, and let go of those that leave."""
+
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = ['close_leaving', 'upstreams_seen']
+
+# Of the time that a leaving primary may still be given work, this part is
+# used; its replacement has to be done by then. The rest covers a list that
+# was late and requests under way.
+LEAVING_SHARE = 0.6
+
+
+def upstreams_seen(
+    state: states.GroupState, now_ms: int, message: messages.UpstreamsSeen
+) -> list:
+    """Take in the whole list of the group's upstreams."""
+    outs: list = []
+    listed = {entry.name: entry for entry in message.upstreams}
+    for name in list(state.upstreams):
+        if name not in listed:
+            outs += _gone(state, name)
+    for entry in message.upstreams:
+        known = state.upstreams.get(entry.name)
+        if known is None:
+            outs += _come(state, now_ms, entry)
+        else:
+            outs += _changed(state, now_ms, known, entry)
+    return outs
+
+
+def _gone(state: states.GroupState, name: str) -> list:
+    del state.upstreams[name]
+    state.paused.discard(name)
+    outs: list = [messages.Decided('upstream gone', inputs={'upstream': name})]
+    outs += connections.drop_all_of(state, name)
+    return outs
+
+
+def _come(
+    state: states.GroupState, now_ms: int, entry: messages.Listed
+) -> list:
+    upstream = states.Upstream(
+        entry.name,
+        entry.address,
+        entry.data_centre,
+        entry.role,
+        entry.revision,
+    )
+    state.upstreams[entry.name] = upstream
+    _note_leaving(state, now_ms, upstream, entry)
+    return [
+        messages.Decided(
+            'upstream come',
+            inputs={
+                'upstream': entry.name,
+                'role': str(entry.role),
+                'revision': entry.revision,
+                'leaving': entry.leaving,
+            },
+        )
+    ]
+
+
+def _changed(
+    state: states.GroupState,
+    now_ms: int,
+    upstream: states.Upstream,
+    entry: messages.Listed,
+) -> list:
+    outs: list = []
+    if entry.address != upstream.address:
+        upstream.address = entry.address
+        outs += connections.drop_all_of(state, entry.name)
+    newer = entry.revision > upstream.listed_revision
+    if newer and entry.role is not upstream.listed_role:
+        # It sees itself in another part now: what it refused before that
+        # no longer speaks against it.
+        upstream.listed_role = entry.role
+        upstream.listed_revision = entry.revision
+        if entry.role is statements.Role.PRIMARY:
+            upstream.refuted_ms = None
+        outs.append(
+            messages.Decided(
+                'upstream changed part',
+                inputs={
+                    'upstream': entry.name,
+                    'role': str(entry.role),
+                    'revision': entry.revision,
+                },
+            )
+        )
+    if entry.leaving != upstream.leaving:
+        _note_leaving(state, now_ms, upstream, entry)
+        outs.append(
+            messages.Decided(
+                'upstream leaves' if entry.leaving else 'upstream stays',
+                inputs={
+                    'upstream': entry.name,
+                    'at_most_for_ms': entry.leaving_for_ms,
+                },
+            )
+        )
+    return outs
+
+
+def _note_leaving(
+    state: states.GroupState,
+    now_ms: int,
+    upstream: states.Upstream,
+    entry: messages.Listed,
+) -> None:
+    upstream.leaving = entry.leaving
+    if not entry.leaving:
+        upstream.closed_to_work_ms = None
+        return
+    upstream.closed_to_work_ms = now_ms
+    if entry.role is statements.Role.PRIMARY or state.primary == entry.name:
+        left_ms = state.limits.drain_ms * LEAVING_SHARE
+        upstream.closed_to_work_ms += max(
+            0, int(left_ms) - entry.leaving_for_ms
+        )
+
+
+def close_leaving(state: states.GroupState, now_ms: int) -> list:
+    """Close idle connections to those that get no new work."""
+    outs: list = []
+    for upstream in state.upstreams.values():
+        closes_ms = upstream.closed_to_work_ms
+        if closes_ms is None or now_ms < closes_ms:
+            continue
+        if state.promotion is not None and upstream.name != state.primary:
+            # It may hold what has to be asked for.
+            continue
+        outs += connections.drop_all_of(state, upstream.name)
+    return outs
--- /dev/null
+++ b/topazring/core/synchronous/promotion.py
@@ -0,0 +1,385 @@
+"""Replace a primary that is lost or leaves: pause, look, order.
+
+Every acknowledged write is in the log of some replica. Once a replica is
+paused it confirms nothing more, so what it reports in its answer to the
+pause is all that it can have confirmed. For a lost primary all replicas are
+paused and the highest is promoted. For one that leaves, all but the
+successor are paused: from then on every write needs the successor, and once
+that holds what the paused ones reported it holds all that was acknowledged,
+without a stop of writes.
+
+A replica that cannot be asked may be the only one that holds an acknowledged
+write. Nobody is promoted without its answer.
+"""
+
+import dataclasses
+
+from topazring.core import places
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import evidence
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import primary
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = [
+    'Attempt',
+    'control_replied',
+    'duty_seen',
+    'ordered',
+    'tick',
+]
+
+# A member that has not answered is asked again, on another connection.
+ASK_AGAIN_MS = 200
+# How often a successor's log is looked at while it catches up.
+LOOK_MS = 30
+# An order without an answer may still be carried out seconds later; it is
+# repeated, for the same upstream under the same token.
+ORDER_AGAIN_MS = 400
+# A promotion takes some hundred ms after the order. One that shows nothing
+# for so long failed, and the group is looked at anew.
+LEAD_MS = 3000
+# Pause before the next attempt after one that was broken off.
+PAUSE_MS = 300
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """Hold one attempt to replace a primary."""
+
+    old: str
+    why: str
+    began_ms: int
+    # Above every term that was seen: upstreams refuse a pause otherwise.
+    term: int
+    token: int
+    # The successor of a primary that leaves; the others are paused.
+    heir: str = ''
+    unconfirmed: bool = False
+    reports: dict[str, statements.StatusReport] = dataclasses.field(
+        default_factory=dict
+    )
+    asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    chosen: str = ''
+    ordered_ms: int = 0
+    accepted: bool = False
+
+
+def duty_seen(
+    state: states.GroupState, now_ms: int, message: messages.DutySeen
+) -> list:
+    """Take in whether this proxy may promote, and from which token on.
+
+    A holder that died may have left replicas paused; its successor resumes
+    all that do not lead.
+    """
+    gained = message.holds and not state.holds_duty
+    state.holds_duty = message.holds
+    if message.holds:
+        state.token = max(state.token, message.token)
+    else:
+        state.promotion = None
+    if gained:
+        state.paused = set(state.upstreams) - {state.primary}
+    return []
+
+
+def tick(state: states.GroupState, now_ms: int) -> list:
+    """Begin, go on with, or end an attempt; resume who was paused."""
+    if not state.holds_duty:
+        return []
+    attempt = state.promotion
+    if attempt is not None:
+        return _go_on(state, now_ms, attempt)
+    if now_ms < state.next_promotion_ms:
+        return []
+    loss = evidence.judge(state, now_ms)
+    if loss is not None:
+        return _begin(state, now_ms, loss.upstream, loss.why, loss)
+    old = state.upstreams.get(state.primary)
+    if old is not None and old.leaving:
+        heir = _heir(state)
+        if heir:
+            why = 'it leaves'
+            return _begin(state, now_ms, old.name, why, None, heir)
+    return _resume(state, now_ms)
+
+
+def _heir(state: states.GroupState) -> str:
+    """Return the replica to follow a leaving primary: it stays, is ahead."""
+    staying = [
+        upstream
+        for upstream in state.upstreams.values()
+        if not upstream.leaving and upstream.name != state.primary
+    ]
+    if not staying:
+        return ''
+    return max(staying, key=lambda u: (u.place, u.name)).name
+
+
+def _begin(
+    state: states.GroupState,
+    now_ms: int,
+    old: str,
+    why: str,
+    loss: evidence.Loss | None,
+    heir: str = '',
+) -> list:
+    state.token += 1
+    attempt = Attempt(old, why, now_ms, state.term + 1, state.token, heir)
+    attempt.unconfirmed = loss is not None and loss.unconfirmed
+    state.promotion = attempt
+    state.counters['promotion_begun'] += 1
+    decided = messages.Decided(
+        'promotion begins',
+        inputs={
+            'old': old,
+            'why': why,
+            'heir': heir,
+            'token': attempt.token,
+            'since_ms': 0 if loss is None else now_ms - loss.since_ms,
+        },
+    )
+    return [decided, *_go_on(state, now_ms, attempt)]
+
+
+def _go_on(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
+    ended = _end(state, now_ms, attempt)
+    if ended is not None:
+        return ended
+    if attempt.chosen:
+        return _repeat_order(state, now_ms, attempt)
+    outs = _ask(state, now_ms, attempt)
+    chosen = _choose(state, attempt)
+    if chosen:
+        outs += _order(state, now_ms, attempt, chosen)
+    return outs
+
+
+def _end(
+    state: states.GroupState, now_ms: int, attempt: Attempt
+) -> list | None:
+    """End an attempt that succeeded, or that nothing calls for any more."""
+    leads = state.primary
+    if leads and leads != attempt.old:
+        return _finish(state, now_ms, attempt, 'succeeded')
+    if attempt.chosen:
+        if now_ms - attempt.ordered_ms > LEAD_MS:
+            return _finish(state, now_ms, attempt, 'nobody leads')
+        return None
+    old = state.upstreams.get(attempt.old)
+    if attempt.heir:
+        if old is None or evidence.judge(state, now_ms) is not None:
+            return _finish(state, now_ms, attempt, 'lost meanwhile')
+        return None
+    if old is None:
+        return None
+    alive = old.heard_ms > attempt.began_ms
+    if attempt.unconfirmed:
+        alive = old.confirmed_ms > attempt.began_ms
+    if alive and leads == attempt.old:
+        return _finish(state, now_ms, attempt, 'it is back')
+    return None
+
+
+def _finish(
+    state: states.GroupState, now_ms: int, attempt: Attempt, how: str
+) -> list:
+    state.promotion = None
+    state.next_promotion_ms = now_ms
+    if how != 'succeeded':
+        state.next_promotion_ms += PAUSE_MS
+    state.counters['promotion_' + how.replace(' ', '_')] += 1
+    decided = messages.Decided(
+        'promotion ended',
+        inputs={
+            'how': how,
+            'old': attempt.old,
+            'chosen': attempt.chosen,
+            'primary': state.primary,
+            'took_ms': now_ms - attempt.began_ms,
+        },
+    )
+    return [decided, *_resume(state, now_ms)]
+
+
+def _members(state: states.GroupState, attempt: Attempt) -> list[str]:
+    """Return those whose answer is needed before anyone is chosen."""
+    return [name for name in state.upstreams if name != attempt.old]
+
+
+def _ask(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
+    outs: list = []
+    for name in _members(state, attempt):
+        asked_ms = attempt.asked_ms.get(name)
+        again_ms = LOOK_MS if name == attempt.heir else ASK_AGAIN_MS
+        answered = name in attempt.reports and name != attempt.heir
+        if answered:
+            continue
+        if asked_ms is not None and now_ms - asked_ms < again_ms:
+            continue
+        command: statements.Command = statements.Pause(attempt.term)
+        if name == attempt.heir:
+            command = statements.Status()
+        sent = _control(state, now_ms, name, command)
+        if sent:
+            attempt.asked_ms[name] = now_ms
+            if name != attempt.heir:
+                state.paused.add(name)
+        outs += sent
+    return outs
+
+
+def _control(
+    state: states.GroupState,
+    now_ms: int,
+    upstream: str,
+    command: statements.Command,
+) -> list:
+    """Send one command, on a new connection where none is free."""
+    free = states.idle_connections(state, upstream)
+    if free:
+        errand = states.Errand.CONTROL
+        return [dispatch.send(free[0], now_ms, errand, (command,))]
+    return connections.dial_extra(state, now_ms, upstream)
+
+
+def control_replied(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    reply: statements.Reply,
+) -> list:
+    """Take in a member's answer to a pause, a look or a resume."""
+    attempt = state.promotion
+    command = connection.commands[0]
+    name = connection.upstream
+    if isinstance(command, statements.Resume) and reply.code is None:
+        state.paused.discard(name)
+        return []
+    if attempt is None or reply.report is None:
+        return []
+    state.term = max(state.term, reply.report.term)
+    if isinstance(command, statements.Pause):
+        if command.term != attempt.term:
+            return []
+        return _paused(state, now_ms, attempt, name, reply.report)
+    if name == attempt.heir:
+        attempt.reports[name] = reply.report
+    return _go_on(state, now_ms, attempt)
+
+
+def _paused(
+    state: states.GroupState,
+    now_ms: int,
+    attempt: Attempt,
+    name: str,
+    report: statements.StatusReport,
+) -> list:
+    """Count a paused replica; a primary has paused nothing."""
+    if report.role is statements.Role.PRIMARY:
+        upstream = state.upstreams[name]
+        outs = primary.note_leads(state, now_ms, upstream)
+        return outs + _finish(state, now_ms, attempt, 'another leads')
+    attempt.reports[name] = report
+    return _go_on(state, now_ms, attempt)
+
+
+def _choose(state: states.GroupState, attempt: Attempt) -> str:
+    """Return who may be promoted without losing anything, if anyone."""
+    members = _members(state, attempt)
+    if not members or any(name not in attempt.reports for name in members):
+        return ''
+    held = {name: attempt.reports[name].received for name in members}
+    highest: places.Place = max(held.values())
+    if attempt.heir:
+        return attempt.heir if held[attempt.heir] >= highest else ''
+    able = [name for name in members if held[name] == highest]
+    staying = [n for n in able if not state.upstreams[n].leaving]
+    return min(staying or able)
+
+
+def _order(
+    state: states.GroupState, now_ms: int, attempt: Attempt, chosen: str
+) -> list:
+    attempt.chosen = chosen
+    attempt.ordered_ms = now_ms
+    attempt.asked_ms.clear()
+    decided = messages.Decided(
+        'promotion ordered',
+        inputs={
+            'old': attempt.old,
+            'chosen': chosen,
+            'token': attempt.token,
+            'places': {
+                name: f'{report.received.log_term}.{report.received.position}'
+                for name, report in attempt.reports.items()
+            },
+            'after_ms': now_ms - attempt.began_ms,
+        },
+    )
+    attempt.asked_ms[chosen] = now_ms
+    return [decided, messages.Order(chosen, attempt.token)]
+
+
+def _repeat_order(
+    state: states.GroupState, now_ms: int, attempt: Attempt
+) -> list:
+    """Send the order again that got no answer: same upstream, same token."""
+    if attempt.accepted or attempt.asked_ms.get(attempt.chosen) is not None:
+        return []
+    attempt.asked_ms[attempt.chosen] = now_ms
+    return [messages.Order(attempt.chosen, attempt.token)]
+
+
+def ordered(
+    state: states.GroupState, now_ms: int, message: messages.Ordered
+) -> list:
+    """Take in the platform's answer to an order."""
+    attempt = state.promotion
+    if attempt is None or attempt.token != message.token:
+        return []
+    match message.result:
+        case messages.OrderResult.ACCEPTED:
+            return _accepted(state, now_ms, attempt)
+        case messages.OrderResult.UNANSWERED:
+            del attempt.asked_ms[attempt.chosen]
+            return _repeat_order(state, now_ms, attempt)
+        case messages.OrderResult.REFUSED:
+            # Until the platform's service confirms the duty again, another
+            # may hold it.
+            state.holds_duty = False
+            return _finish(state, now_ms, attempt, 'refused')
+
+
+def _accepted(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
+    attempt.accepted = True
+    old = state.upstreams.get(attempt.old)
+    if state.primary == attempt.old:
+        state.primary = ''
+        state.primary_lost_ms = now_ms
+    if old is not None:
+        old.refuted_ms = now_ms
+    return []
+
+
+def _resume(state: states.GroupState, now_ms: int) -> list:
+    """Have every replica receive again that an attempt had paused."""
+    outs: list = []
+    if not state.primary:
+        return outs
+    for name in list(state.paused):
+        upstream = state.upstreams.get(name)
+        if upstream is None or name == state.primary:
+            state.paused.discard(name)
+            continue
+        under_way = any(
+            connection.upstream == name
+            and connection.errand is states.Errand.CONTROL
+            for connection in state.connections.values()
+        )
+        if not under_way:
+            outs += _control(state, now_ms, name, statements.Resume())
+    return outs
--- /dev/null
+++ b/topazring/core/synchronous/results.py
@@ -0,0 +1,481 @@
+"""Take in what upstreams answered."""
+
+import collections.abc
+
+from topazring.core import outcomes
+from topazring.core import retries
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import exchanges
+from topazring.core.synchronous import fates
+from topazring.core.synchronous import freshness
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import primary
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = ['closed', 'note_places', 'replied']
+
+Reason = outcomes.Reason
+Code = statements.Code
+SessionState = statements.SessionState
+
+# A full upstream has room again after about one statement.
+BUSY_PAUSE_MS = 15
+# How long to look for the next primary before a request is sent again.
+READ_ONLY_PAUSE_MS = 5
+SERVICE_WEIGHT = 0.1
+LEAST_SERVICE_MS = 1.0
+
+Handler = collections.abc.Callable[
+    [states.GroupState, int, states.Connection, messages.Replied], list
+]
+_errands: dict[states.Errand, Handler] = {}
+
+
+def _handles(
+    errand: states.Errand,
+) -> collections.abc.Callable[[Handler], Handler]:
+    def register(handler: Handler) -> Handler:
+        _errands[errand] = handler
+        return handler
+
+    return register
+
+
+def replied(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    message: messages.Replied,
+) -> list:
+    """Take in the replies to what a connection was sent."""
+    outs = note_places(state, now_ms, connection, message.replies)
+    handler = _errands[connection.errand]
+    return outs + handler(state, now_ms, connection, message)
+
+
+def note_places(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    replies: tuple[statements.Reply, ...],
+) -> list:
+    """Learn from replies who leads, and where logs stand.
+
+    A plain BEGIN, a write and a COMMIT succeed only at an upstream that
+    led after they were sent, so the place behind them is a sample.
+    """
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is None or not replies:
+        return []
+    places = [reply.place for reply in replies if reply.place is not None]
+    last = places[-1] if places else None
+    primary.note_place(state, now_ms, upstream, last)
+    outs: list = []
+    for command, reply in zip(connection.commands, replies, strict=False):
+        if not isinstance(command, statements.Begin) or command.read_only:
+            continue
+        if reply.code is Code.READ_ONLY:
+            outs += primary.note_refuted(state, now_ms, upstream)
+        elif reply.code is None:
+            outs += primary.note_leads(state, now_ms, upstream)
+            if reply.place is not None:
+                sample = states.Sample(connection.sent_ms, reply.place)
+                freshness.add_sample(state, sample)
+    return outs
+
+
+def _release(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    last: statements.Reply,
+) -> list:
+    """Free a connection that is outside any transaction, else close it."""
+    connection.transaction = 0
+    if last.state is not SessionState.IDLE:
+        return list(connections.drop(state, connection))
+    connections.make_idle(connection, now_ms)
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is None or _is_closed(upstream, now_ms):
+        return list(connections.drop(state, connection))
+    return []
+
+
+def _is_closed(upstream: states.Upstream, now_ms: int) -> bool:
+    closes_ms = upstream.closed_to_work_ms
+    return closes_ms is not None and now_ms >= closes_ms
+
+
+@_handles(states.Errand.GUARD)
+@_handles(states.Errand.UNDOING)
+def _after_errand(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    message: messages.Replied,
+) -> list:
+    return _release(state, now_ms, connection, message.replies[-1])
+
+
+@_handles(states.Errand.BEGINNING)
+def _begun(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    message: messages.Replied,
+) -> list:
+    work = state.work.get(connection.work)
+    last = message.replies[-1]
+    refusal = exchanges.guard_refused(connection.commands, message.replies)
+    if refusal is None and last.code is not None:
+        refusal = last
+    if work is None or refusal is not None and last.code is None:
+        # Begun for nobody, or behind a guard that was refused.
+        connections.make_idle(connection, now_ms)
+        outs = dispatch.undo(state, now_ms, connection)
+    elif refusal is not None:
+        outs = _release(state, now_ms, connection, last)
+    else:
+        return _first_statement(state, now_ms, connection, work)
+    if work is None:
+        return outs
+    work.running.discard(connection.number)
+    return outs + _not_run(state, now_ms, work, connection, refusal)
+
+
+def _first_statement(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work,
+) -> list:
+    request = work.request
+    connection.transaction = request.transaction
+    state.transactions[request.transaction] = states.Transaction(
+        connection.number, request.read_only
+    )
+    command = exchanges.statement_command(request)
+    return [
+        dispatch.send(connection, now_ms, states.Errand.STATEMENT, (command,))
+    ]
+
+
+@_handles(states.Errand.STATEMENT)
+def _ran(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    message: messages.Replied,
+) -> list:
+    last = message.replies[-1]
+    _note_service(state, now_ms, connection, last)
+    work = state.work.get(connection.work)
+    refusal = exchanges.guard_refused(connection.commands, message.replies)
+    if connection.transaction:
+        return _ran_in_transaction(state, now_ms, connection, work, last)
+    outs = _release(state, now_ms, connection, last)
+    if work is None:
+        state.counters['late_result'] += 1
+        return outs
+    work.running.discard(connection.number)
+    if refusal is not None and not work.request.writes:
+        return outs + _not_run(state, now_ms, work, connection, refusal)
+    if last.code is None:
+        return outs + _done(state, now_ms, work, connection, last)
+    if last.code in (Code.FAILED, Code.TIMEOUT, Code.OTHER):
+        return outs + _failed(state, now_ms, work, connection, last)
+    return outs + _not_run(state, now_ms, work, connection, last)
+
+
+def _note_service(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    last: statements.Reply,
+) -> None:
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is None or last.code is not None:
+        return
+    took_ms = now_ms - connection.sent_ms
+    upstream.service_ms += (took_ms - upstream.service_ms) * SERVICE_WEIGHT
+    upstream.service_ms = max(LEAST_SERVICE_MS, upstream.service_ms)
+    retries.earn(state.budget)
+
+
+def _done(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    connection: states.Connection,
+    reply: statements.Reply,
+) -> list:
+    request = work.request
+    if request.writes:
+        _note_confirmed(state, now_ms, connection, reply)
+    at_primary = connection.upstream == state.primary
+    if not request.writes:
+        where = 'primary' if at_primary else 'replica'
+        kind = request.policy.freshness
+        state.counters[f'read_{kind}_at_{where}'] += 1
+    place = reply.place if request.writes else None
+    return fates.answer(
+        state,
+        work,
+        outcomes.Done(
+            list(reply.rows),
+            place,
+            connection.upstream,
+            signature=reply.signature or '',
+        ),
+    )
+
+
+def _note_confirmed(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    reply: statements.Reply,
+) -> None:
+    """Take in a write that its primary had confirmed by a replica."""
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is not None:
+        upstream.confirmed_ms = now_ms
+    if reply.place is not None:
+        sample = states.Sample(connection.sent_ms, reply.place)
+        freshness.add_sample(state, sample)
+
+
+def _not_run(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    connection: states.Connection,
+    reply: statements.Reply,
+) -> list:
+    """Send a request elsewhere, or again, that certainly did not run."""
+    upstream = state.upstreams.get(connection.upstream)
+    if reply.code is Code.LAGGING:
+        if upstream is not None:
+            _note_lacked(now_ms, connection, upstream)
+        work.passed_over.add(connection.upstream)
+        return fates.requeue(state, now_ms, work, Reason.REPLICA_BEHIND)
+    if reply.code is Code.READ_ONLY:
+        outs = []
+        if upstream is not None:
+            outs = primary.note_refuted(state, now_ms, upstream)
+        return outs + fates.requeue(
+            state, now_ms, work, Reason.REPLACED, READ_ONLY_PAUSE_MS
+        )
+    if reply.code is Code.NO_STATEMENT:
+        # Its prepared names are not what was believed.
+        connection.prepared.clear()
+        return fates.requeue(state, now_ms, work, Reason.NO_STATEMENT)
+    if reply.code is Code.BUSY:
+        if upstream is not None:
+            upstream.busy_until_ms = now_ms + BUSY_PAUSE_MS
+        return fates.requeue(state, now_ms, work, Reason.SLOTS_BUSY)
+    return fates.requeue(
+        state, now_ms, work, Reason.UPSTREAM_FAILED, BUSY_PAUSE_MS
+    )
+
+
+def _note_lacked(
+    now_ms: int, connection: states.Connection, upstream: states.Upstream
+) -> None:
+    for command in connection.commands:
+        after = getattr(command, 'after', None)
+        if after is not None:
+            upstream.lacked = after
+            upstream.lacked_ms = now_ms
+
+
+def _failed(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    connection: states.Connection,
+    reply: statements.Reply,
+) -> list:
+    """Answer a request that ran and failed; try a read elsewhere."""
+    if work.running:
+        return []
+    if not work.request.writes and retries.spend(state.budget):
+        work.passed_over.add(connection.upstream)
+        return fates.requeue(state, now_ms, work, Reason.UPSTREAM_FAILED)
+    reason = Reason.UPSTREAM_FAILED
+    if reply.code is Code.TIMEOUT:
+        reason = Reason.UPSTREAM_TIMEOUT
+    return fates.answer(state, work, outcomes.Unknown(reason))
+
+
+def _ran_in_transaction(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work | None,
+    reply: statements.Reply,
+) -> list:
+    transaction = state.transactions.get(connection.transaction)
+    if work is None or transaction is None:
+        return _abandon(state, now_ms, connection)
+    request = work.request
+    work.running.discard(connection.number)
+    transaction.statements += 1
+    ends = request.statement.verb is statements.Verb.COMMIT
+    if reply.code is None and not ends:
+        return _statement_done(
+            state, now_ms, connection, work, reply, transaction
+        )
+    if reply.code is None:
+        return _committed(state, now_ms, connection, work, reply, transaction)
+    return _statement_failed(
+        state, now_ms, connection, work, reply, transaction
+    )
+
+
+def _abandon(
+    state: states.GroupState, now_ms: int, connection: states.Connection
+) -> list:
+    """Undo a transaction that nobody waits for any more."""
+    state.counters['late_result'] += 1
+    state.transactions.pop(connection.transaction, None)
+    connections.make_idle(connection, now_ms)
+    return dispatch.undo(state, now_ms, connection)
+
+
+def _statement_done(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work,
+    reply: statements.Reply,
+    transaction: states.Transaction,
+) -> list:
+    if work.request.writes:
+        transaction.wrote = True
+    connections.make_idle(connection, now_ms)
+    return fates.answer(
+        state,
+        work,
+        outcomes.Done(
+            list(reply.rows),
+            None,
+            connection.upstream,
+            signature=reply.signature or '',
+        ),
+    )
+
+
+def _committed(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work,
+    reply: statements.Reply,
+    transaction: states.Transaction,
+) -> list:
+    state.transactions.pop(work.request.transaction, None)
+    outs = _release(state, now_ms, connection, reply)
+    place = reply.place if transaction.wrote else None
+    if place is not None:
+        _note_confirmed(state, now_ms, connection, reply)
+    return outs + fates.answer(
+        state,
+        work,
+        outcomes.Done(
+            list(reply.rows),
+            place,
+            connection.upstream,
+            signature=reply.signature or '',
+        ),
+    )
+
+
+def _statement_failed(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work,
+    reply: statements.Reply,
+    transaction: states.Transaction,
+) -> list:
+    """Answer a statement that its transaction does not survive.
+
+    One that found no slot while the transaction stands is sent again.
+    """
+    stands = reply.state is SessionState.IN_TRANSACTION
+    if reply.code is Code.BUSY and stands:
+        state.counters[f'retry_{Reason.SLOTS_BUSY}'] += 1
+        connections.make_idle(connection, now_ms)
+        return dispatch.continue_transaction(state, now_ms, work)
+    request = work.request
+    state.transactions.pop(request.transaction, None)
+    connections.make_idle(connection, now_ms)
+    if reply.state is SessionState.IDLE:
+        outs = _release(state, now_ms, connection, reply)
+    else:
+        outs = dispatch.undo(state, now_ms, connection)
+    upstream = state.upstreams.get(connection.upstream)
+    if reply.code is Code.READ_ONLY and upstream is not None:
+        outs += primary.note_refuted(state, now_ms, upstream)
+    if reply.code in (Code.FAILED, Code.TIMEOUT, Code.OTHER):
+        return outs + fates.answer(
+            state, work, outcomes.Unknown(Reason.UPSTREAM_FAILED)
+        )
+    return outs + fates.give_up(
+        state, now_ms, work, Reason.TRANSACTION_LOST, 0
+    )
+
+
+def closed(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    message: messages.Closed,
+) -> list:
+    """Take in the end of a connection and what it means for its work."""
+    outs = note_places(state, now_ms, connection, message.replies)
+    upstream = state.upstreams.get(connection.upstream)
+    connections.closed(state, now_ms, connection, message)
+    work = state.work.get(connection.work)
+    if connection.transaction:
+        state.transactions.pop(connection.transaction, None)
+    if connection.phase is states.Phase.BUSY:
+        if upstream is not None and upstream.unheard_since_ms is None:
+            upstream.unheard_since_ms = connection.sent_ms
+    if work is None:
+        return outs
+    work.running.discard(connection.number)
+    if work.running:
+        return outs
+    return outs + _lost(state, now_ms, connection, work, message.reason)
+
+
+def _lost(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work,
+    reason: outcomes.Reason,
+) -> list:
+    """Judge a request whose connection ended before its answer."""
+    request = work.request
+    begun = connection.errand is states.Errand.STATEMENT
+    first = request.begins or not request.transaction
+    if request.transaction and not first:
+        wrote_nothing = request.statement.verb is statements.Verb.COMMIT
+        return fates.give_up(
+            state,
+            now_ms,
+            work,
+            reason if wrote_nothing else Reason.TRANSACTION_LOST,
+            0,
+            maybe_ran=True,
+        )
+    if fates.keeps_nothing(work) or not begun:
+        if retries.spend(state.budget):
+            work.passed_over.add(connection.upstream)
+            return fates.requeue(state, now_ms, work, reason)
+    return fates.give_up(state, now_ms, work, reason, 0, maybe_ran=begun)
--- /dev/null
+++ b/topazring/core/synchronous/sessions.py
@@ -0,0 +1,237 @@
+"""Keep what a caller's session set, prepared and began.
+
+BEGIN, SET, PREPARE, DEALLOCATE and ROLLBACK are answered here. A transaction
+takes a connection only with its first statement, so that callers who pause
+after BEGIN hold nothing that others need.
+"""
+
+import dataclasses
+
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import statements
+
+__all__ = [
+    'Local',
+    'Session',
+    'Transacting',
+    'finish',
+    'lose_transaction',
+    'take',
+]
+
+Reason = outcomes.Reason
+SessionState = statements.SessionState
+Verb = statements.Verb
+
+_DONE = outcomes.Done([], places.ORIGIN)
+
+
+@dataclasses.dataclass(slots=True)
+class Transacting:
+    """Hold the transaction that a session is in."""
+
+    key: int
+    policy: messages.Policy
+    read_only: bool
+    # An upstream has a transaction open for it.
+    begun: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """Hold one caller's session."""
+
+    number: int
+    database: str
+    state: SessionState = SessionState.IDLE
+    values: dict[str, str] = dataclasses.field(default_factory=dict)
+    prepared: dict[str, statements.Prepare] = dataclasses.field(
+        default_factory=dict
+    )
+    transaction: Transacting | None = None
+    # Its own last commit.
+    place: places.Place = places.ORIGIN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Local:
+    """Answer a statement without an upstream.
+
+    `ends` is the transaction that is to be undone, 0 if none.
+    """
+
+    outcome: outcomes.Outcome
+    ends: int = 0
+
+
+def take(
+    session: Session,
+    now_ms: int,
+    key: int,
+    statement: statements.Statement,
+    policy: messages.Policy | None,
+) -> Local | messages.Request:
+    """Answer a statement here, or return the request for an upstream.
+
+    `key` becomes the request's, and the transaction's that it begins.
+    """
+    if session.state is SessionState.FAILED:
+        return _in_failed(session, statement)
+    match statement.verb:
+        case Verb.BEGIN:
+            return _begin(session, key, statement, policy)
+        case Verb.ROLLBACK:
+            return _rollback(session)
+        case Verb.SET:
+            session.values[statement.name] = statement.value
+            return Local(_DONE)
+        case Verb.PREPARE:
+            return _prepare(session, statement)
+        case Verb.DEALLOCATE:
+            return _deallocate(session, statement)
+        case _:
+            return _request(session, now_ms, key, statement, policy)
+
+
+def _reject(session: Session, reason: Reason, detail: str) -> Local:
+    """Refuse a statement that is wrong; a transaction fails by it."""
+    ends = 0
+    if session.transaction is not None:
+        ends = session.transaction.key if session.transaction.begun else 0
+        session.transaction = None
+        session.state = SessionState.FAILED
+    return Local(outcomes.Rejected(reason, detail), ends)
+
+
+def _in_failed(session: Session, statement: statements.Statement) -> Local:
+    match statement.verb:
+        case Verb.ROLLBACK:
+            session.state = SessionState.IDLE
+            return Local(_DONE)
+        case Verb.COMMIT:
+            session.state = SessionState.IDLE
+            return Local(outcomes.NotRun(Reason.TRANSACTION_LOST, 0))
+        case _:
+            detail = 'the transaction failed; end it first'
+            rejected = outcomes.Rejected(Reason.BAD_STATEMENT, detail)
+            return Local(rejected)
+
+
+def _begin(
+    session: Session,
+    key: int,
+    statement: statements.Statement,
+    policy: messages.Policy | None,
+) -> Local:
+    if session.transaction is not None:
+        detail = 'a transaction is open already'
+        return _reject(session, Reason.BAD_STATEMENT, detail)
+    if policy is None:
+        return Local(_unknown(session))
+    session.transaction = Transacting(key, policy, statement.read_only)
+    session.state = SessionState.IN_TRANSACTION
+    return Local(_DONE)
+
+
+def _unknown(session: Session) -> outcomes.Rejected:
+    return outcomes.Rejected(Reason.UNKNOWN_DATABASE, session.database)
+
+
+def _rollback(session: Session) -> Local:
+    transaction = session.transaction
+    if transaction is None:
+        detail = 'no transaction is open'
+        return _reject(session, Reason.NO_TRANSACTION, detail)
+    session.transaction = None
+    session.state = SessionState.IDLE
+    return Local(_DONE, transaction.key if transaction.begun else 0)
+
+
+def _prepare(session: Session, statement: statements.Statement) -> Local:
+    """Prepare under a name that all sessions share.
+
+    Callers' names collide. One name for each access and shape lets most
+    sessions use any connection as it is.
+    """
+    shared = f'{statement.access[0]}{statement.value}'
+    session.prepared[statement.name] = statements.Prepare(
+        shared, statement.access, statement.value
+    )
+    return Local(_DONE)
+
+
+def _deallocate(session: Session, statement: statements.Statement) -> Local:
+    if session.prepared.pop(statement.name, None) is None:
+        return _reject(session, Reason.NO_STATEMENT, statement.name)
+    return Local(_DONE)
+
+
+def _request(
+    session: Session,
+    now_ms: int,
+    key: int,
+    statement: statements.Statement,
+    policy: messages.Policy | None,
+) -> Local | messages.Request:
+    transaction = session.transaction
+    if transaction is not None:
+        policy = transaction.policy
+    elif statement.verb is Verb.COMMIT:
+        detail = 'no transaction is open'
+        return _reject(session, Reason.NO_TRANSACTION, detail)
+    if policy is None:
+        return Local(_unknown(session))
+    prepared = None
+    writes = statement.verb is Verb.WRITE
+    if statement.verb is Verb.EXECUTE:
+        prepared = session.prepared.get(statement.name)
+        if prepared is None:
+            return _reject(session, Reason.NO_STATEMENT, statement.name)
+        writes = prepared.access is statements.Access.WRITE
+    if writes and transaction is not None and transaction.read_only:
+        detail = 'the transaction only reads'
+        return _reject(session, Reason.BAD_STATEMENT, detail)
+    return messages.Request(
+        key,
+        statement,
+        policy,
+        writes,
+        now_ms,
+        0 if transaction is None else transaction.key,
+        transaction is not None and not transaction.begun,
+        transaction is not None and transaction.read_only,
+        session.place,
+        dict(session.values),
+        prepared,
+    )
+
+
+def finish(
+    session: Session, request: messages.Request, outcome: outcomes.Outcome
+) -> None:
+    """Take in the final answer to a request."""
+    done = isinstance(outcome, outcomes.Done)
+    if done and outcome.place is not None:
+        session.place = max(session.place, outcome.place)
+    if session.transaction is None:
+        return
+    if request.statement.verb is Verb.COMMIT:
+        session.transaction = None
+        session.state = SessionState.IDLE
+    elif done:
+        session.transaction.begun = True
+    else:
+        session.transaction = None
+        session.state = SessionState.FAILED
+
+
+def lose_transaction(session: Session) -> int:
+    """Fail the open transaction; return the key to be undone, 0 if none."""
+    transaction = session.transaction
+    if transaction is None:
+        return 0
+    session.transaction = None
+    session.state = SessionState.FAILED
+    return transaction.key if transaction.begun else 0
--- /dev/null
+++ b/topazring/core/synchronous/state.py
@@ -0,0 +1,215 @@
+"""Hold all that a proxy knows and does for one group of upstreams."""
+
+import collections
+import dataclasses
+import enum
+
+from topazring.core import admission
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core import retries
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import statements
+
+__all__ = [
+    'Connection',
+    'Errand',
+    'GroupState',
+    'Limits',
+    'Phase',
+    'Sample',
+    'Transaction',
+    'Upstream',
+    'Work',
+    'idle_connections',
+    'make_group',
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Hold what operators bound for this process."""
+
+    # Requests that may wait for one group; beyond it the last is refused.
+    queue: int = 400
+    # How long a leaving upstream may still be given work.
+    drain_ms: int = 7000
+
+
+class Phase(enum.StrEnum):
+    """Name what a connection is doing."""
+
+    OPENING = 'opening'
+    IDLE = 'idle'
+    BUSY = 'busy'
+
+
+class Errand(enum.StrEnum):
+    """Name what the commands under way on a connection are for."""
+
+    NONE = 'none'
+    # The transaction's BEGIN; the statement follows once it succeeded.
+    BEGINNING = 'beginning'
+    STATEMENT = 'statement'
+    # BEGIN and ROLLBACK alone: does it lead, and where does its log stand?
+    GUARD = 'guard'
+    # The end of a transaction that its session gave up.
+    UNDOING = 'undoing'
+    # A step of a promotion.
+    CONTROL = 'control'
+
+
+@dataclasses.dataclass(slots=True)
+class Connection:
+    """Hold one connection to an upstream and the state it has there."""
+
+    number: int
+    upstream: str
+    phase: Phase = Phase.OPENING
+    errand: Errand = Errand.NONE
+    commands: tuple[statements.Command, ...] = ()
+    # When the dial or the commands under way went out.
+    sent_ms: int = 0
+    idle_since_ms: int = 0
+    work: int = 0
+    # The statement under way writes.
+    writing: bool = False
+    transaction: int = 0
+    values: dict[str, str] = dataclasses.field(default_factory=dict)
+    prepared: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """Hold what is known of one upstream."""
+
+    name: str
+    address: str
+    data_centre: str
+    listed_role: statements.Role
+    listed_revision: int
+    # No new work from then on; None while it stays.
+    closed_to_work_ms: int | None = None
+    leaving: bool = False
+    # Where its log stood when it last said so.
+    place: places.Place = places.ORIGIN
+    place_ms: int = 0
+    # It said that it lacked this place, then.
+    lacked: places.Place = places.ORIGIN
+    lacked_ms: int = -10_000
+    # It refused as one that does not lead, then.
+    refuted_ms: int | None = None
+    heard_ms: int = 0
+    # When it last had a write confirmed by a replica.
+    confirmed_ms: int = 0
+    # The first dial, command or refusal since it was last heard.
+    unheard_since_ms: int | None = None
+    # Dials that were refused or went unanswered since it was last heard.
+    failed_dials: int = 0
+    dial_after_ms: int = 0
+    # Its connection limit was met, then.
+    limit_met_ms: int = -10_000
+    busy_until_ms: int = 0
+    service_ms: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Bind a place to a time: all acknowledged before is at or before it."""
+
+    sent_ms: int
+    place: places.Place
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """Hold one request on its way."""
+
+    request: messages.Request
+    deadline_ms: int
+    # The connections that run it now; two while a read is hedged.
+    running: set[int] = dataclasses.field(default_factory=set)
+    queued: bool = False
+    # The first time it went out; None while it only waited.
+    offered_ms: int | None = None
+    not_before_ms: int = 0
+    # Upstreams that could not serve it; tried again when none is left.
+    passed_over: set[str] = dataclasses.field(default_factory=set)
+    primary_only: bool = False
+    hedges: int = 0
+    last_reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
+
+
+@dataclasses.dataclass(slots=True)
+class Transaction:
+    """Hold the connection of an open transaction."""
+
+    connection: int
+    read_only: bool
+    wrote: bool = False
+    statements: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class GroupState:
+    """Hold one group's state in one proxy."""
+
+    service: str
+    data_centre: str
+    limits: Limits
+    upstreams: dict[str, Upstream] = dataclasses.field(default_factory=dict)
+    connections: dict[int, Connection] = dataclasses.field(
+        default_factory=dict
+    )
+    next_connection: int = 1
+    # Connections this proxy may hold to one upstream.
+    connection_share: int = 2
+    work: dict[int, Work] = dataclasses.field(default_factory=dict)
+    # By priority: what only the primary can serve, and what any may.
+    primary_queues: dict[int, admission.FairQueue] = dataclasses.field(
+        default_factory=dict
+    )
+    any_queues: dict[int, admission.FairQueue] = dataclasses.field(
+        default_factory=dict
+    )
+    transactions: dict[int, Transaction] = dataclasses.field(
+        default_factory=dict
+    )
+    # Believed to lead; empty while unknown.
+    primary: str = ''
+    # The newest term seen on any connection.
+    term: int = 0
+    primary_lost_ms: int | None = None
+    # Oldest first.
+    samples: collections.deque[Sample] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    budget: retries.Budget = dataclasses.field(default_factory=retries.Budget)
+    # When this process last went on after it stood still.
+    woke_ms: int = 0
+    guarded_ms: int = 0
+    holds_duty: bool = False
+    token: int = 0
+    promotion: object | None = None
+    next_promotion_ms: int = 0
+    # Resumed again once their group has a primary.
+    paused: set[str] = dataclasses.field(default_factory=set)
+    counters: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+def make_group(service: str, data_centre: str, limits: Limits) -> GroupState:
+    """Return the state of a group of which nothing is known yet."""
+    return GroupState(service, data_centre, limits)
+
+
+def idle_connections(state: GroupState, upstream: str) -> list[Connection]:
+    """Return the connections to an upstream that could take work."""
+    return [
+        connection
+        for connection in state.connections.values()
+        if connection.upstream == upstream
+        and connection.phase is Phase.IDLE
+        and not connection.transaction
+    ]
--- /dev/null
+++ b/topazring/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the product and the users' platform; decide nothing."""
--- /dev/null
+++ b/topazring/platform/orders.py
@@ -0,0 +1,45 @@
+"""Give the platform the order to promote an upstream."""
+
+from topazring.core.synchronous import messages
+from topazring import key_value
+from topazring.platform import store
+
+__all__ = ['OrdersClient']
+
+# An order is answered in milliseconds; one that is not may still be carried
+# out later.
+ORDER_S = 0.5
+_HOLDER = 'X-Topazring-Lease-Holder'
+_TOKEN = 'X-Topazring-Fencing-Token'
+
+
+class OrdersClient:
+    """Own the connections for orders."""
+
+    def __init__(self, address: str):
+        self.base = f'http://{address}'
+        self.client = store.make_http_client()
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.client.close()
+
+    async def promote(
+        self, service: str, upstream: str, holder: str, token: int
+    ) -> messages.OrderResult:
+        """Have an upstream promoted."""
+        reply = await store.call(
+            self.client,
+            'POST',
+            f'{self.base}/promote',
+            {'service': service, 'id': upstream},
+            {_HOLDER: holder, _TOKEN: str(token)},
+            ORDER_S,
+        )
+        if isinstance(reply, key_value.Unavailable):
+            return messages.OrderResult.UNANSWERED
+        if reply.code == 409:
+            return messages.OrderResult.REFUSED
+        if reply.code == 200:
+            return messages.OrderResult.ACCEPTED
+        return messages.OrderResult.UNANSWERED
--- /dev/null
+++ b/topazring/platform/store.py
@@ -0,0 +1,249 @@
+"""Call the platform's store over HTTP."""
+
+import base64
+import collections
+import urllib.parse
+
+import msgspec
+from tornado import httpclient
+from tornado import simple_httpclient
+
+from topazring.core import revisions
+from topazring import key_value
+from topazring.plumbing import dialling
+
+__all__ = ['StoreClient', 'call', 'make_http_client']
+
+# The store answers in milliseconds; a slow one in some hundred.
+REQUEST_S = 1.0
+# A watch may answer somewhat later than it was asked to.
+WATCH_SLACK_S = 0.8
+MOST_PAGES = 200
+
+
+class _Item(msgspec.Struct):
+    """Hold one item, or with `deleted` its end."""
+
+    key: str
+    revision: int
+    # Base64.
+    value: str | None = None
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct, rename='kebab'):
+    items: list[_Item] = []
+    has_more: bool = False
+    # The store's own revision, from which a watch goes on.
+    current_rev: int = 0
+
+
+class _Events(msgspec.Struct, rename='kebab'):
+    events: list[_Item] = []
+    current_rev: int = 0
+
+
+class _Lease(msgspec.Struct, rename='kebab'):
+    ttl_ms: int
+    lease: int = 0
+
+
+class _Revision(msgspec.Struct):
+    revision: int
+
+
+def make_http_client() -> httpclient.AsyncHTTPClient:
+    """Return a client whose connections notice that their peer is gone."""
+    client = simple_httpclient.SimpleAsyncHTTPClient(
+        force_instance=True, max_clients=50
+    )
+    client.tcp_client = dialling.KeepaliveClient()
+    return client
+
+
+async def call(
+    client: httpclient.AsyncHTTPClient,
+    method: str,
+    url: str,
+    body: dict | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = REQUEST_S,
+) -> httpclient.HTTPResponse | key_value.Unavailable:
+    """Return a response, whatever its code, or that there was none."""
+    raw = None
+    if method == 'POST':
+        raw = msgspec.json.encode(body or {})
+    try:
+        reply = await client.fetch(
+            url,
+            method=method,
+            body=raw,
+            headers={'Content-Type': 'application/json', **(headers or {})},
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+            raise_error=False,
+        )
+    except (OSError, httpclient.HTTPError) as error:
+        return key_value.Unavailable(str(error))
+    if reply.code == 599:
+        return key_value.Unavailable(str(reply.error))
+    return reply
+
+
+class StoreClient:
+    """Own the connections to the store; count each call."""
+
+    def __init__(self, address: str):
+        self.base = f'http://{address}'
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.client = make_http_client()
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.client.close()
+
+    async def get(
+        self, key: str
+    ) -> key_value.Found | key_value.Missing | key_value.Unavailable:
+        """Return a value."""
+        query = urllib.parse.urlencode({'key': key})
+        reply = await self._call('GET', f'/-/kv-key?{query}')
+        if isinstance(reply, key_value.Unavailable):
+            return reply
+        if reply.code == 404:
+            return key_value.Missing()
+        item = msgspec.json.decode(reply.body, type=_Item)
+        return key_value.Found(_text(item), item.revision)
+
+    async def put_all(
+        self, values: tuple[key_value.Value, ...]
+    ) -> (
+        key_value.Written
+        | key_value.Conflict
+        | key_value.Missing
+        | key_value.Unavailable
+    ):
+        """Write all values or none; Missing: the lease has ended."""
+        body = {
+            'expect': [
+                {'key': value.key, 'revision': value.revision}
+                for value in values
+            ],
+            'puts': [
+                {
+                    'key': value.key,
+                    'value': base64.b64encode(value.value.encode()).decode(),
+                    'lease': value.lease,
+                }
+                for value in values
+            ],
+            'remove': [],
+        }
+        reply = await self._call('POST', '/-/kv-txn', body)
+        if isinstance(reply, key_value.Unavailable):
+            return reply
+        if reply.code == 412:
+            return key_value.Conflict()
+        if reply.code == 404:
+            return key_value.Missing()
+        written = msgspec.json.decode(reply.body, type=_Revision)
+        return key_value.Written(written.revision)
+
+    async def everything(
+        self, prefix: str
+    ) -> key_value.Changes | key_value.Unavailable:
+        """Return all values under a prefix.
+
+        Pages are no snapshot, so a watch has to go on from the revision of
+        the first.
+        """
+        found: list[revisions.Change] = []
+        first: int | None = None
+        after = ''
+        for _ in range(MOST_PAGES):
+            query = {'path-prefix': prefix}
+            if after:
+                query['after'] = after
+            path = f'/-/kv-range?{urllib.parse.urlencode(query)}'
+            reply = await self._call('GET', path)
+            if isinstance(reply, key_value.Unavailable):
+                return reply
+            page = msgspec.json.decode(reply.body, type=_Page)
+            first = page.current_rev if first is None else first
+            found += [_change(item) for item in page.items]
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        return key_value.Changes(0, first or 0, found)
+
+    async def changes(
+        self, prefix: str, since: int, wait_ms: int
+    ) -> key_value.Changes | key_value.HistoryLost | key_value.Unavailable:
+        """Return what changed under a prefix, waiting for the first."""
+        query = urllib.parse.urlencode(
+            {'path-prefix': prefix, 'after': since, 'wait-ms': wait_ms}
+        )
+        timeout_s = wait_ms / 1000 + WATCH_SLACK_S
+        reply = await self._call(
+            'GET', f'/-/kv-watch?{query}', timeout_s=timeout_s
+        )
+        if isinstance(reply, key_value.Unavailable):
+            return reply
+        if reply.code == 410:
+            return key_value.HistoryLost()
+        page = msgspec.json.decode(reply.body, type=_Events)
+        found = [_change(item) for item in page.events]
+        return key_value.Changes(since, page.current_rev, found)
+
+    async def lease(
+        self, ttl_ms: int
+    ) -> key_value.Leased | key_value.Unavailable:
+        """Begin a lease."""
+        reply = await self._call('POST', '/-/kv-lease', {'ttl-ms': ttl_ms})
+        if isinstance(reply, key_value.Unavailable):
+            return reply
+        lease = msgspec.json.decode(reply.body, type=_Lease)
+        return key_value.Leased(lease.lease, lease.ttl_ms)
+
+    async def keep(
+        self, lease: int
+    ) -> key_value.Leased | key_value.Missing | key_value.Unavailable:
+        """Renew a lease."""
+        reply = await self._call('POST', f'/-/kv-keep/{lease}')
+        if isinstance(reply, key_value.Unavailable):
+            return reply
+        if reply.code == 404:
+            return key_value.Missing()
+        kept = msgspec.json.decode(reply.body, type=_Lease)
+        return key_value.Leased(lease, kept.ttl_ms)
+
+    async def end(self, lease: int) -> bool:
+        """End a lease with all that is written under it."""
+        reply = await self._call('DELETE', f'/-/kv-lease-end/{lease}')
+        return not isinstance(reply, key_value.Unavailable)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict | None = None,
+        timeout_s: float = REQUEST_S,
+    ) -> httpclient.HTTPResponse | key_value.Unavailable:
+        self.calls[path.split('?')[0]] += 1
+        reply = await call(
+            self.client, method, self.base + path, body, timeout_s=timeout_s
+        )
+        if isinstance(reply, key_value.Unavailable):
+            return reply
+        if reply.code not in (200, 404, 410, 412):
+            return key_value.Unavailable(f'HTTP {reply.code}')
+        return reply
+
+
+def _text(item: _Item) -> str:
+    return base64.b64decode(item.value or '').decode()
+
+
+def _change(item: _Item) -> revisions.Change:
+    value = None if item.deleted else _text(item)
+    return revisions.Change(item.key, item.revision, value)
--- a/topazring/platform_client.py
+++ b/topazring/platform_client.py
@@ -1,7 +1,6 @@
 """Call the platform's service: values, compare-and-swap, watches."""
 
 import collections
-import dataclasses
 import json
 import urllib.parse
 
@@ -9,63 +8,13 @@
 from tornado import httpclient
 
 from topazring.core import revisions
+from topazring import key_value
 
-__all__ = [
-    'Changes',
-    'Conflict',
-    'Found',
-    'Missing',
-    'PlatformClient',
-    'Unavailable',
-    'Written',
-]
+__all__ = ['PlatformClient']
 
 REQUEST_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Found:
-    """Hold a value and the tag that a swap has to name."""
-
-    value: str
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Missing:
-    """Report that there is no such value."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Written:
-    """Report that a write took effect."""
-
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Conflict:
-    """Report that another write came first."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unavailable:
-    """Report that the service did not answer; a write may have happened."""
-
-    detail: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
-    """Hold what changed after `since`, up to `upto`."""
-
-    since: int
-    upto: int
-    changes: list[revisions.Change]
-    # The answer was cut; what follows `upto` is to be asked for at once.
-    more: bool = False
-
-
 class _Page(msgspec.Struct):
     revision: int
     changes: list[revisions.Change]
@@ -90,18 +39,20 @@
         """Close the connections."""
         self.client.close()
 
-    async def get(self, key: str) -> Found | Missing | Unavailable:
+    async def get(
+        self, key: str
+    ) -> key_value.Found | key_value.Missing | key_value.Unavailable:
         """Return a value."""
         reply = await self._call('GET', f'/kv/{key}')
-        if isinstance(reply, Unavailable):
+        if isinstance(reply, key_value.Unavailable):
             return reply
         if reply.code == 404:
-            return Missing()
-        return Found(reply.body.decode(), _revision(reply))
+            return key_value.Missing()
+        return key_value.Found(reply.body.decode(), _revision(reply))
 
     async def put(
         self, key: str, value: str, revision: int | None
-    ) -> Written | Conflict | Unavailable:
+    ) -> key_value.Written | key_value.Conflict | key_value.Unavailable:
         """Write a value if it is still at `revision`; None: still absent."""
         reply = await self._call(
             'PUT', f'/kv/{key}', body=value, headers=_condition(revision)
@@ -110,7 +61,7 @@
 
     async def delete(
         self, key: str, revision: int
-    ) -> Written | Conflict | Unavailable:
+    ) -> key_value.Written | key_value.Conflict | key_value.Unavailable:
         """Delete a value if it is still at `revision`."""
         reply = await self._call(
             'DELETE', f'/kv/{key}', headers=_condition(revision)
@@ -119,7 +70,7 @@
 
     async def changes(
         self, prefix: str, since: int, wait_ms: int = 0
-    ) -> Changes | Unavailable:
+    ) -> key_value.Changes | key_value.Unavailable:
         """Return what changed under a prefix, waiting for the first."""
         query = urllib.parse.urlencode(
             {'prefix': prefix, 'since': since, 'wait_ms': wait_ms}
@@ -128,16 +79,18 @@
 
     async def instances(
         self, since: int, wait_ms: int = 0
-    ) -> Changes | Unavailable:
+    ) -> key_value.Changes | key_value.Unavailable:
         """Return what changed in the list of instances."""
         query = f'since={since}&wait_ms={wait_ms}'
         return await self._changes(f'/instances?{query}', since, wait_ms)
 
-    async def all_changes(self, prefix: str) -> Changes | Unavailable:
+    async def all_changes(
+        self, prefix: str
+    ) -> key_value.Changes | key_value.Unavailable:
         """Return all values under a prefix, page by page."""
         return await _collect(lambda since: self.changes(prefix, since))
 
-    async def all_instances(self) -> Changes | Unavailable:
+    async def all_instances(self) -> key_value.Changes | key_value.Unavailable:
         """Return the whole list of instances, page by page."""
         return await _collect(self.instances)
 
@@ -146,21 +99,21 @@
         reply = await self._call(
             'PUT', f'/instances/{name}', body=json.dumps(instance)
         )
-        return not isinstance(reply, Unavailable)
+        return not isinstance(reply, key_value.Unavailable)
 
     async def withdraw(self, name: str) -> bool:
         """Have this instance taken off the list."""
         reply = await self._call('DELETE', f'/instances/{name}')
-        return not isinstance(reply, Unavailable)
+        return not isinstance(reply, key_value.Unavailable)
 
     async def _changes(
         self, path: str, since: int, wait_ms: int
-    ) -> Changes | Unavailable:
+    ) -> key_value.Changes | key_value.Unavailable:
         reply = await self._call('GET', path, wait_ms=wait_ms)
-        if isinstance(reply, Unavailable):
+        if isinstance(reply, key_value.Unavailable):
             return reply
         page = _decode_page(reply.body)
-        return Changes(since, page.revision, page.changes, page.more)
+        return key_value.Changes(since, page.revision, page.changes, page.more)
 
     async def _call(
         self,
@@ -169,7 +122,7 @@
         body: str | None = None,
         headers: dict | None = None,
         wait_ms: int = 0,
-    ) -> httpclient.HTTPResponse | Unavailable:
+    ) -> httpclient.HTTPResponse | key_value.Unavailable:
         self.calls[method.lower()] += 1
         try:
             reply = await self.client.fetch(
@@ -183,24 +136,24 @@
             )
         except (OSError, httpclient.HTTPError) as error:
             self.calls['unavailable'] += 1
-            return Unavailable(str(error))
+            return key_value.Unavailable(str(error))
         if reply.code == 599 or reply.code >= 500:
             self.calls['unavailable'] += 1
-            return Unavailable(str(reply.error))
+            return key_value.Unavailable(str(reply.error))
         return reply
 
 
-async def _collect(ask) -> Changes | Unavailable:
+async def _collect(ask) -> key_value.Changes | key_value.Unavailable:
     found: list[revisions.Change] = []
     since = 0
     while True:
         page = await ask(since)
-        if isinstance(page, Unavailable):
+        if isinstance(page, key_value.Unavailable):
             return page
         found += page.changes
         since = page.upto
         if not page.more:
-            return Changes(0, since, found)
+            return key_value.Changes(0, since, found)
 
 
 def _condition(revision: int | None) -> dict[str, str]:
@@ -214,12 +167,12 @@
 
 
 def _written(
-    reply: httpclient.HTTPResponse | Unavailable,
-) -> Written | Conflict | Unavailable:
-    if isinstance(reply, Unavailable):
+    reply: httpclient.HTTPResponse | key_value.Unavailable,
+) -> key_value.Written | key_value.Conflict | key_value.Unavailable:
+    if isinstance(reply, key_value.Unavailable):
         return reply
     if reply.code in (404, 412):
-        return Conflict()
+        return key_value.Conflict()
     if reply.code == 413:
-        return Unavailable('the value is too large for the service')
-    return Written(_revision(reply))
+        return key_value.Unavailable('the value is too large for the service')
+    return key_value.Written(_revision(reply))
--- /dev/null
+++ b/topazring/plumbing/dialling.py
@@ -0,0 +1,38 @@
+"""Set sockets up so that a peer that vanished is noticed in seconds."""
+
+import socket
+
+from tornado import tcpclient
+
+__all__ = ['KeepaliveClient', 'keep_alive']
+
+# A peer without power answers nothing, and a connection that something
+# between the two ends forgot is silent for good. Without these the kernel
+# waits a quarter of an hour. Probes cost a packet a second on idle
+# connections.
+IDLE_S = 2
+INTERVAL_S = 1
+PROBES = 2
+UNACKNOWLEDGED_MS = 2500
+
+
+def keep_alive(sock: socket.socket) -> None:
+    """Have the kernel end the connection when its peer is gone."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+    )
+
+
+class KeepaliveClient(tcpclient.TCPClient):
+    """Connect for tornado's HTTP client with keep-alive probes."""
+
+    async def connect(self, *args, **kwargs):
+        """Return a stream whose peer's end is noticed."""
+        stream = await super().connect(*args, **kwargs)
+        keep_alive(stream.socket)
+        return stream
--- /dev/null
+++ b/topazring/pooler/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers' sessions over connections that they share."""
--- /dev/null
+++ b/topazring/pooler/caller_task.py
@@ -0,0 +1,206 @@
+"""Own one caller's connection and its session."""
+
+import collections
+import enum
+import typing
+
+from tornado import iostream
+
+from topazring.core import outcomes
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import sessions
+from topazring.core.synchronous import statements
+from topazring.plumbing import clock
+from topazring.plumbing import dialling
+from topazring.pooler import group_task
+from topazring.pooler import ports
+
+__all__ = ['CallerTask', 'Host', 'Stopping']
+
+Reason = outcomes.Reason
+
+READ_BYTES = 65536
+
+
+class Stopping(enum.IntEnum):
+    """Say how far this process is on its way to its end."""
+
+    NO = 0
+    # Sessions end as soon as they are between operations.
+    QUIET = 1
+    # Open transactions end too.
+    ALL = 2
+
+
+class Host(typing.Protocol):
+    """Say what a session needs of its process."""
+
+    codec: ports.CallerCodec
+    stopping: Stopping
+
+    def policy(self, database: str) -> messages.Policy | None:
+        """Return the policy in force for a database."""
+
+    def group(self, service: str) -> group_task.GroupTask | None:
+        """Return the group that serves a policy's service."""
+
+    def next_key(self) -> int:
+        """Return a number that this process has not used."""
+
+    def message_bytes(self) -> int:
+        """Return how long a caller's message may be."""
+
+    def note(self, kind: str, outcome: outcomes.Outcome, ms: int) -> None:
+        """Count an answer and how long it took."""
+
+    def configured(self) -> bool:
+        """Say whether any configuration is known."""
+
+
+class CallerTask:
+    """Serve one session, one statement at a time, in order."""
+
+    def __init__(self, host: Host, stream: iostream.IOStream):
+        self.host = host
+        self.stream = stream
+        self.reader = host.codec.reader(host.message_bytes())
+        self.pending: collections.deque[ports.CallerItem] = collections.deque()
+        self.session: sessions.Session | None = None
+        self.busy = False
+        dialling.keep_alive(stream.socket)
+
+    async def serve(self) -> None:
+        """Serve until the caller or this process ends the session."""
+        try:
+            while not self.stream.closed():
+                item = await self._next()
+                self.busy = True
+                if not await self._take(item):
+                    break
+                self.busy = False
+                if self._may_end():
+                    break
+        except iostream.StreamClosedError:
+            # The caller left; what it had open is undone below.
+            pass
+        finally:
+            self.busy = False
+            self._undo()
+            self.stream.close()
+
+    async def _next(self) -> ports.CallerItem:
+        while not self.pending:
+            data = await self.stream.read_bytes(READ_BYTES, partial=True)
+            self.pending.extend(self.reader.feed(data))
+        return self.pending.popleft()
+
+    def _may_end(self) -> bool:
+        """Say whether the session may be closed without cutting anything."""
+        if self.busy or self.pending:
+            return False
+        if self.host.stopping is Stopping.NO:
+            return False
+        if self.host.stopping is Stopping.ALL:
+            return True
+        return self.session is None or self.session.transaction is None
+
+    def end_if_quiet(self) -> None:
+        """Close the session if nothing is under way on it."""
+        if self._may_end():
+            self.stream.close()
+
+    def _undo(self) -> None:
+        session = self.session
+        if session is None or session.transaction is None:
+            return
+        policy = session.transaction.policy
+        self._withdraw(policy, sessions.lose_transaction(session))
+
+    def _withdraw(self, policy: messages.Policy, transaction: int) -> None:
+        group = self.host.group(policy.service)
+        if transaction and group is not None:
+            group.post(messages.Withdraw(transaction))
+
+    async def _take(self, item: ports.CallerItem) -> bool:
+        """Serve one message; False ends the session."""
+        match item:
+            case ports.Quit():
+                return False
+            case ports.Fault():
+                return await self._fault(item)
+            case ports.StartSession():
+                return await self._start(item)
+            case statements.Statement():
+                return await self._statement(item)
+
+    async def _fault(self, fault: ports.Fault) -> bool:
+        rejected = outcomes.Rejected(fault.reason, fault.detail)
+        self.host.note('fault', rejected, 0)
+        if self.session is None or fault.fatal:
+            await self.stream.write(self.host.codec.refusal(rejected))
+            return False
+        await self._answer(rejected)
+        return True
+
+    async def _start(self, start: ports.StartSession) -> bool:
+        refusal = self._start_refusal(start)
+        if refusal is not None:
+            self.host.note('start', refusal, 0)
+            await self.stream.write(self.host.codec.refusal(refusal))
+            return False
+        number = self.host.next_key()
+        self.session = sessions.Session(number, start.database)
+        await self.stream.write(self.host.codec.greeting())
+        return True
+
+    def _start_refusal(
+        self, start: ports.StartSession
+    ) -> outcomes.Outcome | None:
+        if self.session is not None:
+            detail = 'the session has started already'
+            return outcomes.Rejected(Reason.BAD_STATEMENT, detail)
+        if not self.host.configured():
+            return outcomes.NotRun(Reason.NO_CONFIGURATION, 500)
+        if self.host.policy(start.database) is None:
+            detail = 'no such database'
+            return outcomes.Rejected(Reason.UNKNOWN_DATABASE, detail)
+        return None
+
+    async def _statement(self, statement: statements.Statement) -> bool:
+        session = self.session
+        if session is None:
+            rejected = outcomes.Rejected(
+                Reason.BAD_STATEMENT, 'start a session first'
+            )
+            await self.stream.write(self.host.codec.refusal(rejected))
+            return False
+        began_ms = clock.suspended_ms()
+        open_before = session.transaction
+        taken = sessions.take(
+            session,
+            began_ms,
+            self.host.next_key(),
+            statement,
+            self.host.policy(session.database),
+        )
+        if isinstance(taken, sessions.Local):
+            if open_before is not None:
+                self._withdraw(open_before.policy, taken.ends)
+            outcome = taken.outcome
+        else:
+            outcome = await self._run(taken)
+            sessions.finish(session, taken, outcome)
+        took_ms = clock.suspended_ms() - began_ms
+        self.host.note(str(statement.verb), outcome, took_ms)
+        await self._answer(outcome)
+        return True
+
+    async def _run(self, request: messages.Request) -> outcomes.Outcome:
+        group = self.host.group(request.policy.service)
+        if group is None:
+            return outcomes.NotRun(Reason.NO_CONFIGURATION, 500)
+        return await group.submit(request)
+
+    async def _answer(self, outcome: outcomes.Outcome) -> None:
+        state = self.session.state
+        await self.stream.write(self.host.codec.answer(outcome, state))
--- /dev/null
+++ b/topazring/pooler/duty.py
@@ -0,0 +1,206 @@
+"""Hold, as one of all proxies, the duty to promote.
+
+A value under a lease names the holder. With it comes a block of tokens: each
+order that means something else takes the next one, so that an order that
+arrives late is outdone by a newer, and no call is needed at the moment of a
+loss. The blocks are counted in a value without a lease: a later holder's
+tokens are always higher.
+"""
+
+import asyncio
+import collections.abc
+import random
+
+import msgspec
+
+from topazring.core import revisions
+from topazring import key_value
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import directory as directories
+
+__all__ = ['Duty']
+
+DUTY_KEY = directories.OWN_PREFIX + 'duty'
+BLOCK_KEY = directories.OWN_PREFIX + 'block'
+# Orders that one holder can tell apart in its time; a promotion takes one,
+# so thousands of promotions fit.
+BLOCK_TOKENS = 10_000
+# A holder that died is followed after this at most; each renewal is a call.
+TTL_MS = 3000
+RENEW_S = 1.0
+# While the service is away nobody else can take the duty, and the holder
+# goes on. If it is this instance alone that is turned away, another has
+# taken over by then with higher tokens; past this it stops in any case.
+BEYOND_LEASE_MS = 15_000
+# All see at the same time that the duty is free.
+JITTER_S = 0.15
+RETRY_S = 0.5
+
+
+class _Holder(msgspec.Struct):
+    """Hold what the duty's value says."""
+
+    holder: str
+    token: int
+
+
+class Duty:
+    """Take, keep and give back the duty."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        store: key_value.Store,
+        directory: directories.Directory,
+        log: events.EventLog,
+        told: collections.abc.Callable[[bool, int], None],
+    ):
+        self.incarnation = incarnation
+        self.store = store
+        self.directory = directory
+        self.log = log
+        self.told = told
+        self.holds = False
+        self.token = 0
+        self.lease = 0
+        self.valid_until_ms = 0
+        self.doubted = asyncio.Event()
+        self.leaving = False
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to try for the duty."""
+        self.task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Give the duty back."""
+        self.leaving = True
+        if self.task is not None:
+            self.task.cancel()
+        lease, self.lease = self.lease, 0
+        if self.holds:
+            self._lose('leaves')
+        if lease:
+            await self.store.end(lease)
+
+    def doubt(self) -> None:
+        """Ask the service again: an order was refused."""
+        self.doubted.set()
+
+    async def _run(self) -> None:
+        while True:
+            if self.holds:
+                await self._keep()
+            elif self._is_free():
+                await self._try()
+            else:
+                await self._changed()
+
+    def _is_free(self) -> bool:
+        known = self.directory.revision > 0
+        return known and DUTY_KEY not in self.directory.own
+
+    async def _changed(self) -> None:
+        self.directory.own_changed.clear()
+        try:
+            async with asyncio.timeout(RETRY_S):
+                await self.directory.own_changed.wait()
+        except TimeoutError:
+            # Looked at again in any case: the event may have been missed.
+            return
+
+    async def _try(self) -> None:
+        await asyncio.sleep(random.uniform(0, JITTER_S))
+        if not self._is_free():
+            return
+        if not self.lease:
+            leased = await self.store.lease(TTL_MS)
+            if not isinstance(leased, key_value.Leased):
+                await asyncio.sleep(RETRY_S)
+                return
+            self.lease = leased.lease
+        asked_ms = clock.suspended_ms()
+        block = self.directory.own.get(BLOCK_KEY)
+        token = _next_block(block)
+        holder = _Holder(self.incarnation, token)
+        text = msgspec.json.encode(holder).decode()
+        answer = await self.store.put_all(
+            (
+                key_value.Value(DUTY_KEY, text, 0, self.lease),
+                key_value.Value(
+                    BLOCK_KEY, str(token), block.revision if block else 0
+                ),
+            )
+        )
+        if isinstance(answer, key_value.Written):
+            self._gain(token, asked_ms)
+            return
+        if isinstance(answer, key_value.Missing):
+            self.lease = 0
+        if isinstance(answer, key_value.Unavailable):
+            await self._look(asked_ms)
+        await asyncio.sleep(JITTER_S)
+
+    async def _look(self, asked_ms: int) -> None:
+        """Find out whether a write without an answer took effect."""
+        answer = await self.store.get(DUTY_KEY)
+        if isinstance(answer, key_value.Found):
+            found = msgspec.json.decode(answer.value, type=_Holder)
+            if found.holder == self.incarnation:
+                self._gain(found.token, asked_ms)
+
+    def _gain(self, token: int, asked_ms: int) -> None:
+        self.holds = True
+        self.token = token
+        self.valid_until_ms = asked_ms + TTL_MS
+        self.log.emit('duty', 'duty gained', inputs={'token': token})
+        self.told(True, token)
+
+    def _lose(self, why: str) -> None:
+        self.holds = False
+        self.log.emit(
+            'duty', 'duty lost', inputs={'why': why, 'token': self.token}
+        )
+        self.told(False, 0)
+
+    async def _keep(self) -> None:
+        try:
+            async with asyncio.timeout(RENEW_S):
+                await self.doubted.wait()
+        except TimeoutError:
+            pass
+        else:
+            self.doubted.clear()
+            await self._confirm()
+            return
+        asked_ms = clock.suspended_ms()
+        answer = await self.store.keep(self.lease)
+        if isinstance(answer, key_value.Leased):
+            self.valid_until_ms = asked_ms + TTL_MS
+        elif isinstance(answer, key_value.Missing):
+            self.lease = 0
+            self._lose('the lease has ended')
+        elif clock.suspended_ms() > self.valid_until_ms + BEYOND_LEASE_MS:
+            self.lease = 0
+            self._lose('the service has been away for too long')
+
+    async def _confirm(self) -> None:
+        """Ask whether the duty is still ours after an order was refused."""
+        answer = await self.store.get(DUTY_KEY)
+        if isinstance(answer, key_value.Found):
+            found = msgspec.json.decode(answer.value, type=_Holder)
+            if found.holder == self.incarnation:
+                self.told(True, self.token)
+                return
+        if isinstance(answer, key_value.Unavailable):
+            # Whether another holds it cannot be told, so do nothing.
+            self.log.emit(
+                'duty', 'duty in doubt', inputs={'detail': answer.detail}
+            )
+        self.lease = 0
+        self._lose('an order was refused')
+
+
+def _next_block(block: revisions.Change | None) -> int:
+    return BLOCK_TOKENS + (int(block.value) if block is not None else 0)
--- /dev/null
+++ b/topazring/pooler/group_task.py
@@ -0,0 +1,177 @@
+"""Own one group of upstreams: its core, its connections, its timer."""
+
+import asyncio
+import collections
+import os
+import traceback
+
+from topazring.core import groups
+from topazring.core import outcomes
+from topazring.core.synchronous import group as groups_synchronous
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import ports
+from topazring.pooler import upstream_link
+
+__all__ = ['GroupTask']
+
+# Deadlines are met to within a tick while anything is in hand.
+TICK_S = 0.02
+IDLE_TICK_S = 0.05
+# EX_SOFTWARE of sysexits.h.
+EXIT_BROKEN = 70
+
+
+class GroupTask:
+    """Run a group's core and do what it says."""
+
+    def __init__(
+        self,
+        service: str,
+        data_centre: str,
+        name: str,
+        limits: states.Limits,
+        adapter: ports.Adapter,
+        log: events.EventLog,
+        kind: str = groups_synchronous.SYNCHRONOUS,
+    ):
+        self.service = service
+        self.name = name
+        self.adapter = adapter
+        self.log = log
+        self.kind = groups.group_kind(kind)
+        self.state = states.make_group(service, data_centre, limits)
+        self.links: dict[int, upstream_link.UpstreamLink] = {}
+        self.answers: dict[int, asyncio.Future] = {}
+        self.inbox: collections.deque[object] = collections.deque()
+        self.working = False
+        self.tasks: set[asyncio.Task] = set()
+        # Called when the platform refused an order: the duty may be lost.
+        self.refused = None
+        self.decided: collections.Counter[str] = collections.Counter()
+
+    def start(self) -> None:
+        """Begin to tick."""
+        self._spawn(self._tick_forever())
+
+    def close(self) -> None:
+        """Answer what is in hand and close every connection."""
+        self.post(messages.Abandon())
+        for task in list(self.tasks):
+            task.cancel()
+        for link in self.links.values():
+            link.close()
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._end_process(task.exception())
+
+    async def submit(self, request: messages.Request) -> outcomes.Outcome:
+        """Return the request's one final answer."""
+        answer = asyncio.get_running_loop().create_future()
+        self.answers[request.key] = answer
+        self.post(messages.Submit(request))
+        return await answer
+
+    def post(self, message: object) -> None:
+        """Put a message in the inbox and work the inbox off."""
+        self.inbox.append(message)
+        if self.working:
+            return
+        self.working = True
+        try:
+            while self.inbox:
+                message = self.inbox.popleft()
+                now_ms = clock.suspended_ms()
+                for out in self.kind.step(self.state, now_ms, message):
+                    self._perform(out)
+        except Exception as error:
+            self._end_process(error)
+        finally:
+            self.working = False
+
+    def _perform(self, out: object) -> None:
+        match out:
+            case messages.Send():
+                self.links[out.connection].send(out.commands)
+            case messages.Answer():
+                self._answer(out)
+            case messages.Open():
+                self._open(out)
+            case messages.Close():
+                link = self.links.pop(out.connection, None)
+                if link is not None:
+                    link.close()
+            case messages.Order():
+                self._spawn(self._order(out))
+            case messages.Decided():
+                self.decided[out.what] += 1
+                self.log.emit(
+                    'group', out.what, out.request_id, self.service, out.inputs
+                )
+
+    def _answer(self, out: messages.Answer) -> None:
+        answer = self.answers.pop(out.key)
+        if not answer.done():
+            answer.set_result(out.outcome)
+
+    def _open(self, out: messages.Open) -> None:
+        link = upstream_link.UpstreamLink(
+            out.connection, self.adapter.upstreams, self.post_link
+        )
+        self.links[out.connection] = link
+        link.start(self.service, out.upstream, out.address)
+
+    def post_link(self, message: object) -> None:
+        """Take in what a link tells; forget the link at its end."""
+        if isinstance(message, messages.Closed):
+            self.links.pop(message.connection, None)
+        self.post(message)
+
+    async def _order(self, out: messages.Order) -> None:
+        result = await self.adapter.orders.promote(
+            self.service, out.upstream, self.name, out.token
+        )
+        self.log.emit(
+            'group',
+            'order answered',
+            service=self.service,
+            inputs={
+                'upstream': out.upstream,
+                'token': out.token,
+                'result': str(result),
+            },
+        )
+        self.post(messages.Ordered(out.upstream, out.token, result))
+        if result is messages.OrderResult.REFUSED and self.refused:
+            self.refused()
+
+    async def _tick_forever(self) -> None:
+        before_ms = clock.suspended_ms()
+        while True:
+            period_s = TICK_S if self.state.work else IDLE_TICK_S
+            await asyncio.sleep(period_s)
+            now_ms = clock.suspended_ms()
+            paused_ms = now_ms - before_ms - int(period_s * 1000)
+            before_ms = now_ms
+            self.post(messages.Tick(max(0, paused_ms)))
+
+    def _end_process(self, error: BaseException) -> None:
+        """End at once: a broken invariant must not serve anyone."""
+        self.log.emit(
+            'group',
+            'broken invariant',
+            service=self.service,
+            inputs={'error': repr(error)},
+        )
+        self.log.close()
+        traceback.print_exception(error)
+        os._exit(EXIT_BROKEN)
--- /dev/null
+++ b/topazring/pooler/membership.py
@@ -0,0 +1,73 @@
+"""Keep this proxy listed while it lives, so that others know their share."""
+
+import asyncio
+
+from topazring import key_value
+from topazring.plumbing import events
+from topazring.pooler import directory as directories
+
+__all__ = ['Membership']
+
+# A proxy that died counts for so long; meanwhile the others use a little
+# less than they could. A renewal is a call, so it is rare.
+TTL_MS = 30_000
+RENEW_S = 10.0
+RETRY_S = 1.0
+
+
+class Membership:
+    """Hold the lease under which this proxy is listed."""
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        store: key_value.Store,
+        log: events.EventLog,
+    ):
+        self.key = directories.PROXY_PREFIX + name
+        self.data_centre = data_centre
+        self.store = store
+        self.log = log
+        self.lease = 0
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to be listed."""
+        self.task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Be listed no more."""
+        if self.task is not None:
+            self.task.cancel()
+        lease, self.lease = self.lease, 0
+        if lease:
+            await self.store.end(lease)
+
+    async def _run(self) -> None:
+        while True:
+            if not self.lease:
+                await self._enter()
+            await asyncio.sleep(RENEW_S if self.lease else RETRY_S)
+            if self.lease:
+                answer = await self.store.keep(self.lease)
+                if isinstance(answer, key_value.Missing):
+                    self.lease = 0
+
+    async def _enter(self) -> None:
+        leased = await self.store.lease(TTL_MS)
+        if not isinstance(leased, key_value.Leased):
+            return
+        written = await self._write(leased.lease, 0)
+        if isinstance(written, key_value.Conflict):
+            # A predecessor of the same name is still listed; it is dead.
+            answer = await self.store.get(self.key)
+            if isinstance(answer, key_value.Found):
+                written = await self._write(leased.lease, answer.revision)
+        if isinstance(written, key_value.Written):
+            self.lease = leased.lease
+            self.log.emit('membership', 'listed')
+
+    async def _write(self, lease: int, revision: int):
+        value = key_value.Value(self.key, self.data_centre, revision, lease)
+        return await self.store.put_all((value,))
--- /dev/null
+++ b/topazring/pooler/metrics.py
@@ -0,0 +1,69 @@
+"""Count answers by outcome and reason, and record how long they took."""
+
+import collections
+import collections.abc
+
+from hdrh import histogram
+
+from topazring.core import outcomes
+
+__all__ = ['Metrics', 'PATH']
+
+PATH = '/metrics'
+MOST_MS = 60_000
+DIGITS = 1
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Metrics:
+    """Hold one process's counters; render them as text."""
+
+    def __init__(self):
+        self.answers: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self.latency: dict[str, histogram.HdrHistogram] = {}
+
+    def note(self, kind: str, outcome: outcomes.Outcome, took_ms: int) -> None:
+        """Count an answer and how long it took."""
+        name = type(outcome).__name__.lower()
+        reason = str(getattr(outcome, 'reason', ''))
+        self.answers[(kind, name, reason)] += 1
+        recorded = self.latency.get(kind)
+        if recorded is None:
+            recorded = histogram.HdrHistogram(1, MOST_MS, DIGITS)
+            self.latency[kind] = recorded
+        recorded.record_value(max(1, min(took_ms, MOST_MS)))
+
+    def render(
+        self,
+        counters: collections.abc.Mapping[str, int],
+        gauges: collections.abc.Mapping[str, int],
+    ) -> bytes:
+        """Return all metrics in the Prometheus text format.
+
+        Every reason stands there from the start, so that a counter shows
+        before it first counts.
+        """
+        lines = []
+        for (kind, name, reason), count in sorted(self.answers.items()):
+            labels = f'kind="{kind}",outcome="{name}",reason="{reason}"'
+            lines.append(f'topazring_answers_total{{{labels}}} {count}')
+        for kind, recorded in sorted(self.latency.items()):
+            for quantile in QUANTILES:
+                value = recorded.get_value_at_percentile(quantile)
+                labels = f'kind="{kind}",percentile="{quantile}"'
+                lines.append(
+                    f'topazring_latency_milliseconds{{{labels}}} {value}'
+                )
+        seen = dict(counters)
+        for reason in outcomes.Reason:
+            seen.setdefault(f'notrun_{reason}', 0)
+            seen.setdefault(f'retry_{reason}', 0)
+        for what, count in sorted(seen.items()):
+            lines.append(
+                f'topazring_group_events_total{{what="{what}"}} {count}'
+            )
+        for what, value in sorted(gauges.items()):
+            lines.append(f'topazring_{what} {value}')
+        return ('\n'.join(lines) + '\n').encode()
--- /dev/null
+++ b/topazring/pooler/process.py
@@ -0,0 +1,307 @@
+"""Put a pooling proxy's parts together; start and end them in order."""
+
+import asyncio
+import collections
+import gc
+import itertools
+import resource
+import secrets
+import signal
+
+from tornado import httpserver
+from tornado import httputil
+from tornado import iostream
+from tornado import tcpserver
+
+from topazring.core import outcomes
+from topazring.core.synchronous import listing as listings
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import caller_task
+from topazring.pooler import directory as directories
+from topazring.pooler import duty as duties
+from topazring.pooler import group_task
+from topazring.pooler import membership
+from topazring.pooler import metrics as metric_sets
+from topazring.pooler import ports
+from topazring.pooler import settings
+
+__all__ = ['Pooler', 'serve']
+
+# The balancer asks once a second and turns away after two misses; a third
+# covers that its questions and the signal are not in step.
+ROTATION_S = 2.4
+# Of the grace this part is for open transactions.
+TRANSACTIONS_SHARE = 0.5
+# The rest of the grace, but this, is for statements under way.
+EXIT_MARGIN_S = 0.7
+POLL_S = 0.05
+BACKLOG = 512
+# Before any configuration is known.
+MESSAGE_BYTES = 1 << 20
+# Descriptors kept for upstreams, the store and the balancer's questions.
+SPARE_DESCRIPTORS = 400
+
+
+class _Callers(tcpserver.TCPServer):
+    """Take in callers' connections."""
+
+    def __init__(self, pooler: 'Pooler'):
+        super().__init__()
+        self.pooler = pooler
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple
+    ) -> None:
+        """Serve one caller."""
+        await self.pooler.serve_caller(stream)
+
+
+class Pooler:
+    """Own all parts of one process."""
+
+    def __init__(
+        self, config: settings.PoolerSettings, adapter: ports.Adapter
+    ):
+        self.config = config
+        self.adapter = adapter
+        self.codec = adapter.callers
+        self.incarnation = f'{config.name}-{secrets.token_hex(4)}'
+        self.log = events.EventLog(config.name)
+        self.metrics = metric_sets.Metrics()
+        self.stopping = caller_task.Stopping.NO
+        self.leaving = False
+        self.groups: dict[str, group_task.GroupTask] = {}
+        self.callers: set[caller_task.CallerTask] = set()
+        self.keys = itertools.count(1)
+        self.holds = False
+        self.token = 0
+        self.directory = directories.Directory(
+            adapter, self.log, self._changed
+        )
+        self.membership = membership.Membership(
+            config.name, config.data_centre, adapter.store, self.log
+        )
+        self.duty = duties.Duty(
+            self.incarnation,
+            adapter.store,
+            self.directory,
+            self.log,
+            self._duty_told,
+        )
+        self.caller_server = _Callers(self)
+        self.ready_server = httpserver.HTTPServer(self._answer_probe)
+
+    async def start(self) -> None:
+        """Listen and begin to learn."""
+        self.log.start()
+        self.log.emit(
+            'process',
+            'start',
+            inputs={
+                'incarnation': self.incarnation,
+                'data_centre': self.config.data_centre,
+            },
+        )
+        self.directory.start()
+        self.membership.start()
+        self.duty.start()
+        ready = settings.endpoint(self.config.ready_address)
+        self.ready_server.listen(ready.port, ready.host)
+        callers = settings.endpoint(self.config.caller_address)
+        self.caller_server.listen(callers.port, callers.host, backlog=BACKLOG)
+
+    # ---- callers ----
+
+    async def serve_caller(self, stream: iostream.IOStream) -> None:
+        """Serve one caller until its session ends."""
+        caller = caller_task.CallerTask(self, stream)
+        self.callers.add(caller)
+        try:
+            await caller.serve()
+        finally:
+            self.callers.discard(caller)
+
+    def policy(self, database: str) -> messages.Policy | None:
+        """Return the policy in force for a database."""
+        configuration = self.directory.listing.configuration
+        if configuration is None:
+            return None
+        return configuration.policies.get(database)
+
+    def group(self, service: str) -> group_task.GroupTask | None:
+        """Return the group of a service, None if it is not configured."""
+        return self.groups.get(service)
+
+    def next_key(self) -> int:
+        """Return a number that names a session, request or transaction."""
+        return next(self.keys)
+
+    def message_bytes(self) -> int:
+        """Return how long a caller's message may be."""
+        return MESSAGE_BYTES
+
+    def configured(self) -> bool:
+        """Say whether any configuration is known."""
+        return self.directory.listing.configuration is not None
+
+    def note(self, kind: str, outcome: outcomes.Outcome, ms: int) -> None:
+        """Count an answer and how long it took."""
+        self.metrics.note(kind, outcome, ms)
+
+    # ---- what is learned ----
+
+    def _changed(self, services: set[str]) -> None:
+        listing = self.directory.listing
+        now_ms = clock.suspended_ms()
+        configuration = listing.configuration
+        if configuration is None:
+            return
+        proxies = listings.proxies_of(listing)
+        for service in services:
+            limit = configuration.max_connections.get(service)
+            if limit is None:
+                self._drop_group(service)
+                continue
+            group = self.groups.get(service)
+            if group is None:
+                group = self._make_group(service)
+            upstreams = listings.upstreams_of(listing, now_ms, service)
+            group.post(messages.InstancesSeen(proxies, limit))
+            group.post(messages.UpstreamsSeen(upstreams))
+
+    def _make_group(self, service: str) -> group_task.GroupTask:
+        group = group_task.GroupTask(
+            service,
+            self.config.data_centre,
+            self.incarnation,
+            states.Limits(drain_ms=self.config.upstream_drain_ms),
+            self.adapter,
+            self.log,
+        )
+        group.refused = self.duty.doubt
+        self.groups[service] = group
+        group.start()
+        if self.holds:
+            group.post(messages.DutySeen(True, self.token))
+        return group
+
+    def _drop_group(self, service: str) -> None:
+        group = self.groups.pop(service, None)
+        if group is not None:
+            group.close()
+
+    def _duty_told(self, holds: bool, token: int) -> None:
+        self.holds = holds
+        self.token = token
+        for group in self.groups.values():
+            group.post(messages.DutySeen(holds, token))
+
+    # ---- the balancer and operators ----
+
+    def _answer_probe(self, request: httputil.HTTPServerRequest) -> None:
+        code, body = 404, b''
+        if request.path == metric_sets.PATH:
+            code, body = 200, self._render_metrics()
+        elif request.path == self.adapter.ready_path:
+            code = 200 if self.ready() else 503
+        headers = httputil.HTTPHeaders({'Content-Length': str(len(body))})
+        line = httputil.ResponseStartLine('HTTP/1.1', code, '')
+        request.connection.write_headers(line, headers, body)
+        request.connection.finish()
+
+    def ready(self) -> bool:
+        """Say whether callers should be sent here."""
+        return self.configured() and not self.leaving
+
+    def _render_metrics(self) -> bytes:
+        counters: collections.Counter[str] = collections.Counter()
+        for group in self.groups.values():
+            counters.update(group.state.counters)
+        return self.metrics.render(
+            counters,
+            {
+                'sessions': len(self.callers),
+                'holds_duty': int(self.holds),
+                'log_lines': self.log.lines,
+                'log_lines_dropped': self.log.dropped,
+            },
+        )
+
+    # ---- the end ----
+
+    async def drain(self) -> None:
+        """Finish what is open within the grace.
+
+        First the balancer turns new callers away, then sessions end where
+        they are between operations, then open transactions end, and what is
+        under way is answered.
+        """
+        self.leaving = True
+        grace_s = self.config.grace_s
+        began_ms = clock.suspended_ms()
+        self.log.emit(
+            'process', 'stop begins', inputs={'sessions': len(self.callers)}
+        )
+        await self.duty.close()
+        await self._until(began_ms, min(ROTATION_S, grace_s * 0.4))
+        self.stopping = caller_task.Stopping.QUIET
+        await self._until(began_ms, grace_s * TRANSACTIONS_SHARE)
+        self.stopping = caller_task.Stopping.ALL
+        await self._until(began_ms, grace_s - EXIT_MARGIN_S)
+
+    async def _until(self, began_ms: int, after_s: float) -> None:
+        while clock.suspended_ms() - began_ms < after_s * 1000:
+            if self.stopping is not caller_task.Stopping.NO:
+                for caller in list(self.callers):
+                    caller.end_if_quiet()
+                if not self.callers:
+                    return
+            await asyncio.sleep(POLL_S)
+
+    async def close(self) -> None:
+        """Close all parts."""
+        self.caller_server.stop()
+        self.ready_server.stop()
+        self.directory.close()
+        await self.membership.close()
+        for group in self.groups.values():
+            group.close()
+        self.adapter.store.close()
+        self.adapter.orders.close()
+        self.log.emit(
+            'process',
+            'stop',
+            inputs={
+                'sessions': len(self.callers),
+                'peak_kb': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+            },
+        )
+        self.log.close()
+
+
+async def serve(
+    config: settings.PoolerSettings, adapter: ports.Adapter
+) -> None:
+    """Run until told to stop; a second signal ends at once."""
+    loop = asyncio.get_running_loop()
+    told = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    # A changed settings file changes nothing that a running process may
+    # take over: addresses hold for its life.
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    pooler = Pooler(config, adapter)
+    await pooler.start()
+    # What was imported stays; collecting it again and again costs time.
+    gc.freeze()
+    await told.wait()
+    told.clear()
+    draining = asyncio.create_task(pooler.drain())
+    again = asyncio.create_task(told.wait())
+    await asyncio.wait({draining, again}, return_when=asyncio.FIRST_COMPLETED)
+    draining.cancel()
+    again.cancel()
+    await pooler.close()
--- a/topazring/proxy/knowledge.py
+++ b/topazring/proxy/knowledge.py
@@ -15,6 +15,7 @@
 from topazring import catalogue
 from topazring.core import members as membership
 from topazring.core import revisions
+from topazring import key_value
 from topazring import platform_client
 from topazring.plumbing import clock
 from topazring.plumbing import logs
@@ -155,7 +156,7 @@
             wait_ms = WATCH_MS if self._watches() else 0
             asked_ms = clock.monotonic_ms()
             found = await self._ask(name, wait_ms)
-            if isinstance(found, platform_client.Unavailable):
+            if isinstance(found, key_value.Unavailable):
                 await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.5))
                 pause_s = min(MOST_RETRY_S, pause_s * 2)
                 continue
@@ -169,7 +170,7 @@
 
     async def _ask(
         self, name: str, wait_ms: int
-    ) -> platform_client.Changes | platform_client.Unavailable:
+    ) -> key_value.Changes | key_value.Unavailable:
         since = self.streams[name].revisions.seen
         if name == INSTANCES:
             return await self.platform.instances(since, wait_ms)
--- a/topazring/proxy/owner_task.py
+++ b/topazring/proxy/owner_task.py
@@ -16,6 +16,7 @@
 from topazring.core import owner
 from topazring.core import requests
 from topazring.core import state as states
+from topazring import key_value
 from topazring import platform_client
 from topazring.plumbing import clock
 from topazring.plumbing import logs
@@ -254,7 +255,7 @@
             written = await self.platform.put(
                 self._record_key(), wanted.dump(), revision
             )
-            if not isinstance(written, platform_client.Written):
+            if not isinstance(written, key_value.Written):
                 return
         self.post(messages.GrantsSeen(terms))
 
@@ -273,7 +274,7 @@
                 written = await self.platform.put(
                     self._record_key(), wanted.dump(), revision
                 )
-                if isinstance(written, platform_client.Written):
+                if isinstance(written, key_value.Written):
                     return
             jitter = self.state.rng.uniform(0.5, 1.5)
             await asyncio.sleep(pause_s * jitter)
@@ -284,9 +285,9 @@
     ) -> tuple[grants.GroupRecord, int | None] | None:
         found = await self.platform.get(self._record_key())
         match found:
-            case platform_client.Found(value=value, revision=revision):
+            case key_value.Found(value=value, revision=revision):
                 return grants.parse(value), revision
-            case platform_client.Missing():
+            case key_value.Missing():
                 return grants.GroupRecord(), None
         return None
 
--- a/topazring/tests/rivals.py
+++ b/topazring/tests/rivals.py
@@ -6,7 +6,7 @@
 
 from topazring.core import grants
 from topazring.core import places
-from topazring import platform_client
+from topazring import key_value
 from topazring import wire
 
 CLAIMANT = 'rival'
@@ -73,6 +73,6 @@
             'rival',
         )
         written = await fleet.platform.put(key, higher.dump(), found.revision)
-        if isinstance(written, platform_client.Written):
+        if isinstance(written, key_value.Written):
             terms = grants.terms_of(higher, CLAIMANT)
             return Rival(fleet, database, terms)
