--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -6,7 +6,6 @@
 """
 
 from topazring.core import places
-from topazring.core.synchronous import freshness
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
