Promote nobody whose log ends before what is known to be acknowledged

The deaf replica was then the only member left, was paused, and was promoted at 1.9 while 1.35 was acknowledged. Paused by the attempt, it could not confirm either, so the attempt kept itself alive.

Now each confirmed write raises a floor by what its primary's log held before it was sent; an attempt on a primary that answers looks first and pauses nobody until a follower is possible, and lets go after 0.8 s.

--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -231,7 +231,7 @@
         waiting.take(state, now_ms, work)
     if work.offered_ms is None:
         work.offered_ms = now_ms
-    _assign(work, connection)
+    _assign(state, work, connection)
     if request.begins:
         commands = exchanges.begin(connection, request, after)
         return [send(connection, now_ms, states.Errand.BEGINNING, commands)]
@@ -239,7 +239,13 @@
     return [send(connection, now_ms, states.Errand.STATEMENT, commands)]
 
 
-def _assign(work: states.Work, connection: states.Connection) -> None:
+def _assign(
+    state: states.GroupState,
+    work: states.Work,
+    connection: states.Connection,
+) -> None:
+    upstream = state.upstreams[connection.upstream]
+    connection.place_before = upstream.place
     work.running.add(connection.number)
     connection.work = work.request.key
     connection.writing = work.request.writes
@@ -271,7 +277,7 @@
     commands = exchanges.adapt(connection, request)
     commands.append(exchanges.statement_command(request))
     work.offered_ms = now_ms
-    _assign(work, connection)
+    _assign(state, work, connection)
     return [send(connection, now_ms, states.Errand.STATEMENT, tuple(commands))]
 
 
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -38,6 +38,8 @@
     upstream.refuted_ms = None
     if state.primary == upstream.name:
         return []
+    # A new primary began with all that had been acknowledged before.
+    state.acknowledged = max(state.acknowledged, upstream.place)
     return _lead(state, now_ms, upstream, 'it took a transaction')
 
 
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -9,7 +9,9 @@
 without a stop of writes.
 
 A replica that cannot be asked may be the only one that holds an acknowledged
-write. Nobody is promoted without its answer.
+write. Nobody is promoted without its answer, nor anyone whose log ends
+before what is known to be acknowledged: the last replica that is listed may
+be one that received nothing for a while.
 """
 
 import dataclasses
@@ -43,6 +45,9 @@
 LEAD_MS = 3000
 # Pause before the next attempt after one that was broken off.
 PAUSE_MS = 300
+# A paused replica confirms nothing. If the primary lives after all, writes
+# stand still meanwhile, so an attempt that cannot choose lets go again.
+CHOOSE_MS = 800
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,6 +63,8 @@
     # The successor of a primary that leaves; the others are paused.
     heir: str = ''
     unconfirmed: bool = False
+    # Only look, pause nobody: is there anyone who may follow?
+    looking: bool = False
     reports: dict[str, statements.StatusReport] = dataclasses.field(
         default_factory=dict
     )
@@ -130,6 +137,7 @@
     state.token += 1
     attempt = Attempt(old, why, now_ms, state.term + 1, state.token, heir)
     attempt.unconfirmed = loss is not None and loss.unconfirmed
+    attempt.looking = attempt.unconfirmed
     state.promotion = attempt
     state.counters['promotion_begun'] += 1
     decided = messages.Decided(
@@ -153,9 +161,21 @@
         return _repeat_order(state, now_ms, attempt)
     outs = _ask(state, now_ms, attempt)
     chosen = _choose(state, attempt)
-    if chosen:
-        outs += _order(state, now_ms, attempt, chosen)
-    return outs
+    if not chosen:
+        return outs
+    if attempt.looking:
+        return outs + _stop_looking(state, now_ms, attempt)
+    return outs + _order(state, now_ms, attempt, chosen)
+
+
+def _stop_looking(
+    state: states.GroupState, now_ms: int, attempt: Attempt
+) -> list:
+    """Pause the replicas now that one of them could follow."""
+    attempt.looking = False
+    attempt.reports.clear()
+    attempt.asked_ms.clear()
+    return _ask(state, now_ms, attempt)
 
 
 def _end(
@@ -169,6 +189,8 @@
         if now_ms - attempt.ordered_ms > LEAD_MS:
             return _finish(state, now_ms, attempt, 'nobody leads')
         return None
+    if not attempt.heir and now_ms - attempt.began_ms > CHOOSE_MS:
+        return _finish(state, now_ms, attempt, 'nobody may follow')
     old = state.upstreams.get(attempt.old)
     if attempt.heir:
         if old is None or evidence.judge(state, now_ms) is not None:
@@ -198,6 +220,9 @@
             'how': how,
             'old': attempt.old,
             'chosen': attempt.chosen,
+            'acknowledged': (
+                f'{state.acknowledged.log_term}.{state.acknowledged.position}'
+            ),
             'primary': state.primary,
             'took_ms': now_ms - attempt.began_ms,
         },
@@ -221,12 +246,12 @@
         if asked_ms is not None and now_ms - asked_ms < again_ms:
             continue
         command: statements.Command = statements.Pause(attempt.term)
-        if name == attempt.heir:
+        if name == attempt.heir or attempt.looking:
             command = statements.Status()
         sent = _control(state, now_ms, name, command)
         if sent:
             attempt.asked_ms[name] = now_ms
-            if name != attempt.heir:
+            if isinstance(command, statements.Pause):
                 state.paused.add(name)
         outs += sent
     return outs
@@ -266,7 +291,7 @@
         if command.term != attempt.term:
             return []
         return _paused(state, now_ms, attempt, name, reply.report)
-    if name == attempt.heir:
+    if name == attempt.heir or attempt.looking:
         attempt.reports[name] = reply.report
     return _go_on(state, now_ms, attempt)
 
@@ -294,6 +319,8 @@
         return ''
     held = {name: attempt.reports[name].received for name in members}
     highest: places.Place = max(held.values())
+    if highest < state.acknowledged:
+        return ''
     if attempt.heir:
         return attempt.heir if held[attempt.heir] >= highest else ''
     able = [name for name in members if held[name] == highest]
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -238,10 +238,16 @@
     connection: states.Connection,
     reply: statements.Reply,
 ) -> None:
-    """Take in a write that its primary had confirmed by a replica."""
+    """Take in a write that its primary had confirmed by a replica.
+
+    Logs are received in order. So the replica holds all that the primary's
+    log held before the write was sent, and all of that counts as
+    acknowledged.
+    """
     upstream = state.upstreams.get(connection.upstream)
     if upstream is not None:
         upstream.confirmed_ms = now_ms
+    state.acknowledged = max(state.acknowledged, connection.place_before)
     if reply.place is not None:
         sample = states.Sample(connection.sent_ms, reply.place)
         freshness.add_sample(state, sample)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -74,6 +74,8 @@
     work: int = 0
     # The statement under way writes.
     writing: bool = False
+    # Where the upstream's log was known to stand when they went out.
+    place_before: places.Place = places.ORIGIN
     transaction: int = 0
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: set[str] = dataclasses.field(default_factory=set)
@@ -180,6 +182,9 @@
     # The newest term seen on any connection.
     term: int = 0
     primary_lost_ms: int | None = None
+    # Acknowledged writes are known to reach this place at least; nobody
+    # whose log ends before it may be promoted.
+    acknowledged: places.Place = places.ORIGIN
     # Oldest first.
     samples: collections.deque[Sample] = dataclasses.field(
         default_factory=collections.deque
