--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -244,8 +244,11 @@
     work: states.Work,
     connection: states.Connection,
 ) -> None:
-    upstream = state.upstreams[connection.upstream]
-    connection.place_before = upstream.place
+    # A transaction goes on at an upstream that is listed no more.
+    upstream = state.upstreams.get(connection.upstream)
+    connection.place_before = places.ORIGIN
+    if upstream is not None:
+        connection.place_before = upstream.place
     work.running.add(connection.number)
     connection.work = work.request.key
     connection.writing = work.request.writes
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -25,6 +25,9 @@
 # A write takes some ten ms, and some hundred behind a full queue of the
 # upstream. One that hangs longer is not confirmed by any replica.
 HANGING_MS = 600
+# A promotion that is under way shows within its own time, which is at most a
+# second; a group without a primary for longer needs another.
+ABSENT_MS = 1500
 # After a pause of this process, silence counts again once answers that were
 # under way had time to be read.
 BLIND_MS = 400
@@ -46,7 +49,7 @@
     if now_ms - state.woke_ms < BLIND_MS and state.woke_ms:
         return None
     if not state.primary:
-        return None
+        return _absent(state, now_ms)
     upstream = state.upstreams.get(state.primary)
     if upstream is None:
         return Loss(state.primary, 'it is listed no more', now_ms)
@@ -56,6 +59,14 @@
     return _hanging(state, now_ms, upstream)
 
 
+def _absent(state: states.GroupState, now_ms: int) -> Loss | None:
+    """Return a loss if nobody leads: a promotion was broken off."""
+    since_ms = state.primary_lost_ms
+    if since_ms is None or now_ms - since_ms < ABSENT_MS:
+        return None
+    return Loss('', 'nobody leads', since_ms)
+
+
 def _silent(
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> Loss | None:
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -19,7 +19,7 @@
 from topazring.core.synchronous import results
 from topazring.core.synchronous import state as states
 
-__all__ = ['SYNCHRONOUS', 'step']
+__all__ = ['DUTY_PAUSE_MS', 'SYNCHRONOUS', 'step']
 
 SYNCHRONOUS = 'synchronous'
 
@@ -31,6 +31,9 @@
 HEARTBEAT_MS = 100
 # While no primary is known every upstream is asked.
 SEARCH_MS = 50
+# A third of the shortest lease: after a longer pause its holder asks whether
+# it still holds it.
+DUTY_PAUSE_MS = 1000
 # A timer that fires so late means that this process did not run.
 PAUSE_MS = 200
 
@@ -149,13 +152,21 @@
 
 
 def _wake(state: states.GroupState, now_ms: int, paused_ms: int) -> list:
-    """Trust nothing that was known before this process stood still."""
+    """Trust nothing that was known before this process stood still.
+
+    The duty least of all: another proxy has promoted meanwhile if its lease
+    ran out, and demoting that one's choice would leave nobody to lead.
+    """
     state.woke_ms = now_ms
+    outs: list = []
+    if paused_ms >= DUTY_PAUSE_MS:
+        outs = promotion.duty_seen(state, now_ms, messages.DutySeen(False))
     freshness.forget_samples(state)
     for upstream in state.upstreams.values():
         upstream.unheard_since_ms = None
         upstream.failed_dials = 0
-    return [messages.Decided('woke', inputs={'paused_ms': paused_ms})]
+    woke = messages.Decided('woke', inputs={'paused_ms': paused_ms})
+    return [woke, *outs]
 
 
 def _guard(state: states.GroupState, now_ms: int) -> list:
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -21,7 +21,7 @@
     listed = {entry.name: entry for entry in message.upstreams}
     for name in list(state.upstreams):
         if name not in listed:
-            outs += _gone(state, name)
+            outs += _gone(state, now_ms, name)
     for entry in message.upstreams:
         known = state.upstreams.get(entry.name)
         if known is None:
@@ -31,8 +31,10 @@
     return outs
 
 
-def _gone(state: states.GroupState, name: str) -> list:
-    del state.upstreams[name]
+def _gone(state: states.GroupState, now_ms: int, name: str) -> list:
+    upstream = state.upstreams.pop(name)
+    if not upstream.leaving:
+        state.lapsed_ms[name] = now_ms
     state.paused.discard(name)
     outs: list = [messages.Decided('upstream gone', inputs={'upstream': name})]
     outs += connections.drop_all_of(state, name)
@@ -50,6 +52,7 @@
         entry.revision,
     )
     state.upstreams[entry.name] = upstream
+    state.lapsed_ms.pop(entry.name, None)
     _note_leaving(state, now_ms, upstream, entry)
     return [
         messages.Decided(
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -36,10 +36,12 @@
 ) -> list:
     """Take in that an upstream proved to lead just now."""
     upstream.refuted_ms = None
+    if state.proven != upstream.name:
+        # A new primary began with all that had been acknowledged before.
+        state.proven = upstream.name
+        state.acknowledged = max(state.acknowledged, upstream.place)
     if state.primary == upstream.name:
         return []
-    # A new primary began with all that had been acknowledged before.
-    state.acknowledged = max(state.acknowledged, upstream.place)
     return _lead(state, now_ms, upstream, 'it took a transaction')
 
 
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -8,6 +8,10 @@
 that holds what the paused ones reported it holds all that was acknowledged,
 without a stop of writes.
 
+A primary that answers but gets nothing confirmed is demoted first: cut off
+from its replicas it may reach one again at any moment. Its log holds all
+that was acknowledged, so if no replica provably does, it is promoted anew.
+
 A replica that cannot be asked may be the only one that holds an acknowledged
 write. Nobody is promoted without its answer, nor anyone whose log ends
 before what is known to be acknowledged: the last replica that is listed may
@@ -48,6 +52,12 @@
 # A paused replica confirms nothing. If the primary lives after all, writes
 # stand still meanwhile, so an attempt that cannot choose lets go again.
 CHOOSE_MS = 800
+# A member whose entry lapsed is reckoned with for so long. Crashed ones are
+# back within seconds; one that is gone for good must not be waited for.
+LAPSED_MS = 60_000
+# What a primary held so long before it was last heard counts as
+# acknowledged: replicas receive within milliseconds.
+SETTLED_MS = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +79,8 @@
         default_factory=dict
     )
     asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    # All that was known of the group when the attempt began.
+    members: frozenset[str] = frozenset()
     chosen: str = ''
     ordered_ms: int = 0
     accepted: bool = False
@@ -138,6 +150,11 @@
     attempt = Attempt(old, why, now_ms, state.term + 1, state.token, heir)
     attempt.unconfirmed = loss is not None and loss.unconfirmed
     attempt.looking = attempt.unconfirmed
+    attempt.members = frozenset(state.upstreams) | {
+        name
+        for name, since_ms in state.lapsed_ms.items()
+        if now_ms - since_ms < LAPSED_MS
+    }
     state.promotion = attempt
     state.counters['promotion_begun'] += 1
     decided = messages.Decided(
@@ -163,6 +180,8 @@
     chosen = _choose(state, attempt)
     if not chosen:
         return outs
+    if attempt.looking and chosen == attempt.old:
+        return outs + _finish(state, now_ms, attempt, 'nobody may follow')
     if attempt.looking:
         return outs + _stop_looking(state, now_ms, attempt)
     return outs + _order(state, now_ms, attempt, chosen)
@@ -183,13 +202,18 @@
 ) -> list | None:
     """End an attempt that succeeded, or that nothing calls for any more."""
     leads = state.primary
-    if leads and leads != attempt.old:
+    renewed = attempt.chosen == attempt.old and attempt.accepted
+    if leads and (leads != attempt.old or renewed):
         return _finish(state, now_ms, attempt, 'succeeded')
     if attempt.chosen:
         if now_ms - attempt.ordered_ms > LEAD_MS:
             return _finish(state, now_ms, attempt, 'nobody leads')
         return None
     if not attempt.heir and now_ms - attempt.began_ms > CHOOSE_MS:
+        if attempt.unconfirmed and not attempt.looking:
+            # It may have been demoted; the search for one that leads shows.
+            state.primary = ''
+            state.primary_lost_ms = attempt.began_ms
         return _finish(state, now_ms, attempt, 'nobody may follow')
     old = state.upstreams.get(attempt.old)
     if attempt.heir:
@@ -197,6 +221,8 @@
             return _finish(state, now_ms, attempt, 'lost meanwhile')
         return None
     if old is None:
+        if attempt.unconfirmed:
+            return _finish(state, now_ms, attempt, 'lost meanwhile')
         return None
     alive = old.heard_ms > attempt.began_ms
     if attempt.unconfirmed:
@@ -232,7 +258,11 @@
 
 def _members(state: states.GroupState, attempt: Attempt) -> list[str]:
     """Return those whose answer is needed before anyone is chosen."""
-    return [name for name in state.upstreams if name != attempt.old]
+    return [
+        name
+        for name in state.upstreams
+        if name != attempt.old or attempt.unconfirmed
+    ]
 
 
 def _ask(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
@@ -248,6 +278,8 @@
         command: statements.Command = statements.Pause(attempt.term)
         if name == attempt.heir or attempt.looking:
             command = statements.Status()
+        elif name == attempt.old:
+            command = statements.Demote(attempt.term)
         sent = _control(state, now_ms, name, command)
         if sent:
             attempt.asked_ms[name] = now_ms
@@ -291,6 +323,8 @@
         if command.term != attempt.term:
             return []
         return _paused(state, now_ms, attempt, name, reply.report)
+    if isinstance(command, statements.Demote):
+        return _demoted(state, now_ms, attempt, name, reply.report)
     if name == attempt.heir or attempt.looking:
         attempt.reports[name] = reply.report
     return _go_on(state, now_ms, attempt)
@@ -308,7 +342,30 @@
         upstream = state.upstreams[name]
         outs = primary.note_leads(state, now_ms, upstream)
         return outs + _finish(state, now_ms, attempt, 'another leads')
-    attempt.reports[name] = report
+    if report.held_term < attempt.term:
+        # A term was newer than any that had been seen: it is not paused.
+        attempt.term = state.term + 1
+        attempt.reports.clear()
+        attempt.asked_ms.clear()
+    else:
+        attempt.reports[name] = report
+    return _go_on(state, now_ms, attempt)
+
+
+def _demoted(
+    state: states.GroupState,
+    now_ms: int,
+    attempt: Attempt,
+    name: str,
+    report: statements.StatusReport,
+) -> list:
+    """Count a primary that is one no more."""
+    if report.role is statements.Role.PRIMARY:
+        attempt.term = state.term + 1
+        attempt.asked_ms.pop(name, None)
+    else:
+        attempt.reports[name] = report
+        state.upstreams[name].refuted_ms = now_ms
     return _go_on(state, now_ms, attempt)
 
 
@@ -318,16 +375,35 @@
     if not members or any(name not in attempt.reports for name in members):
         return ''
     held = {name: attempt.reports[name].received for name in members}
-    highest: places.Place = max(held.values())
-    if highest < state.acknowledged:
-        return ''
     if attempt.heir:
-        return attempt.heir if held[attempt.heir] >= highest else ''
-    able = [name for name in members if held[name] == highest]
+        enough = held[attempt.heir] >= max(held.values())
+        return attempt.heir if enough else ''
+    others = {n: place for n, place in held.items() if n != attempt.old}
+    highest = max(others.values(), default=places.ORIGIN)
+    if attempt.unconfirmed:
+        lacking = attempt.members - held.keys()
+        if lacking and highest < held[attempt.old]:
+            return attempt.old
+    if not others or highest < _floor(state, attempt):
+        return attempt.old if attempt.unconfirmed else ''
+    able = [name for name in others if others[name] == highest]
     staying = [n for n in able if not state.upstreams[n].leaving]
     return min(staying or able)
 
 
+def _floor(state: states.GroupState, attempt: Attempt) -> places.Place:
+    """Return the place that whoever is promoted has to hold."""
+    floor = state.acknowledged
+    old = state.upstreams.get(attempt.old)
+    if attempt.unconfirmed or old is None:
+        return floor
+    settled_ms = old.heard_ms - SETTLED_MS
+    for sample in state.samples:
+        if sample.sent_ms <= settled_ms:
+            floor = max(floor, sample.place)
+    return floor
+
+
 def _order(
     state: states.GroupState, now_ms: int, attempt: Attempt, chosen: str
 ) -> list:
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -185,6 +185,11 @@
     # Acknowledged writes are known to reach this place at least; nobody
     # whose log ends before it may be promoted.
     acknowledged: places.Place = places.ORIGIN
+    # Upstreams whose entry lapsed, and when: they may hold what nobody else
+    # holds, and may be back at any moment.
+    lapsed_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    # The last upstream that proved to lead.
+    proven: str = ''
     # Oldest first.
     samples: collections.deque[Sample] = dataclasses.field(
         default_factory=collections.deque
--- /dev/null
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -0,0 +1,125 @@
+"""Leave out one rule of the design at a time; the walks have to notice."""
+
+import collections.abc
+import contextlib
+import dataclasses
+from unittest import mock
+
+from topazring.core import places
+from topazring.core.synchronous import exchanges
+from topazring.core.synchronous import fates
+from topazring.core.synchronous import freshness
+from topazring.core.synchronous import promotion
+from topazring.core.synchronous import results
+from topazring.core.synchronous import sessions
+from topazring.core.synchronous import statements
+from topazring.core.synchronous.tests import fake_group
+from topazring.core.synchronous.tests import world as worlds
+
+__all__ = ['ABLATIONS']
+
+Ablation = collections.abc.Callable[[], contextlib.AbstractContextManager]
+ABLATIONS: dict[str, Ablation] = {}
+
+
+def _ablation(function: Ablation) -> Ablation:
+    ABLATIONS[function.__name__.strip('_')] = function
+    return function
+
+
+@_ablation
+def _read_without_guard():
+    """Read at the believed primary without asking whether it leads."""
+    return mock.patch.object(exchanges, 'GUARD', ())
+
+
+@_ablation
+def _use_answer_behind_refused_guard():
+    """Take the answer of a read whose guard was refused."""
+    return mock.patch.object(
+        exchanges, 'guard_refused', lambda commands, replies: None
+    )
+
+
+@_ablation
+def _newest_sample_ignored():
+    """Let any replica serve, whatever it holds."""
+    return mock.patch.object(
+        freshness, 'required_place', lambda state, request: places.ORIGIN
+    )
+
+
+@_ablation
+def _forget_own_commit():
+    """Forget where a session's own commit is."""
+    finish = sessions.finish
+
+    def forgetful(session, request, outcome):
+        finish(session, request, outcome)
+        session.place = places.ORIGIN
+
+    return mock.patch.object(sessions, 'finish', forgetful)
+
+
+@_ablation
+def _resend_writes():
+    """Send a write again whose answer was lost."""
+    return mock.patch.object(fates, 'keeps_nothing', lambda work: True)
+
+
+@_ablation
+def _promote_without_pause():
+    """Choose by what replicas report while they still receive."""
+    return mock.patch.object(
+        worlds.World, 'pause', lambda self, wire, member, command: self.ok(
+            wire,
+            report=dataclasses.replace(
+                fake_group.report(member), held_term=command.term
+            ),
+        )
+    )
+
+
+@_ablation
+def _promote_below_acknowledged():
+    """Promote the best of those that are listed, whatever it lacks."""
+    return mock.patch.object(
+        results, '_note_confirmed', lambda *args: None
+    )
+
+
+@_ablation
+def _promote_without_all_answers():
+    """Promote without waiting for a silent member."""
+    members = promotion._members
+
+    def answered(state, attempt):
+        return [n for n in members(state, attempt) if n in attempt.reports]
+
+    return mock.patch.object(promotion, '_members', answered)
+
+
+@_ablation
+def _keep_foreign_values():
+    """Use a connection with the values of another session."""
+
+    def adapt(connection, request):
+        commands = []
+        if request.prepared is not None:
+            commands.append(request.prepared)
+        return commands
+
+    return mock.patch.object(exchanges, 'adapt', adapt)
+
+
+@_ablation
+def _callers_prepared_names():
+    """Prepare under the callers' own names, which collide."""
+
+    def prepare(session, statement):
+        session.prepared[statement.name] = statements.Prepare(
+            statement.name, statement.access, statement.value
+        )
+        return sessions.Local(sessions._DONE)
+
+    return mock.patch.object(sessions, '_prepare', prepare)
--- /dev/null
+++ b/topazring/core/synchronous/tests/fake_group.py
@@ -0,0 +1,113 @@
+"""Play a group of upstreams with synchronous replicas, in memory."""
+
+import collections
+import dataclasses
+
+from topazring.core import places
+from topazring.core.synchronous import statements
+
+Code = statements.Code
+Role = statements.Role
+SessionState = statements.SessionState
+
+MAX_CONNECTIONS = 8
+
+
+class Violation(AssertionError):
+    """Say which promise was broken."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """Hold one commit: its term and the writes in it."""
+
+    term: int
+    writes: tuple[str, ...]
+
+
+@dataclasses.dataclass
+class Wire:
+    """Hold one connection as the upstream sees it."""
+
+    proxy: str
+    number: int
+    upstream: str
+    values: dict[str, str] = dataclasses.field(default_factory=dict)
+    prepared: dict[str, str] = dataclasses.field(default_factory=dict)
+    # None outside a transaction.
+    read_only: bool | None = None
+    failed: bool = False
+    owner: int = 0
+    writes: list[str] = dataclasses.field(default_factory=list)
+    inbox: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
+    replies: list[statements.Reply] = dataclasses.field(default_factory=list)
+    busy: bool = False
+    # Nothing passes in either direction any more, and nobody is told.
+    silent: bool = False
+    # The next answer is lost, once.
+    lose_answer: bool = False
+
+
+@dataclasses.dataclass
+class Member:
+    """Hold one upstream."""
+
+    name: str
+    role: Role
+    term: int = 1
+    log: list[Entry] = dataclasses.field(default_factory=list)
+    # Of the log so many entries are applied.
+    applied: int = 0
+    # The term named in a pause, 0 if none.
+    held_term: int = 0
+    dark: bool = False
+    dark_since_ms: int = 0
+    deaf_until_ms: int = 0
+    lag_ms: int = 20
+    listed: bool = True
+    leaving: bool = False
+    revision: int = 1
+
+    def received(self) -> places.Place:
+        """Return the place of the last entry."""
+        if not self.log:
+            return places.ORIGIN
+        return places.Place(self.log[-1].term, len(self.log))
+
+    def place(self) -> places.Place:
+        """Return the place of the last applied entry."""
+        if not self.applied:
+            return places.ORIGIN
+        return places.Place(self.log[self.applied - 1].term, self.applied)
+
+
+def report(member: Member) -> statements.StatusReport:
+    """Return what an upstream says of itself."""
+    return statements.StatusReport(
+        member.role,
+        member.term,
+        member.received(),
+        member.held_term,
+        0,
+        0,
+        0,
+    )
+
+
+def wire_state(wire: Wire) -> SessionState:
+    """Return where a connection's session stands."""
+    if wire.read_only is None:
+        return SessionState.IDLE
+    if wire.failed:
+        return SessionState.FAILED
+    return SessionState.IN_TRANSACTION
+
+
+def roll_back(wire: Wire) -> None:
+    """Undo a connection's transaction."""
+    wire.read_only = None
+    wire.failed = False
+    wire.owner = 0
+    wire.writes.clear()
--- /dev/null
+++ b/topazring/core/synchronous/tests/walks.py
@@ -0,0 +1,229 @@
+"""Walk through the world at random."""
+
+import random
+
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import statements
+from topazring.core.synchronous.tests import fake_group
+from topazring.core.synchronous.tests import world as worlds
+
+Verb = statements.Verb
+Access = statements.Access
+
+# Three missed heartbeats.
+LAPSE_MS = 3000
+
+ACTIONS = (
+    ('time', 30),
+    ('speak', 60),
+    ('arrive', 4),
+    ('leave', 2),
+    ('silence', 2),
+    ('reset', 2),
+    ('lose_answer', 2),
+    ('dark', 1),
+    ('back', 2),
+    ('deaf', 1),
+    ('cut', 1),
+    ('heal_cut', 1),
+    ('freeze', 1),
+    ('duty', 1),
+    ('lag', 1),
+    ('list', 2),
+    ('lapse', 3),
+)
+
+
+def walk(seed: int, steps: int) -> worlds.World:
+    """Walk at random; raise Violation when a promise is broken."""
+    rng = random.Random(seed)
+    world = worlds.World(seed)
+    world.run(300)
+    for _ in range(6):
+        world.open_session()
+    names = [name for name, _ in ACTIONS]
+    weights = [weight for _, weight in ACTIONS]
+    try:
+        for action in rng.choices(names, weights, k=steps):
+            _actions[action](world, rng)
+        world.finish()
+    except fake_group.Violation as error:
+        tail = '\n'.join(world.trace[-60:])
+        raise fake_group.Violation(f'seed {seed}: {error}\n{tail}') from None
+    return world
+
+
+_actions = {}
+
+
+def _action(function):
+    _actions[function.__name__.strip('_')] = function
+    return function
+
+
+@_action
+def _time(world: worlds.World, rng: random.Random) -> None:
+    world.run(rng.choice((1, 3, 10, 40, 150)))
+
+
+@_action
+def _arrive(world: worlds.World, rng: random.Random) -> None:
+    if len(world.sessions) < 8:
+        world.open_session()
+
+
+@_action
+def _leave(world: worlds.World, rng: random.Random) -> None:
+    if world.sessions:
+        proxy, session = rng.choice(world.sessions)
+        if not world.is_busy(session):
+            world.leave(proxy, session)
+
+
+@_action
+def _speak(world: worlds.World, rng: random.Random) -> None:
+    free = [
+        (proxy, session)
+        for proxy, session in world.sessions
+        if not world.is_busy(session)
+    ]
+    if not free:
+        return
+    proxy, session = rng.choice(free)
+    request_id = f'r{next(world.keys)}'
+    world.say(proxy, session, _statement(rng, request_id, session))
+
+
+def _statement(rng, request_id: str, session) -> statements.Statement:
+    verb = rng.choice(_choices(session))
+    name = rng.choice('ab')
+    return statements.Statement(
+        request_id,
+        verb,
+        str(verb),
+        name=name,
+        value=rng.choice('xyz'),
+        access=rng.choice((Access.READ, Access.WRITE)),
+        read_only=rng.random() < 0.3,
+    )
+
+
+def _choices(session) -> tuple[Verb, ...]:
+    if session.state is statements.SessionState.FAILED:
+        return (Verb.ROLLBACK, Verb.COMMIT)
+    usual = (Verb.READ, Verb.READ, Verb.WRITE, Verb.EXECUTE, Verb.SET)
+    if session.transaction is None:
+        return (*usual, Verb.BEGIN, Verb.PREPARE, Verb.DEALLOCATE)
+    return (*usual, Verb.COMMIT, Verb.COMMIT, Verb.ROLLBACK)
+
+
+@_action
+def _silence(world: worlds.World, rng: random.Random) -> None:
+    if world.wires:
+        rng.choice(list(world.wires.values())).silent = True
+
+
+@_action
+def _reset(world: worlds.World, rng: random.Random) -> None:
+    if world.wires:
+        world.reset(rng.choice(list(world.wires.values())))
+
+
+@_action
+def _lose_answer(world: worlds.World, rng: random.Random) -> None:
+    if world.wires:
+        rng.choice(list(world.wires.values())).lose_answer = True
+
+
+@_action
+def _dark(world: worlds.World, rng: random.Random) -> None:
+    if any(member.dark for member in world.members.values()):
+        return
+    member = rng.choice(list(world.members.values()))
+    member.dark = True
+    member.dark_since_ms = int(world.now_ms)
+    world.note(f'{member.name} goes dark')
+    for wire in list(world.wires.values()):
+        if wire.upstream == member.name:
+            wire.silent = True
+
+
+@_action
+def _back(world: worlds.World, rng: random.Random) -> None:
+    for member in world.members.values():
+        if member.dark:
+            _return(world, member)
+
+
+def _return(world: worlds.World, member: fake_group.Member) -> None:
+    member.dark = False
+    member.held_term = 0
+    member.listed = True
+    world.note(f'{member.name} is back')
+    for key, wire in list(world.wires.items()):
+        if wire.upstream == member.name:
+            del world.wires[key]
+    for proxy in worlds.PROXIES:
+        world.tell_list(proxy)
+    for other in world.members.values():
+        if other.role is statements.Role.PRIMARY:
+            world.replicate(other)
+
+
+@_action
+def _deaf(world: worlds.World, rng: random.Random) -> None:
+    member = rng.choice(list(world.members.values()))
+    member.deaf_until_ms = int(world.now_ms) + rng.choice((300, 1500, 4000))
+    world.note(f'{member.name} is deaf until {member.deaf_until_ms}')
+
+
+@_action
+def _cut(world: worlds.World, rng: random.Random) -> None:
+    names = [*worlds.PROXIES, *worlds.UPSTREAMS]
+    pair = frozenset(rng.sample(names, 2))
+    world.cut_pairs.add(pair)
+    world.note(f'cut {sorted(pair)}')
+
+
+@_action
+def _heal_cut(world: worlds.World, rng: random.Random) -> None:
+    world.cut_pairs.clear()
+
+
+@_action
+def _freeze(world: worlds.World, rng: random.Random) -> None:
+    proxy = rng.choice(worlds.PROXIES)
+    for_ms = rng.choice((200, 900, 3000))
+    world.frozen_until_ms[proxy] = int(world.now_ms) + for_ms
+    world.note(f'{proxy} is frozen for {for_ms}')
+
+
+@_action
+def _duty(world: worlds.World, rng: random.Random) -> None:
+    proxy = rng.choice(worlds.PROXIES)
+    for other in worlds.PROXIES:
+        if other != proxy and rng.random() < 0.7:
+            world.post(other, messages.DutySeen(False))
+    world.give_duty(proxy)
+
+
+@_action
+def _lag(world: worlds.World, rng: random.Random) -> None:
+    rng.choice(list(world.members.values())).lag_ms = rng.choice(
+        (5, 20, 200, 2000)
+    )
+
+
+@_action
+def _list(world: worlds.World, rng: random.Random) -> None:
+    world.tell_list(rng.choice(worlds.PROXIES))
+
+
+@_action
+def _lapse(world: worlds.World, rng: random.Random) -> None:
+    """Have the entry of a dark upstream lapse."""
+    for member in world.members.values():
+        if member.dark and world.now_ms - member.dark_since_ms > LAPSE_MS:
+            member.listed = False
+    for proxy in worlds.PROXIES:
+        world.tell_list(proxy)
--- /dev/null
+++ b/topazring/core/synchronous/tests/world.py
@@ -0,0 +1,669 @@
+"""Put proxies' cores before a group of upstreams and let things go wrong.
+
+Time is simulated: events lie in a heap. Links delay, connections go silent,
+upstreams go dark or deaf, orders arrive late, holders of the duty change and
+overlap. The oracle watches what upstreams run and what callers get.
+"""
+
+import heapq
+import itertools
+import random
+
+from topazring.core import outcomes
+from topazring.core.synchronous import group
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import sessions
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+from topazring.core.synchronous.tests import fake_group
+from topazring.core.synchronous.tests import oracle as oracles
+
+Code = statements.Code
+Role = statements.Role
+SessionState = statements.SessionState
+
+UPSTREAMS = ('u1', 'u2', 'u3')
+PROXIES = ('p1', 'p2')
+PROMOTE_MS = 120
+TICK_MS = 20
+POLICIES = (
+    messages.Policy('exact', 's', messages.Freshness.PRIMARY, 0, 600),
+    messages.Policy('bounded', 's', messages.Freshness.BOUNDED, 500, 900),
+    messages.Policy('own', 's', messages.Freshness.SESSION, 800, 600),
+)
+
+
+class World:
+    """Hold proxies, upstreams, what is under way, and the oracle."""
+
+    def __init__(self, seed: int):
+        self.rng = random.Random(seed)
+        self.now_ms = 1000
+        self.heap: list = []
+        self.order = itertools.count()
+        self.keys = itertools.count(1)
+        self.oracle = oracles.Oracle()
+        self.members = {
+            name: fake_group.Member(name, Role.REPLICA) for name in UPSTREAMS
+        }
+        self.members['u1'].role = Role.PRIMARY
+        self.term = 1
+        self.token_seen = 0
+        self.next_block = 0
+        self.holder = ''
+        self.wires: dict[tuple[str, int], fake_group.Wire] = {}
+        self.waiting_acks: list = []
+        self.cut_pairs: set[frozenset[str]] = set()
+        self.states: dict[str, states.GroupState] = {}
+        self.frozen_until_ms: dict[str, int] = {}
+        self.sessions: list[tuple[str, sessions.Session]] = []
+        self.pending: dict[tuple[str, int], sessions.Session] = {}
+        self.signatures = itertools.count(1)
+        self.trace: list[str] = []
+        for proxy in PROXIES:
+            self.states[proxy] = states.make_group(
+                's', 'dc', states.Limits()
+            )
+            self.post(proxy, messages.InstancesSeen(2, 8))
+            self.tell_list(proxy)
+            self.at(TICK_MS, self.tick, proxy, self.now_ms)
+        self.give_duty('p1')
+
+    # ---- time ----
+
+    def at(self, delay_ms: float, call, *args) -> None:
+        """Have something happen later."""
+        entry = (self.now_ms + delay_ms, next(self.order), call, args)
+        heapq.heappush(self.heap, entry)
+
+    def run(self, for_ms: int) -> None:
+        """Let time pass."""
+        until_ms = self.now_ms + for_ms
+        while self.heap and self.heap[0][0] <= until_ms:
+            at_ms, _, call, args = heapq.heappop(self.heap)
+            self.now_ms = max(self.now_ms, at_ms)
+            call(*args)
+        self.now_ms = until_ms
+
+    def note(self, text: str) -> None:
+        """Keep a line for whoever reads a failure."""
+        self.trace.append(f'{self.now_ms:.0f} {text}')
+
+    # ---- proxies ----
+
+    def is_frozen(self, proxy: str) -> bool:
+        """Say whether a proxy stands still."""
+        return self.now_ms < self.frozen_until_ms.get(proxy, 0)
+
+    def post(self, proxy: str, message: object) -> None:
+        """Give a proxy's core a message, now or when it goes on."""
+        if self.is_frozen(proxy):
+            delay_ms = self.frozen_until_ms[proxy] - self.now_ms
+            self.at(delay_ms, self.post, proxy, message)
+            return
+        outs = group.step(self.states[proxy], int(self.now_ms), message)
+        for out in outs:
+            self.perform(proxy, out)
+
+    def tick(self, proxy: str, before_ms: float) -> None:
+        """Tick a core, late after it stood still."""
+        if self.is_frozen(proxy):
+            delay_ms = self.frozen_until_ms[proxy] - self.now_ms
+            self.at(delay_ms, self.tick, proxy, before_ms)
+            return
+        paused_ms = int(self.now_ms - before_ms - TICK_MS)
+        self.post(proxy, messages.Tick(max(0, paused_ms)))
+        if paused_ms >= group.DUTY_PAUSE_MS:
+            self.at(30, self.confirm_duty, proxy)
+        self.at(TICK_MS, self.tick, proxy, self.now_ms)
+
+    def perform(self, proxy: str, out: object) -> None:
+        """Do what a core said."""
+        match out:
+            case messages.Open():
+                self.at(self.delay(), self.dial, proxy, out)
+            case messages.Send():
+                wire = self.wires.get((proxy, out.connection))
+                if wire is not None and not wire.silent:
+                    self.at(self.delay(), self.arrive, wire, out.commands)
+            case messages.Close():
+                self.at(self.delay(), self.hang_up, proxy, out.connection)
+            case messages.Answer():
+                self.take_answer(proxy, out)
+            case messages.Order():
+                self.order_promotion(proxy, out)
+            case messages.Decided():
+                self.note(f'{proxy} {out.what} {dict(out.inputs)}')
+
+    def delay(self) -> float:
+        """Return how long a message takes."""
+        return self.rng.choice((0.5, 1, 1, 2, 9))
+
+    def give_duty(self, proxy: str) -> None:
+        """Let a proxy gain the duty; the others may not know it yet."""
+        self.next_block += 1000
+        self.holder = proxy
+        self.post(proxy, messages.DutySeen(True, self.next_block))
+
+    def confirm_duty(self, proxy: str) -> None:
+        """Tell a proxy that asked whether it still holds the duty."""
+        if proxy == self.holder:
+            self.post(proxy, messages.DutySeen(True, self.next_block))
+
+    def tell_list(self, proxy: str) -> None:
+        """Tell a proxy what the platform lists."""
+        listed = tuple(
+            messages.Listed(
+                member.name,
+                member.name,
+                'dc' if member.name == 'u2' else 'other',
+                member.role,
+                member.revision,
+                member.leaving,
+            )
+            for member in self.members.values()
+            if member.listed
+        )
+        self.post(proxy, messages.UpstreamsSeen(listed))
+
+    # ---- connections ----
+
+    def reachable(self, proxy: str, upstream: str) -> bool:
+        """Say whether new connections get through."""
+        member = self.members[upstream]
+        pair = frozenset((proxy, upstream))
+        return not member.dark and pair not in self.cut_pairs
+
+    def dial(self, proxy: str, out: messages.Open) -> None:
+        """Answer a new connection."""
+        if out.connection not in self.states[proxy].connections:
+            return
+        if not self.reachable(proxy, out.upstream):
+            return
+        held = [w for w in self.wires.values() if w.upstream == out.upstream]
+        if len(held) >= fake_group.MAX_CONNECTIONS:
+            closed = messages.Closed(
+                out.connection,
+                outcomes.Reason.CONNECTION_LIMIT,
+                Code.CONNECTION_LIMIT,
+            )
+            self.at(self.delay(), self.post, proxy, closed)
+            return
+        wire = fake_group.Wire(proxy, out.connection, out.upstream)
+        self.wires[(proxy, out.connection)] = wire
+        place = self.members[out.upstream].place()
+        opened = messages.Opened(out.connection, place)
+        self.at(self.delay(), self.post, proxy, opened)
+
+    def hang_up(self, proxy: str, number: int) -> None:
+        """End a connection that its proxy closed; it rolls back."""
+        self.wires.pop((proxy, number), None)
+
+    def reset(self, wire: fake_group.Wire) -> None:
+        """End a connection from the upstream's side."""
+        if self.wires.pop((wire.proxy, wire.number), None) is None:
+            return
+        if wire.silent:
+            return
+        closed = messages.Closed(
+            wire.number,
+            outcomes.Reason.CONNECTION_LOST,
+            None,
+            tuple(wire.replies),
+        )
+        self.at(self.delay(), self.post, wire.proxy, closed)
+
+    def arrive(self, wire: fake_group.Wire, commands: tuple) -> None:
+        """Take commands in at the upstream."""
+        if (wire.proxy, wire.number) not in self.wires or wire.silent:
+            return
+        if not self.reachable(wire.proxy, wire.upstream):
+            wire.silent = True
+            return
+        wire.replies = []
+        wire.inbox.extend(commands)
+        if not wire.busy:
+            self.work(wire)
+
+    def work(self, wire: fake_group.Wire) -> None:
+        """Run a connection's next command."""
+        if (wire.proxy, wire.number) not in self.wires:
+            return
+        if not wire.inbox:
+            self.send_back(wire)
+            return
+        wire.busy = True
+        command = wire.inbox.popleft()
+        takes_ms = 0.0
+        if isinstance(
+            command, statements.Run | statements.Execute | statements.Commit
+        ):
+            takes_ms = self.rng.choice((1, 3, 8, 30))
+        self.at(takes_ms, self.execute, wire, command)
+
+    def send_back(self, wire: fake_group.Wire) -> None:
+        """Send the replies to all that came in one piece."""
+        wire.busy = False
+        if not wire.replies or wire.silent:
+            return
+        if wire.lose_answer:
+            wire.lose_answer = False
+            wire.silent = True
+            return
+        if not self.reachable(wire.proxy, wire.upstream):
+            wire.silent = True
+            return
+        replied = messages.Replied(wire.number, tuple(wire.replies))
+        wire.replies = []
+        self.at(self.delay(), self.post, wire.proxy, replied)
+
+    # ---- what upstreams do ----
+
+    def execute(self, wire: fake_group.Wire, command: object) -> None:
+        """Run one command and note its reply."""
+        if (wire.proxy, wire.number) not in self.wires:
+            return
+        member = self.members[wire.upstream]
+        if member.dark:
+            return
+        reply = self.reply_to(wire, member, command)
+        if reply is not None:
+            wire.replies.append(reply)
+            self.work(wire)
+
+    def ok(
+        self, wire: fake_group.Wire, signature: str = '-', **more
+    ) -> statements.Reply:
+        """Return a success."""
+        member = self.members[wire.upstream]
+        return statements.Reply(
+            signature=signature,
+            state=fake_group.wire_state(wire),
+            place=member.place(),
+            **more,
+        )
+
+    def refuse(self, wire: fake_group.Wire, code: Code) -> statements.Reply:
+        """Return a refusal; a transaction fails by it."""
+        if wire.read_only is not None:
+            wire.failed = True
+        return statements.Reply(
+            code=code,
+            state=fake_group.wire_state(wire),
+            place=self.members[wire.upstream].place(),
+        )
+
+    def reply_to(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: object,
+    ) -> statements.Reply | None:
+        """Return a reply, None if it comes later."""
+        match command:
+            case statements.Begin():
+                return self.begin(wire, member, command)
+            case statements.Rollback():
+                fake_group.roll_back(wire)
+                return self.ok(wire)
+            case statements.SetValue():
+                wire.values[command.name] = command.value
+                return self.ok(wire)
+            case statements.Prepare():
+                wire.prepared[command.name] = command.shape
+                return self.ok(wire)
+            case statements.Reset():
+                wire.values.clear()
+                wire.prepared.clear()
+                return self.ok(wire)
+            case statements.Status():
+                return self.ok(wire, report=fake_group.report(member))
+            case statements.Pause():
+                return self.pause(wire, member, command)
+            case statements.Resume():
+                member.held_term = 0
+                return self.ok(wire, report=fake_group.report(member))
+            case statements.Demote():
+                return self.demote(wire, member, command)
+            case statements.Commit():
+                return self.commit(wire, member, command)
+            case _:
+                return self.statement(wire, member, command)
+
+    def begin(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Begin,
+    ) -> statements.Reply:
+        """Begin a transaction."""
+        if not command.read_only and member.role is not Role.PRIMARY:
+            return self.refuse(wire, Code.READ_ONLY)
+        if command.after is not None and member.place() < command.after:
+            return self.refuse(wire, Code.LAGGING)
+        wire.read_only = command.read_only
+        return self.ok(wire)
+
+    def pause(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Pause,
+    ) -> statements.Reply:
+        """Pause a replica if the term is above the newest."""
+        if member.role is Role.REPLICA and command.term > member.term:
+            member.held_term = command.term
+        return self.ok(wire, report=fake_group.report(member))
+
+    def demote(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Demote,
+    ) -> statements.Reply:
+        """Make a primary of a lower term a replica."""
+        if member.role is Role.PRIMARY and command.term > member.term:
+            member.role = Role.REPLICA
+            self.note(f'{member.name} is demoted')
+            self.relist(member)
+        return self.ok(wire, report=fake_group.report(member))
+
+    def statement(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Run | statements.Execute,
+    ) -> statements.Reply | None:
+        """Run a caller's read or write."""
+        if wire.failed:
+            return self.refuse(wire, Code.OTHER)
+        if self.rng.random() < 0.02:
+            return self.refuse(wire, Code.BUSY)
+        if command.after is not None and member.place() < command.after:
+            return self.refuse(wire, Code.LAGGING)
+        writes = self.oracle.asked[command.request_id].request.writes
+        leads = member.role is Role.PRIMARY
+        if not leads and (writes or wire.read_only is False):
+            return self.refuse(wire, Code.READ_ONLY)
+        if isinstance(command, statements.Execute):
+            if command.name not in wire.prepared:
+                return self.refuse(wire, Code.NO_STATEMENT)
+            self.oracle.runs_prepared(
+                wire, command.name, command.request_id
+            )
+        signature = f'{command.request_id}/{next(self.signatures)}'
+        self.oracle.ran(wire, member, command.request_id, signature)
+        if writes and wire.read_only is None:
+            self.append(wire, member, [command.request_id], signature)
+            return None
+        if writes:
+            wire.writes.append(command.request_id)
+        return self.ok(wire, signature)
+
+    def commit(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Commit,
+    ) -> statements.Reply | None:
+        """Commit; one that wrote waits for a replica."""
+        signature = f'{command.request_id}/{next(self.signatures)}'
+        if wire.failed or wire.read_only is None:
+            return self.refuse(wire, Code.OTHER)
+        writes = list(wire.writes)
+        if writes and member.role is not Role.PRIMARY:
+            return self.refuse(wire, Code.READ_ONLY)
+        fake_group.roll_back(wire)
+        if writes:
+            self.append(wire, member, writes, signature)
+            return None
+        return self.ok(wire, signature)
+
+    def append(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        writes: list[str],
+        signature: str,
+    ) -> None:
+        """Add a commit to the primary's log; it waits for a replica."""
+        entry = fake_group.Entry(member.term, tuple(writes))
+        self.oracle.commits(entry)
+        member.log.append(entry)
+        member.applied = len(member.log)
+        self.waiting_acks.append((member.term, len(member.log), wire, signature))
+        self.replicate(member)
+
+    def replicate(self, primary: fake_group.Member) -> None:
+        """Send the log to every replica."""
+        for member in self.members.values():
+            if member is not primary:
+                self.at(self.delay(), self.receive, primary, member)
+
+    def receive(
+        self, primary: fake_group.Member, member: fake_group.Member
+    ) -> None:
+        """Have a replica receive what its primary has."""
+        if primary.role is not Role.PRIMARY or member.role is Role.PRIMARY:
+            return
+        if member.held_term or member.dark or primary.dark:
+            return
+        if self.now_ms < member.deaf_until_ms:
+            return
+        if frozenset((primary.name, member.name)) in self.cut_pairs:
+            return
+        if len(member.log) >= len(primary.log):
+            return
+        member.term = primary.term
+        member.log = list(primary.log)
+        self.at(self.delay(), self.acknowledge, primary, len(member.log))
+        self.at(member.lag_ms, self.apply, member, len(member.log))
+
+    def apply(self, member: fake_group.Member, upto: int) -> None:
+        """Have a replica apply what it received."""
+        member.applied = max(member.applied, min(upto, len(member.log)))
+
+    def acknowledge(self, primary: fake_group.Member, upto: int) -> None:
+        """Answer the commits that a replica has received."""
+        if primary.role is not Role.PRIMARY or primary.dark:
+            return
+        left = []
+        for item in self.waiting_acks:
+            term, number, wire, signature = item
+            mine = wire.upstream == primary.name and term == primary.term
+            if mine and number <= upto:
+                if (wire.proxy, wire.number) in self.wires:
+                    wire.replies.append(self.ok(wire, signature))
+                    self.work(wire)
+            else:
+                left.append(item)
+        self.waiting_acks = left
+
+    # ---- promotion ----
+
+    def order_promotion(self, proxy: str, out: messages.Order) -> None:
+        """Take an order; it may be late, or its answer may be lost."""
+        how = self.rng.random()
+        if how < 0.1:
+            late_ms = self.rng.choice((50, 900, 3000))
+            self.at(late_ms, self.promote, out, proxy)
+            result = messages.OrderResult.UNANSWERED
+            self.at(300, self.ordered, proxy, out, result)
+            return
+        self.at(self.delay(), self.answer_order, proxy, out)
+
+    def answer_order(self, proxy: str, out: messages.Order) -> None:
+        """Carry an order out and answer it."""
+        result = self.promote(out, proxy)
+        self.at(self.delay(), self.ordered, proxy, out, result)
+
+    def ordered(
+        self, proxy: str, out: messages.Order, result: messages.OrderResult
+    ) -> None:
+        """Tell a proxy what became of its order."""
+        self.post(proxy, messages.Ordered(out.upstream, out.token, result))
+        if result is messages.OrderResult.REFUSED:
+            self.at(30, self.confirm_duty, proxy)
+
+    def promote(
+        self, out: messages.Order, proxy: str
+    ) -> messages.OrderResult:
+        """Check the token; some ms later the upstream leads."""
+        member = self.members[out.upstream]
+        if out.token < self.token_seen or member.dark:
+            return messages.OrderResult.REFUSED
+        self.token_seen = out.token
+        if member.role is not Role.PRIMARY:
+            self.at(PROMOTE_MS, self.lead, member, out.token, proxy)
+        return messages.OrderResult.ACCEPTED
+
+    def lead(
+        self, member: fake_group.Member, token: int, proxy: str
+    ) -> None:
+        """Make a member the primary of the next term."""
+        if token < self.token_seen or member.dark:
+            return
+        if member.role is Role.PRIMARY:
+            return
+        self.term += 1
+        self.note(f'{member.name} leads {self.term} at {member.received()}')
+        cut: set[str] = set()
+        for other in self.members.values():
+            if other is member:
+                continue
+            if other.role is Role.PRIMARY:
+                other.role = Role.REPLICA
+                self.relist(other)
+            cut |= {w for entry in other.log for w in entry.writes}
+            self.cut_back(other, member)
+            other.held_term = 0
+        self.oracle.promoted(member, cut, token, proxy)
+        member.role = Role.PRIMARY
+        member.term = self.term
+        member.held_term = 0
+        member.applied = len(member.log)
+        self.relist(member)
+        self.replicate(member)
+
+    def cut_back(
+        self, other: fake_group.Member, primary: fake_group.Member
+    ) -> None:
+        """Roll a member back to what it shares with its new primary."""
+        shared = 0
+        for mine, theirs in zip(other.log, primary.log, strict=False):
+            if mine != theirs:
+                break
+            shared += 1
+        del other.log[shared:]
+        other.applied = min(other.applied, shared)
+
+    def relist(self, member: fake_group.Member) -> None:
+        """Have the platform list a member anew, and proxies learn of it."""
+        self.order_revision = getattr(self, 'order_revision', 1) + 1
+        member.revision = self.order_revision
+        for proxy in PROXIES:
+            if self.rng.random() < 0.9:
+                late_ms = self.rng.choice((5, 40, 800))
+                self.at(late_ms, self.tell_list, proxy)
+
+    # ---- callers ----
+
+    def open_session(self) -> None:
+        """Begin a session at some proxy."""
+        proxy = self.rng.choice(PROXIES)
+        policy = self.rng.choice(POLICIES)
+        session = sessions.Session(next(self.keys), policy.database)
+        self.sessions.append((proxy, session))
+
+    def say(
+        self, proxy: str, session: sessions.Session, text: statements.Statement
+    ) -> None:
+        """Have a session's caller send a statement."""
+        policy = next(
+            p for p in POLICIES if p.database == session.database
+        )
+        before = session.transaction
+        taken = sessions.take(
+            session, int(self.now_ms), next(self.keys), text, policy
+        )
+        if isinstance(taken, sessions.Local):
+            self.local(proxy, before, taken)
+            return
+        self.pending[(proxy, taken.key)] = session
+        self.oracle.submitted(self.now_ms, session, taken)
+        self.post(proxy, messages.Submit(taken))
+
+    def local(
+        self,
+        proxy: str,
+        before: sessions.Transacting | None,
+        taken: sessions.Local,
+    ) -> None:
+        """Note an answer that needed no upstream."""
+        if before is None:
+            return
+        if isinstance(taken.outcome, outcomes.Done) and not taken.ends:
+            return
+        writes = self.oracle.open_writes.pop(before.key, [])
+        self.oracle.denied.update(writes)
+        if taken.ends:
+            self.post(proxy, messages.Withdraw(taken.ends))
+
+    def take_answer(self, proxy: str, out: messages.Answer) -> None:
+        """Give a caller an answer."""
+        session = self.pending.pop((proxy, out.key))
+        request = next(
+            asked.request
+            for asked in self.oracle.asked.values()
+            if asked.request.key == out.key
+        )
+        self.oracle.answered(
+            self.now_ms, session, request.statement.request_id, out.outcome
+        )
+        sessions.finish(session, request, out.outcome)
+
+    def is_busy(self, session: sessions.Session) -> bool:
+        """Say whether a session waits for an answer."""
+        return any(other is session for other in self.pending.values())
+
+    def leave(self, proxy: str, session: sessions.Session) -> None:
+        """Have a caller leave in the middle of whatever it does."""
+        transaction = session.transaction
+        key = sessions.lose_transaction(session)
+        if transaction is not None:
+            writes = self.oracle.open_writes.pop(transaction.key, [])
+            self.oracle.denied.update(writes)
+        if key:
+            self.post(proxy, messages.Withdraw(key))
+        self.sessions.remove((proxy, session))
+
+    # ---- the end ----
+
+    def heal(self) -> None:
+        """End every fault."""
+        self.cut_pairs.clear()
+        for member in self.members.values():
+            member.deaf_until_ms = 0
+            member.dark = False
+            member.listed = True
+        for wire in list(self.wires.values()):
+            if wire.silent:
+                wire.silent = False
+                self.reset(wire)
+        for member in self.members.values():
+            if member.role is Role.PRIMARY:
+                self.replicate(member)
+
+    def finish(self) -> None:
+        """Heal, let everything end, and check what is left."""
+        self.heal()
+        for proxy in PROXIES:
+            self.tell_list(proxy)
+        # Orders may be three seconds late, and an attempt waits as long.
+        self.run(10_000)
+        primaries = [
+            m for m in self.members.values() if m.role is Role.PRIMARY
+        ]
+        if not primaries:
+            raise fake_group.Violation('nobody leads')
+        self.oracle.finish(primaries[0])
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -48,8 +48,9 @@
         self.inbox: collections.deque[object] = collections.deque()
         self.working = False
         self.tasks: set[asyncio.Task] = set()
-        # Called when the platform refused an order: the duty may be lost.
-        self.refused = None
+        # Called when the duty may be lost: an order was refused, or this
+        # process stood still.
+        self.doubt_duty = None
         self.decided: collections.Counter[str] = collections.Counter()
 
     def start(self) -> None:
@@ -151,8 +152,8 @@
             },
         )
         self.post(messages.Ordered(out.upstream, out.token, result))
-        if result is messages.OrderResult.REFUSED and self.refused:
-            self.refused()
+        if result is messages.OrderResult.REFUSED and self.doubt_duty:
+            self.doubt_duty()
 
     async def _tick_forever(self) -> None:
         before_ms = clock.suspended_ms()
@@ -163,6 +164,9 @@
             paused_ms = now_ms - before_ms - int(period_s * 1000)
             before_ms = now_ms
             self.post(messages.Tick(max(0, paused_ms)))
+            paused = paused_ms >= groups_synchronous.DUTY_PAUSE_MS
+            if paused and self.doubt_duty:
+                self.doubt_duty()
 
     def _end_process(self, error: BaseException) -> None:
         """End at once: a broken invariant must not serve anyone."""
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -181,7 +181,7 @@
             self.adapter,
             self.log,
         )
-        group.refused = self.duty.doubt
+        group.doubt_duty = self.duty.doubt
         self.groups[service] = group
         group.start()
         if self.holds:
