--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -106,7 +106,10 @@
     if connection.errand is states.Errand.CONTROL:
         outs = _control_replied(state, now_ms, connection, message)
     else:
+        guarded = connection.errand is states.Errand.GUARD
         outs = results.replied(state, now_ms, connection, message)
+        if guarded and message.replies[0].code is None:
+            outs += promotion.fence(state, connection.upstream)
     return outs + dispatch.run(state, now_ms)
 
 
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -33,12 +33,16 @@
     'Attempt',
     'control_replied',
     'duty_seen',
+    'fence',
     'ordered',
     'tick',
 ]
 
 # A member that has not answered is asked again, on another connection.
 ASK_AGAIN_MS = 200
+# A replica that restarts is paused no more, and confirms again. So what it
+# reported counts for this long; it is asked again while others are awaited.
+FRESH_MS = 100
 # How often a successor's log is looked at while it catches up.
 LOOK_MS = 30
 # An order without an answer may still be carried out seconds later; it is
@@ -79,6 +83,7 @@
         default_factory=dict
     )
     asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    reported_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     # All that was known of the group when the attempt began.
     members: frozenset[str] = frozenset()
     chosen: str = ''
@@ -102,9 +107,27 @@
         state.promotion = None
     if gained:
         state.paused = set(state.upstreams) - {state.primary}
+        state.unfenced = True
     return []
 
 
+def fence(state: states.GroupState, upstream: str) -> list:
+    """Make orders of earlier holders harmless.
+
+    One that got no answer may be carried out seconds later, when the primary
+    that it was to replace is back and has acknowledged more. An order for
+    the primary itself changes nothing, and its token is higher. It is given
+    only on proof that this upstream leads, the moment that proof arrives.
+    """
+    wanted = state.holds_duty and state.unfenced and state.promotion is None
+    if not wanted or upstream != state.primary:
+        return []
+    state.unfenced = False
+    state.token += 1
+    state.fence_token = state.token
+    return [messages.Order(upstream, state.token)]
+
+
 def tick(state: states.GroupState, now_ms: int) -> list:
     """Begin, go on with, or end an attempt; resume who was paused."""
     if not state.holds_duty:
@@ -177,7 +200,7 @@
     if attempt.chosen:
         return _repeat_order(state, now_ms, attempt)
     outs = _ask(state, now_ms, attempt)
-    chosen = _choose(state, attempt)
+    chosen = _choose(state, now_ms, attempt)
     if not chosen:
         return outs
     if attempt.looking and chosen == attempt.old:
@@ -192,8 +215,7 @@
 ) -> list:
     """Pause the replicas now that one of them could follow."""
     attempt.looking = False
-    attempt.reports.clear()
-    attempt.asked_ms.clear()
+    _forget_reports(attempt)
     return _ask(state, now_ms, attempt)
 
 
@@ -206,7 +228,10 @@
     if leads and (leads != attempt.old or renewed):
         return _finish(state, now_ms, attempt, 'succeeded')
     if attempt.chosen:
-        if now_ms - attempt.ordered_ms > LEAD_MS:
+        # Without an answer the order stands, and it is repeated until there
+        # is one. Meanwhile all are paused, so a primary that is back
+        # acknowledges nothing that the chosen one lacks.
+        if attempt.accepted and now_ms - attempt.ordered_ms > LEAD_MS:
             return _finish(state, now_ms, attempt, 'nobody leads')
         return None
     if not attempt.heir and now_ms - attempt.began_ms > CHOOSE_MS:
@@ -270,8 +295,7 @@
     for name in _members(state, attempt):
         asked_ms = attempt.asked_ms.get(name)
         again_ms = LOOK_MS if name == attempt.heir else ASK_AGAIN_MS
-        answered = name in attempt.reports and name != attempt.heir
-        if answered:
+        if name != attempt.heir and _is_fresh(attempt, now_ms, name):
             continue
         if asked_ms is not None and now_ms - asked_ms < again_ms:
             continue
@@ -326,7 +350,7 @@
     if isinstance(command, statements.Demote):
         return _demoted(state, now_ms, attempt, name, reply.report)
     if name == attempt.heir or attempt.looking:
-        attempt.reports[name] = reply.report
+        _take_report(attempt, now_ms, name, reply.report)
     return _go_on(state, now_ms, attempt)
 
 
@@ -345,10 +369,9 @@
     if report.held_term < attempt.term:
         # A term was newer than any that had been seen: it is not paused.
         attempt.term = state.term + 1
-        attempt.reports.clear()
-        attempt.asked_ms.clear()
+        _forget_reports(attempt)
     else:
-        attempt.reports[name] = report
+        _take_report(attempt, now_ms, name, report)
     return _go_on(state, now_ms, attempt)
 
 
@@ -364,15 +387,40 @@
         attempt.term = state.term + 1
         attempt.asked_ms.pop(name, None)
     else:
-        attempt.reports[name] = report
+        _take_report(attempt, now_ms, name, report)
         state.upstreams[name].refuted_ms = now_ms
     return _go_on(state, now_ms, attempt)
 
 
-def _choose(state: states.GroupState, attempt: Attempt) -> str:
+def _take_report(
+    attempt: Attempt,
+    now_ms: int,
+    name: str,
+    report: statements.StatusReport,
+) -> None:
+    attempt.reports[name] = report
+    attempt.reported_ms[name] = now_ms
+    if name != attempt.heir:
+        # Asked again as soon as this is not fresh any more.
+        attempt.asked_ms.pop(name, None)
+
+
+def _forget_reports(attempt: Attempt) -> None:
+    attempt.reports.clear()
+    attempt.reported_ms.clear()
+    attempt.asked_ms.clear()
+
+
+def _is_fresh(attempt: Attempt, now_ms: int, name: str) -> bool:
+    reported_ms = attempt.reported_ms.get(name)
+    return reported_ms is not None and now_ms - reported_ms <= FRESH_MS
+
+
+def _choose(state: states.GroupState, now_ms: int, attempt: Attempt) -> str:
     """Return who may be promoted without losing anything, if anyone."""
     members = _members(state, attempt)
-    if not members or any(name not in attempt.reports for name in members):
+    fresh = [name for name in members if _is_fresh(attempt, now_ms, name)]
+    if not members or fresh != members:
         return ''
     held = {name: attempt.reports[name].received for name in members}
     if attempt.heir:
@@ -442,6 +490,8 @@
 ) -> list:
     """Take in the platform's answer to an order."""
     attempt = state.promotion
+    if message.token == state.fence_token:
+        return _fenced(state, message)
     if attempt is None or attempt.token != message.token:
         return []
     match message.result:
@@ -457,6 +507,14 @@
             return _finish(state, now_ms, attempt, 'refused')
 
 
+def _fenced(state: states.GroupState, message: messages.Ordered) -> list:
+    if message.result is messages.OrderResult.UNANSWERED:
+        state.unfenced = True
+    elif message.result is messages.OrderResult.REFUSED:
+        state.holds_duty = False
+    return []
+
+
 def _accepted(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
     attempt.accepted = True
     old = state.upstreams.get(attempt.old)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -200,6 +200,9 @@
     guarded_ms: int = 0
     holds_duty: bool = False
     token: int = 0
+    # Orders of earlier holders may still arrive until a higher token is seen.
+    unfenced: bool = False
+    fence_token: int = 0
     promotion: object | None = None
     next_promotion_ms: int = 0
     # Resumed again once their group has a primary.
--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -71,21 +71,21 @@
 def _promote_without_pause():
     """Choose by what replicas report while they still receive."""
     return mock.patch.object(
-        worlds.World, 'pause', lambda self, wire, member, command: self.ok(
+        worlds.World,
+        'pause',
+        lambda self, wire, member, command: self.ok(
             wire,
             report=dataclasses.replace(
                 fake_group.report(member), held_term=command.term
             ),
-        )
+        ),
     )
 
 
 @_ablation
 def _promote_below_acknowledged():
     """Promote the best of those that are listed, whatever it lacks."""
-    return mock.patch.object(
-        results, '_note_confirmed', lambda *args: None
-    )
+    return mock.patch.object(results, '_note_confirmed', lambda *args: None)
 
 
 @_ablation
--- a/topazring/core/synchronous/tests/oracle.py
+++ b/topazring/core/synchronous/tests/oracle.py
@@ -38,6 +38,7 @@
         # What each read saw, by its signature.
         self.seen: dict[str, frozenset[str]] = {}
         self.committed: set[str] = set()
+        self.begun: dict[int, frozenset[str]] = {}
         self.tokens: dict[int, str] = {}
         self.counts: dict[str, int] = {}
 
@@ -49,6 +50,9 @@
     ) -> None:
         """Note what a request has to see."""
         must_see = self._must_see(now_ms, session, request)
+        if request.transaction:
+            # A transaction has to see what its beginning had to.
+            must_see = self.begun.setdefault(request.transaction, must_see)
         self.asked[request.statement.request_id] = Asked(
             request, session.number, must_see
         )
@@ -203,7 +207,9 @@
         lost = self.acknowledged.keys() - set(held)
         if lost:
             raise Violation(f'lost: {sorted(lost)}')
-        open_left = [r for r, asked in self.asked.items() if not asked.answered]
+        open_left = [
+            r for r, asked in self.asked.items() if not asked.answered
+        ]
         if open_left:
             raise Violation(f'never answered: {open_left}')
 
--- a/topazring/core/synchronous/tests/world.py
+++ b/topazring/core/synchronous/tests/world.py
@@ -61,9 +61,7 @@
         self.signatures = itertools.count(1)
         self.trace: list[str] = []
         for proxy in PROXIES:
-            self.states[proxy] = states.make_group(
-                's', 'dc', states.Limits()
-            )
+            self.states[proxy] = states.make_group('s', 'dc', states.Limits())
             self.post(proxy, messages.InstancesSeen(2, 8))
             self.tell_list(proxy)
             self.at(TICK_MS, self.tick, proxy, self.now_ms)
@@ -388,9 +386,7 @@
         if isinstance(command, statements.Execute):
             if command.name not in wire.prepared:
                 return self.refuse(wire, Code.NO_STATEMENT)
-            self.oracle.runs_prepared(
-                wire, command.name, command.request_id
-            )
+            self.oracle.runs_prepared(wire, command.name, command.request_id)
         signature = f'{command.request_id}/{next(self.signatures)}'
         self.oracle.ran(wire, member, command.request_id, signature)
         if writes and wire.read_only is None:
@@ -431,7 +427,9 @@
         self.oracle.commits(entry)
         member.log.append(entry)
         member.applied = len(member.log)
-        self.waiting_acks.append((member.term, len(member.log), wire, signature))
+        self.waiting_acks.append(
+            (member.term, len(member.log), wire, signature)
+        )
         self.replicate(member)
 
     def replicate(self, primary: fake_group.Member) -> None:
@@ -505,9 +503,7 @@
         if result is messages.OrderResult.REFUSED:
             self.at(30, self.confirm_duty, proxy)
 
-    def promote(
-        self, out: messages.Order, proxy: str
-    ) -> messages.OrderResult:
+    def promote(self, out: messages.Order, proxy: str) -> messages.OrderResult:
         """Check the token; some ms later the upstream leads."""
         member = self.members[out.upstream]
         if out.token < self.token_seen or member.dark:
@@ -517,9 +513,7 @@
             self.at(PROMOTE_MS, self.lead, member, out.token, proxy)
         return messages.OrderResult.ACCEPTED
 
-    def lead(
-        self, member: fake_group.Member, token: int, proxy: str
-    ) -> None:
+    def lead(self, member: fake_group.Member, token: int, proxy: str) -> None:
         """Make a member the primary of the next term."""
         if token < self.token_seen or member.dark:
             return
@@ -579,9 +573,7 @@
         self, proxy: str, session: sessions.Session, text: statements.Statement
     ) -> None:
         """Have a session's caller send a statement."""
-        policy = next(
-            p for p in POLICIES if p.database == session.database
-        )
+        policy = next(p for p in POLICIES if p.database == session.database)
         before = session.transaction
         taken = sessions.take(
             session, int(self.now_ms), next(self.keys), text, policy
