Give each of a fleet that comes back a connection at once

The first proxies back took two of the seven that were left; others had none and held requests for 0.8 s before they refused them.

--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -1,9 +1,10 @@
 """Keep the connections to a group's upstreams within this proxy's share.
 
-All proxies together may hold only so many connections to an upstream. Each
-takes an equal share and leaves a reserve for proxies that come while others
-leave; an upstream that is at its limit refuses, and is left alone for a
-moment.
+All proxies together may hold only so many connections to an upstream. They
+share what is left after a reserve of one for each proxy: a whole fleet that
+lost its power comes back while the upstreams still hold the connections of
+before, for some seconds. An upstream that is at its limit refuses, and is
+left alone for a moment.
 """
 
 from topazring.core import outcomes
@@ -22,10 +23,10 @@
     'share_of',
 ]
 
-# Of an upstream's connections this part is left for proxies that come
-# before those that they replace have gone; a third of a fleet of eight is
-# replaced one by one within it.
-RESERVE_SHARE = 0.12
+# An upstream drops the connections of an instance that lost its power after
+# three seconds. Until then a proxy that has just started holds one, so that
+# each of a fleet that comes back has one.
+LINGER_MS = 3500
 # A refused dial costs the upstream little; the pause keeps a dead one from
 # being dialled in a tight loop.
 DIAL_PAUSE_MS = 100
@@ -33,31 +34,36 @@
 # An upstream at its limit is left alone for about the time in which a proxy
 # that leaves gives its connections back.
 LIMIT_PAUSE_MS = 300
+# A proxy without any connection asks more often: it can serve nothing.
+BARE_LIMIT_PAUSE_MS = 60
 # A dial takes a slot for some ten milliseconds, behind a full queue of
 # statements for some hundred. One that hangs for longer is lost: an instance
 # without power never answers.
 DIAL_TIMEOUT_MS = 700
 
 
-def share_of(max_connections: int, proxies: int) -> int:
-    """Return how many connections to one upstream each proxy may hold.
+def share_of(max_connections: int, proxies: int, rank: int) -> int:
+    """Return how many connections to one upstream a proxy may hold.
 
-    >>> share_of(23, 8)
-    2
-    >>> share_of(30, 7)
-    3
-    >>> share_of(34, 68)
+    What cannot be shared evenly goes to the first in rank.
+
+    >>> [share_of(23, 8, rank) for rank in range(8)]
+    [2, 2, 2, 2, 2, 2, 2, 1]
+    >>> share_of(30, 7, 0), share_of(30, 7, 6)
+    (4, 3)
+    >>> share_of(34, 68, 0)
     1
     """
-    usable = max_connections * (1 - RESERVE_SHARE)
-    return max(1, int(usable / max(1, proxies)))
+    usable = max(0, max_connections - proxies)
+    even, left = divmod(usable, max(1, proxies))
+    return max(1, even + (rank < left))
 
 
 def set_share(
     state: states.GroupState, now_ms: int, message: messages.InstancesSeen
 ) -> list:
     """Take in how many proxies there are; give back what is too much."""
-    share = share_of(message.max_connections, message.count)
+    share = share_of(message.max_connections, message.count, message.rank)
     if share == state.connection_share:
         return []
     before = state.connection_share
@@ -92,6 +98,10 @@
     outs: list = []
     held: dict[str, int] = {}
     opening = set()
+    if state.began_ms is None:
+        state.began_ms = now_ms
+    just_began = now_ms - state.began_ms < LINGER_MS
+    share = 1 if just_began else state.connection_share
     for connection in state.connections.values():
         held[connection.upstream] = held.get(connection.upstream, 0) + 1
         if connection.phase is states.Phase.OPENING:
@@ -99,7 +109,7 @@
     for upstream in state.upstreams.values():
         if upstream.name in opening or now_ms < upstream.dial_after_ms:
             continue
-        if held.get(upstream.name, 0) >= state.connection_share:
+        if held.get(upstream.name, 0) >= share:
             continue
         if not _wanted(state, now_ms, upstream):
             continue
@@ -164,8 +174,9 @@
         return
     state.counters[f'dial_{message.reason}'] += 1
     if message.reason is outcomes.Reason.CONNECTION_LIMIT:
-        upstream.limit_met_ms = now_ms
-        upstream.dial_after_ms = now_ms + LIMIT_PAUSE_MS
+        held = _count(state, upstream.name)
+        pause_ms = LIMIT_PAUSE_MS if held else BARE_LIMIT_PAUSE_MS
+        upstream.dial_after_ms = now_ms + pause_ms
         return
     upstream.failed_dials += 1
     if upstream.unheard_since_ms is None:
--- a/topazring/core/synchronous/listing.py
+++ b/topazring/core/synchronous/listing.py
@@ -198,6 +198,7 @@
     return tuple(found)
 
 
-def proxies_of(listing: Listing) -> int:
-    """Return how many proxies are listed, at least this one."""
-    return max(1, len(listing.proxies))
+def proxies_of(listing: Listing, name: str) -> tuple[int, int]:
+    """Return how many proxies there are, and the rank of one of them."""
+    names = sorted({name, *(p.name for p in listing.proxies.values())})
+    return len(names), names.index(name)
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -157,10 +157,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstancesSeen:
-    """Report how many live proxies share the upstreams' connections."""
+    """Report how many live proxies share the upstreams' connections.
+
+    `rank` is this proxy's place among them, from 0.
+    """
 
     count: int
     max_connections: int
+    rank: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -109,8 +109,6 @@
     # Dials that were refused or went unanswered since it was last heard.
     failed_dials: int = 0
     dial_after_ms: int = 0
-    # Its connection limit was met, then.
-    limit_met_ms: int = -10_000
     busy_until_ms: int = 0
     service_ms: float = 15.0
 
@@ -164,6 +162,7 @@
         default_factory=dict
     )
     next_connection: int = 1
+    began_ms: int | None = None
     # Connections this proxy may hold to one upstream.
     connection_share: int = 2
     work: dict[int, Work] = dataclasses.field(default_factory=dict)
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -38,6 +38,8 @@
 # The rest of the grace, but this, is for statements under way.
 EXIT_MARGIN_S = 0.7
 POLL_S = 0.05
+# The store answers in milliseconds; what it does not, a lease's end does.
+CLOSE_S = 0.25
 BACKLOG = 512
 # Before any configuration is known.
 MESSAGE_BYTES = 1 << 20
@@ -159,7 +161,7 @@
         configuration = listing.configuration
         if configuration is None:
             return
-        proxies = listings.proxies_of(listing)
+        count, rank = listings.proxies_of(listing, self.config.name)
         for service in services:
             limit = configuration.max_connections.get(service)
             if limit is None:
@@ -169,7 +171,7 @@
             if group is None:
                 group = self._make_group(service)
             upstreams = listings.upstreams_of(listing, now_ms, service)
-            group.post(messages.InstancesSeen(proxies, limit))
+            group.post(messages.InstancesSeen(count, limit, rank))
             group.post(messages.UpstreamsSeen(upstreams))
 
     def _make_group(self, service: str) -> group_task.GroupTask:
@@ -245,12 +247,13 @@
         self.log.emit(
             'process', 'stop begins', inputs={'sessions': len(self.callers)}
         )
-        await self.duty.close()
+        giving_back = asyncio.create_task(self.duty.close())
         await self._until(began_ms, min(ROTATION_S, grace_s * 0.4))
         self.stopping = caller_task.Stopping.QUIET
         await self._until(began_ms, grace_s * TRANSACTIONS_SHARE)
         self.stopping = caller_task.Stopping.ALL
         await self._until(began_ms, grace_s - EXIT_MARGIN_S)
+        giving_back.cancel()
 
     async def _until(self, began_ms: int, after_s: float) -> None:
         while clock.suspended_ms() - began_ms < after_s * 1000:
@@ -262,11 +265,15 @@
             await asyncio.sleep(POLL_S)
 
     async def close(self) -> None:
-        """Close all parts."""
+        """Close all parts; do not wait for a store that does not answer."""
         self.caller_server.stop()
         self.ready_server.stop()
         self.directory.close()
-        await self.membership.close()
+        try:
+            async with asyncio.timeout(CLOSE_S):
+                await self.membership.close()
+        except TimeoutError:
+            self.log.emit('process', 'still listed until its lease ends')
         for group in self.groups.values():
             group.close()
         self.adapter.store.close()
