--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -20,6 +20,11 @@
 Reason = outcomes.Reason
 
 READ_BYTES = 65536
+# An operation may be several statements outside a transaction, each sent on
+# the answer to the last. A session that has been still for less may be in
+# the middle of one, or its next request is on the way already.
+QUIET_MS = 250
+LAST_QUIET_MS = 60
 
 
 class Stopping(enum.IntEnum):
@@ -67,6 +72,7 @@
         self.pending: collections.deque[ports.CallerItem] = collections.deque()
         self.session: sessions.Session | None = None
         self.busy = False
+        self.still_since_ms = clock.suspended_ms()
         dialling.keep_alive(stream.socket)
 
     async def serve(self) -> None:
@@ -78,8 +84,7 @@
                 if not await self._take(item):
                     break
                 self.busy = False
-                if self._may_end():
-                    break
+                self.still_since_ms = clock.suspended_ms()
         except iostream.StreamClosedError:
             # The caller left; what it had open is undone below.
             pass
@@ -98,11 +103,15 @@
         """Say whether the session may be closed without cutting anything."""
         if self.busy or self.pending:
             return False
-        if self.host.stopping is Stopping.NO:
-            return False
-        if self.host.stopping is Stopping.ALL:
-            return True
-        return self.session is None or self.session.transaction is None
+        still_ms = clock.suspended_ms() - self.still_since_ms
+        match self.host.stopping:
+            case Stopping.NO:
+                return False
+            case Stopping.QUIET:
+                open_one = self.session and self.session.transaction
+                return still_ms >= QUIET_MS and not open_one
+            case Stopping.ALL:
+                return still_ms >= LAST_QUIET_MS
 
     def end_if_quiet(self) -> None:
         """Close the session if nothing is under way on it."""
