Search for the next primary from every proxy; refuse at once what it comes too late for

Now a proxy whose primary leaves everything unanswered asks all upstreams who leads; a request waits only while the next primary is expected in its time.

--- a/topazring/core/synchronous/arrival.py
+++ b/topazring/core/synchronous/arrival.py
@@ -4,6 +4,7 @@
 from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import prospects
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import waiting
 
@@ -30,6 +31,16 @@
     if request.transaction and not request.begins:
         return dispatch.continue_transaction(state, now_ms, work)
     work.primary_only = dispatch.needs_primary(request)
+    if work.primary_only:
+        hopeless = prospects.judge(state, now_ms, deadline_ms)
+        if hopeless is not None:
+            return fates.give_up(
+                state,
+                now_ms,
+                work,
+                Reason.NO_PRIMARY,
+                hopeless.retry_after_ms,
+            )
     wait_ms = _expected_wait(state, work)
     if wait_ms > (deadline_ms - now_ms) * WAIT_SHARE:
         return fates.give_up(
--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -6,6 +6,7 @@
 from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import prospects
 from topazring.core.synchronous import results
 from topazring.core.synchronous import state as states
 
@@ -31,6 +32,8 @@
     for work in list(state.work.values()):
         if now_ms >= work.deadline_ms:
             outs += _too_late(state, now_ms, work)
+        elif work.queued and work.primary_only:
+            outs += _hopeless(state, now_ms, work)
         elif work.running and _is_slow(state, now_ms, work):
             if retries.spend(state.budget):
                 outs += dispatch.hedge(state, now_ms, work)
@@ -50,6 +53,17 @@
     return fates.give_up(state, now_ms, work, reason, retry_ms)
 
 
+def _hopeless(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> list:
+    hopeless = prospects.judge(state, now_ms, work.deadline_ms)
+    if hopeless is None:
+        return []
+    reason = Reason.NO_PRIMARY
+    retry_ms = hopeless.retry_after_ms
+    return fates.give_up(state, now_ms, work, reason, retry_ms)
+
+
 def _is_slow(state: states.GroupState, now_ms: int, work: states.Work) -> bool:
     request = work.request
     if request.writes or request.transaction or work.hedges >= MOST_HEDGES:
@@ -59,6 +73,9 @@
         upstream = state.upstreams.get(connection.upstream)
         if upstream is None:
             continue
+        if work.primary_only and connection.upstream != state.primary:
+            # The primary that it was sent to is replaced.
+            continue
         took_ms = now_ms - connection.sent_ms
         if took_ms <= dispatch.hedge_after_ms(upstream):
             return False
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -16,6 +16,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import promotion
+from topazring.core.synchronous import prospects
 from topazring.core.synchronous import results
 from topazring.core.synchronous import state as states
 
@@ -174,7 +175,8 @@
 
 def _guard(state: states.GroupState, now_ms: int) -> list:
     """Ask the primary whether it leads, or everyone while it is unknown."""
-    searching = not state.primary or state.promotion is not None
+    lost = prospects.lost_since(state, now_ms) is not None
+    searching = lost or not state.primary or state.promotion is not None
     if searching:
         period_ms = SEARCH_MS
     elif state.holds_duty:
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -7,6 +7,7 @@
 
 from topazring.core import places
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import prospects
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -90,9 +91,11 @@
     before = state.primary
     if before == upstream.name:
         return []
+    lost_ms = prospects.lost_since(state, now_ms)
     state.primary = upstream.name
-    lost_ms = state.primary_lost_ms
     state.primary_lost_ms = None
+    if lost_ms is not None:
+        prospects.note_gap(state, now_ms - lost_ms)
     return [
         messages.Decided(
             'primary',
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -181,6 +181,9 @@
     # The newest term seen on any connection.
     term: int = 0
     primary_lost_ms: int | None = None
+    # How long a group is usually without a primary: the time to notice, and
+    # the promotion's own.
+    gap_ms: float = 1000.0
     # Acknowledged writes are known to reach this place at least; nobody
     # whose log ends before it may be promoted.
     acknowledged: places.Place = places.ORIGIN
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -82,6 +82,9 @@
             self._away(answer)
             failures += 1
             pause_s = min(RETRY_S * 2 ** min(failures, 5), MOST_RETRY_S)
+            if self.listing.configuration is None:
+                # Nothing can be served until it is back.
+                pause_s = RETRY_S
             await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
 
     async def _ask(self):
