--- a/topazring/core/places.py
+++ b/topazring/core/places.py
@@ -19,6 +19,10 @@
     log_term: int
     position: int
 
+    def __str__(self) -> str:
+        """Return the place as people write it."""
+        return f'{self.log_term}.{self.position}'
+
 
 ORIGIN = Place(0, 0)
 
--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -142,12 +142,21 @@
 
 def opened(
     state: states.GroupState, now_ms: int, connection: states.Connection
-) -> None:
+) -> list:
     """Take in a connection that is ready."""
     upstream = state.upstreams.get(connection.upstream)
     make_idle(connection, now_ms)
-    if upstream is not None:
-        upstream.dial_after_ms = 0
+    if upstream is None:
+        return drop(state, connection)
+    upstream.dial_after_ms = 0
+    if not upstream.out_of_reach:
+        return []
+    upstream.out_of_reach = False
+    inputs = {
+        'upstream': upstream.name,
+        'unheard_ms': now_ms - upstream.heard_ms,
+    }
+    return [messages.Decided('upstream reached', inputs=inputs)]
 
 
 def make_idle(connection: states.Connection, now_ms: int) -> None:
@@ -164,25 +173,49 @@
     now_ms: int,
     connection: states.Connection,
     message: messages.Closed,
-) -> None:
+) -> list:
     """Strike off a connection that ended; pause before the next dial."""
     del state.connections[connection.number]
     upstream = state.upstreams.get(connection.upstream)
     if upstream is None:
-        return
+        return []
     if connection.phase is not states.Phase.OPENING:
-        return
+        return [_lost(now_ms, connection, message)]
     state.counters[f'dial_{message.reason}'] += 1
     if message.reason is outcomes.Reason.CONNECTION_LIMIT:
         held = _count(state, upstream.name)
         pause_ms = LIMIT_PAUSE_MS if held else BARE_LIMIT_PAUSE_MS
         upstream.dial_after_ms = now_ms + pause_ms
-        return
+        return []
     upstream.failed_dials += 1
     if upstream.unheard_since_ms is None:
         upstream.unheard_since_ms = connection.sent_ms
     pause_ms = DIAL_PAUSE_MS * upstream.failed_dials
     upstream.dial_after_ms = now_ms + min(pause_ms, MOST_DIAL_PAUSE_MS)
+    if upstream.out_of_reach:
+        return []
+    upstream.out_of_reach = True
+    inputs = {
+        'upstream': upstream.name,
+        'reason': str(message.reason),
+        'unheard_ms': now_ms - upstream.heard_ms,
+    }
+    return [messages.Decided('upstream out of reach', inputs=inputs)]
+
+
+def _lost(
+    now_ms: int, connection: states.Connection, message: messages.Closed
+) -> messages.Decided:
+    return messages.Decided(
+        'connection lost',
+        inputs={
+            'upstream': connection.upstream,
+            'reason': str(message.reason),
+            'errand': str(connection.errand),
+            'after_ms': now_ms - connection.sent_ms,
+            'in_transaction': bool(connection.transaction),
+        },
+    )
 
 
 def drop(
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -36,6 +36,8 @@
 # A read that has run for so many usual times is tried elsewhere as well.
 HEDGE_TIMES = 4.0
 LEAST_HEDGE_MS = 60
+# One ordinary request in so many is told in the log.
+SAMPLE = 256
 
 
 def needs_primary(request: messages.Request) -> bool:
@@ -107,6 +109,7 @@
     work.primary_only = True
     waiting.add(state, work)
     state.counters['read_moved_to_primary'] += 1
+    work.told = True
     moved = messages.Decided(
         'read needs the primary',
         work.request.statement.request_id,
@@ -232,11 +235,49 @@
     if work.offered_ms is None:
         work.offered_ms = now_ms
     _assign(state, work, connection)
+    outs = _tell_sent(state, now_ms, work, connection, after)
     if request.begins:
         commands = exchanges.begin(connection, request, after)
-        return [send(connection, now_ms, states.Errand.BEGINNING, commands)]
-    commands = exchanges.single(connection, request, after)
-    return [send(connection, now_ms, states.Errand.STATEMENT, commands)]
+        errand = states.Errand.BEGINNING
+    else:
+        commands = exchanges.single(connection, request, after)
+        errand = states.Errand.STATEMENT
+    return [*outs, send(connection, now_ms, errand, commands)]
+
+
+def _tell_sent(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    connection: states.Connection,
+    after: places.Place | None,
+) -> list:
+    """Tell where a request goes, if anything about it was told before.
+
+    Of the ordinary ones a sample is told.
+    """
+    request = work.request
+    if not work.told and request.key % SAMPLE:
+        return []
+    work.told = True
+    upstream = state.upstreams[connection.upstream]
+    return [
+        messages.Decided(
+            'sent',
+            request.statement.request_id,
+            {
+                'upstream': upstream.name,
+                'primary': state.primary,
+                'after': str(after) if after else '',
+                'freshness': str(request.policy.freshness),
+                'policy_version': request.policy.version,
+                'service_ms': round(upstream.service_ms, 1),
+                'place': str(upstream.place),
+                'place_age_ms': now_ms - upstream.place_ms,
+                'waited_ms': now_ms - request.arrived_ms,
+            },
+        )
+    ]
 
 
 def _assign(
@@ -317,6 +358,7 @@
     if chosen is None:
         return []
     work.hedges += 1
+    work.told = True
     state.counters['hedged'] += 1
     decided = messages.Decided(
         'hedges',
--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -28,7 +28,7 @@
 
 def expire(state: states.GroupState, now_ms: int) -> list:
     """Give up what is late, and hedge reads that take unusually long."""
-    outs: list = []
+    outs: list = _undo_idle(state, now_ms)
     for work in list(state.work.values()):
         if now_ms >= work.deadline_ms:
             outs += _too_late(state, now_ms, work)
@@ -40,6 +40,28 @@
     return outs
 
 
+def _undo_idle(state: states.GroupState, now_ms: int) -> list:
+    """Undo transactions whose callers left them idle for too long.
+
+    Each holds a connection that others wait for. The caller learns of it by
+    its next statement.
+    """
+    outs: list = []
+    for key, transaction in list(state.transactions.items()):
+        connection = state.connections[transaction.connection]
+        if connection.phase is not states.Phase.IDLE:
+            continue
+        idle_ms = now_ms - connection.idle_since_ms
+        if idle_ms < transaction.idle_limit_ms:
+            continue
+        del state.transactions[key]
+        state.counters['transaction_idle'] += 1
+        inputs = {'upstream': connection.upstream, 'idle_ms': idle_ms}
+        outs.append(messages.Decided('transaction idle', inputs=inputs))
+        outs += dispatch.undo(state, now_ms, connection)
+    return outs
+
+
 def _too_late(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -38,7 +38,25 @@
     if work.queued:
         waiting.remove(state, work)
     state.counters[_label(outcome)] += 1
-    return [messages.Answer(work.request.key, outcome)]
+    answered = messages.Answer(work.request.key, outcome)
+    if not work.told:
+        return [answered]
+    return [answered, _tell_answered(work, outcome)]
+
+
+def _tell_answered(
+    work: states.Work, outcome: outcomes.Outcome
+) -> messages.Decided:
+    return messages.Decided(
+        'answered',
+        work.request.statement.request_id,
+        {
+            'outcome': type(outcome).__name__,
+            'reason': str(getattr(outcome, 'reason', '')),
+            'served_by': getattr(outcome, 'served_by', ''),
+            'hedges': work.hedges,
+        },
+    )
 
 
 def _label(outcome: outcomes.Outcome) -> str:
@@ -103,6 +121,7 @@
 ) -> list:
     """Put a request that did not run back in line."""
     state.counters[f'retry_{reason}'] += 1
+    work.told = True
     work.last_reason = reason
     work.not_before_ms = now_ms + pause_ms
     if work.running:
@@ -113,6 +132,10 @@
         messages.Decided(
             'retries',
             work.request.statement.request_id,
-            {'reason': str(reason), 'pause_ms': pause_ms},
+            {
+                'reason': str(reason),
+                'pause_ms': pause_ms,
+                'passed_over': sorted(work.passed_over),
+            },
         )
     ]
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -88,12 +88,12 @@
     connection = state.connections.get(message.connection)
     if connection is None:
         return [messages.Close(message.connection)]
-    connections.opened(state, now_ms, connection)
+    outs = connections.opened(state, now_ms, connection)
     upstream = state.upstreams.get(connection.upstream)
     if upstream is None:
-        return list(connections.drop(state, connection))
+        return outs
     primary.note_place(state, now_ms, upstream, message.place)
-    outs = connections.ensure(state, now_ms)
+    outs += connections.ensure(state, now_ms)
     return outs + dispatch.run(state, now_ms)
 
 
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -271,9 +271,7 @@
             'how': how,
             'old': attempt.old,
             'chosen': attempt.chosen,
-            'acknowledged': (
-                f'{state.acknowledged.log_term}.{state.acknowledged.position}'
-            ),
+            'acknowledged': str(state.acknowledged),
             'primary': state.primary,
             'took_ms': now_ms - attempt.began_ms,
         },
@@ -465,7 +463,7 @@
             'chosen': chosen,
             'token': attempt.token,
             'places': {
-                name: f'{report.received.log_term}.{report.received.position}'
+                name: str(report.received)
                 for name, report in attempt.reports.items()
             },
             'after_ms': now_ms - attempt.began_ms,
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -154,7 +154,9 @@
     request = work.request
     connection.transaction = request.transaction
     state.transactions[request.transaction] = states.Transaction(
-        connection.number, request.read_only
+        connection.number,
+        request.read_only,
+        request.policy.transaction_idle_ms,
     )
     command = exchanges.statement_command(request)
     return [
@@ -444,7 +446,7 @@
     """Take in the end of a connection and what it means for its work."""
     outs = note_places(state, now_ms, connection, message.replies)
     upstream = state.upstreams.get(connection.upstream)
-    connections.closed(state, now_ms, connection, message)
+    outs += connections.closed(state, now_ms, connection, message)
     work = state.work.get(connection.work)
     if connection.transaction:
         state.transactions.pop(connection.transaction, None)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -109,6 +109,7 @@
     # Dials that were refused or went unanswered since it was last heard.
     failed_dials: int = 0
     dial_after_ms: int = 0
+    out_of_reach: bool = False
     busy_until_ms: int = 0
     service_ms: float = 15.0
 
@@ -137,6 +138,8 @@
     passed_over: set[str] = dataclasses.field(default_factory=set)
     primary_only: bool = False
     hedges: int = 0
+    # Something about it was out of the ordinary: the log tells its rest too.
+    told: bool = False
     last_reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
 
 
@@ -146,6 +149,8 @@
 
     connection: int
     read_only: bool
+    # It is undone when its caller leaves it idle for longer.
+    idle_limit_ms: int
     wrote: bool = False
     statements: int = 0
 
--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -13,6 +13,7 @@
 from topazring.core.synchronous import statements
 from topazring.plumbing import clock
 from topazring.plumbing import dialling
+from topazring.plumbing import events
 from topazring.pooler import group_task
 from topazring.pooler import ports
 
@@ -44,6 +45,7 @@
     """Say what a session needs of its process."""
 
     codec: ports.CallerCodec
+    log: events.EventLog
     stopping: Stopping
 
     def policy(self, database: str) -> messages.Policy | None:
@@ -148,6 +150,15 @@
     async def _fault(self, fault: ports.Fault) -> bool:
         rejected = outcomes.Rejected(fault.reason, fault.detail)
         self.host.note('fault', rejected, 0)
+        self.host.log.emit(
+            'session',
+            'bad input',
+            inputs={
+                'reason': str(fault.reason),
+                'detail': fault.detail,
+                'fatal': fault.fatal,
+            },
+        )
         if self.session is None or fault.fatal:
             await self.stream.write(self.host.codec.refusal(rejected))
             await self._discard()
@@ -172,6 +183,13 @@
         refusal = self._start_refusal(start)
         if refusal is not None:
             self.host.note('start', refusal, 0)
+            self.host.log.emit(
+                'session',
+                'start refused',
+                inputs={
+                    'reason': str(refusal.reason),
+                },
+            )
             await self.stream.write(self.host.codec.refusal(refusal))
             return False
         number = self.host.next_key()
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -234,6 +234,15 @@
 
     # ---- the end ----
 
+    def reload(self) -> None:
+        """Take note of changed settings.
+
+        Addresses and the data centre hold for a process's life, and what
+        may change comes through the platform's service. So nothing is read
+        anew; the next start takes the file as it is then.
+        """
+        self.log.emit('process', 'reload', inputs={'changed': False})
+
     async def drain(self) -> None:
         """Finish what is open within the grace.
 
@@ -297,10 +306,8 @@
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
-    # A changed settings file changes nothing that a running process may
-    # take over: addresses hold for its life.
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     pooler = Pooler(config, adapter)
+    loop.add_signal_handler(signal.SIGHUP, pooler.reload)
     await pooler.start()
     # What was imported stays; collecting it again and again costs time.
     gc.freeze()
