--- a/topazring/admin/main.py
+++ b/topazring/admin/main.py
@@ -13,16 +13,14 @@
 from tornado import httpclient
 
 from topazring.admin import changes
+from topazring.admin import exits
+from topazring.admin import trace_command
 from topazring import catalogue
 from topazring import key_value
 from topazring import platform_client
 
 __all__ = ['main']
 
-EXIT_REFUSED = 1
-EXIT_BAD_INPUT = 2
-EXIT_RACED = 3
-EXIT_UNREACHED = 4
 FETCH_S = 2.0
 
 PlatformArg = typing.Annotated[
@@ -42,16 +40,12 @@
 DEFAULT_PLATFORM = '127.0.0.1:7100'
 
 
-def fail(code: int, text: str) -> typing.NoReturn:
-    """End with one line and an exit code."""
-    print(f'topazring-admin: {text}', file=sys.stderr)
-    sys.exit(code)
-
-
 def _client(platform: str) -> platform_client.PlatformClient:
     host, _, port = platform.rpartition(':')
     if not host or not port.isdigit():
-        fail(EXIT_BAD_INPUT, f'--platform {platform}: want HOST:PORT')
+        exits.fail(
+            exits.EXIT_BAD_INPUT, f'--platform {platform}: want HOST:PORT'
+        )
     return platform_client.PlatformClient(host, int(port), 'admin')
 
 
@@ -59,7 +53,9 @@
     """Return the value in full, or end with the first fault."""
     if kind not in catalogue.kinds():
         kinds = ', '.join(catalogue.kinds())
-        fail(EXIT_BAD_INPUT, f'{kind}: unknown kind; want one of {kinds}')
+        exits.fail(
+            exits.EXIT_BAD_INPUT, f'{kind}: unknown kind; want one of {kinds}'
+        )
     try:
         if text.startswith('@'):
             with open(text[1:], encoding='utf-8') as file:
@@ -68,9 +64,9 @@
     except pydantic.ValidationError as error:
         first = error.errors(include_url=False)[0]
         key = '.'.join(str(part) for part in first['loc']) or '(whole)'
-        fail(EXIT_BAD_INPUT, f'{kind}: {key}: {first["msg"]}')
+        exits.fail(exits.EXIT_BAD_INPUT, f'{kind}: {key}: {first["msg"]}')
     except (OSError, ValueError) as error:
-        fail(EXIT_BAD_INPUT, f'{kind}: {error}')
+        exits.fail(exits.EXIT_BAD_INPUT, f'{kind}: {error}')
 
 
 def _read(
@@ -78,7 +74,9 @@
 ) -> changes.Stored:
     stored = asyncio.run(changes.read_value(platform, kind, name))
     if isinstance(stored, changes.Lost):
-        fail(EXIT_UNREACHED, f'the service is away: {stored.detail}')
+        exits.fail(
+            exits.EXIT_UNREACHED, f'the service is away: {stored.detail}'
+        )
     return stored
 
 
@@ -99,7 +97,9 @@
         """Print the value with its revision."""
         stored = _read(_client(self.platform), self.kind, self.name)
         if stored.value is None:
-            fail(EXIT_REFUSED, f'{self.kind} {self.name}: not configured')
+            exits.fail(
+                exits.EXIT_REFUSED, f'{self.kind} {self.name}: not configured'
+            )
         print(f'// revision {stored.revision}')
         print(_show(stored.value))
 
@@ -138,7 +138,10 @@
         if self.expect is None:
             stored = await changes.read_value(platform, self.kind, self.name)
             if isinstance(stored, changes.Lost):
-                fail(EXIT_UNREACHED, f'the service is away: {stored.detail}')
+                exits.fail(
+                    exits.EXIT_UNREACHED,
+                    f'the service is away: {stored.detail}',
+                )
             expected = stored.revision
         result = await changes.change(
             platform, self.kind, self.name, value, expected
@@ -154,10 +157,10 @@
                 print(_show(result.theirs))
                 print('yours:')
                 print(_show(result.ours))
-                sys.exit(EXIT_RACED)
+                sys.exit(exits.EXIT_RACED)
             case changes.Lost(detail=detail):
-                fail(
-                    EXIT_UNREACHED,
+                exits.fail(
+                    exits.EXIT_UNREACHED,
                     f'whether it is in force is not known: {detail}',
                 )
         if self.wait:
@@ -172,7 +175,7 @@
         )
         if missing is not None:
             names = ', '.join(missing.proxies)
-            fail(EXIT_UNREACHED, f'not confirmed by: {names}')
+            exits.fail(exits.EXIT_UNREACHED, f'not confirmed by: {names}')
         print(f'in force on {len(proxies)} proxies')
 
 
@@ -191,7 +194,9 @@
     async def _list(self) -> None:
         found = await _client(self.platform).all_changes(catalogue.PREFIX)
         if isinstance(found, key_value.Unavailable):
-            fail(EXIT_UNREACHED, f'the service is away: {found.detail}')
+            exits.fail(
+                exits.EXIT_UNREACHED, f'the service is away: {found.detail}'
+            )
         for change in sorted(found.changes, key=lambda c: c.key):
             _, kind, name = change.key.split('/', 2)
             if change.value is not None and self.kind in ('', kind):
@@ -235,7 +240,7 @@
         text = '\n'.join(lines)
         if text:
             print(text)
-            sys.exit(EXIT_REFUSED)
+            sys.exit(exits.EXIT_REFUSED)
 
 
 @cappa.command(name='status', help='Show every proxy of the list.')
@@ -294,7 +299,9 @@
         )
         owners = [one for one in found if one and 'state' in one]
         if not owners:
-            fail(EXIT_REFUSED, f'{self.database}: no owner answers')
+            exits.fail(
+                exits.EXIT_REFUSED, f'{self.database}: no owner answers'
+            )
         for one in owners:
             state = one['state']
             print(
@@ -314,7 +321,9 @@
     """Return the proxies on the platform's list."""
     found = await platform.all_instances()
     if isinstance(found, key_value.Unavailable):
-        fail(EXIT_UNREACHED, f'the service is away: {found.detail}')
+        exits.fail(
+            exits.EXIT_UNREACHED, f'the service is away: {found.detail}'
+        )
     listed = [json.loads(c.value) for c in found.changes if c.value]
     proxies = [i for i in listed if i['kind'] == 'proxy']
     return sorted(proxies, key=lambda p: p['name'])
@@ -353,7 +362,15 @@
     """Configure the fleet and see what it does."""
 
     command: cappa.Subcommands[
-        Get | Set | List | Validate | Diff | Status | Explain | HashKey
+        Get
+        | Set
+        | List
+        | Validate
+        | Diff
+        | Status
+        | Explain
+        | HashKey
+        | trace_command.Trace
     ]
 
 
