Keep replicas paused while an order is under way

Members are paused again every 100 ms until the order is accepted; if one received more, another is chosen under a higher token.

--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -88,6 +88,8 @@
     members: frozenset[str] = frozenset()
     chosen: str = ''
     ordered_ms: int = 0
+    # An order is under way; its answer is still to come.
+    ordering: bool = False
     accepted: bool = False
 
 
@@ -198,7 +200,7 @@
     if ended is not None:
         return ended
     if attempt.chosen:
-        return _repeat_order(state, now_ms, attempt)
+        return _stand_by(state, now_ms, attempt)
     outs = _ask(state, now_ms, attempt)
     chosen = _choose(state, now_ms, attempt)
     if not chosen:
@@ -210,6 +212,24 @@
     return outs + _order(state, now_ms, attempt, chosen)
 
 
+def _stand_by(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
+    """Keep replicas paused until the order is carried out.
+
+    One that restarts is paused no more and could confirm writes of a primary
+    that is back. If it did, another upstream has to be chosen.
+    """
+    if attempt.accepted:
+        return []
+    chosen = attempt.reports[attempt.chosen].received
+    others = (report.received for report in attempt.reports.values())
+    if max(others) > chosen and attempt.chosen != attempt.old:
+        return _finish(state, now_ms, attempt, 'overtaken')
+    outs = _repeat_order(state, now_ms, attempt)
+    if not attempt.heir and not attempt.unconfirmed:
+        outs += _ask(state, now_ms, attempt)
+    return outs
+
+
 def _stop_looking(
     state: states.GroupState, now_ms: int, attempt: Attempt
 ) -> list:
@@ -262,7 +282,7 @@
 ) -> list:
     state.promotion = None
     state.next_promotion_ms = now_ms
-    if how != 'succeeded':
+    if how not in ('succeeded', 'overtaken'):
         state.next_promotion_ms += PAUSE_MS
     state.counters['promotion_' + how.replace(' ', '_')] += 1
     decided = messages.Decided(
@@ -455,7 +475,7 @@
 ) -> list:
     attempt.chosen = chosen
     attempt.ordered_ms = now_ms
-    attempt.asked_ms.clear()
+    attempt.ordering = True
     decided = messages.Decided(
         'promotion ordered',
         inputs={
@@ -469,7 +489,6 @@
             'after_ms': now_ms - attempt.began_ms,
         },
     )
-    attempt.asked_ms[chosen] = now_ms
     return [decided, messages.Order(chosen, attempt.token)]
 
 
@@ -477,9 +496,9 @@
     state: states.GroupState, now_ms: int, attempt: Attempt
 ) -> list:
     """Send the order again that got no answer: same upstream, same token."""
-    if attempt.accepted or attempt.asked_ms.get(attempt.chosen) is not None:
+    if attempt.accepted or attempt.ordering:
         return []
-    attempt.asked_ms[attempt.chosen] = now_ms
+    attempt.ordering = True
     return [messages.Order(attempt.chosen, attempt.token)]
 
 
@@ -496,7 +515,7 @@
         case messages.OrderResult.ACCEPTED:
             return _accepted(state, now_ms, attempt)
         case messages.OrderResult.UNANSWERED:
-            del attempt.asked_ms[attempt.chosen]
+            attempt.ordering = False
             return _repeat_order(state, now_ms, attempt)
         case messages.OrderResult.REFUSED:
             # Until the platform's service confirms the duty again, another
