--- a/topazring/core/owner.py
+++ b/topazring/core/owner.py
@@ -6,6 +6,7 @@
 from topazring.core import dispatch
 from topazring.core import expiry
 from topazring.core import failover
+from topazring.core import groups
 from topazring.core import messages
 from topazring.core import places
 from topazring.core import results
@@ -13,7 +14,9 @@
 from topazring.core import state as states
 from topazring.core import suspicion
 
-__all__ = ['handles', 'step']
+__all__ = ['MAJORITY', 'handles', 'step']
+
+MAJORITY = 'majority'
 
 # The period of heartbeats while a loss is suspected.
 ALARMED_MS = 50
@@ -32,6 +35,7 @@
     return register
 
 
+@groups.register_step(MAJORITY)
 def step(state: states.OwnerState, now_ms: int, message: object) -> list:
     """Take in one message; return what is to be done about it."""
     outs = _handlers[type(message)](state, now_ms, message)
--- /dev/null
+++ b/topazring/core/synchronous/attempts.py
@@ -0,0 +1,132 @@
+"""Hold an attempt to replace a primary, and choose who follows.
+
+Who is chosen depends on what the members report once they are paused, on
+what is known to be acknowledged, and on who could not be asked.
+"""
+
+import dataclasses
+
+from topazring.core import places
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = [
+    'Attempt',
+    'LAPSED_MS',
+    'choose',
+    'forget_reports',
+    'is_fresh',
+    'members',
+    'take_report',
+]
+
+# A replica that restarts is paused no more, and confirms again. So what it
+# reported counts for this long; it is asked again while others are awaited.
+FRESH_MS = 100
+# A member whose entry lapsed is reckoned with for so long. Crashed ones are
+# back within seconds; one that is gone for good must not be waited for.
+LAPSED_MS = 60_000
+# What a primary held so long before it was last heard counts as
+# acknowledged: replicas receive within milliseconds.
+SETTLED_MS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """Hold one attempt to replace a primary."""
+
+    old: str
+    why: str
+    began_ms: int
+    # Above every term that was seen: upstreams refuse a pause otherwise.
+    term: int
+    token: int
+    # The successor of a primary that leaves; the others are paused.
+    heir: str = ''
+    unconfirmed: bool = False
+    # Only look, pause nobody: is there anyone who may follow?
+    looking: bool = False
+    reports: dict[str, statements.StatusReport] = dataclasses.field(
+        default_factory=dict
+    )
+    asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    reported_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    # All that was known of the group when the attempt began.
+    members: frozenset[str] = frozenset()
+    chosen: str = ''
+    ordered_ms: int = 0
+    # An order is under way; its answer is still to come.
+    ordering: bool = False
+    accepted: bool = False
+
+
+def members(state: states.GroupState, attempt: Attempt) -> list[str]:
+    """Return those whose answer is needed before anyone is chosen."""
+    return [
+        name
+        for name in state.upstreams
+        if name != attempt.old or attempt.unconfirmed
+    ]
+
+
+def take_report(
+    attempt: Attempt,
+    now_ms: int,
+    name: str,
+    report: statements.StatusReport,
+) -> None:
+    """Take in what a member says of itself."""
+    attempt.reports[name] = report
+    attempt.reported_ms[name] = now_ms
+    if name != attempt.heir:
+        # Asked again as soon as this is not fresh any more.
+        attempt.asked_ms.pop(name, None)
+
+
+def forget_reports(attempt: Attempt) -> None:
+    """Ask everyone anew."""
+    attempt.reports.clear()
+    attempt.reported_ms.clear()
+    attempt.asked_ms.clear()
+
+
+def is_fresh(attempt: Attempt, now_ms: int, name: str) -> bool:
+    """Say whether a member's report still counts."""
+    reported_ms = attempt.reported_ms.get(name)
+    return reported_ms is not None and now_ms - reported_ms <= FRESH_MS
+
+
+def choose(state: states.GroupState, now_ms: int, attempt: Attempt) -> str:
+    """Return who may be promoted without losing anything, if anyone."""
+    asked = members(state, attempt)
+    fresh = [name for name in asked if is_fresh(attempt, now_ms, name)]
+    if not asked or fresh != asked:
+        return ''
+    held = {name: attempt.reports[name].received for name in asked}
+    if attempt.heir:
+        enough = held[attempt.heir] >= max(held.values())
+        return attempt.heir if enough else ''
+    others = {n: place for n, place in held.items() if n != attempt.old}
+    highest = max(others.values(), default=places.ORIGIN)
+    if attempt.unconfirmed:
+        lacking = attempt.members - held.keys()
+        if lacking and highest < held[attempt.old]:
+            return attempt.old
+    if not others or highest < _floor(state, attempt):
+        return attempt.old if attempt.unconfirmed else ''
+    able = [name for name in others if others[name] == highest]
+    staying = [n for n in able if not state.upstreams[n].leaving]
+    return min(staying or able)
+
+
+def _floor(state: states.GroupState, attempt: Attempt) -> places.Place:
+    """Return the place that whoever is promoted has to hold."""
+    floor = state.acknowledged
+    old = state.upstreams.get(attempt.old)
+    if attempt.unconfirmed or old is None:
+        return floor
+    settled_ms = old.heard_ms - SETTLED_MS
+    for sample in state.samples:
+        if sample.sent_ms <= settled_ms:
+            floor = max(floor, sample.place)
+    return floor
--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -111,24 +111,13 @@
             continue
         if held.get(upstream.name, 0) >= share:
             continue
-        if not _wanted(state, now_ms, upstream):
+        if states.is_closed_to_work(upstream, now_ms):
+            # Its connections would only take up room at its successor.
             continue
         outs.append(_dial(state, now_ms, upstream))
     return outs
 
 
-def _wanted(
-    state: states.GroupState, now_ms: int, upstream: states.Upstream
-) -> bool:
-    """Say whether an upstream is to be reached at all.
-
-    One that leaves as a replica gets nothing new, and its connections would
-    only take up room at its successor. A primary is reached to its end.
-    """
-    closes_ms = upstream.closed_to_work_ms
-    return closes_ms is None or now_ms < closes_ms
-
-
 def _dial(
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> messages.Open:
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -68,7 +68,7 @@
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
     upstream = state.upstreams.get(state.primary)
-    if upstream is None or _closed_to_work(upstream, now_ms):
+    if upstream is None or states.is_closed_to_work(upstream, now_ms):
         return []
     if upstream.busy_until_ms > now_ms:
         return []
@@ -78,11 +78,6 @@
     return _start(state, now_ms, work, connection, None)
 
 
-def _closed_to_work(upstream: states.Upstream, now_ms: int) -> bool:
-    closes_ms = upstream.closed_to_work_ms
-    return closes_ms is not None and now_ms >= closes_ms
-
-
 def _anywhere(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
@@ -133,7 +128,7 @@
         return False
     if upstream.leaving and upstream.name != state.primary:
         return False
-    if _closed_to_work(upstream, now_ms):
+    if states.is_closed_to_work(upstream, now_ms):
         return False
     if not _has_connection(state, upstream.name):
         return False
--- /dev/null
+++ b/topazring/core/synchronous/duty.py
@@ -0,0 +1,52 @@
+"""Gain and lose the duty to promote, and outdo earlier holders' orders."""
+
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+
+__all__ = ['duty_seen', 'fence', 'fenced']
+
+
+def duty_seen(
+    state: states.GroupState, now_ms: int, message: messages.DutySeen
+) -> list:
+    """Take in whether this proxy may promote, and from which token on.
+
+    A holder that died may have left replicas paused; its successor resumes
+    all that do not lead.
+    """
+    gained = message.holds and not state.holds_duty
+    state.holds_duty = message.holds
+    if message.holds:
+        state.token = max(state.token, message.token)
+    else:
+        state.promotion = None
+    if gained:
+        state.paused = set(state.upstreams) - {state.primary}
+        state.unfenced = True
+    return []
+
+
+def fence(state: states.GroupState, upstream: str) -> list:
+    """Make orders of earlier holders harmless.
+
+    One that got no answer may be carried out seconds later, when the primary
+    that it was to replace is back and has acknowledged more. An order for
+    the primary itself changes nothing, and its token is higher. It is given
+    only on proof that this upstream leads, the moment that proof arrives.
+    """
+    wanted = state.holds_duty and state.unfenced and state.promotion is None
+    if not wanted or upstream != state.primary:
+        return []
+    state.unfenced = False
+    state.token += 1
+    state.fence_token = state.token
+    return [messages.Order(upstream, state.token)]
+
+
+def fenced(state: states.GroupState, message: messages.Ordered) -> list:
+    """Take in the answer to an order that was to fence."""
+    if message.result is messages.OrderResult.UNANSWERED:
+        state.unfenced = True
+    elif message.result is messages.OrderResult.REFUSED:
+        state.holds_duty = False
+    return []
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -7,6 +7,7 @@
 from topazring.core.synchronous import arrival
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import duty
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import expiry
@@ -61,7 +62,7 @@
 _handles(messages.Submit)(arrival.submit)
 _handles(messages.Withdraw)(arrival.withdraw)
 _handles(messages.InstancesSeen)(connections.set_share)
-_handles(messages.DutySeen)(promotion.duty_seen)
+_handles(messages.DutySeen)(duty.duty_seen)
 
 
 @_handles(messages.UpstreamsSeen)
@@ -110,7 +111,7 @@
         guarded = connection.errand is states.Errand.GUARD
         outs = results.replied(state, now_ms, connection, message)
         if guarded and message.replies[0].code is None:
-            outs += promotion.fence(state, connection.upstream)
+            outs += duty.fence(state, connection.upstream)
     return outs + dispatch.run(state, now_ms)
 
 
@@ -164,7 +165,7 @@
     state.woke_ms = now_ms
     outs: list = []
     if paused_ms >= DUTY_PAUSE_MS:
-        outs = promotion.duty_seen(state, now_ms, messages.DutySeen(False))
+        outs = duty.duty_seen(state, now_ms, messages.DutySeen(False))
     freshness.forget_samples(state)
     for upstream in state.upstreams.values():
         upstream.unheard_since_ms = None
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -131,8 +131,7 @@
     """Close idle connections to those that get no new work."""
     outs: list = []
     for upstream in state.upstreams.values():
-        closes_ms = upstream.closed_to_work_ms
-        if closes_ms is None or now_ms < closes_ms:
+        if not states.is_closed_to_work(upstream, now_ms):
             continue
         if state.promotion is not None and upstream.name != state.primary:
             # It may hold what has to be asked for.
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -18,11 +18,10 @@
 be one that received nothing for a while.
 """
 
-import dataclasses
-
-from topazring.core import places
+from topazring.core.synchronous import attempts
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import duty
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import primary
@@ -30,24 +29,15 @@
 from topazring.core.synchronous import statements
 
 __all__ = [
-    'Attempt',
     'control_replied',
-    'duty_seen',
-    'fence',
     'ordered',
     'tick',
 ]
 
 # A member that has not answered is asked again, on another connection.
 ASK_AGAIN_MS = 200
-# A replica that restarts is paused no more, and confirms again. So what it
-# reported counts for this long; it is asked again while others are awaited.
-FRESH_MS = 100
 # How often a successor's log is looked at while it catches up.
 LOOK_MS = 30
-# An order without an answer may still be carried out seconds later; it is
-# repeated, for the same upstream under the same token.
-ORDER_AGAIN_MS = 400
 # A promotion takes some hundred ms after the order. One that shows nothing
 # for so long failed, and the group is looked at anew.
 LEAD_MS = 3000
@@ -56,78 +46,6 @@
 # A paused replica confirms nothing. If the primary lives after all, writes
 # stand still meanwhile, so an attempt that cannot choose lets go again.
 CHOOSE_MS = 800
-# A member whose entry lapsed is reckoned with for so long. Crashed ones are
-# back within seconds; one that is gone for good must not be waited for.
-LAPSED_MS = 60_000
-# What a primary held so long before it was last heard counts as
-# acknowledged: replicas receive within milliseconds.
-SETTLED_MS = 1000
-
-
-@dataclasses.dataclass(slots=True)
-class Attempt:
-    """Hold one attempt to replace a primary."""
-
-    old: str
-    why: str
-    began_ms: int
-    # Above every term that was seen: upstreams refuse a pause otherwise.
-    term: int
-    token: int
-    # The successor of a primary that leaves; the others are paused.
-    heir: str = ''
-    unconfirmed: bool = False
-    # Only look, pause nobody: is there anyone who may follow?
-    looking: bool = False
-    reports: dict[str, statements.StatusReport] = dataclasses.field(
-        default_factory=dict
-    )
-    asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    reported_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    # All that was known of the group when the attempt began.
-    members: frozenset[str] = frozenset()
-    chosen: str = ''
-    ordered_ms: int = 0
-    # An order is under way; its answer is still to come.
-    ordering: bool = False
-    accepted: bool = False
-
-
-def duty_seen(
-    state: states.GroupState, now_ms: int, message: messages.DutySeen
-) -> list:
-    """Take in whether this proxy may promote, and from which token on.
-
-    A holder that died may have left replicas paused; its successor resumes
-    all that do not lead.
-    """
-    gained = message.holds and not state.holds_duty
-    state.holds_duty = message.holds
-    if message.holds:
-        state.token = max(state.token, message.token)
-    else:
-        state.promotion = None
-    if gained:
-        state.paused = set(state.upstreams) - {state.primary}
-        state.unfenced = True
-    return []
-
-
-def fence(state: states.GroupState, upstream: str) -> list:
-    """Make orders of earlier holders harmless.
-
-    One that got no answer may be carried out seconds later, when the primary
-    that it was to replace is back and has acknowledged more. An order for
-    the primary itself changes nothing, and its token is higher. It is given
-    only on proof that this upstream leads, the moment that proof arrives.
-    """
-    wanted = state.holds_duty and state.unfenced and state.promotion is None
-    if not wanted or upstream != state.primary:
-        return []
-    state.unfenced = False
-    state.token += 1
-    state.fence_token = state.token
-    return [messages.Order(upstream, state.token)]
 
 
 def tick(state: states.GroupState, now_ms: int) -> list:
@@ -172,13 +90,15 @@
     heir: str = '',
 ) -> list:
     state.token += 1
-    attempt = Attempt(old, why, now_ms, state.term + 1, state.token, heir)
+    attempt = attempts.Attempt(
+        old, why, now_ms, state.term + 1, state.token, heir
+    )
     attempt.unconfirmed = loss is not None and loss.unconfirmed
     attempt.looking = attempt.unconfirmed
     attempt.members = frozenset(state.upstreams) | {
         name
         for name, since_ms in state.lapsed_ms.items()
-        if now_ms - since_ms < LAPSED_MS
+        if now_ms - since_ms < attempts.LAPSED_MS
     }
     state.promotion = attempt
     state.counters['promotion_begun'] += 1
@@ -195,14 +115,16 @@
     return [decided, *_go_on(state, now_ms, attempt)]
 
 
-def _go_on(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
+def _go_on(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list:
     ended = _end(state, now_ms, attempt)
     if ended is not None:
         return ended
     if attempt.chosen:
         return _stand_by(state, now_ms, attempt)
     outs = _ask(state, now_ms, attempt)
-    chosen = _choose(state, now_ms, attempt)
+    chosen = attempts.choose(state, now_ms, attempt)
     if not chosen:
         return outs
     if attempt.looking and chosen == attempt.old:
@@ -212,7 +134,9 @@
     return outs + _order(state, now_ms, attempt, chosen)
 
 
-def _stand_by(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
+def _stand_by(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list:
     """Keep replicas paused until the order is carried out.
 
     One that restarts is paused no more and could confirm writes of a primary
@@ -231,16 +155,16 @@
 
 
 def _stop_looking(
-    state: states.GroupState, now_ms: int, attempt: Attempt
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
     """Pause the replicas now that one of them could follow."""
     attempt.looking = False
-    _forget_reports(attempt)
+    attempts.forget_reports(attempt)
     return _ask(state, now_ms, attempt)
 
 
 def _end(
-    state: states.GroupState, now_ms: int, attempt: Attempt
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list | None:
     """End an attempt that succeeded, or that nothing calls for any more."""
     leads = state.primary
@@ -278,7 +202,7 @@
 
 
 def _finish(
-    state: states.GroupState, now_ms: int, attempt: Attempt, how: str
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt, how: str
 ) -> list:
     state.promotion = None
     state.next_promotion_ms = now_ms
@@ -299,21 +223,14 @@
     return [decided, *_resume(state, now_ms)]
 
 
-def _members(state: states.GroupState, attempt: Attempt) -> list[str]:
-    """Return those whose answer is needed before anyone is chosen."""
-    return [
-        name
-        for name in state.upstreams
-        if name != attempt.old or attempt.unconfirmed
-    ]
-
-
-def _ask(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
+def _ask(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list:
     outs: list = []
-    for name in _members(state, attempt):
+    for name in attempts.members(state, attempt):
         asked_ms = attempt.asked_ms.get(name)
         again_ms = LOOK_MS if name == attempt.heir else ASK_AGAIN_MS
-        if name != attempt.heir and _is_fresh(attempt, now_ms, name):
+        if name != attempt.heir and attempts.is_fresh(attempt, now_ms, name):
             continue
         if asked_ms is not None and now_ms - asked_ms < again_ms:
             continue
@@ -368,14 +285,14 @@
     if isinstance(command, statements.Demote):
         return _demoted(state, now_ms, attempt, name, reply.report)
     if name == attempt.heir or attempt.looking:
-        _take_report(attempt, now_ms, name, reply.report)
+        attempts.take_report(attempt, now_ms, name, reply.report)
     return _go_on(state, now_ms, attempt)
 
 
 def _paused(
     state: states.GroupState,
     now_ms: int,
-    attempt: Attempt,
+    attempt: attempts.Attempt,
     name: str,
     report: statements.StatusReport,
 ) -> list:
@@ -387,16 +304,16 @@
     if report.held_term < attempt.term:
         # A term was newer than any that had been seen: it is not paused.
         attempt.term = state.term + 1
-        _forget_reports(attempt)
+        attempts.forget_reports(attempt)
     else:
-        _take_report(attempt, now_ms, name, report)
+        attempts.take_report(attempt, now_ms, name, report)
     return _go_on(state, now_ms, attempt)
 
 
 def _demoted(
     state: states.GroupState,
     now_ms: int,
-    attempt: Attempt,
+    attempt: attempts.Attempt,
     name: str,
     report: statements.StatusReport,
 ) -> list:
@@ -405,73 +322,16 @@
         attempt.term = state.term + 1
         attempt.asked_ms.pop(name, None)
     else:
-        _take_report(attempt, now_ms, name, report)
+        attempts.take_report(attempt, now_ms, name, report)
         state.upstreams[name].refuted_ms = now_ms
     return _go_on(state, now_ms, attempt)
 
 
-def _take_report(
-    attempt: Attempt,
-    now_ms: int,
-    name: str,
-    report: statements.StatusReport,
-) -> None:
-    attempt.reports[name] = report
-    attempt.reported_ms[name] = now_ms
-    if name != attempt.heir:
-        # Asked again as soon as this is not fresh any more.
-        attempt.asked_ms.pop(name, None)
-
-
-def _forget_reports(attempt: Attempt) -> None:
-    attempt.reports.clear()
-    attempt.reported_ms.clear()
-    attempt.asked_ms.clear()
-
-
-def _is_fresh(attempt: Attempt, now_ms: int, name: str) -> bool:
-    reported_ms = attempt.reported_ms.get(name)
-    return reported_ms is not None and now_ms - reported_ms <= FRESH_MS
-
-
-def _choose(state: states.GroupState, now_ms: int, attempt: Attempt) -> str:
-    """Return who may be promoted without losing anything, if anyone."""
-    members = _members(state, attempt)
-    fresh = [name for name in members if _is_fresh(attempt, now_ms, name)]
-    if not members or fresh != members:
-        return ''
-    held = {name: attempt.reports[name].received for name in members}
-    if attempt.heir:
-        enough = held[attempt.heir] >= max(held.values())
-        return attempt.heir if enough else ''
-    others = {n: place for n, place in held.items() if n != attempt.old}
-    highest = max(others.values(), default=places.ORIGIN)
-    if attempt.unconfirmed:
-        lacking = attempt.members - held.keys()
-        if lacking and highest < held[attempt.old]:
-            return attempt.old
-    if not others or highest < _floor(state, attempt):
-        return attempt.old if attempt.unconfirmed else ''
-    able = [name for name in others if others[name] == highest]
-    staying = [n for n in able if not state.upstreams[n].leaving]
-    return min(staying or able)
-
-
-def _floor(state: states.GroupState, attempt: Attempt) -> places.Place:
-    """Return the place that whoever is promoted has to hold."""
-    floor = state.acknowledged
-    old = state.upstreams.get(attempt.old)
-    if attempt.unconfirmed or old is None:
-        return floor
-    settled_ms = old.heard_ms - SETTLED_MS
-    for sample in state.samples:
-        if sample.sent_ms <= settled_ms:
-            floor = max(floor, sample.place)
-    return floor
-
-
 def _order(
-    state: states.GroupState, now_ms: int, attempt: Attempt, chosen: str
+    state: states.GroupState,
+    now_ms: int,
+    attempt: attempts.Attempt,
+    chosen: str,
 ) -> list:
     attempt.chosen = chosen
     attempt.ordered_ms = now_ms
@@ -493,7 +353,7 @@
 
 
 def _repeat_order(
-    state: states.GroupState, now_ms: int, attempt: Attempt
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
     """Send the order again that got no answer: same upstream, same token."""
     if attempt.accepted or attempt.ordering:
@@ -508,7 +368,7 @@
     """Take in the platform's answer to an order."""
     attempt = state.promotion
     if message.token == state.fence_token:
-        return _fenced(state, message)
+        return duty.fenced(state, message)
     if attempt is None or attempt.token != message.token:
         return []
     match message.result:
@@ -524,15 +384,9 @@
             return _finish(state, now_ms, attempt, 'refused')
 
 
-def _fenced(state: states.GroupState, message: messages.Ordered) -> list:
-    if message.result is messages.OrderResult.UNANSWERED:
-        state.unfenced = True
-    elif message.result is messages.OrderResult.REFUSED:
-        state.holds_duty = False
-    return []
-
-
-def _accepted(state: states.GroupState, now_ms: int, attempt: Attempt) -> list:
+def _accepted(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list:
     attempt.accepted = True
     old = state.upstreams.get(attempt.old)
     if state.primary == attempt.old:
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -11,8 +11,10 @@
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import primary
+from topazring.core.synchronous import settling
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
+from topazring.core.synchronous import transactions
 
 __all__ = ['closed', 'note_places', 'replied']
 
@@ -86,28 +88,6 @@
     return outs
 
 
-def _release(
-    state: states.GroupState,
-    now_ms: int,
-    connection: states.Connection,
-    last: statements.Reply,
-) -> list:
-    """Free a connection that is outside any transaction, else close it."""
-    connection.transaction = 0
-    if last.state is not SessionState.IDLE:
-        return list(connections.drop(state, connection))
-    connections.make_idle(connection, now_ms)
-    upstream = state.upstreams.get(connection.upstream)
-    if upstream is None or _is_closed(upstream, now_ms):
-        return list(connections.drop(state, connection))
-    return []
-
-
-def _is_closed(upstream: states.Upstream, now_ms: int) -> bool:
-    closes_ms = upstream.closed_to_work_ms
-    return closes_ms is not None and now_ms >= closes_ms
-
-
 @_handles(states.Errand.GUARD)
 @_handles(states.Errand.UNDOING)
 def _after_errand(
@@ -116,7 +96,7 @@
     connection: states.Connection,
     message: messages.Replied,
 ) -> list:
-    return _release(state, now_ms, connection, message.replies[-1])
+    return settling.release(state, now_ms, connection, message.replies[-1])
 
 
 @_handles(states.Errand.BEGINNING)
@@ -136,34 +116,15 @@
         connections.make_idle(connection, now_ms)
         outs = dispatch.undo(state, now_ms, connection)
     elif refusal is not None:
-        outs = _release(state, now_ms, connection, last)
+        outs = settling.release(state, now_ms, connection, last)
     else:
-        return _first_statement(state, now_ms, connection, work)
+        return transactions.first_statement(state, now_ms, connection, work)
     if work is None:
         return outs
     work.running.discard(connection.number)
     return outs + _not_run(state, now_ms, work, connection, refusal)
 
 
-def _first_statement(
-    state: states.GroupState,
-    now_ms: int,
-    connection: states.Connection,
-    work: states.Work,
-) -> list:
-    request = work.request
-    connection.transaction = request.transaction
-    state.transactions[request.transaction] = states.Transaction(
-        connection.number,
-        request.read_only,
-        request.policy.transaction_idle_ms,
-    )
-    command = exchanges.statement_command(request)
-    return [
-        dispatch.send(connection, now_ms, states.Errand.STATEMENT, (command,))
-    ]
-
-
 @_handles(states.Errand.STATEMENT)
 def _ran(
     state: states.GroupState,
@@ -176,8 +137,8 @@
     work = state.work.get(connection.work)
     refusal = exchanges.guard_refused(connection.commands, message.replies)
     if connection.transaction:
-        return _ran_in_transaction(state, now_ms, connection, work, last)
-    outs = _release(state, now_ms, connection, last)
+        return transactions.ran(state, now_ms, connection, work, last)
+    outs = settling.release(state, now_ms, connection, last)
     if work is None:
         state.counters['late_result'] += 1
         return outs
@@ -215,7 +176,7 @@
 ) -> list:
     request = work.request
     if request.writes:
-        _note_confirmed(state, now_ms, connection, reply)
+        settling.note_confirmed(state, now_ms, connection, reply)
     at_primary = connection.upstream == state.primary
     if not request.writes:
         where = 'primary' if at_primary else 'replica'
@@ -234,27 +195,6 @@
     )
 
 
-def _note_confirmed(
-    state: states.GroupState,
-    now_ms: int,
-    connection: states.Connection,
-    reply: statements.Reply,
-) -> None:
-    """Take in a write that its primary had confirmed by a replica.
-
-    Logs are received in order. So the replica holds all that the primary's
-    log held before the write was sent, and all of that counts as
-    acknowledged.
-    """
-    upstream = state.upstreams.get(connection.upstream)
-    if upstream is not None:
-        upstream.confirmed_ms = now_ms
-    state.acknowledged = max(state.acknowledged, connection.place_before)
-    if reply.place is not None:
-        sample = states.Sample(connection.sent_ms, reply.place)
-        freshness.add_sample(state, sample)
-
-
 def _not_run(
     state: states.GroupState,
     now_ms: int,
@@ -318,125 +258,6 @@
     return fates.answer(state, work, outcomes.Unknown(reason))
 
 
-def _ran_in_transaction(
-    state: states.GroupState,
-    now_ms: int,
-    connection: states.Connection,
-    work: states.Work | None,
-    reply: statements.Reply,
-) -> list:
-    transaction = state.transactions.get(connection.transaction)
-    if work is None or transaction is None:
-        return _abandon(state, now_ms, connection)
-    request = work.request
-    work.running.discard(connection.number)
-    transaction.statements += 1
-    ends = request.statement.verb is statements.Verb.COMMIT
-    if reply.code is None and not ends:
-        return _statement_done(
-            state, now_ms, connection, work, reply, transaction
-        )
-    if reply.code is None:
-        return _committed(state, now_ms, connection, work, reply, transaction)
-    return _statement_failed(
-        state, now_ms, connection, work, reply, transaction
-    )
-
-
-def _abandon(
-    state: states.GroupState, now_ms: int, connection: states.Connection
-) -> list:
-    """Undo a transaction that nobody waits for any more."""
-    state.counters['late_result'] += 1
-    state.transactions.pop(connection.transaction, None)
-    connections.make_idle(connection, now_ms)
-    return dispatch.undo(state, now_ms, connection)
-
-
-def _statement_done(
-    state: states.GroupState,
-    now_ms: int,
-    connection: states.Connection,
-    work: states.Work,
-    reply: statements.Reply,
-    transaction: states.Transaction,
-) -> list:
-    if work.request.writes:
-        transaction.wrote = True
-    connections.make_idle(connection, now_ms)
-    return fates.answer(
-        state,
-        work,
-        outcomes.Done(
-            list(reply.rows),
-            None,
-            connection.upstream,
-            signature=reply.signature or '',
-        ),
-    )
-
-
-def _committed(
-    state: states.GroupState,
-    now_ms: int,
-    connection: states.Connection,
-    work: states.Work,
-    reply: statements.Reply,
-    transaction: states.Transaction,
-) -> list:
-    state.transactions.pop(work.request.transaction, None)
-    outs = _release(state, now_ms, connection, reply)
-    place = reply.place if transaction.wrote else None
-    if place is not None:
-        _note_confirmed(state, now_ms, connection, reply)
-    return outs + fates.answer(
-        state,
-        work,
-        outcomes.Done(
-            list(reply.rows),
-            place,
-            connection.upstream,
-            signature=reply.signature or '',
-        ),
-    )
-
-
-def _statement_failed(
-    state: states.GroupState,
-    now_ms: int,
-    connection: states.Connection,
-    work: states.Work,
-    reply: statements.Reply,
-    transaction: states.Transaction,
-) -> list:
-    """Answer a statement that its transaction does not survive.
-
-    One that found no slot while the transaction stands is sent again.
-    """
-    stands = reply.state is SessionState.IN_TRANSACTION
-    if reply.code is Code.BUSY and stands:
-        state.counters[f'retry_{Reason.SLOTS_BUSY}'] += 1
-        connections.make_idle(connection, now_ms)
-        return dispatch.continue_transaction(state, now_ms, work)
-    request = work.request
-    state.transactions.pop(request.transaction, None)
-    connections.make_idle(connection, now_ms)
-    if reply.state is SessionState.IDLE:
-        outs = _release(state, now_ms, connection, reply)
-    else:
-        outs = dispatch.undo(state, now_ms, connection)
-    upstream = state.upstreams.get(connection.upstream)
-    if reply.code is Code.READ_ONLY and upstream is not None:
-        outs += primary.note_refuted(state, now_ms, upstream)
-    if reply.code in (Code.FAILED, Code.TIMEOUT, Code.OTHER):
-        return outs + fates.answer(
-            state, work, outcomes.Unknown(Reason.UPSTREAM_FAILED)
-        )
-    return outs + fates.give_up(
-        state, now_ms, work, Reason.TRANSACTION_LOST, 0
-    )
-
-
 def closed(
     state: states.GroupState,
     now_ms: int,
--- /dev/null
+++ b/topazring/core/synchronous/settling.py
@@ -0,0 +1,46 @@
+"""Settle a connection, and what is known, after an answer."""
+
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import freshness
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = ['note_confirmed', 'release']
+
+
+def release(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    last: statements.Reply,
+) -> list:
+    """Free a connection that is outside any transaction, else close it."""
+    connection.transaction = 0
+    if last.state is not statements.SessionState.IDLE:
+        return list(connections.drop(state, connection))
+    connections.make_idle(connection, now_ms)
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is None or states.is_closed_to_work(upstream, now_ms):
+        return list(connections.drop(state, connection))
+    return []
+
+
+def note_confirmed(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    reply: statements.Reply,
+) -> None:
+    """Take in a write that its primary had confirmed by a replica.
+
+    Logs are received in order. So the replica holds all that the primary's
+    log held before the write was sent, and all of that counts as
+    acknowledged.
+    """
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is not None:
+        upstream.confirmed_ms = now_ms
+    state.acknowledged = max(state.acknowledged, connection.place_before)
+    if reply.place is not None:
+        sample = states.Sample(connection.sent_ms, reply.place)
+        freshness.add_sample(state, sample)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -22,6 +22,7 @@
     'Upstream',
     'Work',
     'idle_connections',
+    'is_closed_to_work',
     'make_group',
 ]
 
@@ -233,3 +234,9 @@
         and connection.phase is Phase.IDLE
         and not connection.transaction
     ]
+
+
+def is_closed_to_work(upstream: Upstream, now_ms: int) -> bool:
+    """Say whether an upstream that leaves gets nothing new any more."""
+    closes_ms = upstream.closed_to_work_ms
+    return closes_ms is not None and now_ms >= closes_ms
--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -6,12 +6,12 @@
 from unittest import mock
 
 from topazring.core import places
+from topazring.core.synchronous import attempts
 from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import freshness
-from topazring.core.synchronous import promotion
-from topazring.core.synchronous import results
 from topazring.core.synchronous import sessions
+from topazring.core.synchronous import settling
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import fake_group
 from topazring.core.synchronous.tests import world as worlds
@@ -102,18 +102,18 @@
 @_ablation
 def _promote_below_acknowledged():
     """Promote the best of those that are listed, whatever it lacks."""
-    return mock.patch.object(results, '_note_confirmed', lambda *args: None)
+    return mock.patch.object(settling, 'note_confirmed', lambda *args: None)
 
 
 @_ablation
 def _promote_without_all_answers():
     """Promote without waiting for a silent member."""
-    members = promotion._members
+    members = attempts.members
 
     def answered(state, attempt):
         return [n for n in members(state, attempt) if n in attempt.reports]
 
-    return mock.patch.object(promotion, '_members', answered)
+    return mock.patch.object(attempts, 'members', answered)
 
 
 @_ablation
--- /dev/null
+++ b/topazring/core/synchronous/transactions.py
@@ -0,0 +1,155 @@
+"""Take in what upstreams answered to statements of transactions."""
+
+from topazring.core import outcomes
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import exchanges
+from topazring.core.synchronous import fates
+from topazring.core.synchronous import primary
+from topazring.core.synchronous import settling
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = ['first_statement', 'ran']
+
+Reason = outcomes.Reason
+Code = statements.Code
+SessionState = statements.SessionState
+
+
+def first_statement(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work,
+) -> list:
+    request = work.request
+    connection.transaction = request.transaction
+    state.transactions[request.transaction] = states.Transaction(
+        connection.number,
+        request.read_only,
+        request.policy.transaction_idle_ms,
+    )
+    command = exchanges.statement_command(request)
+    return [
+        dispatch.send(connection, now_ms, states.Errand.STATEMENT, (command,))
+    ]
+
+
+def ran(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work | None,
+    reply: statements.Reply,
+) -> list:
+    transaction = state.transactions.get(connection.transaction)
+    if work is None or transaction is None:
+        return _abandon(state, now_ms, connection)
+    request = work.request
+    work.running.discard(connection.number)
+    transaction.statements += 1
+    ends = request.statement.verb is statements.Verb.COMMIT
+    if reply.code is None and not ends:
+        return _statement_done(
+            state, now_ms, connection, work, reply, transaction
+        )
+    if reply.code is None:
+        return _committed(state, now_ms, connection, work, reply, transaction)
+    return _statement_failed(
+        state, now_ms, connection, work, reply, transaction
+    )
+
+
+def _abandon(
+    state: states.GroupState, now_ms: int, connection: states.Connection
+) -> list:
+    """Undo a transaction that nobody waits for any more."""
+    state.counters['late_result'] += 1
+    state.transactions.pop(connection.transaction, None)
+    connections.make_idle(connection, now_ms)
+    return dispatch.undo(state, now_ms, connection)
+
+
+def _statement_done(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work,
+    reply: statements.Reply,
+    transaction: states.Transaction,
+) -> list:
+    if work.request.writes:
+        transaction.wrote = True
+    connections.make_idle(connection, now_ms)
+    return fates.answer(
+        state,
+        work,
+        outcomes.Done(
+            list(reply.rows),
+            None,
+            connection.upstream,
+            signature=reply.signature or '',
+        ),
+    )
+
+
+def _committed(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work,
+    reply: statements.Reply,
+    transaction: states.Transaction,
+) -> list:
+    state.transactions.pop(work.request.transaction, None)
+    outs = settling.release(state, now_ms, connection, reply)
+    place = reply.place if transaction.wrote else None
+    if place is not None:
+        settling.note_confirmed(state, now_ms, connection, reply)
+    return outs + fates.answer(
+        state,
+        work,
+        outcomes.Done(
+            list(reply.rows),
+            place,
+            connection.upstream,
+            signature=reply.signature or '',
+        ),
+    )
+
+
+def _statement_failed(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    work: states.Work,
+    reply: statements.Reply,
+    transaction: states.Transaction,
+) -> list:
+    """Answer a statement that its transaction does not survive.
+
+    One that found no slot while the transaction stands is sent again.
+    """
+    stands = reply.state is SessionState.IN_TRANSACTION
+    if reply.code is Code.BUSY and stands:
+        state.counters[f'retry_{Reason.SLOTS_BUSY}'] += 1
+        connections.make_idle(connection, now_ms)
+        return dispatch.continue_transaction(state, now_ms, work)
+    request = work.request
+    state.transactions.pop(request.transaction, None)
+    connections.make_idle(connection, now_ms)
+    if reply.state is SessionState.IDLE:
+        outs = settling.release(state, now_ms, connection, reply)
+    else:
+        outs = dispatch.undo(state, now_ms, connection)
+    upstream = state.upstreams.get(connection.upstream)
+    if reply.code is Code.READ_ONLY and upstream is not None:
+        outs += primary.note_refuted(state, now_ms, upstream)
+    if reply.code in (Code.FAILED, Code.TIMEOUT, Code.OTHER):
+        return outs + fates.answer(
+            state, work, outcomes.Unknown(Reason.UPSTREAM_FAILED)
+        )
+    return outs + fates.give_up(
+        state, now_ms, work, Reason.TRANSACTION_LOST, 0
+    )
--- /dev/null
+++ b/topazring/core/tests/test_groups.py
@@ -0,0 +1,24 @@
+"""Choose a kind of group by its name."""
+
+import testtools
+
+from topazring.core import groups
+from topazring.core import owner
+from topazring.core.synchronous import group
+
+
+class GroupsTest(testtools.TestCase):
+    """Both kinds are registered, each with its own step."""
+
+    def test_kinds(self):
+        """A name leads to a step."""
+        for name, step in (
+            (owner.MAJORITY, owner.step),
+            (group.SYNCHRONOUS, group.step),
+        ):
+            self.assertEqual(step, groups.group_kind(name).step)
+            self.assertIn(name, groups.kind_names())
+
+    def test_unknown_kind(self):
+        """There is none of that name."""
+        self.assertRaises(KeyError, groups.group_kind, 'other')
