Learn from peers what the store does not tell; let the first callers wait for the configuration

Proxies serve each other what changed after a revision, on the control address, asked only while the store is away.

--- a/topazring/core/synchronous/listing.py
+++ b/topazring/core/synchronous/listing.py
@@ -55,6 +55,7 @@
 
     name: str
     data_centre: str
+    peer_address: str = ''
 
 
 Record = Configuration | UpstreamRecord | ProxyRecord
--- a/topazring/platform/orders.py
+++ b/topazring/platform/orders.py
@@ -1,8 +1,7 @@
 """Give the platform the order to promote an upstream."""
 
 from topazring.core.synchronous import messages
-from topazring import key_value
-from topazring.platform import store
+from topazring.plumbing import http_calls
 
 __all__ = ['OrdersClient']
 
@@ -18,7 +17,7 @@
 
     def __init__(self, address: str):
         self.base = f'http://{address}'
-        self.client = store.make_http_client()
+        self.client = http_calls.make_client()
 
     def close(self) -> None:
         """Close the connections."""
@@ -28,7 +27,7 @@
         self, service: str, upstream: str, holder: str, token: int
     ) -> messages.OrderResult:
         """Have an upstream promoted."""
-        reply = await store.call(
+        reply = await http_calls.call(
             self.client,
             'POST',
             f'{self.base}/promote',
@@ -36,7 +35,7 @@
             {_HOLDER: holder, _TOKEN: str(token)},
             ORDER_S,
         )
-        if isinstance(reply, key_value.Unavailable):
+        if isinstance(reply, http_calls.NoAnswer):
             return messages.OrderResult.UNANSWERED
         if reply.code == 409:
             return messages.OrderResult.REFUSED
--- a/topazring/platform/store.py
+++ b/topazring/platform/store.py
@@ -6,16 +6,13 @@
 
 import msgspec
 from tornado import httpclient
-from tornado import simple_httpclient
 
 from topazring.core import revisions
 from topazring import key_value
-from topazring.plumbing import dialling
+from topazring.plumbing import http_calls
 
-__all__ = ['StoreClient', 'call', 'make_http_client']
+__all__ = ['StoreClient']
 
-# The store answers in milliseconds; a slow one in some hundred.
-REQUEST_S = 1.0
 # A watch may answer somewhat later than it was asked to.
 WATCH_SLACK_S = 0.8
 MOST_PAGES = 200
@@ -52,51 +49,13 @@
     revision: int
 
 
-def make_http_client() -> httpclient.AsyncHTTPClient:
-    """Return a client whose connections notice that their peer is gone."""
-    client = simple_httpclient.SimpleAsyncHTTPClient(
-        force_instance=True, max_clients=50
-    )
-    client.tcp_client = dialling.KeepaliveClient()
-    return client
-
-
-async def call(
-    client: httpclient.AsyncHTTPClient,
-    method: str,
-    url: str,
-    body: dict | None = None,
-    headers: dict[str, str] | None = None,
-    timeout_s: float = REQUEST_S,
-) -> httpclient.HTTPResponse | key_value.Unavailable:
-    """Return a response, whatever its code, or that there was none."""
-    raw = None
-    if method == 'POST':
-        raw = msgspec.json.encode(body or {})
-    try:
-        reply = await client.fetch(
-            url,
-            method=method,
-            body=raw,
-            headers={'Content-Type': 'application/json', **(headers or {})},
-            connect_timeout=timeout_s,
-            request_timeout=timeout_s,
-            raise_error=False,
-        )
-    except (OSError, httpclient.HTTPError) as error:
-        return key_value.Unavailable(str(error))
-    if reply.code == 599:
-        return key_value.Unavailable(str(reply.error))
-    return reply
-
-
 class StoreClient:
     """Own the connections to the store; count each call."""
 
     def __init__(self, address: str):
         self.base = f'http://{address}'
         self.calls: collections.Counter[str] = collections.Counter()
-        self.client = make_http_client()
+        self.client = http_calls.make_client()
 
     def close(self) -> None:
         """Close the connections."""
@@ -227,14 +186,14 @@
         method: str,
         path: str,
         body: dict | None = None,
-        timeout_s: float = REQUEST_S,
+        timeout_s: float = http_calls.REQUEST_S,
     ) -> httpclient.HTTPResponse | key_value.Unavailable:
         self.calls[path.split('?')[0]] += 1
-        reply = await call(
+        reply = await http_calls.call(
             self.client, method, self.base + path, body, timeout_s=timeout_s
         )
-        if isinstance(reply, key_value.Unavailable):
-            return reply
+        if isinstance(reply, http_calls.NoAnswer):
+            return key_value.Unavailable(reply.detail)
         if reply.code not in (200, 404, 410, 412):
             return key_value.Unavailable(f'HTTP {reply.code}')
         return reply
--- a/topazring/platform/tests/fake_store.py
+++ b/topazring/platform/tests/fake_store.py
@@ -21,6 +21,8 @@
         self.changed = asyncio.Condition()
         # Answer everything with this code while it is set.
         self.failing = 0
+        # The same for those who come by one port.
+        self.failing_ports: dict[int, int] = {}
         # Carry writes out and never answer them.
         self.losing_answers = False
         self.calls: list[str] = []
@@ -30,7 +32,7 @@
         self.highest_token = 0
         self.server: httpserver.HTTPServer | None = None
 
-    def start(self, port: int) -> None:
+    def start(self, ports: list[int]) -> None:
         """Listen."""
         routes = [
             (r'/-/kv-key', Key),
@@ -46,7 +48,8 @@
             [(path, handler, {'store': self}) for path, handler in routes]
         )
         self.server = httpserver.HTTPServer(application)
-        self.server.listen(port, '127.0.0.1')
+        for port in ports:
+            self.server.listen(port, '127.0.0.1')
 
     def close(self) -> None:
         """Stop listening."""
@@ -97,8 +100,10 @@
     def prepare(self) -> None:
         """Count the call, and fail it while the store does."""
         self.store.calls.append(f'{self.request.method} {self.request.path}')
-        if self.store.failing:
-            self.set_status(self.store.failing)
+        port = int(self.request.host.rpartition(':')[2])
+        code = self.store.failing or self.store.failing_ports.get(port)
+        if code:
+            self.set_status(code)
             self.finish()
 
     def body(self) -> dict:
--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -96,21 +96,28 @@
 
     def __init__(self, name: str, store_port: int, folder: str):
         self.name = name
-        self.caller_port, self.ready_port = free_ports(2)
+        ports = free_ports(3)
+        self.caller_port, self.ready_port, self.peer_port = ports
+        self.store_port = store_port
         self.path = pathlib.Path(folder) / f'{name}.json'
         self.log = pathlib.Path(folder) / f'{name}.log'
+        self.process: asyncio.subprocess.Process | None = None
+
+    def write_settings(self, seeds: list[str]) -> None:
+        """Write the settings as the platform renders them."""
         settings = {
-            'name': name,
+            'name': self.name,
             'data_centre': 'here',
             'caller_address': f'127.0.0.1:{self.caller_port}',
             'ready_address': f'127.0.0.1:{self.ready_port}',
-            'store_address': f'127.0.0.1:{store_port}',
-            'orders_address': f'127.0.0.1:{store_port}',
+            'peer_address': f'127.0.0.1:{self.peer_port}',
+            'store_address': f'127.0.0.1:{self.store_port}',
+            'orders_address': f'127.0.0.1:{self.store_port}',
+            'peers': seeds,
             'grace_s': 3.0,
             'not known yet': True,
         }
         self.path.write_text(json.dumps(settings))
-        self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
@@ -176,14 +183,17 @@
 
     async def _run(self, steps, proxies: int, folder: str) -> None:
         self.store = fake_store.FakeStore()
-        (store_port,) = free_ports(1)
+        store_ports = free_ports(proxies)
         self.group = fake_upstreams.FakeGroup(SERVICE, free_ports(3))
         self.store.promote = self.promote
         self.proxies = [
-            Proxy(f'p{number}', store_port, folder)
-            for number in range(1, proxies + 1)
+            Proxy(f'p{number}', port, folder)
+            for number, port in enumerate(store_ports, start=1)
         ]
-        self.store.start(store_port)
+        seeds = [f'127.0.0.1:{p.peer_port}' for p in self.proxies]
+        for proxy in self.proxies:
+            proxy.write_settings(seeds)
+        self.store.start(store_ports)
         self.group.start()
         await self.configure(1)
         await self.list_upstreams()
--- a/topazring/platform/tests/test_whole_path.py
+++ b/topazring/platform/tests/test_whole_path.py
@@ -101,9 +101,9 @@
         await self.configure(9, support.route('later', 'primary'))
         await support.wait_until(lambda: self.is_served('later'))
 
-    async def is_served(self, database: str) -> bool:
+    async def is_served(self, database: str, proxy: int = 0) -> bool:
         """Say whether sessions on a database start."""
-        caller = await self.session(database)
+        caller = await self.session(database, proxy)
         caller.close()
         return caller.greeting == ['READY I -']
 
@@ -130,6 +130,50 @@
         await starting
         self.assertTrue(await self.is_served('own'))
 
+    def test_turned_away_by_the_store(self):
+        """A proxy that the store turns away learns from its peers.
+
+        Symptom: a third of the proxies refuse callers for nine seconds, or
+        serve by an old configuration. Sequence: the store serves some and
+        turns others away; one of those restarts; the configuration changes.
+        Cause: knowing only what the store tells oneself.
+        """
+        self.on_platform(self.turned_away, proxies=2)
+
+    async def turned_away(self):
+        first, second = self.proxies
+        self.store.failing_ports[second.store_port] = 503
+        await second.stop(signal.SIGKILL)
+        await second.start()
+        caller = await self.session('own', proxy=1)
+        said = await caller.query('WRITE k v')
+        self.assertTrue(said[0].startswith('DONE'), said)
+        await self.configure(7, support.route('late', 'primary'))
+        await support.wait_until(lambda: self.is_served('late', proxy=1), 3)
+
+    def test_caller_that_comes_at_once(self):
+        """One that comes before the first answer of the store waits for it.
+
+        Symptom: requests refused in the first milliseconds of a proxy.
+        Sequence: all proxies restart; callers press; the first reach a proxy
+        before it has read its configuration. Cause: refusing what will be
+        known in a moment.
+        """
+        self.on_platform(self.comes_at_once)
+
+    async def comes_at_once(self):
+        proxy = self.proxies[0]
+        await proxy.stop(signal.SIGKILL)
+        starting = asyncio.ensure_future(proxy.start())
+        greeting = None
+        while greeting is None:
+            try:
+                greeting = (await self.session('own')).greeting
+            except OSError:
+                await asyncio.sleep(0.002)
+        self.assertEqual(['READY I -'], greeting)
+        await starting
+
     def test_graceful_stop(self):
         """No request is cut, idle sessions end, the exit code is 0."""
         self.on_platform(self.graceful_stop)
--- /dev/null
+++ b/topazring/plumbing/http_calls.py
@@ -0,0 +1,60 @@
+"""Call over HTTP, with peers that may vanish."""
+
+import dataclasses
+
+import msgspec
+from tornado import httpclient
+from tornado import simple_httpclient
+
+from topazring.plumbing import dialling
+
+__all__ = ['NoAnswer', 'REQUEST_S', 'call', 'make_client']
+
+# Services answer in milliseconds; a slow one in some hundred.
+REQUEST_S = 1.0
+MOST_CALLS = 50
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """Report that there was no response; the call may have had its effect."""
+
+    detail: str
+
+
+def make_client() -> httpclient.AsyncHTTPClient:
+    """Return a client whose connections notice that their peer is gone."""
+    client = simple_httpclient.SimpleAsyncHTTPClient(
+        force_instance=True, max_clients=MOST_CALLS
+    )
+    client.tcp_client = dialling.KeepaliveClient()
+    return client
+
+
+async def call(
+    client: httpclient.AsyncHTTPClient,
+    method: str,
+    url: str,
+    body: dict | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = REQUEST_S,
+) -> httpclient.HTTPResponse | NoAnswer:
+    """Return a response, whatever its code, or that there was none."""
+    raw = None
+    if method == 'POST':
+        raw = msgspec.json.encode(body or {})
+    try:
+        reply = await client.fetch(
+            url,
+            method=method,
+            body=raw,
+            headers={'Content-Type': 'application/json', **(headers or {})},
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+            raise_error=False,
+        )
+    except (OSError, httpclient.HTTPError) as error:
+        return NoAnswer(str(error))
+    if reply.code == 599:
+        return NoAnswer(str(reply.error))
+    return reply
--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -66,6 +66,9 @@
     def configured(self) -> bool:
         """Say whether any configuration is known."""
 
+    async def wait_configured(self) -> bool:
+        """Wait a moment for the first configuration."""
+
 
 class CallerTask:
     """Serve one session, one statement at a time, in order."""
@@ -180,6 +183,8 @@
             return
 
     async def _start(self, start: ports.StartSession) -> bool:
+        if not self.host.configured():
+            await self.host.wait_configured()
         refusal = self._start_refusal(start)
         if refusal is not None:
             self.host.note('start', refusal, 0)
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -4,14 +4,17 @@
 import collections.abc
 import random
 
+import msgspec
+
 from topazring.core import revisions
 from topazring.core.synchronous import listing as listings
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.pooler import peers
 from topazring.pooler import ports
 
-__all__ = ['Directory', 'OWN_PREFIX', 'PROXY_PREFIX']
+__all__ = ['Directory', 'OWN_PREFIX', 'PROXY_PREFIX', 'ProxyValue']
 
 OWN_PREFIX = 'topazring/'
 PROXY_PREFIX = 'topazring/proxies/'
@@ -26,25 +29,38 @@
 EXPIRE_S = 0.25
 
 
+class ProxyValue(msgspec.Struct):
+    """Hold what a proxy says of itself in the store."""
+
+    data_centre: str
+    # Where other proxies ask it; empty if they cannot.
+    peer_address: str = ''
+
+
 class Directory:
     """Keep a listing up to date and tell what it concerns."""
 
     def __init__(
         self,
         adapter: ports.Adapter,
+        asker: peers.Asker,
         log: events.EventLog,
         changed: collections.abc.Callable[[set[str]], None],
     ):
         self.adapter = adapter
+        self.asker = asker
         self.log = log
         self.changed = changed
         self.listing = listings.Listing()
-        self.revision = 0
+        # Set with the first configuration.
+        self.configured = asyncio.Event()
+        # The last change of each key, up to `known.seen`.
+        self.known = revisions.Revisions()
+        # Ends of keys from before this revision are not known.
+        self.complete_from = 0
         # When the listing was last known to be complete.
         self.confirmed_ms = -(10**9)
         self.away_since_ms: int | None = None
-        # The product's own values, by key: the duty and its tokens.
-        self.own: dict[str, revisions.Change] = {}
         self.own_changed = asyncio.Event()
         self.tasks: list[asyncio.Task] = []
 
@@ -59,49 +75,106 @@
         """Stop following."""
         for task in self.tasks:
             task.cancel()
+        self.asker.close()
+
+    def own(self, key: str) -> revisions.Change | None:
+        """Return one of the product's own values, None if it is not set."""
+        change = self.known.changes.get(key)
+        if change is None or change.value is None:
+            return None
+        return change
+
+    def tell(self, after: int) -> peers.Told:
+        """Return what a peer lacks that knows all up to a revision."""
+        complete = after < self.complete_from or not after
+        changes = [
+            change
+            for change in self.known.changes.values()
+            if change.revision > after or complete
+        ]
+        if complete:
+            changes = [c for c in changes if c.value is not None]
+        return peers.Told(self.known.seen, complete, changes)
+
+    # ---- asking ----
 
     async def _follow_forever(self) -> None:
         failures = 0
         while True:
-            asked_ms = clock.suspended_ms()
             answer = await self._ask()
             if isinstance(answer, key_value.Changes):
                 failures = 0
-                self._back(asked_ms)
+                self._back()
                 continue
             if isinstance(answer, key_value.HistoryLost):
                 self.log.emit(
                     'directory',
                     'history lost',
-                    inputs={
-                        'revision': self.revision,
-                    },
+                    inputs={'revision': self.known.seen},
                 )
-                self.revision = 0
+                self.known.seen = 0
                 continue
             self._away(answer)
+            await self._ask_peer()
             failures += 1
-            pause_s = min(RETRY_S * 2 ** min(failures, 5), MOST_RETRY_S)
-            if self.listing.configuration is None:
-                # Nothing can be served until it is back.
-                pause_s = RETRY_S
-            await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+            await asyncio.sleep(self._pause_s(failures))
+
+    def _pause_s(self, failures: int) -> float:
+        if self.listing.configuration is None:
+            # Nothing can be served until it is known.
+            return RETRY_S
+        pause_s = min(RETRY_S * 2 ** min(failures, 5), MOST_RETRY_S)
+        return pause_s * random.uniform(0.5, 1.0)
 
     async def _ask(self):
         """Ask once and take in what is answered."""
-        asked_ms = clock.suspended_ms()
-        if not self.revision:
-            answer = await self.adapter.store.everything(EVERYTHING)
+        if self.known.seen:
+            answer = await self.adapter.store.changes(
+                EVERYTHING, self.known.seen, WATCH_MS
+            )
             if isinstance(answer, key_value.Changes):
-                self._take_all(asked_ms, answer)
+                self._take(answer.changes, answer.upto)
             return answer
-        answer = await self.adapter.store.changes(
-            EVERYTHING, self.revision, WATCH_MS
-        )
+        asked_ms = clock.suspended_ms()
+        answer = await self.adapter.store.everything(EVERYTHING)
         if isinstance(answer, key_value.Changes):
-            self._take_changes(answer)
+            self._take_all(answer.changes, answer.upto)
+            self.log.emit(
+                'directory',
+                'read everything',
+                inputs={
+                    'entries': len(answer.changes),
+                    'revision': answer.upto,
+                    'took_ms': clock.suspended_ms() - asked_ms,
+                },
+            )
         return answer
 
+    async def _ask_peer(self) -> None:
+        """Learn from a peer while the store is away."""
+        addresses = {
+            proxy.peer_address
+            for proxy in self.listing.proxies.values()
+            if proxy.peer_address
+        }
+        told = await self.asker.ask(addresses, self.known.seen)
+        if told is None or told.revision <= self.known.seen:
+            return
+        self.log.emit(
+            'directory',
+            'told by a peer',
+            inputs={
+                'revision': told.revision,
+                'before': self.known.seen,
+                'changes': len(told.changes),
+                'complete': told.complete,
+            },
+        )
+        if told.complete:
+            self._take_all(told.changes, told.revision)
+        else:
+            self._take(told.changes, told.revision)
+
     def _away(self, answer: key_value.Unavailable) -> None:
         if self.away_since_ms is None:
             self.away_since_ms = clock.suspended_ms()
@@ -109,7 +182,7 @@
                 'directory', 'store lost', inputs={'detail': answer.detail}
             )
 
-    def _back(self, asked_ms: int) -> None:
+    def _back(self) -> None:
         now_ms = clock.suspended_ms()
         if self.away_since_ms is not None:
             away_ms = now_ms - self.away_since_ms
@@ -122,73 +195,76 @@
             )
         self.confirmed_ms = now_ms
 
-    def _take_all(self, asked_ms: int, answer: key_value.Changes) -> None:
-        present = {change.key for change in answer.changes}
-        now_ms = clock.suspended_ms()
-        services = listings.forget_missing(self.listing, now_ms, present)
-        for key in list(self.own):
-            if key not in present:
-                del self.own[key]
-                self.own_changed.set()
-        for change in answer.changes:
-            services |= self._take(now_ms, change)
-        self.revision = answer.upto
-        self.log.emit(
-            'directory',
-            'read everything',
-            inputs={
-                'entries': len(answer.changes),
-                'revision': answer.upto,
-                'took_ms': now_ms - asked_ms,
-            },
-        )
-        self._tell(services)
+    # ---- taking in ----
 
-    def _take_changes(self, answer: key_value.Changes) -> None:
+    def _take_all(self, changes: list[revisions.Change], upto: int) -> None:
+        """Take in everything there is; what is not there has ended."""
+        present = {change.key for change in changes}
+        ended = [
+            revisions.Change(key, upto, None)
+            for key, known in self.known.changes.items()
+            if key not in present and known.value is not None
+        ]
+        self.complete_from = upto
+        self._take([*ended, *changes], upto)
+
+    def _take(self, changes: list[revisions.Change], upto: int) -> None:
+        new = revisions.merge(self.known, self.known.seen, upto, changes)
         now_ms = clock.suspended_ms()
         services: set[str] = set()
-        for change in answer.changes:
-            services |= self._take(now_ms, change)
-        self.revision = max(self.revision, answer.upto)
+        for change in new or ():
+            services |= self._take_one(now_ms, change)
         self._tell(services)
 
-    def _take(self, now_ms: int, change: revisions.Change) -> set[str]:
+    def _take_one(self, now_ms: int, change: revisions.Change) -> set[str]:
         if change.key.startswith(OWN_PREFIX):
-            return self._take_own(now_ms, change)
+            self.own_changed.set()
+            if not change.key.startswith(PROXY_PREFIX):
+                return set()
         if change.value is None:
             return listings.take_gone(self.listing, now_ms, change.key)
-        record = self.adapter.decode(change.key, change.value, change.revision)
-        if record is None:
-            return set()
-        if isinstance(record, listings.Configuration):
+        try:
+            record = self._decode(change)
+        except (ValueError, KeyError) as error:
+            # One bad entry must not stop all that come after it.
             self.log.emit(
                 'directory',
-                'configuration',
-                inputs={
-                    'version': record.version,
-                    'revision': change.revision,
-                    'databases': len(record.policies),
-                },
+                'bad entry',
+                inputs={'key': change.key, 'error': str(error)},
             )
-        return listings.take(
+            return set()
+        if record is None:
+            return set()
+        services = listings.take(
             self.listing, now_ms, self.confirmed_ms, change.key, record
         )
+        if isinstance(record, listings.Configuration):
+            self._note_configuration(record, change)
+        return services
 
-    def _take_own(self, now_ms: int, change: revisions.Change) -> set[str]:
+    def _decode(self, change: revisions.Change) -> listings.Record | None:
         if change.key.startswith(PROXY_PREFIX):
-            if change.value is None:
-                return listings.take_gone(self.listing, now_ms, change.key)
+            value = msgspec.json.decode(change.value, type=ProxyValue)
             name = change.key.removeprefix(PROXY_PREFIX)
-            record = listings.ProxyRecord(name, change.value)
-            return listings.take(
-                self.listing, now_ms, now_ms, change.key, record
+            return listings.ProxyRecord(
+                name, value.data_centre, value.peer_address
             )
-        if change.value is None:
-            self.own.pop(change.key, None)
-        else:
-            self.own[change.key] = change
-        self.own_changed.set()
-        return set()
+        return self.adapter.decode(change.key, change.value, change.revision)
+
+    def _note_configuration(
+        self, record: listings.Configuration, change: revisions.Change
+    ) -> None:
+        self.configured.set()
+        self.log.emit(
+            'directory',
+            'configuration',
+            inputs={
+                'version': record.version,
+                'revision': change.revision,
+                'databases': len(record.policies),
+                'in_force': self.listing.configuration.version,
+            },
+        )
 
     def _tell(self, services: set[str]) -> None:
         if services:
--- a/topazring/pooler/duty.py
+++ b/topazring/pooler/duty.py
@@ -98,8 +98,8 @@
                 await self._changed()
 
     def _is_free(self) -> bool:
-        known = self.directory.revision > 0
-        return known and DUTY_KEY not in self.directory.own
+        known = self.directory.known.seen > 0
+        return known and self.directory.own(DUTY_KEY) is None
 
     async def _changed(self) -> None:
         self.directory.own_changed.clear()
@@ -121,7 +121,7 @@
                 return
             self.lease = leased.lease
         asked_ms = clock.suspended_ms()
-        block = self.directory.own.get(BLOCK_KEY)
+        block = self.directory.own(BLOCK_KEY)
         token = _next_block(block)
         holder = _Holder(self.incarnation, token)
         text = msgspec.json.encode(holder).decode()
--- a/topazring/pooler/membership.py
+++ b/topazring/pooler/membership.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from topazring import key_value
 from topazring.plumbing import events
 from topazring.pooler import directory as directories
@@ -21,12 +23,12 @@
     def __init__(
         self,
         name: str,
-        data_centre: str,
+        value: directories.ProxyValue,
         store: key_value.Store,
         log: events.EventLog,
     ):
         self.key = directories.PROXY_PREFIX + name
-        self.data_centre = data_centre
+        self.value = msgspec.json.encode(value).decode()
         self.store = store
         self.log = log
         self.lease = 0
@@ -69,5 +71,5 @@
             self.log.emit('membership', 'listed')
 
     async def _write(self, lease: int, revision: int):
-        value = key_value.Value(self.key, self.data_centre, revision, lease)
+        value = key_value.Value(self.key, self.value, revision, lease)
         return await self.store.put_all((value,))
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -25,6 +25,7 @@
 from topazring.pooler import group_task
 from topazring.pooler import membership
 from topazring.pooler import metrics as metric_sets
+from topazring.pooler import peers
 from topazring.pooler import ports
 from topazring.pooler import settings
 
@@ -38,6 +39,9 @@
 # The rest of the grace, but this, is for statements under way.
 EXIT_MARGIN_S = 0.7
 POLL_S = 0.05
+# A caller waits two seconds for its session; another proxy may have it in
+# less than that.
+CONFIGURED_S = 0.4
 # The store answers in milliseconds; what it does not, a lease's end does.
 CLOSE_S = 0.25
 BACKLOG = 512
@@ -81,11 +85,17 @@
         self.holds = False
         self.token = 0
         self.directory = directories.Directory(
-            adapter, self.log, self._changed
+            adapter, peers.Asker(config.peers), self.log, self._changed
         )
         self.membership = membership.Membership(
-            config.name, config.data_centre, adapter.store, self.log
+            config.name,
+            directories.ProxyValue(
+                config.data_centre, config.peer_address or ''
+            ),
+            adapter.store,
+            self.log,
         )
+        self.peer_server = peers.Server(self.directory.tell)
         self.duty = duties.Duty(
             self.incarnation,
             adapter.store,
@@ -110,6 +120,8 @@
         self.directory.start()
         self.membership.start()
         self.duty.start()
+        if self.config.peer_address:
+            self.peer_server.start(self.config.peer_address)
         ready = settings.endpoint(self.config.ready_address)
         self.ready_server.listen(ready.port, ready.host)
         callers = settings.endpoint(self.config.caller_address)
@@ -147,7 +159,20 @@
 
     def configured(self) -> bool:
         """Say whether any configuration is known."""
-        return self.directory.listing.configuration is not None
+        return self.directory.configured.is_set()
+
+    async def wait_configured(self) -> bool:
+        """Wait for the first configuration, unless it cannot be had.
+
+        Callers come within milliseconds of the start, and the first answer
+        of the store is as near.
+        """
+        try:
+            async with asyncio.timeout(CONFIGURED_S):
+                await self.directory.configured.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def note(self, kind: str, outcome: outcomes.Outcome, ms: int) -> None:
         """Count an answer and how long it took."""
@@ -277,6 +302,7 @@
         """Close all parts; do not wait for a store that does not answer."""
         self.caller_server.stop()
         self.ready_server.stop()
+        self.peer_server.close()
         self.directory.close()
         try:
             async with asyncio.timeout(CLOSE_S):
--- a/topazring/pooler/settings.py
+++ b/topazring/pooler/settings.py
@@ -27,6 +27,9 @@
     store_address: str
     # None where nothing takes orders.
     orders_address: str | None = None
+    # Where other proxies ask this one, and whom it may ask at its start.
+    peer_address: str | None = None
+    peers: tuple[str, ...] = ()
     # How long an upstream that leaves may still be given work.
     upstream_drain_ms: int = 7000
     # From the signal to stop until the process is killed.
