--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -24,6 +24,10 @@
 # it while the connection lives. Shorter costs more calls, longer delays a
 # configuration in that case.
 WATCH_MS = 8000
+# While a fleet starts, its proxies and their upstreams enter the list one
+# after the other; each entry alone would cost every proxy a call.
+STARTING_S = 8.0
+GATHER_S = 0.4
 RETRY_S = 0.15
 MOST_RETRY_S = 1.2
 EXPIRE_S = 0.25
@@ -100,11 +104,14 @@
 
     async def _follow_forever(self) -> None:
         failures = 0
+        began_ms = clock.suspended_ms()
         while True:
             answer = await self._ask()
             if isinstance(answer, key_value.Changes):
                 failures = 0
                 self._back()
+                if clock.suspended_ms() - began_ms < STARTING_S * 1000:
+                    await asyncio.sleep(GATHER_S)
                 continue
             if isinstance(answer, key_value.HistoryLost):
                 self.log.emit(
