Find out with a short question when the store is back; watch for three seconds

The store was silent until 9.5; front-makati-1 gave its watch up at 9.2 and asked again for eight seconds; that call was swallowed, and version 5, accepted at 10.98, was in force there at 16.4.

--- a/topazring/platform/store.py
+++ b/topazring/platform/store.py
@@ -14,7 +14,7 @@
 __all__ = ['StoreClient']
 
 # A watch may answer somewhat later than it was asked to.
-WATCH_SLACK_S = 0.8
+WATCH_SLACK_S = 0.6
 MOST_PAGES = 200
 
 
--- a/topazring/platform/tests/fake_store.py
+++ b/topazring/platform/tests/fake_store.py
@@ -23,6 +23,8 @@
         self.failing = 0
         # The same for those who come by one port.
         self.failing_ports: dict[int, int] = {}
+        # Take calls and never answer them, also not when this is over.
+        self.swallowing = False
         # Carry writes out and never answer them.
         self.losing_answers = False
         self.calls: list[str] = []
@@ -97,9 +99,11 @@
         """Take the store."""
         self.store = store
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Count the call, and fail it while the store does."""
         self.store.calls.append(f'{self.request.method} {self.request.path}')
+        if self.store.swallowing:
+            await asyncio.sleep(3600)
         port = int(self.request.host.rpartition(':')[2])
         code = self.store.failing or self.store.failing_ports.get(port)
         if code:
@@ -174,6 +178,8 @@
         try:
             async with asyncio.timeout(wait_s), store.changed:
                 await store.changed.wait_for(events)
+            if store.swallowing:
+                await asyncio.sleep(3600)
         except TimeoutError:
             # Nothing happened, and that is what the answer says.
             self.write({'events': [], 'current-rev': store.revision})
--- a/topazring/platform/tests/test_whole_path.py
+++ b/topazring/platform/tests/test_whole_path.py
@@ -130,6 +130,26 @@
         await starting
         self.assertTrue(await self.is_served('own'))
 
+    def test_store_that_swallows_calls(self):
+        """A call that was swallowed is not waited for when the store is back.
+
+        Symptom: one of seven proxies serves by an old configuration for six
+        seconds. Sequence: the store goes silent; a proxy gives its watch up
+        and asks again just before the store is back; that call is never
+        answered, its connection lives; the configuration changes. Cause: the
+        first call after an outage was a long watch.
+        """
+        self.on_platform(self.swallows)
+
+    async def swallows(self):
+        self.store.swallowing = True
+        # The watch under way is woken, and its answer swallowed.
+        await self.configure(5, support.route('lost', 'primary'))
+        await asyncio.sleep(4.5)
+        self.store.swallowing = False
+        await self.configure(9, support.route('late', 'primary'))
+        await support.wait_until(lambda: self.is_served('late'), 2.0)
+
     def test_turned_away_by_the_store(self):
         """A proxy that the store turns away learns from its peers.
 
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -20,10 +20,11 @@
 PROXY_PREFIX = 'topazring/proxies/'
 # One watch for everything: each that waits is a call that is paid for.
 EVERYTHING = ''
-# A watch is ended by us after that long, in case the service has forgotten
-# it while the connection lives. Shorter costs more calls, longer delays a
-# configuration in that case.
-WATCH_MS = 8000
+# A watch is ended by us after that long: the service may have swallowed it
+# while the connection lives. A configuration has to be in force three seconds
+# after it was accepted, and four after the service's last trouble. Shorter
+# costs more calls.
+WATCH_MS = 3000
 # While a fleet starts, its proxies and their upstreams enter the list one
 # after the other; each entry alone would cost every proxy a call.
 STARTING_S = 8.0
@@ -136,8 +137,11 @@
     async def _ask(self):
         """Ask once and take in what is answered."""
         if self.known.seen:
+            # While the service is away only a short question finds out when
+            # it is back: a watch that it swallows would be waited for.
+            wait_ms = WATCH_MS if self.away_since_ms is None else 0
             answer = await self.adapter.store.changes(
-                EVERYTHING, self.known.seen, WATCH_MS
+                EVERYTHING, self.known.seen, wait_ms
             )
             if isinstance(answer, key_value.Changes):
                 self._take(answer.changes, answer.upto)
