--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -7,6 +7,8 @@
 import dataclasses
 
 from topazring.core import places
+from topazring.core.synchronous import evidence
+from topazring.core.synchronous import freshness
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -17,6 +19,7 @@
     'forget_reports',
     'is_fresh',
     'members',
+    'receives',
     'take_report',
 ]
 
@@ -96,6 +99,22 @@
     return reported_ms is not None and now_ms - reported_ms <= FRESH_MS
 
 
+def receives(state: states.GroupState, now_ms: int, attempt: Attempt) -> bool:
+    """Say whether some replica has what the primary held a moment ago.
+
+    Then writes are confirmed, and what hangs is the answer: one was lost, or
+    the replicas only apply late what they receive at once.
+    """
+    before = freshness.place_at(state, now_ms - evidence.STANDING_MS)
+    if before is None:
+        return False
+    return any(
+        report.received >= before
+        for name, report in attempt.reports.items()
+        if name != attempt.old
+    )
+
+
 def choose(state: states.GroupState, now_ms: int, attempt: Attempt) -> str:
     """Return who may be promoted without losing anything, if anyone."""
     asked = members(state, attempt)
--- a/topazring/core/synchronous/duty.py
+++ b/topazring/core/synchronous/duty.py
@@ -21,6 +21,7 @@
     else:
         state.promotion = None
     if gained:
+        state.fence_token = 0
         state.paused = set(state.upstreams) - {state.primary}
         state.unfenced = True
     return []
@@ -35,9 +36,8 @@
     only on proof that this upstream leads, the moment that proof arrives.
     """
     wanted = state.holds_duty and state.unfenced and state.promotion is None
-    if not wanted or upstream != state.primary:
+    if not wanted or state.fence_token or upstream != state.primary:
         return []
-    state.unfenced = False
     state.token += 1
     state.fence_token = state.token
     return [messages.Order(upstream, state.token)]
@@ -45,8 +45,9 @@
 
 def fenced(state: states.GroupState, message: messages.Ordered) -> list:
     """Take in the answer to an order that was to fence."""
-    if message.result is messages.OrderResult.UNANSWERED:
-        state.unfenced = True
+    state.fence_token = 0
+    if message.result is messages.OrderResult.ACCEPTED:
+        state.unfenced = False
     elif message.result is messages.OrderResult.REFUSED:
         state.holds_duty = False
     return []
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -9,10 +9,11 @@
 
 import dataclasses
 
+from topazring.core.synchronous import freshness
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
-__all__ = ['Loss', 'judge', 'needs_dial']
+__all__ = ['Loss', 'judge', 'needs_dial', 'silent', 'unanswered_since']
 
 # Guards go out every 100 ms while a loss would be noticed here, and are
 # answered within a few. Three missed in a row are no accident.
@@ -25,6 +26,11 @@
 # A write takes some ten ms, and some hundred behind a full queue of the
 # upstream. One that hangs longer is not confirmed by any replica.
 HANGING_MS = 600
+# Replicas receive within milliseconds. One that lacks what the primary held so
+# long ago does not follow, or applies late.
+STANDING_MS = 500
+# While they apply late they are asked no more often what they received.
+LOOK_AGAIN_MS = 1000
 # A promotion that is under way shows within its own time, which is at most a
 # second; a group without a primary for longer needs another.
 ABSENT_MS = 1500
@@ -53,10 +59,13 @@
     upstream = state.upstreams.get(state.primary)
     if upstream is None:
         return Loss(state.primary, 'it is listed no more', now_ms)
-    silent = _silent(state, now_ms, upstream)
-    if silent is not None:
-        return silent
-    return _hanging(state, now_ms, upstream)
+    loss = silent(state, now_ms, upstream)
+    if loss is not None:
+        return loss
+    hanging = _hanging(state, now_ms, upstream)
+    if hanging is not None:
+        return hanging
+    return _standing(state, now_ms, upstream)
 
 
 def _absent(state: states.GroupState, now_ms: int) -> Loss | None:
@@ -67,7 +76,7 @@
     return Loss('', 'nobody leads', since_ms)
 
 
-def _silent(
+def silent(
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> Loss | None:
     """Return a loss if nothing gets an answer, a new dial neither."""
@@ -132,6 +141,33 @@
     return Loss(upstream.name, 'its writes are not confirmed', oldest_ms, True)
 
 
+def _standing(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> Loss | None:
+    """Return a loss if no replica is known to have followed the primary.
+
+    Places are those that replicas have applied, so that also looks like
+    this when they apply late. Whoever takes it up looks first.
+    """
+    if now_ms - state.looked_ms < LOOK_AGAIN_MS:
+        return None
+    if unanswered_since(state, upstream) is not None:
+        # Whether it answers at all is to be seen first.
+        return None
+    before = freshness.place_at(state, now_ms - STANDING_MS)
+    if before is None:
+        return None
+    replicas = [
+        other
+        for other in state.upstreams.values()
+        if other.name != upstream.name
+    ]
+    if not replicas or any(other.place >= before for other in replicas):
+        return None
+    why = 'no replica follows it'
+    return Loss(upstream.name, why, now_ms - STANDING_MS, True)
+
+
 def _waits_for_replica(connection: states.Connection) -> bool:
     last = connection.commands[-1]
     if isinstance(last, statements.Commit):
--- a/topazring/core/synchronous/freshness.py
+++ b/topazring/core/synchronous/freshness.py
@@ -11,7 +11,13 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 
-__all__ = ['add_sample', 'forget_samples', 'newest_ms', 'required_place']
+__all__ = [
+    'add_sample',
+    'forget_samples',
+    'newest_ms',
+    'place_at',
+    'required_place',
+]
 
 # Beyond the longest staleness in use a sample is worth nothing, except the
 # newest of those, which nothing younger replaces.
@@ -40,6 +46,19 @@
     return state.samples[-1].sent_ms if state.samples else None
 
 
+def place_at(state: states.GroupState, at_ms: int) -> places.Place | None:
+    """Return where the present primary's log stood at a time.
+
+    An earlier primary's log may have had a tail that was cut back.
+    """
+    for sample in reversed(state.samples):
+        if sample.sent_ms < state.proven_ms:
+            return None
+        if sample.sent_ms <= at_ms:
+            return sample.place
+    return None
+
+
 def forget_samples(state: states.GroupState) -> None:
     """Trust no age: this process stood still, or its group began anew."""
     state.samples.clear()
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -40,6 +40,7 @@
     if state.proven != upstream.name:
         # A new primary began with all that had been acknowledged before.
         state.proven = upstream.name
+        state.proven_ms = now_ms
         state.acknowledged = max(state.acknowledged, upstream.place)
     if state.primary == upstream.name:
         return []
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -43,6 +43,8 @@
 LEAD_MS = 3000
 # Pause before the next attempt after one that was broken off.
 PAUSE_MS = 300
+# After these the next attempt begins at once.
+AT_ONCE = frozenset({'succeeded', 'overtaken', 'lost meanwhile'})
 # A paused replica confirms nothing. If the primary lives after all, writes
 # stand still meanwhile, so an attempt that cannot choose lets go again.
 CHOOSE_MS = 800
@@ -127,6 +129,8 @@
     chosen = attempts.choose(state, now_ms, attempt)
     if not chosen:
         return outs
+    if attempt.looking and attempts.receives(state, now_ms, attempt):
+        return outs + _finish(state, now_ms, attempt, 'replicas receive')
     if attempt.looking and chosen == attempt.old:
         return outs + _finish(state, now_ms, attempt, 'nobody may follow')
     if attempt.looking:
@@ -145,8 +149,13 @@
     if attempt.accepted:
         return []
     chosen = attempt.reports[attempt.chosen].received
-    others = (report.received for report in attempt.reports.values())
-    if max(others) > chosen and attempt.chosen != attempt.old:
+    # What the demoted primary holds beyond that was never confirmed.
+    others = (
+        report.received
+        for name, report in attempt.reports.items()
+        if name != attempt.old
+    )
+    if attempt.chosen != attempt.old and max(others) > chosen:
         return _finish(state, now_ms, attempt, 'overtaken')
     outs = _repeat_order(state, now_ms, attempt)
     if not attempt.heir and not attempt.unconfirmed:
@@ -185,6 +194,9 @@
             state.primary_lost_ms = attempt.began_ms
         return _finish(state, now_ms, attempt, 'nobody may follow')
     old = state.upstreams.get(attempt.old)
+    if attempt.looking and old is not None:
+        if evidence.silent(state, now_ms, old) is not None:
+            return _finish(state, now_ms, attempt, 'lost meanwhile')
     if attempt.heir:
         if old is None or evidence.judge(state, now_ms) is not None:
             return _finish(state, now_ms, attempt, 'lost meanwhile')
@@ -206,7 +218,9 @@
 ) -> list:
     state.promotion = None
     state.next_promotion_ms = now_ms
-    if how not in ('succeeded', 'overtaken'):
+    if attempt.looking:
+        state.looked_ms = now_ms
+    if how not in AT_ONCE:
         state.next_promotion_ms += PAUSE_MS
     state.counters['promotion_' + how.replace(' ', '_')] += 1
     decided = messages.Decided(
@@ -388,6 +402,8 @@
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
     attempt.accepted = True
+    # This order's token outdoes all earlier ones as well.
+    state.unfenced = False
     old = state.upstreams.get(attempt.old)
     if state.primary == attempt.old:
         state.primary = ''
@@ -400,7 +416,9 @@
 def _resume(state: states.GroupState, now_ms: int) -> list:
     """Have every replica receive again that an attempt had paused."""
     outs: list = []
-    if not state.primary:
+    if not state.primary or state.unfenced:
+        # An earlier holder's order may still be carried out, and what it
+        # paused is all that keeps its choice safe.
         return outs
     for name in list(state.paused):
         upstream = state.upstreams.get(name)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -196,8 +196,9 @@
     # Upstreams whose entry lapsed, and when: they may hold what nobody else
     # holds, and may be back at any moment.
     lapsed_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    # The last upstream that proved to lead.
+    # The last upstream that proved to lead, and when it first did.
     proven: str = ''
+    proven_ms: int = 0
     # Oldest first.
     samples: collections.deque[Sample] = dataclasses.field(
         default_factory=collections.deque
@@ -213,6 +214,8 @@
     fence_token: int = 0
     promotion: object | None = None
     next_promotion_ms: int = 0
+    # When it was last found out whether replicas receive.
+    looked_ms: int = -10_000
     # Resumed again once their group has a primary.
     paused: set[str] = dataclasses.field(default_factory=set)
     counters: collections.Counter[str] = dataclasses.field(
--- a/topazring/core/synchronous/tests/test_promotion.py
+++ b/topazring/core/synchronous/tests/test_promotion.py
@@ -118,8 +118,8 @@
             if connection.errand is states.Errand.CONTROL:
                 not_held = support.report(term=4, held_term=0)
                 outs += driver.reply(connection, not_held)
+        outs += driver.tick(60)
         self.assertEqual([], support.orders(outs))
-        outs = driver.tick(60)
         pauses = [
             command
             for send in support.sends(outs)
@@ -292,17 +292,31 @@
         self.assertIsNone(driver.state.promotion)
 
     def test_new_holder_resumes_what_was_left_paused(self):
-        """A holder that died between its steps leaves replicas paused."""
+        """A holder that died between its steps leaves replicas paused.
+
+        Symptom: acknowledged writes are gone after a failover. Sequence: an
+        order is late; the duty changes hands; the new holder resumes the
+        replicas; one confirms a write of the primary that is back; the order
+        is carried out. Cause: resuming before the order was fenced off.
+        """
         driver = support.Driver().ready()
         driver.post(messages.DutySeen(True, 100))
-        driver.tick(60)
-        resumed = {
+        outs = driver.tick(120)
+        self.assertEqual(set(), self.resumed(driver))
+        (order,) = support.orders(outs + driver.answer_guards())
+        accepted = OrderResult.ACCEPTED
+        driver.post(messages.Ordered(order.upstream, order.token, accepted))
+        driver.tick(20)
+        self.assertEqual({'u2', 'u3'}, self.resumed(driver))
+
+    def resumed(self, driver: support.Driver) -> set[str]:
+        """Return the upstreams that are told to go on."""
+        return {
             connection.upstream
             for connection in driver.busy()
             if connection.commands
             and isinstance(connection.commands[0], statements.Resume)
         }
-        self.assertEqual({'u2', 'u3'}, resumed)
 
 
 class EvidenceTest(testtools.TestCase):
@@ -351,3 +365,63 @@
             for connection in list(driver.state.connections.values()):
                 driver.close(connection, limit)
         self.assertIsNone(driver.state.promotion)
+
+
+class UnconfirmedTest(testtools.TestCase):
+    """A primary that answers, but whose replicas do not follow."""
+
+    def standing(self, received: Place) -> support.Driver:
+        """Have a primary go on to 1.9 while replicas are seen at 1.5."""
+        driver = holder()
+        for _ in range(50):
+            driver.tick(20)
+            for connection in driver.busy('u1'):
+                if connection.errand is states.Errand.GUARD:
+                    ahead = support.ok(place=Place(1, 9))
+                    driver.reply(connection, ahead, ahead)
+            if driver.state.promotion is not None:
+                break
+        answer_controls(driver, u1=Place(1, 9), u2=received, u3=received)
+        return driver
+
+    def demoted(self, driver: support.Driver) -> set[str]:
+        """Return the upstreams that are told to stop leading."""
+        return {
+            connection.upstream
+            for connection in driver.busy()
+            if connection.commands
+            and isinstance(connection.commands[0], statements.Demote)
+        }
+
+    def test_cut_off_from_its_replicas(self):
+        """It is demoted before anyone follows it.
+
+        Symptom: saves hang until their deadline for five seconds. Sequence:
+        a primary loses its replicas and goes on answering; nothing that it
+        takes is confirmed. Cause: taking an answer for a sign of health.
+        """
+        driver = self.standing(Place(1, 5))
+        self.assertEqual({'u1'}, self.demoted(driver))
+
+    def test_replicas_that_apply_late(self):
+        """They received everything, so nothing is wrong with the primary."""
+        driver = self.standing(Place(1, 9))
+        self.assertEqual(set(), self.demoted(driver))
+        self.assertIsNone(driver.state.promotion)
+
+    def test_unconfirmed_tail_does_not_count(self):
+        """What only the demoted primary holds was acknowledged to nobody.
+
+        Symptom: a second promotion right after the first. Sequence: a cut
+        off primary is demoted with writes that nobody confirmed; a replica
+        is ordered to lead; it lacks those. Cause: comparing it with the one
+        that it replaces.
+        """
+        driver = self.standing(Place(1, 5))
+        outs = answer_controls(
+            driver, u1=Place(1, 9), u2=Place(1, 5), u3=Place(1, 5)
+        )
+        (order,) = support.orders(outs)
+        self.assertNotEqual('u1', order.upstream)
+        driver.tick(40)
+        self.assertEqual(order.upstream, driver.state.promotion.chosen)
--- a/topazring/platform/orders.py
+++ b/topazring/platform/orders.py
@@ -7,7 +7,7 @@
 
 # An order is answered in milliseconds; one that is not may still be carried
 # out later.
-ORDER_S = 0.5
+ORDER_S = 0.2
 _HOLDER = 'X-Topazring-Lease-Holder'
 _TOKEN = 'X-Topazring-Fencing-Token'
 
