Ask replicas whether they follow by guards; yield a duty that cannot be done

Cause: the list of places that the holder had was as old as its last read there, so it looked every second at every group. Guards to replicas take no slot and tell their place.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -56,6 +56,8 @@
     reported_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     # All that was known of the group when the attempt began.
     members: frozenset[str] = frozenset()
+    # When what calls for it began.
+    since_ms: int = 0
     chosen: str = ''
     ordered_ms: int = 0
     # An order is under way; its answer is still to come.
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -162,7 +162,10 @@
         for other in state.upstreams.values()
         if other.name != upstream.name
     ]
-    if not replicas or any(other.place >= before for other in replicas):
+    if not replicas or any(
+        other.place >= before or now_ms - other.place_ms > STANDING_MS
+        for other in replicas
+    ):
         return None
     why = 'no replica follows it'
     return Loss(upstream.name, why, now_ms - STANDING_MS, True)
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -31,6 +31,8 @@
 SAMPLE_MS = 300
 # The holder of the duty asks more often: a loss shows after three misses.
 HEARTBEAT_MS = 100
+# And it asks the replicas where they are, twice before their silence tells.
+FOLLOW_MS = 250
 # While no primary is known every upstream is asked.
 SEARCH_MS = 50
 # A third of the shortest lease: after a longer pause its holder asks whether
@@ -187,17 +189,33 @@
     if now_ms - state.guarded_ms < period_ms:
         return []
     newest_ms = freshness.newest_ms(state)
-    if not searching and newest_ms is not None:
+    if not searching and not state.holds_duty and newest_ms is not None:
         if now_ms - newest_ms < period_ms:
             return []
     state.guarded_ms = now_ms
-    names = list(state.upstreams) if searching else [state.primary]
+    names = list(state.upstreams)
+    if not searching and not _follows_all(state, now_ms):
+        names = [state.primary]
     outs: list = []
     for name in names:
         outs += _guard_one(state, now_ms, name)
     return outs
 
 
+def _follows_all(state: states.GroupState, now_ms: int) -> bool:
+    """Say whether replicas are to be asked too where their logs stand.
+
+    The holder has to see whether they follow. They refuse the guard and say
+    their place with the refusal, and that takes no slot.
+    """
+    if not state.holds_duty:
+        return False
+    if now_ms - state.followed_ms < FOLLOW_MS:
+        return False
+    state.followed_ms = now_ms
+    return True
+
+
 def _guard_one(state: states.GroupState, now_ms: int, name: str) -> list:
     upstream = state.upstreams.get(name)
     if upstream is None:
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -31,6 +31,7 @@
     'Tick',
     'UpstreamsSeen',
     'Withdraw',
+    'YieldDuty',
 ]
 
 
@@ -252,6 +253,13 @@
     token: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class YieldDuty:
+    """Let another proxy have the duty: this one cannot reach the group."""
+
+    why: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decided:
     """Tell the log what was decided, on what grounds.
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -97,15 +97,17 @@
     )
     attempt.unconfirmed = loss is not None and loss.unconfirmed
     attempt.looking = attempt.unconfirmed
+    attempt.since_ms = now_ms if loss is None else loss.since_ms
     attempt.members = frozenset(state.upstreams) | {
         name
         for name, since_ms in state.lapsed_ms.items()
         if now_ms - since_ms < attempts.LAPSED_MS
     }
     state.promotion = attempt
-    state.counters['promotion_begun'] += 1
+    what = 'promotion considered' if attempt.looking else 'promotion begins'
+    state.counters[what.replace(' ', '_')] += 1
     decided = messages.Decided(
-        'promotion begins',
+        what,
         inputs={
             'old': old,
             'why': why,
@@ -169,7 +171,15 @@
     """Pause the replicas now that one of them could follow."""
     attempt.looking = False
     attempts.forget_reports(attempt)
-    return _ask(state, now_ms, attempt)
+    state.counters['promotion_begins'] += 1
+    inputs = {
+        'old': attempt.old,
+        'why': attempt.why,
+        'token': attempt.token,
+        'since_ms': now_ms - attempt.since_ms,
+    }
+    decided = messages.Decided('promotion begins', inputs=inputs)
+    return [decided, *_ask(state, now_ms, attempt)]
 
 
 def _end(
@@ -234,7 +244,16 @@
             'took_ms': now_ms - attempt.began_ms,
         },
     )
-    return [decided, *_resume(state, now_ms)]
+    outs: list = [decided, *_resume(state, now_ms)]
+    if how == 'nobody may follow' and not _heard_any(attempt):
+        # On the wrong side of a partition: another may reach the replicas.
+        outs.append(messages.YieldDuty('no replica can be reached'))
+    return outs
+
+
+def _heard_any(attempt: attempts.Attempt) -> bool:
+    """Say whether any member but the old primary answered."""
+    return any(name != attempt.old for name in attempt.reports)
 
 
 def _ask(
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -207,6 +207,7 @@
     # When this process last went on after it stood still.
     woke_ms: int = 0
     guarded_ms: int = 0
+    followed_ms: int = 0
     holds_duty: bool = False
     token: int = 0
     # Orders of earlier holders may still arrive until a higher token is seen.
--- a/topazring/core/synchronous/tests/support.py
+++ b/topazring/core/synchronous/tests/support.py
@@ -102,6 +102,9 @@
         for connection in self.busy():
             if connection.errand is not states.Errand.GUARD:
                 continue
+            if connection.upstream == 'u1' and not primary:
+                # It is lost.
+                continue
             replies = (refused(statements.Code.READ_ONLY), ok())
             if connection.upstream == primary:
                 replies = (ok(), ok())
--- a/topazring/core/synchronous/tests/test_promotion.py
+++ b/topazring/core/synchronous/tests/test_promotion.py
@@ -48,6 +48,7 @@
             outs += driver.close(connection)
     for _ in range(25):
         outs += driver.tick(20)
+        outs += driver.answer_guards(primary='')
         for connection in list(driver.state.connections.values()):
             if connection.upstream == 'u1':
                 outs += driver.close(connection)
@@ -284,6 +285,19 @@
         driver.tick(20, paused_ms=1500)
         self.assertFalse(driver.state.holds_duty)
 
+    def test_holder_that_reaches_no_replica_yields(self):
+        """It is on the wrong side of a partition.
+
+        Symptom: no writes for three seconds after a partition. Sequence: the
+        holder of the duty is cut off with the primary; it tries again and
+        again; a proxy on the other side could promote. Cause: holding on to
+        a duty that one cannot do.
+        """
+        driver = holder()
+        outs = lose_primary(driver) + driver.tick(900)
+        yields = [o for o in outs if isinstance(o, messages.YieldDuty)]
+        self.assertEqual(1, len(yields))
+
     def test_other_proxies_promote_nobody(self):
         """Without the duty a lost primary is only searched for."""
         driver = support.Driver().ready()
@@ -379,6 +393,7 @@
                 if connection.errand is states.Errand.GUARD:
                     ahead = support.ok(place=Place(1, 9))
                     driver.reply(connection, ahead, ahead)
+            driver.answer_guards(primary='')
             if driver.state.promotion is not None:
                 break
         answer_controls(driver, u1=Place(1, 9), u2=received, u3=received)
--- a/topazring/pooler/duty.py
+++ b/topazring/pooler/duty.py
@@ -36,6 +36,9 @@
 # All see at the same time that the duty is free.
 JITTER_S = 0.15
 RETRY_S = 0.5
+# Partitions last for seconds; if all others are as badly off, this one tries
+# again after that.
+YIELD_MS = 3000
 
 
 class _Holder(msgspec.Struct):
@@ -67,6 +70,8 @@
         self.valid_until_ms = 0
         self.doubted = asyncio.Event()
         self.leaving = False
+        self.yielded_ms = -YIELD_MS
+        self.ending: asyncio.Task | None = None
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -88,6 +93,16 @@
         """Ask the service again: an order was refused."""
         self.doubted.set()
 
+    def yield_to_another(self, why: str) -> None:
+        """Give the duty up, and leave it to others for a while."""
+        if not self.holds:
+            return
+        self.yielded_ms = clock.suspended_ms()
+        lease, self.lease = self.lease, 0
+        self._lose(why)
+        if lease:
+            self.ending = asyncio.create_task(self.store.end(lease))
+
     async def _run(self) -> None:
         while True:
             if self.holds:
@@ -98,6 +113,8 @@
                 await self._changed()
 
     def _is_free(self) -> bool:
+        if clock.suspended_ms() - self.yielded_ms < YIELD_MS:
+            return False
         known = self.directory.known.seen > 0
         return known and self.directory.own(DUTY_KEY) is None
 
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -51,6 +51,8 @@
         # Called when the duty may be lost: an order was refused, or this
         # process stood still.
         self.doubt_duty = None
+        # Called when another proxy should have the duty.
+        self.yield_duty = None
         self.decided: collections.Counter[str] = collections.Counter()
 
     def start(self) -> None:
@@ -113,6 +115,9 @@
                     link.close()
             case messages.Order():
                 self._spawn(self._order(out))
+            case messages.YieldDuty():
+                if self.yield_duty:
+                    self.yield_duty(out.why)
             case messages.Decided():
                 self.decided[out.what] += 1
                 self.log.emit(
--- a/topazring/pooler/peers.py
+++ b/topazring/pooler/peers.py
@@ -65,8 +65,10 @@
 class Asker:
     """Ask one peer at a time, each time another."""
 
-    def __init__(self, seeds: tuple[str, ...]):
+    def __init__(self, seeds: tuple[str, ...], own_address: str):
         self.seeds = seeds
+        # It may be among the seeds, and is in the list.
+        self.own_address = own_address
         self.client = http_calls.make_client()
         self.decode = msgspec.json.Decoder(Told).decode
 
@@ -76,7 +78,7 @@
 
     async def ask(self, addresses: set[str], after: int) -> Told | None:
         """Return what a peer knows after a revision, None if it is silent."""
-        known = sorted(addresses | set(self.seeds))
+        known = sorted((addresses | set(self.seeds)) - {self.own_address})
         if not known:
             return None
         url = f'http://{random.choice(known)}{PATH}?after={after}'
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -85,7 +85,10 @@
         self.holds = False
         self.token = 0
         self.directory = directories.Directory(
-            adapter, peers.Asker(config.peers), self.log, self._changed
+            adapter,
+            peers.Asker(config.peers, config.peer_address or ''),
+            self.log,
+            self._changed,
         )
         self.membership = membership.Membership(
             config.name,
@@ -209,6 +212,7 @@
             self.log,
         )
         group.doubt_duty = self.duty.doubt
+        group.yield_duty = self.duty.yield_to_another
         self.groups[service] = group
         group.start()
         if self.holds:
