--- /dev/null
+++ b/topazring/core/synchronous/asking.py
@@ -0,0 +1,76 @@
+"""Send what a promotion asks of a group's members."""
+
+from topazring.core.synchronous import attempts
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = ['ask', 'resume']
+
+# A member that has not answered is asked again, on another connection.
+ASK_AGAIN_MS = 200
+# How often a successor's log is looked at while it catches up.
+LOOK_MS = 30
+
+
+def ask(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list:
+    """Have members pause, or tell where their logs stand."""
+    outs: list = []
+    for name in attempts.members(state, attempt):
+        asked_ms = attempt.asked_ms.get(name)
+        again_ms = LOOK_MS if name == attempt.heir else ASK_AGAIN_MS
+        if name != attempt.heir and attempts.is_fresh(attempt, now_ms, name):
+            continue
+        if asked_ms is not None and now_ms - asked_ms < again_ms:
+            continue
+        command: statements.Command = statements.Pause(attempt.term)
+        if name == attempt.heir or attempt.looking:
+            command = statements.Status()
+        elif name == attempt.old:
+            command = statements.Demote(attempt.term)
+        sent = control(state, now_ms, name, command)
+        if sent:
+            attempt.asked_ms[name] = now_ms
+            if isinstance(command, statements.Pause):
+                state.paused.add(name)
+        outs += sent
+    return outs
+
+
+def control(
+    state: states.GroupState,
+    now_ms: int,
+    upstream: str,
+    command: statements.Command,
+) -> list:
+    """Send one command, on a new connection where none is free."""
+    free = states.idle_connections(state, upstream)
+    if free:
+        errand = states.Errand.CONTROL
+        return [dispatch.send(free[0], now_ms, errand, (command,))]
+    return connections.dial_extra(state, now_ms, upstream)
+
+
+def resume(state: states.GroupState, now_ms: int) -> list:
+    """Have every replica receive again that an attempt had paused."""
+    outs: list = []
+    if not state.primary or state.unfenced:
+        # An earlier holder's order may still be carried out, and what it
+        # paused is all that keeps its choice safe.
+        return outs
+    for name in list(state.paused):
+        upstream = state.upstreams.get(name)
+        if upstream is None or name == state.primary:
+            state.paused.discard(name)
+            continue
+        under_way = any(
+            connection.upstream == name
+            and connection.errand is states.Errand.CONTROL
+            for connection in state.connections.values()
+        )
+        if not under_way:
+            outs += control(state, now_ms, name, statements.Resume())
+    return outs
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -7,13 +7,21 @@
 """
 
 from topazring.core import outcomes
+from topazring.core import places
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous import waiting
 
-__all__ = ['answer', 'end_transaction', 'give_up', 'keeps_nothing', 'requeue']
+__all__ = [
+    'answer',
+    'done',
+    'end_transaction',
+    'give_up',
+    'keeps_nothing',
+    'requeue',
+]
 
 Reason = outcomes.Reason
 
@@ -65,6 +73,26 @@
     return f'{name}_{reason}' if reason else name
 
 
+def done(
+    state: states.GroupState,
+    work: states.Work,
+    connection: states.Connection,
+    reply: statements.Reply,
+    place: places.Place | None = None,
+) -> list:
+    """Answer a success: the upstream's own rows and signature."""
+    return answer(
+        state,
+        work,
+        outcomes.Done(
+            list(reply.rows),
+            place,
+            connection.upstream,
+            signature=reply.signature or '',
+        ),
+    )
+
+
 def give_up(
     state: states.GroupState,
     now_ms: int,
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -18,9 +18,8 @@
 be one that received nothing for a while.
 """
 
+from topazring.core.synchronous import asking
 from topazring.core.synchronous import attempts
-from topazring.core.synchronous import connections
-from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import duty
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import messages
@@ -34,10 +33,6 @@
     'tick',
 ]
 
-# A member that has not answered is asked again, on another connection.
-ASK_AGAIN_MS = 200
-# How often a successor's log is looked at while it catches up.
-LOOK_MS = 30
 # A promotion takes some hundred ms after the order. One that shows nothing
 # for so long failed, and the group is looked at anew.
 LEAD_MS = 3000
@@ -68,7 +63,7 @@
         if heir:
             why = 'it leaves'
             return _begin(state, now_ms, old.name, why, None, heir)
-    return _resume(state, now_ms)
+    return asking.resume(state, now_ms)
 
 
 def _heir(state: states.GroupState) -> str:
@@ -127,7 +122,7 @@
         return ended
     if attempt.chosen:
         return _stand_by(state, now_ms, attempt)
-    outs = _ask(state, now_ms, attempt)
+    outs = asking.ask(state, now_ms, attempt)
     chosen = attempts.choose(state, now_ms, attempt)
     if not chosen:
         return outs
@@ -161,7 +156,7 @@
         return _finish(state, now_ms, attempt, 'overtaken')
     outs = _repeat_order(state, now_ms, attempt)
     if not attempt.heir and not attempt.unconfirmed:
-        outs += _ask(state, now_ms, attempt)
+        outs += asking.ask(state, now_ms, attempt)
     return outs
 
 
@@ -179,7 +174,7 @@
         'since_ms': now_ms - attempt.since_ms,
     }
     decided = messages.Decided('promotion begins', inputs=inputs)
-    return [decided, *_ask(state, now_ms, attempt)]
+    return [decided, *asking.ask(state, now_ms, attempt)]
 
 
 def _end(
@@ -244,7 +239,7 @@
             'took_ms': now_ms - attempt.began_ms,
         },
     )
-    outs: list = [decided, *_resume(state, now_ms)]
+    outs: list = [decided, *asking.resume(state, now_ms)]
     if how == 'nobody may follow' and not _heard_any(attempt):
         # On the wrong side of a partition: another may reach the replicas.
         outs.append(messages.YieldDuty('no replica can be reached'))
@@ -256,45 +251,6 @@
     return any(name != attempt.old for name in attempt.reports)
 
 
-def _ask(
-    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
-) -> list:
-    outs: list = []
-    for name in attempts.members(state, attempt):
-        asked_ms = attempt.asked_ms.get(name)
-        again_ms = LOOK_MS if name == attempt.heir else ASK_AGAIN_MS
-        if name != attempt.heir and attempts.is_fresh(attempt, now_ms, name):
-            continue
-        if asked_ms is not None and now_ms - asked_ms < again_ms:
-            continue
-        command: statements.Command = statements.Pause(attempt.term)
-        if name == attempt.heir or attempt.looking:
-            command = statements.Status()
-        elif name == attempt.old:
-            command = statements.Demote(attempt.term)
-        sent = _control(state, now_ms, name, command)
-        if sent:
-            attempt.asked_ms[name] = now_ms
-            if isinstance(command, statements.Pause):
-                state.paused.add(name)
-        outs += sent
-    return outs
-
-
-def _control(
-    state: states.GroupState,
-    now_ms: int,
-    upstream: str,
-    command: statements.Command,
-) -> list:
-    """Send one command, on a new connection where none is free."""
-    free = states.idle_connections(state, upstream)
-    if free:
-        errand = states.Errand.CONTROL
-        return [dispatch.send(free[0], now_ms, errand, (command,))]
-    return connections.dial_extra(state, now_ms, upstream)
-
-
 def control_replied(
     state: states.GroupState,
     now_ms: int,
@@ -430,25 +386,3 @@
     if old is not None:
         old.refuted_ms = now_ms
     return []
-
-
-def _resume(state: states.GroupState, now_ms: int) -> list:
-    """Have every replica receive again that an attempt had paused."""
-    outs: list = []
-    if not state.primary or state.unfenced:
-        # An earlier holder's order may still be carried out, and what it
-        # paused is all that keeps its choice safe.
-        return outs
-    for name in list(state.paused):
-        upstream = state.upstreams.get(name)
-        if upstream is None or name == state.primary:
-            state.paused.discard(name)
-            continue
-        under_way = any(
-            connection.upstream == name
-            and connection.errand is states.Errand.CONTROL
-            for connection in state.connections.values()
-        )
-        if not under_way:
-            outs += _control(state, now_ms, name, statements.Resume())
-    return outs
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -183,16 +183,7 @@
         kind = request.policy.freshness
         state.counters[f'read_{kind}_at_{where}'] += 1
     place = reply.place if request.writes else None
-    return fates.answer(
-        state,
-        work,
-        outcomes.Done(
-            list(reply.rows),
-            place,
-            connection.upstream,
-            signature=reply.signature or '',
-        ),
-    )
+    return fates.done(state, work, connection, reply, place)
 
 
 def _not_run(
--- /dev/null
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -0,0 +1,319 @@
+"""Say what upstreams and the platform do in the simulated world."""
+
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import statements
+from topazring.core.synchronous.tests import fake_group
+
+Code = statements.Code
+Role = statements.Role
+
+PROMOTE_MS = 120
+
+
+class UpstreamSide:
+    """Run commands, replicate, promote; `World` gives time and links."""
+
+    # ---- what upstreams do ----
+
+    def execute(self, wire: fake_group.Wire, command: object) -> None:
+        """Run one command and note its reply."""
+        if (wire.proxy, wire.number) not in self.wires:
+            return
+        member = self.members[wire.upstream]
+        if member.dark:
+            return
+        reply = self.reply_to(wire, member, command)
+        if reply is not None:
+            wire.replies.append(reply)
+            self.work(wire)
+
+    def ok(
+        self, wire: fake_group.Wire, signature: str = '-', **more
+    ) -> statements.Reply:
+        """Return a success."""
+        member = self.members[wire.upstream]
+        return statements.Reply(
+            signature=signature,
+            state=fake_group.wire_state(wire),
+            place=member.place(),
+            **more,
+        )
+
+    def refuse(self, wire: fake_group.Wire, code: Code) -> statements.Reply:
+        """Return a refusal; a transaction fails by it."""
+        if wire.read_only is not None:
+            wire.failed = True
+        return statements.Reply(
+            code=code,
+            state=fake_group.wire_state(wire),
+            place=self.members[wire.upstream].place(),
+        )
+
+    def reply_to(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: object,
+    ) -> statements.Reply | None:
+        """Return a reply, None if it comes later."""
+        match command:
+            case statements.Begin():
+                return self.begin(wire, member, command)
+            case statements.Rollback():
+                fake_group.roll_back(wire)
+                return self.ok(wire)
+            case statements.SetValue():
+                wire.values[command.name] = command.value
+                return self.ok(wire)
+            case statements.Prepare():
+                wire.prepared[command.name] = command.shape
+                return self.ok(wire)
+            case statements.Reset():
+                wire.values.clear()
+                wire.prepared.clear()
+                return self.ok(wire)
+            case statements.Status():
+                return self.ok(wire, report=fake_group.report(member))
+            case statements.Pause():
+                return self.pause(wire, member, command)
+            case statements.Resume():
+                member.held_term = 0
+                return self.ok(wire, report=fake_group.report(member))
+            case statements.Demote():
+                return self.demote(wire, member, command)
+            case statements.Commit():
+                return self.commit(wire, member, command)
+            case _:
+                return self.statement(wire, member, command)
+
+    def begin(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Begin,
+    ) -> statements.Reply:
+        """Begin a transaction."""
+        if not command.read_only and member.role is not Role.PRIMARY:
+            return self.refuse(wire, Code.READ_ONLY)
+        if command.after is not None and member.place() < command.after:
+            return self.refuse(wire, Code.LAGGING)
+        wire.read_only = command.read_only
+        return self.ok(wire)
+
+    def pause(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Pause,
+    ) -> statements.Reply:
+        """Pause a replica if the term is above the newest."""
+        if member.role is Role.REPLICA and command.term > member.term:
+            member.held_term = command.term
+        return self.ok(wire, report=fake_group.report(member))
+
+    def demote(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Demote,
+    ) -> statements.Reply:
+        """Make a primary of a lower term a replica."""
+        if member.role is Role.PRIMARY and command.term > member.term:
+            member.role = Role.REPLICA
+            self.note(f'{member.name} is demoted')
+            self.relist(member)
+        return self.ok(wire, report=fake_group.report(member))
+
+    def statement(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Run | statements.Execute,
+    ) -> statements.Reply | None:
+        """Run a caller's read or write."""
+        if wire.failed:
+            return self.refuse(wire, Code.OTHER)
+        if self.rng.random() < 0.02:
+            return self.refuse(wire, Code.BUSY)
+        if command.after is not None and member.place() < command.after:
+            return self.refuse(wire, Code.LAGGING)
+        writes = self.oracle.asked[command.request_id].request.writes
+        leads = member.role is Role.PRIMARY
+        if not leads and (writes or wire.read_only is False):
+            return self.refuse(wire, Code.READ_ONLY)
+        if isinstance(command, statements.Execute):
+            if command.name not in wire.prepared:
+                return self.refuse(wire, Code.NO_STATEMENT)
+            self.oracle.runs_prepared(wire, command.name, command.request_id)
+        signature = f'{command.request_id}/{next(self.signatures)}'
+        self.oracle.ran(wire, member, command.request_id, signature)
+        if writes and wire.read_only is None:
+            self.append(wire, member, [command.request_id], signature)
+            return None
+        if writes:
+            wire.writes.append(command.request_id)
+        return self.ok(wire, signature)
+
+    def commit(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        command: statements.Commit,
+    ) -> statements.Reply | None:
+        """Commit; one that wrote waits for a replica."""
+        signature = f'{command.request_id}/{next(self.signatures)}'
+        if wire.failed or wire.read_only is None:
+            return self.refuse(wire, Code.OTHER)
+        writes = list(wire.writes)
+        if writes and member.role is not Role.PRIMARY:
+            return self.refuse(wire, Code.READ_ONLY)
+        fake_group.roll_back(wire)
+        if writes:
+            self.append(wire, member, writes, signature)
+            return None
+        return self.ok(wire, signature)
+
+    def append(
+        self,
+        wire: fake_group.Wire,
+        member: fake_group.Member,
+        writes: list[str],
+        signature: str,
+    ) -> None:
+        """Add a commit to the primary's log; it waits for a replica."""
+        entry = fake_group.Entry(member.term, tuple(writes))
+        self.oracle.commits(entry)
+        member.log.append(entry)
+        member.applied = len(member.log)
+        self.waiting_acks.append(
+            (member.term, len(member.log), wire, signature)
+        )
+        self.replicate(member)
+
+    def replicate(self, primary: fake_group.Member) -> None:
+        """Send the log to every replica."""
+        for member in self.members.values():
+            if member is not primary:
+                self.at(self.delay(), self.receive, primary, member)
+
+    def receive(
+        self, primary: fake_group.Member, member: fake_group.Member
+    ) -> None:
+        """Have a replica receive what its primary has."""
+        if primary.role is not Role.PRIMARY or member.role is Role.PRIMARY:
+            return
+        if member.held_term or member.dark or primary.dark:
+            return
+        if self.now_ms < member.deaf_until_ms:
+            return
+        if frozenset((primary.name, member.name)) in self.cut_pairs:
+            return
+        if len(member.log) >= len(primary.log):
+            return
+        member.term = primary.term
+        member.log = list(primary.log)
+        self.at(self.delay(), self.acknowledge, primary, len(member.log))
+        self.at(member.lag_ms, self.apply, member, len(member.log))
+
+    def apply(self, member: fake_group.Member, upto: int) -> None:
+        """Have a replica apply what it received."""
+        member.applied = max(member.applied, min(upto, len(member.log)))
+
+    def acknowledge(self, primary: fake_group.Member, upto: int) -> None:
+        """Answer the commits that a replica has received."""
+        if primary.role is not Role.PRIMARY or primary.dark:
+            return
+        left = []
+        for item in self.waiting_acks:
+            term, number, wire, signature = item
+            mine = wire.upstream == primary.name and term == primary.term
+            if mine and number <= upto:
+                if (wire.proxy, wire.number) in self.wires:
+                    wire.replies.append(self.ok(wire, signature))
+                    self.work(wire)
+            else:
+                left.append(item)
+        self.waiting_acks = left
+
+    # ---- promotion ----
+
+    def order_promotion(self, proxy: str, out: messages.Order) -> None:
+        """Take an order; it may be late, or its answer may be lost."""
+        how = self.rng.random()
+        if how < 0.1:
+            late_ms = self.rng.choice((50, 900, 3000))
+            self.at(late_ms, self.promote, out, proxy)
+            result = messages.OrderResult.UNANSWERED
+            self.at(300, self.ordered, proxy, out, result)
+            return
+        self.at(self.delay(), self.answer_order, proxy, out)
+
+    def answer_order(self, proxy: str, out: messages.Order) -> None:
+        """Carry an order out and answer it."""
+        result = self.promote(out, proxy)
+        self.at(self.delay(), self.ordered, proxy, out, result)
+
+    def ordered(
+        self, proxy: str, out: messages.Order, result: messages.OrderResult
+    ) -> None:
+        """Tell a proxy what became of its order."""
+        self.post(proxy, messages.Ordered(out.upstream, out.token, result))
+        if result is messages.OrderResult.REFUSED:
+            self.at(30, self.confirm_duty, proxy)
+
+    def promote(self, out: messages.Order, proxy: str) -> messages.OrderResult:
+        """Check the token; some ms later the upstream leads."""
+        member = self.members[out.upstream]
+        if out.token < self.token_seen or member.dark:
+            return messages.OrderResult.REFUSED
+        self.token_seen = out.token
+        if member.role is not Role.PRIMARY:
+            self.at(PROMOTE_MS, self.lead, member, out.token, proxy)
+        return messages.OrderResult.ACCEPTED
+
+    def lead(self, member: fake_group.Member, token: int, proxy: str) -> None:
+        """Make a member the primary of the next term."""
+        if token < self.token_seen or member.dark:
+            return
+        if member.role is Role.PRIMARY:
+            return
+        self.term += 1
+        self.note(f'{member.name} leads {self.term} at {member.received()}')
+        cut: set[str] = set()
+        for other in self.members.values():
+            if other is member:
+                continue
+            if other.role is Role.PRIMARY:
+                other.role = Role.REPLICA
+                self.relist(other)
+            cut |= {w for entry in other.log for w in entry.writes}
+            self.cut_back(other, member)
+            other.held_term = 0
+        self.oracle.promoted(member, cut, token, proxy)
+        member.role = Role.PRIMARY
+        member.term = self.term
+        member.held_term = 0
+        member.applied = len(member.log)
+        self.relist(member)
+        self.replicate(member)
+
+    def cut_back(
+        self, other: fake_group.Member, primary: fake_group.Member
+    ) -> None:
+        """Roll a member back to what it shares with its new primary."""
+        shared = 0
+        for mine, theirs in zip(other.log, primary.log, strict=False):
+            if mine != theirs:
+                break
+            shared += 1
+        del other.log[shared:]
+        other.applied = min(other.applied, shared)
+
+    def relist(self, member: fake_group.Member) -> None:
+        """Have the platform list a member anew, and proxies learn of it."""
+        self.order_revision = getattr(self, 'order_revision', 1) + 1
+        member.revision = self.order_revision
+        for proxy in self.states:
+            if self.rng.random() < 0.9:
+                late_ms = self.rng.choice((5, 40, 800))
+                self.at(late_ms, self.tell_list, proxy)
--- a/topazring/core/synchronous/transactions.py
+++ b/topazring/core/synchronous/transactions.py
@@ -82,16 +82,7 @@
     if work.request.writes:
         transaction.wrote = True
     connections.make_idle(connection, now_ms)
-    return fates.answer(
-        state,
-        work,
-        outcomes.Done(
-            list(reply.rows),
-            None,
-            connection.upstream,
-            signature=reply.signature or '',
-        ),
-    )
+    return fates.done(state, work, connection, reply)
 
 
 def _committed(
@@ -107,16 +98,7 @@
     place = reply.place if transaction.wrote else None
     if place is not None:
         settling.note_confirmed(state, now_ms, connection, reply)
-    return outs + fates.answer(
-        state,
-        work,
-        outcomes.Done(
-            list(reply.rows),
-            place,
-            connection.upstream,
-            signature=reply.signature or '',
-        ),
-    )
+    return outs + fates.done(state, work, connection, reply, place)
 
 
 def _statement_failed(
--- a/topazring/pooler/duty.py
+++ b/topazring/pooler/duty.py
@@ -182,12 +182,7 @@
         self.told(False, 0)
 
     async def _keep(self) -> None:
-        try:
-            async with asyncio.timeout(RENEW_S):
-                await self.doubted.wait()
-        except TimeoutError:
-            pass
-        else:
+        if await self._is_doubted():
             self.doubted.clear()
             await self._confirm()
             return
@@ -202,6 +197,14 @@
             self.lease = 0
             self._lose('the service has been away for too long')
 
+    async def _is_doubted(self) -> bool:
+        """Wait until the next renewal, or until the duty is in doubt."""
+        try:
+            async with asyncio.timeout(RENEW_S):
+                return await self.doubted.wait()
+        except TimeoutError:
+            return False
+
     async def _confirm(self) -> None:
         """Ask whether the duty is still ours after an order was refused."""
         answer = await self.store.get(DUTY_KEY)
