--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -4,6 +4,7 @@
 from topazring.core import retries
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import evidence
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import prospects
@@ -34,6 +35,8 @@
             outs += _too_late(state, now_ms, work)
         elif work.queued and work.primary_only:
             outs += _hopeless(state, now_ms, work)
+        elif work.running and _is_stranded(state, now_ms, work):
+            outs += _stranded(state, now_ms, work)
         elif work.running and _is_slow(state, now_ms, work):
             if retries.spend(state.budget):
                 outs += dispatch.hedge(state, now_ms, work)
@@ -86,6 +89,46 @@
     return fates.give_up(state, now_ms, work, reason, retry_ms)
 
 
+def _is_stranded(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> bool:
+    """Say whether a request hangs at a primary that was replaced.
+
+    Without this a caller waits for its whole time for an answer that cannot
+    come: what the old primary had not answered by then it never will.
+    """
+    request = work.request
+    if request.read_only or not (request.writes or request.transaction):
+        return False
+    if not state.primary or state.primary != state.proven:
+        return False
+    for number in work.running:
+        connection = state.connections[number]
+        upstream = state.upstreams.get(connection.upstream)
+        if connection.upstream == state.primary:
+            return False
+        heard_ms = 0 if upstream is None else upstream.heard_ms
+        if heard_ms > connection.sent_ms:
+            return False
+        if now_ms - connection.sent_ms < evidence.SILENT_MS:
+            return False
+    return True
+
+
+def _stranded(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> list:
+    """Give up a stranded request; its connections are of no more use."""
+    outs = fates.give_up(
+        state, now_ms, work, Reason.REPLACED, 0, maybe_ran=True
+    )
+    for number in work.running:
+        connection = state.connections.get(number)
+        if connection is not None:
+            outs += connections.drop(state, connection)
+    return outs
+
+
 def _is_slow(state: states.GroupState, now_ms: int, work: states.Work) -> bool:
     request = work.request
     if request.writes or request.transaction or work.hedges >= MOST_HEDGES:
--- a/topazring/core/synchronous/tests/test_load.py
+++ b/topazring/core/synchronous/tests/test_load.py
@@ -228,6 +228,24 @@
         answers = support.answers(driver.tick(840))
         self.assertIsInstance(answers[key], outcomes.Unknown)
 
+    def test_write_at_a_replaced_primary(self):
+        """Its answer cannot come any more, so its caller is told at once.
+
+        Symptom: a save hangs for 0.8 s although the next primary has long
+        been found. Sequence: a primary goes dark with a write under way;
+        another is promoted. Cause: waiting for the old one's answer.
+        """
+        driver = support.Driver().ready()
+        key, _ = driver.submit(support.EXACT, Verb.WRITE)
+        outs = []
+        for _ in range(30):
+            outs += driver.tick(20)
+            for connection in driver.busy():
+                if connection.upstream == 'u2':
+                    outs += driver.reply(connection)
+        self.assertEqual('u2', driver.state.primary)
+        self.assertIsInstance(support.answers(outs)[key], outcomes.Unknown)
+
     def test_silent_dial_is_given_up(self):
         """An instance without power never answers."""
         driver = support.Driver()
