--- a/topazring/pooler/duty.py
+++ b/topazring/pooler/duty.py
@@ -131,13 +131,14 @@
         await asyncio.sleep(random.uniform(0, JITTER_S))
         if not self._is_free():
             return
-        if not self.lease:
-            leased = await self.store.lease(TTL_MS)
-            if not isinstance(leased, key_value.Leased):
-                await asyncio.sleep(RETRY_S)
-                return
-            self.lease = leased.lease
         asked_ms = clock.suspended_ms()
+        leased = await self.store.lease(TTL_MS)
+        if not isinstance(leased, key_value.Leased):
+            await asyncio.sleep(RETRY_S)
+            return
+        # Never one of an earlier try: it would end before its first renewal,
+        # and the duty with it.
+        self.lease = leased.lease
         block = self.directory.own(BLOCK_KEY)
         token = _next_block(block)
         holder = _Holder(self.incarnation, token)
@@ -153,8 +154,6 @@
         if isinstance(answer, key_value.Written):
             self._gain(token, asked_ms)
             return
-        if isinstance(answer, key_value.Missing):
-            self.lease = 0
         if isinstance(answer, key_value.Unavailable):
             await self._look(asked_ms)
         await asyncio.sleep(JITTER_S)
--- /dev/null
+++ b/topazring/pooler/tests/test_duty.py
@@ -0,0 +1,221 @@
+"""Hold the duty as one of many, through a store that may fail."""
+
+import asyncio
+
+import testtools
+
+from topazring.core import revisions
+from topazring import key_value
+from topazring.plumbing import events
+from topazring.pooler import duty as duties
+
+TTL_S = duties.TTL_MS / 1000
+
+
+class Store:
+    """Hold the duty's values; leases end when they are not renewed."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.leases: dict[int, float] = {}
+        self.calls: list[str] = []
+        self.away = False
+        # The next write is done and not answered.
+        self.loses_answer = False
+
+    def now(self) -> float:
+        """Return the time."""
+        return asyncio.get_running_loop().time()
+
+    async def lease(self, ttl_ms):
+        """Begin a lease."""
+        self.calls.append('lease')
+        if self.away:
+            return key_value.Unavailable('away')
+        number = len(self.leases) + 1
+        self.leases[number] = self.now() + ttl_ms / 1000
+        return key_value.Leased(number, ttl_ms)
+
+    async def keep(self, lease):
+        """Renew a lease."""
+        self.calls.append('keep')
+        if self.away:
+            return key_value.Unavailable('away')
+        if self.leases.get(lease, 0) < self.now():
+            return key_value.Missing()
+        self.leases[lease] = self.now() + TTL_S
+        return key_value.Leased(lease, duties.TTL_MS)
+
+    async def end(self, lease):
+        """End a lease."""
+        self.calls.append('end')
+        self.leases.pop(lease, None)
+        return True
+
+    async def get(self, key):
+        """Return a value."""
+        change = self.directory.own(key)
+        if change is None:
+            return key_value.Missing()
+        return key_value.Found(change.value, change.revision)
+
+    async def put_all(self, values):
+        """Write if nobody else did."""
+        self.calls.append('put')
+        for value in values:
+            change = self.directory.own(value.key)
+            if value.revision != (change.revision if change else 0):
+                return key_value.Conflict()
+        for value in values:
+            self.directory.set(value.key, value.value)
+        if self.loses_answer:
+            self.loses_answer = False
+            return key_value.Unavailable('lost')
+        return key_value.Written(self.directory.known.seen)
+
+
+class Directory:
+    """Hold the product's own values."""
+
+    def __init__(self):
+        self.known = revisions.Revisions(seen=1)
+        self.own_changed = asyncio.Event()
+
+    def own(self, key):
+        """Return a value that is set."""
+        change = self.known.changes.get(key)
+        return change if change and change.value is not None else None
+
+    def set(self, key, value):
+        """Write a value, or with None delete it."""
+        self.known.seen += 1
+        change = revisions.Change(key, self.known.seen, value)
+        self.known.changes[key] = change
+        self.own_changed.set()
+
+
+class DutyTest(testtools.TestCase):
+    """One holder, tokens that only grow."""
+
+    def play(self, steps):
+        """Run `steps(self)` with a duty that has begun."""
+        asyncio.run(self._play(steps))
+
+    async def _play(self, steps):
+        self.directory = Directory()
+        self.store = Store(self.directory)
+        self.told = []
+        self.duty = duties.Duty(
+            'p1-a',
+            self.store,
+            self.directory,
+            events.EventLog('p1'),
+            lambda holds, token: self.told.append((holds, token)),
+        )
+        await steps()
+        await self.duty.close()
+
+    async def until(self, holds, within_s=2.0):
+        """Wait until the duty is held, or is not."""
+        async with asyncio.timeout(within_s):
+            while self.duty.holds is not holds:
+                await asyncio.sleep(0.01)
+
+    def test_gains_and_keeps(self):
+        """With a block of tokens above all earlier ones."""
+
+        async def steps():
+            self.directory.set(duties.BLOCK_KEY, '70000')
+            self.duty.start()
+            await self.until(True)
+            self.assertEqual([(True, 80_000)], self.told)
+            await asyncio.sleep(TTL_S + 0.5)
+            self.assertTrue(self.duty.holds)
+
+        self.play(steps)
+
+    def test_old_lease_is_not_used(self):
+        """A lease of a try that failed has run for a while.
+
+        Symptom: the duty is lost a second after it was gained. Sequence: a
+        try meets another's; two seconds later the duty is free; it is taken
+        under the lease of the first try, which ends. Cause: keeping a lease
+        that nobody renews.
+        """
+
+        async def steps():
+            self.duty._is_free = lambda: True
+            self.directory.set(duties.DUTY_KEY, '{"holder":"x","token":1}')
+            await self.duty._try()
+            self.assertFalse(self.duty.holds)
+            await asyncio.sleep(TTL_S - 0.6)
+            self.directory.set(duties.DUTY_KEY, None)
+            self.directory.known.changes.pop(duties.DUTY_KEY)
+            await self.duty._try()
+            self.duty.start()
+            await asyncio.sleep(1.5)
+            self.assertTrue(self.duty.holds)
+
+        self.play(steps)
+
+    def test_lost_answer(self):
+        """The write may have been done; the value tells."""
+
+        async def steps():
+            self.store.loses_answer = True
+            self.duty.start()
+            await self.until(True)
+
+        self.play(steps)
+
+    def test_another_holds_it(self):
+        """Nothing is tried while it is held."""
+
+        async def steps():
+            self.directory.set(duties.DUTY_KEY, '{"holder":"x","token":1}')
+            self.duty.start()
+            await asyncio.sleep(0.8)
+            self.assertEqual([], self.store.calls)
+
+        self.play(steps)
+
+    def test_goes_on_while_the_store_is_away(self):
+        """Nobody else can take it then."""
+
+        async def steps():
+            self.duty.start()
+            await self.until(True)
+            self.store.away = True
+            await asyncio.sleep(TTL_S + 0.5)
+            self.assertTrue(self.duty.holds)
+
+        self.play(steps)
+
+    def test_refused_order(self):
+        """It asks whether the duty is still its own."""
+
+        async def steps():
+            self.duty.start()
+            await self.until(True)
+            self.duty.doubt()
+            await asyncio.sleep(0.2)
+            self.assertEqual([True, True], [holds for holds, _ in self.told])
+            self.directory.set(duties.DUTY_KEY, '{"holder":"x","token":1}')
+            self.duty.doubt()
+            await self.until(False)
+
+        self.play(steps)
+
+    def test_yields(self):
+        """Others have it for a while."""
+
+        async def steps():
+            self.duty.start()
+            await self.until(True)
+            self.duty.yield_to_another('no replica can be reached')
+            self.directory.known.changes.pop(duties.DUTY_KEY)
+            await asyncio.sleep(0.8)
+            self.assertFalse(self.duty.holds)
+            self.assertIn('end', self.store.calls)
+
+        self.play(steps)
