--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -1,6 +1,6 @@
 """Give each request its one final answer, or put it back in line.
 
-What may be promised follows from what was sent. A read keeps nothing
+What a caller may be told follows from what was sent. A read keeps nothing
 whatever became of it, and a transaction keeps nothing until its COMMIT was
 sent, for its connection is closed. A single write or a COMMIT that was sent
 and not answered may have taken effect; it is never sent again.
--- a/topazring/core/synchronous/listing.py
+++ b/topazring/core/synchronous/listing.py
@@ -37,8 +37,6 @@
     policies: collections.abc.Mapping[str, messages.Policy]
     # Connections that an upstream of the service takes from all proxies.
     max_connections: collections.abc.Mapping[str, int]
-    # A caller's message may be so long.
-    message_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/core/synchronous/tests/test_listing.py
+++ b/topazring/core/synchronous/tests/test_listing.py
@@ -11,7 +11,7 @@
 
 def configuration(version: int, **policies) -> listings.Configuration:
     """Return a configuration of one service."""
-    return listings.Configuration(version, policies, {'s': 23}, 1000)
+    return listings.Configuration(version, policies, {'s': 23})
 
 
 def record(revision: int, leaving: bool = False) -> listings.UpstreamRecord:
--- a/topazring/core/synchronous/tests/test_load.py
+++ b/topazring/core/synchronous/tests/test_load.py
@@ -213,7 +213,7 @@
 class DeadlineTest(testtools.TestCase):
     """Each request gets its one answer in time."""
 
-    def test_read_that_is_late_is_a_promise(self):
+    def test_read_that_is_late_kept_nothing(self):
         """A read keeps nothing, whatever became of it."""
         driver = support.Driver().ready()
         driver.state.budget.balance = 0.0
@@ -246,6 +246,29 @@
         self.assertEqual('u2', driver.state.primary)
         self.assertIsInstance(support.answers(outs)[key], outcomes.Unknown)
 
+    def test_idle_transaction_is_undone(self):
+        """Its connection is needed by others."""
+        driver = support.Driver().ready()
+        key, _ = driver.submit(
+            support.EXACT, Verb.WRITE, transaction=7, begins=True
+        )
+        (number,) = driver.state.work[key].running
+        connection = driver.state.connections[number]
+        in_it = statements.SessionState.IN_TRANSACTION
+        driver.reply(connection, support.ok(state=in_it))
+        driver.reply(connection, support.ok('s', state=in_it))
+        driver.state.transactions[7].idle_limit_ms = 100
+        outs = driver.tick(120)
+        rollbacks = [
+            send
+            for send in support.sends(outs)
+            if send.connection == number
+            and isinstance(send.commands[0], statements.Rollback)
+        ]
+        self.assertEqual(1, len(rollbacks))
+        key, outs = driver.submit(support.EXACT, Verb.READ, transaction=7)
+        self.assertIsInstance(support.answers(outs)[key], outcomes.NotRun)
+
     def test_silent_dial_is_given_up(self):
         """An instance without power never answers."""
         driver = support.Driver()
--- a/topazring/core/synchronous/tests/test_reads.py
+++ b/topazring/core/synchronous/tests/test_reads.py
@@ -216,7 +216,7 @@
 
 
 class FateTest(testtools.TestCase):
-    """What is promised is true."""
+    """What a caller is told is true."""
 
     def test_lost_single_write_is_unknown_and_not_sent_again(self):
         """It may have run."""
@@ -256,7 +256,7 @@
         self.assertEqual({}, support.answers(outs))
         self.assertIn(key, driver.state.work)
 
-    def test_lost_later_statement_is_a_promise(self):
+    def test_lost_later_statement_kept_nothing(self):
         """The transaction is rolled back with its connection."""
         driver, key, connection = self.begun()
         driver.reply(
@@ -278,7 +278,7 @@
         outs = driver.close(connection)
         self.assertIsInstance(support.answers(outs)[key], outcomes.Unknown)
 
-    def test_commit_at_a_replaced_primary_is_a_promise(self):
+    def test_commit_at_a_replaced_primary_kept_nothing(self):
         """It was refused, so nothing is kept."""
         driver, key, connection = self.begun()
         driver.reply(
--- a/topazring/platform/records.py
+++ b/topazring/platform/records.py
@@ -46,7 +46,6 @@
 
 class _Limits(_Entry):
     tx_idle_ms: int = 10_000
-    max_body_bytes: int = 1 << 20
 
 
 class _Configuration(_Entry):
@@ -72,7 +71,7 @@
 def decode(key: str, value: str, revision: int) -> listing.Record | None:
     """Return an entry, None if it is none of ours.
 
-    Raises ValueError on an entry that is not what the platform promises.
+    Raises ValueError on an entry of another form.
     """
     if key == CONFIGURATION_KEY:
         return _configuration(_decode_configuration(value))
@@ -101,7 +100,6 @@
             if route.type in _FRESHNESS
         },
         {service.name: service.max_conns for service in raw.services},
-        raw.limits.max_body_bytes,
     )
 
 
--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -115,6 +115,7 @@
             'orders_address': f'127.0.0.1:{self.store_port}',
             'peers': seeds,
             'grace_s': 3.0,
+            'max_descriptors': 420,
             'not known yet': True,
         }
         self.path.write_text(json.dumps(settings))
--- a/topazring/platform/tests/test_lines.py
+++ b/topazring/platform/tests/test_lines.py
@@ -122,17 +122,17 @@
             self.answer(done, SessionState.IN_TRANSACTION),
         )
 
-    def test_promises_differ_from_doubt(self):
-        """What may have run is never answered by a promise."""
-        promises = (b'BUSY', b'ABORTED', b'LAGGING', b'TOOMANY')
+    def test_refusals_differ_from_doubt(self):
+        """What may have run is never answered as if nothing were kept."""
+        kept_nothing = (b'BUSY', b'ABORTED', b'LAGGING', b'TOOMANY')
         for reason in Reason:
             if reason in outcomes.REJECTING:
                 continue
             refused = self.answer(outcomes.NotRun(reason, 40))
-            self.assertIn(refused.split()[1], promises)
+            self.assertIn(refused.split()[1], kept_nothing)
             self.assertIn(b'retry-after-ms=40', refused)
             doubt = self.answer(outcomes.Unknown(reason))
-            self.assertNotIn(doubt.split()[1], promises)
+            self.assertNotIn(doubt.split()[1], kept_nothing)
 
 
 class UpstreamLinesTest(testtools.TestCase):
--- a/topazring/platform/tests/test_whole_path.py
+++ b/topazring/platform/tests/test_whole_path.py
@@ -52,6 +52,25 @@
         said = await good.query('READ k')
         self.assertTrue(said[0].startswith('DONE'), said)
 
+    def test_too_many_callers(self):
+        """Those beyond the limit are told so, the others are served.
+
+        Symptom: a proxy serves nobody and answers no probe. Sequence: a few
+        thousand connections come and say nothing. Cause: taking connections
+        until there is no descriptor left.
+        """
+        self.on_platform(self.too_many)
+
+    async def too_many(self):
+        callers = [await self.session('own') for _ in range(20)]
+        for caller in callers:
+            self.assertEqual(['READY I -'], caller.greeting)
+        beyond = await self.session('own')
+        self.assertTrue(beyond.greeting[0].startswith('ERROR TOOMANY'))
+        self.assertIn('200', await self.proxies[0].get('/-/ready'))
+        callers.pop().close()
+        await support.wait_until(lambda: self.is_served('own'))
+
     def test_lost_answer_of_a_write(self):
         """It is unknown, and it is not sent again."""
         self.on_platform(self.lost_answer)
--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -29,6 +29,9 @@
 LAST_QUIET_MS = 60
 # A message that is too long is thrown away for so long, then cut.
 DISCARD_S = 0.5
+# A caller starts its session with its first message. One that says nothing
+# for so long only takes up a descriptor.
+START_S = 10.0
 
 
 class Stopping(enum.IntEnum):
@@ -85,6 +88,8 @@
 
     async def serve(self) -> None:
         """Serve until the caller or this process ends the session."""
+        loop = asyncio.get_running_loop()
+        unstarted = loop.call_later(START_S, self._end_unstarted)
         try:
             while not self.stream.closed():
                 item = await self._next()
@@ -97,6 +102,7 @@
             # The caller left; what it had open is undone below.
             pass
         finally:
+            unstarted.cancel()
             self.busy = False
             self._undo()
             self.stream.close()
@@ -121,6 +127,11 @@
             case Stopping.ALL:
                 return still_ms >= LAST_QUIET_MS
 
+    def _end_unstarted(self) -> None:
+        """Close a connection on which no session was started."""
+        if self.session is None:
+            self.stream.close()
+
     def end_if_quiet(self) -> None:
         """Close the session if nothing is under way on it."""
         if self._may_end():
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -39,15 +39,22 @@
 # The rest of the grace, but this, is for statements under way.
 EXIT_MARGIN_S = 0.7
 POLL_S = 0.05
+# Another proxy is likely to have room at once.
+TURNED_AWAY_RETRY_MS = 200
+# A caller's first message comes with its connection.
+TURN_AWAY_S = 0.5
+FIRST_BYTES = 4096
 # A caller waits two seconds for its session; another proxy may have it in
 # less than that.
 CONFIGURED_S = 0.4
 # The store answers in milliseconds; what it does not, a lease's end does.
 CLOSE_S = 0.25
 BACKLOG = 512
-# Before any configuration is known.
+# Longer messages are refused; the upstreams' own limit is the same.
 MESSAGE_BYTES = 1 << 20
-# Descriptors kept for upstreams, the store and the balancer's questions.
+# Descriptors kept for files, upstreams, the store and the balancer's
+# questions. Without a limit callers that connect and say nothing take them
+# all, and nothing works any more.
 SPARE_DESCRIPTORS = 400
 
 
@@ -134,6 +141,10 @@
 
     async def serve_caller(self, stream: iostream.IOStream) -> None:
         """Serve one caller until its session ends."""
+        most = self.config.max_descriptors - SPARE_DESCRIPTORS
+        if len(self.callers) >= most:
+            await self._turn_away(stream)
+            return
         caller = caller_task.CallerTask(self, stream)
         self.callers.add(caller)
         try:
@@ -141,6 +152,29 @@
         finally:
             self.callers.discard(caller)
 
+    async def _turn_away(self, stream: iostream.IOStream) -> None:
+        """Refuse a caller for whom there is no descriptor to spare."""
+        refusal = outcomes.NotRun(
+            outcomes.Reason.CONNECTION_LIMIT, TURNED_AWAY_RETRY_MS
+        )
+        self.note('start', refusal, 0)
+        self.log.emit(
+            'session',
+            'turned away',
+            inputs={'sessions': len(self.callers)},
+        )
+        try:
+            # What is not read before the end resets the connection, and the
+            # answer is lost with it.
+            async with asyncio.timeout(TURN_AWAY_S):
+                await stream.read_bytes(FIRST_BYTES, partial=True)
+            await stream.write(self.codec.refusal(refusal))
+        except (iostream.StreamClosedError, TimeoutError):
+            # It left, or said nothing; there is nobody to tell.
+            return
+        finally:
+            stream.close()
+
     def policy(self, database: str) -> messages.Policy | None:
         """Return the policy in force for a database."""
         configuration = self.directory.listing.configuration
--- a/topazring/pooler/settings.py
+++ b/topazring/pooler/settings.py
@@ -30,6 +30,8 @@
     # Where other proxies ask this one, and whom it may ask at its start.
     peer_address: str | None = None
     peers: tuple[str, ...] = ()
+    # Sockets and files that this process may have open.
+    max_descriptors: int = 1024
     # How long an upstream that leaves may still be given work.
     upstream_drain_ms: int = 7000
     # From the signal to stop until the process is killed.
