--- a/topazring/admin/trace.py
+++ b/topazring/admin/trace.py
@@ -14,8 +14,6 @@
 # them: a gap without a primary and the request's own time.
 BEFORE_MS = 2500
 AFTER_MS = 300
-# Lines of other requests are no part of a story.
-CONTEXT_PARTS = frozenset({'group', 'duty', 'directory', 'process', 'log'})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
