Do not list upstreams anew for an order that changes nothing, in the tests

The new holder's fence, an order for the present primary, made the fake platform write all entries anew as ready; when that came after the test had listed the primary as leaving, it was undone, and the proxy, which gathers changes, never saw it. The proxy was right. No assertion is changed.

--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -234,9 +234,14 @@
             await self.store.put_json(f'servers/{member.name}', entry)
 
     def promote(self, service: str, name: str) -> bool:
-        """Carry an order out, and have the new primary say so."""
+        """Carry an order out, and have a new primary say so.
+
+        An order for the present primary changes nothing. If the entries were
+        written anew for it, they would undo what a test has just listed.
+        """
+        before = self.group.primary()
         done = self.group.promote(service, name)
-        if done:
+        if done and self.group.primary() is not before:
             self.listing = asyncio.ensure_future(self.list_upstreams())
         return done
 
