Leave replicas alone that lacked a place, longer each time

Cause: which place a replica lacked was looked up in the commands of its connection after the connection had been freed, which forgets them.

The commands are handed on now, and the pause doubles from 80 ms to 1,280 ms while a replica goes on lacking what it is asked for.

--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -32,9 +32,6 @@
 # statement takes 10 to 20 ms.
 FOREIGN_COST_MS = 12.0
 PRIMARY_COST_MS = 6.0
-# A replica that lacked a place is not asked for it again until then; a
-# usual lag is 60 ms.
-LACKED_PAUSE_MS = 80
 # A read that has run for so many usual times is tried elsewhere as well.
 HEDGE_TIMES = 4.0
 LEAST_HEDGE_MS = 60
@@ -139,7 +136,7 @@
         return False
     if upstream.place >= place or upstream.name == state.primary:
         return True
-    lately = now_ms - upstream.lacked_ms < LACKED_PAUSE_MS
+    lately = now_ms - upstream.lacked_ms < upstream.lacked_pause_ms
     return not (lately and upstream.lacked <= place)
 
 
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -16,7 +16,7 @@
 from topazring.core.synchronous import statements
 from topazring.core.synchronous import transactions
 
-__all__ = ['closed', 'note_places', 'replied']
+__all__ = ['LACKED_PAUSE_MS', 'closed', 'note_places', 'replied']
 
 Reason = outcomes.Reason
 Code = statements.Code
@@ -26,6 +26,11 @@
 BUSY_PAUSE_MS = 15
 # How long to look for the next primary before a request is sent again.
 READ_ONLY_PAUSE_MS = 5
+# A replica that lacked a place is not asked for it again until then, a usual
+# lag being 60 ms. The pause doubles each time: one that applies a hundred
+# times as late as usual refused a tenth of all that was sent.
+LACKED_PAUSE_MS = 80
+MOST_LACKED_PAUSE_MS = 1280
 SERVICE_WEIGHT = 0.1
 LEAST_SERVICE_MS = 1.0
 
@@ -131,7 +136,8 @@
 ) -> list:
     work = state.work.get(connection.work)
     last = message.replies[-1]
-    refusal = exchanges.guard_refused(connection.commands, message.replies)
+    commands = connection.commands
+    refusal = exchanges.guard_refused(commands, message.replies)
     if refusal is None and last.code is not None:
         refusal = last
     if work is None or refusal is not None and last.code is None:
@@ -145,7 +151,7 @@
     if work is None:
         return outs
     work.running.discard(connection.number)
-    return outs + _not_run(state, now_ms, work, connection, refusal)
+    return outs + _not_run(state, now_ms, work, connection, refusal, commands)
 
 
 @_handles(states.Errand.STATEMENT)
@@ -158,10 +164,10 @@
     last = message.replies[-1]
     _note_service(state, now_ms, connection, last)
     work = state.work.get(connection.work)
-    refusal = exchanges.guard_refused(connection.commands, message.replies)
+    commands = connection.commands
+    refusal = exchanges.guard_refused(commands, message.replies)
     if connection.transaction:
         return transactions.ran(state, now_ms, connection, work, last)
-    commands = connection.commands
     outs = settling.release(state, now_ms, connection, last)
     if work is None:
         state.counters['late_result'] += 1
@@ -171,13 +177,15 @@
         # A copy of a read whose answer waits for its proof.
         return outs
     if refusal is not None and not work.request.writes:
-        return outs + _not_run(state, now_ms, work, connection, refusal)
+        return outs + _not_run(
+            state, now_ms, work, connection, refusal, commands
+        )
     if last.code is None:
         needs_ms = proofs.needed_ms(commands, work.request)
         return outs + _done(state, now_ms, work, connection, last, needs_ms)
     if last.code in (Code.FAILED, Code.TIMEOUT, Code.OTHER):
         return outs + _failed(state, now_ms, work, connection, last)
-    return outs + _not_run(state, now_ms, work, connection, last)
+    return outs + _not_run(state, now_ms, work, connection, last, commands)
 
 
 def _note_service(
@@ -192,6 +200,7 @@
     took_ms = now_ms - connection.sent_ms
     upstream.service_ms += (took_ms - upstream.service_ms) * SERVICE_WEIGHT
     upstream.service_ms = max(LEAST_SERVICE_MS, upstream.service_ms)
+    upstream.lacked_pause_ms = 0
     retries.earn(state.budget)
 
 
@@ -221,12 +230,16 @@
     work: states.Work,
     connection: states.Connection,
     reply: statements.Reply,
+    commands: tuple[statements.Command, ...],
 ) -> list:
-    """Send a request elsewhere, or again, that certainly did not run."""
+    """Send a request elsewhere, or again, that certainly did not run.
+
+    `commands` are those that were sent; the connection has forgotten them.
+    """
     upstream = state.upstreams.get(connection.upstream)
     if reply.code is Code.LAGGING:
         if upstream is not None:
-            _note_lacked(now_ms, connection, upstream)
+            _note_lacked(now_ms, upstream, commands)
         work.passed_over.add(connection.upstream)
         return fates.requeue(state, now_ms, work, Reason.REPLICA_BEHIND)
     if reply.code is Code.READ_ONLY:
@@ -250,13 +263,20 @@
 
 
 def _note_lacked(
-    now_ms: int, connection: states.Connection, upstream: states.Upstream
+    now_ms: int,
+    upstream: states.Upstream,
+    commands: tuple[statements.Command, ...],
 ) -> None:
-    for command in connection.commands:
+    """Take in which place a replica lacked, and leave it alone for longer."""
+    for command in commands:
         after = getattr(command, 'after', None)
         if after is not None:
             upstream.lacked = after
             upstream.lacked_ms = now_ms
+    upstream.lacked_pause_ms = min(
+        max(LACKED_PAUSE_MS, upstream.lacked_pause_ms * 2),
+        MOST_LACKED_PAUSE_MS,
+    )
 
 
 def _failed(
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -109,7 +109,9 @@
     place_ms: int = 0
     # It said that it lacked this place, then.
     lacked: places.Place = places.ORIGIN
-    lacked_ms: int = -10_000
+    lacked_ms: int = NEVER_MS
+    # How long it is left alone then.
+    lacked_pause_ms: int = 0
     # It refused as one that does not lead, then.
     refuted_ms: int | None = None
     # Under which term it says that it leads; 0 if it does not or that is
--- a/topazring/core/synchronous/tests/test_reads.py
+++ b/topazring/core/synchronous/tests/test_reads.py
@@ -4,6 +4,7 @@
 
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import results
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import support
 
@@ -149,6 +150,48 @@
         self.assertEqual({'u1', 'u2', 'u3'}, set(asked))
         self.assertEqual('u1', asked[-1])
 
+    def lagging(self, times: int) -> support.Driver:
+        """Have one replica lack what reads need, some times in a row."""
+        driver = support.Driver().ready(
+            centres={'u1': 'there', 'u3': 'there'}
+        )
+        for _ in range(times):
+            driver.submit(support.BOUNDED)
+            behind = support.refused(Code.LAGGING, place=Place(1, 3))
+            for connection in driver.busy('u2'):
+                driver.reply(connection, behind)
+            for connection in driver.busy():
+                driver.reply(connection, support.ok('s'))
+            driver.now_ms += results.LACKED_PAUSE_MS + 1
+        return driver
+
+    def test_replica_that_lacked_a_place_is_left_alone(self):
+        """The next read of the same place would be refused there too.
+
+        Symptom: a tenth of all that upstreams are sent is refused for the
+        replica is behind, for as long as replication is slow. Sequence: a
+        replica in the own data centre refuses a read; the next read is sent
+        there again. Cause: the place that it lacked was looked for in what
+        had been sent after that was forgotten.
+        """
+        driver = self.lagging(1)
+        driver.now_ms -= results.LACKED_PAUSE_MS
+        _, outs = driver.submit(support.BOUNDED)
+        self.assertNotIn('u2', sent_to(driver, outs))
+
+    def test_replica_far_behind_is_asked_less_and_less(self):
+        """It will not have caught up within milliseconds."""
+        driver = self.lagging(2)
+        _, outs = driver.submit(support.BOUNDED)
+        self.assertNotIn('u2', sent_to(driver, outs))
+
+    def test_replica_that_caught_up_is_asked_again(self):
+        """Where its log stands is told with every answer."""
+        driver = self.lagging(3)
+        driver.state.upstreams['u2'].place = Place(1, 5)
+        _, outs = driver.submit(support.BOUNDED)
+        self.assertEqual(['u2'], sent_to(driver, outs))
+
     def test_own_data_centre_is_preferred(self):
         """Bytes between data centres cost money."""
         driver = support.Driver().ready(
