Take all members but one for a proof, whatever they follow

Cause: a witness had to be a replica of the primary's own term that is not paused. And one that is not paused because it was resumed was no proof of anything.

Each acknowledged write is held by two members. If all others but one say that they are replicas of no newer term, whoever else leads has acknowledged nothing. Asked only while somebody waits, or for a sample that grows old.

--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -118,8 +118,8 @@
     # unknown.
     lead_term: int = 0
     # When the last question went out that it answered by taking a BEGIN, by
-    # refusing one, as a replica that is not paused, as a primary whose write
-    # a replica had confirmed.
+    # refusing one, as a replica of no newer term than the primary's, as a
+    # primary whose write a replica had confirmed.
     took_sent_ms: int = NEVER_MS
     refused_sent_ms: int = NEVER_MS
     witness_sent_ms: int = NEVER_MS
@@ -128,8 +128,9 @@
     # was proved otherwise: whoever promotes may not have known it.
     come_ms: int = 0
     vouches: bool = False
-    # When it was last asked whether it leads.
+    # When it was last asked whether it leads, and for its term.
     asked_ms: int = NEVER_MS
+    witness_asked_ms: int = NEVER_MS
     # Its claim to lead waits for its term; when it was last asked for it.
     in_question: bool = False
     questioned_ms: int = NEVER_MS
@@ -266,7 +267,6 @@
     # for which it is not; None if there is none.
     wanted_ms: int = NEVER_MS
     doubted_ms: int | None = None
-    witness_asked_ms: int = NEVER_MS
     budget: retries.Budget = dataclasses.field(default_factory=retries.Budget)
     # When this process last went on after it stood still.
     woke_ms: int = 0
