Order only after making sure that the duty is still held

Cause: the platform may not check tokens.

Right before each order the holder reads who holds the duty; while the store is away a peer has to know of no successor; who reaches neither gives it up. Values that others wrote under our key name nobody. Costs one read an order.

--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -32,6 +32,11 @@
 RETRY_S = 0.15
 MOST_RETRY_S = 1.2
 EXPIRE_S = 0.25
+# Of what is wrong with an entry so many characters are told.
+BAD_ENTRY = 200
+# Of those that the store turns away, a third of a fleet at the worst, all
+# three are asked in one case of thirty.
+ASKED_PEERS = 3
 
 
 class ProxyValue(msgspec.Struct):
@@ -161,14 +166,41 @@
             )
         return answer
 
-    async def _ask_peer(self) -> None:
-        """Learn from a peer while the store is away."""
-        addresses = {
+    async def ask_peers(self, within_s: float) -> bool:
+        """Learn from some peers at once; say whether any answered.
+
+        Also true if there is no peer to ask.
+        """
+        addresses = self._peer_addresses()
+        chosen = self.asker.choose(addresses, ASKED_PEERS)
+        if not chosen:
+            return True
+        asking = [
+            asyncio.create_task(self.asker.ask_one(address, self.known.seen))
+            for address in chosen
+        ]
+        done, late = await asyncio.wait(asking, timeout=within_s)
+        for task in late:
+            task.cancel()
+        answers = [task.result() for task in done]
+        for told in answers:
+            self._take_told(told)
+        return any(told is not None for told in answers)
+
+    def _peer_addresses(self) -> set[str]:
+        return {
             proxy.peer_address
             for proxy in self.listing.proxies.values()
             if proxy.peer_address
         }
-        told = await self.asker.ask(addresses, self.known.seen)
+
+    async def _ask_peer(self) -> None:
+        """Learn from a peer while the store is away."""
+        for address in self.asker.choose(self._peer_addresses(), 1):
+            told = await self.asker.ask_one(address, self.known.seen)
+            self._take_told(told)
+
+    def _take_told(self, told: peers.Told | None) -> None:
         if told is None or told.revision <= self.known.seen:
             return
         self.log.emit(
@@ -237,13 +269,14 @@
         try:
             record = self._decode(change)
         except (ValueError, KeyError) as error:
-            # One bad entry must not stop all that come after it.
+            # One bad entry must not stop all that come after it. What it
+            # said before does not hold any more: its writer is missing.
             self.log.emit(
                 'directory',
                 'bad entry',
-                inputs={'key': change.key, 'error': str(error)},
+                inputs={'key': change.key, 'error': str(error)[:BAD_ENTRY]},
             )
-            return set()
+            return listings.take_gone(self.listing, now_ms, change.key)
         if record is None:
             return set()
         services = listings.take(
--- a/topazring/pooler/duty.py
+++ b/topazring/pooler/duty.py
@@ -39,6 +39,10 @@
 # All see at the same time that the duty is free.
 JITTER_S = 0.15
 RETRY_S = 0.5
+# Right before an order the holder asks for so long whether it still holds the
+# duty. The store and peers answer in milliseconds; each 100 ms more keep a
+# group without a primary for as long.
+CHECK_S = 0.25
 # Partitions last for seconds; if all others are as badly off, this one tries
 # again after that.
 YIELD_MS = 3000
@@ -104,6 +108,66 @@
         if lease:
             self.ending = asyncio.create_task(self.store.end(lease))
 
+    async def may_order(self) -> bool:
+        """Make sure, right before an order, that the duty is still ours.
+
+        The platform may carry out whatever it is told, also by a holder that
+        was overtaken: frozen, cut off, or turned away by the store while its
+        lease was given to another. One would notice by an order with a lower
+        token than one that went before, which undoes the successor's choice.
+        While the store does not answer a peer has to say that it knows of no
+        successor: who reaches neither is cut off.
+        """
+        if not self.holds:
+            return False
+        if self.directory.away_since_ms is None:
+            answer = await self._read_holder()
+            if isinstance(answer, _Holder):
+                return self._is_ours(answer)
+            if isinstance(answer, key_value.Missing):
+                self._give_up('the duty has no holder')
+                return False
+        if not await self.directory.ask_peers(CHECK_S):
+            self._give_up('neither store nor peers answer')
+            return False
+        successor = self._successor()
+        if successor:
+            self._give_up(f'{successor} holds it')
+        return self.holds
+
+    async def _read_holder(
+        self,
+    ) -> '_Holder | key_value.Missing | key_value.Unavailable':
+        try:
+            async with asyncio.timeout(CHECK_S):
+                answer = await self.store.get(DUTY_KEY)
+        except TimeoutError:
+            return key_value.Unavailable('no answer in time')
+        if isinstance(answer, key_value.Found):
+            found = self._decode(answer.value)
+            return found or key_value.Missing()
+        return answer
+
+    def _decode(self, text: str) -> _Holder | None:
+        """Return who holds the duty, None if somebody else wrote the value."""
+        try:
+            return msgspec.json.decode(text, type=_Holder)
+        except msgspec.MsgspecError as error:
+            self.log.emit('duty', 'bad entry', inputs={'error': str(error)})
+            return None
+
+    def _is_ours(self, found: _Holder) -> bool:
+        """Say whether a holder is this process; if not, it is overtaken."""
+        if found.holder == self.incarnation:
+            return self.holds
+        self._give_up(f'{found.holder} holds it')
+        return False
+
+    def _give_up(self, why: str) -> None:
+        self.lease = 0
+        if self.holds:
+            self._lose(why)
+
     async def _run(self) -> None:
         while True:
             if self.holds:
@@ -163,8 +227,8 @@
         """Find out whether a write without an answer took effect."""
         answer = await self.store.get(DUTY_KEY)
         if isinstance(answer, key_value.Found):
-            found = msgspec.json.decode(answer.value, type=_Holder)
-            if found.holder == self.incarnation:
+            found = self._decode(answer.value)
+            if found is not None and found.holder == self.incarnation:
                 self._gain(found.token, asked_ms)
 
     def _gain(self, token: int, asked_ms: int) -> None:
@@ -188,19 +252,16 @@
             return
         successor = self._successor()
         if successor:
-            self.lease = 0
-            self._lose(f'{successor} holds it')
+            self._give_up(f'{successor} holds it')
             return
         asked_ms = clock.suspended_ms()
         answer = await self.store.keep(self.lease)
         if isinstance(answer, key_value.Leased):
             self.valid_until_ms = asked_ms + TTL_MS
         elif isinstance(answer, key_value.Missing):
-            self.lease = 0
-            self._lose('the lease has ended')
+            self._give_up('the lease has ended')
         elif clock.suspended_ms() > self.valid_until_ms + BEYOND_LEASE_MS:
-            self.lease = 0
-            self._lose('the service has been away for too long')
+            self._give_up('the service has been away for too long')
 
     def _successor(self) -> str:
         """Return who has taken the duty over, empty if nobody is known to.
@@ -213,8 +274,8 @@
         change = self.directory.own(DUTY_KEY)
         if change is None:
             return ''
-        found = msgspec.json.decode(change.value, type=_Holder)
-        newer = found.token > self.token
+        found = self._decode(change.value)
+        newer = found is not None and found.token > self.token
         return found.holder if newer else ''
 
     async def _is_doubted(self) -> bool:
@@ -229,8 +290,8 @@
         """Ask whether the duty is still ours after an order was refused."""
         answer = await self.store.get(DUTY_KEY)
         if isinstance(answer, key_value.Found):
-            found = msgspec.json.decode(answer.value, type=_Holder)
-            if found.holder == self.incarnation:
+            found = self._decode(answer.value)
+            if found is not None and found.holder == self.incarnation:
                 self.told(True, self.token)
                 return
         if isinstance(answer, key_value.Unavailable):
@@ -238,8 +299,7 @@
             self.log.emit(
                 'duty', 'duty in doubt', inputs={'detail': answer.detail}
             )
-        self.lease = 0
-        self._lose('an order was refused')
+        self._give_up('an order was refused')
 
 
 def _next_block(block: revisions.Change | None) -> int:
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -51,6 +51,8 @@
         # Called when the duty may be lost: an order was refused, or this
         # process stood still.
         self.doubt_duty = None
+        # Says, right before an order, whether the duty is still ours.
+        self.may_order = None
         # Called when another proxy should have the duty.
         self.yield_duty = None
 
@@ -141,9 +143,11 @@
         self.post(message)
 
     async def _order(self, out: messages.Order) -> None:
-        result = await self.adapter.orders.promote(
-            self.service, out.upstream, self.name, out.token
-        )
+        result = messages.OrderResult.REFUSED
+        if self.may_order is None or await self.may_order():
+            result = await self.adapter.orders.promote(
+                self.service, out.upstream, self.name, out.token
+            )
         self.log.emit(
             'group',
             'order answered',
--- a/topazring/pooler/peers.py
+++ b/topazring/pooler/peers.py
@@ -60,7 +60,7 @@
 
 
 class Asker:
-    """Ask one peer at a time, each time another."""
+    """Ask peers what they know."""
 
     def __init__(self, seeds: tuple[str, ...], own_address: str):
         self.seeds = seeds
@@ -73,12 +73,14 @@
         """Close the connections."""
         self.client.close()
 
-    async def ask(self, addresses: set[str], after: int) -> Told | None:
-        """Return what a peer knows after a revision, None if it is silent."""
+    def choose(self, addresses: set[str], count: int) -> list[str]:
+        """Return some peers to ask, others each time."""
         known = sorted((addresses | set(self.seeds)) - {self.own_address})
-        if not known:
-            return None
-        url = f'http://{random.choice(known)}{PATH}?after={after}'
+        return random.sample(known, min(count, len(known)))
+
+    async def ask_one(self, address: str, after: int) -> Told | None:
+        """Return what a peer knows after a revision, None if it is silent."""
+        url = f'http://{address}{PATH}?after={after}'
         reply = await http_calls.call(self.client, 'GET', url, timeout_s=ASK_S)
         if isinstance(reply, http_calls.NoAnswer) or reply.code != 200:
             return None
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -251,6 +251,7 @@
             self.log,
         )
         group.doubt_duty = self.duty.doubt
+        group.may_order = self.duty.may_order
         group.yield_duty = self.duty.yield_to_another
         self.groups[service] = group
         group.start()
--- a/topazring/pooler/tests/test_duty.py
+++ b/topazring/pooler/tests/test_duty.py
@@ -54,6 +54,9 @@
 
     async def get(self, key):
         """Return a value."""
+        self.calls.append('get')
+        if self.away:
+            return key_value.Unavailable('away')
         change = self.directory.own(key)
         if change is None:
             return key_value.Missing()
@@ -80,6 +83,17 @@
     def __init__(self):
         self.known = revisions.Revisions(seen=1)
         self.own_changed = asyncio.Event()
+        self.away_since_ms = None
+        # What peers tell when they are asked; None if none answers.
+        self.peers_tell = {}
+
+    async def ask_peers(self, within_s):
+        """Learn what peers know."""
+        if self.peers_tell is None:
+            return False
+        for key, value in self.peers_tell.items():
+            self.set(key, value)
+        return True
 
     def own(self, key):
         """Return a value that is set."""
@@ -228,6 +242,81 @@
 
         self.play(steps)
 
+    def test_order_of_an_overtaken_holder_is_not_sent(self):
+        """Where tokens are not checked, nothing else stops it.
+
+        Symptom: an order with a lower token than one that went before.
+        Sequence: the holder is frozen; its lease ends and another takes the
+        duty; it wakes in the middle of an attempt and orders. Cause: taking
+        what was known before the pause for what holds.
+        """
+
+        async def steps():
+            self.duty.start()
+            await self.until(True)
+            self.assertTrue(await self.duty.may_order())
+            self.directory.set(duties.DUTY_KEY, '{"holder":"x","token":1}')
+            self.assertFalse(await self.duty.may_order())
+            self.assertFalse(self.duty.holds)
+
+        self.play(steps)
+
+    def test_order_while_the_store_is_away_for_all(self):
+        """Peers know of nobody else, so the holder goes on."""
+
+        async def steps():
+            self.duty.start()
+            await self.until(True)
+            self.store.away = True
+            self.assertTrue(await self.duty.may_order())
+            self.directory.away_since_ms = 1
+            self.assertTrue(await self.duty.may_order())
+
+        self.play(steps)
+
+    def test_order_while_the_store_turns_the_holder_away(self):
+        """A peer that reads there knows who has the duty now."""
+
+        async def steps():
+            self.duty.start()
+            await self.until(True)
+            self.store.away = True
+            taken = '{"holder":"p2-a","token":20000}'
+            self.directory.peers_tell = {duties.DUTY_KEY: taken}
+            self.assertFalse(await self.duty.may_order())
+            self.assertFalse(self.duty.holds)
+
+        self.play(steps)
+
+    def test_order_of_a_holder_that_is_cut_off(self):
+        """Neither the store nor any peer can say that it still holds it."""
+
+        async def steps():
+            self.duty.start()
+            await self.until(True)
+            self.store.away = True
+            self.directory.peers_tell = None
+            self.assertFalse(await self.duty.may_order())
+
+        self.play(steps)
+
+    def test_value_that_somebody_else_wrote(self):
+        """It names no holder, and this process goes on.
+
+        Symptom: a proxy's duty ends with an error, and nobody promotes.
+        Cause: taking each value under our keys for one that we wrote.
+        """
+
+        async def steps():
+            self.duty.start()
+            await self.until(True)
+            self.directory.set(duties.DUTY_KEY, '{"holder": 7}')
+            await asyncio.sleep(duties.RENEW_S + 0.2)
+            self.assertTrue(self.duty.holds)
+            self.assertFalse(self.duty.task.done())
+
+        self.play(steps)
+
     def test_yields(self):
         """Others have it for a while."""
 
