Take an upstream that began again under its name for another

Cause: an upstream may begin again under its id with nothing. Its place, what it had confirmed and its connections were taken for its own; a primary that began again was waited for, as it answers. Entries of other writers (fields missing, other types, unknown words, bytes that are no text) were believed in part, and bytes that are no text ended the watch of a proxy.

Identity is name and birth now: the one before departed with what it may have confirmed. A primary that began again is lost at once. An entry that is not wholly understood names nobody, and what stood there before lapses. The list no longer deposes a primary that answers: terms decide. A member that leads an older term is demoted in a promotion instead of ending it.

--- a/topazring/core/synchronous/asking.py
+++ b/topazring/core/synchronous/asking.py
@@ -30,7 +30,7 @@
         command: statements.Command = statements.Pause(attempt.term)
         if name == attempt.heir or attempt.looking:
             command = statements.Status()
-        elif name == attempt.old:
+        elif name == attempt.old or name in attempt.replaced:
             command = statements.Demote(attempt.term)
         sent = control(state, now_ms, name, command)
         outs += sent
--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -57,6 +57,8 @@
     reported_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     # When what calls for it began.
     since_ms: int = 0
+    # Members that lead an older term in their own eyes; demoted first.
+    replaced: set[str] = dataclasses.field(default_factory=set)
     chosen: str = ''
     # What the chosen one had received when it was chosen.
     chosen_place: places.Place = places.ORIGIN
--- a/topazring/core/synchronous/departures.py
+++ b/topazring/core/synchronous/departures.py
@@ -33,6 +33,7 @@
 class Departure:
     """Hold when an upstream was seen to be gone, and what it had at most."""
 
+    name: str
     seen_ms: int
     # It had said so before; such a one does not come back.
     left: bool = False
@@ -44,7 +45,10 @@
 class Departures:
     """Hold the upstreams of a group that are listed no more."""
 
-    by_name: dict[str, Departure] = dataclasses.field(default_factory=dict)
+    # By name and birth: one that begins again under its name is another.
+    known: dict[tuple[str, int], Departure] = dataclasses.field(
+        default_factory=dict
+    )
 
     def add(
         self,
@@ -52,12 +56,14 @@
         name: str,
         left: bool = False,
         paused_at: places.Place | None = None,
+        born_ms: int = 0,
     ) -> None:
         """Take in that an upstream is listed no more.
 
         `paused_at` is where its log ended if it was paused until now.
         """
-        self.by_name[name] = Departure(now_ms, left, paused_at)
+        departure = Departure(name, now_ms, left, paused_at)
+        self.known[(name, born_ms)] = departure
 
     def begin(self, now_ms: int, place: places.Place) -> None:
         """Take in the first place that a primary reports to this process.
@@ -66,15 +72,15 @@
         That ends like other departures: what hangs unconfirmed at a primary
         counts in it too, and would keep every replica from following.
         """
-        self.by_name[BEFORE] = Departure(now_ms, bound=place)
+        self.known[(BEFORE, 0)] = Departure(BEFORE, now_ms, bound=place)
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, born_ms: int = 0) -> None:
         """Take in that an upstream is back: it can be asked again."""
-        self.by_name.pop(name, None)
+        self.known.pop((name, born_ms), None)
 
     def note_primary(self, sent_ms: int, place: places.Place) -> None:
         """Take in where the primary's log stood after a time of sending."""
-        for departure in self.by_name.values():
+        for departure in self.known.values():
             if departure.bound is None and departure.seen_ms <= sent_ms:
                 departure.bound = place
 
@@ -89,21 +95,21 @@
         """
         ended = any(
             departure.left
-            for name, departure in self.by_name.items()
-            if name in primaries
+            for departure in self.known.values()
+            if departure.name in primaries
         )
         return [
-            name
-            for name, departure in self.by_name.items()
-            if name not in primaries
-            and now_ms - departure.seen_ms < _kept_ms(name, departure)
+            departure.name
+            for departure in self.known.values()
+            if departure.name not in primaries
+            and now_ms - departure.seen_ms < _kept_ms(departure)
             and not (ended and departure.left)
             and (departure.bound is None or departure.bound > place)
         ]
 
 
-def _kept_ms(name: str, departure: Departure) -> int:
+def _kept_ms(departure: Departure) -> int:
     """Return for how long a departure counts."""
-    if departure.bound is None or name == BEFORE:
+    if departure.bound is None or departure.name == BEFORE:
         return KEPT_MS
     return BOUND_KEPT_MS
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -62,6 +62,10 @@
     """Return the loss of the primary, None while it may be alive."""
     if now_ms - state.woke_ms < BLIND_MS and state.woke_ms:
         return None
+    last = state.upstreams.get(state.last_primary)
+    if last is not None and state.primary in ('', last.name):
+        if last.born_ms != state.last_primary_born_ms:
+            return Loss(last.name, 'it began again', now_ms)
     if not state.primary:
         return _absent(state, now_ms)
     upstream = state.upstreams.get(state.primary)
--- a/topazring/core/synchronous/isolation.py
+++ b/topazring/core/synchronous/isolation.py
@@ -55,7 +55,7 @@
 
 
 def _begins(state: states.GroupState, now_ms: int) -> bool:
-    if not proofs.is_alone(state, now_ms):
+    if not state.primary or not proofs.is_alone(state, now_ms):
         return False
     since_ms = evidence.hanging_since(state, state.primary)
     if since_ms is not None and now_ms - since_ms >= HANGING_MS:
--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -48,6 +48,13 @@
 ) -> list:
     """Count a paused replica; a primary has paused nothing."""
     name = connection.upstream
+    replaced = report.term < state.term
+    if report.role is statements.Role.PRIMARY and replaced:
+        # It has not learned yet that another led since. Taking it for one
+        # that leads would end this attempt, and each after it, for a second.
+        attempt.replaced.add(name)
+        attempt.asked_ms.pop(name, None)
+        return promotion.go_on(state, now_ms, attempt)
     if report.role is statements.Role.PRIMARY:
         outs = primary.note_report(
             state,
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -27,6 +27,9 @@
         state.listed_ms = now_ms
     for entry in message.upstreams:
         known = state.upstreams.get(entry.name)
+        if known is not None and entry.born_ms > known.born_ms:
+            outs += _gone(state, now_ms, entry.name)
+            known = None
         if known is None:
             outs += _come(state, now_ms, entry)
         else:
@@ -35,11 +38,19 @@
 
 
 def _gone(state: states.GroupState, now_ms: int, name: str) -> list:
+    """Let go of an upstream that is listed no more, or began again.
+
+    One that began again under its name holds nothing of what it confirmed,
+    and its connections and places are another's. One would notice by an
+    acknowledged write that is gone after the next promotion.
+    """
     upstream = state.upstreams.pop(name)
     paused_at = None
     if state.promotion is not None:
         paused_at = attempts.paused_at(state.promotion, now_ms, name)
-    state.departures.add(now_ms, name, upstream.leaving, paused_at)
+    state.departures.add(
+        now_ms, name, upstream.leaving, paused_at, upstream.born_ms
+    )
     state.paused.discard(name)
     outs: list = [messages.Decided('upstream gone', inputs={'upstream': name})]
     outs += connections.drop_all_of(state, name)
@@ -55,12 +66,13 @@
         entry.data_centre,
         entry.role,
         entry.revision,
+        entry.born_ms,
     )
     upstream.come_ms = now_ms
     # The first list names those that were there before this process.
     upstream.vouches = now_ms == state.listed_ms
     state.upstreams[entry.name] = upstream
-    state.departures.remove(entry.name)
+    state.departures.remove(entry.name, entry.born_ms)
     _note_leaving(state, now_ms, upstream, entry)
     return [
         messages.Decided(
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -101,6 +101,9 @@
     leaving: bool = False
     # At most so long ago it reported that it leaves.
     leaving_for_ms: int = 0
+    # When its process began. One that begins again under its name is another:
+    # it holds nothing.
+    born_ms: int = 0
 
 
 # ---- into the core --------------------------------------------------------
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -226,6 +226,11 @@
     if current is not None:
         if newest.listed_revision <= current.listed_revision:
             return []
+        if _claims(state, now_ms, current) and current.took_sent_ms > 0:
+            # It takes transactions: terms decide, once both are asked. An
+            # entry says what its writer believes, and may be late.
+            proofs.want(state, now_ms)
+            return []
     return _lead(state, now_ms, newest, 'the list says so')
 
 
@@ -241,6 +246,7 @@
     lost_ms = prospects.lost_since(state, now_ms)
     state.primary = upstream.name
     state.last_primary = upstream.name
+    state.last_primary_born_ms = upstream.born_ms
     state.primary_lost_ms = None
     _forget_proofs(state)
     if lost_ms is not None:
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -101,6 +101,8 @@
     data_centre: str
     listed_role: statements.Role
     listed_revision: int
+    # When its process began.
+    born_ms: int = 0
     # No new work from then on; None while it stays.
     closed_to_work_ms: int | None = None
     leaving: bool = False
@@ -233,6 +235,7 @@
     primary: str = ''
     # The last that was believed to lead.
     last_primary: str = ''
+    last_primary_born_ms: int = 0
     # The newest term seen on any connection.
     term: int = 0
     primary_lost_ms: int | None = None
--- a/topazring/core/synchronous/tests/fake_group.py
+++ b/topazring/core/synchronous/tests/fake_group.py
@@ -69,6 +69,7 @@
     listed: bool = True
     leaving: bool = False
     revision: int = 1
+    born_ms: int = 1
 
     def received(self) -> places.Place:
         """Return the place of the last entry."""
--- a/topazring/core/synchronous/tests/support.py
+++ b/topazring/core/synchronous/tests/support.py
@@ -60,6 +60,7 @@
                         more.get('revision', 1),
                         name == more.get('leaving'),
                         more.get('leaving_for_ms', 0),
+                        more.get('born_ms', {}).get(name, 0),
                     )
                     for name in names
                 )
--- a/topazring/core/synchronous/tests/test_departures.py
+++ b/topazring/core/synchronous/tests/test_departures.py
@@ -178,3 +178,69 @@
             outs += failing.answer_controls(driver, u1=Place(1, 9))
         orders = [o for o in outs if isinstance(o, messages.Order)]
         self.assertEqual([], [o for o in orders if o.upstream != 'u1'])
+
+
+class BornAgainTest(testtools.TestCase):
+    """One that begins again under its name holds nothing of before."""
+
+    def born_again(self, driver: support.Driver, name: str) -> list:
+        """List a group in which one began again, as a replica."""
+        return driver.list_upstreams(revision=2, born_ms={name: 99})
+
+    def test_replica_that_confirmed_the_last_write(self):
+        """Its log is gone, so the other one may lack the write.
+
+        Symptom: an acknowledged save is gone after a failover. Sequence: a
+        replica that receives nothing; the other confirms a save and starts
+        again, empty; the primary is lost. Cause: asking the one that began
+        again for what the one before it had.
+        """
+        driver = failing.holder()
+        self.born_again(driver, 'u3')
+        driver.open_all(Place(0, 0))
+        outs = failing.lose_primary(driver)
+        for _ in range(4):
+            outs += failing.answer_controls(driver, u3=Place(0, 0))
+            outs += driver.tick(60)
+        self.assertEqual([], support.orders(outs))
+
+    def test_its_places_are_forgotten(self):
+        """A place that it had would let it serve reads that it lacks."""
+        driver = support.Driver().ready()
+        self.born_again(driver, 'u3')
+        self.assertEqual(Place(0, 0), driver.state.upstreams['u3'].place)
+
+    def test_its_connections_are_closed(self):
+        """They led to the one before."""
+        driver = support.Driver().ready()
+        before = {
+            number
+            for number, connection in driver.state.connections.items()
+            if connection.upstream == 'u3'
+        }
+        self.born_again(driver, 'u3')
+        self.assertEqual(set(), before & set(driver.state.connections))
+
+    def test_primary_that_began_again_is_lost(self):
+        """It answers, but it is another, and leads nobody.
+
+        Symptom: a group takes no saves for seconds. Sequence: a primary
+        crashes and is back within a moment, empty. Cause: waiting for the
+        silence of one that answers.
+        """
+        driver = failing.holder()
+        driver.list_upstreams(primary='', revision=2, born_ms={'u1': 99})
+        driver.open_all(Place(0, 0))
+        outs = driver.tick(20)
+        outs += failing.answer_controls(driver)
+        outs += driver.tick(40)
+        outs += failing.answer_controls(driver)
+        (order,) = support.orders(outs)
+        self.assertIn(order.upstream, ('u2', 'u3'))
+
+    def test_late_list_does_not_bring_the_earlier_one_back(self):
+        """Peers may tell what they read before."""
+        driver = support.Driver().ready()
+        self.born_again(driver, 'u3')
+        driver.list_upstreams(revision=1)
+        self.assertEqual(99, driver.state.upstreams['u3'].born_ms)
--- a/topazring/core/synchronous/tests/test_isolation.py
+++ b/topazring/core/synchronous/tests/test_isolation.py
@@ -85,3 +85,19 @@
         self.assertEqual('', driver.state.isolated_with)
         key, outs = driver.submit(verb=WRITE)
         self.assertNotIn(key, support.answers(outs))
+
+    def test_needs_a_primary(self):
+        """Without one nothing is confirmed by anyone.
+
+        Symptom: fifty lines a second in the log that say `isolated`.
+        Sequence: a group without a primary, whose replicas are silent, gets
+        a new one. Cause: an empty name taken for a primary's.
+        """
+        driver = support.Driver()
+        driver.list_upstreams(primary='')
+        driver.open_all()
+        driver.list_upstreams(
+            primary='', names=('u1', 'u2', 'u3', 'u4'), revision=2
+        )
+        play(driver, 600, 'u4')
+        self.assertEqual(0, driver.state.counters['isolated'])
--- a/topazring/core/synchronous/tests/test_proofs.py
+++ b/topazring/core/synchronous/tests/test_proofs.py
@@ -324,6 +324,35 @@
         self.assertEqual(['u1'], [o.upstream for o in support.orders(outs)])
 
 
+class ReplacedMemberTest(testtools.TestCase):
+    """A member that leads an older term does not end a promotion."""
+
+    def test_it_is_demoted_and_counts(self):
+        """It may hold all that was acknowledged.
+
+        Symptom: a group without a primary for a second or more. Sequence: a
+        primary is replaced; its successor crashes before the old one learned
+        of it; the old one answers the pause as a primary. Cause: ending the
+        attempt because another leads.
+        """
+        driver = failing.holder()
+        driver.state.term = 2
+        for name in ('u1', 'u3'):
+            driver.state.upstreams[name].refuted_ms = driver.now_ms
+        driver.state.primary = 'u2'
+        driver.state.last_primary = 'u2'
+        driver.list_upstreams(primary='', revision=2, born_ms={'u2': 9})
+        for _ in range(5):
+            driver.tick(20)
+            answer_questions(driver, 'u1', support.ok())
+            for connection in driver.busy('u1'):
+                if isinstance(connection.commands[0], statements.Pause):
+                    old = support.report(role=Role.PRIMARY, term=1)
+                    driver.reply(connection, old)
+        self.assertIn('u1', failing.told(driver, statements.Demote))
+        self.assertIsNotNone(driver.state.promotion)
+
+
 class StartTest(testtools.TestCase):
     """Where no primary is known there is nothing to prove."""
 
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -304,7 +304,9 @@
         how = self.rng.random()
         if how < 0.1:
             late_ms = self.rng.choice((50, 900, 3000))
-            self.at(late_ms, self.promote, out, proxy)
+            member = self.members.get(out.upstream)
+            born_ms = 0 if member is None else member.born_ms
+            self.at(late_ms, self.promote, out, proxy, born_ms)
             result = messages.OrderResult.UNANSWERED
             self.at(300, self.ordered, proxy, out, result)
             return
@@ -323,19 +325,33 @@
         if result is messages.OrderResult.REFUSED:
             self.at(30, self.confirm_duty, proxy)
 
-    def promote(self, out: messages.Order, proxy: str) -> messages.OrderResult:
-        """Check the token; some ms later the upstream leads."""
+    def promote(
+        self, out: messages.Order, proxy: str, born_ms: int | None = None
+    ) -> messages.OrderResult:
+        """Check the token; some ms later the upstream leads.
+
+        An order that is late does not hold for one that began again since.
+        """
         member = self.members.get(out.upstream)
+        if member is not None and born_ms not in (None, member.born_ms):
+            return messages.OrderResult.REFUSED
         if member is None or out.token < self.token_seen or member.dark:
             return messages.OrderResult.REFUSED
         self.token_seen = out.token
         if member.role is not Role.PRIMARY:
-            self.at(PROMOTE_MS, self.lead, member, out.token, proxy)
+            born_ms = member.born_ms
+            self.at(PROMOTE_MS, self.lead, member, out.token, proxy, born_ms)
         return messages.OrderResult.ACCEPTED
 
-    def lead(self, member: fake_group.Member, token: int, proxy: str) -> None:
+    def lead(
+        self,
+        member: fake_group.Member,
+        token: int,
+        proxy: str,
+        born_ms: int,
+    ) -> None:
         """Make a member the primary of the next term."""
-        ended = member.name not in self.members
+        ended = member.name not in self.members or member.born_ms != born_ms
         if ended or token < self.token_seen or member.dark:
             return
         if member.role is Role.PRIMARY:
--- a/topazring/core/synchronous/tests/walks.py
+++ b/topazring/core/synchronous/tests/walks.py
@@ -32,6 +32,7 @@
     ('list', 2),
     ('lapse', 3),
     ('restart', 1),
+    ('begin_again', 1),
     ('release', 1),
 )
 # A process that ended takes longer to be back than a promotion.
@@ -239,6 +240,10 @@
     member = rng.choice(list(world.members.values()))
     if any(other.dark for other in world.members.values()):
         return
+    _restart_member(world, member)
+
+
+def _restart_member(world: worlds.World, member: fake_group.Member) -> None:
     _go_dark(world, member)
     for wire in list(world.wires.values()):
         if wire.upstream == member.name:
@@ -246,6 +251,36 @@
     world.at(RESTART_MS, _return, world, member)
 
 
+@_action
+def _begin_again(world: worlds.World, rng: random.Random) -> None:
+    """Have a member's process end and begin again, empty, under its name."""
+    member = rng.choice(list(world.members.values()))
+    if any(other.dark for other in world.members.values()):
+        return
+    if not _is_spare(world, member):
+        return
+    _restart_member(world, member)
+    member.log.clear()
+    member.applied = 0
+    member.term = 0
+    member.role = statements.Role.REPLICA
+    member.born_ms = int(world.now_ms)
+    world.note(f'{member.name} begins again, empty')
+    world.relist(member)
+
+
+def _is_spare(world: worlds.World, member: fake_group.Member) -> bool:
+    """Say whether another member has all that this one may have confirmed.
+
+    If none has, an acknowledged write is lost whatever anyone decides.
+    """
+    held = member.received()
+    return any(
+        other is not member and other.received() >= held and other.listed
+        for other in world.members.values()
+    )
+
+
 @_action
 def _release(world: worlds.World, rng: random.Random) -> None:
     """Replace a member: its successor comes first, then it leaves."""
--- a/topazring/core/synchronous/tests/world.py
+++ b/topazring/core/synchronous/tests/world.py
@@ -178,6 +178,7 @@
                 member.role,
                 member.revision,
                 member.leaving,
+                born_ms=member.born_ms,
             )
             for member in self.members.values()
             if member.listed
--- a/topazring/platform/records.py
+++ b/topazring/platform/records.py
@@ -4,6 +4,8 @@
 are ignored.
 """
 
+import typing
+
 import msgspec
 
 from topazring.core.synchronous import listing
@@ -59,9 +61,11 @@
     service: str
     address: str
     zone: str = ''
-    state: str = 'ready'
+    state: typing.Literal['ready', 'draining'] = 'ready'
     # How it sees itself.
-    db_role: str = 'replica'
+    db_role: typing.Literal['primary', 'replica'] = 'replica'
+    # When its process began, in Unix milliseconds; its name stays the same.
+    born: int = 0
 
 
 _decode_configuration = msgspec.json.Decoder(_Configuration).decode
@@ -71,7 +75,8 @@
 def decode(key: str, value: str, revision: int) -> listing.Record | None:
     """Return an entry, None if it is none of ours.
 
-    Raises ValueError on an entry of another form.
+    Raises ValueError on an entry of another form: others write there too,
+    and what is not wholly understood names nobody.
     """
     if key == CONFIGURATION_KEY:
         return _configuration(_decode_configuration(value))
@@ -106,6 +111,9 @@
 def _upstream(
     name: str, raw: _Upstream, revision: int
 ) -> listing.UpstreamRecord:
+    host, _, port = raw.address.rpartition(':')
+    if not host or not port.isdigit():
+        raise ValueError('the address is not HOST:PORT')
     role = statements.Role.REPLICA
     if raw.db_role == 'primary':
         role = statements.Role.PRIMARY
@@ -118,5 +126,6 @@
             role,
             revision,
             raw.state == 'draining',
+            born_ms=raw.born,
         ),
     )
--- a/topazring/platform/store.py
+++ b/topazring/platform/store.py
@@ -204,7 +204,16 @@
 
 
 def _text(item: _Item) -> str:
-    return base64.b64decode(item.value or '').decode()
+    """Return an item's value; empty if it is no text.
+
+    Others write there too. An error here would end the watch, and with it
+    all that this process learns; an empty value is no entry of any form, and
+    is told in the log as such.
+    """
+    try:
+        return base64.b64decode(item.value or '').decode()
+    except ValueError:
+        return ''
 
 
 def _change(item: _Item) -> revisions.Change:
