Keep lapsed proxies for 12 s; watch as long as a configuration may take

Cause: entries of proxies may all lapse in an outage of the store. Each proxy then took itself for the only owner, without a connection, until the others had listed themselves anew, 10 s later. Read in the code; a test plays it.

The watch was 3 s everywhere, also where a configuration may take 5 s: it is the operators' own figure now. Also: one name for one pause, one function for who has answered a promotion.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -147,20 +147,27 @@
     if not is_fresh(attempt, now_ms, attempt.heir):
         return False
     heir = attempt.reports[attempt.heir].received
-    asked = members(state, attempt)
-    fresh = [name for name in asked if is_fresh(attempt, now_ms, name)]
-    if fresh == asked:
+    answered, silent = _split(state, now_ms, attempt)
+    if not silent:
         return False
-    return all(heir >= attempt.reports[name].received for name in fresh)
+    return all(heir >= attempt.reports[name].received for name in answered)
+
+
+def _split(
+    state: states.GroupState, now_ms: int, attempt: Attempt
+) -> tuple[list[str], list[str]]:
+    """Return the members whose reports count, and the others."""
+    asked = members(state, attempt)
+    answered = [name for name in asked if is_fresh(attempt, now_ms, name)]
+    return answered, [name for name in asked if name not in answered]
 
 
 def choose(state: states.GroupState, now_ms: int, attempt: Attempt) -> str:
     """Return who may be promoted without losing anything, if anyone."""
-    asked = members(state, attempt)
-    fresh = [name for name in asked if is_fresh(attempt, now_ms, name)]
-    if not asked or fresh != asked:
+    answered, silent = _split(state, now_ms, attempt)
+    if not answered or silent:
         return ''
-    held = {name: attempt.reports[name].received for name in asked}
+    held = {name: attempt.reports[name].received for name in answered}
     if attempt.demoting_since_ms is not None:
         enough = held.get(attempt.heir, places.ORIGIN) >= max(held.values())
         return attempt.heir if enough else ''
--- a/topazring/core/synchronous/listing.py
+++ b/topazring/core/synchronous/listing.py
@@ -29,6 +29,10 @@
 # An entry that is missing longer is gone. The users state two seconds after
 # the service's return.
 LAPSED_MS = 2200
+# A proxy looks at its lease every 10 s and lists itself anew if that ended.
+# All entries of proxies may lapse while the service is away, and each would
+# take itself for the only owner of everything until the others are back.
+PROXY_LAPSED_MS = 12_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +99,7 @@
         case UpstreamRecord():
             return _take_upstream(listing, now_ms, confirmed_ms, key, record)
         case ProxyRecord():
+            listing.lapsed_ms.pop(key, None)
             listing.proxies[key] = record
             return _services(listing)
 
@@ -138,11 +143,7 @@
 
 def take_gone(listing: Listing, now_ms: int, key: str) -> set[str]:
     """Take in that an entry is gone; return the services concerned."""
-    if key in listing.proxies:
-        del listing.proxies[key]
-        return _services(listing)
-    record = listing.upstreams.get(key)
-    if record is None:
+    if key not in listing.proxies and key not in listing.upstreams:
         return set()
     if key in listing.leaving_ms:
         return _remove(listing, key)
@@ -151,8 +152,10 @@
 
 
 def _remove(listing: Listing, key: str) -> set[str]:
-    record = listing.upstreams.pop(key)
     listing.lapsed_ms.pop(key, None)
+    if listing.proxies.pop(key, None) is not None:
+        return _services(listing)
+    record = listing.upstreams.pop(key)
     listing.leaving_ms.pop(key, None)
     return {record.service}
 
@@ -177,7 +180,9 @@
     if away_since_ms is not None:
         return services
     for key, since_ms in list(listing.lapsed_ms.items()):
-        if now_ms - since_ms >= LAPSED_MS:
+        is_proxy = key in listing.proxies
+        kept_ms = PROXY_LAPSED_MS if is_proxy else LAPSED_MS
+        if now_ms - since_ms >= kept_ms:
             services |= _remove(listing, key)
     return services
 
--- a/topazring/core/synchronous/prospects.py
+++ b/topazring/core/synchronous/prospects.py
@@ -15,7 +15,7 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 
-__all__ = ['Hopeless', 'judge', 'lost_since', 'note_gap']
+__all__ = ['ELSEWHERE_MS', 'Hopeless', 'judge', 'lost_since', 'note_gap']
 
 # Of a new gap so much enters the estimate.
 GAP_WEIGHT = 0.3
@@ -23,7 +23,7 @@
 MOST_GAP_MS = 2500
 # A promotion that takes this many times as long as usual is overdue.
 OVERDUE_TIMES = 1.3
-# When to come back to another proxy.
+# When to come back to another proxy, which has room at once.
 ELSEWHERE_MS = 50
 
 
--- a/topazring/core/synchronous/tests/test_listing.py
+++ b/topazring/core/synchronous/tests/test_listing.py
@@ -117,3 +117,24 @@
         listings.take(self.listing, 0, 0, 'p1', proxy)
         found = listings.hop_addresses(self.listing)
         self.assertEqual({'p1': 'p1:7440'}, found)
+
+    def test_proxies_are_kept_while_they_list_themselves_anew(self):
+        """Otherwise each takes itself for the only owner.
+
+        Symptom: after an outage of the service that lists, every proxy sends
+        its callers to nobody, and dials all connections. Sequence: the
+        leases of all proxies end meanwhile; it is back; each proxy sees that
+        all others are gone. Cause: taking a lapsed entry for an end.
+        """
+        proxy = listings.ProxyRecord('p1', 'here')
+        listings.take(self.listing, 0, 0, 'p1', proxy)
+        listings.take_gone(self.listing, 1000, 'p1')
+        kept_ms = listings.PROXY_LAPSED_MS
+        listings.expire(self.listing, 1000 + kept_ms - 1, None)
+        self.assertIn('p1', self.listing.proxies)
+        listings.take(self.listing, 9000, 0, 'p1', proxy)
+        listings.expire(self.listing, 1000 + kept_ms, None)
+        self.assertIn('p1', self.listing.proxies)
+        listings.take_gone(self.listing, 20_000, 'p1')
+        listings.expire(self.listing, 20_000 + kept_ms, None)
+        self.assertNotIn('p1', self.listing.proxies)
--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -9,6 +9,7 @@
 
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import prospects
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import statements
 from topazring.plumbing import clock
@@ -30,8 +31,6 @@
         statements.Verb.EXECUTE,
     }
 )
-# Another proxy has room at once.
-ELSEWHERE_MS = 50
 # An operation may be several statements outside a transaction, each sent on
 # the answer to the last. A session that has been still for less may be in
 # the middle of one, or its next request is on the way already.
@@ -249,7 +248,7 @@
             await self.stream.write(self.host.codec.refusal(rejected))
             return False
         if self._comes_too_late(session, statement):
-            refusal = outcomes.NotRun(Reason.DRAINING, ELSEWHERE_MS)
+            refusal = outcomes.NotRun(Reason.DRAINING, prospects.ELSEWHERE_MS)
             self.host.note(str(statement.verb), refusal, 0)
             await self._answer(refusal)
             return True
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -20,11 +20,6 @@
 PROXY_PREFIX = 'topazring/proxies/'
 # One watch for everything: each that waits is a call that is paid for.
 EVERYTHING = ''
-# A watch is ended by us after that long: the service may have swallowed it
-# while the connection lives. A configuration has to be in force three seconds
-# after it was accepted, and four after the service's last trouble. Shorter
-# costs more calls.
-WATCH_MS = 3000
 # While a fleet starts, its proxies and their upstreams enter the list one
 # after the other; each entry alone would cost every proxy a call.
 STARTING_S = 8.0
@@ -58,11 +53,15 @@
         asker: peers.Asker,
         log: events.EventLog,
         changed: collections.abc.Callable[[set[str]], None],
+        watch_ms: int,
     ):
         self.adapter = adapter
         self.asker = asker
         self.log = log
         self.changed = changed
+        # A watch is ended by us after that long: the service may have
+        # swallowed it while the connection lives.
+        self.watch_ms = watch_ms
         self.listing = listings.Listing()
         # Set with the first configuration.
         self.configured = asyncio.Event()
@@ -146,7 +145,7 @@
         if self.known.seen:
             # While the service is away only a short question finds out when
             # it is back: a watch that it swallows would be waited for.
-            wait_ms = WATCH_MS if self.away_since_ms is None else 0
+            wait_ms = self.watch_ms if self.away_since_ms is None else 0
             answer = await self.adapter.store.changes(
                 EVERYTHING, self.known.seen, wait_ms
             )
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -106,6 +106,7 @@
             peers.Asker(config.peers, config.peer_address or ''),
             self.log,
             self._changed,
+            config.config_apply_ms,
         )
         self.membership = membership.Membership(
             config.name,
