Weigh owners by their lines; spread them evenly over data centres

Cause: an owner in the own data centre went first at any price, and owners were spread once and then by chance.

Each answer tells how many requests wait at the owner; that counts half after 300 ms. Hops cost one request, hops to another data centre three.

--- a/topazring/core/hashing.py
+++ b/topazring/core/hashing.py
@@ -38,19 +38,21 @@
     """Return the owners in preference order, spread over data centres.
 
     Proxies of the database's own region come first. A data centre is used
-    twice only when there are fewer centres than owners.
+    once more only when each other one that has proxies left is used as often.
     """
     everyone = list(candidates)
     local = [c for c in everyone if c.region == region]
     pool = local or everyone
     pool.sort(key=lambda c: score(database, c.name), reverse=True)
     chosen: list[Candidate] = []
-    centres: set[str] = set()
-    for candidate in pool:
-        if len(chosen) < count and candidate.data_centre not in centres:
-            chosen.append(candidate)
-            centres.add(candidate.data_centre)
-    for candidate in pool:
-        if len(chosen) < count and candidate not in chosen:
-            chosen.append(candidate)
+    while pool and len(chosen) < count:
+        left: list[Candidate] = []
+        centres: set[str] = set()
+        for candidate in pool:
+            if candidate.data_centre in centres:
+                left.append(candidate)
+            elif len(chosen) < count:
+                chosen.append(candidate)
+                centres.add(candidate.data_centre)
+        pool = left
     return tuple(candidate.name for candidate in chosen)
--- a/topazring/core/synchronous/forwarding.py
+++ b/topazring/core/synchronous/forwarding.py
@@ -1,7 +1,10 @@
 """Decide which proxy serves a request, and what after it could not.
 
-A request is tried here if this proxy is an owner, else at an owner, those in
-the own data centre first: bytes between data centres cost money. A proxy
+A request is tried at the owner that is expected to serve it soonest, this
+proxy itself among them. Each answer of an owner tells how many requests wait
+there. The own data centre is preferred, as bytes between data centres cost
+money, but not at any price: the one owner of a data centre would carry all of
+it while others are idle. A proxy
 that was asked never asks another, so a request makes one hop at a time and
 never goes in circles.
 
@@ -20,6 +23,7 @@
 
 __all__ = [
     'HERE',
+    'Load',
     'Lost',
     'Plan',
     'begin',
@@ -47,6 +51,13 @@
         Reason.UNPROVEN,
     }
 )
+# Waiting requests that a hop weighs as much as, and one to another data
+# centre: a statement takes 10 to 20 ms on one of some ten connections, the
+# hop half a millisecond and three more between data centres.
+HOP_COST = 1.0
+FOREIGN_COST = 3.0
+# What an owner told of its line counts half after so long.
+LOAD_HALF_MS = 300
 # When to come back if nobody could be reached.
 RETRY_MS = 200
 
@@ -66,6 +77,25 @@
     last: outcomes.Outcome | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Hold how busy an owner is with one service, as far as is known."""
+
+    # Requests of ours that it has not answered.
+    under_way: int = 0
+    # Requests that waited there when it last told.
+    waiting: int = 0
+    told_ms: int = 0
+
+    def expected(self, now_ms: int) -> float:
+        """Return how many requests are ahead of a new one."""
+        age_ms = now_ms - self.told_ms
+        return self.under_way + self.waiting * 0.5 ** (age_ms / LOAD_HALF_MS)
+
+
+Weigh = collections.abc.Callable[[str], float | None]
+
+
 def begin() -> Plan:
     """Return the plan of a request that was just taken in."""
     return Plan()
@@ -76,27 +106,31 @@
     owned: ownership.Ownership,
     name: str,
     data_centre: str,
-    reachable: collections.abc.Callable[[str], bool],
+    weigh: Weigh,
     turn: int,
 ) -> str | None:
     """Return where to try next, None if nowhere is left.
 
-    `turn` spreads requests over the owners of a data centre.
+    `weigh` returns how many requests are ahead at a place, None for one that
+    cannot be reached. `turn` spreads requests over equals.
     """
     if len(plan.tried) >= MOST_PLACES:
         return None
-    if owned.rank_of(name) is not None and HERE not in plan.tried:
-        return HERE
-    left = [
-        owner
-        for owner in owned.owners
-        if owner.name != name
-        and owner.name not in plan.tried
-        and reachable(owner.name)
-    ]
-    near = [owner for owner in left if owner.data_centre == data_centre]
-    pool = near or left
-    return pool[turn % len(pool)].name if pool else None
+    costs: dict[str, float] = {}
+    for owner in owned.owners:
+        place = HERE if owner.name == name else owner.name
+        ahead = weigh(place)
+        if place in plan.tried or ahead is None:
+            continue
+        if place != HERE:
+            near = owner.data_centre == data_centre
+            ahead += HOP_COST if near else FOREIGN_COST
+        costs[place] = ahead
+    if not costs:
+        return None
+    least = min(costs.values())
+    equals = [place for place, cost in costs.items() if cost == least]
+    return equals[turn % len(equals)]
 
 
 def is_final(
--- a/topazring/core/synchronous/tests/test_forwarding.py
+++ b/topazring/core/synchronous/tests/test_forwarding.py
@@ -21,9 +21,9 @@
     return [ownership.Proxy(f'p{n}', CENTRES[n % 3]) for n in range(count)]
 
 
-def anyone(name: str) -> bool:
-    """Reach everyone."""
-    return True
+def idle(place: str) -> float:
+    """Reach everyone, all idle."""
+    return 0.0
 
 
 class OwnershipTest(testtools.TestCase):
@@ -49,8 +49,9 @@
     def test_owners_are_spread_over_data_centres(self):
         """Most callers find one in their own."""
         owned = ownership.settle('s', proxies(74), 23)
-        centres = {owner.data_centre for owner in owned.owners}
-        self.assertEqual(set(CENTRES), centres)
+        centres = [owner.data_centre for owner in owned.owners]
+        counts = sorted(centres.count(centre) for centre in CENTRES)
+        self.assertEqual([1, 2, 2], counts)
 
     def test_services_have_other_owners(self):
         """The work of all services is not on the same five."""
@@ -101,10 +102,10 @@
         tuple(ownership.Proxy(f'o{n}', CENTRES[n % 3]) for n in range(5))
     )
 
-    def place(self, plan, name='p1', centre='b', reachable=anyone, turn=0):
+    def place(self, plan, name='p1', centre='b', weigh=idle, turn=0):
         """Return where a request goes next."""
         return forwarding.next_place(
-            plan, self.owned, name, centre, reachable, turn
+            plan, self.owned, name, centre, weigh, turn
         )
 
     def request(self, verb=Verb.READ, **more) -> messages.Request:
@@ -134,10 +135,39 @@
         found = {self.place(plan, turn=turn) for turn in range(4)}
         self.assertEqual({'o1', 'o4'}, found)
 
+    def test_only_owner_of_a_data_centre_is_not_swamped(self):
+        """Others serve while it has a line.
+
+        Symptom: a third of one data centre's requests wait for their whole
+        time, on a busy day, while other owners are idle. Sequence: five
+        owners in three data centres; one has a single owner, which gets all
+        of its callers. Cause: the own data centre first, at any price.
+        """
+        plan = forwarding.begin()
+        found = self.place(
+            plan, centre='c', weigh=lambda n: 12.0 if n == 'o2' else 0.0
+        )
+        self.assertNotEqual('o2', found)
+
+    def test_busy_owner_lets_its_own_callers_go(self):
+        """It is no better than another one that is idle."""
+        plan = forwarding.begin()
+        busy = {forwarding.HERE: 12.0}
+        found = self.place(plan, name='o3', weigh=lambda n: busy.get(n, 0.0))
+        self.assertNotEqual(forwarding.HERE, found)
+
+    def test_what_was_told_of_a_line_ages(self):
+        """One that is not asked any more is tried again."""
+        load = forwarding.Load(waiting=16, told_ms=1000)
+        self.assertEqual(16, load.expected(1000))
+        later_ms = 1000 + 5 * forwarding.LOAD_HALF_MS
+        self.assertLess(load.expected(later_ms), forwarding.HOP_COST)
+
     def test_unreachable_owner_is_left_out(self):
         """Another data centre serves instead."""
         plan = forwarding.begin()
-        found = self.place(plan, reachable=lambda n: n not in ('o1', 'o4'))
+        unreached = {'o1': None, 'o4': None}
+        found = self.place(plan, weigh=lambda n: unreached.get(n, 0.0))
         self.assertIn(found, ('o0', 'o2', 'o3'))
 
     def test_owner_that_cannot_sends_it_on(self):
@@ -208,7 +238,7 @@
     def test_nobody_can_be_reached(self):
         """Said at once, with when to come back."""
         plan = forwarding.begin()
-        self.assertIsNone(self.place(plan, reachable=lambda name: False))
+        self.assertIsNone(self.place(plan, weigh=lambda name: None))
         refusal = forwarding.give_up(plan)
         self.assertIs(Reason.NO_OWNER, refusal.reason)
         self.assertGreater(refusal.retry_after_ms, 0)
--- a/topazring/core/synchronous/waiting.py
+++ b/topazring/core/synchronous/waiting.py
@@ -7,7 +7,7 @@
 from topazring.core import admission
 from topazring.core.synchronous import state as states
 
-__all__ = ['add', 'ahead_of', 'heads', 'remove', 'take']
+__all__ = ['add', 'ahead_of', 'count', 'heads', 'remove', 'take']
 
 
 def _queues(
@@ -64,6 +64,15 @@
     remove(state, work)
 
 
+def count(state: states.GroupState) -> int:
+    """Return how many requests wait."""
+    return sum(
+        admission.size(queue)
+        for queues in (state.primary_queues, state.any_queues)
+        for queue in queues.values()
+    )
+
+
 def ahead_of(
     state: states.GroupState, primary_only: bool, priority: int
 ) -> int:
--- a/topazring/pooler/hop.py
+++ b/topazring/pooler/hop.py
@@ -62,6 +62,8 @@
     reason: str = ''
     retry_after_ms: int = 0
     detail: str = ''
+    # Requests that wait at the owner for the same service.
+    waiting: int = 0
 
 
 class Withdraw(msgspec.Struct, array_like=True, tag='w'):
@@ -172,9 +174,29 @@
         self._end()
 
     async def ask(
-        self, request: messages.Request, deadline_ms: int
+        self,
+        request: messages.Request,
+        deadline_ms: int,
+        load: forwarding.Load | None = None,
+    ) -> outcomes.Outcome | forwarding.Lost:
+        """Return the answer, or that the link was lost before it.
+
+        `load` is brought up to date with what the owner tells of its line.
+        """
+        if load is None:
+            load = forwarding.Load()
+        load.under_way += 1
+        try:
+            return await self._ask(request, deadline_ms, load)
+        finally:
+            load.under_way -= 1
+
+    async def _ask(
+        self,
+        request: messages.Request,
+        deadline_ms: int,
+        load: forwarding.Load,
     ) -> outcomes.Outcome | forwarding.Lost:
-        """Return the answer, or that the link was lost before it."""
         stream = await self._open()
         if stream is None:
             return forwarding.Lost(False)
@@ -186,7 +208,12 @@
         self.asked[number] = answer
         left_ms = deadline_ms - clock.suspended_ms() - MARGIN_MS
         _write(stream, Ask(number, left_ms, request))
-        return await answer
+        told = await answer
+        if isinstance(told, forwarding.Lost):
+            return told
+        load.waiting = told.waiting
+        load.told_ms = clock.suspended_ms()
+        return to_outcome(told)
 
     def withdraw(self, service: str, transaction: int) -> None:
         """Tell the owner to undo a transaction."""
@@ -237,7 +264,7 @@
     def _take(self, told: Told) -> None:
         answer = self.asked.pop(told.id, None)
         if answer is not None and not answer.done():
-            answer.set_result(to_outcome(told))
+            answer.set_result(told)
 
     async def _watch(self, stream: iostream.IOStream) -> None:
         """End a link on which nothing comes although something is due.
@@ -274,6 +301,9 @@
     def withdraw_here(self, service: str, transaction: int) -> None:
         """Undo a transaction that was begun here."""
 
+    def waiting_here(self, service: str) -> int:
+        """Return how many requests wait here for a service."""
+
     def next_key(self) -> int:
         """Return a number that this process has not used."""
 
@@ -356,7 +386,9 @@
             self.transactions.pop(theirs, None)
         if self.stream.closed():
             return
-        _write(self.stream, to_told(ask.id, outcome))
+        told = to_told(ask.id, outcome)
+        told.waiting = self.host.waiting_here(request.policy.service)
+        _write(self.stream, told)
 
     def _adopt(self, ask: Ask) -> messages.Request:
         """Return the request as one of this process.
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -18,6 +18,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
 from topazring.core.synchronous import state as states
+from topazring.core.synchronous import waiting
 from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.plumbing import http_calls
@@ -232,6 +233,11 @@
             return outcomes.NotRun(outcomes.Reason.DRAINING, 0)
         return await self.serve_here(request)
 
+    def waiting_here(self, service: str) -> int:
+        """Return how many requests wait here for a service."""
+        group = self.groups.get(service)
+        return 0 if group is None else waiting.count(group.state)
+
     def withdraw_here(self, service: str, transaction: int) -> None:
         """Undo a transaction that was begun here."""
         group = self.groups.get(service)
--- a/topazring/pooler/router.py
+++ b/topazring/pooler/router.py
@@ -35,6 +35,9 @@
     def withdraw_here(self, service: str, transaction: int) -> None:
         """Undo a transaction that was begun here."""
 
+    def waiting_here(self, service: str) -> int:
+        """Return how many requests wait here for a service."""
+
 
 class _Peer:
     """Hold the link to another proxy, and whether it is worth a try."""
@@ -44,6 +47,11 @@
         self.link = hop.Link(address)
         self.avoid_until_ms = 0
         self.failures = 0
+        self.loads: dict[str, forwarding.Load] = {}
+
+    def load(self, service: str) -> forwarding.Load:
+        """Return how busy it is with a service."""
+        return self.loads.setdefault(service, forwarding.Load())
 
 
 class Router:
@@ -89,16 +97,14 @@
         plan = forwarding.begin()
         deadline_ms = request.arrived_ms + request.policy.timeout_ms
         turn = next(self.turns)
-        reachable = functools.partial(
-            self._is_reachable, request.policy.service
-        )
+        weigh = functools.partial(self._weigh, request.policy.service)
         while clock.suspended_ms() < deadline_ms:
             place = forwarding.next_place(
                 plan,
                 owned,
                 self.name,
                 self.data_centre,
-                reachable,
+                weigh,
                 turn,
             )
             if place is None:
@@ -155,7 +161,8 @@
             return forwarding.Lost(False)
         self.forwarded += 1
         deadline_ms = request.arrived_ms + request.policy.timeout_ms
-        answer = await peer.link.ask(request, deadline_ms)
+        load = peer.load(request.policy.service)
+        answer = await peer.link.ask(request, deadline_ms, load)
         self._note(place, peer, answer)
         return answer
 
@@ -178,14 +185,17 @@
         inputs = {'proxy': place, 'sent': answer.sent, 'avoid_ms': avoid_ms}
         self.log.emit('router', 'proxy lost', inputs=inputs)
 
-    def _is_reachable(self, service: str, name: str) -> bool:
-        peer = self.peers.get(name)
-        if peer is None:
-            return False
+    def _weigh(self, service: str, place: str) -> float | None:
+        """Return how many requests are ahead there, None if not reachable."""
+        if place == forwarding.HERE:
+            return self.local.waiting_here(service)
+        peer = self.peers.get(place)
         now_ms = clock.suspended_ms()
-        if now_ms < self.cannot_until_ms.get((name, service), 0):
-            return False
-        return now_ms >= peer.avoid_until_ms
+        if peer is None or now_ms < peer.avoid_until_ms:
+            return None
+        if now_ms < self.cannot_until_ms.get((place, service), 0):
+            return None
+        return peer.load(service).expected(now_ms)
 
     def withdraw(self, service: str, transaction: int) -> None:
         """Undo a transaction wherever it was begun."""
--- a/topazring/pooler/tests/test_hop.py
+++ b/topazring/pooler/tests/test_hop.py
@@ -57,6 +57,10 @@
         """Note a transaction that is undone."""
         self.withdrawn.append((service, transaction))
 
+    def waiting_here(self, service):
+        """Tell of a line."""
+        return 5
+
     def next_key(self):
         """Return a number."""
         return next(self.keys)
@@ -118,6 +122,17 @@
 
         self.play(steps)
 
+    def test_owner_tells_of_its_line(self):
+        """So that its entries ask others as well."""
+
+        async def steps():
+            load = forwarding.Load()
+            deadline_ms = clock.suspended_ms() + 500
+            await self.link.ask(request(), deadline_ms, load)
+            self.assertEqual((5, 0), (load.waiting, load.under_way))
+
+        self.play(steps)
+
     def test_transaction_keeps_its_number(self):
         """Two entries may have given theirs the same one."""
 
