Order claims by what logs hold; prove the lead of the one that served

While another member claims to lead only refusals prove anything. Equal terms are ordered by the entries that each holds. An answer needs the proof of the upstream that gave it.

--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -93,7 +93,10 @@
         connection.upstream,
         signature=reply.signature or '',
     )
-    if needs_ms is None or needs_ms <= proofs.proven_ms(state):
+    if needs_ms is None:
+        return answer(state, work, outcome)
+    leads = connection.upstream == state.primary
+    if leads and needs_ms <= proofs.proven_ms(state):
         return answer(state, work, outcome)
     work.ready = outcome
     work.needs_ms = needs_ms
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -71,11 +71,28 @@
         upstream.in_question = not upstream.lead_term
         rival.in_question = not rival.lead_term
         return []
-    if upstream.lead_term > rival.lead_term:
+    if _rank(upstream) > _rank(rival):
         return _accept(state, now_ms, upstream)
+    if _rank(upstream) < _rank(rival):
+        _outrank(upstream, sent_ms)
     return []
 
 
+def _rank(upstream: states.Upstream) -> tuple[int, int]:
+    """Return what orders two that claim to lead.
+
+    A replaced primary may state the term of its successor already; entries
+    of that term are in the successor's log alone.
+    """
+    return (upstream.lead_term, upstream.place.log_term)
+
+
+def _outrank(upstream: states.Upstream, sent_ms: int) -> None:
+    """Count an upstream, when it was asked, as one that does not lead."""
+    proofs.note_superseded(upstream, sent_ms)
+    upstream.to_depose = True
+
+
 def _claims(
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> bool:
@@ -110,9 +127,8 @@
     leader = state.upstreams.get(state.primary)
     if leader is None or not upstream.lead_term:
         return
-    if upstream.lead_term < leader.lead_term:
-        proofs.note_superseded(upstream, sent_ms)
-        upstream.to_depose = True
+    if _rank(upstream) < _rank(leader):
+        _outrank(upstream, sent_ms)
 
 
 def ask_claims(state: states.GroupState, now_ms: int) -> list:
@@ -145,7 +161,7 @@
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> list:
     leader = state.upstreams.get(state.primary)
-    if leader is None or leader.lead_term <= upstream.lead_term:
+    if leader is None or _rank(leader) <= _rank(upstream):
         upstream.to_depose = False
         return []
     free = states.idle_connections(state, upstream.name)
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -38,6 +38,7 @@
 __all__ = [
     'DOUBT_MS',
     'ask',
+    'claims_to_lead',
     'in_doubt',
     'is_alone',
     'is_superseded',
@@ -102,15 +103,30 @@
     if not others:
         # Nobody is listed who could be promoted.
         return primary.took_sent_ms
+    refused_ms = min(upstream.refused_sent_ms for upstream in others)
+    if any(claims_to_lead(upstream) for upstream in others):
+        # A replaced primary may state its successor's term before it steps
+        # down, and so do those that follow the successor.
+        return refused_ms
     witnessed = sorted(upstream.witness_sent_ms for upstream in others)
     return max(
-        min(upstream.refused_sent_ms for upstream in others),
+        refused_ms,
         # All but one; with a single other there is nobody to ask.
         witnessed[1] if len(witnessed) > 1 else states.NEVER_MS,
         primary.confirmed_sent_ms,
     )
 
 
+def claims_to_lead(upstream: states.Upstream) -> bool:
+    """Say whether an upstream last took a transaction, and was not outranked.
+
+    >>> one = states.Upstream('u', 'u:1', 'here', 'replica', 1)
+    >>> claims_to_lead(one)
+    False
+    """
+    return upstream.took_sent_ms > upstream.refused_sent_ms
+
+
 def _vouch(state: states.GroupState, proven: int) -> None:
     """Let members vouch for the lead that were there when it was proved."""
     for upstream in state.upstreams.values():
--- a/topazring/core/synchronous/tests/support.py
+++ b/topazring/core/synchronous/tests/support.py
@@ -165,7 +165,7 @@
 ) -> Reply:
     """Return the answer to a status, pause or demotion."""
     seen = statements.StatusReport(role, term, received, held_term, 0, 0, 0)
-    return ok(report=seen)
+    return ok(place=received, report=seen)
 
 
 def answers(outs: list) -> dict[int, outcomes.Outcome]:
--- a/topazring/core/synchronous/tests/test_proofs.py
+++ b/topazring/core/synchronous/tests/test_proofs.py
@@ -30,7 +30,8 @@
     outs = []
     for connection in driver.busy(upstream):
         if connection.errand is states.Errand.GUARD:
-            outs += driver.reply(connection, first, support.ok())
+            last = support.ok(place=first.place or Place(1, 5))
+            outs += driver.reply(connection, first, last)
     return outs
 
 
@@ -116,6 +117,24 @@
         outs = answer_questions(driver, 'u3', REFUSED)
         self.assertIn(key, support.answers(outs))
 
+    def test_proof_of_another_primary_is_none(self):
+        """The read ran at the one that was replaced.
+
+        Symptom: a read misses a save that was acknowledged 300 ms before.
+        Sequence: a read is sent to a primary; its successor is found and its
+        lead is proved; the read's answer arrives. Cause: asking whether the
+        present primary's lead is proved, whoever had served the read.
+        """
+        driver, key = self.running()
+        for name in ('u1', 'u3'):
+            upstream = driver.state.upstreams[name]
+            proofs.note_refusal(upstream, driver.now_ms)
+        driver.state.primary = 'u2'
+        driver.state.upstreams['u2'].lead_term = 2
+        driver.state.term = 2
+        outs = answer_read(driver, key)
+        self.assertNotIn(key, support.answers(outs))
+
     def test_write_needs_no_proof(self):
         """A replica that confirms it was not paused for a promotion."""
         driver = support.Driver().ready()
@@ -295,6 +314,39 @@
         self.assertEqual('u2', driver.state.primary)
         self.assertIn('u1', failing.told(driver, statements.Demote))
 
+    def test_replaced_primary_that_states_the_new_term(self):
+        """It has heard of its successor, and goes on for a second.
+
+        Symptom: a read misses a save of two seconds before, right after a
+        partition has healed. Sequence: the old primary reaches its successor
+        and learns the new term, but does not step down yet; a replica that
+        follows the successor states the same term, and is taken for a
+        witness of the old one. Cause: taking a term for a lead.
+        """
+        driver = support.Driver().ready()
+        driver.now_ms += 20
+        key, _ = driver.submit(support.EXACT)
+        outs = answer_read(driver, key)
+        outs += answer_questions(driver, 'u2', support.ok(place=Place(2, 9)))
+        outs += answer_questions(driver, 'u3', REFUSED)
+        for _ in range(10):
+            outs += answer_looks(
+                driver, 'u1', role=Role.PRIMARY, term=2, held_term=0
+            )
+            outs += answer_looks(driver, 'u3', term=2, held_term=0)
+            outs += driver.tick(20)
+        self.assertNotIn(key, support.answers(outs))
+        newer = {'role': Role.PRIMARY, 'term': 2, 'received': Place(2, 9)}
+        for _ in range(3):
+            answer_looks(driver, 'u2', **newer)
+            driver.tick(20)
+        for _ in range(20):
+            driver.tick(20)
+            answer_questions(driver, 'u1', support.ok())
+            answer_questions(driver, 'u2', support.ok(place=Place(2, 9)))
+        self.assertEqual('u2', driver.state.primary)
+        self.assertIn('u1', failing.told(driver, statements.Demote))
+
     def test_list_that_is_late_does_not_bring_it_back(self):
         """Its entry says what it believes, not what is."""
         driver = self.rivals()
