Try a replica again that was slow once

One that hung for some seconds had a usual time of some hundred ms, was never the soonest again, and so never asked; the others and the primary carried its reads for good.

What exceeds a typical time now counts half after each 500 ms. A test plays it.

--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -32,6 +32,8 @@
 # statement takes 10 to 20 ms.
 FOREIGN_COST_MS = 12.0
 PRIMARY_COST_MS = 6.0
+# A replica that hung for some seconds is tried again within about three.
+SLOW_HALF_MS = 500
 # A read that has run for so many usual times is tried elsewhere as well.
 HEDGE_TIMES = 4.0
 LEAST_HEDGE_MS = 60
@@ -170,7 +172,7 @@
         and connection.phase is states.Phase.BUSY
         for connection in state.connections.values()
     )
-    expected_ms = upstream.service_ms * (1 + 0.5 * in_use)
+    expected_ms = _service_ms(now_ms, upstream) * (1 + 0.5 * in_use)
     expected_ms += max(0, upstream.busy_until_ms - now_ms)
     if upstream.data_centre != state.data_centre:
         expected_ms += FOREIGN_COST_MS
@@ -179,6 +181,19 @@
     return expected_ms
 
 
+def _service_ms(now_ms: int, upstream: states.Upstream) -> float:
+    """Return how long a statement is expected to take at an upstream.
+
+    One that was slow is not asked, so nothing tells that it is quick again:
+    what exceeds a typical time counts half after each half-life.
+    """
+    excess_ms = upstream.service_ms - states.TYPICAL_MS
+    if excess_ms <= 0:
+        return upstream.service_ms
+    age_ms = now_ms - upstream.service_told_ms
+    return states.TYPICAL_MS + excess_ms * 0.5 ** (age_ms / SLOW_HALF_MS)
+
+
 def stalled(
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> bool:
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -200,6 +200,7 @@
     took_ms = now_ms - connection.sent_ms
     upstream.service_ms += (took_ms - upstream.service_ms) * SERVICE_WEIGHT
     upstream.service_ms = max(LEAST_SERVICE_MS, upstream.service_ms)
+    upstream.service_told_ms = now_ms
     upstream.lacked_pause_ms = 0
     retries.earn(state.budget)
 
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -20,6 +20,7 @@
     'NEVER_MS',
     'Phase',
     'Sample',
+    'TYPICAL_MS',
     'Transaction',
     'Upstream',
     'Work',
@@ -31,6 +32,8 @@
 
 # Before any time that a clock of ours shows.
 NEVER_MS = -(10**9)
+# A statement takes some 10 to 20 ms.
+TYPICAL_MS = 15.0
 # Unproved places that are kept: a doubt lasts 300 ms, with a guard each 50.
 PENDING = 16
 
@@ -151,7 +154,9 @@
     # It refused the last dial for it had too many connections.
     is_full: bool = False
     busy_until_ms: int = 0
-    service_ms: float = 15.0
+    # How long a statement takes there, and when that was last seen.
+    service_ms: float = TYPICAL_MS
+    service_told_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/core/synchronous/tests/test_reads.py
+++ b/topazring/core/synchronous/tests/test_reads.py
@@ -190,6 +190,27 @@
         _, outs = driver.submit(support.BOUNDED)
         self.assertEqual(['u2'], sent_to(driver, outs))
 
+    def test_replica_that_was_slow_once_is_tried_again(self):
+        """Nothing tells that it is quick again but a request.
+
+        Symptom: long after a replica had hung for some seconds the others
+        carry all reads, and the primary is overloaded. Sequence: its reads
+        take half a second; its usual time is that from then on; it is never
+        the soonest, so it is never asked, and its usual time stays. Cause:
+        taking an old time for the present one.
+        """
+        driver = support.Driver().ready(centres={'u1': 'there', 'u3': 'there'})
+        slow = driver.state.upstreams['u2']
+        slow.service_ms = 500.0
+        slow.service_told_ms = driver.now_ms
+        _, outs = driver.submit(support.BOUNDED)
+        self.assertNotIn('u2', sent_to(driver, outs))
+        for _ in range(250):
+            driver.tick(20)
+            driver.answer_guards()
+        _, outs = driver.submit(support.BOUNDED)
+        self.assertEqual(['u2'], sent_to(driver, outs))
+
     def test_own_data_centre_is_preferred(self):
         """Bytes between data centres cost money."""
         driver = support.Driver().ready(
