--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -13,7 +13,10 @@
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import isolation
+from topazring.core.synchronous import membership
+from topazring.core.synchronous import messages
 from topazring.core.synchronous import promotion
+from topazring.core.synchronous import proofs
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import settling
 from topazring.core.synchronous import statements
@@ -59,6 +62,57 @@
     )
 
 
+@_ablation
+def _answer_without_proof():
+    """Answer a read at the primary though another may lead."""
+    return mock.patch.object(proofs, 'needed_ms', lambda *args: None)
+
+
+@_ablation
+def _sample_without_proof():
+    """Take the places of whoever takes a guard for samples."""
+
+    def settle(state):
+        while state.pending:
+            freshness.add_sample(state, state.pending.popleft())
+
+    return mock.patch.object(proofs, 'settle', settle)
+
+
+@_ablation
+def _witness_beside_another_claim():
+    """Ask witnesses of the lead although another claims it."""
+    return mock.patch.object(proofs, 'claims_to_lead', lambda upstream: False)
+
+
+@_ablation
+def _proof_of_whoever_leads_now():
+    """Judge an answer by the lead of another upstream."""
+    done = fates.done
+
+    def careless(state, work, connection, reply, place=None, needs_ms=None):
+        if needs_ms is not None and needs_ms <= proofs.proven_ms(state):
+            needs_ms = None
+        return done(state, work, connection, reply, place, needs_ms)
+
+    return mock.patch.object(fates, 'done', careless)
+
+
+@_ablation
+def _take_one_born_again_for_itself():
+    """Believe that one that began again holds what it held before."""
+    come = membership.upstreams_seen
+
+    def unborn(state, now_ms, message):
+        upstreams = tuple(
+            dataclasses.replace(entry, born_ms=0)
+            for entry in message.upstreams
+        )
+        return come(state, now_ms, messages.UpstreamsSeen(upstreams))
+
+    return mock.patch.object(membership, 'upstreams_seen', unborn)
+
+
 @_ablation
 @_soon
 def _newest_sample_ignored():
