One framing for both products' streams; one job a module in the pooler's hop

The pooler's hop had written the length-prefixed frames and signs of life of the majority product's hop again; both use plumbing/framing now. A frame that is too long is a ValueError in both, and ends the stream as before. The pooler's hop was three jobs in 425 lines: what is sent, the link, the server.

No behaviour changes.

--- /dev/null
+++ b/topazring/pooler/hop_server.py
@@ -0,0 +1,151 @@
+"""Serve the requests that other proxies send."""
+
+import asyncio
+import dataclasses
+import typing
+
+from tornado import iostream
+from tornado import tcpserver
+
+from topazring.core import outcomes
+from topazring.core.synchronous import messages
+from topazring.plumbing import clock
+from topazring.plumbing import dialling
+from topazring.plumbing import framing
+from topazring.pooler import hop_frames
+from topazring.pooler import settings
+
+__all__ = ['Host', 'Server']
+
+
+class Host(typing.Protocol):
+    """Say what serves the requests that come from other proxies."""
+
+    async def serve_other(self, request: messages.Request) -> outcomes.Outcome:
+        """Serve another proxy's request, without asking a third."""
+
+    def withdraw_here(self, service: str, transaction: int) -> None:
+        """Undo a transaction that was begun here."""
+
+    def waiting_here(self, service: str) -> int:
+        """Return how many requests wait here for a service."""
+
+    def next_key(self) -> int:
+        """Return a number that this process has not used."""
+
+
+class Server(tcpserver.TCPServer):
+    """Serve the requests of other proxies."""
+
+    def __init__(self, host: Host):
+        super().__init__()
+        self.host = host
+        self.entries: dict[iostream.IOStream, _Entry] = {}
+
+    def start_at(self, address: str) -> None:
+        """Listen."""
+        target = settings.endpoint(address)
+        self.listen(target.port, target.host)
+
+    def close(self) -> None:
+        """Stop listening and end all streams."""
+        self.stop()
+        for stream in list(self.entries):
+            stream.close()
+
+    def is_busy(self) -> bool:
+        """Say whether anything of another proxy is under way or open."""
+        return any(
+            entry.tasks or entry.transactions
+            for entry in self.entries.values()
+        )
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple
+    ) -> None:
+        """Serve one proxy until its stream ends; undo what it left open."""
+        dialling.keep_alive(stream.socket)
+        entry = _Entry(self.host, stream)
+        self.entries[stream] = entry
+        try:
+            while True:
+                entry.take(await hop_frames.read(stream))
+        except (OSError, iostream.StreamClosedError, ValueError):
+            # Its end is known there too; what it had open is undone.
+            pass
+        finally:
+            del self.entries[stream]
+            entry.undo()
+            stream.close()
+
+
+class _Entry:
+    """Hold what one other proxy has under way here."""
+
+    def __init__(self, host: Host, stream: iostream.IOStream):
+        self.host = host
+        self.stream = stream
+        # The entry's number of a transaction to ours and its service.
+        self.transactions: dict[int, tuple[int, str]] = {}
+        self.tasks: set[asyncio.Task] = set()
+
+    def take(self, frame: hop_frames.Frame) -> None:
+        """Take in one frame."""
+        match frame:
+            case hop_frames.Ask():
+                task = asyncio.create_task(self._serve(frame))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+            case hop_frames.Withdraw():
+                self._withdraw(frame.transaction)
+            case framing.Ping():
+                hop_frames.write(self.stream, framing.Pong())
+            case _:
+                raise ValueError('no question')
+
+    async def _serve(self, ask: hop_frames.Ask) -> None:
+        request = self._adopt(ask)
+        outcome = await self.host.serve_other(request)
+        theirs = ask.request.transaction
+        ends = request.statement.verb.ends_transaction
+        if theirs and (ends or not isinstance(outcome, outcomes.Done)):
+            self.transactions.pop(theirs, None)
+        if self.stream.closed():
+            return
+        told = hop_frames.to_told(ask.id, outcome)
+        told.waiting = self.host.waiting_here(request.policy.service)
+        hop_frames.write(self.stream, told)
+
+    def _adopt(self, ask: hop_frames.Ask) -> messages.Request:
+        """Return the request as one of this process.
+
+        Its age and its proof count from its arrival here: later than where
+        it came in, so what it sees is rather newer than it has to be.
+        """
+        theirs = ask.request.transaction
+        transaction = 0
+        if theirs:
+            service = ask.request.policy.service
+            known = self.transactions.get(theirs)
+            transaction = known[0] if known else self.host.next_key()
+            self.transactions[theirs] = (transaction, service)
+        policy = dataclasses.replace(
+            ask.request.policy, timeout_ms=max(0, ask.left_ms)
+        )
+        return dataclasses.replace(
+            ask.request,
+            key=self.host.next_key(),
+            policy=policy,
+            arrived_ms=clock.suspended_ms(),
+            transaction=transaction,
+        )
+
+    def _withdraw(self, theirs: int) -> None:
+        known = self.transactions.pop(theirs, None)
+        if known is not None:
+            self.host.withdraw_here(known[1], known[0])
+
+    def undo(self) -> None:
+        """Undo all that its end leaves open."""
+        for theirs in list(self.transactions):
+            self._withdraw(theirs)
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -26,7 +26,7 @@
 from topazring.pooler import directory as directories
 from topazring.pooler import duty as duties
 from topazring.pooler import group_task
-from topazring.pooler import hop
+from topazring.pooler import hop_server
 from topazring.pooler import membership
 from topazring.pooler import metrics as metric_sets
 from topazring.pooler import peers
@@ -130,7 +130,7 @@
         self.router = router.Router(
             config.name, config.data_centre, self, self.log
         )
-        self.hop_server = hop.Server(self)
+        self.hop_server = hop_server.Server(self)
         self.caller_server = _Callers(self)
         self.ready_server = httpserver.HTTPServer(self._answer_probe)
 
--- a/topazring/pooler/tests/test_hop.py
+++ b/topazring/pooler/tests/test_hop.py
@@ -14,6 +14,7 @@
 from topazring.core.synchronous import statements
 from topazring.plumbing import clock
 from topazring.pooler import hop
+from topazring.pooler import hop_server
 
 Verb = statements.Verb
 POLICY = messages.Policy('d', 's', messages.Freshness.SESSION, 500, 600)
@@ -78,7 +79,7 @@
             free.bind(('127.0.0.1', 0))
             address = f'127.0.0.1:{free.getsockname()[1]}'
         self.owner = Owner()
-        self.server = hop.Server(self.owner)
+        self.server = hop_server.Server(self.owner)
         self.server.start_at(address)
         self.link = hop.Link(address)
         await steps()
@@ -190,7 +191,7 @@
 
         async def steps():
             began_ms = clock.suspended_ms()
-            with mock.patch.object(hop._Entry, 'take', lambda *_: None):
+            with mock.patch.object(hop_server._Entry, 'take', lambda *_: None):
                 self.assertEqual(forwarding.Lost(True), await self.ask())
             took_ms = clock.suspended_ms() - began_ms
             self.assertGreaterEqual(took_ms, hop.SILENT_MS - 20)
--- a/topazring/pooler/upstream_link.py
+++ b/topazring/pooler/upstream_link.py
@@ -61,9 +61,7 @@
         self.replies = []
         try:
             # What fails later is seen by the reader, which ends too.
-            self.stream.write(self.codec.encode(commands)).add_done_callback(
-                _take_error
-            )
+            self.stream.write(self.codec.encode(commands))
         except iostream.StreamClosedError:
             asyncio.get_running_loop().call_soon(
                 self._ended, Reason.CONNECTION_LOST
@@ -121,8 +119,3 @@
             self.stream.close()
         replies = tuple(self.replies) if self.expected else ()
         self.post(messages.Closed(self.number, reason, None, replies))
-
-
-def _take_error(written: asyncio.Future) -> None:
-    if not written.cancelled():
-        written.exception()
--- a/topazring/proxy/hop.py
+++ b/topazring/proxy/hop.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import collections.abc
-import struct
 import typing
 
 import msgspec
@@ -20,14 +19,13 @@
 from topazring.core import places
 from topazring.core import requests
 from topazring.plumbing import clock
+from topazring.plumbing import framing
 from topazring.plumbing import logs
 
 __all__ = ['HopAnswer', 'HopClient', 'HopRequest', 'HopServer', 'Withdraw']
 
 logger = logs.part_logger('hop')
 
-_LENGTH = struct.Struct('>I')
-MOST_FRAME_BYTES = 8_000_000
 CONNECT_S = 1.0
 PING_MS = 500
 SILENT_MS = 1500
@@ -71,15 +69,7 @@
     transaction: int
 
 
-class Ping(msgspec.Struct, array_like=True, tag='p'):
-    """Ask for a sign of life."""
-
-
-class Pong(msgspec.Struct, array_like=True, tag='o'):
-    """Give a sign of life."""
-
-
-Frame = HopRequest | HopAnswer | Withdraw | Ping | Pong
+Frame = HopRequest | HopAnswer | Withdraw | framing.Ping | framing.Pong
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Frame).decode
 
@@ -137,21 +127,12 @@
 
 
 async def _read_frame(stream: iostream.IOStream) -> Frame:
-    (length,) = _LENGTH.unpack(await stream.read_bytes(_LENGTH.size))
-    if length > MOST_FRAME_BYTES:
-        stream.close()
-        raise iostream.StreamClosedError()
-    return _decode(await stream.read_bytes(length))
+    return _decode(await framing.read(stream))
 
 
 def _write_frame(stream: iostream.IOStream, frame: Frame) -> bool:
     """Write a frame; False if the stream is closed."""
-    body = _encode(frame)
-    try:
-        stream.write(_LENGTH.pack(len(body)) + body)
-    except iostream.StreamClosedError:
-        return False
-    return True
+    return framing.write(stream, _encode(frame))
 
 
 class HopServer(tcpserver.TCPServer):
@@ -172,7 +153,7 @@
             while True:
                 frame = await _read_frame(stream)
                 self._take(stream, frame, begun)
-        except (iostream.StreamClosedError, msgspec.MsgspecError):
+        except (iostream.StreamClosedError, ValueError):
             stream.close()
         # The entry is gone, and with it the sessions that could go on with
         # these transactions. Each would hold a connection until its end.
@@ -206,8 +187,8 @@
             case Withdraw():
                 begun.pop((frame.database, frame.transaction), None)
                 self.serve(frame, None)
-            case Ping():
-                _write_frame(stream, Pong())
+            case framing.Ping():
+                _write_frame(stream, framing.Pong())
 
 
 class HopClient:
@@ -281,7 +262,7 @@
                 self.pinged_ms = 0
                 if isinstance(frame, HopAnswer):
                     self._answered(frame)
-        except (iostream.StreamClosedError, msgspec.MsgspecError):
+        except (iostream.StreamClosedError, ValueError):
             if self.stream is stream:
                 self._lose()
 
@@ -310,4 +291,4 @@
             self._lose()
         elif not self.pinged_ms and now_ms - self.heard_ms > PING_MS:
             self.pinged_ms = now_ms
-            _write_frame(self.stream, Ping())
+            _write_frame(self.stream, framing.Ping())
