Say once what goes on with a transaction, who the others are, who refused

Whether a statement goes on with an open transaction was worked out in seven places; it is a property of the request. That made a flag and a plan that only one caller needed superfluous in forwarding. A peer keeps for itself what it cannot serve: the router's own table grew with every proxy that had ever lived.

--- a/topazring/core/synchronous/arrival.py
+++ b/topazring/core/synchronous/arrival.py
@@ -29,7 +29,7 @@
     deadline_ms = request.arrived_ms + request.policy.timeout_ms
     work = states.Work(request, deadline_ms)
     state.work[request.key] = work
-    if request.transaction and not request.begins:
+    if request.goes_on:
         return dispatch.continue_transaction(state, now_ms, work)
     work.primary_only = dispatch.needs_primary(request)
     if work.primary_only:
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -175,11 +175,7 @@
     before = freshness.place_at(state, now_ms - STANDING_MS)
     if before is None:
         return None
-    replicas = [
-        other
-        for other in state.upstreams.values()
-        if other.name != upstream.name
-    ]
+    replicas = states.others(state)
     if not replicas or any(
         other.place >= before or now_ms - other.place_ms > STANDING_MS
         for other in replicas
--- a/topazring/core/synchronous/forwarding.py
+++ b/topazring/core/synchronous/forwarding.py
@@ -26,11 +26,11 @@
     'Load',
     'Lost',
     'Plan',
-    'begin',
     'give_up',
     'is_final',
+    'judge_lost',
     'next_place',
-    'note_lost',
+    'unconfigured',
 ]
 
 Reason = outcomes.Reason
@@ -60,6 +60,8 @@
 LOAD_HALF_MS = 300
 # When to come back if nobody could be reached.
 RETRY_MS = 200
+# A service that has just been added is known here within a second.
+UNCONFIGURED_RETRY_MS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,11 +98,6 @@
 Weigh = collections.abc.Callable[[str], float | None]
 
 
-def begin() -> Plan:
-    """Return the plan of a request that was just taken in."""
-    return Plan()
-
-
 def next_place(
     plan: Plan,
     owned: ownership.Ownership,
@@ -133,27 +130,19 @@
     return equals[turn % len(equals)]
 
 
-def is_final(
-    plan: Plan, place: str, outcome: outcomes.Outcome, may_move: bool
-) -> bool:
-    """Take in what a place answered; say whether that is the answer.
-
-    `may_move` is false for a statement of an open transaction.
-    """
-    plan.tried.append(place)
-    plan.last = outcome
-    if not may_move or not isinstance(outcome, outcomes.NotRun):
+def is_final(request: messages.Request, outcome: outcomes.Outcome) -> bool:
+    """Say whether a place's answer is the request's, wherever else it went."""
+    if request.goes_on or not isinstance(outcome, outcomes.NotRun):
         return True
     return outcome.reason not in CANNOT
 
 
-def note_lost(
-    plan: Plan, place: str, request: messages.Request, lost: Lost
+def judge_lost(
+    request: messages.Request, lost: Lost
 ) -> outcomes.Outcome | None:
-    """Take in that a link ended; return the answer if that decides it."""
-    plan.tried.append(place)
+    """Return the answer if a link that ended decides it."""
     commits = request.statement.verb is statements.Verb.COMMIT
-    if request.transaction and not request.begins:
+    if request.goes_on:
         if commits and lost.sent:
             return outcomes.Unknown(Reason.OWNER_LOST)
         return outcomes.NotRun(Reason.TRANSACTION_LOST, 0)
@@ -163,6 +152,11 @@
     return None
 
 
+def unconfigured() -> outcomes.NotRun:
+    """Return the refusal where no configuration names the service."""
+    return outcomes.NotRun(Reason.NO_CONFIGURATION, UNCONFIGURED_RETRY_MS)
+
+
 def give_up(plan: Plan) -> outcomes.Outcome:
     """Return the answer once nowhere is left to try."""
     if plan.last is not None:
--- a/topazring/core/synchronous/isolation.py
+++ b/topazring/core/synchronous/isolation.py
@@ -60,7 +60,7 @@
     since_ms = evidence.hanging_since(state, state.primary)
     if since_ms is not None and now_ms - since_ms >= HANGING_MS:
         return True
-    return any(not replica.vouches for replica in _replicas(state))
+    return any(not replica.vouches for replica in states.others(state))
 
 
 def _holds(state: states.GroupState, now_ms: int) -> bool:
@@ -72,14 +72,6 @@
         return False
     return all(
         replica.heard_ms <= state.isolated_since_ms
-        for replica in _replicas(state)
+        for replica in states.others(state)
         if replica.vouches
     )
-
-
-def _replicas(state: states.GroupState) -> list[states.Upstream]:
-    return [
-        upstream
-        for upstream in state.upstreams.values()
-        if upstream.name != state.primary
-    ]
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -87,6 +87,11 @@
     # The shape that an EXECUTE needs prepared, under its shared name.
     prepared: statements.Prepare | None = None
 
+    @property
+    def goes_on(self) -> bool:
+        """Say whether an upstream has its transaction open already."""
+        return self.transaction != 0 and not self.begins
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -89,7 +89,7 @@
 
 def _outrank(upstream: states.Upstream, sent_ms: int) -> None:
     """Count an upstream, when it was asked, as one that does not lead."""
-    proofs.note_superseded(upstream, sent_ms)
+    proofs.note_refusal(upstream, sent_ms)
     upstream.to_depose = True
 
 
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -48,7 +48,6 @@
     'note_confirmed',
     'note_refusal',
     'note_report',
-    'note_superseded',
     'proven_ms',
     'settle',
     'want',
@@ -77,8 +76,12 @@
 
 def leads_newest(state: states.GroupState, upstream: states.Upstream) -> bool:
     """Say whether no term is known that is newer than an upstream's own."""
-    own = max(upstream.lead_term, upstream.place.log_term)
-    return own >= state.term
+    return _own_term(upstream) >= state.term
+
+
+def _own_term(upstream: states.Upstream) -> int:
+    """Return the newest term that an upstream is known to have led or held."""
+    return max(upstream.lead_term, upstream.place.log_term)
 
 
 def is_superseded(state: states.GroupState, upstream: states.Upstream) -> bool:
@@ -86,20 +89,12 @@
     return bool(upstream.lead_term) and not leads_newest(state, upstream)
 
 
-def _others(state: states.GroupState) -> list[states.Upstream]:
-    return [
-        upstream
-        for upstream in state.upstreams.values()
-        if upstream.name != state.primary
-    ]
-
-
 def proven_ms(state: states.GroupState) -> int:
     """Return the last moment at which none but the primary led."""
     primary = state.upstreams.get(state.primary)
     if primary is None or not leads_newest(state, primary):
         return states.NEVER_MS
-    others = _others(state)
+    others = states.others(state)
     if not others:
         # Nobody is listed who could be promoted.
         return primary.took_sent_ms
@@ -144,7 +139,7 @@
 
 def is_alone(state: states.GroupState, now_ms: int) -> bool:
     """Say whether no replica that could vouch can be reached from here."""
-    vouching = [u for u in _others(state) if u.vouches]
+    vouching = [u for u in states.others(state) if u.vouches]
     return bool(vouching) and all(
         is_unreached(state, now_ms, upstream) for upstream in vouching
     )
@@ -204,13 +199,7 @@
 
 
 def note_refusal(upstream: states.Upstream, sent_ms: int) -> None:
-    """Take in that an upstream did not lead when it was asked."""
-    upstream.refused_sent_ms = max(upstream.refused_sent_ms, sent_ms)
-    upstream.lead_term = 0
-
-
-def note_superseded(upstream: states.Upstream, sent_ms: int) -> None:
-    """Take in that an upstream led, when it was asked, an old term only."""
+    """Take in that an upstream, when it was asked, led no newer term."""
     upstream.refused_sent_ms = max(upstream.refused_sent_ms, sent_ms)
 
 
@@ -226,7 +215,7 @@
     """
     if is_alone(state, now_ms):
         return
-    if not all(other.vouches for other in _others(state)):
+    if not all(other.vouches for other in states.others(state)):
         return
     upstream.confirmed_sent_ms = max(upstream.confirmed_sent_ms, sent_ms)
 
@@ -246,8 +235,7 @@
     primary = state.upstreams.get(state.primary)
     if primary is None or upstream is primary:
         return
-    own = max(primary.lead_term, primary.place.log_term)
-    if report.term <= own:
+    if report.term <= _own_term(primary):
         upstream.witness_sent_ms = max(upstream.witness_sent_ms, sent_ms)
 
 
@@ -260,7 +248,7 @@
     if not state.primary or proven_ms(state) >= state.wanted_ms:
         return []
     outs = []
-    others = _others(state)
+    others = states.others(state)
     for upstream in others:
         if upstream.asked_ms >= state.wanted_ms:
             continue
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -329,8 +329,7 @@
     """Judge a request whose connection ended before its answer."""
     request = work.request
     begun = connection.errand is states.Errand.STATEMENT
-    first = request.begins or not request.transaction
-    if request.transaction and not first:
+    if request.goes_on:
         # Before its COMMIT the transaction is undone with its connection.
         commits = request.statement.verb is statements.Verb.COMMIT
         return fates.give_up(
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -27,6 +27,7 @@
     'idle_connections',
     'is_closed_to_work',
     'make_group',
+    'others',
 ]
 
 
@@ -314,6 +315,15 @@
     ]
 
 
+def others(state: GroupState) -> list[Upstream]:
+    """Return all members but the one that is believed to lead."""
+    return [
+        upstream
+        for upstream in state.upstreams.values()
+        if upstream.name != state.primary
+    ]
+
+
 def is_closed_to_work(upstream: Upstream, now_ms: int) -> bool:
     """Say whether an upstream that leaves gets nothing new any more."""
     closes_ms = upstream.closed_to_work_ms
--- a/topazring/core/synchronous/tests/test_forwarding.py
+++ b/topazring/core/synchronous/tests/test_forwarding.py
@@ -121,17 +121,17 @@
 
     def test_owner_serves_its_own_callers(self):
         """Without a hop."""
-        plan = forwarding.begin()
+        plan = forwarding.Plan()
         self.assertEqual(forwarding.HERE, self.place(plan, name='o3'))
 
     def test_own_data_centre_first(self):
         """Bytes between data centres cost money."""
-        plan = forwarding.begin()
+        plan = forwarding.Plan()
         self.assertIn(self.place(plan), ('o1', 'o4'))
 
     def test_turns_spread_the_load(self):
         """Over the owners of a data centre."""
-        plan = forwarding.begin()
+        plan = forwarding.Plan()
         found = {self.place(plan, turn=turn) for turn in range(4)}
         self.assertEqual({'o1', 'o4'}, found)
 
@@ -143,7 +143,7 @@
         owners in three data centres; one has a single owner, which gets all
         of its callers. Cause: the own data centre first, at any price.
         """
-        plan = forwarding.begin()
+        plan = forwarding.Plan()
         found = self.place(
             plan, centre='c', weigh=lambda n: 12.0 if n == 'o2' else 0.0
         )
@@ -151,7 +151,7 @@
 
     def test_busy_owner_lets_its_own_callers_go(self):
         """It is no better than another one that is idle."""
-        plan = forwarding.begin()
+        plan = forwarding.Plan()
         busy = {forwarding.HERE: 12.0}
         found = self.place(plan, name='o3', weigh=lambda n: busy.get(n, 0.0))
         self.assertNotEqual(forwarding.HERE, found)
@@ -165,7 +165,7 @@
 
     def test_unreachable_owner_is_left_out(self):
         """Another data centre serves instead."""
-        plan = forwarding.begin()
+        plan = forwarding.Plan()
         unreached = {'o1': None, 'o4': None}
         found = self.place(plan, weigh=lambda n: unreached.get(n, 0.0))
         self.assertIn(found, ('o0', 'o2', 'o3'))
@@ -177,32 +177,30 @@
         while the others serve. Sequence: a primary is cut off with them and
         replaced. Cause: serving only what one reaches oneself.
         """
-        plan = forwarding.begin()
+        plan = forwarding.Plan([forwarding.HERE])
         refusal = outcomes.NotRun(Reason.NO_PRIMARY, 50)
-        final = forwarding.is_final(plan, forwarding.HERE, refusal, True)
-        self.assertFalse(final)
+        self.assertFalse(forwarding.is_final(self.request(), refusal))
         self.assertIsNotNone(self.place(plan, name='o3'))
 
     def test_other_refusals_are_final(self):
         """The owners together have no more room than one of them."""
-        plan = forwarding.begin()
         refusal = outcomes.NotRun(Reason.OVERLOAD, 50)
-        self.assertTrue(forwarding.is_final(plan, 'o1', refusal, True))
+        self.assertTrue(forwarding.is_final(self.request(), refusal))
 
     def test_statement_of_a_transaction_stays(self):
         """Its connection is there."""
-        plan = forwarding.begin()
+        later = self.request(transaction=7)
         refusal = outcomes.NotRun(Reason.NO_PRIMARY, 50)
-        self.assertTrue(forwarding.is_final(plan, 'o1', refusal, False))
+        self.assertTrue(forwarding.is_final(later, refusal))
 
     def test_no_circles(self):
         """Each place is tried once, and only some."""
-        plan = forwarding.begin()
         refusal = outcomes.NotRun(Reason.NO_PRIMARY, 50)
+        plan = forwarding.Plan(last=refusal)
         seen = []
         while (place := self.place(plan, name='o3')) is not None:
             seen.append(place)
-            forwarding.is_final(plan, place, refusal, True)
+            plan.tried.append(place)
         self.assertEqual(len(set(seen)), len(seen))
         self.assertEqual(forwarding.MOST_PLACES, len(seen))
         self.assertIs(refusal, forwarding.give_up(plan))
@@ -227,9 +225,8 @@
             (commit, False, not_run),
             (later, True, not_run),
         ):
-            plan = forwarding.begin()
             lost = forwarding.Lost(sent)
-            found = forwarding.note_lost(plan, 'o1', request, lost)
+            found = forwarding.judge_lost(request, lost)
             if expected is None:
                 self.assertIsNone(found)
             else:
@@ -237,7 +234,7 @@
 
     def test_nobody_can_be_reached(self):
         """Said at once, with when to come back."""
-        plan = forwarding.begin()
+        plan = forwarding.Plan()
         self.assertIsNone(self.place(plan, weigh=lambda name: None))
         refusal = forwarding.give_up(plan)
         self.assertIs(Reason.NO_OWNER, refusal.reason)
--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -8,6 +8,7 @@
 from tornado import iostream
 
 from topazring.core import outcomes
+from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import prospects
 from topazring.core.synchronous import sessions
@@ -233,7 +234,7 @@
             detail = 'the session has started already'
             return outcomes.Rejected(Reason.BAD_STATEMENT, detail)
         if not self.host.configured():
-            return outcomes.NotRun(Reason.NO_CONFIGURATION, 500)
+            return forwarding.unconfigured()
         if self.host.policy(start.database) is None:
             detail = 'no such database'
             return outcomes.Rejected(Reason.UNKNOWN_DATABASE, detail)
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -14,6 +14,7 @@
 from tornado import tcpserver
 
 from topazring.core import outcomes
+from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import listing as listings
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
@@ -48,8 +49,6 @@
 # Giving back the lease takes a quarter of a second at most.
 EXIT_MARGIN_S = 0.4
 POLL_S = 0.05
-# A service that has just been added is known here within a second.
-UNCONFIGURED_RETRY_MS = 500
 # Another proxy is likely to have room at once.
 TURNED_AWAY_RETRY_MS = 200
 # A caller's first message comes with its connection.
@@ -212,14 +211,12 @@
 
     async def serve_here(self, request: messages.Request) -> outcomes.Outcome:
         """Serve a request without asking another proxy."""
-        begins = request.begins or not request.transaction
-        if begins and self.stopping is caller_task.Stopping.LAST:
+        last = self.stopping is caller_task.Stopping.LAST
+        if last and not request.goes_on:
             return outcomes.NotRun(outcomes.Reason.DRAINING, 0)
         group = self.groups.get(request.policy.service)
         if group is None:
-            return outcomes.NotRun(
-                outcomes.Reason.NO_CONFIGURATION, UNCONFIGURED_RETRY_MS
-            )
+            return forwarding.unconfigured()
         return await group.submit(request)
 
     async def serve_other(self, request: messages.Request) -> outcomes.Outcome:
@@ -228,8 +225,7 @@
         Nothing new is begun for others once this process leaves: they have
         other owners, and it has its own callers to let go.
         """
-        begins = request.begins or not request.transaction
-        if begins and self.leaving:
+        if self.leaving and not request.goes_on:
             return outcomes.NotRun(outcomes.Reason.DRAINING, 0)
         return await self.serve_here(request)
 
--- a/topazring/pooler/router.py
+++ b/topazring/pooler/router.py
@@ -47,6 +47,8 @@
         self.link = hop.Link(address)
         self.avoid_until_ms = 0
         self.failures = 0
+        # Until when it is not asked for a service, and how busy it is there.
+        self.cannot_until_ms: dict[str, int] = {}
         self.loads: dict[str, forwarding.Load] = {}
 
     def load(self, service: str) -> forwarding.Load:
@@ -68,8 +70,6 @@
         self.owned: dict[str, ownership.Ownership] = {}
         # Where each open transaction is, HERE or a proxy's name.
         self.begun: dict[int, str] = {}
-        # Until when a proxy is not asked for a service.
-        self.cannot_until_ms: dict[tuple[str, str], int] = {}
         self.turns = itertools.count()
         self.forwarded = 0
 
@@ -89,12 +89,12 @@
 
     async def run(self, request: messages.Request) -> outcomes.Outcome:
         """Return the request's one final answer."""
-        if request.transaction and not request.begins:
+        if request.goes_on:
             return await self._go_on(request)
         owned = self.owned.get(request.policy.service)
         if owned is None:
-            return outcomes.NotRun(Reason.NO_CONFIGURATION, 500)
-        plan = forwarding.begin()
+            return forwarding.unconfigured()
+        plan = forwarding.Plan()
         deadline_ms = request.arrived_ms + request.policy.timeout_ms
         turn = next(self.turns)
         weigh = functools.partial(self._weigh, request.policy.service)
@@ -109,6 +109,7 @@
             )
             if place is None:
                 break
+            plan.tried.append(place)
             outcome = await self._try(plan, place, request)
             if outcome is not None:
                 return outcome
@@ -120,14 +121,17 @@
         """Try one place; None if the request is to go on elsewhere."""
         answer = await self._ask(place, request)
         if isinstance(answer, forwarding.Lost):
-            return forwarding.note_lost(plan, place, request, answer)
-        done = isinstance(answer, outcomes.Done)
-        if request.transaction and done:
+            return forwarding.judge_lost(request, answer)
+        plan.last = answer
+        if request.transaction and isinstance(answer, outcomes.Done):
             self.begun[request.transaction] = place
-        if forwarding.is_final(plan, place, answer, may_move=True):
+        if forwarding.is_final(request, answer):
             return answer
-        until_ms = clock.suspended_ms() + CANNOT_MS
-        self.cannot_until_ms[(place, request.policy.service)] = until_ms
+        if place in self.peers:
+            until_ms = clock.suspended_ms() + CANNOT_MS
+            self.peers[place].cannot_until_ms[request.policy.service] = (
+                until_ms
+            )
         self.log.emit(
             'router',
             'cannot be served there',
@@ -147,8 +151,7 @@
         if ended or not isinstance(answer, outcomes.Done):
             self.begun.pop(request.transaction, None)
         if isinstance(answer, forwarding.Lost):
-            plan = forwarding.begin()
-            return forwarding.note_lost(plan, place, request, answer)
+            return forwarding.judge_lost(request, answer)
         return answer
 
     async def _ask(
@@ -193,7 +196,7 @@
         now_ms = clock.suspended_ms()
         if peer is None or now_ms < peer.avoid_until_ms:
             return None
-        if now_ms < self.cannot_until_ms.get((place, service), 0):
+        if now_ms < peer.cannot_until_ms.get(service, 0):
             return None
         return peer.load(service).expected(now_ms)
 
