Read an owner's answer where the link is read; tell of frames that are none

Cause, found in reading the change: an outcome that is not known here (an owner of another version) raised where the caller waited, and ended its session without an answer. It is decoded with the frame now: the link ends, and the request goes the way of any lost link. The test failed before.

An owner swallowed bytes that are no frame without a line in the log. How busy an owner is was an optional argument that only tests left out.

--- a/topazring/pooler/hop.py
+++ b/topazring/pooler/hop.py
@@ -56,14 +56,12 @@
         self,
         request: messages.Request,
         deadline_ms: int,
-        load: forwarding.Load | None = None,
+        load: forwarding.Load,
     ) -> outcomes.Outcome | forwarding.Lost:
         """Return the answer, or that the link was lost before it.
 
         `load` is brought up to date with what the owner tells of its line.
         """
-        if load is None:
-            load = forwarding.Load()
         load.under_way += 1
         try:
             return await self._ask(request, deadline_ms, load)
@@ -90,9 +88,9 @@
         told = await answer
         if isinstance(told, forwarding.Lost):
             return told
-        load.waiting = told.waiting
+        outcome, load.waiting = told
         load.told_ms = clock.suspended_ms()
-        return hop_frames.to_outcome(told)
+        return outcome
 
     def withdraw(self, service: str, transaction: int) -> None:
         """Tell the owner to undo a transaction."""
@@ -143,9 +141,12 @@
                 self._end()
 
     def _take(self, told: hop_frames.Told) -> None:
+        # An outcome that is not known here ends the link like any other bytes
+        # that are no frame: read it before it is anyone's answer.
+        outcome = hop_frames.to_outcome(told)
         answer = self.asked.pop(told.id, None)
         if answer is not None and not answer.done():
-            answer.set_result(told)
+            answer.set_result((outcome, told.waiting))
 
     async def _watch(self, stream: iostream.IOStream) -> None:
         """End a link on which nothing comes although something is due.
--- a/topazring/pooler/hop_server.py
+++ b/topazring/pooler/hop_server.py
@@ -11,6 +11,7 @@
 from topazring.core.synchronous import messages
 from topazring.plumbing import clock
 from topazring.plumbing import dialling
+from topazring.plumbing import events
 from topazring.plumbing import framing
 from topazring.pooler import hop_frames
 from topazring.pooler import settings
@@ -18,9 +19,15 @@
 __all__ = ['Host', 'Server']
 
 
+# Of what is wrong with a frame so many characters are told.
+BAD_FRAME = 200
+
+
 class Host(typing.Protocol):
     """Say what serves the requests that come from other proxies."""
 
+    log: events.EventLog
+
     async def serve_other(self, request: messages.Request) -> outcomes.Outcome:
         """Serve another proxy's request, without asking a third."""
 
@@ -70,8 +77,13 @@
         try:
             while True:
                 entry.take(await hop_frames.read(stream))
-        except (OSError, iostream.StreamClosedError, ValueError):
-            # Its end is known there too; what it had open is undone.
+        except ValueError as error:
+            # Another version, or no proxy at all.
+            self.host.log.emit(
+                'hop', 'bad frame', inputs={'error': str(error)[:BAD_FRAME]}
+            )
+        except (OSError, iostream.StreamClosedError):
+            # It left, which it knows; what it had open is undone.
             pass
         finally:
             del self.entries[stream]
--- a/topazring/pooler/tests/test_hop.py
+++ b/topazring/pooler/tests/test_hop.py
@@ -13,6 +13,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 from topazring.plumbing import clock
+from topazring.plumbing import events
 from topazring.pooler import hop
 from topazring.pooler import hop_server
 
@@ -46,6 +47,7 @@
             ['row'], places.Place(3, 13), 'u1', signature='sig'
         )
         self.answers = True
+        self.log = events.EventLog('owner')
 
     async def serve_other(self, asked):
         """Answer at once, or never."""
@@ -89,7 +91,8 @@
     async def ask(self, asked=None):
         """Ask the owner."""
         deadline_ms = clock.suspended_ms() + 500
-        return await self.link.ask(asked or request(), deadline_ms)
+        load = forwarding.Load()
+        return await self.link.ask(asked or request(), deadline_ms, load)
 
     def test_request_arrives_whole(self):
         """With the session's state, under a key and time of the owner's."""
@@ -210,6 +213,20 @@
 
         self.play(steps)
 
+    def test_answer_that_nobody_here_knows(self):
+        """The owner is of another version; its link ends.
+
+        Symptom: a caller's session ends without an answer. Sequence: an
+        owner answers with an outcome of a later version. Cause: reading an
+        answer where its caller waits, not where the link is read.
+        """
+
+        async def steps():
+            self.owner.outcome = outcomes.NotRun('too_many_moons', 40)
+            self.assertEqual(forwarding.Lost(True), await self.ask())
+
+        self.play(steps)
+
     def test_bytes_that_are_no_frame(self):
         """They end that stream, and no other."""
 
@@ -221,6 +238,7 @@
             await writer.drain()
             await asyncio.sleep(0.05)
             self.assertEqual(1, len(self.server.entries))
+            self.assertEqual(1, self.owner.log.lines)
             self.assertEqual(self.owner.outcome, await self.ask())
             writer.close()
 
