--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -106,6 +106,7 @@
 ) -> list:
     waiting.remove(state, work)
     work.primary_only = True
+    work.moved = True
     waiting.add(state, work)
     state.counters['read_moved_to_primary'] += 1
     work.told = True
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -154,6 +154,7 @@
             'reason': str(reason),
             'after_ms': now_ms - request.arrived_ms,
             'offered': work.offered_ms is not None,
+            'line': _line_of(work),
             'primary': state.primary,
             'primary_lost_ms': (
                 0
@@ -169,6 +170,13 @@
     return outs + answer(state, work, outcome)
 
 
+def _line_of(work: states.Work) -> str:
+    """Name the line in which a request waited."""
+    if work.moved:
+        return 'primary, moved there'
+    return 'primary' if work.primary_only else 'any'
+
+
 def end_transaction(state: states.GroupState, key: int) -> list:
     """Forget a transaction; closing its connection rolls it back."""
     transaction = state.transactions.pop(key, None)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -183,6 +183,8 @@
     # Upstreams that could not serve it; tried again when none is left.
     passed_over: set[str] = dataclasses.field(default_factory=set)
     primary_only: bool = False
+    # It may be read anywhere, but nobody else would do.
+    moved: bool = False
     hedges: int = 0
     # Something about it was out of the ordinary: the log tells its rest too.
     told: bool = False
@@ -281,6 +283,8 @@
     woke_ms: int = 0
     # The last tick; 0 before the first.
     ticked_ms: int = 0
+    # When it was last told how the line stands.
+    line_told_ms: int = NEVER_MS
     guarded_ms: int = 0
     followed_ms: int = 0
     holds_duty: bool = False
