Give a request no more time than its process has; answer what is left at the end

Ruled out: the time before new operations are refused (1.4 s, right for statements that do not wait).

A request that comes to a leaving proxy gets the time until its end, so whoever serves it answers truly. What is left is given up and told before the close.

test_proxy_that_leaves_while_an_owner_is_slow failed before, passes now; off the list of known red. Tests of owners and of the whole path pass.

--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import gc
 import itertools
 import resource
@@ -59,6 +60,9 @@
 CONFIGURED_S = 0.4
 # The store answers in milliseconds; what it does not, a lease's end does.
 CLOSE_S = 0.25
+# Answers that are ready are written within a few turns of the loop.
+ANSWER_S = 0.1
+ANSWER_TURN_S = 0.005
 BACKLOG = 512
 # Longer messages are refused; the upstreams' own limit is the same.
 MESSAGE_BYTES = 1 << 20
@@ -96,6 +100,8 @@
         self.metrics = metric_sets.Metrics()
         self.stopping = caller_task.Stopping.NO
         self.leaving = False
+        # When this process ends; None while it stays.
+        self.ends_ms: int | None = None
         self.groups: dict[str, group_task.GroupTask] = {}
         self.callers: set[caller_task.CallerTask] = set()
         self.keys = itertools.count(1)
@@ -203,7 +209,23 @@
 
     async def run(self, request: messages.Request) -> outcomes.Outcome:
         """Serve a request here or at another proxy."""
-        return await self.router.run(request)
+        return await self.router.run(self._in_time(request))
+
+    def _in_time(self, request: messages.Request) -> messages.Request:
+        """Give a request no more time than this process has.
+
+        Otherwise its session ends without an answer: whoever serves it for
+        us goes on when we are gone, and the caller cannot know whether a
+        write of it is kept.
+        """
+        policy = request.policy
+        if self.ends_ms is None:
+            return request
+        left_ms = max(0, self.ends_ms - request.arrived_ms)
+        if policy.timeout_ms <= left_ms:
+            return request
+        policy = dataclasses.replace(policy, timeout_ms=left_ms)
+        return dataclasses.replace(request, policy=policy)
 
     def withdraw(self, service: str, transaction: int) -> None:
         """Undo a transaction, wherever it was begun."""
@@ -380,6 +402,7 @@
         self.leaving = True
         grace_s = self.config.grace_s
         began_ms = clock.suspended_ms()
+        self.ends_ms = began_ms + int((grace_s - EXIT_MARGIN_S) * 1000)
         self.log.emit(
             'process', 'stop begins', inputs={'sessions': len(self.callers)}
         )
@@ -402,6 +425,18 @@
                     return
             await asyncio.sleep(POLL_S)
 
+    async def _answer_what_is_left(self) -> None:
+        """Give up all that is under way, and let it be told."""
+        self.router.close()
+        for group in self.groups.values():
+            group.close()
+        until_ms = clock.suspended_ms() + int(ANSWER_S * 1000)
+        while clock.suspended_ms() < until_ms:
+            answering = any(caller.busy for caller in self.callers)
+            if not answering and not self.hop_server.is_busy():
+                return
+            await asyncio.sleep(ANSWER_TURN_S)
+
     async def close(self) -> None:
         """Close all parts; do not wait for a store that does not answer."""
         reads = {
@@ -412,7 +447,7 @@
         self.caller_server.stop()
         self.ready_server.stop()
         self.peer_server.close()
-        self.router.close()
+        await self._answer_what_is_left()
         self.hop_server.close()
         self.directory.close()
         try:
@@ -420,8 +455,6 @@
                 await self.membership.close()
         except TimeoutError:
             self.log.emit('process', 'still listed until its lease ends')
-        for group in self.groups.values():
-            group.close()
         self.adapter.store.close()
         self.adapter.orders.close()
         self.log.emit(
--- a/topazring/pooler/router.py
+++ b/topazring/pooler/router.py
@@ -72,9 +72,11 @@
         self.begun: dict[int, str] = {}
         self.turns = itertools.count()
         self.forwarded = 0
+        self.closed = False
 
     def close(self) -> None:
-        """Close all links."""
+        """Close all links; what is under way is answered, tried no more."""
+        self.closed = True
         for peer in self.peers.values():
             peer.link.close()
 
@@ -98,7 +100,7 @@
         deadline_ms = request.arrived_ms + request.policy.timeout_ms
         turn = next(self.turns)
         weigh = functools.partial(self._weigh, request.policy.service)
-        while clock.suspended_ms() < deadline_ms:
+        while not self.closed and clock.suspended_ms() < deadline_ms:
             place = forwarding.next_place(
                 plan,
                 owned,
