Split routing from dispatch, and the questions from what they prove

dispatch.py had grown to 414 lines with two jobs: which upstream and connection serve a request soonest (routing.py now), and sending it there. proofs.py held facts and the questions for them (questions.py now). Sending commands on a connection moved to connections.py: the callback that kept proofs.py and dispatch.py from importing each other is gone.

--- a/topazring/core/synchronous/arrival.py
+++ b/topazring/core/synchronous/arrival.py
@@ -7,6 +7,7 @@
 from topazring.core.synchronous import pace
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import prospects
+from topazring.core.synchronous import routing
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import waiting
 
@@ -76,7 +77,7 @@
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> float:
     """Estimate how long until a request is answered."""
-    able = dispatch.able(state, now_ms, work)
+    able = routing.candidates(state, now_ms, work)
     if not able:
         return 0.0
     policy = work.request.policy
--- a/topazring/core/synchronous/asking.py
+++ b/topazring/core/synchronous/asking.py
@@ -2,7 +2,6 @@
 
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import connections
-from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -53,7 +52,7 @@
     free = states.idle_connections(state, upstream)
     if free:
         errand = states.Errand.CONTROL
-        return [dispatch.send(free[0], now_ms, errand, (command,))]
+        return [connections.send(free[0], now_ms, errand, (command,))]
     return connections.dial_extra(state, now_ms, upstream)
 
 
--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -10,6 +10,7 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
 
 __all__ = [
     'closed',
@@ -22,6 +23,7 @@
     'is_shut_out',
     'make_idle',
     'opened',
+    'send',
     'set_share',
     'share_of',
     'trim',
@@ -349,3 +351,17 @@
         if connection.upstream == upstream and opening:
             return []
     return [_dial(state, now_ms, known)]
+
+
+def send(
+    connection: states.Connection,
+    now_ms: int,
+    errand: states.Errand,
+    commands: tuple[statements.Command, ...],
+) -> messages.Send:
+    """Send commands on a connection and note what for."""
+    connection.phase = states.Phase.BUSY
+    connection.errand = errand
+    connection.commands = commands
+    connection.sent_ms = now_ms
+    return messages.Send(connection.number, commands)
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -10,35 +10,22 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import pace
 from topazring.core.synchronous import proofs
+from topazring.core.synchronous import questions
+from topazring.core.synchronous import routing
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous import waiting
 
 __all__ = [
-    'able',
     'continue_transaction',
     'hedge',
-    'hedge_after_ms',
     'needs_primary',
     'run',
-    'send',
-    'stalled',
     'undo',
 ]
 
 Reason = outcomes.Reason
 
-# A read goes to another data centre, or to the primary, only if it is
-# served sooner there by this. Bytes between data centres cost money and the
-# primary alone can take writes; both are worth some waiting, and a typical
-# statement takes 10 to 20 ms.
-FOREIGN_COST_MS = 12.0
-PRIMARY_COST_MS = 6.0
-# A replica that hung for some seconds is tried again within about three.
-SLOW_HALF_MS = 500
-# A read that has run for so many usual times is tried elsewhere as well.
-HEDGE_TIMES = 4.0
-LEAST_HEDGE_MS = 60
 # One ordinary request in so many is told in the log.
 SAMPLE = 256
 
@@ -57,7 +44,7 @@
 
     What proves the lead goes first: answers that are ready wait for it.
     """
-    outs: list = proofs.ask(state, now_ms, send)
+    outs: list = questions.ask(state, now_ms)
     for primary_only in (True, False):
         for key in waiting.heads(state, primary_only):
             work = state.work[key]
@@ -80,7 +67,7 @@
         return []
     if not pace.has_room(state, upstream):
         return []
-    connection = _best_connection(state, upstream.name, work.request)
+    connection = routing.best_connection(state, upstream.name, work.request)
     if connection is None:
         return []
     return _start(state, now_ms, work, connection, None)
@@ -92,10 +79,10 @@
     place = freshness.required_place(state, work.request)
     if place is None:
         return _move_to_primary(state, now_ms, work, 'no age is known')
-    fit = _able(state, now_ms, work, place)
-    if not fit:
+    among = routing.fresh_enough(state, now_ms, work, place)
+    if not among:
         return _move_to_primary(state, now_ms, work, 'no replica will do')
-    chosen = _choose(state, now_ms, fit, work)
+    chosen = routing.choose(state, now_ms, among, work)
     if chosen is None:
         return []
     return _start(state, now_ms, work, chosen, place)
@@ -122,140 +109,6 @@
     return [moved, *_at_primary(state, now_ms, work)]
 
 
-def able(
-    state: states.GroupState, now_ms: int, work: states.Work
-) -> list[states.Upstream]:
-    """Return the upstreams that may serve a request, as far as is known."""
-    primary = state.upstreams.get(state.primary)
-    only = [] if primary is None else [primary]
-    if work.primary_only:
-        return only
-    place = freshness.required_place(state, work.request)
-    if place is None:
-        return only
-    return _able(state, now_ms, work, place) or only
-
-
-def _able(
-    state: states.GroupState,
-    now_ms: int,
-    work: states.Work,
-    place: places.Place,
-) -> list[states.Upstream]:
-    return [
-        upstream
-        for upstream in state.upstreams.values()
-        if _may_serve(state, now_ms, work, upstream, place)
-    ]
-
-
-def _may_serve(
-    state: states.GroupState,
-    now_ms: int,
-    work: states.Work,
-    upstream: states.Upstream,
-    place: places.Place,
-) -> bool:
-    if upstream.name in work.passed_over:
-        return False
-    if upstream.leaving and upstream.name != state.primary:
-        return False
-    if states.is_closed_to_work(upstream, now_ms):
-        return False
-    if not connections.is_held(state, upstream.name):
-        return False
-    if upstream.place >= place or upstream.name == state.primary:
-        return True
-    lately = now_ms - upstream.lacked_ms < upstream.lacked_pause_ms
-    return not (lately and upstream.lacked <= place)
-
-
-def _choose(
-    state: states.GroupState,
-    now_ms: int,
-    able: list[states.Upstream],
-    work: states.Work,
-) -> states.Connection | None:
-    """Return a free connection to the upstream expected to answer first."""
-    ranked = sorted(
-        able,
-        key=lambda upstream: (
-            stalled(state, now_ms, upstream),
-            _expected_ms(state, now_ms, upstream),
-            upstream.name,
-        ),
-    )
-    for upstream in ranked:
-        if not pace.has_room(state, upstream):
-            continue
-        connection = _best_connection(state, upstream.name, work.request)
-        if connection is not None:
-            return connection
-    return None
-
-
-def _expected_ms(
-    state: states.GroupState, now_ms: int, upstream: states.Upstream
-) -> float:
-    in_use = sum(
-        connection.upstream == upstream.name
-        and connection.phase is states.Phase.BUSY
-        for connection in state.connections.values()
-    )
-    expected_ms = _service_ms(now_ms, upstream) * (1 + 0.5 * in_use)
-    expected_ms += max(0, upstream.busy_until_ms - now_ms)
-    if upstream.data_centre != state.data_centre:
-        expected_ms += FOREIGN_COST_MS
-    if upstream.name == state.primary:
-        expected_ms += PRIMARY_COST_MS
-    return expected_ms
-
-
-def _service_ms(now_ms: int, upstream: states.Upstream) -> float:
-    """Return how long a statement is expected to take at an upstream.
-
-    One that was slow is not asked, so nothing tells that it is quick again:
-    what exceeds a typical time counts half after each half-life.
-    """
-    excess_ms = upstream.service_ms - states.TYPICAL_MS
-    if excess_ms <= 0:
-        return upstream.service_ms
-    age_ms = now_ms - upstream.service_told_ms
-    return states.TYPICAL_MS + excess_ms * 0.5 ** (age_ms / SLOW_HALF_MS)
-
-
-def stalled(
-    state: states.GroupState, now_ms: int, upstream: states.Upstream
-) -> bool:
-    """Say whether an upstream has left something unanswered for long.
-
-    Any later answer of it clears that: then the connection is at fault.
-    """
-    limit_ms = hedge_after_ms(upstream)
-    return any(
-        connection.upstream == upstream.name
-        and connection.phase is states.Phase.BUSY
-        and now_ms - connection.sent_ms > limit_ms
-        and upstream.heard_ms < connection.sent_ms
-        for connection in state.connections.values()
-    )
-
-
-def hedge_after_ms(upstream: states.Upstream) -> float:
-    """Return how long an answer may take before it is unusual."""
-    return max(LEAST_HEDGE_MS, upstream.service_ms * HEDGE_TIMES)
-
-
-def _best_connection(
-    state: states.GroupState, upstream: str, request: messages.Request
-) -> states.Connection | None:
-    """Return the free connection that needs the least adapting."""
-    free = states.idle_connections(state, upstream)
-    if not free:
-        return None
-    return min(free, key=lambda c: exchanges.adapt_cost(c, request))
-
-
 def _start(
     state: states.GroupState,
     now_ms: int,
@@ -279,8 +132,8 @@
     else:
         commands = exchanges.single(connection, request, after)
         errand = states.Errand.STATEMENT
-    outs.append(send(connection, now_ms, errand, commands))
-    return outs + proofs.ask(state, now_ms, send)
+    outs.append(connections.send(connection, now_ms, errand, commands))
+    return outs + questions.ask(state, now_ms)
 
 
 def _tell_sent(
@@ -333,20 +186,6 @@
     connection.writing = work.request.writes
 
 
-def send(
-    connection: states.Connection,
-    now_ms: int,
-    errand: states.Errand,
-    commands: tuple[statements.Command, ...],
-) -> messages.Send:
-    """Send commands on a connection and note what for."""
-    connection.phase = states.Phase.BUSY
-    connection.errand = errand
-    connection.commands = commands
-    connection.sent_ms = now_ms
-    return messages.Send(connection.number, commands)
-
-
 def continue_transaction(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
@@ -360,7 +199,11 @@
     commands.append(exchanges.statement_command(request))
     work.offered_ms = now_ms
     _assign(state, work, connection)
-    return [send(connection, now_ms, states.Errand.STATEMENT, tuple(commands))]
+    return [
+        connections.send(
+            connection, now_ms, states.Errand.STATEMENT, tuple(commands)
+        )
+    ]
 
 
 def undo(
@@ -372,7 +215,9 @@
     if connection.phase is not states.Phase.IDLE:
         return list(connections.drop(state, connection))
     rollback = (statements.Rollback(),)
-    return [send(connection, now_ms, states.Errand.UNDOING, rollback)]
+    return [
+        connections.send(connection, now_ms, states.Errand.UNDOING, rollback)
+    ]
 
 
 def hedge(state: states.GroupState, now_ms: int, work: states.Work) -> list:
@@ -384,20 +229,20 @@
     request = work.request
     busy_at = {state.connections[number].upstream for number in work.running}
     place = freshness.required_place(state, request)
-    fit = []
+    among = []
     if place is not None:
-        fit = [
+        among = [
             upstream
-            for upstream in _able(state, now_ms, work, place)
+            for upstream in routing.fresh_enough(state, now_ms, work, place)
             if upstream.name not in busy_at
         ]
-    chosen = _choose(state, now_ms, fit, work)
+    chosen = routing.choose(state, now_ms, among, work)
     primary = state.upstreams.get(state.primary)
     if chosen is None and primary is not None:
         # A second connection to the primary: the first may be silent.
         place = None
         if not states.is_closed_to_work(primary, now_ms):
-            chosen = _best_connection(state, primary.name, request)
+            chosen = routing.best_connection(state, primary.name, request)
     if chosen is None or not retries.spend(state.budget):
         return []
     work.hedges += 1
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -284,7 +284,7 @@
         return outs
     upstream.asked_ms = now_ms
     errand = states.Errand.GUARD
-    outs.append(dispatch.send(free[0], now_ms, errand, exchanges.GUARD))
+    outs.append(connections.send(free[0], now_ms, errand, exchanges.GUARD))
     return outs
 
 
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -9,7 +9,7 @@
 """
 
 from topazring.core import places
-from topazring.core.synchronous import dispatch
+from topazring.core.synchronous import connections
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
@@ -154,7 +154,7 @@
         return []
     upstream.questioned_ms = now_ms
     errand = states.Errand.LOOK
-    return [dispatch.send(free[0], now_ms, errand, (statements.Status(),))]
+    return [connections.send(free[0], now_ms, errand, (statements.Status(),))]
 
 
 def _depose(
@@ -180,7 +180,7 @@
     )
     demote = (statements.Demote(leader.lead_term),)
     errand = states.Errand.LOOK
-    return [decided, dispatch.send(free[0], now_ms, errand, demote)]
+    return [decided, connections.send(free[0], now_ms, errand, demote)]
 
 
 def note_report(
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -27,14 +27,12 @@
 While one is there, or nobody else is reached, a confirmation proves nothing.
 
 A read at the primary runs at once and is answered when the lead is proved
-for the time of its arrival. Questions are shared by all reads that wait.
+for the time of its arrival.
 """
 
 import collections.abc
 
-from topazring.core.synchronous import connections
 from topazring.core.synchronous import evidence
-from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
@@ -42,11 +40,11 @@
 
 __all__ = [
     'DOUBT_MS',
-    'ask',
     'claims_to_lead',
     'in_doubt',
     'is_alone',
     'is_superseded',
+    'is_unreached',
     'leads_newest',
     'needed_ms',
     'needs_proof',
@@ -58,17 +56,6 @@
     'want',
 ]
 
-# A member that has left a question unanswered for so long is not waited for:
-# the others are asked for their terms. Answers take a few ms, and some ten
-# behind a statement on the same connection.
-SILENT_MS = 60
-# Nobody is asked for its term more often: each question takes a slot.
-WITNESS_MS = 40
-# Without a read that waits it is asked only for a sample, once the newest is
-# so old, and then no more often than that. Staleness bounds in use begin at
-# 1,500 ms.
-WITNESS_SAMPLE_MS = 700
-WITNESS_SAMPLE_GAP_MS = 200
 # A new member is known to whoever promotes within milliseconds, and within
 # 1.2 s to one that the platform's store turns away and that asks its peers.
 VOUCH_MS = 2000
@@ -262,70 +249,3 @@
     wrote = primary.lead_term == primary.place.log_term
     if upstream.vouches and wrote and report.term == primary.lead_term:
         upstream.followed_sent_ms = max(upstream.followed_sent_ms, sent_ms)
-
-
-def ask(
-    state: states.GroupState,
-    now_ms: int,
-    send: collections.abc.Callable[..., messages.Send],
-) -> list[messages.Send]:
-    """Send the questions whose answers are wanted, where one is not open."""
-    if not state.primary or proven_ms(state) >= state.wanted_ms:
-        return []
-    outs = []
-    others = states.others(state)
-    for upstream in others:
-        if upstream.asked_ms >= state.wanted_ms:
-            continue
-        free = states.idle_connections(state, upstream.name)
-        if free:
-            upstream.asked_ms = now_ms
-            errand = states.Errand.GUARD
-            outs.append(send(free[0], now_ms, errand, exchanges.GUARD))
-    return outs + _ask_witnesses(state, now_ms, others, send)
-
-
-def _is_silent(
-    state: states.GroupState, now_ms: int, late: list[states.Upstream]
-) -> bool:
-    """Say whether a member is silent that somebody waits for."""
-    if not late or state.doubted_ms is None:
-        return False
-    waited_for = state.held or _needs_sample(state, now_ms)
-    # In doubt reads are refused, so none waits that would have it asked.
-    if not waited_for and not in_doubt(state, now_ms):
-        return False
-    if now_ms - state.doubted_ms >= SILENT_MS:
-        return True
-    return not all(connections.is_held(state, u.name) for u in late)
-
-
-def _needs_sample(state: states.GroupState, now_ms: int) -> bool:
-    newest_ms = freshness.newest_ms(state)
-    return newest_ms is None or now_ms - newest_ms >= WITNESS_SAMPLE_MS
-
-
-def _ask_witnesses(
-    state: states.GroupState,
-    now_ms: int,
-    others: list[states.Upstream],
-    send: collections.abc.Callable[..., messages.Send],
-) -> list[messages.Send]:
-    """Ask the replicas that answer for their terms, if one is silent."""
-    late = [u for u in others if u.refused_sent_ms < state.wanted_ms]
-    if not _is_silent(state, now_ms, late):
-        return []
-    gap_ms = WITNESS_MS if state.held else WITNESS_SAMPLE_GAP_MS
-    outs = []
-    for upstream in others:
-        if upstream.witness_sent_ms >= state.wanted_ms:
-            continue
-        if now_ms - upstream.witness_asked_ms < gap_ms:
-            continue
-        free = states.idle_connections(state, upstream.name)
-        if free and not is_unreached(state, now_ms, upstream):
-            upstream.witness_asked_ms = now_ms
-            errand = states.Errand.LOOK
-            status = (statements.Status(),)
-            outs.append(send(free[0], now_ms, errand, status))
-    return outs
--- a/topazring/core/synchronous/tests/test_proofs.py
+++ b/topazring/core/synchronous/tests/test_proofs.py
@@ -5,6 +5,7 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
+from topazring.core.synchronous import questions
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import proving
@@ -159,7 +160,7 @@
         key, _ = driver.submit(support.EXACT)
         proving.answer_read(driver, key)
         proving.answer_questions(driver, 'u2', proving.REFUSED)
-        driver.tick(proofs.SILENT_MS + 20)
+        driver.tick(questions.SILENT_MS + 20)
         return driver, key
 
     def test_replica_of_the_same_term(self):
@@ -191,7 +192,7 @@
         key, _ = driver.submit(support.EXACT)
         proving.answer_read(driver, key)
         proving.answer_questions(driver, name, proving.REFUSED)
-        driver.tick(proofs.SILENT_MS + 20)
+        driver.tick(questions.SILENT_MS + 20)
         return driver, key
 
     def test_two_silent_members(self):
@@ -232,7 +233,7 @@
         driver.submit(support.EXACT, Verb.WRITE)
         (write,) = [c for c in driver.busy('u2') if c.writing]
         driver.reply(write, support.ok('signed', place=Place(2, 6)))
-        for _ in range(proofs.WITNESS_SAMPLE_GAP_MS // 20 + 5):
+        for _ in range(questions.WITNESS_SAMPLE_GAP_MS // 20 + 5):
             self.answer_but_the_dark_one(driver, Place(2, 6), witness_term)
         key, outs = driver.submit(support.EXACT)
         for _ in range(10):
--- a/topazring/core/synchronous/transactions.py
+++ b/topazring/core/synchronous/transactions.py
@@ -34,7 +34,9 @@
     )
     command = exchanges.statement_command(request)
     return [
-        dispatch.send(connection, now_ms, states.Errand.STATEMENT, (command,))
+        connections.send(
+            connection, now_ms, states.Errand.STATEMENT, (command,)
+        )
     ]
 
 
