--- a/topazring/tests/test_fates.py
+++ b/topazring/tests/test_fates.py
@@ -1,6 +1,7 @@
 """Every request has one final answer, and the answer is true."""
 
 import asyncio
+import collections
 import signal
 import time
 
@@ -337,7 +338,10 @@
                 answers.append(await other.write(support.INSERT, ['x']))
             stats = await flooding
             await flood.close()
-            self.assertEqual({'done'}, {a.outcome for a in answers})
+            reasons = collections.Counter(a.reason for a in answers)
+            self.assertEqual(
+                {'done'}, {a.outcome for a in answers}, str(reasons)
+            )
             refused = [n for n in stats.outcomes if 'not_run' in n]
             self.assertNotEqual([], refused)
 
