One job a module: how a process leaves, what a line is told to wait for

What refuses a request on arrival is one function. core/synchronous/load.py had the name of the load generator's package; it reports a line, and is called so.

--- a/topazring/core/synchronous/arrival.py
+++ b/topazring/core/synchronous/arrival.py
@@ -44,24 +44,11 @@
     if request.goes_on:
         return dispatch.continue_transaction(state, now_ms, work)
     work.primary_only = dispatch.needs_primary(request)
-    if work.primary_only:
-        hopeless = prospects.judge(
-            state, now_ms, deadline_ms, proofs.needs_proof(request)
+    refusal = _refusal(state, now_ms, work)
+    if refusal is not None:
+        return fates.give_up(
+            state, now_ms, work, refusal.reason, refusal.retry_after_ms
         )
-        if hopeless is not None:
-            return fates.give_up(
-                state,
-                now_ms,
-                work,
-                hopeless.reason,
-                hopeless.retry_after_ms,
-            )
-    wait_ms = _expected_wait_ms(state, now_ms, work)
-    patience_ms = _patience_ms(now_ms, work)
-    if wait_ms > patience_ms:
-        # By then the line is short enough, if it moves on as expected.
-        retry_ms = max(LEAST_RETRY_MS, int(wait_ms - patience_ms))
-        return fates.give_up(state, now_ms, work, Reason.OVERLOAD, retry_ms)
     left_out = waiting.add(state, work)
     outs = dispatch.run(state, now_ms)
     if left_out is not None and left_out in state.work:
@@ -73,6 +60,26 @@
     return outs
 
 
+def _refusal(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> outcomes.NotRun | None:
+    """Refuse what cannot be served in time, before it has waited at all."""
+    if work.primary_only:
+        needs_proof = proofs.needs_proof(work.request)
+        hopeless = prospects.judge(
+            state, now_ms, work.deadline_ms, needs_proof
+        )
+        if hopeless is not None:
+            return outcomes.NotRun(hopeless.reason, hopeless.retry_after_ms)
+    wait_ms = _expected_wait_ms(state, now_ms, work)
+    patience_ms = _patience_ms(now_ms, work)
+    if wait_ms <= patience_ms:
+        return None
+    # By then the line is short enough, if it moves on as expected.
+    retry_ms = max(LEAST_RETRY_MS, int(wait_ms - patience_ms))
+    return outcomes.NotRun(Reason.OVERLOAD, retry_ms)
+
+
 def _expected_wait_ms(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> float:
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -14,7 +14,7 @@
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import isolation
-from topazring.core.synchronous import load
+from topazring.core.synchronous import line_report
 from topazring.core.synchronous import member_replies
 from topazring.core.synchronous import membership
 from topazring.core.synchronous import messages
@@ -173,7 +173,7 @@
     if message.paused_ms >= PAUSE_MS:
         outs += _wake(state, now_ms, message.paused_ms)
     outs += isolation.update(state, now_ms)
-    outs += load.tell(state, now_ms)
+    outs += line_report.tell(state, now_ms)
     outs += expiry.expire(state, now_ms)
     outs += expiry.expire_connections(state, now_ms)
     outs += fates.answer_proved(state, now_ms)
--- a/topazring/core/synchronous/tests/test_line_told.py
+++ b/topazring/core/synchronous/tests/test_line_report.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from topazring.core.synchronous import load
+from topazring.core.synchronous import line_report
 from topazring.core.synchronous import messages
 from topazring.core.synchronous.tests import support
 
@@ -62,7 +62,7 @@
         """The counts of an upstream add up to its connections."""
         driver, _ = self.standing()
         for name in driver.state.upstreams:
-            use = load.use_of(driver.state, name)
+            use = line_report.use_of(driver.state, name)
             held = [
                 connection
                 for connection in driver.state.connections.values()
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import gc
 import itertools
 import resource
@@ -29,6 +28,7 @@
 from topazring.pooler import duty as duties
 from topazring.pooler import group_task
 from topazring.pooler import hop_server
+from topazring.pooler import leaving
 from topazring.pooler import membership
 from topazring.pooler import metrics as metric_sets
 from topazring.pooler import peers
@@ -38,18 +38,6 @@
 
 __all__ = ['Pooler', 'serve']
 
-# The balancer asks once a second and turns away after two misses; a third
-# covers that its questions and the signal are not in step.
-ROTATION_S = 2.4
-# Of the grace this part is for open transactions.
-TRANSACTIONS_SHARE = 0.5
-# In the last part of the grace nothing new is begun: what is under way has
-# this long, less the margin, to be answered. Statements take some 20 ms, and
-# one that waits for a lost answer 1.5 s at most.
-LAST_S = 1.4
-# Giving back the lease takes a quarter of a second at most.
-EXIT_MARGIN_S = 0.4
-POLL_S = 0.05
 # Another proxy is likely to have room at once.
 TURNED_AWAY_RETRY_MS = 200
 # A caller's first message comes with its connection.
@@ -60,9 +48,6 @@
 CONFIGURED_S = 0.4
 # The store answers in milliseconds; what it does not, a lease's end does.
 CLOSE_S = 0.25
-# Answers that are ready are written within a few turns of the loop.
-ANSWER_S = 0.1
-ANSWER_TURN_S = 0.005
 BACKLOG = 512
 # Longer messages are refused; the upstreams' own limit is the same.
 MESSAGE_BYTES = 1 << 20
@@ -209,23 +194,7 @@
 
     async def run(self, request: messages.Request) -> outcomes.Outcome:
         """Serve a request here or at another proxy."""
-        return await self.router.run(self._in_time(request))
-
-    def _in_time(self, request: messages.Request) -> messages.Request:
-        """Give a request no more time than this process has.
-
-        Otherwise its session ends without an answer: whoever serves it for
-        us goes on when we are gone, and the caller cannot know whether a
-        write of it is kept.
-        """
-        policy = request.policy
-        if self.ends_ms is None:
-            return request
-        left_ms = max(0, self.ends_ms - request.arrived_ms)
-        if policy.timeout_ms <= left_ms:
-            return request
-        policy = dataclasses.replace(policy, timeout_ms=left_ms)
-        return dataclasses.replace(request, policy=policy)
+        return await self.router.run(leaving.in_time(request, self.ends_ms))
 
     def withdraw(self, service: str, transaction: int) -> None:
         """Undo a transaction, wherever it was begun."""
@@ -392,51 +361,6 @@
         """
         self.log.emit('process', 'reload', inputs={'changed': False})
 
-    async def drain(self) -> None:
-        """Finish what is open within the grace.
-
-        First the balancer turns new callers away, then sessions end where
-        they are between operations, then open transactions end, then new
-        operations are refused, and what is under way is answered.
-        """
-        self.leaving = True
-        grace_s = self.config.grace_s
-        began_ms = clock.suspended_ms()
-        self.ends_ms = began_ms + int((grace_s - EXIT_MARGIN_S) * 1000)
-        self.log.emit(
-            'process', 'stop begins', inputs={'sessions': len(self.callers)}
-        )
-        giving_back = asyncio.create_task(self.duty.close())
-        await self._until(began_ms, min(ROTATION_S, grace_s * 0.4))
-        self.stopping = caller_task.Stopping.QUIET
-        await self._until(began_ms, grace_s * TRANSACTIONS_SHARE)
-        self.stopping = caller_task.Stopping.ALL
-        await self._until(began_ms, grace_s - LAST_S)
-        self.stopping = caller_task.Stopping.LAST
-        await self._until(began_ms, grace_s - EXIT_MARGIN_S)
-        giving_back.cancel()
-
-    async def _until(self, began_ms: int, after_s: float) -> None:
-        while clock.suspended_ms() - began_ms < after_s * 1000:
-            if self.stopping is not caller_task.Stopping.NO:
-                for caller in list(self.callers):
-                    caller.end_if_quiet()
-                if not self.callers and not self.hop_server.is_busy():
-                    return
-            await asyncio.sleep(POLL_S)
-
-    async def _answer_what_is_left(self) -> None:
-        """Give up all that is under way, and let it be told."""
-        self.router.close()
-        for group in self.groups.values():
-            group.close()
-        until_ms = clock.suspended_ms() + int(ANSWER_S * 1000)
-        while clock.suspended_ms() < until_ms:
-            answering = any(caller.busy for caller in self.callers)
-            if not answering and not self.hop_server.is_busy():
-                return
-            await asyncio.sleep(ANSWER_TURN_S)
-
     async def close(self) -> None:
         """Close all parts; do not wait for a store that does not answer."""
         reads = {
@@ -447,7 +371,7 @@
         self.caller_server.stop()
         self.ready_server.stop()
         self.peer_server.close()
-        await self._answer_what_is_left()
+        await leaving.answer_what_is_left(self)
         self.hop_server.close()
         self.directory.close()
         try:
@@ -485,7 +409,7 @@
     gc.freeze()
     await told.wait()
     told.clear()
-    draining = asyncio.create_task(pooler.drain())
+    draining = asyncio.create_task(leaving.drain(pooler))
     again = asyncio.create_task(told.wait())
     await asyncio.wait({draining, again}, return_when=asyncio.FIRST_COMPLETED)
     draining.cancel()
