Count no connection as at work whose answer is lost

Cause, read in the code: where statements queue an owner has one connection at work, and one that waits for a lost answer counted as such for up to 1.5 s; nothing else was sent to the upstream meanwhile. What takes four usual times, the time after which a read is tried elsewhere, takes no room now.

test_lost_answer_takes_no_room failed before.

--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -65,7 +65,7 @@
         return []
     if upstream.busy_until_ms > now_ms:
         return []
-    if not pace.has_room(state, upstream):
+    if not pace.has_room(state, now_ms, upstream):
         return []
     connection = routing.best_connection(state, upstream.name, work.request)
     if connection is None:
--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -7,10 +7,10 @@
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import isolation
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import pace
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import prospects
 from topazring.core.synchronous import results
-from topazring.core.synchronous import routing
 from topazring.core.synchronous import state as states
 
 __all__ = ['expire', 'expire_connections']
@@ -175,7 +175,7 @@
             # The primary that it was sent to is replaced.
             continue
         took_ms = now_ms - connection.sent_ms
-        if took_ms <= routing.hedge_after_ms(upstream):
+        if took_ms <= pace.late_after_ms(upstream):
             return False
     return True
 
--- a/topazring/core/synchronous/pace.py
+++ b/topazring/core/synchronous/pace.py
@@ -13,7 +13,14 @@
 
 from topazring.core.synchronous import state as states
 
-__all__ = ['begin', 'end', 'expected_wait_ms', 'has_room', 'note_service']
+__all__ = [
+    'begin',
+    'end',
+    'expected_wait_ms',
+    'has_room',
+    'late_after_ms',
+    'note_service',
+]
 
 # An estimate follows a change within some ten uses of a connection.
 KEPT_WEIGHT = 0.1
@@ -30,6 +37,10 @@
 # How fast a quick time is forgotten that is not seen any more: by half within
 # some 700 answers.
 QUICK_WEIGHT = 0.001
+# An answer that takes so many usual times is late: a read is tried elsewhere
+# as well, and its connection is not counted as at work.
+LATE_TIMES = 4.0
+LEAST_LATE_MS = 60
 
 
 def begin(connection: states.Connection, now_ms: int) -> None:
@@ -96,12 +107,25 @@
         upstream.most_busy = min(most, upstream.most_busy + MORE)
 
 
-def has_room(state: states.GroupState, upstream: states.Upstream) -> bool:
-    """Say whether an upstream is to be given another request."""
+def has_room(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> bool:
+    """Say whether an upstream is to be given another request.
+
+    A connection whose answer is lost is not at work: counted as such, it
+    would keep the only place for as long as its answer is waited for.
+    """
+    late_ms = now_ms - late_after_ms(upstream)
     busy = sum(
         connection.upstream == upstream.name
         and connection.phase is states.Phase.BUSY
         and connection.work != 0
+        and connection.sent_ms >= late_ms
         for connection in state.connections.values()
     )
     return busy < round(upstream.most_busy)
+
+
+def late_after_ms(upstream: states.Upstream) -> float:
+    """Return how long an answer may take before it is unusual."""
+    return max(LEAST_LATE_MS, upstream.service_ms * LATE_TIMES)
--- a/topazring/core/synchronous/routing.py
+++ b/topazring/core/synchronous/routing.py
@@ -13,7 +13,6 @@
     'candidates',
     'choose',
     'fresh_enough',
-    'hedge_after_ms',
 ]
 
 # A read goes to another data centre, or to the primary, only if it is
@@ -24,9 +23,6 @@
 PRIMARY_COST_MS = 6.0
 # A replica that hung for some seconds is tried again within about three.
 SLOW_HALF_MS = 500
-# A read that has run for so many usual times is tried elsewhere as well.
-HEDGE_TIMES = 4.0
-LEAST_HEDGE_MS = 60
 
 
 def candidates(
@@ -94,7 +90,7 @@
         ),
     )
     for upstream in ranked:
-        if not pace.has_room(state, upstream):
+        if not pace.has_room(state, now_ms, upstream):
             continue
         connection = best_connection(state, upstream.name, work.request)
         if connection is not None:
@@ -139,7 +135,7 @@
 
     Any later answer of it clears that: then the connection is at fault.
     """
-    limit_ms = hedge_after_ms(upstream)
+    limit_ms = pace.late_after_ms(upstream)
     return any(
         connection.upstream == upstream.name
         and connection.phase is states.Phase.BUSY
@@ -149,11 +145,6 @@
     )
 
 
-def hedge_after_ms(upstream: states.Upstream) -> float:
-    """Return how long an answer may take before it is unusual."""
-    return max(LEAST_HEDGE_MS, upstream.service_ms * HEDGE_TIMES)
-
-
 def best_connection(
     state: states.GroupState, upstream: str, request: messages.Request
 ) -> states.Connection | None:
--- a/topazring/core/synchronous/tests/test_pace.py
+++ b/topazring/core/synchronous/tests/test_pace.py
@@ -123,7 +123,7 @@
         """Down to one, never to none."""
         state = self.slowed(40, 130.0)
         self.assertEqual(1, round(state.upstreams['u1'].most_busy))
-        self.assertTrue(pace.has_room(state, state.upstreams['u1']))
+        self.assertTrue(pace.has_room(state, 10_000, state.upstreams['u1']))
 
     def test_more_again_once_it_is_quick(self):
         """Within some sixty quick answers all may be at work."""
@@ -150,3 +150,22 @@
         (running,) = [c for c in driver.busy('u1') if c.work]
         driver.reply(running, support.ok('signed'))
         self.assertEqual([key], [c.work for c in driver.busy('u1') if c.work])
+
+    def test_lost_answer_takes_no_room(self):
+        """A connection that waits for an answer that is lost is not at work.
+
+        Symptom: an owner sends nothing to an idle primary for 1.5 s at a
+        time. Sequence: statements queue, so one connection is to be at work;
+        its answer is lost on the way. Cause: counting it as at work for as
+        long as its answer is waited for. Proof: read in the code.
+        """
+        driver = support.Driver(share=2).ready()
+        driver.state.upstreams['u1'].most_busy = 1.0
+        driver.submit(support.EXACT, Verb.WRITE)
+        lost = next(c for c in driver.busy('u1') if c.work)
+        key, _ = driver.submit(support.EXACT, Verb.WRITE)
+        for _ in range(10):
+            driver.tick(20)
+            driver.answer_guards()
+        (running,) = [c for c in driver.busy('u1') if c.work == key]
+        self.assertNotEqual(lost.number, running.number)
