--- a/topazring/core/synchronous/tests/test_crowds.py
+++ b/topazring/core/synchronous/tests/test_crowds.py
@@ -8,6 +8,7 @@
 
 from topazring.core.synchronous import messages
 from topazring.core.synchronous.tests import crowd
+from topazring.core.synchronous.tests import crowd_callers
 
 SAVE = messages.Policy('save', 's', messages.Freshness.PRIMARY, 0, 800, 150, 1)
 BROWSE = messages.Policy(
@@ -18,14 +19,18 @@
 )
 
 
-def kinds(per_s: float) -> tuple[crowd.Kind, ...]:
+def kinds(per_s: float) -> tuple[crowd_callers.Kind, ...]:
     """Return the customer's mix at a rate of all operations together."""
     return (
-        crowd.Kind(SAVE, 0.15 * per_s, 6, writes=0.35, transactions=0.4),
-        crowd.Kind(
+        crowd_callers.Kind(
+            SAVE, 0.15 * per_s, 6, writes=0.35, transactions=0.4
+        ),
+        crowd_callers.Kind(
             BROWSE, 0.15 * per_s, 30, transactions=0.1, patience_ms=5000
         ),
-        crowd.Kind(PULL, 0.7 * per_s, 18, writes=0.12, transactions=0.12),
+        crowd_callers.Kind(
+            PULL, 0.7 * per_s, 18, writes=0.12, transactions=0.12
+        ),
     )
 
 
