One piece for what stood twice: turns of a line, an upstream's connections, refusals

Read in the whole change; no behaviour changes.

- How many go before a new request was worked out in admission.estimate_wait and again in waiting.ahead_of: admission.ahead_of.
- The connections to one upstream were filtered in eleven places: connections_to.
With it ensure() goes over an upstream's connections once, not over all twice.
- prospects had a refusal of its own beside outcomes.NotRun, which its callers put together anew; whether a replica lacked a place lately was asked in two ways.
- State that follows from other state is gone: a read moved to the primary's line (Request.needs_primary), a process that leaves (it knows when it ends).
- In calm times an arrival looked for who may serve it before it was known that anyone waits at all; the line's report sorted every line on every tick.
Both look first.
- The played crowd had written the walks' time and replies again: simulated_time, fake_group.ok and refuse.
Two functions were called note_service; one is adjust_room now.

--- a/topazring/core/admission.py
+++ b/topazring/core/admission.py
@@ -4,7 +4,15 @@
 import dataclasses
 import heapq
 
-__all__ = ['FairQueue', 'estimate_wait', 'push', 'pop', 'remove', 'size']
+__all__ = [
+    'FairQueue',
+    'ahead_of',
+    'estimate_wait',
+    'pop',
+    'push',
+    'remove',
+    'size',
+]
 
 TURN_WEIGHT = 0.1
 
@@ -100,6 +108,15 @@
     queue.turned_ms.pop(organisation, None)
 
 
+def ahead_of(queue: FairQueue, organisation: str) -> int:
+    """Return how many requests go before a new one of an organisation.
+
+    Of another's long line only as many as there are turns until its own.
+    """
+    turns = len(queue.lines.get(organisation, ())) + 1
+    return sum(min(len(line), turns) for line in queue.lines.values())
+
+
 def estimate_wait(
     queue: FairQueue, organisation: str, slots: int, service_ms: float
 ) -> float:
@@ -111,7 +128,6 @@
     have their turns before it. How far apart its own turns came says so.
     """
     own = len(queue.lines.get(organisation, ()))
-    ahead = sum(min(len(line), own + 1) for line in queue.lines.values())
-    by_lines = ahead * service_ms / max(1, slots)
+    by_lines = ahead_of(queue, organisation) * service_ms / max(1, slots)
     by_turns = own * queue.turn_ms.get(organisation, 0.0)
     return max(by_lines, by_turns)
--- a/topazring/core/synchronous/arrival.py
+++ b/topazring/core/synchronous/arrival.py
@@ -5,7 +5,6 @@
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import pace
-from topazring.core.synchronous import proofs
 from topazring.core.synchronous import prospects
 from topazring.core.synchronous import routing
 from topazring.core.synchronous import state as states
@@ -43,7 +42,7 @@
     state.work[request.key] = work
     if request.goes_on:
         return dispatch.continue_transaction(state, now_ms, work)
-    work.primary_only = dispatch.needs_primary(request)
+    work.primary_only = request.needs_primary
     refusal = _refusal(state, now_ms, work)
     if refusal is not None:
         return fates.give_up(
@@ -65,12 +64,9 @@
 ) -> outcomes.NotRun | None:
     """Refuse what cannot be served in time, before it has waited at all."""
     if work.primary_only:
-        needs_proof = proofs.needs_proof(work.request)
-        hopeless = prospects.judge(
-            state, now_ms, work.deadline_ms, needs_proof
-        )
+        hopeless = prospects.judge(state, now_ms, work)
         if hopeless is not None:
-            return outcomes.NotRun(hopeless.reason, hopeless.retry_after_ms)
+            return hopeless
     wait_ms = _expected_wait_ms(state, now_ms, work)
     patience_ms = _patience_ms(now_ms, work)
     if wait_ms <= patience_ms:
@@ -83,15 +79,18 @@
 def _expected_wait_ms(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> float:
-    """Estimate how long until a request is answered."""
-    able = routing.candidates(state, now_ms, work)
-    if not able:
-        return 0.0
+    """Estimate how long until a request is answered; 0 if none waits."""
     policy = work.request.policy
     ahead = waiting.ahead_of(state, work.primary_only, policy)
-    if not work.primary_only and all(u.name == state.primary for u in able):
+    at_primary = 0
+    if not work.primary_only:
+        at_primary = waiting.ahead_of(state, True, policy)
+    if not ahead and not at_primary:
+        return 0.0
+    able = routing.candidates(state, now_ms, work)
+    if all(upstream.name == state.primary for upstream in able):
         # The primary's own line goes before it.
-        ahead += waiting.ahead_of(state, True, policy)
+        ahead += at_primary
     wait_ms = pace.expected_wait_ms(state, ahead, able)
     if not wait_ms:
         return 0.0
--- a/topazring/core/synchronous/asking.py
+++ b/topazring/core/synchronous/asking.py
@@ -69,9 +69,8 @@
             state.paused.discard(name)
             continue
         under_way = any(
-            connection.upstream == name
-            and connection.errand is states.Errand.CONTROL
-            for connection in state.connections.values()
+            connection.errand is states.Errand.CONTROL
+            for connection in states.connections_to(state, name)
         )
         if not under_way:
             outs += control(state, now_ms, name, statements.Resume())
--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -112,19 +112,12 @@
     outs: list = [messages.Decided('connection share', inputs=inputs)]
     for upstream in state.upstreams:
         spare = states.idle_connections(state, upstream)
-        excess = _count(state, upstream) - share
+        excess = len(states.connections_to(state, upstream)) - share
         for connection in spare[: max(0, excess)]:
             outs += drop(state, connection)
     return outs
 
 
-def _count(state: states.GroupState, upstream: str) -> int:
-    return sum(
-        connection.upstream == upstream
-        for connection in state.connections.values()
-    )
-
-
 def is_shut_out(state: states.GroupState, name: str) -> bool:
     """Say whether this proxy has no connection, and gets none.
 
@@ -140,18 +133,14 @@
 def is_held(state: states.GroupState, name: str) -> bool:
     """Say whether some connection to an upstream is ready, or at work."""
     return any(
-        connection.upstream == name
-        and connection.phase is not states.Phase.OPENING
-        for connection in state.connections.values()
+        connection.phase is not states.Phase.OPENING
+        for connection in states.connections_to(state, name)
     )
 
 
 def ensure(state: states.GroupState, now_ms: int) -> list:
     """Open what is missing, one dial an upstream at a time."""
     outs: list = []
-    held: dict[str, int] = {}
-    opening = set()
-    stalled = _all_stalled(state, now_ms)
     if state.began_ms is None:
         state.began_ms = now_ms
     just_began = now_ms - state.began_ms < LINGER_MS
@@ -161,15 +150,11 @@
     if state.holds_duty:
         # Whoever promotes has to see the members, owner or not.
         share = max(1, share)
-    for connection in state.connections.values():
-        held[connection.upstream] = held.get(connection.upstream, 0) + 1
-        if connection.phase is states.Phase.OPENING:
-            opening.add(connection.upstream)
     for upstream in state.upstreams.values():
-        if upstream.name in opening or now_ms < upstream.dial_after_ms:
+        mine = states.connections_to(state, upstream.name)
+        if _is_opening(mine) or now_ms < upstream.dial_after_ms:
             continue
-        most = share + (upstream.name in stalled)
-        if held.get(upstream.name, 0) >= most:
+        if len(mine) >= share + _are_all_stalled(now_ms, mine):
             continue
         if states.is_closed_to_work(upstream, now_ms):
             # Its connections would only take up room at its successor.
@@ -178,24 +163,23 @@
     return outs
 
 
-def _all_stalled(state: states.GroupState, now_ms: int) -> set[str]:
-    """Return the upstreams of which no connection gets an answer.
+def _is_opening(mine: list[states.Connection]) -> bool:
+    return any(c.phase is states.Phase.OPENING for c in mine)
+
+
+def _are_all_stalled(now_ms: int, mine: list[states.Connection]) -> bool:
+    """Say whether no connection to an upstream gets an answer.
 
     Answers can be lost while their upstream lives. A proxy has one or two
     connections to each; once all of them wait for a lost answer it serves
     nothing there, for as long as they are waited for. The reserve of one
     connection a proxy is for this as well.
     """
-    stalled: set[str] = set()
-    moving: set[str] = set()
-    for connection in state.connections.values():
-        waited_ms = now_ms - connection.sent_ms
-        busy = connection.phase is states.Phase.BUSY
-        if busy and waited_ms >= STALLED_MS:
-            stalled.add(connection.upstream)
-        else:
-            moving.add(connection.upstream)
-    return stalled - moving
+    return bool(mine) and all(
+        connection.phase is states.Phase.BUSY
+        and now_ms - connection.sent_ms >= STALLED_MS
+        for connection in mine
+    )
 
 
 def trim(state: states.GroupState, now_ms: int) -> list[messages.Close]:
@@ -204,7 +188,7 @@
     if state.promotion is not None:
         return outs
     for name in state.upstreams:
-        if _count(state, name) <= max(
+        if len(states.connections_to(state, name)) <= max(
             state.connection_share, int(state.holds_duty)
         ):
             continue
@@ -272,7 +256,7 @@
         return [_lost(now_ms, connection, message)]
     state.counters[f'dial_{message.reason}'] += 1
     if message.reason is outcomes.Reason.CONNECTION_LIMIT:
-        held = _count(state, upstream.name)
+        held = len(states.connections_to(state, upstream.name))
         pause_ms = LIMIT_PAUSE_MS if held else BARE_LIMIT_PAUSE_MS
         upstream.is_full = True
         upstream.dial_after_ms = now_ms + pause_ms
@@ -346,10 +330,8 @@
     known = state.upstreams.get(upstream)
     if known is None or now_ms < known.dial_after_ms:
         return []
-    for connection in state.connections.values():
-        opening = connection.phase is states.Phase.OPENING
-        if connection.upstream == upstream and opening:
-            return []
+    if _is_opening(states.connections_to(state, upstream)):
+        return []
     return [_dial(state, now_ms, known)]
 
 
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -19,7 +19,6 @@
 __all__ = [
     'continue_transaction',
     'hedge',
-    'needs_primary',
     'run',
     'undo',
 ]
@@ -30,15 +29,6 @@
 SAMPLE = 256
 
 
-def needs_primary(request: messages.Request) -> bool:
-    """Say whether only the primary can serve a request."""
-    if request.writes:
-        return True
-    if request.begins and not request.read_only:
-        return True
-    return request.policy.freshness is messages.Freshness.PRIMARY
-
-
 def run(state: states.GroupState, now_ms: int) -> list:
     """Serve what waits, in order, as long as connections are free.
 
@@ -93,7 +83,6 @@
 ) -> list:
     waiting.remove(state, work)
     work.primary_only = True
-    work.moved = True
     waiting.add(state, work)
     state.counters['read_moved_to_primary'] += 1
     work.told = True
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -97,9 +97,7 @@
         return None
     if upstream.failed_dials >= 1:
         return Loss(upstream.name, 'it refuses or is silent', since_ms)
-    for connection in state.connections.values():
-        if connection.upstream != upstream.name:
-            continue
+    for connection in states.connections_to(state, upstream.name):
         if connection.phase is not states.Phase.OPENING:
             continue
         if now_ms - connection.sent_ms >= DIAL_SILENT_MS:
@@ -113,9 +111,8 @@
     """Return since when everything sent to an upstream is unanswered."""
     asked = [
         connection.sent_ms
-        for connection in state.connections.values()
-        if connection.upstream == upstream.name
-        and connection.phase is not states.Phase.IDLE
+        for connection in states.connections_to(state, upstream.name)
+        if connection.phase is not states.Phase.IDLE
         and connection.sent_ms > upstream.heard_ms
     ]
     if upstream.unheard_since_ms is not None:
@@ -149,8 +146,8 @@
     """
     waiting = [
         connection.sent_ms
-        for connection in state.connections.values()
-        if connection.upstream == name and waits_for_replica(connection)
+        for connection in states.connections_to(state, name)
+        if waits_for_replica(connection)
     ]
     upstream = state.upstreams.get(name)
     if upstream is None or not waiting:
--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -88,13 +88,12 @@
 def _hopeless(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
-    hopeless = prospects.judge(
-        state, now_ms, work.deadline_ms, proofs.needs_proof(work.request)
-    )
+    hopeless = prospects.judge(state, now_ms, work)
     if hopeless is None:
         return []
-    retry_ms = hopeless.retry_after_ms
-    return fates.give_up(state, now_ms, work, hopeless.reason, retry_ms)
+    return fates.give_up(
+        state, now_ms, work, hopeless.reason, hopeless.retry_after_ms
+    )
 
 
 def _unproved(
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -172,7 +172,7 @@
 
 def _line_of(work: states.Work) -> str:
     """Name the line in which a request waited."""
-    if work.moved:
+    if work.is_moved:
         return 'primary, moved there'
     return 'primary' if work.primary_only else 'any'
 
--- a/topazring/core/synchronous/line_report.py
+++ b/topazring/core/synchronous/line_report.py
@@ -6,14 +6,14 @@
 somebody waits for long, this tells them apart.
 """
 
-import dataclasses
+import collections
+import enum
 
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
-from topazring.core.synchronous import waiting
 
-__all__ = ['UseOfConnections', 'describe', 'tell', 'use_of']
+__all__ = ['Use', 'tell', 'uses']
 
 # A calm line moves on within a few statements of 10 to 20 ms.
 LONG_MS = 100
@@ -22,78 +22,63 @@
 PERIOD_MS = 1000
 
 
-@dataclasses.dataclass(slots=True)
-class UseOfConnections:
-    """Count the connections to one upstream by what they do."""
+class Use(enum.StrEnum):
+    """Name what a connection to an upstream is used for."""
 
-    opening: int = 0
-    idle: int = 0
-    # Statements of nobody's transaction.
-    statements: int = 0
+    OPENING = 'opening'
+    IDLE = 'idle'
+    # A statement of nobody's transaction.
+    STATEMENTS = 'statements'
     # In a transaction: with a statement under way, and waiting for the caller.
-    working: int = 0
-    pausing: int = 0
+    WORKING = 'working'
+    PAUSING = 'pausing'
     # Questions, undoing, steps of a promotion.
-    other: int = 0
+    OTHER = 'other'
 
-    def __str__(self) -> str:
-        return (
-            f'opening {self.opening} idle {self.idle} '
-            f'statements {self.statements} working {self.working} '
-            f'pausing {self.pausing} other {self.other}'
-        )
 
-
-def use_of(state: states.GroupState, upstream: str) -> UseOfConnections:
-    """Count what the connections to an upstream are doing."""
-    use = UseOfConnections()
-    for connection in state.connections.values():
-        if connection.upstream != upstream:
-            continue
-        name = _use(connection)
-        setattr(use, name, getattr(use, name) + 1)
-    return use
+def uses(state: states.GroupState, upstream: str) -> collections.Counter[Use]:
+    """Count the connections to an upstream by what they are used for."""
+    return collections.Counter(
+        _use(connection)
+        for connection in states.connections_to(state, upstream)
+    )
 
 
-def _use(connection: states.Connection) -> str:
+def _use(connection: states.Connection) -> Use:
     if connection.phase is states.Phase.OPENING:
-        return 'opening'
+        return Use.OPENING
     if connection.phase is states.Phase.IDLE:
-        return 'pausing' if connection.transaction else 'idle'
+        return Use.PAUSING if connection.transaction else Use.IDLE
     if connection.errand is states.Errand.BEGINNING:
-        return 'working'
+        return Use.WORKING
     if connection.errand is not states.Errand.STATEMENT:
-        return 'other'
-    return 'working' if connection.transaction else 'statements'
+        return Use.OTHER
+    return Use.WORKING if connection.transaction else Use.STATEMENTS
 
 
 def tell(state: states.GroupState, now_ms: int) -> list[messages.Decided]:
     """Tell how the line stands if somebody waits for long."""
     if now_ms - state.line_told_ms < PERIOD_MS:
         return []
-    oldest_ms = max(
-        (
-            now_ms - state.work[key].request.arrived_ms
-            for primary_only in (True, False)
-            for key in waiting.heads(state, primary_only)
-        ),
-        default=0,
-    )
-    if oldest_ms < LONG_MS:
+    line = [work for work in state.work.values() if work.queued]
+    since_ms = min((work.request.arrived_ms for work in line), default=now_ms)
+    if now_ms - since_ms < LONG_MS:
         return []
     state.line_told_ms = now_ms
-    inputs = {'oldest_ms': oldest_ms, **describe(state, now_ms)}
+    inputs = {'oldest_ms': now_ms - since_ms, **_describe(state, now_ms, line)}
     return [messages.Decided('line stands', inputs=inputs)]
 
 
-def describe(state: states.GroupState, now_ms: int) -> dict[str, object]:
+def _describe(
+    state: states.GroupState, now_ms: int, line: list[states.Work]
+) -> dict[str, object]:
     """Return who waits for what, and what each upstream is used for."""
-    for_primary = [state.work[k] for k in waiting.heads(state, True)]
+    for_primary = sum(work.primary_only for work in line)
     newest_ms = freshness.newest_ms(state)
     return {
-        'for_primary': len(for_primary),
-        'of_them_reads_moved': sum(w.moved for w in for_primary),
-        'for_any': len(waiting.heads(state, False)),
+        'for_primary': for_primary,
+        'of_them_reads_moved': sum(work.is_moved for work in line),
+        'for_any': len(line) - for_primary,
         'primary': state.primary,
         'sample_age_ms': None if newest_ms is None else now_ms - newest_ms,
         'share': state.connection_share,
@@ -107,9 +92,10 @@
 def _describe_upstream(
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> str:
-    told = f'{use_of(state, upstream.name)} ms {upstream.service_ms:.0f}'
-    lately = now_ms - upstream.lacked_ms < upstream.lacked_pause_ms
-    if lately:
+    counted = uses(state, upstream.name)
+    told = ' '.join(f'{use} {counted[use]}' for use in Use)
+    told += f' ms {upstream.service_ms:.0f}'
+    if states.lacks_lately(upstream, now_ms):
         told += f' lacks {upstream.lacked}'
     if upstream.is_full:
         told += ' full'
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -92,6 +92,15 @@
         """Say whether an upstream has its transaction open already."""
         return self.transaction != 0 and not self.begins
 
+    @property
+    def needs_primary(self) -> bool:
+        """Say whether only the primary can serve it."""
+        if self.writes:
+            return True
+        if self.begins and not self.read_only:
+            return True
+        return self.policy.freshness is Freshness.PRIMARY
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
--- a/topazring/core/synchronous/pace.py
+++ b/topazring/core/synchronous/pace.py
@@ -8,18 +8,17 @@
 that are refused on arrival.
 """
 
-import collections
 import collections.abc
 
 from topazring.core.synchronous import state as states
 
 __all__ = [
+    'adjust_room',
     'begin',
     'end',
     'expected_wait_ms',
     'has_room',
     'late_after_ms',
-    'note_service',
 ]
 
 # An estimate follows a change within some ten uses of a connection.
@@ -72,23 +71,22 @@
     """
     if not ahead:
         return 0.0
-    held: collections.Counter[str] = collections.Counter(
-        connection.upstream
-        for connection in state.connections.values()
-        if connection.phase is not states.Phase.OPENING
-    )
-    per_ms = sum(_per_ms(upstream, held[upstream.name]) for upstream in able)
+    per_ms = sum(_per_ms(state, upstream) for upstream in able)
     return (ahead + 1) / per_ms if per_ms else 0.0
 
 
-def _per_ms(upstream: states.Upstream, held: int) -> float:
+def _per_ms(state: states.GroupState, upstream: states.Upstream) -> float:
     """Return how many requests an upstream takes from the line in 1 ms."""
+    held = sum(
+        connection.phase is not states.Phase.OPENING
+        for connection in states.connections_to(state, upstream.name)
+    )
     by_kept = held / max(1.0, upstream.kept_ms)
     by_room = min(held, upstream.most_busy) / max(1.0, upstream.service_ms)
     return min(by_kept, by_room)
 
 
-def note_service(state: states.GroupState, upstream: states.Upstream) -> None:
+def adjust_room(state: states.GroupState, upstream: states.Upstream) -> None:
     """Have fewer connections at work where statements queue.
 
     More of them do not make an upstream quicker once its slots are full. They
@@ -117,11 +115,10 @@
     """
     late_ms = now_ms - late_after_ms(upstream)
     busy = sum(
-        connection.upstream == upstream.name
-        and connection.phase is states.Phase.BUSY
+        connection.phase is states.Phase.BUSY
         and connection.work != 0
         and connection.sent_ms >= late_ms
-        for connection in state.connections.values()
+        for connection in states.connections_to(state, upstream.name)
     )
     return busy < round(upstream.most_busy)
 
--- a/topazring/core/synchronous/prospects.py
+++ b/topazring/core/synchronous/prospects.py
@@ -7,15 +7,15 @@
 is cut off, and another can serve the caller.
 """
 
-import dataclasses
-
 from topazring.core import outcomes
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 
-__all__ = ['ELSEWHERE_MS', 'Hopeless', 'judge', 'lost_since', 'note_gap']
+__all__ = ['ELSEWHERE_MS', 'judge', 'lost_since', 'note_gap']
+
+Reason = outcomes.Reason
 
 # Of a new gap so much enters the estimate.
 GAP_WEIGHT = 0.3
@@ -27,14 +27,6 @@
 ELSEWHERE_MS = 50
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hopeless:
-    """Report that a request cannot be served, and when to come back."""
-
-    retry_after_ms: int
-    reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
-
-
 def lost_since(state: states.GroupState, now_ms: int) -> int | None:
     """Return since when no primary can be reached from here."""
     if not state.primary:
@@ -52,29 +44,27 @@
 
 
 def judge(
-    state: states.GroupState,
-    now_ms: int,
-    deadline_ms: int,
-    needs_proof: bool = True,
-) -> Hopeless | None:
-    """Return whether a request that needs the primary is hopeless.
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> outcomes.NotRun | None:
+    """Return the refusal of a request that the primary cannot serve in time.
 
     A single write needs no proof of the lead: its confirmation is one.
     """
     if state.isolated_with:
-        return Hopeless(ELSEWHERE_MS)
+        return outcomes.NotRun(Reason.NO_PRIMARY, ELSEWHERE_MS)
     if connections.is_shut_out(state, state.primary):
-        return Hopeless(ELSEWHERE_MS, outcomes.Reason.CONNECTION_LIMIT)
+        return outcomes.NotRun(Reason.CONNECTION_LIMIT, ELSEWHERE_MS)
     since_ms = lost_since(state, now_ms)
     if since_ms is None:
+        needs_proof = proofs.needs_proof(work.request)
         if needs_proof and proofs.in_doubt(state, now_ms):
-            return Hopeless(ELSEWHERE_MS, outcomes.Reason.UNPROVEN)
+            return outcomes.NotRun(Reason.UNPROVEN, ELSEWHERE_MS)
         return None
     if now_ms - since_ms > state.gap_ms * OVERDUE_TIMES:
-        return Hopeless(ELSEWHERE_MS)
+        return outcomes.NotRun(Reason.NO_PRIMARY, ELSEWHERE_MS)
     back_ms = since_ms + int(state.gap_ms)
-    if back_ms > deadline_ms:
-        return Hopeless(back_ms - now_ms)
+    if back_ms > work.deadline_ms:
+        return outcomes.NotRun(Reason.NO_PRIMARY, back_ms - now_ms)
     return None
 
 
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -202,7 +202,7 @@
     upstream.service_ms += (took_ms - upstream.service_ms) * SERVICE_WEIGHT
     upstream.service_ms = max(LEAST_SERVICE_MS, upstream.service_ms)
     upstream.service_told_ms = now_ms
-    pace.note_service(state, upstream)
+    pace.adjust_room(state, upstream)
     upstream.lacked_pause_ms = 0
     retries.earn(state.budget)
 
--- a/topazring/core/synchronous/routing.py
+++ b/topazring/core/synchronous/routing.py
@@ -70,8 +70,8 @@
         return False
     if upstream.place >= place or upstream.name == state.primary:
         return True
-    lately = now_ms - upstream.lacked_ms < upstream.lacked_pause_ms
-    return not (lately and upstream.lacked <= place)
+    lacks = states.lacks_lately(upstream, now_ms)
+    return not (lacks and upstream.lacked <= place)
 
 
 def choose(
@@ -102,9 +102,8 @@
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> float:
     in_use = sum(
-        connection.upstream == upstream.name
-        and connection.phase is states.Phase.BUSY
-        for connection in state.connections.values()
+        connection.phase is states.Phase.BUSY
+        for connection in states.connections_to(state, upstream.name)
     )
     expected_ms = _service_ms(now_ms, upstream) * (1 + 0.5 * in_use)
     expected_ms += max(0, upstream.busy_until_ms - now_ms)
@@ -137,11 +136,10 @@
     """
     limit_ms = pace.late_after_ms(upstream)
     return any(
-        connection.upstream == upstream.name
-        and connection.phase is states.Phase.BUSY
+        connection.phase is states.Phase.BUSY
         and now_ms - connection.sent_ms > limit_ms
         and upstream.heard_ms < connection.sent_ms
-        for connection in state.connections.values()
+        for connection in states.connections_to(state, upstream.name)
     )
 
 
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -24,8 +24,10 @@
     'Transaction',
     'Upstream',
     'Work',
+    'connections_to',
     'idle_connections',
     'is_closed_to_work',
+    'lacks_lately',
     'make_group',
     'others',
 ]
@@ -196,8 +198,6 @@
     # Upstreams that could not serve it; tried again when none is left.
     passed_over: set[str] = dataclasses.field(default_factory=set)
     primary_only: bool = False
-    # It may be read anywhere, but nobody else would do.
-    moved: bool = False
     hedges: int = 0
     # Something about it was out of the ordinary: the log tells its rest too.
     told: bool = False
@@ -206,6 +206,11 @@
     needs_ms: int = NEVER_MS
     last_reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
 
+    @property
+    def is_moved(self) -> bool:
+        """Say whether it may be read anywhere, but nobody else would do."""
+        return self.primary_only and not self.request.needs_primary
+
 
 @dataclasses.dataclass(slots=True)
 class Transaction:
@@ -321,14 +326,21 @@
     return GroupState(service, data_centre, limits)
 
 
-def idle_connections(state: GroupState, upstream: str) -> list[Connection]:
-    """Return the connections to an upstream that could take work."""
+def connections_to(state: GroupState, upstream: str) -> list[Connection]:
+    """Return the connections to an upstream, whatever they do."""
     return [
         connection
         for connection in state.connections.values()
         if connection.upstream == upstream
-        and connection.phase is Phase.IDLE
-        and not connection.transaction
+    ]
+
+
+def idle_connections(state: GroupState, upstream: str) -> list[Connection]:
+    """Return the connections to an upstream that could take work."""
+    return [
+        connection
+        for connection in connections_to(state, upstream)
+        if connection.phase is Phase.IDLE and not connection.transaction
     ]
 
 
@@ -345,3 +357,8 @@
     """Say whether an upstream that leaves gets nothing new any more."""
     closes_ms = upstream.closed_to_work_ms
     return closes_ms is not None and now_ms >= closes_ms
+
+
+def lacks_lately(upstream: Upstream, now_ms: int) -> bool:
+    """Say whether a replica is left alone that lacked a place."""
+    return now_ms - upstream.lacked_ms < upstream.lacked_pause_ms
--- a/topazring/core/synchronous/tests/crowd.py
+++ b/topazring/core/synchronous/tests/crowd.py
@@ -7,7 +7,6 @@
 same again.
 """
 
-import heapq
 import itertools
 import random
 
@@ -20,6 +19,7 @@
 from topazring.core.synchronous.tests import crowd_callers
 from topazring.core.synchronous.tests import crowd_upstreams
 from topazring.core.synchronous.tests import fake_group
+from topazring.core.synchronous.tests import simulated_time
 
 Role = statements.Role
 
@@ -27,7 +27,7 @@
 CONNECT_MS = 12.0
 
 
-class Crowd(crowd_upstreams.UpstreamSide):
+class Crowd(crowd_upstreams.UpstreamSide, simulated_time.SimulatedTime):
     """Hold owners, upstreams, callers, and what is under way."""
 
     def __init__(
@@ -41,13 +41,10 @@
         pause_ms: float = 40.0,
         entries: int = 60,
     ):
+        super().__init__(now_ms=10_000.0)
         self.rng = random.Random(seed)
-        self.kinds = kinds
         self.pause_ms = pause_ms
         self.rate = 1.0
-        self.now_ms = 10_000.0
-        self.heap: list = []
-        self.order = itertools.count()
         self.keys = itertools.count(1)
         self.upstreams = {
             f'u{n}': crowd_upstreams.Upstream(
@@ -96,21 +93,6 @@
             for u in self.upstreams.values()
         )
 
-    # ---- time ----
-
-    def at(self, delay_ms: float, call, *args) -> None:
-        """Have something happen later."""
-        entry = (self.now_ms + delay_ms, next(self.order), call, args)
-        heapq.heappush(self.heap, entry)
-
-    def run(self, for_ms: float) -> None:
-        """Let time pass."""
-        until_ms = self.now_ms + for_ms
-        while self.heap[0][0] <= until_ms:
-            self.now_ms, _, call, args = heapq.heappop(self.heap)
-            call(*args)
-        self.now_ms = until_ms
-
     def forget(self) -> None:
         """Count anew from now on."""
         for name in self.tallies:
--- a/topazring/core/synchronous/tests/crowd_upstreams.py
+++ b/topazring/core/synchronous/tests/crowd_upstreams.py
@@ -65,7 +65,9 @@
             return
         refusal = self._refuses(wire, upstream, command)
         if refusal is not None:
-            wire.replies.append(self._refuse(wire, upstream, refusal))
+            wire.replies.append(
+                fake_group.refuse(wire, upstream.place(), refusal)
+            )
             self._next(wire)
             return
         upstream.line.append((wire, command))
@@ -75,31 +77,18 @@
         if not wire.silent:
             self.post(wire.proxy, replied)
 
-    def _ok(self, wire, upstream, **more) -> statements.Reply:
-        return statements.Reply(
-            signature='signed',
-            state=fake_group.wire_state(wire),
-            place=upstream.place(),
-            **more,
-        )
-
-    def _refuse(self, wire, upstream, code: Code) -> statements.Reply:
-        if wire.read_only is not None:
-            wire.failed = True
-        return statements.Reply(
-            code=code,
-            state=fake_group.wire_state(wire),
-            place=upstream.place(),
-        )
-
     def _quick(self, wire, upstream, command) -> statements.Reply:
         match command:
             case statements.Begin():
                 if command.after and upstream.place() < command.after:
-                    return self._refuse(wire, upstream, Code.LAGGING)
+                    return fake_group.refuse(
+                        wire, upstream.place(), Code.LAGGING
+                    )
                 leads = upstream.role is Role.PRIMARY
                 if not command.read_only and not leads:
-                    return self._refuse(wire, upstream, Code.READ_ONLY)
+                    return fake_group.refuse(
+                        wire, upstream.place(), Code.READ_ONLY
+                    )
                 wire.read_only = command.read_only
             case statements.Rollback():
                 fake_group.roll_back(wire)
@@ -107,8 +96,8 @@
                 report = statements.StatusReport(
                     upstream.role, 1, upstream.place(), 0, 0, 0, 0
                 )
-                return self._ok(wire, upstream, report=report)
-        return self._ok(wire, upstream)
+                return fake_group.ok(wire, upstream.place(), report=report)
+        return fake_group.ok(wire, upstream.place())
 
     def _refuses(self, wire, upstream, command) -> Code | None:
         after = getattr(command, 'after', None)
@@ -156,7 +145,7 @@
     def _confirm(self, upstream, wire) -> None:
         if wire.silent:
             return
-        wire.replies.append(self._ok(wire, upstream))
+        wire.replies.append(fake_group.ok(wire, upstream.place()))
         self._next(wire)
 
     def _append(self, upstream: Upstream) -> None:
--- a/topazring/core/synchronous/tests/fake_group.py
+++ b/topazring/core/synchronous/tests/fake_group.py
@@ -112,3 +112,19 @@
     wire.failed = False
     wire.owner = 0
     wire.writes.clear()
+
+
+def ok(
+    wire: Wire, place: places.Place, signature: str = '-', **more
+) -> statements.Reply:
+    """Return a success."""
+    return statements.Reply(
+        signature=signature, state=wire_state(wire), place=place, **more
+    )
+
+
+def refuse(wire: Wire, place: places.Place, code: Code) -> statements.Reply:
+    """Return a refusal; a transaction fails by it."""
+    if wire.read_only is not None:
+        wire.failed = True
+    return statements.Reply(code=code, state=wire_state(wire), place=place)
--- a/topazring/core/synchronous/tests/test_line_report.py
+++ b/topazring/core/synchronous/tests/test_line_report.py
@@ -62,11 +62,10 @@
         """The counts of an upstream add up to its connections."""
         driver, _ = self.standing()
         for name in driver.state.upstreams:
-            use = line_report.use_of(driver.state, name)
+            counted = line_report.uses(driver.state, name)
             held = [
                 connection
                 for connection in driver.state.connections.values()
                 if connection.upstream == name
             ]
-            counted = [getattr(use, field) for field in use.__slots__]
-            self.assertEqual(len(held), sum(counted))
+            self.assertEqual(len(held), counted.total())
--- a/topazring/core/synchronous/tests/test_pace.py
+++ b/topazring/core/synchronous/tests/test_pace.py
@@ -116,7 +116,7 @@
         upstream = state.upstreams['u1']
         for _ in range(answers):
             upstream.service_ms = service_ms
-            pace.note_service(state, upstream)
+            pace.adjust_room(state, upstream)
         return state
 
     def test_less_at_work_where_statements_queue(self):
@@ -131,7 +131,7 @@
         upstream = state.upstreams['u1']
         for _ in range(60):
             upstream.service_ms = 15.0
-            pace.note_service(state, upstream)
+            pace.adjust_room(state, upstream)
         self.assertEqual(4, round(upstream.most_busy))
 
     def test_slow_by_nature_is_no_queue(self):
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -37,23 +37,13 @@
         self, wire: fake_group.Wire, signature: str = '-', **more
     ) -> statements.Reply:
         """Return a success."""
-        member = self.members[wire.upstream]
-        return statements.Reply(
-            signature=signature,
-            state=fake_group.wire_state(wire),
-            place=member.place(),
-            **more,
-        )
+        place = self.members[wire.upstream].place()
+        return fake_group.ok(wire, place, signature, **more)
 
     def refuse(self, wire: fake_group.Wire, code: Code) -> statements.Reply:
         """Return a refusal; a transaction fails by it."""
-        if wire.read_only is not None:
-            wire.failed = True
-        return statements.Reply(
-            code=code,
-            state=fake_group.wire_state(wire),
-            place=self.members[wire.upstream].place(),
-        )
+        place = self.members[wire.upstream].place()
+        return fake_group.refuse(wire, place, code)
 
     def reply_to(
         self,
--- a/topazring/core/synchronous/tests/world.py
+++ b/topazring/core/synchronous/tests/world.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import heapq
 import itertools
 import random
 
@@ -18,6 +17,7 @@
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import fake_group
 from topazring.core.synchronous.tests import oracle as oracles
+from topazring.core.synchronous.tests import simulated_time
 from topazring.core.synchronous.tests import upstream_side
 
 Code = statements.Code
@@ -34,14 +34,12 @@
 )
 
 
-class World(upstream_side.UpstreamSide):
+class World(upstream_side.UpstreamSide, simulated_time.SimulatedTime):
     """Hold proxies, upstreams, what is under way, and the oracle."""
 
     def __init__(self, seed: int):
+        super().__init__(now_ms=1000)
         self.rng = random.Random(seed)
-        self.now_ms = 1000
-        self.heap: list = []
-        self.order = itertools.count()
         self.keys = itertools.count(1)
         self.oracle = oracles.Oracle()
         self.members = {
@@ -72,22 +70,6 @@
             self.at(TICK_MS, self.tick, proxy, self.now_ms)
         self.give_duty('p1')
 
-    # ---- time ----
-
-    def at(self, delay_ms: float, call, *args) -> None:
-        """Have something happen later."""
-        entry = (self.now_ms + delay_ms, next(self.order), call, args)
-        heapq.heappush(self.heap, entry)
-
-    def run(self, for_ms: int) -> None:
-        """Let time pass."""
-        until_ms = self.now_ms + for_ms
-        while self.heap and self.heap[0][0] <= until_ms:
-            at_ms, _, call, args = heapq.heappop(self.heap)
-            self.now_ms = max(self.now_ms, at_ms)
-            call(*args)
-        self.now_ms = until_ms
-
     def note(self, text: str) -> None:
         """Keep a line for whoever reads a failure."""
         self.trace.append(f'{self.now_ms:.0f} {text}')
--- a/topazring/core/synchronous/waiting.py
+++ b/topazring/core/synchronous/waiting.py
@@ -77,16 +77,11 @@
 def ahead_of(
     state: states.GroupState, primary_only: bool, policy: messages.Policy
 ) -> int:
-    """Return how many waiting requests go before a new one of a policy.
-
-    Organisations take turns: of another's long line only as many go first
-    as there are turns until the new one's own.
-    """
+    """Return how many waiting requests go before a new one of a policy."""
     ahead = 0
     for priority, queue in _queues(state, primary_only).items():
         if priority < policy.priority:
             ahead += admission.size(queue)
         elif priority == policy.priority:
-            turns = len(queue.lines.get(policy.database, ())) + 1
-            ahead += sum(min(len(x), turns) for x in queue.lines.values())
+            ahead += admission.ahead_of(queue, policy.database)
     return ahead
--- a/topazring/pooler/leaving.py
+++ b/topazring/pooler/leaving.py
@@ -38,7 +38,6 @@
 
     config: settings.PoolerSettings
     log: events.EventLog
-    leaving: bool
     stopping: caller_task.Stopping
     ends_ms: int | None
     callers: set[caller_task.CallerTask]
@@ -73,7 +72,6 @@
     are between operations, then open transactions end, then new operations
     are refused, and what is under way is answered.
     """
-    leaver.leaving = True
     grace_s = leaver.config.grace_s
     began_ms = clock.suspended_ms()
     leaver.ends_ms = began_ms + int((grace_s - EXIT_MARGIN_S) * 1000)
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -84,7 +84,6 @@
         self.log = events.EventLog(config.name)
         self.metrics = metric_sets.Metrics()
         self.stopping = caller_task.Stopping.NO
-        self.leaving = False
         # When this process ends; None while it stays.
         self.ends_ms: int | None = None
         self.groups: dict[str, group_task.GroupTask] = {}
@@ -328,6 +327,11 @@
             code = 200 if self.ready() else 503
         http_calls.answer(request, code, body)
 
+    @property
+    def leaving(self) -> bool:
+        """Say whether this process has been told to stop."""
+        return self.ends_ms is not None
+
     def ready(self) -> bool:
         """Say whether callers should be sent here."""
         return self.configured() and not self.leaving
