--- a/topazring/core/synchronous/tests/test_isolation.py
+++ b/topazring/core/synchronous/tests/test_isolation.py
@@ -86,6 +86,30 @@
         key, outs = driver.submit(verb=WRITE)
         self.assertNotIn(key, support.answers(outs))
 
+    def test_quick_confirmation_behind_a_partition(self):
+        """A replica that nobody has listed yet gives it.
+
+        Symptom: two saves that were acknowledged during a partition are gone
+        after it. Sequence: a primary is cut off with two proxies; the others
+        promote another; a replica starts on the side of the old primary and
+        confirms its writes 30 ms before it is listed. Each write is sent
+        after the replicas fell silent and confirmed within 150 ms, so none
+        hangs long enough to be given up. Cause: nobody tells which replica
+        confirmed. Proof: in the log the partition begins at 32.07 s, all
+        replicas are silent here from then on, the save is sent at 32.54 s
+        and confirmed at 32.62 s, the replica is listed at 32.65 s.
+        """
+        driver = support.Driver().ready()
+        play(driver, 460, 'u1')
+        key, _ = driver.submit(verb=WRITE)
+        play(driver, 80, 'u1')
+        outs = []
+        for connection in driver.busy('u1'):
+            if connection.work == key:
+                outs += driver.reply(connection, support.ok('signed'))
+        outcome = support.answers(outs).get(key)
+        self.assertNotIsInstance(outcome, outcomes.Done)
+
     def test_needs_a_primary(self):
         """Without one nothing is confirmed by anyone.
 
