Test a leaving proxy and a store that is away without depending on the machine's pace

Both failed in two runs of four beside a load of 17 on eight cores. Traced: the first slept until the very moment (1.2 s of 3 s) from which a leaving proxy closes sessions that rest, and its session rested; told by the connection that ended in state I with no request under way, which is allowed. It speaks all the time now, as the session of the fault did, so that it can't be closed as idle. The second asked a process that did not listen yet (an empty answer instead of 503); it waits until the process listens, then half a second, and demands 503 as before.

--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -147,6 +147,10 @@
         """Ask as the balancer does."""
         return (await self.get('/-/ready')).startswith('HTTP/1.1 200')
 
+    async def is_listening(self) -> bool:
+        """Say whether the process answers at all."""
+        return bool(await self.get('/-/ready'))
+
     async def get(self, path: str) -> str:
         """Return a response of the probe's address."""
         try:
--- a/topazring/platform/tests/test_owners.py
+++ b/topazring/platform/tests/test_owners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 
 from topazring.platform.tests import support
 
@@ -132,7 +133,10 @@
         for member in self.group.members:
             member.reads_take_s = 10.0
         stopping = asyncio.create_task(self.proxies[other].stop())
-        await asyncio.sleep(1.2)
+        # A session that rested would be closed between two operations.
+        until_s = time.monotonic() + 1.2
+        while time.monotonic() < until_s:
+            await callers[other].query('SET zone z')
         said = await callers[other].query('READ k')
         self.assertTrue(said and said[0].startswith('ERROR'), said)
         self.assertEqual(0, await stopping)
--- a/topazring/platform/tests/test_whole_path.py
+++ b/topazring/platform/tests/test_whole_path.py
@@ -143,7 +143,8 @@
         proxy = self.proxies[0]
         await proxy.stop(signal.SIGKILL)
         starting = asyncio.ensure_future(proxy.start())
-        await asyncio.sleep(1.0)
+        await support.wait_until(proxy.is_listening, support.STARTS_S)
+        await asyncio.sleep(0.5)
         self.assertIn('503', await proxy.get('/-/ready'))
         self.store.failing = 0
         await starting
