Begin a group anew whose state breaks; refuse whoever leaves a full line

The group's state is replaced now: its connections are closed, which rolls back what was open on them, its requests are answered by what was sent of each (not run where nothing was, or nothing can be kept; unknown otherwise), entries try another owner, and the group learns its upstreams anew. Numbers of connections and tokens go on, and so does what keeps a promotion from losing a write. A fourth time within a minute ends the process as before. Counter group_restarted, log line 'broken invariant' with the count. test_group_task plays it; the process ended before.

Found by the new invariants: a request that came back into a full line, or moved to the primary's, pushed out the last one without a word; that one waited outside the line for its whole time. It is refused now with when to come back; its test failed before ('is in line, or not').

--- a/topazring/core/outcomes.py
+++ b/topazring/core/outcomes.py
@@ -27,6 +27,7 @@
     CONNECTION_LOST = 'connection_lost'
     DEADLINE = 'deadline'
     DRAINING = 'draining'
+    GROUP_RESTARTED = 'group_restarted'
     NO_CONFIGURATION = 'no_configuration'
     NO_FRESH_REPLICA = 'no_fresh_replica'
     NO_OWNER = 'no_owner'
--- a/topazring/core/synchronous/arrival.py
+++ b/topazring/core/synchronous/arrival.py
@@ -27,9 +27,6 @@
 LEAST_PATIENCE_MS = 150
 # A caller that comes back sooner finds the line as it was.
 LEAST_RETRY_MS = 20
-# When a caller whose request found the line full may come back: a line
-# moves on by its whole length in about that time.
-FULL_RETRY_MS = 150
 
 
 def submit(
@@ -48,15 +45,8 @@
         return fates.give_up(
             state, now_ms, work, refusal.reason, refusal.retry_after_ms
         )
-    left_out = waiting.add(state, work)
-    outs = dispatch.run(state, now_ms)
-    if left_out is not None and left_out in state.work:
-        last = state.work[left_out]
-        last.queued = False
-        outs += fates.give_up(
-            state, now_ms, last, Reason.BACKLOG, FULL_RETRY_MS
-        )
-    return outs
+    outs = fates.line_up(state, now_ms, work)
+    return outs + dispatch.run(state, now_ms)
 
 
 def _refusal(
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -83,7 +83,9 @@
 ) -> list:
     waiting.remove(state, work)
     work.primary_only = True
-    waiting.add(state, work)
+    outs = fates.line_up(state, now_ms, work)
+    if not work.queued:
+        return outs
     state.counters['read_moved_to_primary'] += 1
     work.told = True
     moved = messages.Decided(
@@ -95,7 +97,7 @@
             'passed_over': len(work.passed_over),
         },
     )
-    return [moved, *_at_primary(state, now_ms, work)]
+    return [moved, *outs, *_at_primary(state, now_ms, work)]
 
 
 def _start(
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -23,11 +23,17 @@
     'end_transaction',
     'give_up',
     'keeps_nothing',
+    'line_up',
     'requeue',
+    'unserved',
 ]
 
 Reason = outcomes.Reason
 
+# When a caller whose request found the line full may come back: a line
+# moves on by its whole length in about that time.
+FULL_RETRY_MS = 150
+
 
 def keeps_nothing(work: states.Work) -> bool:
     """Say whether nothing of the request can last, whatever became of it."""
@@ -144,7 +150,7 @@
 ) -> list:
     """Refuse a request for good, and say truthfully what is kept of it."""
     request = work.request
-    outcome = _unserved(work, reason, retry_after_ms, maybe_ran)
+    outcome = unserved(work, reason, retry_after_ms, maybe_ran)
     decided = messages.Decided(
         'gave up',
         request.statement.request_id,
@@ -175,11 +181,11 @@
     Its connection goes on with what was sent, for nobody.
     """
     maybe_ran = bool(work.running)
-    outcome = _unserved(work, Reason.CANCELLED, 0, maybe_ran)
+    outcome = unserved(work, Reason.CANCELLED, 0, maybe_ran)
     return answer(state, work, outcome)
 
 
-def _unserved(
+def unserved(
     work: states.Work,
     reason: outcomes.Reason,
     retry_after_ms: int,
@@ -207,6 +213,20 @@
     return list(connections.drop(state, connection))
 
 
+def line_up(state: states.GroupState, now_ms: int, work: states.Work) -> list:
+    """Put a request in line; refuse the one that has to leave a full one.
+
+    It may be the same. Unrefused it would wait outside the line for its whole
+    time, and the caller with it.
+    """
+    left_out = waiting.add(state, work)
+    if left_out is None:
+        return []
+    last = state.work[left_out]
+    last.queued = False
+    return give_up(state, now_ms, last, Reason.BACKLOG, FULL_RETRY_MS)
+
+
 def requeue(
     state: states.GroupState,
     now_ms: int,
@@ -222,8 +242,9 @@
     if work.running:
         # Another copy of a hedged read is still under way.
         return []
-    waiting.add(state, work)
+    outs = line_up(state, now_ms, work)
     return [
+        *outs,
         messages.Decided(
             'retries',
             work.request.statement.request_id,
@@ -232,5 +253,5 @@
                 'pause_ms': pause_ms,
                 'passed_over': sorted(work.passed_over),
             },
-        )
+        ),
     ]
--- a/topazring/core/synchronous/forwarding.py
+++ b/topazring/core/synchronous/forwarding.py
@@ -45,6 +45,7 @@
     {
         Reason.CONNECTION_LIMIT,
         Reason.DRAINING,
+        Reason.GROUP_RESTARTED,
         Reason.NO_CONFIGURATION,
         Reason.NO_OWNER,
         Reason.NO_PRIMARY,
--- a/topazring/core/synchronous/tests/test_load.py
+++ b/topazring/core/synchronous/tests/test_load.py
@@ -345,3 +345,29 @@
         keys = [driver.submit(support.EXACT)[0] for _ in range(5)]
         answers = support.answers(driver.post(messages.Abandon()))
         self.assertEqual(set(keys), set(answers))
+
+
+class FullLineTest(testtools.TestCase):
+    """Pattern: as many requests wait as may, and some come back into line."""
+
+    def test_request_that_comes_back_into_a_full_line(self):
+        """Whoever has to leave for it is told at once.
+
+        Symptom: a few requests wait for their whole time in a burst, though
+        the line moves. Sequence: the line is full; a statement finds no slot
+        and goes back into it; the last in line is taken out. Cause: that one
+        was refused only when the line was full for a new request, and waited
+        outside the line otherwise.
+        """
+        driver = support.Driver(share=1).ready()
+        driver.state.limits = states.Limits(queue=1)
+        first, _ = driver.submit(support.EXACT, Verb.WRITE)
+        (busy,) = [c for c in driver.busy('u1') if c.work]
+        second, _ = driver.submit(support.EXACT, Verb.WRITE)
+        refused = support.refused(statements.Code.BUSY)
+        answers = support.answers(driver.reply(busy, refused))
+        self.assertEqual(
+            [Reason.BACKLOG], [a.reason for a in answers.values()]
+        )
+        (waiting,) = {first, second} - set(answers)
+        self.assertTrue(driver.state.work[waiting].queued)
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -9,6 +9,7 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import group as groups_synchronous
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import restart
 from topazring.core.synchronous import state as states
 from topazring.plumbing import clock
 from topazring.plumbing import events
@@ -22,6 +23,17 @@
 IDLE_TICK_S = groups_synchronous.TICK_MS / 1000
 # EX_SOFTWARE of sysexits.h.
 EXIT_BROKEN = 70
+# A state that breaks again and again is not mended by beginning anew; then
+# the process ends, and all that it holds in memory with it.
+MOST_RESTARTS = 3
+RESTARTS_WITHIN_MS = 60_000
+# What a group is told once and goes on knowing when it begins anew, in the
+# order in which it needs it.
+_LASTING = (
+    messages.InstancesSeen,
+    messages.UpstreamsSeen,
+    messages.DutySeen,
+)
 
 
 class GroupTask:
@@ -47,6 +59,11 @@
         self.answers: dict[int, asyncio.Future] = {}
         self.inbox: collections.deque[object] = collections.deque()
         self.working = False
+        # The last of each kind of message that a new state needs again.
+        self.told: dict[type, object] = {}
+        self.restarts_ms: collections.deque[int] = collections.deque(
+            maxlen=MOST_RESTARTS
+        )
         self.tasks: set[asyncio.Task] = set()
         # Called when the duty may be lost: an order was refused, or this
         # process stood still.
@@ -76,7 +93,8 @@
     def _ended(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self._end_process(task.exception())
+            self._tell_broken(task.exception())
+            self._end_process()
 
     async def submit(self, request: messages.Request) -> outcomes.Outcome:
         """Return the request's one final answer."""
@@ -87,21 +105,55 @@
 
     def post(self, message: object) -> None:
         """Put a message in the inbox and work the inbox off."""
+        if isinstance(message, _LASTING):
+            self.told[type(message)] = message
         self.inbox.append(message)
         if self.working:
             return
         self.working = True
         try:
             while self.inbox:
-                message = self.inbox.popleft()
-                now_ms = clock.suspended_ms()
-                for out in self.kind.step(self.state, now_ms, message):
-                    self._perform(out)
-        except Exception as error:
-            self._end_process(error)
+                self._take(self.inbox.popleft())
         finally:
             self.working = False
 
+    def _take(self, message: object) -> None:
+        try:
+            for out in self.kind.step(
+                self.state, clock.suspended_ms(), message
+            ):
+                self._perform(out)
+        except Exception as error:
+            self._begin_anew(error)
+
+    def _begin_anew(self, error: Exception) -> None:
+        """Replace a state that broke an invariant; answer its requests.
+
+        The process serves other groups, whose callers' sessions would be cut
+        with it: of ten groups the other nine lose nothing.
+        """
+        now_ms = clock.suspended_ms()
+        self._tell_broken(error)
+        full = len(self.restarts_ms) == MOST_RESTARTS
+        if full and now_ms - self.restarts_ms[0] < RESTARTS_WITHIN_MS:
+            self._end_process()
+        self.restarts_ms.append(now_ms)
+        broken, self.state = self.state, restart.successor(self.state)
+        for link in self.links.values():
+            link.close()
+        self.links.clear()
+        waiting = {
+            message.request.key
+            for message in self.inbox
+            if isinstance(message, messages.Submit)
+        }
+        for key in list(self.answers):
+            if key not in waiting:
+                outcome = restart.outcome_of(broken, key)
+                self._answer(messages.Answer(key, outcome))
+        told = [self.told[kind] for kind in _LASTING if kind in self.told]
+        self.inbox.extendleft(reversed(told))
+
     def _perform(self, out: object) -> None:
         match out:
             case messages.Send():
@@ -175,14 +227,16 @@
             if paused and self.doubt_duty:
                 self.doubt_duty()
 
-    def _end_process(self, error: BaseException) -> None:
-        """End at once: a broken invariant must not serve anyone."""
+    def _tell_broken(self, error: BaseException) -> None:
         self.log.emit(
             'group',
             'broken invariant',
             service=self.service,
-            inputs={'error': repr(error)},
+            inputs={'error': repr(error), 'restarts': len(self.restarts_ms)},
         )
-        self.log.close()
         traceback.print_exception(error)
+
+    def _end_process(self) -> None:
+        """End at once: a broken invariant must not serve anyone."""
+        self.log.close()
         os._exit(EXIT_BROKEN)
--- /dev/null
+++ b/topazring/pooler/tests/test_group_task.py
@@ -0,0 +1,206 @@
+"""Keep a process that serves many groups alive when one of them breaks."""
+
+import asyncio
+import contextlib
+import io
+import itertools
+from unittest import mock
+
+import testtools
+
+from topazring.core import groups
+from topazring.core import outcomes
+from topazring.core import places
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import group_task
+
+Verb = statements.Verb
+POLICY = messages.Policy('d', 's', messages.Freshness.PRIMARY, 0, 600)
+RESTARTED = outcomes.Reason.GROUP_RESTARTED
+
+
+class Link:
+    """Stand for the connection to an upstream."""
+
+    def __init__(self, number, codec, post):
+        self.number = number
+        self.post = post
+        self.closed = False
+        self.sent = []
+
+    def start(self, service, upstream, address):
+        """Be ready at once."""
+        place = places.Place(1, 5)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.post, messages.Opened(self.number, place))
+
+    def send(self, commands):
+        """Answer questions; leave the callers' statements under way."""
+        self.sent += commands
+        answered = (statements.Begin, statements.Rollback, statements.Status)
+        if all(isinstance(command, answered) for command in commands):
+            self.reply(len(commands))
+
+    def reply(self, count):
+        """Answer with successes."""
+        reply = statements.Reply(signature='-', place=places.Place(1, 5))
+        replied = messages.Replied(self.number, (reply,) * count)
+        asyncio.get_running_loop().call_soon(self.post, replied)
+
+    def close(self):
+        """Note the end."""
+        self.closed = True
+
+
+class Broken:
+    """Step as the group's kind does, and break on demand."""
+
+    def __init__(self, step):
+        self.step = step
+        self.breaks = False
+
+    def __call__(self, state, now_ms, message):
+        """Break after the next tick has changed the state."""
+        outs = self.step(state, now_ms, message)
+        if self.breaks and isinstance(message, messages.Tick):
+            self.breaks = False
+            raise KeyError(9)
+        return outs
+
+
+class GroupTaskTest(testtools.TestCase):
+    """A broken invariant costs its group a moment, and nobody else."""
+
+    def play(self, steps):
+        """Run `steps()` with a group that is ready to serve."""
+        asyncio.run(self._play(steps))
+
+    async def _play(self, steps):
+        self.links = []
+        self.keys = itertools.count(1)
+        adapter = mock.Mock()
+        adapter.orders.promote = mock.AsyncMock(
+            return_value=messages.OrderResult.UNANSWERED
+        )
+        log = events.EventLog('p1')
+        self.task = group_task.GroupTask(
+            's', 'here', 'p1', states.Limits(), adapter, log
+        )
+        self.step = Broken(self.task.kind.step)
+        self.task.kind = groups.GroupKind('broken', self.step)
+        link = mock.patch.object(
+            group_task.upstream_link, 'UpstreamLink', self.make_link
+        )
+        with link, contextlib.redirect_stderr(io.StringIO()):
+            listed = messages.Listed(
+                'u1', 'u1:1', 'here', statements.Role.PRIMARY, 1
+            )
+            self.task.post(messages.InstancesSeen(1, 3))
+            self.task.post(messages.UpstreamsSeen((listed,)))
+            await self.settle()
+            await steps()
+            self.task.close()
+
+    def make_link(self, *args):
+        """Return a link and remember it."""
+        self.links.append(Link(*args))
+        return self.links[-1]
+
+    async def settle(self):
+        """Let ticks pass until nothing new is said."""
+        for _ in range(20):
+            self.task.post(messages.Tick())
+            await asyncio.sleep(0)
+
+    def submit(self, verb, **more) -> asyncio.Task:
+        """Submit a statement; return the task that waits for its answer."""
+        key = next(self.keys)
+        request = messages.Request(
+            key,
+            statements.Statement(f'r{key}', verb, 'text'),
+            POLICY,
+            verb is Verb.WRITE,
+            clock.suspended_ms(),
+            **more,
+        )
+        return asyncio.create_task(self.task.submit(request))
+
+    async def break_group(self):
+        """Have the group's state break at the next tick."""
+        self.step.breaks = True
+        self.task.post(messages.Tick())
+        await asyncio.sleep(0)
+
+    def test_requests_are_answered_and_the_group_goes_on(self):
+        """What was sent is unknown if it may last, what waited did not run.
+
+        Symptom: a process with ten groups and the sessions of its callers
+        ends by a KeyError in one group. Sequence: a tick finds a request
+        that names a connection that is gone. Cause: whatever broke in one
+        group ended the process.
+        """
+
+        async def steps():
+            write = self.submit(Verb.WRITE)
+            await asyncio.sleep(0)
+            waiting = [self.submit(Verb.WRITE) for _ in range(3)]
+            read = self.submit(Verb.READ)
+            await asyncio.sleep(0)
+            before = list(self.links)
+            await self.break_group()
+            self.assertEqual(outcomes.Unknown(RESTARTED), await write)
+            told = [type(await answer) for answer in waiting]
+            self.assertIn(outcomes.NotRun, told)
+            self.assertEqual(RESTARTED, (await read).reason)
+            self.assertIsInstance(await read, outcomes.NotRun)
+            self.assertTrue(all(link.closed for link in before))
+            await self.settle()
+            again = self.submit(Verb.WRITE)
+            await asyncio.sleep(0)
+            sent = [link for link in self.links if not link.closed]
+            (serving,) = [link for link in sent if _runs(link)]
+            serving.reply(1)
+            self.assertIsInstance(await again, outcomes.Done)
+            counters = self.task.state.counters
+            self.assertEqual(1, counters['group_restarted'])
+
+        self.play(steps)
+
+    def test_numbers_and_tokens_go_on(self):
+        """A late word of an old connection is nobody's, a token only grows."""
+
+        async def steps():
+            self.task.post(messages.DutySeen(True, 10_000))
+            self.task.state.token = 10_007
+            numbers = {link.number for link in self.links}
+            await self.break_group()
+            await self.settle()
+            came = {link.number for link in self.links} - numbers
+            self.assertTrue(came)
+            self.assertGreater(min(came), max(numbers))
+            self.assertTrue(self.task.state.holds_duty)
+            self.assertGreaterEqual(self.task.state.token, 10_007)
+
+        self.play(steps)
+
+    def test_state_that_breaks_on_and_on_ends_the_process(self):
+        """To begin anew does not mend everything; the platform restarts it."""
+
+        async def steps():
+            with mock.patch.object(group_task.os, '_exit') as exits:
+                for _ in range(group_task.MOST_RESTARTS):
+                    await self.break_group()
+                exits.assert_not_called()
+                await self.break_group()
+                exits.assert_called_once_with(group_task.EXIT_BROKEN)
+
+        self.play(steps)
+
+
+def _runs(link) -> bool:
+    """Say whether a caller's statement is under way on a link."""
+    return any(isinstance(c, statements.Run) for c in link.sent)
