--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -191,7 +191,8 @@
         """To begin anew does not mend everything; the platform restarts it."""
 
         async def steps():
-            with mock.patch.object(group_task.os, '_exit') as exits:
+            exit_ = mock.patch.object(group_task.os, '_exit', autospec=True)
+            with exit_ as exits:
                 for _ in range(group_task.MOST_RESTARTS):
                     await self.break_group()
                 exits.assert_not_called()
