Few proxies follow the store, the others hear from them

Now the first two of a data centre in rendezvous order follow the store; the others ask one of those, which answers when it knows something newer, at the latest after a third of the time in which a configuration has to be in force. A follower says whether it reads the store itself and how old that is; who finds none that does, or none that answers, asks the store, as before. Weighed: each for itself (what was); a tree (a step more for each change, for nothing at these sizes); gossip with digests (each second a message a pair, and a second way for versions to travel).

Forgotten history is read anew by followers alone: a peer that stands before or behind the gap is told what changed, and only one within it everything. A proxy that comes back replaces its predecessor's entry by the revision it has read (two calls less), and hearers leave the duty to followers for a second.

Tests: a fleet of directories before one service, with followers that freeze, end, are turned away or lose their watch, and random series of those; a version never goes back and is in force within its time.

--- a/topazring/core/hashing.py
+++ b/topazring/core/hashing.py
@@ -4,7 +4,7 @@
 import dataclasses
 import hashlib
 
-__all__ = ['Candidate', 'choose_owners', 'score']
+__all__ = ['Candidate', 'choose_owners', 'first_by_score', 'score']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,3 +56,15 @@
                 centres.add(candidate.data_centre)
         pool = left
     return tuple(candidate.name for candidate in chosen)
+
+
+def first_by_score(
+    subject: str, names: collections.abc.Iterable[str], count: int
+) -> tuple[str, ...]:
+    """Return the first names in a subject's order, whatever order they come.
+
+    >>> first_by_score('s', ['b', 'a'], 1) == first_by_score('s', 'ab', 1)
+    True
+    """
+    order = sorted(names, key=lambda name: score(subject, name))
+    return tuple(order[:count])
--- a/topazring/core/members.py
+++ b/topazring/core/members.py
@@ -120,5 +120,4 @@
         for m in members.listed.values()
         if m.region == region and not m.leaving
     ]
-    names.sort(key=lambda name: hashing.score('watchers', name))
-    return tuple(names[:WATCHERS_A_REGION])
+    return hashing.first_by_score('watchers', names, WATCHERS_A_REGION)
--- a/topazring/core/revisions.py
+++ b/topazring/core/revisions.py
@@ -3,10 +3,12 @@
 import collections.abc
 import dataclasses
 
-__all__ = ['Change', 'Revisions', 'delta', 'merge']
+__all__ = ['Change', 'Revisions', 'delta', 'lacking', 'merge', 'note_gap']
 
 # A delta is cut after so many bytes of values; the rest follows.
 DELTA_BYTES = 48_000
+# Of more gaps than these the oldest two are taken for one.
+MOST_GAPS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +26,9 @@
 
     seen: int = 0
     changes: dict[str, Change] = dataclasses.field(default_factory=dict)
+    # From and up to which revision everything was read at once: of a key that
+    # came and ended in between nothing is known.
+    gaps: list[tuple[int, int]] = dataclasses.field(default_factory=list)
 
 
 def merge(
@@ -61,3 +66,50 @@
         if size > DELTA_BYTES and count < len(later):
             return change.revision, later[:count]
     return revisions.seen, later
+
+
+def note_gap(
+    revisions: Revisions, upto: int, present: collections.abc.Iterable[Change]
+) -> list[Change]:
+    """Return the ends of keys that are missing where all was read at once.
+
+    To be called before what was read is merged.
+    """
+    if upto > revisions.seen:
+        revisions.gaps.append((revisions.seen, upto))
+    if len(revisions.gaps) > MOST_GAPS:
+        first, second, *others = revisions.gaps
+        revisions.gaps = [(first[0], second[1]), *others]
+    there = {change.key for change in present}
+    return [
+        Change(key, upto, None)
+        for key, known in revisions.changes.items()
+        if key not in there and known.value is not None
+    ]
+
+
+def lacking(revisions: Revisions, since: int) -> tuple[bool, list[Change]]:
+    """Return what someone lacks at `since`, and whether that is everything.
+
+    Everything has to be compared by someone who stands in a gap: it may know
+    a key that came after the gap's beginning and ended before its end. One
+    that stands before or behind it needs only what changed, so that history
+    which the service forgets is read anew by few and told as usual.
+
+    >>> known = Revisions()
+    >>> both = [Change('a', 1, 'x'), Change('b', 2, 'y')]
+    >>> _ = merge(known, 0, 5, [*note_gap(known, 5, both), *both])
+    >>> _ = merge(known, 0, 9, [*note_gap(known, 9, both[:1]), both[0]])
+    >>> lacking(known, 5)
+    (False, [Change(key='b', revision=9, value=None)])
+    >>> lacking(known, 7)
+    (True, [Change(key='a', revision=1, value='x')])
+    """
+    everything = not since or any(
+        first < since < upto for first, upto in revisions.gaps
+    )
+    if not everything:
+        changes = revisions.changes.values()
+        return False, [c for c in changes if c.revision > since]
+    live = [c for c in revisions.changes.values() if c.value is not None]
+    return True, live
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -11,6 +11,7 @@
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.pooler import hearing
 from topazring.pooler import peers
 from topazring.pooler import ports
 
@@ -51,24 +52,31 @@
         self,
         adapter: ports.Adapter,
         asker: peers.Asker,
+        hearer: hearing.Hearer,
         log: events.EventLog,
         changed: collections.abc.Callable[[set[str]], None],
         watch_ms: int,
     ):
         self.adapter = adapter
         self.asker = asker
+        self.hearer = hearer
         self.log = log
         self.changed = changed
         # A watch is ended by us after that long: the service may have
         # swallowed it while the connection lives.
         self.watch_ms = watch_ms
         self.listing = listings.Listing()
+        # Set when all that there is was read once.
+        self.read = asyncio.Event()
         # Set with the first configuration.
         self.configured = asyncio.Event()
         # The last change of each key, up to `known.seen`.
         self.known = revisions.Revisions()
-        # Ends of keys from before this revision are not known.
-        self.complete_from = 0
+        self.history_lost = False
+        # Set, and replaced, when something new is known.
+        self.news = asyncio.Event()
+        # When a hearer last waited here for news.
+        self.heard_ms = -(10**9)
         # When the listing was last known to be complete.
         self.confirmed_ms = -(10**9)
         self.away_since_ms: int | None = None
@@ -95,17 +103,38 @@
             return None
         return change
 
-    def tell(self, after: int) -> peers.Told:
-        """Return what a peer lacks that knows all up to a revision."""
-        complete = after < self.complete_from or not after
-        changes = [
-            change
-            for change in self.known.changes.values()
-            if change.revision > after or complete
-        ]
-        if complete:
-            changes = [c for c in changes if c.value is not None]
-        return peers.Told(self.known.seen, complete, changes)
+    @property
+    def follows(self) -> bool:
+        """Say whether this proxy reads the service itself, and can."""
+        away = self.away_since_ms is not None
+        return self.known.seen > 0 and not self.hearer.source and not away
+
+    async def tell(self, after: int, wait_ms: int = 0) -> peers.Told:
+        """Return what a peer lacks that knows all up to a revision.
+
+        If that is nothing, wait for it, as long as this proxy follows.
+        """
+        if wait_ms:
+            self.heard_ms = clock.suspended_ms()
+            await self._wait_for_news(after, wait_ms)
+        seen = self.known.seen
+        age_ms = max(0, clock.suspended_ms() - self.confirmed_ms)
+        complete, changes = revisions.lacking(self.known, after)
+        return peers.Told(seen, complete, changes, self.follows, age_ms)
+
+    async def _wait_for_news(self, after: int, wait_ms: int) -> None:
+        if not self.follows or self.known.seen > after:
+            return
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                await self.news.wait()
+        except TimeoutError:
+            # That nothing is new is an answer as well.
+            return
+
+    def _tell_news(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
 
     # ---- asking ----
 
@@ -114,9 +143,9 @@
         began_ms = clock.suspended_ms()
         while True:
             answer = await self._ask()
-            if isinstance(answer, key_value.Changes):
+            if isinstance(answer, key_value.Changes | hearing.Heard):
                 failures = 0
-                self._back()
+                self._back(answer)
                 if clock.suspended_ms() - began_ms < STARTING_S * 1000:
                     await asyncio.sleep(GATHER_S)
                 continue
@@ -126,7 +155,7 @@
                     'history lost',
                     inputs={'revision': self.known.seen},
                 )
-                self.known.seen = 0
+                self.history_lost = True
                 continue
             self._away(answer)
             await self.ask_peers(peers.ASK_S, count=1)
@@ -141,20 +170,43 @@
         return pause_s * random.uniform(0.5, 1.0)
 
     async def _ask(self):
-        """Ask once and take in what is answered."""
-        if self.known.seen:
-            # While the service is away only a short question finds out when
-            # it is back: a watch that it swallows would be waited for.
-            wait_ms = self.watch_ms if self.away_since_ms is None else 0
-            answer = await self.adapter.store.changes(
-                EVERYTHING, self.known.seen, wait_ms
-            )
-            if isinstance(answer, key_value.Changes):
-                self._take(answer.changes, answer.upto)
-            return answer
+        """Ask a follower or the service once; take in what is answered."""
+        if not self.known.seen:
+            return await self._read_everything()
+        heard = await self.hearer.hear(
+            self.listing.proxies.values(), self.known.seen
+        )
+        if heard is not None:
+            self.history_lost = False
+            self._take_told(heard.told)
+            return heard
+        if self.history_lost:
+            return await self._read_everything()
+        answer = await self.adapter.store.changes(
+            EVERYTHING, self.known.seen, self._watch_ms()
+        )
+        if isinstance(answer, key_value.Changes):
+            self._take(answer.changes, answer.upto)
+        return answer
+
+    def _watch_ms(self) -> int:
+        """Return how long the service is to wait for a change.
+
+        While it is away only a short question finds out when it is back: a
+        watch that it swallows would be waited for. A proxy that others hear
+        has a part of the time only in which it may go on with a lost watch.
+        """
+        if self.away_since_ms is not None:
+            return 0
+        if clock.suspended_ms() - self.heard_ms < self.watch_ms:
+            return self.hearer.wait_ms
+        return self.watch_ms
+
+    async def _read_everything(self):
         asked_ms = clock.suspended_ms()
         answer = await self.adapter.store.everything(EVERYTHING)
         if isinstance(answer, key_value.Changes):
+            self.history_lost = False
             self._take_all(answer.changes, answer.upto)
             self.log.emit(
                 'directory',
@@ -197,16 +249,14 @@
     def _take_told(self, told: peers.Told | None) -> None:
         if told is None or told.revision <= self.known.seen:
             return
-        self.log.emit(
-            'directory',
-            'told by a peer',
-            inputs={
+        if told.changes:
+            inputs = {
                 'revision': told.revision,
                 'before': self.known.seen,
                 'changes': len(told.changes),
                 'complete': told.complete,
-            },
-        )
+            }
+            self.log.emit('directory', 'told by a peer', inputs=inputs)
         if told.complete:
             self._take_all(told.changes, told.revision)
         else:
@@ -215,11 +265,13 @@
     def _away(self, answer: key_value.Unavailable) -> None:
         if self.away_since_ms is None:
             self.away_since_ms = clock.suspended_ms()
+            # Who waits here for news has to hear another.
+            self._tell_news()
             self.log.emit(
                 'directory', 'store lost', inputs={'detail': answer.detail}
             )
 
-    def _back(self) -> None:
+    def _back(self, answer: key_value.Changes | hearing.Heard) -> None:
         now_ms = clock.suspended_ms()
         if self.away_since_ms is not None:
             away_ms = now_ms - self.away_since_ms
@@ -231,26 +283,25 @@
                 'directory', 'store regained', inputs={'away_ms': away_ms}
             )
         self.confirmed_ms = now_ms
+        if isinstance(answer, hearing.Heard):
+            self.confirmed_ms = answer.confirmed_ms
 
     # ---- taking in ----
 
     def _take_all(self, changes: list[revisions.Change], upto: int) -> None:
         """Take in everything there is; what is not there has ended."""
-        present = {change.key for change in changes}
-        ended = [
-            revisions.Change(key, upto, None)
-            for key, known in self.known.changes.items()
-            if key not in present and known.value is not None
-        ]
-        self.complete_from = upto
+        ended = revisions.note_gap(self.known, upto, changes)
         self._take([*ended, *changes], upto)
 
     def _take(self, changes: list[revisions.Change], upto: int) -> None:
         new = revisions.merge(self.known, self.known.seen, upto, changes)
+        self.read.set()
         now_ms = clock.suspended_ms()
         services: set[str] = set()
         for change in new or ():
             services |= self._take_one(now_ms, change)
+        if new:
+            self._tell_news()
         self._tell(services)
 
     def _take_one(self, now_ms: int, change: revisions.Change) -> set[str]:
--- a/topazring/pooler/duty.py
+++ b/topazring/pooler/duty.py
@@ -38,6 +38,12 @@
 BEYOND_LEASE_MS = 15_000
 # All see at the same time that the duty is free.
 JITTER_S = 0.15
+# A fleet that starts does, and its proxies do not know each other yet. The
+# first of eight is there after a tenth of a second, of two hundred at once.
+STARTING_JITTER_S = 1.0
+# Who only hears what changes leaves the duty to those that follow the
+# service: of a large fleet hundreds would write for it at once.
+HEARER_PAUSE_S = 1.0
 RETRY_S = 0.5
 # Right before an order the holder asks for so long whether it still holds the
 # duty. The store and peers answer in milliseconds; each 100 ms more keep a
@@ -81,6 +87,7 @@
         self.valid_until_ms = 0
         self.doubted = asyncio.Event()
         self.yielded_ms = -YIELD_MS
+        self.jitter_s = STARTING_JITTER_S
         self.ending: asyncio.Task | None = None
         self.task: asyncio.Task | None = None
 
@@ -199,7 +206,11 @@
             return
 
     async def _try(self) -> None:
-        await asyncio.sleep(random.uniform(0, JITTER_S))
+        pause_s = random.uniform(0, self.jitter_s)
+        self.jitter_s = JITTER_S
+        if not self.directory.follows:
+            pause_s += HEARER_PAUSE_S
+        await asyncio.sleep(pause_s)
         if not self._is_free():
             return
         asked_ms = clock.suspended_ms()
--- /dev/null
+++ b/topazring/pooler/hearing.py
@@ -0,0 +1,101 @@
+"""Hear from a follower of the platform's service what changed there."""
+
+import collections.abc
+import dataclasses
+
+from topazring.core import followers
+from topazring.core.synchronous import listing as listings
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import peers
+
+__all__ = ['Heard', 'Hearer']
+
+# The parts of the time within which a change has to be in force: a follower's
+# own watch takes one of them, a hearer's question another, and the third is
+# left for another follower, or the service itself, where one is lost.
+PARTS = 3
+# A follower's last answer of the service may be older than its watch by what
+# that is late, and by what the answer takes to come here.
+AGE_SLACK_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """Hold what a follower told, and for when it was complete."""
+
+    told: peers.Told
+    confirmed_ms: int
+
+
+class Hearer:
+    """Own the questions to followers; remember whom to hear."""
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        asker: peers.Asker,
+        log: events.EventLog,
+        in_force_ms: int,
+    ):
+        self.name = name
+        self.data_centre = data_centre
+        self.asker = asker
+        self.log = log
+        # How long a question waits for a change.
+        self.wait_ms = in_force_ms // PARTS
+        self.hearing = followers.Hearing()
+        # Whom this proxy hears; empty while it asks the service itself.
+        self.source = ''
+
+    async def hear(
+        self,
+        proxies: collections.abc.Iterable[listings.ProxyRecord],
+        after: int,
+    ) -> Heard | None:
+        """Return what a follower tells; None if the service is to be asked.
+
+        A follower that is heard for the first time, or again after a
+        failure, answers at once. So a proxy whose follower was lost is up to
+        date again before it waits for the next change.
+        """
+        addresses = {
+            record.name: record.peer_address
+            for record in proxies
+            if record.data_centre == self.data_centre and record.peer_address
+        }
+        names = addresses.keys() | {self.name}
+        while True:
+            now_ms = clock.suspended_ms()
+            source = followers.choose(self.hearing, now_ms, self.name, names)
+            if not source:
+                self._change_source('')
+                return None
+            wait_ms = self.wait_ms if source == self.source else 0
+            told = await self.asker.ask_one(addresses[source], after, wait_ms)
+            if told is not None and self._will_do(told):
+                self._change_source(source)
+                return Heard(told, now_ms - told.age_ms)
+            self._pass_over(source, told)
+
+    def _will_do(self, told: peers.Told) -> bool:
+        """Say whether a proxy knows what the service says now.
+
+        One that hears another itself must not be heard: two that heard each
+        other would learn nothing any more, and nobody would notice.
+        """
+        return told.follows and told.age_ms <= self.wait_ms + AGE_SLACK_MS
+
+    def _pass_over(self, source: str, told: peers.Told | None) -> None:
+        followers.saw_failure(self.hearing, clock.suspended_ms(), source)
+        inputs = {'follower': source, 'answered': told is not None}
+        if told is not None:
+            inputs |= {'follows': told.follows, 'age_ms': told.age_ms}
+        self.log.emit('directory', 'follower passed over', inputs=inputs)
+
+    def _change_source(self, source: str) -> None:
+        if source == self.source:
+            return
+        self.source = source
+        self.log.emit('directory', 'hears', inputs={'follower': source})
--- a/topazring/pooler/membership.py
+++ b/topazring/pooler/membership.py
@@ -15,6 +15,9 @@
 TTL_MS = 30_000
 RENEW_S = 10.0
 RETRY_S = 1.0
+# The directory is read in some ten ms. With it a proxy that comes back knows
+# its predecessor's entry, and needs two calls less to replace it.
+READ_S = 0.3
 
 
 class Membership:
@@ -25,11 +28,13 @@
         name: str,
         value: directories.ProxyValue,
         store: key_value.Store,
+        directory: directories.Directory,
         log: events.EventLog,
     ):
         self.key = directories.PROXY_PREFIX + name
         self.value = msgspec.json.encode(value).decode()
         self.store = store
+        self.directory = directory
         self.log = log
         self.lease = 0
         self.task: asyncio.Task | None = None
@@ -47,6 +52,11 @@
             await self.store.end(lease)
 
     async def _run(self) -> None:
+        try:
+            async with asyncio.timeout(READ_S):
+                await self.directory.read.wait()
+        except TimeoutError:
+            self.log.emit('membership', 'enters before the first read')
         while True:
             if not self.lease:
                 await self._enter()
@@ -60,12 +70,16 @@
         leased = await self.store.lease(TTL_MS)
         if not isinstance(leased, key_value.Leased):
             return
-        written = await self._write(leased.lease, 0)
+        before = self.directory.own(self.key)
+        revision = before.revision if before else 0
+        written = await self._write(leased.lease, revision)
         if isinstance(written, key_value.Conflict):
-            # A predecessor of the same name is still listed; it is dead.
+            # A predecessor of the same name was listed, or lapsed, since.
             answer = await self.store.get(self.key)
             if isinstance(answer, key_value.Found):
                 written = await self._write(leased.lease, answer.revision)
+            elif isinstance(answer, key_value.Missing):
+                written = await self._write(leased.lease, 0)
         if isinstance(written, key_value.Written):
             self.lease = leased.lease
             self.log.emit('membership', 'listed')
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -27,6 +27,7 @@
 from topazring.pooler import directory as directories
 from topazring.pooler import duty as duties
 from topazring.pooler import group_task
+from topazring.pooler import hearing
 from topazring.pooler import hop_server
 from topazring.pooler import leaving
 from topazring.pooler import membership
@@ -91,9 +92,17 @@
         self.keys = itertools.count(1)
         self.holds = False
         self.token = 0
+        asker = peers.Asker(config.peers, config.peer_address or '')
         self.directory = directories.Directory(
             adapter,
-            peers.Asker(config.peers, config.peer_address or ''),
+            asker,
+            hearing.Hearer(
+                config.name,
+                config.data_centre,
+                asker,
+                self.log,
+                config.config_apply_ms,
+            ),
             self.log,
             self._changed,
             config.config_apply_ms,
@@ -106,6 +115,7 @@
                 config.hop_address or '',
             ),
             adapter.store,
+            self.directory,
             self.log,
         )
         self.peer_server = peers.Server(self.directory.tell)
--- /dev/null
+++ b/topazring/pooler/tests/fleet.py
@@ -0,0 +1,218 @@
+"""Run the directories of a data centre's proxies before one service."""
+
+import asyncio
+import contextlib
+import socket
+import types
+
+import msgspec
+
+from topazring.core import revisions
+from topazring.core.synchronous import listing as listings
+from topazring import key_value
+from topazring.plumbing import events
+from topazring.pooler import directory as directories
+from topazring.pooler import hearing
+from topazring.pooler import peers
+
+CENTRE = 'cork'
+CONFIGURATION = 'configuration'
+# Within so long a change has to be in force.
+IN_FORCE_MS = 900
+
+
+class Service:
+    """Hold keys under one revision, and forget history on demand."""
+
+    def __init__(self):
+        self.revision = 0
+        self.values: dict[str, revisions.Change] = {}
+        self.history: list[revisions.Change] = []
+        self.history_from = 0
+        self.changed = asyncio.Condition()
+
+    async def put(self, key: str, value: str | None) -> None:
+        """Write a key, or remove it."""
+        self.revision += 1
+        change = revisions.Change(key, self.revision, value)
+        self.history.append(change)
+        if value is None:
+            self.values.pop(key, None)
+        else:
+            self.values[key] = change
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget(self) -> None:
+        """Forget all history."""
+        self.history.clear()
+        self.history_from = self.revision
+
+
+class Client:
+    """Be one proxy's way to the service; count what it asks."""
+
+    def __init__(self, service: Service):
+        self.service = service
+        # It is turned away.
+        self.away = False
+        # Its calls are taken and never answered.
+        self.swallowed = False
+        self.reads = 0
+        self.watches = 0
+
+    async def everything(self, prefix):
+        """Return all that there is."""
+        self.reads += 1
+        if self.away or self.swallowed:
+            return key_value.Unavailable('turned away')
+        found = list(self.service.values.values())
+        return key_value.Changes(0, self.service.revision, found)
+
+    async def changes(self, prefix, since, wait_ms):
+        """Return what changed, waiting for it."""
+        self.watches += 1
+        service = self.service
+        if self.away:
+            return key_value.Unavailable('turned away')
+        if since < service.history_from:
+            return key_value.HistoryLost()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000), service.changed:
+                await service.changed.wait_for(
+                    lambda: service.revision > since and not self.swallowed
+                )
+        if self.swallowed:
+            return key_value.Unavailable('no answer in time')
+        if since < service.history_from:
+            return key_value.HistoryLost()
+        later = [c for c in service.history if c.revision > since]
+        return key_value.Changes(since, service.revision, later)
+
+
+class Proxy:
+    """Hold one proxy's directory, and whom it tells."""
+
+    def __init__(self, name: str, port: int, service: Service):
+        self.name = name
+        self.address = f'127.0.0.1:{port}'
+        self.client = Client(service)
+        self.log = events.EventLog(name)
+        self.versions: list[int] = []
+        self.frozen = False
+        asker = peers.Asker((), self.address)
+        self.directory = directories.Directory(
+            types.SimpleNamespace(store=self.client, decode=_decode),
+            asker,
+            hearing.Hearer(name, CENTRE, asker, self.log, IN_FORCE_MS),
+            self.log,
+            self.note,
+            IN_FORCE_MS,
+        )
+        self.server = peers.Server(self.tell)
+
+    async def tell(self, after: int, wait_ms: int) -> peers.Told:
+        """Tell a peer, unless this proxy stands still."""
+        told = await self.directory.tell(after, wait_ms)
+        while self.frozen:
+            await asyncio.sleep(0.02)
+        return told
+
+    def note(self, services: set[str]) -> None:
+        """Remember the version that is in force."""
+        self.versions.append(self.version)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 if none is."""
+        configuration = self.directory.listing.configuration
+        return 0 if configuration is None else configuration.version
+
+    @property
+    def follows(self) -> bool:
+        """Say whether it reads the service itself."""
+        return self.directory.follows
+
+    def start(self) -> None:
+        """Begin to follow, or to hear."""
+        self.server.start(self.address)
+        self.directory.start()
+
+    def end(self) -> None:
+        """End as a process that is killed."""
+        self.directory.close()
+        self.server.close()
+        for connection in list(self.server.server._connections):
+            connection.stream.close()
+
+
+def _decode(key: str, value: str, revision: int) -> listings.Record | None:
+    if key != CONFIGURATION:
+        return None
+    return listings.Configuration(int(value), {}, {'s': 3})
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(('127.0.0.1', 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class Fleet:
+    """Own the proxies and the service."""
+
+    def __init__(self, count: int):
+        self.service = Service()
+        self.version = 0
+        self.proxies = [
+            Proxy(f'p{number}', port, self.service)
+            for number, port in enumerate(_free_ports(count))
+        ]
+
+    async def start(self) -> None:
+        """List all proxies and wait until all hear what they should."""
+        for proxy in self.proxies:
+            value = directories.ProxyValue(CENTRE, proxy.address)
+            key = directories.PROXY_PREFIX + proxy.name
+            await self.service.put(key, msgspec.json.encode(value).decode())
+        await self.configure()
+        for proxy in self.proxies:
+            proxy.start()
+        await self.in_force(self.proxies)
+        await until(lambda: len(self.hearers()) == len(self.proxies) - 2)
+
+    def close(self) -> None:
+        """End all proxies."""
+        for proxy in self.proxies:
+            proxy.end()
+
+    def followers(self) -> list[Proxy]:
+        """Return who reads the service."""
+        return [proxy for proxy in self.proxies if proxy.follows]
+
+    def hearers(self) -> list[Proxy]:
+        """Return who hears another."""
+        return [p for p in self.proxies if p.directory.hearer.source]
+
+    async def configure(self) -> None:
+        """Have the operator write the next version."""
+        self.version += 1
+        await self.service.put(CONFIGURATION, str(self.version))
+
+    async def in_force(self, proxies: list[Proxy]) -> None:
+        """Wait until the newest version is in force, no longer than it may."""
+        await until(
+            lambda: all(p.version == self.version for p in proxies),
+            IN_FORCE_MS / 1000,
+        )
+
+
+async def until(holds, within_s: float = 3.0) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(within_s):
+        while not holds():
+            await asyncio.sleep(0.01)
--- a/topazring/pooler/tests/test_duty.py
+++ b/topazring/pooler/tests/test_duty.py
@@ -84,6 +84,7 @@
         self.known = revisions.Revisions(seen=1)
         self.own_changed = asyncio.Event()
         self.away_since_ms = None
+        self.follows = True
         # What peers tell when they are asked; None if none answers.
         self.peers_tell = {}
 
