Hold a write that was confirmed while no replica that vouches is reached

A confirmation tells that a replica has the write, not which. Now one that comes while every replica that vouches has left questions unanswered for 150 ms proves nothing: the answer waits for the proof of the lead that reads wait for, is given as soon as a replica is heard, and is unknown after 300 ms without one; it is never sent again. Nor does such a confirmation count for what is acknowledged or for the age of replicas.

What it costs: a proxy that alone is cut off from the replicas gives saves an unknown fate after 300 ms instead of an acknowledgement. Weighed: to have every write wait for a replica's word (a question and some ms for each); to refuse writes as soon as the replicas are silent (isolation does so once they hang, or a newcomer is seen).

Left open: a write that is sent within 150 ms of the partition's beginning.

--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -75,7 +75,7 @@
 def _too_late(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
-    if work.running:
+    if fates.may_have_run(work):
         reason = Reason.UPSTREAM_TIMEOUT
         return fates.give_up(
             state, now_ms, work, reason, RETRY_MS, maybe_ran=True
@@ -99,11 +99,13 @@
 def _unproved(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
-    """Give up a read whose upstream cannot be proved to have led."""
+    """Give up what ran at an upstream that cannot be proved to have led."""
     if not proofs.in_doubt(state, now_ms):
         return []
     retry_ms = prospects.ELSEWHERE_MS
-    return fates.give_up(state, now_ms, work, Reason.UNPROVEN, retry_ms)
+    return fates.give_up(
+        state, now_ms, work, Reason.UNPROVEN, retry_ms, maybe_ran=True
+    )
 
 
 def _is_stranded(
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -24,6 +24,7 @@
     'give_up',
     'keeps_nothing',
     'line_up',
+    'may_have_run',
     'requeue',
     'unserved',
 ]
@@ -43,6 +44,11 @@
     return not request.writes or request.transaction != 0
 
 
+def may_have_run(work: states.Work) -> bool:
+    """Say whether an upstream has the request, or has answered it."""
+    return bool(work.running) or work.ready is not None
+
+
 def answer(
     state: states.GroupState, work: states.Work, outcome: outcomes.Outcome
 ) -> list:
@@ -108,11 +114,12 @@
     work.ready = outcome
     work.needs_ms = needs_ms
     state.held.add(work.request.key)
+    proofs.want(state, needs_ms)
     return []
 
 
 def answer_proved(state: states.GroupState, now_ms: int) -> list:
-    """Answer the reads whose upstream is proved to have led."""
+    """Answer what waits for the proof that its upstream led."""
     if not state.held:
         return []
     outs: list = []
@@ -135,6 +142,9 @@
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
     work.ready = None
+    if not keeps_nothing(work):
+        # Its upstream was replaced, with or without what it wrote.
+        return give_up(state, now_ms, work, Reason.REPLACED, 0, maybe_ran=True)
     if work.request.transaction:
         return give_up(state, now_ms, work, Reason.TRANSACTION_LOST, 0)
     return requeue(state, now_ms, work, Reason.REPLACED)
@@ -180,8 +190,7 @@
 
     Its connection goes on with what was sent, for nobody.
     """
-    maybe_ran = bool(work.running)
-    outcome = unserved(work, Reason.CANCELLED, 0, maybe_ran)
+    outcome = unserved(work, Reason.CANCELLED, 0, may_have_run(work))
     return answer(state, work, outcome)
 
 
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -300,7 +300,7 @@
             work,
             outcomes.Reason.DRAINING,
             0,
-            maybe_ran=bool(work.running),
+            maybe_ran=fates.may_have_run(work),
         )
     for connection in list(state.connections.values()):
         outs += connections.drop(state, connection)
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -46,6 +46,7 @@
     'is_superseded',
     'is_unreached',
     'leads_newest',
+    'needed_by_write_ms',
     'needed_ms',
     'needs_proof',
     'note_confirmed',
@@ -181,6 +182,20 @@
     return request.arrived_ms
 
 
+def needed_by_write_ms(
+    state: states.GroupState, now_ms: int, connection: states.Connection
+) -> int | None:
+    """Return for when the lead has to be proved before a write is answered.
+
+    A replica has confirmed it, and that is proof enough while one that
+    vouches is reached. Otherwise a replica that nobody has listed may have
+    joined a primary that is cut off and replaced: an acknowledged write would
+    be gone with it. It costs a caller whose proxy alone is cut off from the
+    replicas its answer, which is unknown then.
+    """
+    return connection.sent_ms if is_alone(state, now_ms) else None
+
+
 def needs_proof(request: messages.Request) -> bool:
     """Say whether a request at the primary is answered only on a proof."""
     return not request.writes or bool(request.transaction)
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -218,6 +218,7 @@
     request = work.request
     if request.writes:
         settling.note_confirmed(state, now_ms, connection, reply)
+        needs_ms = proofs.needed_by_write_ms(state, now_ms, connection)
     at_primary = connection.upstream == state.primary
     if not request.writes:
         where = 'primary' if at_primary else 'replica'
--- a/topazring/core/synchronous/settling.py
+++ b/topazring/core/synchronous/settling.py
@@ -42,7 +42,8 @@
 
     Logs are received in order. So the replica holds all that the primary's
     log held before the write was sent, and all of that counts as
-    acknowledged.
+    acknowledged. But where none of the replicas that vouch is reached it may
+    be one that joined a cut off primary, and then it proves nothing.
     """
     upstream = state.upstreams.get(connection.upstream)
     if upstream is None:
@@ -51,6 +52,8 @@
     proofs.note_confirmed(state, now_ms, upstream, connection.sent_ms)
     if proofs.is_superseded(state, upstream):
         return
+    if proofs.is_alone(state, now_ms):
+        return
     state.acknowledged = max(state.acknowledged, connection.place_before)
     if reply.place is not None and upstream.name == state.primary:
         sample = states.Sample(connection.sent_ms, reply.place)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -201,7 +201,7 @@
     hedges: int = 0
     # Something about it was out of the ordinary: the log tells its rest too.
     told: bool = False
-    # The answer of a read that waits for the proof that its upstream led.
+    # The answer that waits for the proof that its upstream led.
     ready: outcomes.Done | None = None
     needs_ms: int = NEVER_MS
     last_reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
@@ -285,7 +285,7 @@
     samples: collections.deque[Sample] = dataclasses.field(
         default_factory=collections.deque
     )
-    # Keys of the reads whose answers wait for a proof.
+    # Keys of the requests whose answers wait for a proof.
     held: set[int] = dataclasses.field(default_factory=set)
     # Places that the primary reported and that are samples once its lead is
     # proved for their time; oldest first.
--- a/topazring/core/synchronous/tests/test_isolation.py
+++ b/topazring/core/synchronous/tests/test_isolation.py
@@ -110,6 +110,62 @@
         outcome = support.answers(outs).get(key)
         self.assertNotIsInstance(outcome, outcomes.Done)
 
+    def confirmed_alone(self) -> support.Driver:
+        """Have a write confirmed while no replica can be reached."""
+        driver = support.Driver().ready()
+        play(driver, 460, 'u1')
+        self.key, _ = driver.submit(verb=WRITE)
+        (connection,) = [c for c in driver.busy('u1') if c.work]
+        driver.reply(connection, support.ok('signed'))
+        driver.outs.clear()
+        return driver
+
+    def test_write_confirmed_alone_is_answered_once_a_replica_is_heard(self):
+        """It was this proxy alone that did not reach them."""
+        driver = self.confirmed_alone()
+        self.assertNotIn(self.key, support.answers(driver.outs))
+        play(driver, 100, 'u1', 'u2', 'u3')
+        outcome = support.answers(driver.outs)[self.key]
+        self.assertIsInstance(outcome, outcomes.Done)
+
+    def test_write_confirmed_alone_is_unknown_without_proof(self):
+        """Neither acknowledged, nor said not to have run, nor sent again.
+
+        What would be wrong: a save that took effect and is refused as not
+        run, so that its caller saves it twice.
+        """
+        driver = self.confirmed_alone()
+        play(driver, 900, 'u1')
+        outcome = support.answers(driver.outs)[self.key]
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        sent = [
+            send
+            for send in support.sends(driver.outs)
+            if any(isinstance(c, statements.Run) for c in send.commands)
+        ]
+        self.assertEqual([], sent)
+
+    def test_write_confirmed_alone_at_a_replaced_primary(self):
+        """Its successor may lack it, so it is not run there again either."""
+        driver = self.confirmed_alone()
+        driver.state.primary = 'u2'
+        outs = driver.tick(20)
+        self.assertIsInstance(
+            support.answers(outs)[self.key], outcomes.Unknown
+        )
+
+    def test_write_confirmed_alone_proves_nothing(self):
+        """Neither what is acknowledged, nor how old replicas are."""
+        driver = support.Driver().ready()
+        acknowledged = driver.state.acknowledged
+        play(driver, 460, 'u1')
+        driver.submit(verb=WRITE)
+        (connection,) = [c for c in driver.busy('u1') if c.work]
+        driver.reply(
+            connection, support.ok('signed', place=support.Place(1, 9))
+        )
+        self.assertEqual(acknowledged, driver.state.acknowledged)
+
     def test_needs_a_primary(self):
         """Without one nothing is confirmed by anyone.
 
--- a/topazring/core/synchronous/transactions.py
+++ b/topazring/core/synchronous/transactions.py
@@ -100,9 +100,11 @@
     state.transactions.pop(work.request.transaction, None)
     outs = settling.release(state, now_ms, connection, reply)
     place = reply.place if transaction.wrote else None
+    needs_ms = None
     if place is not None:
         settling.note_confirmed(state, now_ms, connection, reply)
-    return outs + fates.done(state, work, connection, reply, place)
+        needs_ms = proofs.needed_by_write_ms(state, now_ms, connection)
+    return outs + fates.done(state, work, connection, reply, place, needs_ms)
 
 
 def _statement_failed(
