Keep a group's connections by upstream

Profile of a played crowd at twice its rate: an eighth of the processor time went into picking an upstream's connections out of all, for each weighing of where a request goes.

--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -204,9 +204,10 @@
 ) -> messages.Open:
     number = state.next_connection
     state.next_connection += 1
-    state.connections[number] = states.Connection(
-        number, upstream.name, sent_ms=now_ms
-    )
+    connection = states.Connection(number, upstream.name, sent_ms=now_ms)
+    state.connections[number] = connection
+    held = state.connections_by_upstream.setdefault(upstream.name, {})
+    held[number] = connection
     return messages.Open(number, upstream.name, upstream.address)
 
 
@@ -321,6 +322,10 @@
     KeyError after connections were reset.
     """
     del state.connections[connection.number]
+    held = state.connections_by_upstream[connection.upstream]
+    del held[connection.number]
+    if not held:
+        del state.connections_by_upstream[connection.upstream]
     state.transactions.pop(connection.transaction, None)
     work = state.work.get(connection.work)
     if work is not None:
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -237,6 +237,11 @@
     connections: dict[int, Connection] = dataclasses.field(
         default_factory=dict
     )
+    # The same by upstream: each decision looks at those of one, and to pick
+    # them out of all took an eighth of a busy group's processor time.
+    connections_by_upstream: dict[str, dict[int, Connection]] = (
+        dataclasses.field(default_factory=dict)
+    )
     next_connection: int = 1
     began_ms: int | None = None
     # When the group was first listed; 0 before.
@@ -328,11 +333,7 @@
 
 def connections_to(state: GroupState, upstream: str) -> list[Connection]:
     """Return the connections to an upstream, whatever they do."""
-    return [
-        connection
-        for connection in state.connections.values()
-        if connection.upstream == upstream
-    ]
+    return list(state.connections_by_upstream.get(upstream, {}).values())
 
 
 def idle_connections(state: GroupState, upstream: str) -> list[Connection]:
--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -217,6 +217,9 @@
 
     def forget(state, connection):
         del state.connections[connection.number]
+        del state.connections_by_upstream[connection.upstream][
+            connection.number
+        ]
 
     return mock.patch.object(connections, '_forget', forget)
 
--- a/topazring/core/synchronous/tests/invariants.py
+++ b/topazring/core/synchronous/tests/invariants.py
@@ -38,6 +38,13 @@
 
 def _connections(state: states.GroupState) -> list[str]:
     found = []
+    listed = {
+        number
+        for held in state.connections_by_upstream.values()
+        for number in held
+    }
+    if listed != state.connections.keys():
+        found.append('connections by upstream are not all connections')
     for number, connection in state.connections.items():
         work = state.work.get(connection.work)
         if work is not None and number not in work.running:
