Start a fleet of few owners with several connections each

After a loss of power an owner held one connection to each upstream for 3.5 s, for the old ones linger; with eight owners that is eight in all, and transactions whose callers pause hold some of them. Where an upstream takes many connections for each owner, the reserve is up to three for each, and the share is what is left.

That the reserve alone brings it is not shown.

--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -1,9 +1,9 @@
 """Keep the connections to a group's upstreams within this proxy's share.
 
-All proxies together may hold only so many connections to an upstream. They
-share what is left after a reserve of one for each proxy: a whole fleet that
-lost its power comes back while the upstreams still hold the connections of
-before, for some seconds. An upstream that is at its limit refuses, and is
+All owners together may hold only so many connections to an upstream. They
+share what is left after a reserve for each: a whole fleet that lost its power
+comes back while the upstreams still hold the connections of before, for some
+seconds. An upstream that is at its limit refuses, and is
 left alone for a moment.
 """
 
@@ -23,6 +23,7 @@
     'is_shut_out',
     'make_idle',
     'opened',
+    'reserve_of',
     'send',
     'set_share',
     'share_of',
@@ -30,9 +31,13 @@
 ]
 
 # An upstream drops the connections of an instance that lost its power after
-# three seconds. Until then a proxy that has just started holds one, so that
-# each of a fleet that comes back has one.
+# three seconds. Until then a proxy that has just started holds no more than
+# its part of the reserve, so that each of a fleet that comes back has as many.
 LINGER_MS = 3500
+# Of what an upstream takes for each owner, one part in so many is reserve; at
+# least one connection, and no more than serve what comes in a usual second.
+RESERVE_PARTS = 3
+MOST_RESERVED = 3
 # A refused dial costs the upstream little; the pause keeps a dead one from
 # being dialled in a tight loop.
 DIAL_PAUSE_MS = 100
@@ -55,8 +60,21 @@
 DIAL_TIMEOUT_MS = 700
 
 
-def share_of(max_connections: int, proxies: int, rank: int) -> int:
-    """Return how many connections to one upstream a proxy may hold.
+def reserve_of(max_connections: int, owners: int) -> int:
+    """Return how many connections to one upstream an owner starts with.
+
+    With one alone the first seconds after a loss of power are lost where
+    owners are few: transactions whose callers pause hold it.
+
+    >>> reserve_of(23, 8), reserve_of(88, 8)
+    (1, 3)
+    """
+    part = max_connections // max(1, owners) // RESERVE_PARTS
+    return min(max(1, part), MOST_RESERVED)
+
+
+def share_of(max_connections: int, owners: int, rank: int) -> int:
+    """Return how many connections to one upstream an owner may hold.
 
     What cannot be shared evenly goes to the first in rank.
 
@@ -64,11 +82,13 @@
     [2, 2, 2, 2, 2, 2, 2, 1]
     >>> share_of(30, 7, 0), share_of(30, 7, 6)
     (4, 3)
+    >>> share_of(88, 8, 0)
+    8
     >>> share_of(34, 68, 0)
     1
     """
-    usable = max(0, max_connections - proxies)
-    even, left = divmod(usable, max(1, proxies))
+    reserve = reserve_of(max_connections, owners) * owners
+    even, left = divmod(max(0, max_connections - reserve), max(1, owners))
     return max(1, even + (rank < left))
 
 
@@ -83,7 +103,9 @@
     """
     share = 0
     if message.rank is not None:
-        share = share_of(message.max_connections, message.count, message.rank)
+        most, owners = message.max_connections, message.count
+        share = share_of(most, owners, message.rank)
+        state.starting_share = reserve_of(most, owners)
     if share <= state.connection_share or state.began_ms is None:
         state.larger_share = 0
         return _use_share(state, share)
@@ -146,7 +168,7 @@
     just_began = now_ms - state.began_ms < LINGER_MS
     share = state.connection_share
     if just_began:
-        share = min(1, share)
+        share = min(state.starting_share, share)
     if state.holds_duty:
         # Whoever promotes has to see the members, owner or not.
         share = max(1, share)
--- a/topazring/core/synchronous/restart.py
+++ b/topazring/core/synchronous/restart.py
@@ -42,6 +42,7 @@
     renewed = states.make_group(state.service, state.data_centre, state.limits)
     renewed.next_connection = state.next_connection
     renewed.connection_share = state.connection_share
+    renewed.starting_share = state.starting_share
     renewed.began_ms = state.began_ms
     renewed.token = state.token
     renewed.acknowledged = state.acknowledged
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -248,6 +248,8 @@
     listed_ms: int = 0
     # Connections this proxy may hold to one upstream.
     connection_share: int = 2
+    # And how many of these while the connections of before may linger there.
+    starting_share: int = 1
     # A larger share that may be used soon, and since when; 0 if none.
     larger_share: int = 0
     larger_share_ms: int = 0
--- a/topazring/core/synchronous/tests/test_load.py
+++ b/topazring/core/synchronous/tests/test_load.py
@@ -41,6 +41,30 @@
             self.assertLessEqual(sum(shares) + proxies, most)
             self.assertGreaterEqual(min(shares), 1)
 
+    def test_fleet_of_few_owners_comes_back_with_several_each(self):
+        """One connection is held by the first transaction that pauses.
+
+        Symptom: a third of what is asked in the second after a loss of power
+        fails though all proxies are up. Sequence: eight owners come back;
+        each dials one connection to the primary, for the old ones linger;
+        a transaction's caller pauses, and all others wait. Cause: a reserve
+        of one connection a proxy, made for fleets in which each is an owner.
+        """
+        for most, owners in ((88, 8), (94, 8), (34, 8), (23, 5), (16, 4)):
+            shares = [
+                connections.share_of(most, owners, rank)
+                for rank in range(owners)
+            ]
+            start = connections.reserve_of(most, owners)
+            self.assertLessEqual(sum(shares) + start * owners, most)
+        driver = support.Driver()
+        driver.state.began_ms = None
+        driver.post(messages.InstancesSeen(8, 88, 0))
+        driver.list_upstreams(names=('u1',))
+        for _ in range(6):
+            driver.open_all()
+        self.assertEqual(3, len(driver.state.connections))
+
     def test_proxy_that_began_takes_one_connection(self):
         """The second one waits until old connections are dropped."""
         driver = support.Driver()
