--- a/topazring/pooler/tests/test_duty.py
+++ b/topazring/pooler/tests/test_duty.py
@@ -183,6 +183,22 @@
 
         self.play(steps)
 
+    def test_hearer_leaves_it_to_followers(self):
+        """Of a large fleet hundreds would write for a free duty at once.
+
+        A hearer takes it all the same when nobody else has for a while.
+        """
+
+        async def steps():
+            self.directory.follows = False
+            self.duty.jitter_s = duties.JITTER_S
+            self.duty.start()
+            await asyncio.sleep(duties.HEARER_PAUSE_S * 0.8)
+            self.assertEqual([], self.store.calls)
+            await self.until(True)
+
+        self.play(steps)
+
     def test_another_holds_it(self):
         """Nothing is tried while it is held."""
 
--- a/topazring/pooler/tests/test_hop.py
+++ b/topazring/pooler/tests/test_hop.py
@@ -47,11 +47,13 @@
             ['row'], places.Place(3, 13), 'u1', signature='sig'
         )
         self.answers = True
+        self.pause_s = 0.0
         self.log = events.EventLog('owner')
 
     async def serve_other(self, asked):
         """Answer at once, or never."""
         self.asked.append(asked)
+        await asyncio.sleep(self.pause_s)
         if not self.answers:
             await asyncio.Event().wait()
         return self.outcome
@@ -171,6 +173,32 @@
 
         self.play(steps)
 
+    def test_transaction_that_begins_after_its_link_ended(self):
+        """It is undone once more when its first statement is answered.
+
+        Symptom: as above. Sequence: the stream ends while the statement
+        that begins the transaction is under way; the transaction is not
+        there yet to be undone, and begins. Cause: undoing at the stream's
+        end alone.
+        """
+
+        async def steps():
+            self.owner.pause_s = 0.1
+            asked = request(transaction=9, begins=True)
+            asking = asyncio.create_task(self.ask(asked))
+            while not self.owner.asked:
+                await asyncio.sleep(0.01)
+            self.link.close()
+            await asking
+            async with asyncio.timeout(2):
+                while len(self.owner.withdrawn) < 2:
+                    await asyncio.sleep(0.01)
+            (came,) = self.owner.asked
+            undone = ('s', came.transaction)
+            self.assertEqual([undone, undone], self.owner.withdrawn)
+
+        self.play(steps)
+
     def test_owner_that_ends(self):
         """What was sent may have run."""
 
