--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -8,11 +8,6 @@
 import secrets
 import signal
 
-from tornado import httpserver
-from tornado import httputil
-from tornado import iostream
-from tornado import tcpserver
-
 from topazring.core import outcomes
 from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import listing as listings
@@ -22,7 +17,7 @@
 from topazring.core.synchronous import waiting
 from topazring.plumbing import clock
 from topazring.plumbing import events
-from topazring.plumbing import http_calls
+from topazring.pooler import caller_server
 from topazring.pooler import caller_task
 from topazring.pooler import directory as directories
 from topazring.pooler import duty as duties
@@ -34,42 +29,19 @@
 from topazring.pooler import metrics as metric_sets
 from topazring.pooler import peers
 from topazring.pooler import ports
+from topazring.pooler import probes
 from topazring.pooler import router
 from topazring.pooler import settings
 
 __all__ = ['Pooler', 'serve']
 
-# Another proxy is likely to have room at once.
-TURNED_AWAY_RETRY_MS = 200
-# A caller's first message comes with its connection.
-TURN_AWAY_S = 0.5
-FIRST_BYTES = 4096
 # A caller waits two seconds for its session; another proxy may have it in
 # less than that.
 CONFIGURED_S = 0.4
 # The store answers in milliseconds; what it does not, a lease's end does.
 CLOSE_S = 0.25
-BACKLOG = 512
 # Longer messages are refused; the upstreams' own limit is the same.
 MESSAGE_BYTES = 1 << 20
-# Descriptors kept for files, upstreams, the store and the balancer's
-# questions. Without a limit callers that connect and say nothing take them
-# all, and nothing works any more.
-SPARE_DESCRIPTORS = 400
-
-
-class _Callers(tcpserver.TCPServer):
-    """Take in callers' connections."""
-
-    def __init__(self, pooler: 'Pooler'):
-        super().__init__()
-        self.pooler = pooler
-
-    async def handle_stream(
-        self, stream: iostream.IOStream, address: tuple
-    ) -> None:
-        """Serve one caller."""
-        await self.pooler.serve_caller(stream)
 
 
 class Pooler:
@@ -88,7 +60,6 @@
         # When this process ends; None while it stays.
         self.ends_ms: int | None = None
         self.groups: dict[str, group_task.GroupTask] = {}
-        self.callers: set[caller_task.CallerTask] = set()
         self.keys = itertools.count(1)
         self.holds = False
         self.token = 0
@@ -129,8 +100,10 @@
             config.name, config.data_centre, self, self.log
         )
         self.hop_server = hop_server.Server(self)
-        self.caller_server = _Callers(self)
-        self.ready_server = httpserver.HTTPServer(self._answer_probe)
+        self.caller_server = caller_server.Server(self, config.max_descriptors)
+        self.probe_server = probes.Server(
+            adapter.ready_path, self.ready, self._render_metrics
+        )
 
     async def start(self) -> None:
         """Listen and begin to learn."""
@@ -150,49 +123,11 @@
             self.peer_server.start(self.config.peer_address)
         if self.config.hop_address:
             self.hop_server.start_at(self.config.hop_address)
-        ready = settings.endpoint(self.config.ready_address)
-        self.ready_server.listen(ready.port, ready.host)
-        callers = settings.endpoint(self.config.caller_address)
-        self.caller_server.listen(callers.port, callers.host, backlog=BACKLOG)
+        self.probe_server.start(self.config.ready_address)
+        self.caller_server.start_at(self.config.caller_address)
 
     # ---- callers ----
 
-    async def serve_caller(self, stream: iostream.IOStream) -> None:
-        """Serve one caller until its session ends."""
-        most = self.config.max_descriptors - SPARE_DESCRIPTORS
-        if len(self.callers) >= most:
-            await self._turn_away(stream)
-            return
-        caller = caller_task.CallerTask(self, stream)
-        self.callers.add(caller)
-        try:
-            await caller.serve()
-        finally:
-            self.callers.discard(caller)
-
-    async def _turn_away(self, stream: iostream.IOStream) -> None:
-        """Refuse a caller for whom there is no descriptor to spare."""
-        refusal = outcomes.NotRun(
-            outcomes.Reason.CONNECTION_LIMIT, TURNED_AWAY_RETRY_MS
-        )
-        self.note('start', refusal, 0)
-        self.log.emit(
-            'session',
-            'turned away',
-            inputs={'sessions': len(self.callers)},
-        )
-        try:
-            # What is not read before the end resets the connection, and the
-            # answer is lost with it.
-            async with asyncio.timeout(TURN_AWAY_S):
-                await stream.read_bytes(FIRST_BYTES, partial=True)
-            await stream.write(self.codec.refusal(refusal))
-        except (iostream.StreamClosedError, TimeoutError):
-            # It left, or said nothing; there is nobody to tell.
-            return
-        finally:
-            stream.close()
-
     def policy(self, database: str) -> messages.Policy | None:
         """Return the policy in force for a database."""
         configuration = self.directory.listing.configuration
@@ -328,13 +263,10 @@
 
     # ---- the balancer and operators ----
 
-    def _answer_probe(self, request: httputil.HTTPServerRequest) -> None:
-        code, body = 404, b''
-        if request.path == metric_sets.PATH:
-            code, body = 200, self._render_metrics()
-        elif request.path == self.adapter.ready_path:
-            code = 200 if self.ready() else 503
-        http_calls.answer(request, code, body)
+    @property
+    def callers(self) -> set[caller_task.CallerTask]:
+        """Return the open sessions."""
+        return self.caller_server.callers
 
     @property
     def leaving(self) -> bool:
@@ -382,7 +314,7 @@
             if name.startswith('read_')
         }
         self.caller_server.stop()
-        self.ready_server.stop()
+        self.probe_server.close()
         self.peer_server.close()
         await leaving.answer_what_is_left(self)
         self.hop_server.close()
