Acknowledge a confirmed write once somebody vouches that it lasts

That a member answers says nothing of who confirmed.

Mend: a write is answered at once only if every other member vouches and said, asked as the write went out, that it is not paused; otherwise once a member that vouches says that its own log holds the write. None of it counts while one says that it is paused for a later term. A write that nobody vouches for is unknown, and the next ones are refused before they run for half a second.

Majority groups acknowledge what a majority holds under the term; not touched.

Tests: two of test_proofs took a confirmation alone for a proof, which is what the trace disproves; they answer the question now and ask as much.

--- /dev/null
+++ b/topazring/core/synchronous/confirmations.py
@@ -0,0 +1,189 @@
+"""Decide when a confirmed write may be acknowledged.
+
+A primary answers a write once one replica has received it, and does not say
+which. The write outlives the primary if whoever promotes hears of it: from a
+member that is listed for long enough to be known to all, and so is paused and
+asked before anyone is chosen.
+
+What goes wrong: a primary is cut off and another is promoted. A replica that
+has just started, and that the promoter does not know, joins the old primary
+and confirms what is written there. One would notice by an acknowledged write
+that the next primary lacks. Silent members alone do not tell: one that can be
+reached from both sides answers here as well, and may be the very one that the
+other side promotes.
+
+So a confirmed write is answered
+
+- at once, if every other member vouches and has said that it is not paused,
+  asked as the write went out or later: there is no partition between them and
+  this proxy, and no promotion had begun. They are asked as the write goes
+  out, which takes no slot, and have mostly answered before it is confirmed;
+- otherwise once a member that vouches says that its own log holds the write;
+- or once a member that has been listed for a moment says so, and one that
+  vouches says, asked after that, that it is not paused. So no promotion has
+  begun, and whoever begins one now has heard of the holder.
+
+None of that counts while a member says that it is paused for a later term:
+then somebody is replacing the primary, and may have chosen already. While a
+leaving primary hands over the others are paused by design, and only its heir
+can confirm.
+"""
+
+from topazring.core import places
+from topazring.core.synchronous import proofs
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = [
+    'is_alone',
+    'is_sound',
+    'is_unsure',
+    'note_place',
+    'note_report',
+    'waiting',
+    'witnesses',
+]
+
+# Proxies hear of a new member within milliseconds of each other.
+KNOWN_MS = 300
+# A write that waits for so long to be acknowledged shows that the next would
+# wait as well. Members answer within a few ms, and apply what they received
+# within some hundred at most.
+UNSURE_MS = 300
+# After one was given up the next is tried only then: each is unknown to its
+# caller, and one that is refused may be tried at another proxy.
+UNSURE_PAUSE_MS = 500
+
+
+def witnesses(state: states.GroupState) -> list[states.Upstream]:
+    """Return the members whose word counts.
+
+    Where none of the others has been there for long enough, all of them.
+    """
+    others = states.others(state)
+    vouching = [upstream for upstream in others if upstream.vouches]
+    return vouching or others
+
+
+def is_sound(
+    state: states.GroupState, confirmation: states.Confirmation
+) -> bool:
+    """Say whether a confirmed write survives the loss of its primary."""
+    if confirmation.upstream != state.primary:
+        return False
+    if _is_being_replaced(state, confirmation):
+        return False
+    if _all_stand(state, confirmation.sent_ms):
+        return True
+    if any(_holds(u, confirmation) for u in witnesses(state)):
+        return True
+    return _is_known_to_hold(state, confirmation)
+
+
+def _all_stand(state: states.GroupState, since_ms: int) -> bool:
+    return all(
+        upstream.vouches and upstream.reported_sent_ms >= since_ms
+        for upstream in states.others(state)
+    )
+
+
+def _is_known_to_hold(
+    state: states.GroupState, confirmation: states.Confirmation
+) -> bool:
+    """Say whether a promotion that begins now hears of a new member's log."""
+    sent_ms = confirmation.sent_ms
+    known = [
+        upstream
+        for upstream in states.others(state)
+        if sent_ms - upstream.come_ms >= KNOWN_MS
+    ]
+    holders = [u for u in known if _holds(u, confirmation)]
+    if not holders:
+        return False
+    held_ms = min(u.log_end_sent_ms for u in holders)
+    return any(u.reported_sent_ms >= held_ms for u in witnesses(state))
+
+
+def _is_being_replaced(
+    state: states.GroupState, confirmation: states.Confirmation
+) -> bool:
+    """Say whether a member was paused for a promotion when last asked.
+
+    One that was not reached when its promotion ended is left paused for a
+    term that has begun.
+    """
+    primary = state.upstreams[state.primary]
+    if primary.leaving or confirmation.place is None:
+        return False
+    return any(
+        upstream.held_term > confirmation.place.log_term
+        and upstream.reported_sent_ms >= confirmation.sent_ms
+        for upstream in witnesses(state)
+    )
+
+
+def _holds(
+    upstream: states.Upstream, confirmation: states.Confirmation
+) -> bool:
+    """Say whether a member's log holds a write.
+
+    A place of another term says nothing: its log may go another way.
+    """
+    end, place = upstream.log_end, confirmation.place
+    if place is None or upstream.log_end_sent_ms < confirmation.sent_ms:
+        return False
+    return end.log_term == place.log_term and end >= place
+
+
+def is_alone(state: states.GroupState, now_ms: int) -> bool:
+    """Say whether no member that vouches can be reached from here."""
+    vouching = [u for u in states.others(state) if u.vouches]
+    return bool(vouching) and all(
+        proofs.is_unreached(state, now_ms, upstream) for upstream in vouching
+    )
+
+
+def is_unsure(state: states.GroupState, now_ms: int) -> bool:
+    """Say whether a write would be confirmed, but not acknowledged.
+
+    One has waited long for that, or was given up a moment ago.
+    """
+    if now_ms - state.unsure_ms < UNSURE_PAUSE_MS:
+        return True
+    return any(
+        now_ms - confirmation.sent_ms >= UNSURE_MS
+        for confirmation in waiting(state)
+    )
+
+
+def waiting(state: states.GroupState) -> list[states.Confirmation]:
+    """Return the confirmations whose writes wait to be acknowledged."""
+    held = (state.work.get(key) for key in state.held)
+    return [
+        work.confirmation
+        for work in held
+        if work is not None and work.confirmation is not None
+    ]
+
+
+def note_place(
+    upstream: states.Upstream, sent_ms: int, place: places.Place
+) -> None:
+    """Take in where a member's log ends at least, asked at a time."""
+    if sent_ms < upstream.log_end_sent_ms:
+        return
+    upstream.log_end = place
+    upstream.log_end_sent_ms = sent_ms
+
+
+def note_report(
+    upstream: states.Upstream,
+    sent_ms: int,
+    report: statements.StatusReport,
+) -> None:
+    """Take in a member's own word on its log, and whether it is paused."""
+    if sent_ms < upstream.reported_sent_ms:
+        return
+    upstream.reported_sent_ms = sent_ms
+    upstream.held_term = report.held_term
+    note_place(upstream, sent_ms, report.received)
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -4,6 +4,7 @@
 from topazring.core import places
 from topazring.core import retries
 from topazring.core.synchronous import connections
+from topazring.core.synchronous import evidence
 from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import freshness
@@ -124,6 +125,8 @@
         commands = exchanges.single(connection, request, after)
         errand = states.Errand.STATEMENT
     outs.append(connections.send(connection, now_ms, errand, commands))
+    if request.writes and not request.transaction:
+        outs += questions.ask_as_sent(state, now_ms)
     return outs + questions.ask(state, now_ms)
 
 
@@ -190,11 +193,11 @@
     commands.append(exchanges.statement_command(request))
     work.offered_ms = now_ms
     _assign(state, work, connection)
-    return [
-        connections.send(
-            connection, now_ms, states.Errand.STATEMENT, tuple(commands)
-        )
-    ]
+    errand = states.Errand.STATEMENT
+    sent = connections.send(connection, now_ms, errand, tuple(commands))
+    if evidence.waits_for_replica(connection):
+        return [sent, *questions.ask_as_sent(state, now_ms)]
+    return [sent]
 
 
 def undo(
--- a/topazring/core/synchronous/exchanges.py
+++ b/topazring/core/synchronous/exchanges.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     'GUARD',
+    'REPORT',
     'adapt',
     'adapt_cost',
     'begin',
@@ -25,6 +26,11 @@
 # the read had arrived here.
 GUARD = (statements.Begin(), statements.Rollback())
 
+# No term is below the first, so nobody is demoted. The answer is an upstream's
+# own word on its part, its log, and whether it is paused, as that to STATUS
+# is, but it takes no slot.
+REPORT = (statements.Demote(0),)
+
 
 def adapt(
     connection: states.Connection, request: messages.Request
--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -1,6 +1,7 @@
 """End what has run out of time; try slow reads elsewhere."""
 
 from topazring.core import outcomes
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import evidence
@@ -76,7 +77,8 @@
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
     if fates.may_have_run(work):
-        reason = Reason.UPSTREAM_TIMEOUT
+        unproven = work.ready is not None
+        reason = Reason.UNPROVEN if unproven else Reason.UPSTREAM_TIMEOUT
         return fates.give_up(
             state, now_ms, work, reason, RETRY_MS, maybe_ran=True
         )
@@ -99,8 +101,13 @@
 def _unproved(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
-    """Give up what ran at an upstream that cannot be proved to have led."""
-    if not proofs.in_doubt(state, now_ms):
+    """Give up an answer that waits for what cannot be had from here."""
+    if work.confirmation is not None:
+        waited_ms = now_ms - work.confirmation.sent_ms
+        alone = confirmations.is_alone(state, now_ms)
+        if not alone or waited_ms < proofs.DOUBT_MS:
+            return []
+    elif not proofs.in_doubt(state, now_ms):
         return []
     retry_ms = prospects.ELSEWHERE_MS
     return fates.give_up(
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -8,9 +8,11 @@
 
 from topazring.core import outcomes
 from topazring.core import places
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
+from topazring.core.synchronous import settling
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous import waiting
@@ -19,6 +21,7 @@
     'answer',
     'answer_proved',
     'cancel',
+    'confirmed',
     'done',
     'end_transaction',
     'give_up',
@@ -100,30 +103,74 @@
 
     One that needs the lead proved for a moment waits for that.
     """
-    outcome = outcomes.Done(
-        list(reply.rows),
-        place,
-        connection.upstream,
-        signature=reply.signature or '',
-    )
+    outcome = _success(connection, reply, place)
     if needs_ms is None:
         return answer(state, work, outcome)
     leads = connection.upstream == state.primary
     if leads and needs_ms <= proofs.proven_ms(state):
         return answer(state, work, outcome)
-    work.ready = outcome
     work.needs_ms = needs_ms
+    return _hold(state, work, outcome, needs_ms)
+
+
+def _success(
+    connection: states.Connection,
+    reply: statements.Reply,
+    place: places.Place | None,
+) -> outcomes.Done:
+    return outcomes.Done(
+        list(reply.rows),
+        place,
+        connection.upstream,
+        signature=reply.signature or '',
+    )
+
+
+def _hold(
+    state: states.GroupState,
+    work: states.Work,
+    outcome: outcomes.Done,
+    at_ms: int,
+) -> list:
+    """Keep an answer until the lead is proved for a moment, or more."""
+    work.ready = outcome
     state.held.add(work.request.key)
-    proofs.want(state, needs_ms)
+    proofs.want(state, at_ms)
     return []
 
 
+def confirmed(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    connection: states.Connection,
+    reply: statements.Reply,
+) -> list:
+    """Acknowledge a write that its upstream confirmed, once that is sound."""
+    confirmation = states.Confirmation(
+        connection.upstream,
+        connection.sent_ms,
+        connection.place_before,
+        reply.place,
+    )
+    outcome = _success(connection, reply, reply.place)
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is not None:
+        upstream.confirmed_ms = now_ms
+    settling.note_confirmed(state, confirmation)
+    if confirmations.is_sound(state, confirmation):
+        state.unsure_ms = states.NEVER_MS
+        return answer(state, work, outcome)
+    work.confirmation = confirmation
+    state.counters['write_held'] += 1
+    return _hold(state, work, outcome, confirmation.sent_ms)
+
+
 def answer_proved(state: states.GroupState, now_ms: int) -> list:
     """Answer what waits for the proof that its upstream led."""
     if not state.held:
         return []
     outs: list = []
-    proven = proofs.proven_ms(state)
     for key in sorted(state.held):
         work = state.work.get(key)
         if work is None or work.ready is None:
@@ -132,12 +179,31 @@
             # Another leads: what it read is not to be used.
             state.held.discard(key)
             outs += _replaced(state, now_ms, work)
-        elif work.needs_ms <= proven:
+        elif work.confirmation is not None:
+            outs += _acknowledge(state, work, work.confirmation)
+    # What was just acknowledged proves the lead for reads before it.
+    proven = proofs.proven_ms(state)
+    for key in sorted(state.held):
+        work = state.work[key]
+        if work.confirmation is None and work.needs_ms <= proven:
             state.held.discard(key)
             outs += answer(state, work, work.ready)
     return outs
 
 
+def _acknowledge(
+    state: states.GroupState,
+    work: states.Work,
+    confirmation: states.Confirmation,
+) -> list:
+    if not confirmations.is_sound(state, confirmation):
+        return []
+    settling.note_confirmed(state, confirmation)
+    state.unsure_ms = states.NEVER_MS
+    state.held.discard(work.request.key)
+    return answer(state, work, work.ready)
+
+
 def _replaced(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
@@ -160,6 +226,8 @@
 ) -> list:
     """Refuse a request for good, and say truthfully what is kept of it."""
     request = work.request
+    if work.confirmation is not None:
+        state.unsure_ms = now_ms
     outcome = unserved(work, reason, retry_after_ms, maybe_ran)
     decided = messages.Decided(
         'gave up',
--- a/topazring/core/synchronous/isolation.py
+++ b/topazring/core/synchronous/isolation.py
@@ -9,15 +9,15 @@
 So writes that hang while no replica can be reached from here are given up as
 unknown before a promotion can be over, and new ones are refused before they
 run: their callers reach the other side through another proxy. Silent replicas
-alone say nothing: it may be this proxy alone that is cut off from them, and
-then writes are confirmed as always. But a replica that has just come and is
-reached on this side is the one that would confirm them, and it speaks for
-nobody.
+alone say nothing: it may be this proxy alone that is cut off from them. But
+then nothing tells whether a confirmation is sound, so one write that waits for
+that is enough. And a replica that has just come and is reached on this side is
+the one that would confirm them, and it speaks for nobody.
 """
 
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import messages
-from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 
 __all__ = ['HANGING_MS', 'is_probing', 'update']
@@ -55,8 +55,10 @@
 
 
 def _begins(state: states.GroupState, now_ms: int) -> bool:
-    if not state.primary or not proofs.is_alone(state, now_ms):
+    if not state.primary or not confirmations.is_alone(state, now_ms):
         return False
+    if confirmations.is_unsure(state, now_ms):
+        return True
     since_ms = evidence.hanging_since(state, state.primary)
     if since_ms is not None and now_ms - since_ms >= HANGING_MS:
         return True
@@ -64,11 +66,13 @@
 
 
 def _holds(state: states.GroupState, now_ms: int) -> bool:
-    """Say whether nothing has been heard since that speaks against it."""
+    """Say whether nothing has been heard since that speaks against it.
+
+    That writes are confirmed does not: by whom is not told.
+    """
     if state.primary != state.isolated_with:
         return False
-    primary = state.upstreams.get(state.primary)
-    if primary is None or primary.confirmed_ms > state.isolated_since_ms:
+    if state.primary not in state.upstreams:
         return False
     return all(
         replica.heard_ms <= state.isolated_since_ms
--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -1,6 +1,7 @@
 """Take in what members answer to the steps of a promotion."""
 
 from topazring.core.synchronous import attempts
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import promotion
 from topazring.core.synchronous import state as states
@@ -28,6 +29,9 @@
         # Its entry lapsed while it was asked; it is no member any more.
         return []
     state.term = max(state.term, reply.report.term)
+    confirmations.note_report(
+        state.upstreams[name], connection.sent_ms, reply.report
+    )
     if isinstance(command, statements.Pause):
         if command.term != attempt.term:
             return []
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -9,6 +9,7 @@
 """
 
 from topazring.core import places
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import messages
@@ -192,6 +193,7 @@
 ) -> list:
     """Take in an upstream's own word on its part and term."""
     upstream.in_question = False
+    confirmations.note_report(upstream, sent_ms, report)
     proofs.note_report(state, upstream, sent_ms, report)
     if report.role is statements.Role.REPLICA:
         return note_refuted(state, now_ms, upstream)
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -19,12 +19,12 @@
   leads and has written in. A primary that went dark stays such a one, and
   reads at its successor would be refused until it is listed no more, for
   some 5 s;
-- or a replica has confirmed a write to the primary. A promotion pauses all
-  members before its order, so none had been ordered.
+- or a replica that vouches has confirmed a write to the primary. A promotion
+  pauses all members before its order, so none had been ordered.
 
 A replica that has just come may confirm what it should not: whoever ordered
 may not have known it, and it may have come to the wrong side of a partition.
-While one is there, or nobody else is reached, a confirmation proves nothing.
+So a confirmation proves something only where it is sound.
 
 A read at the primary runs at once and is answered when the lead is proved
 for the time of its arrival.
@@ -42,11 +42,9 @@
     'DOUBT_MS',
     'claims_to_lead',
     'in_doubt',
-    'is_alone',
     'is_superseded',
     'is_unreached',
     'leads_newest',
-    'needed_by_write_ms',
     'needed_ms',
     'needs_proof',
     'note_confirmed',
@@ -145,14 +143,6 @@
     return since_ms is not None and now_ms - since_ms >= UNREACHED_MS
 
 
-def is_alone(state: states.GroupState, now_ms: int) -> bool:
-    """Say whether no replica that could vouch can be reached from here."""
-    vouching = [u for u in states.others(state) if u.vouches]
-    return bool(vouching) and all(
-        is_unreached(state, now_ms, upstream) for upstream in vouching
-    )
-
-
 def want(state: states.GroupState, at_ms: int) -> None:
     """Have the lead proved for a moment.
 
@@ -182,20 +172,6 @@
     return request.arrived_ms
 
 
-def needed_by_write_ms(
-    state: states.GroupState, now_ms: int, connection: states.Connection
-) -> int | None:
-    """Return for when the lead has to be proved before a write is answered.
-
-    A replica has confirmed it, and that is proof enough while one that
-    vouches is reached. Otherwise a replica that nobody has listed may have
-    joined a primary that is cut off and replaced: an acknowledged write would
-    be gone with it. It costs a caller whose proxy alone is cut off from the
-    replicas its answer, which is unknown then.
-    """
-    return connection.sent_ms if is_alone(state, now_ms) else None
-
-
 def needs_proof(request: messages.Request) -> bool:
     """Say whether a request at the primary is answered only on a proof."""
     return not request.writes or bool(request.transaction)
@@ -225,20 +201,12 @@
     upstream.refused_sent_ms = max(upstream.refused_sent_ms, sent_ms)
 
 
-def note_confirmed(
-    state: states.GroupState,
-    now_ms: int,
-    upstream: states.Upstream,
-    sent_ms: int,
-) -> None:
-    """Take in that a replica confirmed a write to an upstream.
+def note_confirmed(upstream: states.Upstream, sent_ms: int) -> None:
+    """Take in that a write of an upstream is sure to last.
 
-    Which one is not told, so it has to be one that vouches.
+    A member that vouches received it, so it was not paused when the write
+    was sent.
     """
-    if is_alone(state, now_ms):
-        return
-    if not all(other.vouches for other in states.others(state)):
-        return
     upstream.confirmed_sent_ms = max(upstream.confirmed_sent_ms, sent_ms)
 
 
--- a/topazring/core/synchronous/prospects.py
+++ b/topazring/core/synchronous/prospects.py
@@ -8,8 +8,10 @@
 """
 
 from topazring.core import outcomes
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import evidence
+from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 
@@ -50,6 +52,8 @@
 
     A single write needs no proof of the lead: its confirmation is one.
     """
+    if _would_be_unsure(state, now_ms, work.request):
+        return outcomes.NotRun(Reason.NOT_CONFIRMED, ELSEWHERE_MS)
     if state.isolated_with:
         return outcomes.NotRun(Reason.NO_PRIMARY, ELSEWHERE_MS)
     if connections.is_shut_out(state, state.primary):
@@ -68,6 +72,20 @@
     return None
 
 
+def _would_be_unsure(
+    state: states.GroupState, now_ms: int, request: messages.Request
+) -> bool:
+    """Say whether a write would be confirmed, and could not be acknowledged.
+
+    Refused before it runs its caller may try again at another proxy, which
+    may reach what this one cannot; afterwards it is unknown.
+    """
+    opens = request.begins and not request.read_only
+    if not request.writes and not opens:
+        return False
+    return confirmations.is_unsure(state, now_ms)
+
+
 def note_gap(state: states.GroupState, gap_ms: int) -> None:
     """Learn from a gap that ended."""
     gap_ms = min(MOST_GAP_MS, max(LEAST_GAP_MS, gap_ms))
--- a/topazring/core/synchronous/questions.py
+++ b/topazring/core/synchronous/questions.py
@@ -1,8 +1,10 @@
-"""Ask the members of a group for what proves that the primary leads.
+"""Ask the members of a group what answers wait for.
 
-Questions are shared by all reads that wait for a proof.
+That the primary leads is asked for all reads that wait for a proof together,
+and who holds a write for all writes that wait to be acknowledged.
 """
 
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import freshness
@@ -11,7 +13,7 @@
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
-__all__ = ['SILENT_MS', 'WITNESS_SAMPLE_GAP_MS', 'ask']
+__all__ = ['SILENT_MS', 'WITNESS_SAMPLE_GAP_MS', 'ask', 'ask_as_sent']
 
 # A member that has left a question unanswered for so long is not waited for:
 # the others are asked for their terms. Answers take a few ms, and some ten
@@ -24,13 +26,18 @@
 # 1,500 ms.
 WITNESS_SAMPLE_MS = 700
 WITNESS_SAMPLE_GAP_MS = 200
+# Who holds a write is asked again after that long. Replicas receive within a
+# few ms of each other.
+HOLDER_MS = 20
 
 
 def ask(state: states.GroupState, now_ms: int) -> list[messages.Send]:
     """Send the questions whose answers are wanted, where one is not open."""
-    if not state.primary or proofs.proven_ms(state) >= state.wanted_ms:
+    if not state.primary:
         return []
-    outs = []
+    outs = _ask_holders(state, now_ms)
+    if proofs.proven_ms(state) >= state.wanted_ms:
+        return outs
     others = states.others(state)
     for upstream in others:
         if upstream.asked_ms >= state.wanted_ms:
@@ -38,13 +45,55 @@
         free = states.idle_connections(state, upstream.name)
         if free:
             upstream.asked_ms = now_ms
-            errand = states.Errand.GUARD
-            outs.append(
-                connections.send(free[0], now_ms, errand, exchanges.GUARD)
-            )
+            outs.append(_guard(free[0], now_ms))
     return outs + _ask_witnesses(state, now_ms, others)
 
 
+def ask_as_sent(state: states.GroupState, now_ms: int) -> list[messages.Send]:
+    """Ask the other members for their word as a write goes out.
+
+    Their answers show that none was paused then for a promotion, and that
+    there is no partition between them and this proxy.
+    """
+    outs = []
+    for upstream in states.others(state):
+        if upstream.report_asked_ms >= now_ms:
+            continue
+        free = states.idle_connections(state, upstream.name)
+        if free:
+            outs.append(_ask_report(upstream, free[0], now_ms))
+    return outs
+
+
+def _ask_report(
+    upstream: states.Upstream, connection: states.Connection, now_ms: int
+) -> messages.Send:
+    upstream.asked_ms = upstream.report_asked_ms = now_ms
+    errand = states.Errand.LOOK
+    return connections.send(connection, now_ms, errand, exchanges.REPORT)
+
+
+def _guard(connection: states.Connection, now_ms: int) -> messages.Send:
+    errand = states.Errand.GUARD
+    return connections.send(connection, now_ms, errand, exchanges.GUARD)
+
+
+def _ask_holders(state: states.GroupState, now_ms: int) -> list[messages.Send]:
+    """Ask who holds the writes that wait to be acknowledged."""
+    if not confirmations.waiting(state):
+        return []
+    outs = []
+    for upstream in confirmations.witnesses(state):
+        if now_ms - upstream.report_asked_ms < HOLDER_MS:
+            continue
+        if proofs.is_unreached(state, now_ms, upstream):
+            continue
+        free = states.idle_connections(state, upstream.name)
+        if free:
+            outs.append(_ask_report(upstream, free[0], now_ms))
+    return outs
+
+
 def _is_silent(
     state: states.GroupState, now_ms: int, late: list[states.Upstream]
 ) -> bool:
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -4,6 +4,7 @@
 
 from topazring.core import outcomes
 from topazring.core import retries
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import exchanges
@@ -80,6 +81,8 @@
     places = [reply.place for reply in replies if reply.place is not None]
     last = places[-1] if places else None
     primary.note_place(state, now_ms, upstream, last)
+    if last is not None:
+        confirmations.note_place(upstream, connection.sent_ms, last)
     outs: list = []
     for command, reply in zip(connection.commands, replies, strict=False):
         if not isinstance(command, statements.Begin) or command.read_only:
@@ -182,8 +185,7 @@
             state, now_ms, work, connection, refusal, commands
         )
     if last.code is None:
-        needs_ms = proofs.needed_ms(commands, work.request)
-        return outs + _done(state, now_ms, work, connection, last, needs_ms)
+        return outs + _done(state, now_ms, work, connection, last, commands)
     if last.code in (Code.FAILED, Code.TIMEOUT, Code.OTHER):
         return outs + _failed(state, now_ms, work, connection, last)
     return outs + _not_run(state, now_ms, work, connection, last, commands)
@@ -213,19 +215,16 @@
     work: states.Work,
     connection: states.Connection,
     reply: statements.Reply,
-    needs_ms: int | None,
+    commands: tuple[statements.Command, ...],
 ) -> list:
     request = work.request
     if request.writes:
-        settling.note_confirmed(state, now_ms, connection, reply)
-        needs_ms = proofs.needed_by_write_ms(state, now_ms, connection)
+        return fates.confirmed(state, now_ms, work, connection, reply)
     at_primary = connection.upstream == state.primary
-    if not request.writes:
-        where = 'primary' if at_primary else 'replica'
-        kind = request.policy.freshness
-        state.counters[f'read_{kind}_at_{where}'] += 1
-    place = reply.place if request.writes else None
-    return fates.done(state, work, connection, reply, place, needs_ms)
+    where = 'primary' if at_primary else 'replica'
+    state.counters[f'read_{request.policy.freshness}_at_{where}'] += 1
+    needs_ms = proofs.needed_ms(commands, request)
+    return fates.done(state, work, connection, reply, None, needs_ms)
 
 
 def _not_run(
--- a/topazring/core/synchronous/settling.py
+++ b/topazring/core/synchronous/settling.py
@@ -1,5 +1,6 @@
 """Settle a connection, and what is known, after an answer."""
 
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import pace
@@ -33,28 +34,21 @@
 
 
 def note_confirmed(
-    state: states.GroupState,
-    now_ms: int,
-    connection: states.Connection,
-    reply: statements.Reply,
+    state: states.GroupState, confirmation: states.Confirmation
 ) -> None:
     """Take in a write that its primary had confirmed by a replica.
 
     Logs are received in order. So the replica holds all that the primary's
     log held before the write was sent, and all of that counts as
-    acknowledged. But where none of the replicas that vouch is reached it may
-    be one that joined a cut off primary, and then it proves nothing.
+    acknowledged. But one that joined a cut off primary proves nothing.
     """
-    upstream = state.upstreams.get(connection.upstream)
-    if upstream is None:
+    upstream = state.upstreams.get(confirmation.upstream)
+    if upstream is None or not confirmations.is_sound(state, confirmation):
         return
-    upstream.confirmed_ms = now_ms
-    proofs.note_confirmed(state, now_ms, upstream, connection.sent_ms)
+    proofs.note_confirmed(upstream, confirmation.sent_ms)
     if proofs.is_superseded(state, upstream):
         return
-    if proofs.is_alone(state, now_ms):
-        return
-    state.acknowledged = max(state.acknowledged, connection.place_before)
-    if reply.place is not None and upstream.name == state.primary:
-        sample = states.Sample(connection.sent_ms, reply.place)
+    state.acknowledged = max(state.acknowledged, confirmation.place_before)
+    if confirmation.place is not None:
+        sample = states.Sample(confirmation.sent_ms, confirmation.place)
         freshness.add_sample(state, sample)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -13,6 +13,7 @@
 from topazring.core.synchronous import statements
 
 __all__ = [
+    'Confirmation',
     'Connection',
     'Errand',
     'GroupState',
@@ -154,6 +155,14 @@
     heard_ms: int = 0
     # When it last had a write confirmed by a replica.
     confirmed_ms: int = 0
+    # Where its log ends at least, by the newest question that it answered.
+    log_end: places.Place = places.ORIGIN
+    log_end_sent_ms: int = NEVER_MS
+    # Its last own word: for which term is it paused, 0 if it is not, and when
+    # was it asked?
+    held_term: int = 0
+    reported_sent_ms: int = NEVER_MS
+    report_asked_ms: int = NEVER_MS
     # The first dial, command or refusal since it was last heard.
     unheard_since_ms: int | None = None
     # Dials that were refused or went unanswered since it was last heard.
@@ -183,6 +192,19 @@
     place: places.Place
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmation:
+    """Hold what a primary's answer to a write says."""
+
+    upstream: str
+    # When the write was sent to it.
+    sent_ms: int
+    # Where its log was known to stand then.
+    place_before: places.Place
+    # Where it stood with the write; None if that was not told.
+    place: places.Place | None
+
+
 @dataclasses.dataclass(slots=True)
 class Work:
     """Hold one request on its way."""
@@ -204,6 +226,8 @@
     # The answer that waits for the proof that its upstream led.
     ready: outcomes.Done | None = None
     needs_ms: int = NEVER_MS
+    # The same of a write, which waits until it is sure to last.
+    confirmation: Confirmation | None = None
     last_reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
 
     @property
@@ -294,6 +318,8 @@
     )
     # Keys of the requests whose answers wait for a proof.
     held: set[int] = dataclasses.field(default_factory=set)
+    # When a confirmed write was last given up, for nobody vouched for it.
+    unsure_ms: int = NEVER_MS
     # Places that the primary reported and that are samples once its lead is
     # proved for their time; oldest first.
     pending: collections.deque[Sample] = dataclasses.field(
--- a/topazring/core/synchronous/tests/crowd_upstreams.py
+++ b/topazring/core/synchronous/tests/crowd_upstreams.py
@@ -99,7 +99,7 @@
                 wire.read_only = command.read_only
             case statements.Rollback():
                 fake_group.roll_back(wire)
-            case statements.Status():
+            case statements.Status() | statements.Demote():
                 report = statements.StatusReport(
                     upstream.role, 1, upstream.place(), 0, 0, 0, 0
                 )
--- a/topazring/core/synchronous/tests/test_group_fuzz.py
+++ b/topazring/core/synchronous/tests/test_group_fuzz.py
@@ -13,7 +13,7 @@
 
 WALKS = 60
 STEPS = 400
-ABLATED_WALKS = 40
+ABLATED_WALKS = 80
 OPEN_WALK = 36
 
 
--- a/topazring/core/synchronous/tests/test_isolation.py
+++ b/topazring/core/synchronous/tests/test_isolation.py
@@ -3,6 +3,7 @@
 import testtools
 
 from topazring.core import outcomes
+from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import support
@@ -10,25 +11,28 @@
 WRITE = support.Verb.WRITE
 
 
-def answer_guards_of(driver: support.Driver, *names: str) -> None:
-    """Answer the guards at these upstreams; `u1` leads."""
+def answer_guards_of(driver: support.Driver, *names: str, **said) -> None:
+    """Answer guards, and what is asked as writes go out; `u1` leads."""
     for connection in driver.busy():
-        if connection.errand is not states.Errand.GUARD:
-            continue
         if connection.upstream not in names:
             continue
+        if connection.commands == exchanges.REPORT:
+            said = {'held_term': 0, **said}
+            driver.reply(connection, support.report(**said))
+        if connection.errand is not states.Errand.GUARD:
+            continue
         first = support.ok()
         if connection.upstream != 'u1':
             first = support.refused(statements.Code.READ_ONLY)
         driver.reply(connection, first, support.ok())
 
 
-def play(driver: support.Driver, for_ms: int, *names: str) -> list:
-    """Let time pass while only these upstreams answer."""
+def play(driver: support.Driver, for_ms: int, *names: str, **said) -> list:
+    """Let time pass while only these upstreams answer, and say this."""
     outs = []
     for _ in range(for_ms // 20):
         outs += driver.tick(20)
-        answer_guards_of(driver, *names)
+        answer_guards_of(driver, *names, **said)
     return outs
 
 
--- a/topazring/core/synchronous/tests/test_proofs.py
+++ b/topazring/core/synchronous/tests/test_proofs.py
@@ -18,9 +18,9 @@
 class ReadTest(testtools.TestCase):
     """A read at the primary waits for the proof, not the other way round."""
 
-    def running(self) -> tuple[support.Driver, int]:
+    def running(self, **more) -> tuple[support.Driver, int]:
         """Have a read run at the primary a while after the last proof."""
-        driver = support.Driver().ready()
+        driver = support.Driver().ready(**more)
         driver.now_ms += 20
         key, _ = driver.submit(support.EXACT)
         return driver, key
@@ -104,20 +104,35 @@
         self.assertNotIn(key, support.answers(outs))
 
     def test_write_needs_no_proof(self):
-        """A replica that confirms it was not paused for a promotion."""
+        """A replica that vouches confirms it, so it was not paused.
+
+        Which one confirmed is not told. So the others have to say that they
+        are not paused; that they were asked as it went out will do.
+        """
         driver = support.Driver().ready()
         driver.now_ms += 20
         key, _ = driver.submit(support.EXACT, Verb.WRITE)
+        for name in ('u2', 'u3'):
+            proving.answer_looks(driver, name, held_term=0)
+        driver.tick(20)
         outs = proving.answer_read(driver, key)
         self.assertIn(key, support.answers(outs))
 
     def test_confirmed_write_proves_the_lead_for_reads_before_it(self):
-        """It was sent after the read had arrived."""
-        driver, key = self.running()
+        """It was sent after the read had arrived, and one that vouches has it.
+
+        The others' silence alone leaves the lead unproved.
+        """
+        driver, key = self.running(names=('u1', 'u2', 'u3', 'u4'))
         outs = proving.answer_read(driver, key)
         driver.submit(support.EXACT, Verb.WRITE)
+        outs += proving.answer_looks(driver, 'u2', held_term=0)
         (write,) = [c for c in driver.busy('u1') if c.writing]
-        outs += driver.reply(write, support.ok('signed'))
+        place = support.Place(1, 6)
+        outs += driver.reply(write, support.ok('signed', place=place))
+        self.assertNotIn(key, support.answers(outs))
+        outs += driver.tick(20)
+        outs += proving.answer_looks(driver, 'u2', received=place, held_term=0)
         self.assertIn(key, support.answers(outs))
 
     def test_refused_at_once_where_nothing_can_be_proved(self):
--- a/topazring/core/synchronous/transactions.py
+++ b/topazring/core/synchronous/transactions.py
@@ -99,12 +99,9 @@
 ) -> list:
     state.transactions.pop(work.request.transaction, None)
     outs = settling.release(state, now_ms, connection, reply)
-    place = reply.place if transaction.wrote else None
-    needs_ms = None
-    if place is not None:
-        settling.note_confirmed(state, now_ms, connection, reply)
-        needs_ms = proofs.needed_by_write_ms(state, now_ms, connection)
-    return outs + fates.done(state, work, connection, reply, place, needs_ms)
+    if transaction.wrote:
+        return outs + fates.confirmed(state, now_ms, work, connection, reply)
+    return outs + fates.done(state, work, connection, reply)
 
 
 def _statement_failed(
