Pause a replaced primary after it was demoted

Cause, from the traces: a primary is replaced while it is dark; its successor leaves and hands over to a third; the old one is back, answers the pause as a primary, is demoted, and its answer to that counts as a paused replica's. It is not paused: it follows the leaving primary and confirms a write 40 ms after the third was ordered without it.

Mend: it is a replica to be paused like any other before it counts. Looked for elsewhere: the primary that a hand-over demotes has nobody to follow, and the one whose writes hang neither, for all replicas are paused by then.

Test: test_it_is_paused_as_well fails without it.

--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -84,11 +84,21 @@
     name: str,
     report: statements.StatusReport,
 ) -> list:
-    """Count a primary that is one no more."""
+    """Take in a primary that is one no more.
+
+    One that had been replaced follows whoever leads from now on, and would
+    confirm what nobody else holds. So it is a replica to be paused like any
+    other before it counts. One would notice by an acknowledged write that is
+    gone after a hand-over.
+    """
     if report.role is statements.Role.PRIMARY:
         attempt.term = state.term + 1
         attempt.asked_ms.pop(name, None)
+        return promotion.go_on(state, now_ms, attempt)
+    state.upstreams[name].refuted_ms = now_ms
+    if name in attempt.replaced:
+        attempt.replaced.discard(name)
+        attempt.asked_ms.pop(name, None)
     else:
         attempts.take_report(attempt, now_ms, name, report)
-        state.upstreams[name].refuted_ms = now_ms
     return promotion.go_on(state, now_ms, attempt)
--- a/topazring/core/synchronous/tests/test_claims.py
+++ b/topazring/core/synchronous/tests/test_claims.py
@@ -150,3 +150,42 @@
                     driver.reply(connection, old)
         self.assertIn('u1', failing.told(driver, statements.Demote))
         self.assertIsNotNone(driver.state.promotion)
+
+    def test_it_is_paused_as_well(self):
+        """A demoted member follows whoever leads, and confirms.
+
+        Symptom: an acknowledged write is gone after a hand-over. Sequence: a
+        primary is replaced while it is dark; its successor leaves, and hands
+        over to a third; the old one is back, answers the pause as a primary
+        and is demoted; it follows the leaving one and confirms a write, and
+        the third leads without it. Cause: the answer to the demotion was
+        taken for that of a paused replica. Proof, from walk 6473: 2236 ms u1
+        is demoted; 2238 ms u4 is ordered with u1 at 0.0; 2280 ms u1 says that
+        it holds 2.1, the write; 2368 ms u4 leads at 0.0.
+        """
+        driver = failing.holder()
+        driver.list_upstreams(leaving='u1', revision=2)
+        driver.tick(20)
+        heir = driver.state.promotion.heir
+        (other,) = {'u2', 'u3'} - {heir}
+        driver.state.term = 2
+        asked = self.controlled(driver, other)
+        driver.reply(asked, support.report(role=Role.PRIMARY, term=1))
+        driver.tick(20)
+        demoted = self.controlled(driver, other)
+        self.assertIsInstance(demoted.commands[0], statements.Demote)
+        outs = driver.reply(demoted, support.report(term=1, held_term=0))
+        outs += driver.tick(20)
+        self.assertEqual([], support.orders(outs))
+        self.assertIn(other, failing.told(driver, statements.Pause))
+
+    def controlled(
+        self, driver: support.Driver, name: str
+    ) -> states.Connection:
+        """Return the connection with a step of a promotion under way."""
+        (connection,) = [
+            connection
+            for connection in driver.busy(name)
+            if connection.errand is states.Errand.CONTROL
+        ]
+        return connection
