Do not drop what a demoted primary began with

Cause, from the trace: a write is confirmed by one replica, the primary is lost, that replica follows it at 1.7; the other, at 1.6, receives nothing. So the new primary counts as lost 30 ms after it began, is demoted, and the other is promoted at 1.6. What a demoted primary holds beyond the others was taken for unconfirmed; but what it began with may have been confirmed to the primary before it.

Mend: a demoted primary is promoted anew unless another holds an entry of its term, or all that it began with as far as that is known here (whoever promoted it knows, and whoever saw it lead).

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -178,7 +178,8 @@
     others = {n: place for n, place in held.items() if n != attempt.old}
     highest = max(others.values(), default=places.ORIGIN)
     complete = _is_complete(state, now_ms, attempt, highest)
-    if not others or not complete or highest < _floor(state, attempt):
+    enough = complete and highest >= _floor(state, attempt)
+    if not others or not enough or _may_drop(state, attempt, highest):
         return attempt.old if attempt.unconfirmed else ''
     able = [name for name in others if others[name] == highest]
     staying = [n for n in able if not state.upstreams[n].leaving]
@@ -204,6 +205,24 @@
     return not state.departures.may_exceed(now_ms, place, primaries)
 
 
+def _may_drop(
+    state: states.GroupState, attempt: Attempt, highest: places.Place
+) -> bool:
+    """Say whether a demoted primary may hold alone what it began with.
+
+    What it holds beyond the others was never confirmed to it, but before its
+    lead it may have confirmed part of that to the primary before it. Whoever
+    holds an entry of its term holds all that it began with.
+    """
+    report = attempt.reports.get(attempt.old)
+    if report is None or highest >= report.received:
+        return False
+    name, place = state.began
+    if name == attempt.old and highest >= place:
+        return False
+    return highest.log_term < report.term
+
+
 def _floor(state: states.GroupState, attempt: Attempt) -> places.Place:
     """Return the place that whoever is promoted has to hold."""
     floor = state.acknowledged
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -179,6 +179,9 @@
     leads = state.primary
     renewed = attempt.chosen == attempt.old and attempt.accepted
     if leads and (leads != attempt.old or renewed):
+        if leads == attempt.chosen != attempt.heir:
+            # An heir received more after it was chosen.
+            state.began = (leads, attempt.chosen_place)
         return finish(state, now_ms, attempt, 'succeeded')
     if attempt.chosen:
         # Without an answer the order stands, and it is repeated until there
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -312,6 +312,8 @@
     # The last upstream that proved to lead, and when it first did.
     proven: str = ''
     proven_ms: int = 0
+    # A primary, and a place that all it began with is at or before.
+    began: tuple[str, places.Place] = ('', places.ORIGIN)
     # Oldest first.
     samples: collections.deque[Sample] = dataclasses.field(
         default_factory=collections.deque
--- a/topazring/core/synchronous/tests/test_promotion.py
+++ b/topazring/core/synchronous/tests/test_promotion.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from topazring.core.synchronous import attempts
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -191,3 +192,59 @@
         outs += driver.tick(20)
         self.assertIsNone(driver.state.promotion)
         self.assertEqual([], support.orders(outs))
+
+    def succeeded(self, driver: support.Driver) -> None:
+        """Have `u2`, whose log is longer than that of `u3`, follow `u1`."""
+        failing.lose_primary(driver)
+        places = {'u2': Place(1, 7), 'u3': Place(1, 6)}
+        (order,) = support.orders(failing.answer_controls(driver, **places))
+        accepted = OrderResult.ACCEPTED
+        driver.post(messages.Ordered(order.upstream, order.token, accepted))
+        driver.list_upstreams(primary='u2', revision=2)
+
+    def chosen(self, driver: support.Driver, **places: Place) -> str:
+        """Return who follows `u2`, demoted, whose writes hang."""
+        attempt = attempts.Attempt('u2', 'no replica follows it', 0, 3, 300)
+        attempt.unconfirmed = True
+        for name, place in {'u1': Place(0, 0), **places}.items():
+            report = support.report(received=place, term=2).report
+            attempts.take_report(attempt, driver.now_ms, name, report)
+        return attempts.choose(driver.state, driver.now_ms, attempt)
+
+    def test_what_a_primary_began_with_is_not_dropped(self):
+        """It may have been acknowledged under the primary before it.
+
+        Symptom: an acknowledged write is gone after the second of two
+        promotions. Sequence: a primary has a write confirmed by one replica
+        and is lost; that replica follows it; the other receives nothing, so
+        the new primary counts as lost as well; it is demoted, and the other
+        is promoted. Cause: all that a demoted primary holds beyond the others
+        was taken for unconfirmed. Proof, from walk 5549: 3970 ms u2 is
+        ordered at 1.7, u3 is at 1.6; 4134 ms u2 is demoted; 4143 ms u3 is
+        ordered at 1.6, with u2 at 1.7.
+        """
+        driver = failing.holder()
+        self.succeeded(driver)
+        self.assertIsNone(driver.state.promotion)
+        chosen = self.chosen(driver, u2=Place(1, 7), u3=Place(1, 6))
+        self.assertEqual('u2', chosen)
+
+    def test_tail_of_a_primary_of_which_nothing_is_known(self):
+        """This proxy saw no more of its lead than the list tells.
+
+        Symptom, sequence: as above, but the duty changes hands before the
+        second promotion.
+        """
+        driver = support.Driver()
+        driver.list_upstreams(primary='u2')
+        driver.open_all()
+        chosen = self.chosen(driver, u2=Place(1, 7), u3=Place(1, 6))
+        self.assertEqual('u2', chosen)
+
+    def test_unconfirmed_tail_of_a_primary_that_was_followed(self):
+        """Who holds an entry of its term holds all that it began with."""
+        driver = support.Driver()
+        driver.list_upstreams(primary='u2')
+        driver.open_all()
+        chosen = self.chosen(driver, u2=Place(2, 9), u3=Place(2, 8))
+        self.assertEqual('u3', chosen)
