Acknowledge nothing at a primary whose successor is named, or gone

Cause, from the traces: the list names a successor, and a proxy that has the old primary's answers goes on with that one until terms are known. Meanwhile a replica that cannot reach the successor, resumed by whoever promoted it, follows the old primary and confirms a write. Where the successor ends within 300 ms and begins again empty, its claim was forgotten with it, and nobody is asked at all.

Mend: while another is named, or took a transaction, since the primary is believed to lead, and nothing has refuted that, a confirmed write waits. If it is gone, that stays, and the holder of the duty promotes anew: it demotes the old primary and chooses by all logs. A primary that went dark took its last transaction before its successor led, so it contests nothing.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -26,7 +26,8 @@
 None of that counts while a member says that it is paused for a later term:
 then somebody is replacing the primary, and may have chosen already. While a
 leaving primary hands over the others are paused by design, and only its heir
-can confirm.
+can confirm. Nor does it while another is named as the primary, or was named
+and is gone: the one that is believed to lead goes on until it learns of that.
 """
 
 from topazring.core import places
@@ -71,6 +72,8 @@
     """Say whether a confirmed write survives the loss of its primary."""
     if confirmation.upstream != state.primary:
         return False
+    if state.successor_gone or _is_contested(state):
+        return False
     if _is_being_replaced(state, confirmation):
         return False
     if _all_stand(state, confirmation.sent_ms):
@@ -80,6 +83,16 @@
     return _is_known_to_hold(state, confirmation)
 
 
+def _is_contested(state: states.GroupState) -> bool:
+    """Say whether another is named as the primary and was not asked yet.
+
+    A replica that cannot reach it follows the old one, and confirms.
+    """
+    return any(
+        proofs.contests(state, upstream) for upstream in states.others(state)
+    )
+
+
 def _all_stand(state: states.GroupState, since_ms: int) -> bool:
     return all(
         upstream.vouches and upstream.reported_sent_ms >= since_ms
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -56,6 +56,8 @@
     since_ms: int
     # It answers, but its replicas do not confirm its writes.
     unconfirmed: bool = False
+    # It answers, and was replaced all the same.
+    replaced: bool = False
 
 
 def judge(state: states.GroupState, now_ms: int) -> Loss | None:
@@ -74,6 +76,9 @@
     loss = silent(state, now_ms, upstream)
     if loss is not None:
         return loss
+    if state.successor_gone:
+        why = 'its successor is gone'
+        return Loss(upstream.name, why, now_ms, replaced=True)
     hanging = _hanging(state, now_ms, upstream)
     if hanging is not None:
         return hanging
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -3,6 +3,7 @@
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -45,6 +46,9 @@
     acknowledged write that is gone after the next promotion.
     """
     upstream = state.upstreams.pop(name)
+    if proofs.contests(state, upstream):
+        # Perhaps only its own log told of its term.
+        state.successor_gone = True
     paused_at = None
     if state.promotion is not None:
         paused_at = attempts.paused_at(state.promotion, now_ms, name)
@@ -105,6 +109,7 @@
         upstream.listed_revision = entry.revision
         if entry.role is statements.Role.PRIMARY:
             upstream.refuted_ms = None
+            upstream.claimed_ms = now_ms
         outs.append(
             messages.Decided(
                 'upstream changed part',
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -91,6 +91,7 @@
 def _outrank(upstream: states.Upstream, sent_ms: int) -> None:
     """Count an upstream, when it was asked, as one that does not lead."""
     proofs.note_refusal(upstream, sent_ms)
+    upstream.claimed_ms = states.NEVER_MS
     upstream.to_depose = True
 
 
@@ -208,6 +209,7 @@
     """Take in that an upstream refused as one that does not lead."""
     upstream.refuted_ms = now_ms
     upstream.lead_term = 0
+    upstream.claimed_ms = states.NEVER_MS
     upstream.in_question = False
     if state.primary != upstream.name:
         return []
@@ -265,6 +267,8 @@
         return []
     lost_ms = prospects.lost_since(state, now_ms)
     state.primary = upstream.name
+    state.led_ms = now_ms
+    state.successor_gone = False
     state.last_primary = upstream.name
     state.last_primary_born_ms = upstream.born_ms
     state.primary_lost_ms = None
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -84,8 +84,9 @@
     attempt = attempts.Attempt(
         old, why, now_ms, state.term + 1, state.token, heir
     )
-    attempt.unconfirmed = loss is not None and loss.unconfirmed
-    attempt.looking = attempt.unconfirmed
+    if loss is not None:
+        attempt.unconfirmed = loss.unconfirmed or loss.replaced
+        attempt.looking = loss.unconfirmed
     attempt.since_ms = now_ms if loss is None else loss.since_ms
     state.promotion = attempt
     what = 'promotion considered' if attempt.looking else 'promotion begins'
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -41,6 +41,7 @@
 __all__ = [
     'DOUBT_MS',
     'claims_to_lead',
+    'contests',
     'in_doubt',
     'is_superseded',
     'is_unreached',
@@ -128,6 +129,20 @@
     return upstream.took_sent_ms > upstream.refused_sent_ms
 
 
+def contests(state: states.GroupState, upstream: states.Upstream) -> bool:
+    """Say whether another claims to lead since the primary is believed to.
+
+    By the list or by taking a transaction, and nothing has refuted it. A
+    primary that went dark took its last one before its successor led.
+    """
+    if upstream.name == state.primary:
+        return False
+    took_ms = states.NEVER_MS
+    if claims_to_lead(upstream):
+        took_ms = upstream.took_sent_ms
+    return max(took_ms, upstream.claimed_ms) > state.led_ms
+
+
 def _vouch(state: states.GroupState, proven: int) -> None:
     """Let members vouch for the lead that were there when it was proved."""
     for upstream in state.upstreams.values():
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -146,6 +146,8 @@
     # When it was last asked whether it leads, and for its term.
     asked_ms: int = NEVER_MS
     witness_asked_ms: int = NEVER_MS
+    # When the list last named it as the primary; NEVER_MS once refuted.
+    claimed_ms: int = NEVER_MS
     # Its claim to lead waits for its term; when it was last asked for it.
     in_question: bool = False
     questioned_ms: int = NEVER_MS
@@ -290,6 +292,10 @@
     )
     # Believed to lead; empty while unknown.
     primary: str = ''
+    # Since when.
+    led_ms: int = NEVER_MS
+    # Another was named as the primary since, and is listed no more.
+    successor_gone: bool = False
     # The last that was believed to lead.
     last_primary: str = ''
     last_primary_born_ms: int = 0
--- /dev/null
+++ b/topazring/core/synchronous/tests/test_contested.py
@@ -0,0 +1,141 @@
+"""Acknowledge nothing at a primary whose successor has been named."""
+
+import testtools
+
+from topazring.core import outcomes
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import statements
+from topazring.core.synchronous.tests import failing
+from topazring.core.synchronous.tests import support
+from topazring.core.synchronous.tests import test_isolation
+
+Place = support.Place
+WRITE = support.Verb.WRITE
+
+
+def write(driver: support.Driver, *names: str) -> outcomes.Outcome | None:
+    """Have `u1` confirm a write; these others answer, and hold it."""
+    held = Place(1, 6)
+    key, _ = driver.submit(verb=WRITE)
+    work = driver.state.work.get(key)
+    if work is not None and work.running:
+        (number,) = work.running
+        connection = driver.state.connections[number]
+        driver.reply(connection, support.ok('signed', place=held))
+    test_isolation.play(driver, 100, 'u1', *names, received=held)
+    return support.answers(driver.outs).get(key)
+
+
+class ContestedTest(testtools.TestCase):
+    """The list names a successor that has not been heard."""
+
+    def contested(self, holds_duty: bool = False) -> support.Driver:
+        """Have the list name `u2`, while `u1` goes on."""
+        driver = failing.holder() if holds_duty else support.Driver().ready()
+        driver.list_upstreams(primary='u2', revision=2)
+        return driver
+
+    def born_again(self, holds_duty: bool = False) -> support.Driver:
+        """Have the successor begin again, empty."""
+        driver = self.contested(holds_duty)
+        born = {'u2': 9}
+        driver.list_upstreams(primary='u1', revision=3, born_ms=born)
+        return driver
+
+    def test_confirmed_write_waits(self):
+        """A replica that cannot reach the successor still confirms it.
+
+        Symptom: an acknowledged write is taken by a replaced primary.
+        Sequence: a leaving primary is replaced by one that a replica cannot
+        reach; whoever promoted resumes that replica; it follows the old one
+        and confirms a write there, before the proxy that sent it has asked
+        the successor. Cause: the list's word was left aside until then.
+        Proof, from walk 6500: 2371 ms u4 leads; 2376 ms p1 has it from the
+        list; 2452 ms p1 sends a write to u1; 2470 ms u3 holds it, and p1
+        acknowledges.
+        """
+        driver = self.contested()
+        self.assertNotIsInstance(write(driver, 'u3'), outcomes.Done)
+
+    def test_successor_that_began_again(self):
+        """Only its own log told of its term, and that log is gone.
+
+        Symptom: as above. Sequence: the successor ends within 300 ms of its
+        promotion and begins again, empty; the old primary leads on, and the
+        proxy that saw no promotion sends it a write. Cause: the claim was
+        forgotten with the one that made it. Proof, from walk 6580: 3949 ms u3
+        leads; 3985 ms p2 has it from the list; 4455 ms u3 begins again;
+        4838 ms p2 sends a write to u1; 5062 ms p2 acknowledges.
+        """
+        driver = self.born_again()
+        driver.open_all()
+        for _ in range(20):
+            driver.tick(20)
+            driver.answer_guards()
+        outcome = write(driver, 'u2', 'u3')
+        self.assertNotIsInstance(outcome, outcomes.Done)
+
+    def test_another_is_promoted_then(self):
+        """Else no write would be acknowledged any more."""
+        driver = self.born_again(holds_duty=True)
+        driver.open_all()
+        outs = []
+        for _ in range(10):
+            outs += driver.tick(20)
+            outs += driver.answer_guards()
+            outs += failing.answer_controls(driver)
+        begun = [
+            out.inputs['why']
+            for out in outs
+            if isinstance(out, messages.Decided)
+            and out.what == 'promotion begins'
+        ]
+        self.assertEqual(['its successor is gone'], begun)
+        (order,) = support.orders(outs)
+        driver.post(
+            messages.Ordered(
+                order.upstream, order.token, messages.OrderResult.ACCEPTED
+            )
+        )
+        driver.list_upstreams(
+            primary=order.upstream, revision=4, born_ms={'u2': 9}
+        )
+        self.assertEqual(order.upstream, driver.state.primary)
+        self.assertFalse(driver.state.successor_gone)
+
+    def test_claim_that_is_refuted(self):
+        """The entry was late: who is named there follows the primary."""
+        driver = self.contested()
+        driver.tick(400)
+        driver.answer_guards()
+        self.assertIsInstance(write(driver, 'u2', 'u3'), outcomes.Done)
+
+    def test_primary_that_went_dark_contests_nothing(self):
+        """It took its last transaction before its successor led.
+
+        What would be wrong: no save for the seconds until its entry lapses.
+        """
+        driver = failing.holder()
+        failing.lose_primary(driver)
+        (order,) = support.orders(failing.answer_controls(driver))
+        accepted = messages.OrderResult.ACCEPTED
+        driver.post(messages.Ordered(order.upstream, order.token, accepted))
+        driver.list_upstreams(primary='u2', revision=2)
+        driver.tick(20)
+        driver.answer_guards(primary='u2')
+        key, _ = driver.submit(verb=WRITE)
+        for connection in driver.busy('u3'):
+            if isinstance(connection.commands[0], statements.Demote):
+                said = {'received': Place(2, 6), 'term': 2, 'held_term': 0}
+                driver.reply(connection, support.report(**said))
+        (number,) = driver.state.work[key].running
+        connection = driver.state.connections[number]
+        place = Place(2, 6)
+        driver.reply(connection, support.ok('signed', place=place))
+        for _ in range(5):
+            driver.tick(20)
+            for connection in driver.busy('u3'):
+                if isinstance(connection.commands[0], statements.Demote):
+                    driver.reply(connection, support.report(**said))
+        outcome = support.answers(driver.outs).get(key)
+        self.assertIsInstance(outcome, outcomes.Done)
