Count a member that began again only once it vouches

It had been paused and chosen from before; afterwards it is paused no more and follows the old primary, like an heir that may confirm. And where nobody vouches, one that came 100 ms after the write was sent was believed.

Its word that it holds a write counts only once it vouches, and that of one that has just come only if it was listed a moment before the write.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -59,7 +59,8 @@
 def witnesses(state: states.GroupState) -> list[states.Upstream]:
     """Return the members whose word counts.
 
-    Where none of the others has been there for long enough, all of them.
+    Where none of the others has been there for long enough, all of them are
+    asked.
     """
     others = states.others(state)
     vouching = [upstream for upstream in others if upstream.vouches]
@@ -78,7 +79,8 @@
         return False
     if _all_stand(state, confirmation.sent_ms):
         return True
-    if any(_holds(u, confirmation) for u in witnesses(state)):
+    vouching = [u for u in states.others(state) if u.vouches]
+    if any(_holds(u, confirmation) for u in vouching):
         return True
     return _is_known_to_hold(state, confirmation)
 
@@ -103,17 +105,21 @@
 def _is_known_to_hold(
     state: states.GroupState, confirmation: states.Confirmation
 ) -> bool:
-    """Say whether a promotion that begins now hears of a new member's log."""
+    """Say whether a promotion that begins now hears of a new member's log.
+
+    One that began again may have been paused and chosen from before that.
+    """
     sent_ms = confirmation.sent_ms
-    known = [
+    holders = [
         upstream
         for upstream in states.others(state)
         if sent_ms - upstream.come_ms >= KNOWN_MS
+        and not upstream.began_again
+        and _holds(upstream, confirmation)
     ]
-    holders = [u for u in known if _holds(u, confirmation)]
     if not holders:
         return False
-    held_ms = min(u.log_end_sent_ms for u in holders)
+    held_ms = min(upstream.log_end_sent_ms for upstream in holders)
     return any(u.reported_sent_ms >= held_ms for u in witnesses(state))
 
 
--- a/topazring/core/synchronous/departures.py
+++ b/topazring/core/synchronous/departures.py
@@ -78,6 +78,10 @@
         """Take in that an upstream is back: it can be asked again."""
         self.known.pop((name, born_ms), None)
 
+    def has_departed(self, name: str) -> bool:
+        """Say whether one of that name was listed before."""
+        return any(departure.name == name for departure in self.known.values())
+
     def note_primary(self, sent_ms: int, place: places.Place) -> None:
         """Take in where the primary's log stood after a time of sending."""
         for departure in self.known.values():
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -75,6 +75,7 @@
     upstream.come_ms = now_ms
     # The first list names those that were there before this process.
     upstream.vouches = now_ms == state.listed_ms
+    upstream.began_again = state.departures.has_departed(entry.name)
     state.upstreams[entry.name] = upstream
     state.departures.remove(entry.name, entry.born_ms)
     _note_leaving(state, now_ms, upstream, entry)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -143,6 +143,8 @@
     # was proved otherwise: whoever promotes may not have known it.
     come_ms: int = 0
     vouches: bool = False
+    # It had been listed under its name before, as another.
+    began_again: bool = False
     # When it was last asked whether it leads, and for its term.
     asked_ms: int = NEVER_MS
     witness_asked_ms: int = NEVER_MS
