Promote one that began again, and wait for nobody who is gone for good

Mend: who began again is asked and may be chosen, without being waited for; its log is not taken for that of the primary before it; and an incarnation whose name another bears is gone as surely as one that left.

--- a/topazring/core/synchronous/asking.py
+++ b/topazring/core/synchronous/asking.py
@@ -19,7 +19,7 @@
 ) -> list:
     """Have members pause, or tell where their logs stand."""
     outs: list = []
-    for name in attempts.members(state, attempt):
+    for name in attempts.candidates(state, attempt):
         asked_ms = attempt.asked_ms.get(name)
         again_ms = LOOK_MS if name == attempt.heir else ASK_AGAIN_MS
         if name != attempt.heir and attempts.is_fresh(attempt, now_ms, name):
@@ -29,7 +29,7 @@
         command: statements.Command = statements.Pause(attempt.term)
         if name == attempt.heir or attempt.looking:
             command = statements.Status()
-        elif name == attempt.old or name in attempt.replaced:
+        elif _is_to_demote(state, attempt, name):
             command = statements.Demote(attempt.term)
         sent = control(state, now_ms, name, command)
         outs += sent
@@ -42,6 +42,14 @@
     return outs
 
 
+def _is_to_demote(
+    state: states.GroupState, attempt: attempts.Attempt, name: str
+) -> bool:
+    if name in attempt.replaced:
+        return True
+    return name == attempt.old and not attempts.began_again(state, name)
+
+
 def control(
     state: states.GroupState,
     now_ms: int,
--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -14,6 +14,8 @@
 
 __all__ = [
     'Attempt',
+    'began_again',
+    'candidates',
     'choose',
     'forget_reports',
     'is_blocked',
@@ -85,6 +87,26 @@
     ]
 
 
+def began_again(state: states.GroupState, name: str) -> bool:
+    """Say whether another bears the name of the last primary now."""
+    upstream = state.upstreams.get(name)
+    if upstream is None or name != state.last_primary:
+        return False
+    return upstream.born_ms != state.last_primary_born_ms
+
+
+def candidates(state: states.GroupState, attempt: Attempt) -> list[str]:
+    """Return those to be asked: the members, and who may be chosen as well.
+
+    A lost primary that began again is a replica like any other. It is not
+    waited for: its start may take seconds.
+    """
+    names = members(state, attempt)
+    if attempt.old not in names and began_again(state, attempt.old):
+        names.append(attempt.old)
+    return names
+
+
 def take_report(
     attempt: Attempt,
     now_ms: int,
@@ -167,6 +189,11 @@
     answered, silent = _split(state, now_ms, attempt)
     if not answered or silent:
         return ''
+    lost = attempt.old
+    if began_again(state, lost):
+        if lost not in answered and is_fresh(attempt, now_ms, lost):
+            answered.append(lost)
+        lost = ''
     held = {name: attempt.reports[name].received for name in answered}
     if attempt.demoting_since_ms is not None:
         enough = held.get(attempt.heir, places.ORIGIN) >= max(held.values())
@@ -175,7 +202,7 @@
         enough = held[attempt.heir] >= max(held.values())
         complete = _is_complete(state, now_ms, attempt, held[attempt.heir])
         return attempt.heir if enough and complete else ''
-    others = {n: place for n, place in held.items() if n != attempt.old}
+    others = {name: held[name] for name in answered if name != lost}
     highest = max(others.values(), default=places.ORIGIN)
     complete = _is_complete(state, now_ms, attempt, highest)
     enough = complete and highest >= _floor(state, attempt)
@@ -183,7 +210,7 @@
         return attempt.old if attempt.unconfirmed else ''
     able = [name for name in others if others[name] == highest]
     staying = [n for n in able if not state.upstreams[n].leaving]
-    return min(staying or able)
+    return min(staying or able, key=lambda name: (name == attempt.old, name))
 
 
 def _is_complete(
@@ -200,7 +227,9 @@
     primaries = frozenset({attempt.old, state.proven, state.last_primary})
     for name in primaries:
         report = attempt.reports.get(name)
-        if report is not None and place >= report.received:
+        if report is None or began_again(state, name):
+            continue
+        if place >= report.received:
             return True
     return not state.departures.may_exceed(now_ms, place, primaries)
 
--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -50,7 +50,7 @@
 # A write that waits for so long to be acknowledged shows that the next would
 # wait as well. Members answer within a few ms, and apply what they received
 # within some hundred at most.
-UNSURE_MS = 300
+UNSURE_MS = 150
 # After one was given up the next is tried only then: each is unknown to its
 # caller, and one that is refused may be tried at another proxy.
 UNSURE_PAUSE_MS = 500
--- a/topazring/core/synchronous/departures.py
+++ b/topazring/core/synchronous/departures.py
@@ -35,7 +35,8 @@
 
     name: str
     seen_ms: int
-    # It had said so before; such a one does not come back.
+    # It had said so before, or another bears its name now; such a one does
+    # not come back.
     left: bool = False
     # None until it is known.
     bound: places.Place | None = None
@@ -78,6 +79,14 @@
         """Take in that an upstream is back: it can be asked again."""
         self.known.pop((name, born_ms), None)
 
+    def note_lead(self, name: str) -> None:
+        """Take in that an upstream leads: whoever bore its name is no matter.
+
+        It began with all that was acknowledged, and it can be asked.
+        """
+        for key in [key for key in self.known if key[0] == name]:
+            del self.known[key]
+
     def has_departed(self, name: str) -> bool:
         """Say whether one of that name was listed before."""
         return any(departure.name == name for departure in self.known.values())
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -29,8 +29,12 @@
     for entry in message.upstreams:
         known = state.upstreams.get(entry.name)
         if known is not None and entry.born_ms > known.born_ms:
-            outs += _gone(state, now_ms, entry.name)
+            outs += _gone(state, now_ms, entry.name, for_good=True)
             known = None
+            if state.primary == entry.name:
+                # The list may name its successor.
+                state.primary = ''
+                state.primary_lost_ms = now_ms
         if known is None:
             outs += _come(state, now_ms, entry)
         else:
@@ -38,7 +42,9 @@
     return outs
 
 
-def _gone(state: states.GroupState, now_ms: int, name: str) -> list:
+def _gone(
+    state: states.GroupState, now_ms: int, name: str, for_good: bool = False
+) -> list:
     """Let go of an upstream that is listed no more, or began again.
 
     One that began again under its name holds nothing of what it confirmed,
@@ -53,7 +59,11 @@
     if state.promotion is not None:
         paused_at = attempts.paused_at(state.promotion, now_ms, name)
     state.departures.add(
-        now_ms, name, upstream.leaving, paused_at, upstream.born_ms
+        now_ms,
+        name,
+        upstream.leaving or for_good,
+        paused_at,
+        upstream.born_ms,
     )
     state.paused.discard(name)
     outs: list = [messages.Decided('upstream gone', inputs={'upstream': name})]
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -268,6 +268,7 @@
     lost_ms = prospects.lost_since(state, now_ms)
     state.primary = upstream.name
     state.led_ms = now_ms
+    state.departures.note_lead(upstream.name)
     state.successor_gone = False
     state.last_primary = upstream.name
     state.last_primary_born_ms = upstream.born_ms
--- a/topazring/core/synchronous/tests/test_departures.py
+++ b/topazring/core/synchronous/tests/test_departures.py
@@ -238,6 +238,117 @@
         (order,) = support.orders(outs)
         self.assertIn(order.upstream, ('u2', 'u3'))
 
+    def test_primary_and_a_replica_that_are_gone_for_good(self):
+        """Nobody that may come back can tell what the replica had.
+
+        Symptom: a group without a primary for the rest of the day, though its
+        members hold all that was acknowledged. Sequence: a replica leaves and
+        ends; the primary, whose log is longer than the others', crashes and
+        begins again, empty. Cause: waiting for what the replica may have
+        confirmed, though the primary's log is gone as surely as that of one
+        that left. Proof, from walk 6110: both members are at 2.7, all that is
+        acknowledged; u3 left at 3.9; ten attempts end with nobody to follow.
+        """
+        departed = departures.Departures()
+        departed.add(1000, 'u3', left=True)
+        departed.note_primary(1001, Place(3, 9))
+        departed.add(1100, 'u1', left=True, born_ms=7)
+        low, primaries = Place(2, 7), frozenset({'u1'})
+        self.assertEqual([], departed.may_exceed(1200, low, primaries))
+        driver = support.Driver().ready()
+        driver.list_upstreams(primary='', revision=2, born_ms={'u1': 99})
+        (gone,) = [
+            departure
+            for departure in driver.state.departures.known.values()
+            if departure.name == 'u1'
+        ]
+        self.assertTrue(gone.left)
+
+    def test_primary_whose_name_had_been_anothers(self):
+        """It is there, and so is what it may have had confirmed.
+
+        Symptom: an acknowledged write is gone after a failover. Sequence: a
+        member begins again, and later leads; a replica confirms its writes
+        and leaves; the others received nothing, and one of them is promoted.
+        Cause: the primary was taken for gone for good, as the one that had
+        borne its name was. Proof, from walk 5968: 11453 ms u3 is gone; 11470
+        ms u1 is demoted, at 3.6; 11474 ms u2 is ordered at 2.3.
+        """
+        driver = support.Driver().ready()
+        self.born_again(driver, 'u2')
+        driver.state.primary = ''
+        driver.state.upstreams['u1'].refuted_ms = driver.now_ms
+        born = {'u2': 99}
+        driver.list_upstreams(primary='u2', revision=3, born_ms=born)
+        for names in (('u1', 'u2', 'u3'), ('u1', 'u2')):
+            driver.list_upstreams(
+                primary='u2',
+                names=names,
+                revision=4,
+                leaving='u3',
+                born_ms=born,
+            )
+        waited_for = driver.state.departures.may_exceed(
+            driver.now_ms, Place(1, 5), frozenset({'u2'})
+        )
+        self.assertEqual(['u3'], waited_for)
+
+    def begun_again_as_a_replica(self) -> support.Driver:
+        """Have the primary begin again, and follow another for a while."""
+        driver = failing.holder()
+        driver.list_upstreams(primary='', revision=2, born_ms={'u1': 99})
+        driver.open_all(Place(0, 0))
+        driver.tick(20)
+        return driver
+
+    def test_one_that_began_again_may_hold_more_than_the_others(self):
+        """It leads no more, and is a member like any other.
+
+        Symptom: as above. Sequence: a primary begins again, empty, and
+        receives all of its successor's log; the successor is gone before the
+        holder of the duty has heard of it. Cause: the lost primary is nobody
+        to choose, whoever bears its name now. Proof, from walk 5932: u3 is at
+        1.3, all that is acknowledged; u1 and u2 are empty.
+        """
+        driver = self.begun_again_as_a_replica()
+        driver.state.acknowledged = Place(1, 6)
+        outs = []
+        for _ in range(5):
+            outs += failing.answer_controls(driver, u1=Place(1, 6))
+            outs += driver.tick(20)
+        (order,) = support.orders(outs)
+        self.assertEqual('u1', order.upstream)
+
+    def test_one_that_began_again_is_not_waited_for(self):
+        """Its start may take seconds, and the others are enough."""
+        driver = self.begun_again_as_a_replica()
+        outs = []
+        for _ in range(5):
+            for connection in driver.busy('u2') + driver.busy('u3'):
+                if connection.errand is states.Errand.CONTROL:
+                    paused = support.report(held_term=2)
+                    outs += driver.reply(connection, paused)
+            outs += driver.tick(20)
+        (order,) = support.orders(outs)
+        self.assertEqual('u2', order.upstream)
+
+    def test_its_log_is_not_that_of_the_primary_before_it(self):
+        """What that one's log held is unknown.
+
+        Symptom: an acknowledged write is gone after a failover. Sequence: a
+        replica confirms a write and departs; the primary begins again,
+        empty; the other replica, without the write, is promoted. Cause: a
+        log as long as the last primary's was taken for complete, and the
+        empty log of the one that began again for the last primary's.
+        """
+        driver = self.begun_again_as_a_replica()
+        driver.state.departures.add(driver.now_ms, 'u4')
+        outs = []
+        for _ in range(5):
+            outs += failing.answer_controls(driver, u1=Place(0, 0))
+            outs += driver.tick(20)
+        self.assertEqual([], support.orders(outs))
+
     def test_late_list_does_not_bring_the_earlier_one_back(self):
         """Peers may tell what they read before."""
         driver = support.Driver().ready()
