Acknowledge nothing of a term that is known to be over

Only who is named as the primary was looked at.

Test: test_member_that_holds_entries_of_a_newer_term fails without it.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -75,6 +75,8 @@
         return False
     if state.successor_gone or _is_contested(state):
         return False
+    if _is_outdated(state, confirmation):
+        return False
     if _is_being_replaced(state, confirmation):
         return False
     if _all_stand(state, confirmation.sent_ms):
@@ -85,6 +87,14 @@
     return _is_known_to_hold(state, confirmation)
 
 
+def _is_outdated(
+    state: states.GroupState, confirmation: states.Confirmation
+) -> bool:
+    """Say whether a newer term than that of the write is known."""
+    place = confirmation.place
+    return place is not None and place.log_term < state.term
+
+
 def _is_contested(state: states.GroupState) -> bool:
     """Say whether another is named as the primary and was not asked yet.
 
--- a/topazring/core/synchronous/tests/test_contested.py
+++ b/topazring/core/synchronous/tests/test_contested.py
@@ -103,6 +103,27 @@
         self.assertEqual(order.upstream, driver.state.primary)
         self.assertFalse(driver.state.successor_gone)
 
+    def test_member_that_holds_entries_of_a_newer_term(self):
+        """Another led, whoever it was.
+
+        Symptom: as above. Sequence: the successor is gone before this proxy
+        has heard of it; a member that followed it says where its log ends.
+        Cause: only who is named as the primary was looked at. Proof, from
+        walk 5698: u3 says 2.1 at 4051 ms, and a write of term 1 at u1 is
+        acknowledged at 4052 ms.
+        """
+        driver = support.Driver().ready(names=('u1', 'u2', 'u3', 'u4'))
+        key, _ = driver.submit(verb=WRITE)
+        (number,) = driver.state.work[key].running
+        connection = driver.state.connections[number]
+        held = Place(1, 6)
+        driver.reply(connection, support.ok('signed', place=held))
+        newer = {'received': Place(2, 1), 'term': 2}
+        test_isolation.play(driver, 40, 'u3', **newer)
+        test_isolation.play(driver, 100, 'u2', 'u4', received=held)
+        outcome = support.answers(driver.outs).get(key)
+        self.assertNotIsInstance(outcome, outcomes.Done)
+
     def test_claim_that_is_refuted(self):
         """The entry was late: who is named there follows the primary."""
         driver = self.contested()
