Hand over only to one that holds what the primary began with

Cause, from the trace: a replica that confirmed them alone is promoted at 1.7; the others receive nothing; it leaves; they are paused at 0.0, and the heir is ordered at 0.0, for it held as much as the paused ones. They hold all that is acknowledged only once they have followed the primary.

Mend: an heir holds what is known to be acknowledged, and what its primary began with.

Two tests fail without it.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -199,8 +199,9 @@
         enough = held.get(attempt.heir, places.ORIGIN) >= max(held.values())
         return attempt.heir if enough else ''
     if attempt.heir:
-        enough = held[attempt.heir] >= max(held.values())
-        complete = _is_complete(state, now_ms, attempt, held[attempt.heir])
+        place = held[attempt.heir]
+        enough = place >= max(held.values()) and _may_succeed(state, place)
+        complete = _is_complete(state, now_ms, attempt, place)
         return attempt.heir if enough and complete else ''
     others = {name: held[name] for name in answered if name != lost}
     highest = max(others.values(), default=places.ORIGIN)
@@ -213,6 +214,17 @@
     return min(staying or able, key=lambda name: (name == attempt.old, name))
 
 
+def _may_succeed(state: states.GroupState, place: places.Place) -> bool:
+    """Say whether a log holds what a leaving primary is known to have.
+
+    What the paused ones hold is not enough before they have followed it.
+    """
+    name, began = state.began
+    if name == state.primary and place < began:
+        return False
+    return place >= state.acknowledged
+
+
 def _is_complete(
     state: states.GroupState,
     now_ms: int,
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -111,6 +111,41 @@
         (order,) = support.orders(outs)
         self.assertEqual(heir, order.upstream)
 
+    def test_heir_holds_what_the_primary_began_with(self):
+        """Nobody but the primary may hold that, if it was just promoted.
+
+        Symptom: acknowledged writes are gone after a hand-over. Sequence: a
+        replica that confirmed them alone is promoted; the others receive
+        nothing; it leaves; they are paused and report less, the heir as much
+        as they, and it is ordered. Cause: the heir had to hold what the
+        paused ones report, and they hold all that is acknowledged only once
+        they have followed the primary. Proof, from walk 5956: 4473 ms u2 is
+        ordered at 1.7, u3 and u4 at 0.0; 5311 ms u4 is ordered as the heir at
+        0.0.
+        """
+        driver = self.leaving()
+        driver.state.began = ('u1', Place(1, 7))
+        outs = failing.answer_controls(driver)
+        driver.answer_guards()
+        driver.tick(40)
+        outs += failing.answer_controls(driver)
+        self.assertEqual([], support.orders(outs))
+        places = {'u2': Place(1, 7), 'u3': Place(1, 7)}
+        for _ in range(10):
+            outs += driver.tick(20)
+            driver.answer_guards()
+            outs += failing.answer_controls(driver, **places)
+        self.assertEqual(1, len(support.orders(outs)))
+
+    def test_heir_holds_what_is_acknowledged(self):
+        """As above, where this proxy acknowledged it itself."""
+        driver = self.leaving()
+        driver.state.acknowledged = Place(1, 7)
+        outs = failing.answer_controls(driver)
+        driver.tick(40)
+        outs += failing.answer_controls(driver)
+        self.assertEqual([], support.orders(outs))
+
     def blocked(self) -> support.Driver:
         """Have one member stay silent until the primary is demoted."""
         driver = self.leaving()
