Promote anew at once where whoever was to follow is gone

Cause: an attempt stood by its order until its time was over, repeated it for one that had begun again, empty, under the same name, and kept what the one before it had reported. The primary that it was to replace could be back meanwhile and was believed again.

Mend: an attempt ends when its heir or choice is gone, and what a member said goes with it. If it was ordered, the term is over whether the order was carried out or not: nothing of it is acknowledged, and the next attempt replaces the old primary, also if it is back. Where the holder of the duty does not know of the successor, that ends after five seconds, for nobody would lead else.

Tests: both fail without it.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -17,9 +17,11 @@
     'began_again',
     'candidates',
     'choose',
+    'forget_member',
     'forget_reports',
     'is_blocked',
     'is_fresh',
+    'lose_successor',
     'members',
     'paused_at',
     'receives',
@@ -32,6 +34,8 @@
 # What a primary held so long before it was last heard counts as
 # acknowledged: replicas receive within milliseconds.
 SETTLED_MS = 1000
+# The term of a group whose primary was never replaced.
+FIRST_TERM = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,6 +69,8 @@
     # What the chosen one had received when it was chosen.
     chosen_place: places.Place = places.ORIGIN
     ordered_ms: int = 0
+    # Who was to follow is listed no more, or began again as another.
+    successor_gone: bool = False
     # An order is under way; its answer is still to come.
     ordering: bool = False
     accepted: bool = False
@@ -121,6 +127,23 @@
         attempt.asked_ms.pop(name, None)
 
 
+def forget_member(attempt: Attempt, name: str) -> None:
+    """Forget what a member said that is listed no more, or is another now."""
+    attempt.reports.pop(name, None)
+    attempt.reported_ms.pop(name, None)
+    attempt.asked_ms.pop(name, None)
+    attempt.replaced.discard(name)
+    if name in (attempt.heir, attempt.chosen):
+        attempt.successor_gone = True
+
+
+def lose_successor(state: states.GroupState, now_ms: int) -> None:
+    """Take in that one is gone that was to follow the last primary."""
+    state.successor_gone = True
+    state.over_term = max(state.term, FIRST_TERM)
+    state.over_ms = now_ms
+
+
 def forget_reports(attempt: Attempt) -> None:
     """Ask everyone anew."""
     attempt.reports.clear()
--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -47,6 +47,9 @@
 
 # Proxies hear of a new member within milliseconds of each other.
 KNOWN_MS = 300
+# Whoever holds the duty has heard as well that a successor is gone, and has
+# promoted another by then. If it has not, it knows better, or never will.
+OVER_MS = 5000
 # A write that waits for so long to be acknowledged shows that the next would
 # wait as well. Members answer within a few ms, and apply what they received
 # within some hundred at most.
@@ -73,9 +76,7 @@
     """Say whether a confirmed write survives the loss of its primary."""
     if confirmation.upstream != state.primary:
         return False
-    if state.successor_gone or _is_contested(state):
-        return False
-    if _is_outdated(state, confirmation):
+    if _is_contested(state) or _is_outdated(state, confirmation):
         return False
     if _is_being_replaced(state, confirmation):
         return False
@@ -90,9 +91,13 @@
 def _is_outdated(
     state: states.GroupState, confirmation: states.Confirmation
 ) -> bool:
-    """Say whether a newer term than that of the write is known."""
+    """Say whether the term of the write is known to be over."""
     place = confirmation.place
-    return place is not None and place.log_term < state.term
+    if place is not None and place.log_term < state.term:
+        return True
+    if confirmation.sent_ms - state.over_ms >= OVER_MS:
+        return False
+    return place is None or place.log_term <= state.over_term
 
 
 def _is_contested(state: states.GroupState) -> bool:
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -68,11 +68,12 @@
     if last is not None and state.primary in ('', last.name):
         if last.born_ms != state.last_primary_born_ms:
             return Loss(last.name, 'it began again', now_ms)
-    if not state.primary:
+    if not state.primary and not state.successor_gone:
         return _absent(state, now_ms)
-    upstream = state.upstreams.get(state.primary)
+    upstream = state.upstreams.get(state.primary or state.last_primary)
     if upstream is None:
-        return Loss(state.primary, 'it is listed no more', now_ms)
+        name = state.primary or state.last_primary
+        return Loss(name, 'it is listed no more', now_ms)
     loss = silent(state, now_ms, upstream)
     if loss is not None:
         return loss
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -54,10 +54,11 @@
     upstream = state.upstreams.pop(name)
     if proofs.contests(state, upstream):
         # Perhaps only its own log told of its term.
-        state.successor_gone = True
+        attempts.lose_successor(state, now_ms)
     paused_at = None
     if state.promotion is not None:
         paused_at = attempts.paused_at(state.promotion, now_ms, name)
+        attempts.forget_member(state.promotion, name)
     state.departures.add(
         now_ms,
         name,
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -269,7 +269,8 @@
     state.primary = upstream.name
     state.led_ms = now_ms
     state.departures.note_lead(upstream.name)
-    state.successor_gone = False
+    if upstream.name != state.last_primary:
+        state.successor_gone = False
     state.last_primary = upstream.name
     state.last_primary_born_ms = upstream.born_ms
     state.primary_lost_ms = None
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -183,7 +183,10 @@
         if leads == attempt.chosen != attempt.heir:
             # An heir received more after it was chosen.
             state.began = (leads, attempt.chosen_place)
+        state.successor_gone = False
         return finish(state, now_ms, attempt, 'succeeded')
+    if attempt.successor_gone:
+        return _lose_successor(state, now_ms, attempt)
     if attempt.chosen:
         # Without an answer the order stands, and it is repeated until there
         # is one. Meanwhile all are paused, so a primary that is back
@@ -217,6 +220,20 @@
     return None
 
 
+def _lose_successor(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list:
+    """End an attempt whose successor is gone.
+
+    An order for it may have been carried out, or may be yet. So it is not
+    repeated, for one that bears its name now is empty, and the primary that
+    it was to replace is replaced by the next attempt, also if it is back.
+    """
+    if attempt.chosen:
+        attempts.lose_successor(state, now_ms)
+    return finish(state, now_ms, attempt, 'lost meanwhile')
+
+
 def _unblock(
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list | None:
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -296,8 +296,12 @@
     primary: str = ''
     # Since when.
     led_ms: int = NEVER_MS
-    # Another was named as the primary since, and is listed no more.
+    # Another was to follow the last primary, and is listed no more.
     successor_gone: bool = False
+    # The newest term that is over, for a successor was named since.
+    over_term: int = 0
+    # Since when that is known.
+    over_ms: int = NEVER_MS
     # The last that was believed to lead.
     last_primary: str = ''
     last_primary_born_ms: int = 0
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -111,6 +111,31 @@
         (order,) = support.orders(outs)
         self.assertEqual(heir, order.upstream)
 
+    def test_heir_that_is_gone(self):
+        """Another is found; whoever bears its name now is another.
+
+        Symptom: `KeyError` in the middle of a hand-over, and a group that
+        begins anew. Sequence: the heir's entry lapses, or it begins again,
+        while the others are paused. Cause: the heir was looked up among those
+        that had answered. Proof: walk 5618, on the way to these changes.
+        """
+        for born in ({}, {'u2': 99, 'u3': 99}):
+            driver = self.leaving()
+            heir = driver.state.promotion.heir
+            names = ('u1', 'u2', 'u3') if born else ('u1', 'u2', 'u3', 'u4')
+            names = tuple(n for n in names if born or n != heir)
+            outs = driver.list_upstreams(
+                names=names, leaving='u1', revision=3, born_ms=born
+            )
+            ended = [
+                out.inputs['how']
+                for out in outs
+                if isinstance(out, messages.Decided)
+                and out.what == 'promotion ended'
+            ]
+            self.assertEqual(['lost meanwhile'], ended)
+            self.assertEqual([], support.orders(outs))
+
     def test_heir_holds_what_the_primary_began_with(self):
         """Nobody but the primary may hold that, if it was just promoted.
 
--- a/topazring/core/synchronous/tests/test_promotion.py
+++ b/topazring/core/synchronous/tests/test_promotion.py
@@ -193,6 +193,32 @@
         self.assertIsNone(driver.state.promotion)
         self.assertEqual([], support.orders(outs))
 
+    def test_successor_that_is_gone_before_it_leads(self):
+        """Another is promoted at once.
+
+        Symptom: no primary for three seconds and more; or an empty log leads.
+        Sequence: a replica is ordered to lead, and its process ends; it
+        begins again under its name, empty. Cause: the order was stood by, and
+        repeated if it had no answer, until its time was over.
+        """
+        for result in (OrderResult.ACCEPTED, OrderResult.UNANSWERED):
+            driver = failing.holder()
+            failing.lose_primary(driver)
+            (order,) = support.orders(failing.answer_controls(driver))
+            gone = order.upstream
+            outs = driver.list_upstreams(
+                primary='', revision=2, born_ms={gone: 99}
+            )
+            driver.post(messages.Ordered(gone, order.token, result))
+            for _ in range(10):
+                driver.open_all()
+                outs += driver.tick(20)
+                driver.answer_guards(primary='')
+                outs += failing.answer_controls(driver, **{gone: Place(0, 0)})
+            again = [o for o in support.orders(outs) if o.token != order.token]
+            self.assertEqual([], [o for o in again if o.upstream == gone])
+            self.assertEqual(1, len(again))
+
     def succeeded(self, driver: support.Driver) -> None:
         """Have `u2`, whose log is longer than that of `u3`, follow `u1`."""
         failing.lose_primary(driver)
