Have the tests' upstream demote a primary of a lower term only

It became a replica under any term, so a question that names a term below the first demoted whoever had just been promoted (test_leaving_upstream, once in a whole run beside load).

--- a/topazring/platform/tests/fake_upstreams.py
+++ b/topazring/platform/tests/fake_upstreams.py
@@ -257,5 +257,6 @@
         return self._status(session, request_id, rest)
 
     def _demote(self, session, request_id, rest):
-        self.member.role = 'replica'
+        if self.member.term < int(rest[0]):
+            self.member.role = 'replica'
         return self._status(session, request_id, rest)
