Leave a full replica alone for a moment

Cause: one that is full ranked lower for 15 ms, and was asked again at once where it was the only one that holds the place. It is left out for that time now, as a full primary is.

Test: test_full_replica_is_left_alone_for_a_moment fails without it.

--- a/topazring/core/synchronous/routing.py
+++ b/topazring/core/synchronous/routing.py
@@ -90,6 +90,9 @@
         ),
     )
     for upstream in ranked:
+        if upstream.busy_until_ms > now_ms:
+            # Asked again at once it would refuse hundreds of times.
+            continue
         if not pace.has_room(state, now_ms, upstream):
             continue
         connection = best_connection(state, upstream.name, work.request)
@@ -106,7 +109,6 @@
         for connection in states.connections_to(state, upstream.name)
     )
     expected_ms = _service_ms(now_ms, upstream) * (1 + 0.5 * in_use)
-    expected_ms += max(0, upstream.busy_until_ms - now_ms)
     if upstream.data_centre != state.data_centre:
         expected_ms += FOREIGN_COST_MS
     if upstream.name == state.primary:
