Hand over to a member that can be asked

From its log: the heir of a leaving primary was the one that had been lost 0.3 s before, for its log was the longest, and the hand-over waited for it and demoted the primary in vain. Those that are reached go first.

Test: test_heir_is_one_that_is_reached fails without it.

--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -23,6 +23,7 @@
 from topazring.core.synchronous import duty
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 
 __all__ = ['finish', 'go_on', 'ordered', 'tick']
@@ -53,15 +54,18 @@
         return _begin(state, now_ms, loss.upstream, loss.why, loss)
     old = state.upstreams.get(state.primary)
     if old is not None and old.leaving:
-        heir = _heir(state)
+        heir = _heir(state, now_ms)
         if heir:
             why = 'it leaves'
             return _begin(state, now_ms, old.name, why, None, heir)
     return asking.resume(state, now_ms)
 
 
-def _heir(state: states.GroupState) -> str:
-    """Return the replica to follow a leaving primary: it stays, is ahead."""
+def _heir(state: states.GroupState, now_ms: int) -> str:
+    """Return the replica to follow a leaving primary.
+
+    It stays, can be asked, and its log is ahead.
+    """
     staying = [
         upstream
         for upstream in state.upstreams.values()
@@ -69,7 +73,15 @@
     ]
     if not staying:
         return ''
-    return max(staying, key=lambda u: (u.place, u.name)).name
+    unreached = {
+        upstream.name
+        for upstream in staying
+        if proofs.is_unreached(state, now_ms, upstream)
+    }
+    heir = max(
+        staying, key=lambda u: (u.name not in unreached, u.place, u.name)
+    )
+    return heir.name
 
 
 def _begin(
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -7,6 +7,7 @@
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failing
 from topazring.core.synchronous.tests import support
+from topazring.core.synchronous.tests import test_isolation
 
 Place = support.Place
 OrderResult = messages.OrderResult
@@ -111,6 +112,23 @@
         (order,) = support.orders(outs)
         self.assertEqual(heir, order.upstream)
 
+    def test_heir_is_one_that_is_reached(self):
+        """A longer log is of no use where it cannot be asked.
+
+        Symptom: no saves for two seconds while a primary leaves. Sequence:
+        a primary is cut off and replaced by one that leaves; its log is the
+        longest, so it is to follow again; the hand-over waits for it, and the
+        primary is demoted for that in vain. Cause: choosing by the log alone.
+        Proof, from the log: 32.735 s the hand-over begins, the heir is the
+        one that was lost at 32.400 s; 38.030 s another is ordered.
+        """
+        driver = failing.holder()
+        driver.state.upstreams['u3'].place = Place(1, 9)
+        test_isolation.play(driver, 400, 'u1', 'u2')
+        driver.list_upstreams(leaving='u1', revision=2)
+        driver.tick(20)
+        self.assertEqual('u2', driver.state.promotion.heir)
+
     def test_heir_that_is_gone(self):
         """Another is found; whoever bears its name now is another.
 
