Keep what a member received; go on where a waiting write's primary lapses

A guard tells what a member has applied. Told after its report of what it received it made the member forget that it holds a write, which waited on.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -74,7 +74,8 @@
     state: states.GroupState, confirmation: states.Confirmation
 ) -> bool:
     """Say whether a confirmed write survives the loss of its primary."""
-    if confirmation.upstream != state.primary:
+    listed = state.primary in state.upstreams
+    if not listed or confirmation.upstream != state.primary:
         return False
     if _is_contested(state) or _is_outdated(state, confirmation):
         return False
@@ -203,9 +204,15 @@
 def note_place(
     upstream: states.Upstream, sent_ms: int, place: places.Place
 ) -> None:
-    """Take in where a member's log ends at least, asked at a time."""
+    """Take in what a member has applied, asked at a time.
+
+    It holds that at least, and may have received more of the same term.
+    """
     if sent_ms < upstream.log_end_sent_ms:
         return
+    end = upstream.log_end
+    if place.log_term == end.log_term and place < end:
+        return
     upstream.log_end = place
     upstream.log_end_sent_ms = sent_ms
 
@@ -220,4 +227,6 @@
         return
     upstream.reported_sent_ms = sent_ms
     upstream.held_term = report.held_term
-    note_place(upstream, sent_ms, report.received)
+    if sent_ms >= upstream.log_end_sent_ms:
+        upstream.log_end = report.received
+        upstream.log_end_sent_ms = sent_ms
--- a/topazring/core/synchronous/tests/test_confirmations.py
+++ b/topazring/core/synchronous/tests/test_confirmations.py
@@ -3,8 +3,10 @@
 import testtools
 
 from topazring.core import outcomes
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
 from topazring.core.synchronous.tests import proving
 from topazring.core.synchronous.tests import support
 from topazring.core.synchronous.tests import test_isolation
@@ -87,6 +89,35 @@
         test_isolation.play(driver, 40, 'u1', 'u4', received=WITH)
         self.assertIsInstance(self.outcome(driver), outcomes.Done)
 
+    def test_place_that_is_applied_later(self):
+        """A guard tells what a member has applied, not what it received.
+
+        What would be wrong: a save that is unknown to its caller though a
+        member said that it holds it, for it said less a moment later.
+        """
+        driver = self.confirmed()
+        driver.state.successor_gone = True
+        driver.state.over_term = 1
+        driver.state.over_ms = driver.now_ms
+        test_isolation.play(driver, 40, 'u1', 'u4', received=WITH)
+        self.assertIsNone(self.outcome(driver))
+        member = driver.state.upstreams['u4']
+        asked_ms = driver.now_ms
+        confirmations.note_place(member, asked_ms, WITHOUT)
+        driver.state.over_ms = states.NEVER_MS
+        driver.tick(20)
+        self.assertIsInstance(self.outcome(driver), outcomes.Done)
+
+    def test_primary_that_is_listed_no_more(self):
+        """Its entry may lapse while a write waits.
+
+        What would be wrong: a group that begins anew by a `KeyError`.
+        """
+        driver = self.confirmed()
+        driver.list_upstreams(primary='', names=('u2', 'u3', 'u4'))
+        test_isolation.play(driver, 100, 'u4', received=WITH)
+        self.assertNotIsInstance(self.outcome(driver), outcomes.Done)
+
     def test_log_of_a_newer_term_shows_nothing(self):
         """Its places are higher, and the write may not be among them."""
         driver = self.confirmed()
