Let the next primary take writes at once

A write that waited at a replaced primary was given up, and had the next ones refused at its successor for half a second; and while a primary is lost new writes were refused instead of waiting for the next one. Found reading the change; both tests fail without it.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -223,21 +223,21 @@
         return attempt.heir if enough else ''
     if attempt.heir:
         place = held[attempt.heir]
-        enough = place >= max(held.values()) and _may_succeed(state, place)
+        enough = place >= max(held.values()) and _may_lead_next(state, place)
         complete = _is_complete(state, now_ms, attempt, place)
         return attempt.heir if enough and complete else ''
     others = {name: held[name] for name in answered if name != lost}
     highest = max(others.values(), default=places.ORIGIN)
     complete = _is_complete(state, now_ms, attempt, highest)
     enough = complete and highest >= _floor(state, attempt)
-    if not others or not enough or _may_drop(state, attempt, highest):
+    if not others or not enough or _may_hold_alone(state, attempt, highest):
         return attempt.old if attempt.unconfirmed else ''
     able = [name for name in others if others[name] == highest]
     staying = [n for n in able if not state.upstreams[n].leaving]
     return min(staying or able, key=lambda name: (name == attempt.old, name))
 
 
-def _may_succeed(state: states.GroupState, place: places.Place) -> bool:
+def _may_lead_next(state: states.GroupState, place: places.Place) -> bool:
     """Say whether a log holds what a leaving primary is known to have.
 
     What the paused ones hold is not enough before they have followed it.
@@ -269,7 +269,7 @@
     return not state.departures.may_exceed(now_ms, place, primaries)
 
 
-def _may_drop(
+def _may_hold_alone(
     state: states.GroupState, attempt: Attempt, highest: places.Place
 ) -> bool:
     """Say whether a demoted primary may hold alone what it began with.
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -226,7 +226,8 @@
 ) -> list:
     """Refuse a request for good, and say truthfully what is kept of it."""
     request = work.request
-    if work.confirmation is not None:
+    held = work.confirmation
+    if held is not None and held.upstream == state.primary:
         state.unsure_ms = now_ms
     outcome = unserved(work, reason, retry_after_ms, maybe_ran)
     decided = messages.Decided(
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -230,6 +230,7 @@
     state.pending.clear()
     state.wanted_ms = states.NEVER_MS
     state.doubted_ms = None
+    state.unsure_ms = states.NEVER_MS
 
 
 def settle(state: states.GroupState, now_ms: int) -> list:
--- a/topazring/core/synchronous/prospects.py
+++ b/topazring/core/synchronous/prospects.py
@@ -52,14 +52,14 @@
 
     A single write needs no proof of the lead: its confirmation is one.
     """
-    if _would_be_unsure(state, now_ms, work.request):
-        return outcomes.NotRun(Reason.NOT_CONFIRMED, ELSEWHERE_MS)
     if state.isolated_with:
         return outcomes.NotRun(Reason.NO_PRIMARY, ELSEWHERE_MS)
     if connections.is_shut_out(state, state.primary):
         return outcomes.NotRun(Reason.CONNECTION_LIMIT, ELSEWHERE_MS)
     since_ms = lost_since(state, now_ms)
     if since_ms is None:
+        if _would_be_unsure(state, now_ms, work.request):
+            return outcomes.NotRun(Reason.NOT_CONFIRMED, ELSEWHERE_MS)
         needs_proof = proofs.needs_proof(work.request)
         if needs_proof and proofs.in_doubt(state, now_ms):
             return outcomes.NotRun(Reason.UNPROVEN, ELSEWHERE_MS)
--- a/topazring/core/synchronous/tests/test_confirmations.py
+++ b/topazring/core/synchronous/tests/test_confirmations.py
@@ -237,6 +237,35 @@
 class RefusalTest(testtools.TestCase):
     """Where no confirmation can be trusted no write is begun."""
 
+    def test_waits_where_the_primary_is_lost(self):
+        """The next one is expected in its time; others are no better off."""
+        driver = support.Driver().ready(names=FOUR)
+        driver.tick(20)
+        first, _ = driver.submit(verb=WRITE)
+        confirm(driver, first)
+        test_isolation.play(driver, 640, 'u3', 'u4', received=WITHOUT)
+        self.assertNotIn(first, support.answers(driver.outs))
+        second, outs = driver.submit(verb=WRITE)
+        self.assertNotIn(second, support.answers(outs))
+
+    def test_next_primary_takes_writes_at_once(self):
+        """What waited at the one before it says nothing of it.
+
+        What would be wrong: half a second without saves after a failover.
+        """
+        driver = support.Driver().ready(names=FOUR)
+        test_isolation.play(driver, 460, 'u1', 'u4')
+        first, _ = driver.submit(verb=WRITE)
+        confirm(driver, first)
+        driver.state.upstreams['u1'].refuted_ms = driver.now_ms
+        driver.state.primary = ''
+        driver.list_upstreams(primary='u4', names=FOUR, revision=2)
+        driver.tick(20)
+        outcome = support.answers(driver.outs)[first]
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        second, outs = driver.submit(verb=WRITE)
+        self.assertNotIn(second, support.answers(outs))
+
     def test_refused_before_it_runs(self):
         """Its caller reaches the other side through another proxy."""
         driver = support.Driver().ready(names=FOUR)
