Yield the duty where another has paused the replicas

Nobody checks tokens there.

Mend: only a holder pauses. A member that says it is paused for a term that has not begun, and that this proxy did not pause, was paused by another holder: the duty is yielded before an attempt begins and while one is looked into. What a holder before left paused counts as one's own until it is resumed, as before.

Test: test_yields_where_replicas_are_paused_by_another fails without it.

--- a/topazring/core/synchronous/duty.py
+++ b/topazring/core/synchronous/duty.py
@@ -4,11 +4,14 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 
-__all__ = ['duty_seen', 'fence', 'fenced']
+__all__ = ['another_promotes', 'duty_seen', 'fence', 'fenced']
 
 # A guard is answered within a few ms; a promotion takes 300 at least. So who
 # proved to lead so long ago leads still.
 PROOF_MS = 200
+# What a member said of its pause counts for so long; a promotion takes 300 ms
+# at least.
+PAUSED_MS = 300
 
 
 def duty_seen(
@@ -32,6 +35,23 @@
     return []
 
 
+def another_promotes(state: states.GroupState, now_ms: int) -> bool:
+    """Say whether a member is paused, and not by this proxy.
+
+    Only the holder of the duty pauses. One that is cut off from the
+    platform's store, with peers that know no more, would not hear otherwise
+    that it was overtaken; one would notice by an order with a lower token
+    than its successor's. What a holder before left paused counts as paused
+    by the one that gained the duty, until that has resumed it.
+    """
+    return any(
+        upstream.held_term > state.term
+        and now_ms - upstream.reported_sent_ms <= PAUSED_MS
+        and upstream.name not in state.paused
+        for upstream in state.upstreams.values()
+    )
+
+
 def fence(state: states.GroupState, now_ms: int) -> list:
     """Make orders of earlier holders harmless.
 
--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -20,18 +20,19 @@
     attempt = state.promotion
     command = connection.commands[0]
     name = connection.upstream
+    upstream = state.upstreams.get(name)
+    own_step = isinstance(command, statements.Pause | statements.Demote)
+    if upstream is not None and reply.report is not None and not own_step:
+        confirmations.note_report(upstream, connection.sent_ms, reply.report)
     if isinstance(command, statements.Resume) and reply.code is None:
         state.paused.discard(name)
         return []
     if attempt is None or reply.report is None:
         return []
-    if name not in state.upstreams:
+    if upstream is None:
         # Its entry lapsed while it was asked; it is no member any more.
         return []
     state.term = max(state.term, reply.report.term)
-    confirmations.note_report(
-        state.upstreams[name], connection.sent_ms, reply.report
-    )
     if isinstance(command, statements.Pause):
         if command.term != attempt.term:
             return []
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -47,6 +47,8 @@
     attempt = state.promotion
     if attempt is not None:
         return go_on(state, now_ms, attempt)
+    if duty.another_promotes(state, now_ms):
+        return _yield_to_another(state)
     if now_ms < state.next_promotion_ms:
         return []
     loss = evidence.judge(state, now_ms)
@@ -61,6 +63,17 @@
     return asking.resume(state, now_ms)
 
 
+def _yield_to_another(state: states.GroupState) -> list:
+    """Leave the duty to whoever paused the members of the group."""
+    state.holds_duty = False
+    state.promotion = None
+    state.counters['promotion_left_to_another'] += 1
+    paused = {u.name: u.held_term for u in state.upstreams.values()}
+    inputs = {'term': state.term, 'held_terms': paused}
+    decided = messages.Decided('another promotes', inputs=inputs)
+    return [decided, messages.YieldDuty('another promotes')]
+
+
 def _heir(state: states.GroupState, now_ms: int) -> str:
     """Return the replica to follow a leaving primary.
 
@@ -120,6 +133,8 @@
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
     """Take the next step of an attempt, or end it."""
+    if attempt.looking and duty.another_promotes(state, now_ms):
+        return _yield_to_another(state)
     ended = _end(state, now_ms, attempt)
     if ended is not None:
         return ended
--- a/topazring/core/synchronous/tests/test_duty.py
+++ b/topazring/core/synchronous/tests/test_duty.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failing
@@ -110,3 +111,65 @@
         driver.post(messages.Ordered(order.upstream, order.token, accepted))
         driver.tick(20)
         self.assertEqual({'u2', 'u3'}, failing.told(driver, statements.Resume))
+
+
+class AnotherHolderTest(testtools.TestCase):
+    """A holder that is cut off from the platform's store may be overtaken."""
+
+    def paused_by_another(self, driver: support.Driver) -> list:
+        """Have both replicas say that they are paused; let time pass."""
+        outs = []
+        for name in ('u2', 'u3'):
+            upstream = driver.state.upstreams[name]
+            paused = support.report(held_term=2).report
+            confirmations.note_report(upstream, driver.now_ms, paused)
+        for _ in range(5):
+            outs += driver.tick(20)
+            outs += driver.answer_guards()
+        return outs
+
+    def test_yields_where_replicas_are_paused_by_another(self):
+        """Only a holder pauses, and this one did not.
+
+        Symptom: an order with a lower token than one that the platform had
+        seen; where nobody checks tokens it is carried out. Sequence: the
+        holder is cut off from the store with some proxies; another gains the
+        duty, and pauses the replicas of a leaving primary; to the first it
+        looks as if no replica followed that, and the peers that it asks know
+        of no successor. Cause: that somebody else had paused them was not
+        looked at. Proof, from the log: 22.845 s germiston-1 orders with token
+        40002; 23.221 s sasolburg-2 considers a promotion, `no replica follows
+        it`; 23.232 s it orders with token 20003.
+        """
+        driver = failing.holder()
+        for _ in range(5):
+            driver.tick(20)
+            driver.answer_guards()
+            failing.answer_controls(driver)
+        self.assertEqual(set(), driver.state.paused)
+        outs = self.paused_by_another(driver)
+        self.assertEqual(
+            ['another promotes'],
+            [o.why for o in outs if isinstance(o, messages.YieldDuty)],
+        )
+        self.assertFalse(driver.state.holds_duty)
+
+    def test_what_a_holder_before_left_paused(self):
+        """A new holder resumes that, and goes on."""
+        driver = support.Driver().ready()
+        driver.post(messages.DutySeen(True, 100))
+        outs = self.paused_by_another(driver)
+        self.assertEqual(
+            [], [o for o in outs if isinstance(o, messages.YieldDuty)]
+        )
+        self.assertTrue(driver.state.holds_duty)
+
+    def test_its_own_pauses(self):
+        """Those of an attempt of its own, and what that left paused."""
+        driver = failing.holder()
+        failing.lose_primary(driver)
+        outs = failing.answer_controls(driver)
+        outs += self.paused_by_another(driver)
+        self.assertEqual(
+            [], [o for o in outs if isinstance(o, messages.YieldDuty)]
+        )
