--- a/topazring/core/synchronous/tests/world.py
+++ b/topazring/core/synchronous/tests/world.py
@@ -28,6 +28,8 @@
 UPSTREAMS = ('u1', 'u2', 'u3')
 PROXIES = ('p1', 'p2')
 TICK_MS = 20
+# All proxies see that the duty is free, and one gains it.
+GAIN_MS = 150
 POLICIES = (
     messages.Policy('exact', 's', messages.Freshness.PRIMARY, 0, 600),
     messages.Policy('bounded', 's', messages.Freshness.BOUNDED, 500, 900),
@@ -138,6 +140,8 @@
                 self.take_answer(proxy, out)
             case messages.Order():
                 self.order_promotion(proxy, out)
+            case messages.YieldDuty():
+                self.at(GAIN_MS, self.gain_duty_after, proxy)
             case messages.Decided():
                 self.note(f'{proxy} {out.what} {dict(out.inputs)}')
 
@@ -151,6 +155,12 @@
         self.holder = proxy
         self.post(proxy, messages.DutySeen(True, self.next_block))
 
+    def gain_duty_after(self, before: str) -> None:
+        """Let another proxy gain the duty that one gave up."""
+        if self.holder == before:
+            (other,) = [name for name in PROXIES if name != before]
+            self.give_duty(other)
+
     def confirm_duty(self, proxy: str) -> None:
         """Tell a proxy that asked whether it still holds the duty."""
         if proxy == self.holder:
