--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -242,8 +242,8 @@
 
     What the paused ones hold is not enough before they have followed it.
     """
-    name, began = state.began
-    if name == state.primary and place < began:
+    start = state.start
+    if start.upstream == state.primary and place < start.place:
         return False
     return place >= state.acknowledged
 
@@ -281,8 +281,8 @@
     report = attempt.reports.get(attempt.old)
     if report is None or highest >= report.received:
         return False
-    name, place = state.began
-    if name == attempt.old and highest >= place:
+    start = state.start
+    if start.upstream == attempt.old and highest >= start.place:
         return False
     return highest.log_term < report.term
 
--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -81,7 +81,7 @@
         return False
     if _is_being_replaced(state, confirmation):
         return False
-    if _all_stand(state, confirmation.sent_ms):
+    if _all_unpaused(state, confirmation.sent_ms):
         return True
     vouching = [u for u in states.others(state) if u.vouches]
     if any(_holds(u, confirmation) for u in vouching):
@@ -111,7 +111,7 @@
     )
 
 
-def _all_stand(state: states.GroupState, since_ms: int) -> bool:
+def _all_unpaused(state: states.GroupState, since_ms: int) -> bool:
     return all(
         upstream.vouches and upstream.reported_sent_ms >= since_ms
         for upstream in states.others(state)
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -115,8 +115,8 @@
     if state.proven != upstream.name:
         state.proven = upstream.name
         state.proven_ms = now_ms
-    if state.began[0] != upstream.name:
-        state.began = (upstream.name, upstream.place)
+    if state.start.upstream != upstream.name:
+        state.start = states.Start(upstream.name, upstream.place)
     if state.primary == upstream.name:
         return []
     return _lead(state, now_ms, upstream, 'it took a transaction')
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -209,7 +209,7 @@
     if leads and (leads != attempt.old or renewed):
         if leads == attempt.chosen != attempt.heir:
             # An heir received more after it was chosen.
-            state.began = (leads, attempt.chosen_place)
+            state.start = states.Start(leads, attempt.chosen_place)
         state.successor_gone = False
         return finish(state, now_ms, attempt, 'succeeded')
     if attempt.successor_gone:
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -21,6 +21,7 @@
     'NEVER_MS',
     'Phase',
     'Sample',
+    'Start',
     'TYPICAL_MS',
     'Transaction',
     'Upstream',
@@ -188,6 +189,14 @@
     most_busy: float = MOST_BUSY
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Bind a primary to a place: all that it began with is at or before it."""
+
+    upstream: str = ''
+    place: places.Place = places.ORIGIN
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
     """Bind a place to a time: all acknowledged before is at or before it."""
@@ -324,8 +333,8 @@
     # The last upstream that proved to lead, and when it first did.
     proven: str = ''
     proven_ms: int = 0
-    # A primary, and a place that all it began with is at or before.
-    began: tuple[str, places.Place] = ('', places.ORIGIN)
+    # What the last primary of which that is known began with.
+    start: Start = Start()
     # Oldest first.
     samples: collections.deque[Sample] = dataclasses.field(
         default_factory=collections.deque
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -167,7 +167,7 @@
         0.0.
         """
         driver = self.leaving()
-        driver.state.began = ('u1', Place(1, 7))
+        driver.state.start = states.Start('u1', Place(1, 7))
         outs = failing.answer_controls(driver)
         driver.answer_guards()
         driver.tick(40)
