Judge a confirmation once; one way each to ask, guard and acknowledge

- A confirmed write was judged twice, for what it proves and for its answer.
It is judged once, and both ways to acknowledge go through one function.
- Guards were sent in two places, those that vouch listed in three, and whether something waits for a replica was asked in two ways.
- A parameter of fates.done that nobody gave any more is gone.
- The end of a term is noted in the module that reads it.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -21,7 +21,6 @@
     'forget_reports',
     'is_blocked',
     'is_fresh',
-    'lose_successor',
     'members',
     'paused_at',
     'receives',
@@ -34,8 +33,6 @@
 # What a primary held so long before it was last heard counts as
 # acknowledged: replicas receive within milliseconds.
 SETTLED_MS = 1000
-# The term of a group whose primary was never replaced.
-FIRST_TERM = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -137,13 +134,6 @@
         attempt.successor_gone = True
 
 
-def lose_successor(state: states.GroupState, now_ms: int) -> None:
-    """Take in that one is gone that was to follow the last primary."""
-    state.successor_gone = True
-    state.over_term = max(state.term, FIRST_TERM)
-    state.over_ms = now_ms
-
-
 def forget_reports(attempt: Attempt) -> None:
     """Ask everyone anew."""
     attempt.reports.clear()
--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -39,12 +39,15 @@
     'is_alone',
     'is_sound',
     'is_unsure',
+    'lose_successor',
     'note_place',
     'note_report',
     'waiting',
     'witnesses',
 ]
 
+# The term of a group whose primary was never replaced.
+FIRST_TERM = 1
 # Proxies hear of a new member within milliseconds of each other.
 KNOWN_MS = 300
 # Whoever holds the duty has heard as well that a successor is gone, and has
@@ -65,9 +68,11 @@
     Where none of the others has been there for long enough, all of them are
     asked.
     """
-    others = states.others(state)
-    vouching = [upstream for upstream in others if upstream.vouches]
-    return vouching or others
+    return _vouching(state) or states.others(state)
+
+
+def _vouching(state: states.GroupState) -> list[states.Upstream]:
+    return [u for u in states.others(state) if u.vouches]
 
 
 def is_sound(
@@ -83,8 +88,7 @@
         return False
     if _all_unpaused(state, confirmation.sent_ms):
         return True
-    vouching = [u for u in states.others(state) if u.vouches]
-    if any(_holds(u, confirmation) for u in vouching):
+    if any(_holds(u, confirmation) for u in _vouching(state)):
         return True
     return _is_known_to_hold(state, confirmation)
 
@@ -172,7 +176,7 @@
 
 def is_alone(state: states.GroupState, now_ms: int) -> bool:
     """Say whether no member that vouches can be reached from here."""
-    vouching = [u for u in states.others(state) if u.vouches]
+    vouching = _vouching(state)
     return bool(vouching) and all(
         proofs.is_unreached(state, now_ms, upstream) for upstream in vouching
     )
@@ -201,6 +205,13 @@
     ]
 
 
+def lose_successor(state: states.GroupState, now_ms: int) -> None:
+    """Take in that one is gone that was to follow the last primary."""
+    state.successor_gone = True
+    state.over_term = max(state.term, FIRST_TERM)
+    state.over_ms = now_ms
+
+
 def note_place(
     upstream: states.Upstream, sent_ms: int, place: places.Place
 ) -> None:
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -125,11 +125,19 @@
         commands = exchanges.single(connection, request, after)
         errand = states.Errand.STATEMENT
     outs.append(connections.send(connection, now_ms, errand, commands))
-    if request.writes and not request.transaction:
-        outs += questions.ask_as_sent(state, now_ms)
+    outs += _ask_beside(state, now_ms, connection)
     return outs + questions.ask(state, now_ms)
 
 
+def _ask_beside(
+    state: states.GroupState, now_ms: int, connection: states.Connection
+) -> list:
+    """Ask the other members as something goes out that one has to confirm."""
+    if not evidence.waits_for_replica(connection):
+        return []
+    return questions.ask_as_sent(state, now_ms)
+
+
 def _tell_sent(
     state: states.GroupState,
     now_ms: int,
@@ -195,9 +203,7 @@
     _assign(state, work, connection)
     errand = states.Errand.STATEMENT
     sent = connections.send(connection, now_ms, errand, tuple(commands))
-    if evidence.waits_for_replica(connection):
-        return [sent, *questions.ask_as_sent(state, now_ms)]
-    return [sent]
+    return [sent, *_ask_beside(state, now_ms, connection)]
 
 
 def undo(
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -70,9 +70,9 @@
             return Loss(last.name, 'it began again', now_ms)
     if not state.primary and not state.successor_gone:
         return _absent(state, now_ms)
-    upstream = state.upstreams.get(state.primary or state.last_primary)
+    name = state.primary or state.last_primary
+    upstream = state.upstreams.get(name)
     if upstream is None:
-        name = state.primary or state.last_primary
         return Loss(name, 'it is listed no more', now_ms)
     loss = silent(state, now_ms, upstream)
     if loss is not None:
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -96,14 +96,13 @@
     work: states.Work,
     connection: states.Connection,
     reply: statements.Reply,
-    place: places.Place | None = None,
     needs_ms: int | None = None,
 ) -> list:
     """Answer a success: the upstream's own rows and signature.
 
     One that needs the lead proved for a moment waits for that.
     """
-    outcome = _success(connection, reply, place)
+    outcome = _success(connection, reply, None)
     if needs_ms is None:
         return answer(state, work, outcome)
     leads = connection.upstream == state.primary
@@ -157,15 +156,24 @@
     upstream = state.upstreams.get(connection.upstream)
     if upstream is not None:
         upstream.confirmed_ms = now_ms
-    settling.note_confirmed(state, confirmation)
     if confirmations.is_sound(state, confirmation):
-        state.unsure_ms = states.NEVER_MS
-        return answer(state, work, outcome)
+        return _acknowledge(state, work, confirmation, outcome)
     work.confirmation = confirmation
     state.counters['write_held'] += 1
     return _hold(state, work, outcome, confirmation.sent_ms)
 
 
+def _acknowledge(
+    state: states.GroupState,
+    work: states.Work,
+    confirmation: states.Confirmation,
+    outcome: outcomes.Done,
+) -> list:
+    settling.note_confirmed(state, confirmation)
+    state.unsure_ms = states.NEVER_MS
+    return answer(state, work, outcome)
+
+
 def answer_proved(state: states.GroupState, now_ms: int) -> list:
     """Answer what waits for the proof that its upstream led."""
     if not state.held:
@@ -180,7 +188,7 @@
             state.held.discard(key)
             outs += _replaced(state, now_ms, work)
         elif work.confirmation is not None:
-            outs += _acknowledge(state, work, work.confirmation)
+            outs += _acknowledge_held(state, work, work.confirmation)
     # What was just acknowledged proves the lead for reads before it.
     proven = proofs.proven_ms(state)
     for key in sorted(state.held):
@@ -191,17 +199,15 @@
     return outs
 
 
-def _acknowledge(
+def _acknowledge_held(
     state: states.GroupState,
     work: states.Work,
     confirmation: states.Confirmation,
 ) -> list:
     if not confirmations.is_sound(state, confirmation):
         return []
-    settling.note_confirmed(state, confirmation)
-    state.unsure_ms = states.NEVER_MS
     state.held.discard(work.request.key)
-    return answer(state, work, work.ready)
+    return _acknowledge(state, work, confirmation, work.ready)
 
 
 def _replaced(
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -9,7 +9,6 @@
 from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import duty
 from topazring.core.synchronous import evidence
-from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import expiry
 from topazring.core.synchronous import fates
 from topazring.core.synchronous import freshness
@@ -22,6 +21,7 @@
 from topazring.core.synchronous import promotion
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import prospects
+from topazring.core.synchronous import questions
 from topazring.core.synchronous import results
 from topazring.core.synchronous import state as states
 
@@ -298,13 +298,7 @@
     outs: list = []
     if state.holds_duty and evidence.needs_dial(state, now_ms, upstream):
         outs += connections.dial_extra(state, now_ms, name)
-    free = states.idle_connections(state, name)
-    if not free:
-        return outs
-    upstream.asked_ms = now_ms
-    errand = states.Errand.GUARD
-    outs.append(connections.send(free[0], now_ms, errand, exchanges.GUARD))
-    return outs
+    return outs + questions.guard(state, now_ms, upstream)
 
 
 @_handles(messages.Abandon)
--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -21,6 +21,7 @@
     command = connection.commands[0]
     name = connection.upstream
     upstream = state.upstreams.get(name)
+    # That this proxy paused it tells nothing of what others do.
     own_step = isinstance(command, statements.Pause | statements.Demote)
     if upstream is not None and reply.report is not None and not own_step:
         confirmations.note_report(upstream, connection.sent_ms, reply.report)
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -1,6 +1,7 @@
 """Take in which upstreams a group has, and let go of those that leave."""
 
 from topazring.core.synchronous import attempts
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
@@ -54,7 +55,7 @@
     upstream = state.upstreams.pop(name)
     if proofs.contests(state, upstream):
         # Perhaps only its own log told of its term.
-        attempts.lose_successor(state, now_ms)
+        confirmations.lose_successor(state, now_ms)
     paused_at = None
     if state.promotion is not None:
         paused_at = attempts.paused_at(state.promotion, now_ms, name)
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -20,6 +20,7 @@
 
 from topazring.core.synchronous import asking
 from topazring.core.synchronous import attempts
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import duty
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import messages
@@ -86,15 +87,12 @@
     ]
     if not staying:
         return ''
-    unreached = {
-        upstream.name
+    reached = [
+        upstream
         for upstream in staying
-        if proofs.is_unreached(state, now_ms, upstream)
-    }
-    heir = max(
-        staying, key=lambda u: (u.name not in unreached, u.place, u.name)
-    )
-    return heir.name
+        if not proofs.is_unreached(state, now_ms, upstream)
+    ]
+    return max(reached or staying, key=lambda u: (u.place, u.name)).name
 
 
 def _begin(
@@ -257,7 +255,7 @@
     it was to replace is replaced by the next attempt, also if it is back.
     """
     if attempt.chosen:
-        attempts.lose_successor(state, now_ms)
+        confirmations.lose_successor(state, now_ms)
     return finish(state, now_ms, attempt, 'lost meanwhile')
 
 
--- a/topazring/core/synchronous/questions.py
+++ b/topazring/core/synchronous/questions.py
@@ -13,7 +13,7 @@
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
-__all__ = ['SILENT_MS', 'WITNESS_SAMPLE_GAP_MS', 'ask', 'ask_as_sent']
+__all__ = ['SILENT_MS', 'WITNESS_SAMPLE_GAP_MS', 'ask', 'ask_as_sent', 'guard']
 
 # A member that has left a question unanswered for so long is not waited for:
 # the others are asked for their terms. Answers take a few ms, and some ten
@@ -42,10 +42,7 @@
     for upstream in others:
         if upstream.asked_ms >= state.wanted_ms:
             continue
-        free = states.idle_connections(state, upstream.name)
-        if free:
-            upstream.asked_ms = now_ms
-            outs.append(_guard(free[0], now_ms))
+        outs += guard(state, now_ms, upstream)
     return outs + _ask_witnesses(state, now_ms, others)
 
 
@@ -74,9 +71,16 @@
     return [connections.send(free[0], now_ms, errand, exchanges.REPORT)]
 
 
-def _guard(connection: states.Connection, now_ms: int) -> messages.Send:
+def guard(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> list[messages.Send]:
+    """Ask an upstream whether it leads, if a connection to it is free."""
+    free = states.idle_connections(state, upstream.name)
+    if not free:
+        return []
+    upstream.asked_ms = now_ms
     errand = states.Errand.GUARD
-    return connections.send(connection, now_ms, errand, exchanges.GUARD)
+    return [connections.send(free[0], now_ms, errand, exchanges.GUARD)]
 
 
 def _ask_holders(state: states.GroupState, now_ms: int) -> list[messages.Send]:
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -224,7 +224,7 @@
     where = 'primary' if at_primary else 'replica'
     state.counters[f'read_{request.policy.freshness}_at_{where}'] += 1
     needs_ms = proofs.needed_ms(commands, request)
-    return fates.done(state, work, connection, reply, None, needs_ms)
+    return fates.done(state, work, connection, reply, needs_ms)
 
 
 def _not_run(
--- a/topazring/core/synchronous/settling.py
+++ b/topazring/core/synchronous/settling.py
@@ -1,6 +1,5 @@
 """Settle a connection, and what is known, after an answer."""
 
-from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import pace
@@ -36,15 +35,13 @@
 def note_confirmed(
     state: states.GroupState, confirmation: states.Confirmation
 ) -> None:
-    """Take in a write that its primary had confirmed by a replica.
+    """Take in a write whose confirmation is sound.
 
-    Logs are received in order. So the replica holds all that the primary's
-    log held before the write was sent, and all of that counts as
-    acknowledged. But one that joined a cut off primary proves nothing.
+    Logs are received in order. So whoever holds the write holds all that the
+    primary's log held before it was sent, and all of that counts as
+    acknowledged.
     """
-    upstream = state.upstreams.get(confirmation.upstream)
-    if upstream is None or not confirmations.is_sound(state, confirmation):
-        return
+    upstream = state.upstreams[confirmation.upstream]
     proofs.note_confirmed(upstream, confirmation.sent_ms)
     if proofs.is_superseded(state, upstream):
         return
--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -98,10 +98,10 @@
     """Judge an answer by the lead of another upstream."""
     done = fates.done
 
-    def careless(state, work, connection, reply, place=None, needs_ms=None):
+    def careless(state, work, connection, reply, needs_ms=None):
         if needs_ms is not None and needs_ms <= proofs.proven_ms(state):
             needs_ms = None
-        return done(state, work, connection, reply, place, needs_ms)
+        return done(state, work, connection, reply, needs_ms)
 
     return mock.patch.object(fates, 'done', careless)
 
--- a/topazring/core/synchronous/tests/support.py
+++ b/topazring/core/synchronous/tests/support.py
@@ -186,6 +186,15 @@
     return [out for out in outs if isinstance(out, messages.Send)]
 
 
+def decided(outs: list, what: str) -> list:
+    """Return what went into the decisions of one kind."""
+    return [
+        out.inputs
+        for out in outs
+        if isinstance(out, messages.Decided) and out.what == what
+    ]
+
+
 def orders(outs: list) -> list[messages.Order]:
     """Return the orders to the platform."""
     return [out for out in outs if isinstance(out, messages.Order)]
--- a/topazring/core/synchronous/tests/test_contested.py
+++ b/topazring/core/synchronous/tests/test_contested.py
@@ -84,13 +84,9 @@
             outs += driver.tick(20)
             outs += driver.answer_guards()
             outs += failing.answer_controls(driver)
-        begun = [
-            out.inputs['why']
-            for out in outs
-            if isinstance(out, messages.Decided)
-            and out.what == 'promotion begins'
-        ]
-        self.assertEqual(['its successor is gone'], begun)
+        begun = support.decided(outs, 'promotion begins')
+        whys = [inputs['why'] for inputs in begun]
+        self.assertEqual(['its successor is gone'], whys)
         (order,) = support.orders(outs)
         driver.post(
             messages.Ordered(
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -145,13 +145,9 @@
             outs = driver.list_upstreams(
                 names=names, leaving='u1', revision=3, born_ms=born
             )
-            ended = [
-                out.inputs['how']
-                for out in outs
-                if isinstance(out, messages.Decided)
-                and out.what == 'promotion ended'
-            ]
-            self.assertEqual(['lost meanwhile'], ended)
+            ended = support.decided(outs, 'promotion ended')
+            hows = [inputs['how'] for inputs in ended]
+            self.assertEqual(['lost meanwhile'], hows)
             self.assertEqual([], support.orders(outs))
 
     def test_heir_holds_what_the_primary_began_with(self):
--- a/topazring/core/synchronous/tests/test_line_report.py
+++ b/topazring/core/synchronous/tests/test_line_report.py
@@ -3,19 +3,14 @@
 import testtools
 
 from topazring.core.synchronous import line_report
-from topazring.core.synchronous import messages
 from topazring.core.synchronous.tests import support
 
 Verb = support.Verb
 
 
-def told(outs: list) -> list[messages.Decided]:
+def told(outs: list) -> list:
     """Return what was told of lines that stand."""
-    return [
-        out
-        for out in outs
-        if isinstance(out, messages.Decided) and out.what == 'line stands'
-    ]
+    return support.decided(outs, 'line stands')
 
 
 class LineTest(testtools.TestCase):
@@ -39,8 +34,8 @@
         """It keeps the only connection to the primary."""
         _, outs = self.standing()
         (line,) = told(outs)
-        self.assertEqual(1, line.inputs['for_primary'])
-        self.assertIn('pausing 1', line.inputs['upstreams']['u1'])
+        self.assertEqual(1, line['for_primary'])
+        self.assertIn('pausing 1', line['upstreams']['u1'])
 
     def test_once_a_second(self):
         """A storm of waiting requests must not fill the log."""
--- a/topazring/core/synchronous/tests/test_shares.py
+++ b/topazring/core/synchronous/tests/test_shares.py
@@ -82,8 +82,8 @@
             driver.tick(20)
             driver.answer_guards()
 
-    def test_proxy_without_a_connection_asks_again_soon(self):
-        """One that can serve nothing asks far more often than others."""
+    def shut_out(self) -> support.Driver:
+        """Have the only upstream refuse the first connection."""
         driver = support.Driver()
         outs = driver.list_upstreams(names=('u1',))
         (dial,) = opens(outs, 'u1')
@@ -91,6 +91,11 @@
         driver.post(
             messages.Closed(dial.connection, Reason.CONNECTION_LIMIT, limit)
         )
+        return driver
+
+    def test_proxy_without_a_connection_asks_again_soon(self):
+        """One that can serve nothing asks far more often than others."""
+        driver = self.shut_out()
         outs = driver.tick(connections.BARE_LIMIT_PAUSE_MS + 20)
         self.assertEqual(1, len(opens(outs, 'u1')))
 
@@ -103,13 +108,7 @@
         the proxies that are back first; one is refused again and again.
         Cause: a request waits for a connection that does not come.
         """
-        driver = support.Driver()
-        outs = driver.list_upstreams(names=('u1',))
-        (dial,) = opens(outs, 'u1')
-        limit = statements.Code.CONNECTION_LIMIT
-        driver.post(
-            messages.Closed(dial.connection, Reason.CONNECTION_LIMIT, limit)
-        )
+        driver = self.shut_out()
         key, outs = driver.submit(verb=Verb.WRITE)
         refusal = support.answers(outs)[key]
         self.assertIsInstance(refusal, outcomes.NotRun)
--- a/topazring/core/synchronous/transactions.py
+++ b/topazring/core/synchronous/transactions.py
@@ -86,7 +86,7 @@
         transaction.wrote = True
     connections.make_idle(connection, now_ms)
     needs_ms = None if work.request.writes else transaction.needs_ms
-    return fates.done(state, work, connection, reply, None, needs_ms)
+    return fates.done(state, work, connection, reply, needs_ms)
 
 
 def _committed(
