Look again before a second promotion; count silence from the term's beginning

A primary that was well was replaced.

Cause, from the logs of fleets that start: a second owner promoted 84 ms after the first, on a view of 300 ms ago, with the first's word about the newer term as agreement; and the first suspected its new primary for silence of before its term.

Now a group under suspicion is asked each 50 ms, a peer that is ahead is left to it for 300 ms, who promotes tells its peers, and silence counts from when a replica went over to its term. Ruled out: a store that grants a term twice (terms differ).

Fleet tests print their processes' logs and the reason on a failure; the whole-path test's checks are as they were.

--- a/topazring/core/failover.py
+++ b/topazring/core/failover.py
@@ -31,6 +31,8 @@
 TELL_MS = 200
 # A peer's word is taken for that long.
 PEER_WORD_MS = 1500
+# An owner that knows of a newer term is left so long to see it through.
+PEER_AHEAD_MS = 300
 # Silent peers are not waited for longer than this.
 ALONE_AFTER_MS = 1500
 GRANTS_WANTED = 3
@@ -144,6 +146,9 @@
     """Take in what another owner thinks of the primary."""
     if message.term < state.view.term:
         return []
+    if message.term > max(state.view.term, state.peer_term):
+        state.peer_term = message.term
+        state.peer_term_ms = now_ms
     if message.suspects:
         state.peer_suspects[message.owner] = (message.term, now_ms)
     else:
@@ -249,11 +254,22 @@
     ready = now_ms >= max(
         state.retry_promotion_ms, state.suspected_ms + hold_ms
     )
-    if not agreed or not ready:
+    if not agreed or not ready or _peer_is_ahead(state, now_ms):
         return outs
     return outs + _begin(state, now_ms, f'{why}; {grounds}')
 
 
+def _peer_is_ahead(state: states.OwnerState, now_ms: int) -> bool:
+    """Say whether another owner promotes, or has, under a newer term.
+
+    Without this two owners promote one right after the other, and what the
+    first primary took in is cancelled. Whoever is ahead may be gone, so it
+    is waited for only as long as a promotion and a look at it take.
+    """
+    ahead = state.peer_term > state.view.term
+    return ahead and now_ms - state.peer_term_ms < PEER_AHEAD_MS
+
+
 def _rank(state: states.OwnerState) -> int:
     if state.name in state.owners:
         return state.owners.index(state.name)
@@ -295,7 +311,7 @@
     )
     state.counters['promotions_begun'] += 1
     began = messages.Explained(f'begins a promotion under term {term}', why)
-    return [began, *fences]
+    return [began, messages.TellSuspicion(term, True), *fences]
 
 
 def fence_replied(
--- a/topazring/core/owner.py
+++ b/topazring/core/owner.py
@@ -94,11 +94,13 @@
 def _heartbeat(state: states.OwnerState, now_ms: int) -> list:
     """Ask the primary, and each replica that no round asks, how it is."""
     outs = []
-    alarmed = suspicion.alarmed(state.evidence)
+    suspected = state.suspected_ms is not None
+    alarmed = suspected or suspicion.alarmed(state.evidence)
     for name in state.view.upstreams:
         period_ms = state.limits.heartbeat_ms
         if alarmed:
-            # What the replicas say now decides how long writes stand still.
+            # What the replicas say now decides how long writes stand still,
+            # and whether another owner has promoted already.
             period_ms = min(period_ms, ALARMED_MS)
         if name != state.view.primary:
             # The round that the primary's own reply starts comes first.
--- a/topazring/core/state.py
+++ b/topazring/core/state.py
@@ -119,6 +119,9 @@
     peer_suspects: dict[str, tuple[int, int]] = dataclasses.field(
         default_factory=dict
     )
+    # The highest term that another owner told of, and since when.
+    peer_term: int = 0
+    peer_term_ms: int = 0
     told_suspicion_ms: int = -10_000
     suspected_ms: int | None = None
     # Since when this owner, and perhaps no other, cannot reach the primary.
--- a/topazring/core/view.py
+++ b/topazring/core/view.py
@@ -30,6 +30,8 @@
     place: places.Place = places.ORIGIN
     seen_ms: int | None = None
     primary_silent_ms: int = 0
+    # When it went over to its term, if this owner knew it before.
+    term_since_ms: int | None = None
     # How long this replica takes to reach a place, as a moving average.
     lag_ms: float = 0.0
     # The sample whose arrival at this replica is measured next.
@@ -77,11 +79,13 @@
     seen = view.upstreams.get(status.upstream)
     if seen is None or status.accepted_term < seen.accepted_term:
         return False
+    if seen.seen_ms is not None and status.accepted_term > seen.accepted_term:
+        seen.term_since_ms = now_ms
     seen.accepted_term = status.accepted_term
     seen.leads = status.leads
     seen.place = status.place
     seen.seen_ms = now_ms
-    seen.primary_silent_ms = status.primary_silent_ms
+    seen.primary_silent_ms = _silence_of_term(seen, now_ms, status)
     _measure_lag(seen, now_ms)
     changed = False
     if view.changed_ms is None:
@@ -99,6 +103,19 @@
     return changed
 
 
+def _silence_of_term(
+    seen: UpstreamView, now_ms: int, status: messages.Status
+) -> int:
+    """Return how long a replica heard nothing from the primary of its term.
+
+    It says how long it heard of none at all. Without this a primary that was
+    made just now, after a second without any, is suspected at once.
+    """
+    if seen.term_since_ms is None:
+        return status.primary_silent_ms
+    return min(status.primary_silent_ms, now_ms - seen.term_since_ms)
+
+
 def _measure_lag(seen: UpstreamView, now_ms: int) -> None:
     if seen.awaited is None or seen.place < seen.awaited.place:
         return
--- a/topazring/tests/support.py
+++ b/topazring/tests/support.py
@@ -4,6 +4,7 @@
 import collections
 
 import testtools
+from testtools import content
 
 from topazring.bench import fleet as fleets
 from topazring.bench import plans
@@ -13,6 +14,8 @@
 TABLE = 'CREATE TABLE IF NOT EXISTS beams (id INTEGER PRIMARY KEY, size TEXT)'
 INSERT = 'INSERT INTO beams (size) VALUES (?)'
 SELECT = 'SELECT size FROM beams ORDER BY id'
+# So much of each process's log is shown with a failure.
+LOG_TAIL_CHARS = 4000
 
 
 class FleetTestCase(testtools.TestCase):
@@ -27,9 +30,18 @@
         try:
             await fleet.start()
             await steps(fleet)
+        except Exception:
+            self._show_logs(fleet)
+            raise
         finally:
             await fleet.close()
 
+    def _show_logs(self, fleet):
+        """Have the end of each process's log printed with the failure."""
+        for name in fleet.processes:
+            tail = fleet.log_of(name)[-LOG_TAIL_CHARS:]
+            self.addDetail(f'{name}.log', content.text_content(tail))
+
     async def check_ledgers(self, fleet, stats, database=''):
         """Compare what callers were told with the survivors' log."""
         log = await surviving_log(fleet, database)
--- a/topazring/tests/test_whole_path.py
+++ b/topazring/tests/test_whole_path.py
@@ -1,32 +1,22 @@
 """The whole path through real processes."""
 
-import asyncio
+from topazring.tests import support
 
-import testtools
 
-from topazring.bench import fleet as fleets
-from topazring.bench import plans
-
-
-class TestWholePath(testtools.TestCase):
+class TestWholePath(support.FleetTestCase):
     """Save at one proxy, roam, read the save at another."""
 
     def test_save_roam_read_back(self):
-        asyncio.run(self._save_roam_read_back())
-
-    async def _save_roam_read_back(self):
-        fleet = fleets.Fleet(plans.Plan())
-        try:
-            await fleet.start()
+        async def steps(fleet):
             cork = await fleet.session('p1', 'saves')
             created = await cork.write(
                 'CREATE TABLE beams (id INTEGER PRIMARY KEY, size TEXT)'
             )
-            self.assertEqual('done', created.outcome)
+            self.assertEqual('done', created.outcome, created.reason)
             saved = await cork.write(
                 'INSERT INTO beams (size) VALUES (?)', ['IPE300']
             )
-            self.assertEqual('done', saved.outcome)
+            self.assertEqual('done', saved.outcome, saved.reason)
             for proxy in ('p2', 'p3'):
                 for profile in ('browse', 'strict'):
                     roamed = await fleet.session(
@@ -34,5 +24,5 @@
                     )
                     read = await roamed.read('SELECT size FROM beams')
                     self.assertEqual([['IPE300']], read.rows)
-        finally:
-            await fleet.close()
+
+        self.on_fleet(steps)
