Never take a refused second copy for a write's fate

What callers saw (found by reading, shown by the test): a repeatable write whose first owner was lost after it was sent goes to the second owner under its own id. When that owner refuses it on arrival (overload, backlog), the entry passed the refusal on: not run, though the first copy may have run.

Cause: a settling request's refusal is the record's word, a second copy's speaks of that copy alone. It is answered unknown now; a record that says cancelled is still believed. Elsewhere: commits and begins end by their own rules; an owner that knows of a repeat says unknown itself.

The test fails without the mend (NotRun).

--- a/topazring/core/forwarding.py
+++ b/topazring/core/forwarding.py
@@ -127,6 +127,10 @@
             # Another owner may still reach the primary and find out.
             _note_lost(plan, messages.Lost(reason, True))
             return
+        case outcomes.NotRun(reason=reason) if plan.maybe_ran:
+            if not plan.settling and reason is not Reason.CANCELLED:
+                # It speaks of this copy; the one before may have run.
+                result = outcomes.Unknown(reason)
     plan.final = result
 
 
--- a/topazring/core/tests/test_forwarding.py
+++ b/topazring/core/tests/test_forwarding.py
@@ -62,6 +62,17 @@
                                 outcome, outcomes.NotRun, (kind, sequence)
                             )
 
+    def test_refusal_of_a_second_copy(self):
+        """Symptom: a save is called not run, and is there.
+
+        Sequence: a repeatable write is lost on its way back from the first
+        owner; the second owner refuses its copy, which it takes for the
+        only one. Cause: that refusal passed on as the write's fate.
+        """
+        refused = outcomes.NotRun(Reason.OVERLOAD, 100)
+        _, outcome = run(Kind.WRITE, [SENT, refused], repeatable=True)
+        self.assertEqual(outcomes.Unknown(Reason.OVERLOAD), outcome)
+
     def test_open_fate_is_settled_unless_repeatable(self):
         steps, outcome = run(Kind.WRITE, [SENT, CANCELLED])
         self.assertEqual([False, True], [s.settle for s in steps])
