Let an idle link wake nobody

Cause, a part of it: a proxy has a link to each owner of each database, and each was looked at 20 times a second, also while nothing is asked on it. The watch sleeps until something is asked now; a silent owner is noticed as before (its test is unchanged).

Test: wakes of a loop in a second with one idle link, 20 before, under 4 now.

--- a/topazring/pooler/hop.py
+++ b/topazring/pooler/hop.py
@@ -41,6 +41,8 @@
         self.address = address
         self.numbers = itertools.count(1)
         self.asked: dict[int, asyncio.Future] = {}
+        # Set while something may be asked: an idle link wakes nobody.
+        self.in_use = asyncio.Event()
         self.stream: iostream.IOStream | None = None
         self.opening: asyncio.Task | None = None
         self.tasks: set[asyncio.Task] = set()
@@ -83,6 +85,7 @@
             # Silence counts from the first question on.
             self.heard_ms = clock.suspended_ms()
         self.asked[number] = answer
+        self.in_use.set()
         left_ms = deadline_ms - clock.suspended_ms() - MARGIN_MS
         hop_frames.write(stream, hop_frames.Ask(number, left_ms, request))
         told = await answer
@@ -155,8 +158,10 @@
         kernel notices seconds later; callers have a part of one.
         """
         while not stream.closed():
+            await self.in_use.wait()
             await asyncio.sleep(WATCH_S)
             if not self.asked:
+                self.in_use.clear()
                 continue
             silent_ms = clock.suspended_ms() - self.heard_ms
             if silent_ms >= SILENT_MS:
--- a/topazring/pooler/tests/test_hop.py
+++ b/topazring/pooler/tests/test_hop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import selectors
 from unittest import mock
 
 import testtools
@@ -71,6 +72,19 @@
         return next(self.keys)
 
 
+class CountingSelector(selectors.DefaultSelector):
+    """Count how often a loop wakes."""
+
+    def __init__(self):
+        super().__init__()
+        self.wakes = 0
+
+    def select(self, timeout=None):
+        """Wait as always."""
+        self.wakes += 1
+        return super().select(timeout)
+
+
 class HopTest(testtools.TestCase):
     """A request and its answer pass whole, or the link is lost."""
 
@@ -197,6 +211,25 @@
 
         self.play(steps)
 
+    def test_idle_link_wakes_nobody(self):
+        """Symptom: processes without work use up a fleet's processor time.
+
+        Sequence: a proxy has a link to each owner of each database; hardly
+        any is in use at a time. Cause: each was looked at 20 times a second.
+        """
+        selector = CountingSelector()
+
+        async def steps():
+            await self.ask()
+            await asyncio.sleep(2 * hop.WATCH_S)
+            before = selector.wakes
+            await asyncio.sleep(20 * hop.WATCH_S)
+            self.assertLess(selector.wakes - before, 4)
+
+        loop = asyncio.SelectorEventLoop(selector)
+        with asyncio.Runner(loop_factory=lambda: loop) as runner:
+            runner.run(self._play(steps))
+
     def test_owner_that_ends(self):
         """What was sent may have run."""
 
