Admit one request of each organisation to a full window

Found in reading the window again: with more organisations than it has places an equal share is less than one, and all but those already in it are refused (99 of 300 got in in the test; now 300 of 300). What is under way stays bounded by the limit and the number of organisations.

--- a/topazring/core/tests/test_windows.py
+++ b/topazring/core/tests/test_windows.py
@@ -39,6 +39,17 @@
         self.assertEqual(50, self.fill('ordinary', 80))
         self.assertEqual(33, self.fill('third', 80))
 
+    def test_more_organisations_than_places(self):
+        """Symptom: hundreds of ordinary organisations are all refused.
+
+        Sequence: a flood fills the window, more organisations than it has
+        places send a request each. Cause: an equal share of less than one.
+        """
+        self.fill('flood', 3000)
+        sent = [self.fill(f'ordinary-{n}', 2) for n in range(300)]
+        self.assertEqual(300, sum(min(1, count) for count in sent))
+        self.assertEqual(1, sent[-1])
+
     def test_flood_gets_back_to_its_share(self):
         self.fill('flood', 3000)
         self.fill('ordinary', 10)
--- a/topazring/core/windows.py
+++ b/topazring/core/windows.py
@@ -30,12 +30,16 @@
 
 
 def admits(window: Window, organisation: str) -> bool:
-    """Say whether a request may go; a full window admits small shares."""
+    """Say whether a request may go.
+
+    A full window still admits what is below an equal share, and one of each
+    organisation.
+    """
     if window.total < window.limit:
         return True
     own = window.under_way.get(organisation, 0)
     sharing = len(window.under_way) + (own == 0)
-    return own < window.limit // sharing
+    return own < max(1, window.limit // sharing)
 
 
 def enter(window: Window, organisation: str) -> None:
