--- a/topazring/core/synchronous/asking.py
+++ b/topazring/core/synchronous/asking.py
@@ -2,6 +2,7 @@
 
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import connections
+from topazring.core.synchronous import evidence
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -47,7 +48,7 @@
 ) -> bool:
     if name in attempt.replaced:
         return True
-    return name == attempt.old and not attempts.began_again(state, name)
+    return name == attempt.old and not evidence.began_again(state, name)
 
 
 def control(
--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -14,7 +14,6 @@
 
 __all__ = [
     'Attempt',
-    'began_again',
     'candidates',
     'choose',
     'forget_member',
@@ -90,14 +89,6 @@
     ]
 
 
-def began_again(state: states.GroupState, name: str) -> bool:
-    """Say whether another bears the name of the last primary now."""
-    upstream = state.upstreams.get(name)
-    if upstream is None or name != state.last_primary:
-        return False
-    return upstream.born_ms != state.last_primary_born_ms
-
-
 def candidates(state: states.GroupState, attempt: Attempt) -> list[str]:
     """Return those to be asked: the members, and who may be chosen as well.
 
@@ -105,7 +96,7 @@
     waited for: its start may take seconds.
     """
     names = members(state, attempt)
-    if attempt.old not in names and began_again(state, attempt.old):
+    if attempt.old not in names and evidence.began_again(state, attempt.old):
         names.append(attempt.old)
     return names
 
@@ -203,7 +194,7 @@
     if not answered or silent:
         return ''
     lost = attempt.old
-    if began_again(state, lost):
+    if evidence.began_again(state, lost):
         if lost not in answered and is_fresh(attempt, now_ms, lost):
             answered.append(lost)
         lost = ''
@@ -252,7 +243,7 @@
     primaries = frozenset({attempt.old, state.proven, state.last_primary})
     for name in primaries:
         report = attempt.reports.get(name)
-        if report is None or began_again(state, name):
+        if report is None or evidence.began_again(state, name):
             continue
         if place >= report.received:
             return True
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     'Loss',
+    'began_again',
     'hanging_since',
     'judge',
     'needs_dial',
@@ -60,14 +61,21 @@
     replaced: bool = False
 
 
+def began_again(state: states.GroupState, name: str) -> bool:
+    """Say whether another bears the name of the last primary now."""
+    upstream = state.upstreams.get(name)
+    if upstream is None or name != state.last_primary:
+        return False
+    return upstream.born_ms != state.last_primary_born_ms
+
+
 def judge(state: states.GroupState, now_ms: int) -> Loss | None:
     """Return the loss of the primary, None while it may be alive."""
     if now_ms - state.woke_ms < BLIND_MS and state.woke_ms:
         return None
-    last = state.upstreams.get(state.last_primary)
-    if last is not None and state.primary in ('', last.name):
-        if last.born_ms != state.last_primary_born_ms:
-            return Loss(last.name, 'it began again', now_ms)
+    last = state.last_primary
+    if state.primary in ('', last) and began_again(state, last):
+        return Loss(last, 'it began again', now_ms)
     if not state.primary and not state.successor_gone:
         return _absent(state, now_ms)
     name = state.primary or state.last_primary
