--- a/topazring/core/synchronous/tests/proving.py
+++ b/topazring/core/synchronous/tests/proving.py
@@ -10,8 +10,7 @@
 
 def answer_read(driver: support.Driver, key: int) -> list:
     """Answer a read that runs at the primary, its guard as well."""
-    (number,) = driver.state.work[key].running
-    connection = driver.state.connections[number]
+    connection = driver.running(key)
     return driver.reply(connection, support.ok('signed'))
 
 
--- a/topazring/core/synchronous/tests/support.py
+++ b/topazring/core/synchronous/tests/support.py
@@ -101,6 +101,11 @@
             and upstream in ('', connection.upstream)
         ]
 
+    def running(self, key: int) -> states.Connection:
+        """Return the only connection that runs a request."""
+        (number,) = self.state.work[key].running
+        return self.state.connections[number]
+
     def answer_guards(self, primary: str = 'u1') -> list:
         """Answer all guards and looks; only the primary leads."""
         outs = []
--- a/topazring/core/synchronous/tests/test_confirmations.py
+++ b/topazring/core/synchronous/tests/test_confirmations.py
@@ -21,8 +21,7 @@
 
 def confirm(driver: support.Driver, key: int) -> list:
     """Have the primary confirm a write."""
-    (number,) = driver.state.work[key].running
-    connection = driver.state.connections[number]
+    connection = driver.running(key)
     return driver.reply(connection, support.ok('signed', place=WITH))
 
 
@@ -197,8 +196,7 @@
         begin, _ = driver.submit(
             verb=WRITE, transaction=7, begins=True, writes=True
         )
-        (number,) = driver.state.work[begin].running
-        connection = driver.state.connections[number]
+        connection = driver.running(begin)
         driver.reply(connection, support.ok())
         driver.reply(connection, support.ok('signed'))
         driver.tick(20)
--- a/topazring/core/synchronous/tests/test_contested.py
+++ b/topazring/core/synchronous/tests/test_contested.py
@@ -4,8 +4,8 @@
 
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
-from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failing
+from topazring.core.synchronous.tests import proving
 from topazring.core.synchronous.tests import support
 from topazring.core.synchronous.tests import test_isolation
 
@@ -19,9 +19,7 @@
     key, _ = driver.submit(verb=WRITE)
     work = driver.state.work.get(key)
     if work is not None and work.running:
-        (number,) = work.running
-        connection = driver.state.connections[number]
-        driver.reply(connection, support.ok('signed', place=held))
+        driver.reply(driver.running(key), support.ok('signed', place=held))
     test_isolation.play(driver, 100, 'u1', *names, received=held)
     return support.answers(driver.outs).get(key)
 
@@ -110,8 +108,7 @@
         """
         driver = support.Driver().ready(names=('u1', 'u2', 'u3', 'u4'))
         key, _ = driver.submit(verb=WRITE)
-        (number,) = driver.state.work[key].running
-        connection = driver.state.connections[number]
+        connection = driver.running(key)
         held = Place(1, 6)
         driver.reply(connection, support.ok('signed', place=held))
         newer = {'received': Place(2, 1), 'term': 2}
@@ -141,18 +138,13 @@
         driver.tick(20)
         driver.answer_guards(primary='u2')
         key, _ = driver.submit(verb=WRITE)
-        for connection in driver.busy('u3'):
-            if isinstance(connection.commands[0], statements.Demote):
-                said = {'received': Place(2, 6), 'term': 2, 'held_term': 0}
-                driver.reply(connection, support.report(**said))
-        (number,) = driver.state.work[key].running
-        connection = driver.state.connections[number]
+        said = {'received': Place(2, 6), 'term': 2, 'held_term': 0}
+        proving.answer_looks(driver, 'u3', **said)
+        connection = driver.running(key)
         place = Place(2, 6)
         driver.reply(connection, support.ok('signed', place=place))
         for _ in range(5):
             driver.tick(20)
-            for connection in driver.busy('u3'):
-                if isinstance(connection.commands[0], statements.Demote):
-                    driver.reply(connection, support.report(**said))
+            proving.answer_looks(driver, 'u3', **said)
         outcome = support.answers(driver.outs).get(key)
         self.assertIsInstance(outcome, outcomes.Done)
--- a/topazring/core/synchronous/tests/test_duty.py
+++ b/topazring/core/synchronous/tests/test_duty.py
@@ -11,6 +11,11 @@
 OrderResult = messages.OrderResult
 
 
+def yielded(outs: list) -> list[messages.YieldDuty]:
+    """Return what gives the duty up."""
+    return [out for out in outs if isinstance(out, messages.YieldDuty)]
+
+
 class DutyTest(testtools.TestCase):
     """Holders of the duty do not get in each other's way."""
 
@@ -84,7 +89,7 @@
         """
         driver = failing.holder()
         outs = failing.lose_primary(driver) + driver.tick(900)
-        yields = [o for o in outs if isinstance(o, messages.YieldDuty)]
+        yields = yielded(outs)
         self.assertEqual(1, len(yields))
 
     def test_other_proxies_promote_nobody(self):
@@ -150,7 +155,7 @@
         outs = self.paused_by_another(driver)
         self.assertEqual(
             ['another promotes'],
-            [o.why for o in outs if isinstance(o, messages.YieldDuty)],
+            [out.why for out in yielded(outs)],
         )
         self.assertFalse(driver.state.holds_duty)
 
@@ -159,9 +164,7 @@
         driver = support.Driver().ready()
         driver.post(messages.DutySeen(True, 100))
         outs = self.paused_by_another(driver)
-        self.assertEqual(
-            [], [o for o in outs if isinstance(o, messages.YieldDuty)]
-        )
+        self.assertEqual([], yielded(outs))
         self.assertTrue(driver.state.holds_duty)
 
     def test_its_own_pauses(self):
@@ -170,6 +173,4 @@
         failing.lose_primary(driver)
         outs = failing.answer_controls(driver)
         outs += self.paused_by_another(driver)
-        self.assertEqual(
-            [], [o for o in outs if isinstance(o, messages.YieldDuty)]
-        )
+        self.assertEqual([], yielded(outs))
--- a/topazring/core/synchronous/tests/test_load.py
+++ b/topazring/core/synchronous/tests/test_load.py
@@ -207,8 +207,7 @@
         key, _ = driver.submit(
             support.EXACT, Verb.WRITE, transaction=7, begins=True
         )
-        (number,) = driver.state.work[key].running
-        connection = driver.state.connections[number]
+        connection = driver.running(key)
         in_it = statements.SessionState.IN_TRANSACTION
         driver.reply(connection, support.ok(state=in_it))
         driver.reply(connection, support.ok('s', state=in_it))
@@ -217,7 +216,7 @@
         rollbacks = [
             send
             for send in support.sends(outs)
-            if send.connection == number
+            if send.connection == connection.number
             and isinstance(send.commands[0], statements.Rollback)
         ]
         self.assertEqual(1, len(rollbacks))
--- a/topazring/core/synchronous/tests/test_reads.py
+++ b/topazring/core/synchronous/tests/test_reads.py
@@ -32,12 +32,6 @@
     ]
 
 
-def work_of(driver: support.Driver, key: int):
-    """Return the connection that runs a request."""
-    (number,) = driver.state.work[key].running
-    return driver.state.connections[number]
-
-
 class GuardTest(testtools.TestCase):
     """A read at the primary proves that it led after the read arrived."""
 
@@ -59,7 +53,7 @@
         """
         driver = support.Driver().ready()
         key, _ = driver.submit(support.EXACT)
-        connection = work_of(driver, key)
+        connection = driver.running(key)
         refused = support.refused(Code.READ_ONLY)
         outs = driver.post(
             messages.Replied(
@@ -143,7 +137,7 @@
         key, _ = driver.submit(support.BOUNDED)
         asked = []
         for _ in range(3):
-            connection = work_of(driver, key)
+            connection = driver.running(key)
             asked.append(connection.upstream)
             last = support.refused(Code.LAGGING)
             driver.reply(connection, last)
@@ -229,8 +223,7 @@
         """
         driver = support.Driver().ready(centres={'u1': 'there'})
         key, _ = driver.submit(support.BOUNDED)
-        (number,) = driver.state.work[key].running
-        connection = driver.state.connections[number]
+        connection = driver.running(key)
         full = driver.state.upstreams[connection.upstream]
         for upstream in driver.state.upstreams.values():
             if upstream is not full:
@@ -263,7 +256,7 @@
         """
         driver = support.Driver().ready()
         key, _ = driver.submit(support.BOUNDED)
-        first = work_of(driver, key)
+        first = driver.running(key)
         driver.tick(140)
         numbers = driver.state.work[key].running
         self.assertEqual(2, len(numbers))
@@ -277,7 +270,7 @@
         """An answer that is ready is delivered."""
         driver = support.Driver().ready()
         key, _ = driver.submit(support.BOUNDED)
-        first = work_of(driver, key)
+        first = driver.running(key)
         driver.tick(140)
         outs = driver.reply(first, support.ok('s'))
         self.assertIn(key, support.answers(outs))
@@ -286,7 +279,7 @@
         """What the other copy returns belongs to no one any more."""
         driver = support.Driver().ready()
         key, _ = driver.submit(support.BOUNDED)
-        first = work_of(driver, key)
+        first = driver.running(key)
         driver.tick(140)
         (second,) = driver.state.work[key].running - {first.number}
         driver.reply(first, support.ok('s'))
@@ -334,7 +327,7 @@
         """It may have run."""
         driver = support.Driver().ready()
         key, _ = driver.submit(support.EXACT, Verb.WRITE)
-        outs = driver.close(work_of(driver, key))
+        outs = driver.close(driver.running(key))
         self.assertIsInstance(support.answers(outs)[key], outcomes.Unknown)
         self.assertEqual([], sent_to(driver, outs))
 
@@ -343,7 +336,7 @@
         driver = support.Driver().ready()
         key, _ = driver.submit(support.EXACT, Verb.WRITE)
         outs = driver.reply(
-            work_of(driver, key), support.refused(Code.READ_ONLY)
+            driver.running(key), support.refused(Code.READ_ONLY)
         )
         self.assertEqual({}, support.answers(outs))
         self.assertIn(key, driver.state.work)
@@ -354,7 +347,7 @@
         key, _ = driver.submit(
             support.EXACT, Verb.WRITE, transaction=7, begins=True
         )
-        connection = work_of(driver, key)
+        connection = driver.running(key)
         driver.reply(
             connection,
             support.ok(state=statements.SessionState.IN_TRANSACTION),
--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -128,10 +128,7 @@
         try:
             await wait_until(self.is_ready, STARTS_S)
         except TimeoutError:
-            said = self.log.read_text()[-2000:]
-            raise AssertionError(
-                f'{self.name} is not ready:\n{said}'
-            ) from None
+            raise AssertionError(f'{self.name} is not ready') from None
 
     async def is_ready(self) -> bool:
         """Ask as the balancer does."""
