Split what an owner hears from what it decides

What upstreams, peers and the platform say is taken in by heard.py; failover.py decides to promote and sees it through.

--- a/topazring/core/owner.py
+++ b/topazring/core/owner.py
@@ -7,6 +7,7 @@
 from topazring.core import expiry
 from topazring.core import failover
 from topazring.core import groups
+from topazring.core import heard
 from topazring.core import messages
 from topazring.core import places
 from topazring.core import results
@@ -57,13 +58,13 @@
 handles(messages.Submit)(arrival.submit)
 handles(messages.Withdraw)(expiry.withdraw)
 handles(messages.Abandon)(expiry.abandon)
-handles(messages.StatusSeen)(failover.status_seen)
-handles(messages.LinkOpened)(failover.link_opened)
-handles(messages.ProbeFailed)(failover.probe_failed)
-handles(messages.PeerSuspects)(failover.peer_suspects)
-handles(messages.OwnersSeen)(failover.owners_seen)
-handles(messages.GrantsSeen)(failover.grants_seen)
-handles(messages.UpstreamsLeaving)(failover.leaving_seen)
+handles(messages.StatusSeen)(heard.status_seen)
+handles(messages.LinkOpened)(heard.link_opened)
+handles(messages.ProbeFailed)(heard.probe_failed)
+handles(messages.PeerSuspects)(heard.peer_suspects)
+handles(messages.OwnersSeen)(heard.owners_seen)
+handles(messages.GrantsSeen)(heard.grants_seen)
+handles(messages.UpstreamsLeaving)(heard.leaving_seen)
 handles(messages.FenceReply)(failover.fence_replied)
 handles(messages.LeadReply)(failover.lead_replied)
 
@@ -76,7 +77,7 @@
     result = message.result
     if isinstance(result, messages.Refused) and result.status is not None:
         if result.status.accepted_term > state.view.term:
-            outs += failover.take_status(state, now_ms, result.status)
+            outs += heard.take_status(state, now_ms, result.status)
     return outs + results.executed(state, now_ms, message)
 
 
