--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -31,6 +31,7 @@
 """
 
 from topazring.core import places
+from topazring.core.synchronous import known_places
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -76,7 +77,7 @@
 
 
 def is_sound(
-    state: states.GroupState, confirmation: states.Confirmation
+    state: states.GroupState, confirmation: known_places.Confirmation
 ) -> bool:
     """Say whether a confirmed write survives the loss of its primary."""
     listed = state.primary in state.upstreams
@@ -94,7 +95,7 @@
 
 
 def _is_outdated(
-    state: states.GroupState, confirmation: states.Confirmation
+    state: states.GroupState, confirmation: known_places.Confirmation
 ) -> bool:
     """Say whether the term of the write is known to be over."""
     place = confirmation.place
@@ -123,7 +124,7 @@
 
 
 def _is_known_to_hold(
-    state: states.GroupState, confirmation: states.Confirmation
+    state: states.GroupState, confirmation: known_places.Confirmation
 ) -> bool:
     """Say whether a promotion that begins now hears of a new member's log.
 
@@ -144,7 +145,7 @@
 
 
 def _is_being_replaced(
-    state: states.GroupState, confirmation: states.Confirmation
+    state: states.GroupState, confirmation: known_places.Confirmation
 ) -> bool:
     """Say whether a member was paused for a promotion when last asked.
 
@@ -162,7 +163,7 @@
 
 
 def _holds(
-    upstream: states.Upstream, confirmation: states.Confirmation
+    upstream: states.Upstream, confirmation: known_places.Confirmation
 ) -> bool:
     """Say whether a member's log holds a write.
 
@@ -195,7 +196,7 @@
     )
 
 
-def waiting(state: states.GroupState) -> list[states.Confirmation]:
+def waiting(state: states.GroupState) -> list[known_places.Confirmation]:
     """Return the confirmations whose writes wait to be acknowledged."""
     held = (state.work.get(key) for key in state.held)
     return [
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -10,6 +10,7 @@
 from topazring.core import places
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
+from topazring.core.synchronous import known_places
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import settling
@@ -146,7 +147,7 @@
     reply: statements.Reply,
 ) -> list:
     """Acknowledge a write that its upstream confirmed, once that is sound."""
-    confirmation = states.Confirmation(
+    confirmation = known_places.Confirmation(
         connection.upstream,
         connection.sent_ms,
         connection.place_before,
@@ -166,7 +167,7 @@
 def _acknowledge(
     state: states.GroupState,
     work: states.Work,
-    confirmation: states.Confirmation,
+    confirmation: known_places.Confirmation,
     outcome: outcomes.Done,
 ) -> list:
     settling.note_confirmed(state, confirmation)
@@ -202,7 +203,7 @@
 def _acknowledge_held(
     state: states.GroupState,
     work: states.Work,
-    confirmation: states.Confirmation,
+    confirmation: known_places.Confirmation,
 ) -> list:
     if not confirmations.is_sound(state, confirmation):
         return []
--- /dev/null
+++ b/topazring/core/synchronous/known_places.py
@@ -0,0 +1,36 @@
+"""Say what is known of places in a group's log."""
+
+import dataclasses
+
+from topazring.core import places
+
+__all__ = ['Confirmation', 'Sample', 'Start']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Bind a primary to a place: all that it began with is at or before it."""
+
+    upstream: str = ''
+    place: places.Place = places.ORIGIN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Bind a place to a time: all acknowledged before is at or before it."""
+
+    sent_ms: int
+    place: places.Place
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmation:
+    """Hold what a primary's answer to a write says."""
+
+    upstream: str
+    # When the write was sent to it.
+    sent_ms: int
+    # Where its log was known to stand then.
+    place_before: places.Place
+    # Where it stood with the write; None if that was not told.
+    place: places.Place | None
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -12,6 +12,7 @@
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import evidence
+from topazring.core.synchronous import known_places
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import prospects
@@ -116,7 +117,7 @@
         state.proven = upstream.name
         state.proven_ms = now_ms
     if state.start.upstream != upstream.name:
-        state.start = states.Start(upstream.name, upstream.place)
+        state.start = known_places.Start(upstream.name, upstream.place)
     if state.primary == upstream.name:
         return []
     return _lead(state, now_ms, upstream, 'it took a transaction')
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -23,6 +23,7 @@
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import duty
 from topazring.core.synchronous import evidence
+from topazring.core.synchronous import known_places
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
@@ -207,7 +208,7 @@
     if leads and (leads != attempt.old or renewed):
         if leads == attempt.chosen != attempt.heir:
             # An heir received more after it was chosen.
-            state.start = states.Start(leads, attempt.chosen_place)
+            state.start = known_places.Start(leads, attempt.chosen_place)
         state.successor_gone = False
         return finish(state, now_ms, attempt, 'succeeded')
     if attempt.successor_gone:
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -9,6 +9,7 @@
 from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import fates
+from topazring.core.synchronous import known_places
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import pace
 from topazring.core.synchronous import primary
@@ -95,7 +96,7 @@
                 state, now_ms, upstream, connection.sent_ms
             )
             if reply.place is not None and upstream.name == state.primary:
-                sample = states.Sample(connection.sent_ms, reply.place)
+                sample = known_places.Sample(connection.sent_ms, reply.place)
                 state.pending.append(sample)
     proofs.settle(state)
     return outs
--- a/topazring/core/synchronous/settling.py
+++ b/topazring/core/synchronous/settling.py
@@ -2,6 +2,7 @@
 
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import freshness
+from topazring.core.synchronous import known_places
 from topazring.core.synchronous import pace
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
@@ -33,7 +34,7 @@
 
 
 def note_confirmed(
-    state: states.GroupState, confirmation: states.Confirmation
+    state: states.GroupState, confirmation: known_places.Confirmation
 ) -> None:
     """Take in a write whose confirmation is sound.
 
@@ -47,5 +48,5 @@
         return
     state.acknowledged = max(state.acknowledged, confirmation.place_before)
     if confirmation.place is not None:
-        sample = states.Sample(confirmation.sent_ms, confirmation.place)
+        sample = known_places.Sample(confirmation.sent_ms, confirmation.place)
         freshness.add_sample(state, sample)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -9,19 +9,17 @@
 from topazring.core import places
 from topazring.core import retries
 from topazring.core.synchronous import departures as departing
+from topazring.core.synchronous import known_places
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 
 __all__ = [
-    'Confirmation',
     'Connection',
     'Errand',
     'GroupState',
     'Limits',
     'NEVER_MS',
     'Phase',
-    'Sample',
-    'Start',
     'TYPICAL_MS',
     'Transaction',
     'Upstream',
@@ -189,35 +187,6 @@
     most_busy: float = MOST_BUSY
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Start:
-    """Bind a primary to a place: all that it began with is at or before it."""
-
-    upstream: str = ''
-    place: places.Place = places.ORIGIN
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sample:
-    """Bind a place to a time: all acknowledged before is at or before it."""
-
-    sent_ms: int
-    place: places.Place
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Confirmation:
-    """Hold what a primary's answer to a write says."""
-
-    upstream: str
-    # When the write was sent to it.
-    sent_ms: int
-    # Where its log was known to stand then.
-    place_before: places.Place
-    # Where it stood with the write; None if that was not told.
-    place: places.Place | None
-
-
 @dataclasses.dataclass(slots=True)
 class Work:
     """Hold one request on its way."""
@@ -240,7 +209,7 @@
     ready: outcomes.Done | None = None
     needs_ms: int = NEVER_MS
     # The same of a write, which waits until it is sure to last.
-    confirmation: Confirmation | None = None
+    confirmation: known_places.Confirmation | None = None
     last_reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
 
     @property
@@ -334,9 +303,9 @@
     proven: str = ''
     proven_ms: int = 0
     # What the last primary of which that is known began with.
-    start: Start = Start()
+    start: known_places.Start = known_places.Start()
     # Oldest first.
-    samples: collections.deque[Sample] = dataclasses.field(
+    samples: collections.deque[known_places.Sample] = dataclasses.field(
         default_factory=collections.deque
     )
     # Keys of the requests whose answers wait for a proof.
@@ -345,7 +314,7 @@
     unsure_ms: int = NEVER_MS
     # Places that the primary reported and that are samples once its lead is
     # proved for their time; oldest first.
-    pending: collections.deque[Sample] = dataclasses.field(
+    pending: collections.deque[known_places.Sample] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=PENDING)
     )
     # The newest moment for which the lead is to be proved, and the oldest
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from topazring.core.synchronous import known_places
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -163,7 +164,7 @@
         0.0.
         """
         driver = self.leaving()
-        driver.state.start = states.Start('u1', Place(1, 7))
+        driver.state.start = known_places.Start('u1', Place(1, 7))
         outs = failing.answer_controls(driver)
         driver.answer_guards()
         driver.tick(40)
