Keep one copy of the type that binds a place to a time

core/view.py and the synchronous groups each had a Sample of the same fields and words. It stands beside Place now.

--- a/topazring/core/places.py
+++ b/topazring/core/places.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ['ORIGIN', 'Place', 'majority_of']
+__all__ = ['ORIGIN', 'Place', 'Sample', 'majority_of']
 
 
 @dataclasses.dataclass(frozen=True, order=True, slots=True)
@@ -27,6 +27,17 @@
 ORIGIN = Place(0, 0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Bind a place to a time.
+
+    All that was acknowledged before `sent_ms` is at or before `place`.
+    """
+
+    sent_ms: int
+    place: Place
+
+
 def majority_of(count: int) -> int:
     """Return how many of `count` members make a majority.
 
--- a/topazring/core/results.py
+++ b/topazring/core/results.py
@@ -206,7 +206,7 @@
     """Answer a request whose place a majority holds."""
     if waiter.needs_place:
         state.view.committed = max(state.view.committed, waiter.place)
-    sample = views.Sample(waiter.sent_ms, waiter.place)
+    sample = places.Sample(waiter.sent_ms, waiter.place)
     views.add_sample(state.view, sample)
     work = state.work.get(waiter.key)
     if work is None or work.result is None:
--- a/topazring/core/synchronous/freshness.py
+++ b/topazring/core/synchronous/freshness.py
@@ -9,7 +9,6 @@
 """
 
 from topazring.core import places
-from topazring.core.synchronous import known_places
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 
@@ -28,7 +27,7 @@
 APART_MS = 50
 
 
-def add_sample(state: states.GroupState, sample: known_places.Sample) -> None:
+def add_sample(state: states.GroupState, sample: places.Sample) -> None:
     """Take in a sample; one with a place behind a known one is dropped.
 
     Answers come on several connections and can overtake each other.
--- a/topazring/core/synchronous/known_places.py
+++ b/topazring/core/synchronous/known_places.py
@@ -4,7 +4,7 @@
 
 from topazring.core import places
 
-__all__ = ['Confirmation', 'Sample', 'Start']
+__all__ = ['Confirmation', 'Start']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,14 +15,6 @@
     place: places.Place = places.ORIGIN
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sample:
-    """Bind a place to a time: all acknowledged before is at or before it."""
-
-    sent_ms: int
-    place: places.Place
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Confirmation:
     """Hold what a primary's answer to a write says."""
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -3,13 +3,13 @@
 import collections.abc
 
 from topazring.core import outcomes
+from topazring.core import places
 from topazring.core import retries
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import fates
-from topazring.core.synchronous import known_places
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import pace
 from topazring.core.synchronous import primary
@@ -79,8 +79,8 @@
     upstream = state.upstreams.get(connection.upstream)
     if upstream is None or not replies:
         return []
-    places = [reply.place for reply in replies if reply.place is not None]
-    last = places[-1] if places else None
+    told = [reply.place for reply in replies if reply.place is not None]
+    last = told[-1] if told else None
     primary.note_place(state, now_ms, upstream, last)
     if last is not None:
         confirmations.note_place(upstream, connection.sent_ms, last)
@@ -96,7 +96,7 @@
                 state, now_ms, upstream, connection.sent_ms
             )
             if reply.place is not None and upstream.name == state.primary:
-                sample = known_places.Sample(connection.sent_ms, reply.place)
+                sample = places.Sample(connection.sent_ms, reply.place)
                 state.pending.append(sample)
     proofs.settle(state)
     return outs
--- a/topazring/core/synchronous/settling.py
+++ b/topazring/core/synchronous/settling.py
@@ -1,5 +1,6 @@
 """Settle a connection, and what is known, after an answer."""
 
+from topazring.core import places
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import known_places
@@ -48,5 +49,5 @@
         return
     state.acknowledged = max(state.acknowledged, confirmation.place_before)
     if confirmation.place is not None:
-        sample = known_places.Sample(confirmation.sent_ms, confirmation.place)
+        sample = places.Sample(confirmation.sent_ms, confirmation.place)
         freshness.add_sample(state, sample)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -305,7 +305,7 @@
     # What the last primary of which that is known began with.
     start: known_places.Start = known_places.Start()
     # Oldest first.
-    samples: collections.deque[known_places.Sample] = dataclasses.field(
+    samples: collections.deque[places.Sample] = dataclasses.field(
         default_factory=collections.deque
     )
     # Keys of the requests whose answers wait for a proof.
@@ -314,7 +314,7 @@
     unsure_ms: int = NEVER_MS
     # Places that the primary reported and that are samples once its lead is
     # proved for their time; oldest first.
-    pending: collections.deque[known_places.Sample] = dataclasses.field(
+    pending: collections.deque[places.Sample] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=PENDING)
     )
     # The newest moment for which the lead is to be proved, and the oldest
--- a/topazring/core/view.py
+++ b/topazring/core/view.py
@@ -8,7 +8,6 @@
 
 __all__ = [
     'GroupView',
-    'Sample',
     'UpstreamView',
     'add_sample',
     'make_view',
@@ -35,18 +34,7 @@
     # How long this replica takes to reach a place, as a moving average.
     lag_ms: float = 0.0
     # The sample whose arrival at this replica is measured next.
-    awaited: 'Sample | None' = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sample:
-    """Bind a place to a time.
-
-    All that was acknowledged before `sent_ms` is at or before `place`.
-    """
-
-    sent_ms: int
-    place: places.Place
+    awaited: places.Sample | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +45,7 @@
     term: int = 0
     primary: str = ''
     committed: places.Place = places.ORIGIN
-    samples: collections.deque[Sample] = dataclasses.field(
+    samples: collections.deque[places.Sample] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=SAMPLES_KEPT)
     )
     # When the primary was last found or lost.
@@ -124,7 +112,7 @@
     seen.awaited = None
 
 
-def add_sample(view: GroupView, sample: Sample) -> None:
+def add_sample(view: GroupView, sample: places.Sample) -> None:
     """Remember a sample whose term a majority confirmed after it was sent.
 
     Samples can be confirmed out of order; an older one adds nothing that a
