--- a/topazring/core/synchronous/tests/test_pace.py
+++ b/topazring/core/synchronous/tests/test_pace.py
@@ -169,3 +169,24 @@
             driver.answer_guards()
         (running,) = [c for c in driver.busy('u1') if c.work == key]
         self.assertNotEqual(lost.number, running.number)
+
+    def test_full_replica_is_left_alone_for_a_moment(self):
+        """It has room again after about one statement.
+
+        Symptom: one read is sent 209 times in 60 ms to a replica that refuses
+        it each time. Sequence: all others lack the place that the read has to
+        see; the replica's queue is full, and it is near. Cause: a replica that
+        was full ranked lower, but the only one was asked again at once.
+        """
+        driver = support.Driver().ready(centres={'u1': 'there'})
+        key, _ = driver.submit(support.BOUNDED)
+        connection = driver.running(key)
+        full = driver.state.upstreams[connection.upstream]
+        for upstream in driver.state.upstreams.values():
+            if upstream is not full:
+                driver.state.work[key].passed_over.add(upstream.name)
+        busy = support.refused(statements.Code.BUSY)
+        driver.reply(connection, busy)
+        self.assertEqual(set(), driver.state.work[key].running)
+        driver.tick(20)
+        self.assertEqual(1, len(driver.state.work[key].running))
--- a/topazring/core/synchronous/tests/test_reads.py
+++ b/topazring/core/synchronous/tests/test_reads.py
@@ -213,27 +213,6 @@
         _, outs = driver.submit(support.BOUNDED)
         self.assertEqual(['u3'], sent_to(driver, outs))
 
-    def test_full_replica_is_left_alone_for_a_moment(self):
-        """It has room again after about one statement.
-
-        Symptom: one read is sent 209 times in 60 ms to a replica that refuses
-        it each time. Sequence: all others lack the place that the read has to
-        see; the replica's queue is full, and it is near. Cause: a replica that
-        was full ranked lower, but the only one was asked again at once.
-        """
-        driver = support.Driver().ready(centres={'u1': 'there'})
-        key, _ = driver.submit(support.BOUNDED)
-        connection = driver.running(key)
-        full = driver.state.upstreams[connection.upstream]
-        for upstream in driver.state.upstreams.values():
-            if upstream is not full:
-                driver.state.work[key].passed_over.add(upstream.name)
-        busy = support.refused(statements.Code.BUSY)
-        driver.reply(connection, busy)
-        self.assertEqual(set(), driver.state.work[key].running)
-        driver.tick(20)
-        self.assertEqual(1, len(driver.state.work[key].running))
-
     def test_leaving_replica_gets_no_reads(self):
         """Nothing new goes to an upstream that leaves."""
         driver = support.Driver().ready(centres={'u1': 'there', 'u2': 'there'})
