Log who is paused for a promotion, and what an odd acknowledgement rests on

Three lines tell it: a member's first answer to a pause, the age of each member in the order, and the members' words behind each acknowledgement that is given while one of them is paused, new, or the primary leaves. All are bounded by a promotion's time.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -61,6 +61,8 @@
     since_ms: int = 0
     # Members that lead an older term in their own eyes; demoted first.
     replaced: set[str] = dataclasses.field(default_factory=set)
+    # Members whose first answer to a pause was logged.
+    told_paused: set[str] = dataclasses.field(default_factory=set)
     chosen: str = ''
     # What the chosen one had received when it was chosen.
     chosen_place: places.Place = places.ORIGIN
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -158,7 +158,7 @@
     if upstream is not None:
         upstream.confirmed_ms = now_ms
     if confirmations.is_sound(state, confirmation):
-        return _acknowledge(state, work, confirmation, outcome)
+        return _acknowledge(state, now_ms, work, confirmation, outcome)
     work.confirmation = confirmation
     state.counters['write_held'] += 1
     return _hold(state, work, outcome, confirmation.sent_ms)
@@ -166,13 +166,47 @@
 
 def _acknowledge(
     state: states.GroupState,
+    now_ms: int,
     work: states.Work,
     confirmation: known_places.Confirmation,
     outcome: outcomes.Done,
 ) -> list:
     settling.note_confirmed(state, confirmation)
     state.unsure_ms = states.NEVER_MS
-    return answer(state, work, outcome)
+    told = _tell_acknowledged(state, now_ms, work, confirmation)
+    return told + answer(state, work, outcome)
+
+
+def _tell_acknowledged(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    confirmation: known_places.Confirmation,
+) -> list:
+    """Tell what was known of the members when one is not as usual."""
+    usual = all(
+        upstream.vouches and not upstream.held_term
+        for upstream in states.others(state)
+    )
+    if usual and not state.upstreams[state.primary].leaving:
+        return []
+    members = {
+        upstream.name: {
+            'log_end': str(upstream.log_end),
+            'held_term': upstream.held_term,
+            'reported_ms_ago': now_ms - upstream.reported_sent_ms,
+            'listed_for_ms': now_ms - upstream.come_ms,
+        }
+        for upstream in states.others(state)
+    }
+    inputs = {
+        'upstream': confirmation.upstream,
+        'place': str(confirmation.place),
+        'sent_ms_ago': now_ms - confirmation.sent_ms,
+        'members': members,
+    }
+    request_id = work.request.statement.request_id
+    return [messages.Decided('acknowledged', request_id, inputs)]
 
 
 def answer_proved(state: states.GroupState, now_ms: int) -> list:
@@ -189,7 +223,7 @@
             state.held.discard(key)
             outs += _replaced(state, now_ms, work)
         elif work.confirmation is not None:
-            outs += _acknowledge_held(state, work, work.confirmation)
+            outs += _acknowledge_held(state, now_ms, work)
     # What was just acknowledged proves the lead for reads before it.
     proven = proofs.proven_ms(state)
     for key in sorted(state.held):
@@ -201,14 +235,13 @@
 
 
 def _acknowledge_held(
-    state: states.GroupState,
-    work: states.Work,
-    confirmation: known_places.Confirmation,
+    state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
+    confirmation = work.confirmation
     if not confirmations.is_sound(state, confirmation):
         return []
     state.held.discard(work.request.key)
-    return _acknowledge(state, work, confirmation, work.ready)
+    return _acknowledge(state, now_ms, work, confirmation, work.ready)
 
 
 def _replaced(
--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -2,6 +2,7 @@
 
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import confirmations
+from topazring.core.synchronous import messages
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import promotion
 from topazring.core.synchronous import state as states
@@ -74,9 +75,32 @@
         # A term was newer than any that had been seen: it is not paused.
         attempt.term = state.term + 1
         attempts.forget_reports(attempt)
-    else:
-        attempts.take_report(attempt, now_ms, name, report)
-    return promotion.go_on(state, now_ms, attempt)
+        return promotion.go_on(state, now_ms, attempt)
+    told = _tell_paused(state, now_ms, attempt, name, report)
+    attempts.take_report(attempt, now_ms, name, report)
+    return told + promotion.go_on(state, now_ms, attempt)
+
+
+def _tell_paused(
+    state: states.GroupState,
+    now_ms: int,
+    attempt: attempts.Attempt,
+    name: str,
+    report: statements.StatusReport,
+) -> list:
+    """Tell where the log of a member ends, once an attempt."""
+    if name in attempt.told_paused:
+        return []
+    attempt.told_paused.add(name)
+    inputs = {
+        'upstream': name,
+        'received': str(report.received),
+        'listed_for_ms': now_ms - state.upstreams[name].come_ms,
+        'began_ms_ago': now_ms - attempt.began_ms,
+        'chosen': attempt.chosen,
+        'token': attempt.token,
+    }
+    return [messages.Decided('member paused', inputs=inputs)]
 
 
 def _demoted(
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -342,6 +342,10 @@
                 name: str(report.received)
                 for name, report in attempt.reports.items()
             },
+            'listed_for_ms': {
+                name: now_ms - upstream.come_ms
+                for name, upstream in state.upstreams.items()
+            },
             'after_ms': now_ms - attempt.began_ms,
         },
     )
