--- a/topazring/core/synchronous/tests/test_group_fuzz.py
+++ b/topazring/core/synchronous/tests/test_group_fuzz.py
@@ -58,6 +58,11 @@
             if seed != OPEN_WALK:
                 walks.walk(seed, STEPS, walks.THROUGH_ENTRIES)
 
+    def test_walks_through_releases(self):
+        """The same while members are replaced, and promotions are slow."""
+        for seed in range(WALKS):
+            walks.walk(seed, STEPS, walks.RELEASES, walks.SLOW_PROMOTE_MS)
+
     def test_open_walk_through_entries(self):
         """A primary that is replaced takes no write.
 
--- /dev/null
+++ b/topazring/core/synchronous/tests/test_newcomers.py
@@ -0,0 +1,103 @@
+"""A replica that no promotion asks may be the one that confirms a write."""
+
+import testtools
+
+from topazring.core import outcomes
+from topazring.core.synchronous.tests import proving
+from topazring.core.synchronous.tests import support
+from topazring.core.synchronous.tests import test_confirmations
+from topazring.core.synchronous.tests import test_isolation
+from topazring.core.synchronous.tests import walks
+
+WITH = test_confirmations.WITH
+WITHOUT = test_confirmations.WITHOUT
+FOUR = test_confirmations.FOUR
+# Walks through overlapping releases on which an acknowledged write was lost:
+# it hung as the members were paused; nobody was listed who held it; several
+# hung during a hand-over.
+LOST_WALKS = (20003, 20060, 20129, 21013, 21024, 21303)
+STEPS = 400
+
+
+class NewcomerTest(testtools.TestCase):
+    """A replica starts beside the primary before this proxy knows it."""
+
+    def setUp(self):
+        """Have a write under way."""
+        super().setUp()
+        self.driver = support.Driver().ready()
+        self.driver.tick(20)
+        self.key, _ = self.driver.submit(verb=support.Verb.WRITE)
+
+    def outcome(self) -> outcomes.Outcome | None:
+        """Return what the caller got, if anything."""
+        return support.answers(self.driver.outs).get(self.key)
+
+    def test_write_under_way_as_members_are_paused(self):
+        """Guards against acknowledging on an answer older than the pause."""
+        test_isolation.play(self.driver, 20, 'u1', 'u2', 'u3')
+        test_confirmations.confirm(self.driver, self.key)
+        self.assertIsNone(self.outcome())
+        said = {'held_term': 2, 'received': WITHOUT}
+        test_isolation.play(self.driver, 300, 'u1', 'u2', 'u3', **said)
+        self.assertNotIsInstance(self.outcome(), outcomes.Done)
+
+    def test_members_that_receive_nothing(self):
+        """Guards against a loss of what only an unlisted replica holds."""
+        test_isolation.play(self.driver, 20, 'u1', 'u2', 'u3')
+        test_confirmations.confirm(self.driver, self.key)
+        said = {'received': WITHOUT}
+        test_isolation.play(self.driver, 300, 'u1', 'u2', 'u3', **said)
+        self.assertNotIsInstance(self.outcome(), outcomes.Done)
+
+    def test_asked_the_moment_it_is_confirmed(self):
+        """Guards against callers who wait for a tick after each save."""
+        test_isolation.play(self.driver, 20, 'u1', 'u2', 'u3')
+        test_confirmations.confirm(self.driver, self.key)
+        said = {'received': WITH, 'term': 1, 'held_term': 0}
+        proving.answer_looks(self.driver, 'u2', **said)
+        self.assertIsInstance(self.outcome(), outcomes.Done)
+
+
+class HandOverTest(testtools.TestCase):
+    """A leaving primary hands over while a new replica follows it."""
+
+    def confirmed(self, **heir) -> support.Driver:
+        """Have a write confirmed while `u3` is paused; `u2` says this."""
+        driver = support.Driver().ready()
+        driver.list_upstreams(leaving='u1')
+        driver.list_upstreams(names=FOUR, leaving='u1')
+        driver.open_all()
+        test_isolation.play(driver, 400, *FOUR)
+        self.key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, self.key)
+        for _ in range(15):
+            driver.tick(20)
+            said = {'received': WITHOUT, 'term': 1, 'held_term': 2}
+            proving.answer_looks(driver, 'u3', **said)
+            proving.answer_looks(driver, 'u2', **{**said, **heir})
+            new = {'received': WITH, 'term': 1, 'held_term': 0}
+            proving.answer_looks(driver, 'u4', **new)
+            test_isolation.answer_guards_of(driver, 'u1')
+        return driver
+
+    def test_heir_that_receives_nothing(self):
+        """Guards against acknowledging what only a newcomer confirmed."""
+        driver = self.confirmed(held_term=0)
+        outcome = support.answers(driver.outs).get(self.key)
+        self.assertNotIsInstance(outcome, outcomes.Done)
+
+    def test_heir_that_holds_it(self):
+        """Guards against writes that stand still during a hand-over."""
+        driver = self.confirmed(held_term=0, received=WITH)
+        outcome = support.answers(driver.outs).get(self.key)
+        self.assertIsInstance(outcome, outcomes.Done)
+
+
+class WalksTest(testtools.TestCase):
+    """Members of a group are released one after the other, overlapping."""
+
+    def test_walks_that_lost_a_write(self):
+        """Guards against promotions that a write's only holder missed."""
+        for seed in LOST_WALKS:
+            walks.walk(seed, STEPS, walks.RELEASES, walks.SLOW_PROMOTE_MS)
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -330,7 +330,9 @@
         self.token_seen = out.token
         if member.role is not Role.PRIMARY:
             born_ms = member.born_ms
-            self.at(PROMOTE_MS, self.lead, member, out.token, proxy, born_ms)
+            self.at(
+                self.promote_ms, self.lead, member, out.token, proxy, born_ms
+            )
         return messages.OrderResult.ACCEPTED
 
     def lead(
--- a/topazring/core/synchronous/tests/walks.py
+++ b/topazring/core/synchronous/tests/walks.py
@@ -5,6 +5,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import fake_group
+from topazring.core.synchronous.tests import upstream_side
 from topazring.core.synchronous.tests import world as worlds
 
 Verb = statements.Verb
@@ -37,6 +38,17 @@
 )
 # Sessions whose requests come from other proxies, which are lost.
 THROUGH_ENTRIES = (*ACTIONS, ('lose_entry', 2))
+# Members are replaced one after the other, while some receive nothing.
+CALM = frozenset(
+    {'begin_again', 'dark', 'duty', 'restart', 'lapse', 'freeze', 'release'}
+)
+RELEASES = tuple(
+    (name, 3 if name == 'deaf' else weight)
+    for name, weight in ACTIONS
+    if name not in CALM
+) + (('replace_in_turn', 2),)
+# The longest that the users' upstreams take.
+SLOW_PROMOTE_MS = 1000
 # A process that ended takes longer to be back than a promotion.
 RESTART_MS = 400
 # A leaving upstream goes on for so long after it said so.
@@ -46,11 +58,14 @@
 
 
 def walk(
-    seed: int, steps: int, actions: tuple[tuple[str, int], ...] = ACTIONS
+    seed: int,
+    steps: int,
+    actions: tuple[tuple[str, int], ...] = ACTIONS,
+    promote_ms: int = upstream_side.PROMOTE_MS,
 ) -> worlds.World:
     """Walk at random; raise Violation when a promise is broken."""
     rng = random.Random(seed)
-    world = worlds.World(seed)
+    world = worlds.World(seed, promote_ms)
     world.run(300)
     for _ in range(6):
         world.open_session()
@@ -305,6 +320,43 @@
     world.at(SUCCEEDS_MS + DRAIN_MS, world.ends, member)
 
 
+@_action
+def _replace_in_turn(world: worlds.World, rng: random.Random) -> None:
+    """Replace several members; each leaves before the last one's end."""
+    if world.now_ms < world.replaced_until_ms:
+        return
+    staying = [
+        member
+        for member in world.members.values()
+        if member.listed and not member.leaving and not member.dark
+    ]
+    if not staying:
+        return
+    count = rng.choice((2, 2, 3))
+    gap_ms = rng.choice((500, 1000, 2000))
+    rng.shuffle(staying)
+    if rng.random() < 0.5:
+        staying.sort(key=lambda m: m.role is not statements.Role.PRIMARY)
+    for turn, member in enumerate(staying[:count]):
+        begins_ms = turn * gap_ms
+        leaves_ms = begins_ms + rng.choice((SUCCEEDS_MS, 1000))
+        world.at(begins_ms, _come, world)
+        world.at(leaves_ms, _if_there, world, world.leaves, member)
+        ends_ms = leaves_ms + DRAIN_MS
+        world.at(ends_ms, _if_there, world, world.ends, member)
+    in_all_ms = count * gap_ms + DRAIN_MS + 1500
+    world.replaced_until_ms = world.now_ms + in_all_ms
+
+
+def _come(world: worlds.World) -> None:
+    world.come(f'u{next(world.newcomers)}')
+
+
+def _if_there(world: worlds.World, step, member: fake_group.Member) -> None:
+    if world.members.get(member.name) is member:
+        step(member)
+
+
 @_action
 def _lapse(world: worlds.World, rng: random.Random) -> None:
     """Have the entry of a dark upstream lapse."""
--- a/topazring/core/synchronous/tests/world.py
+++ b/topazring/core/synchronous/tests/world.py
@@ -40,8 +40,9 @@
 class World(upstream_side.UpstreamSide, simulated_time.SimulatedTime):
     """Hold proxies, upstreams, what is under way, and the oracle."""
 
-    def __init__(self, seed: int):
+    def __init__(self, seed: int, promote_ms: int = upstream_side.PROMOTE_MS):
         super().__init__(now_ms=1000)
+        self.promote_ms = promote_ms
         self.rng = random.Random(seed)
         self.keys = itertools.count(1)
         self.oracle = oracles.Oracle()
@@ -67,6 +68,8 @@
         self.signatures = itertools.count(1)
         # Numbers of upstreams that come later.
         self.newcomers = itertools.count(len(UPSTREAMS) + 1)
+        # Until then members are replaced one after the other.
+        self.replaced_until_ms = 0.0
         self.trace: list[str] = []
         for proxy in PROXIES:
             self.states[proxy] = states.make_group('s', 'dc', states.Limits())
