Read the list of upstreams anew before a promotion is ordered

Cause: a replica that one proxy had known for 300 ms and more may vouch for a write, and the promoter had not heard of it: it was not paused, not asked, and a log without the write was chosen. What the promoter knows is as old as the last news that reached it. The demotion of a primary whose replicas do not follow rests on the same: what it holds beyond the listed ones was taken for unconfirmed.

A promoter that can read no list for its whole time leaves the duty to another. Costs no time where the store answers: members take as long to be paused.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -18,17 +18,24 @@
     'choose',
     'forget_member',
     'forget_reports',
+    'has_list',
     'is_blocked',
     'is_fresh',
     'members',
     'paused_at',
     'receives',
     'take_report',
+    'wants_list',
 ]
 
 # A replica that restarts is paused no more, and confirms again. So what it
 # reported counts for this long; it is asked again while others are awaited.
 FRESH_MS = 100
+# A new replica's word counts for an acknowledgement once it has been listed
+# for 300 ms, and a member that is asked after that is not paused. So a list
+# that is no older when the order goes out names it; reading it takes a third
+# of that at most.
+LIST_MS = 200
 # What a primary held so long before it was last heard counts as
 # acknowledged: replicas receive within milliseconds.
 SETTLED_MS = 1000
@@ -63,6 +70,9 @@
     replaced: set[str] = dataclasses.field(default_factory=set)
     # Members whose first answer to a pause was logged.
     told_paused: set[str] = dataclasses.field(default_factory=set)
+    # The list of upstreams is being read anew; when it last was.
+    reading_list: bool = False
+    list_read_ms: int | None = None
     chosen: str = ''
     # What the chosen one had received when it was chosen.
     chosen_place: places.Place = places.ORIGIN
@@ -152,6 +162,17 @@
     return attempt.reports[name].received
 
 
+def wants_list(attempt: Attempt, now_ms: int) -> bool:
+    """Say whether the list of upstreams has to be read anew."""
+    return not attempt.reading_list and not has_list(attempt, now_ms)
+
+
+def has_list(attempt: Attempt, now_ms: int) -> bool:
+    """Say whether all are known who may vouch for an acknowledged write."""
+    read_ms = attempt.list_read_ms
+    return read_ms is not None and now_ms - read_ms <= LIST_MS
+
+
 def receives(state: states.GroupState, now_ms: int, attempt: Attempt) -> bool:
     """Say whether some replica has what the primary held a moment ago.
 
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -121,6 +121,13 @@
     return promotion.ordered(state, now_ms, message)
 
 
+@_handles(messages.ListRead)
+def _list_read(
+    state: states.GroupState, now_ms: int, message: messages.ListRead
+) -> list:
+    return promotion.list_read(state, now_ms, message)
+
+
 @_handles(messages.Opened)
 def _opened(
     state: states.GroupState, now_ms: int, message: messages.Opened
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -17,13 +17,15 @@
     'DutySeen',
     'Freshness',
     'InstancesSeen',
+    'ListRead',
     'Listed',
     'Open',
     'Opened',
     'Order',
-    'Ordered',
     'OrderResult',
+    'Ordered',
     'Policy',
+    'ReadList',
     'Replied',
     'Request',
     'Send',
@@ -206,6 +208,15 @@
     UNANSWERED = 'unanswered'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListRead:
+    """Report that the list was read anew, and its news were told before."""
+
+    token: int
+    # False if neither the platform's service nor a peer answered.
+    complete: bool = True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ordered:
     """Report what became of an order to promote."""
@@ -270,6 +281,13 @@
     token: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadList:
+    """Read anew which upstreams are listed; `ListRead` follows the news."""
+
+    token: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class YieldDuty:
     """Let another proxy have the duty: this one cannot reach the group."""
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -28,7 +28,7 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 
-__all__ = ['finish', 'go_on', 'ordered', 'tick']
+__all__ = ['finish', 'go_on', 'list_read', 'ordered', 'tick']
 
 # A promotion takes some hundred ms after the order. One that shows nothing
 # for so long failed, and the group is looked at anew.
@@ -139,7 +139,8 @@
         return ended
     if attempt.chosen:
         return _stand_by(state, now_ms, attempt)
-    outs = asking.ask(state, now_ms, attempt)
+    outs = _read_list(now_ms, attempt)
+    outs += asking.ask(state, now_ms, attempt)
     chosen = attempts.choose(state, now_ms, attempt)
     if not chosen:
         return outs
@@ -152,6 +153,33 @@
     return outs + _order(state, now_ms, attempt, chosen)
 
 
+def _read_list(now_ms: int, attempt: attempts.Attempt) -> list:
+    """Have the list read anew while the members are paused.
+
+    A replica that this proxy does not know yet may be the only one that holds
+    an acknowledged write: others knew it and asked it.
+    """
+    if attempt.looking or not attempts.wants_list(attempt, now_ms):
+        return []
+    attempt.reading_list = True
+    return [messages.ReadList(attempt.token)]
+
+
+def list_read(
+    state: states.GroupState, now_ms: int, message: messages.ListRead
+) -> list:
+    """Take in that all who are listed are known."""
+    attempt = state.promotion
+    if attempt is None or attempt.token != message.token:
+        return []
+    attempt.reading_list = False
+    if not message.complete:
+        # Asked again at the next tick.
+        return []
+    attempt.list_read_ms = now_ms
+    return go_on(state, now_ms, attempt)
+
+
 def _stand_by(
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
@@ -311,9 +339,13 @@
         },
     )
     outs: list = [decided, *asking.resume(state, now_ms)]
-    if how == 'nobody may follow' and not _heard_any(attempt):
-        # On the wrong side of a partition: another may reach the replicas.
+    if how != 'nobody may follow':
+        return outs
+    # On the wrong side of a partition: another may reach them.
+    if not _heard_any(attempt):
         outs.append(messages.YieldDuty('no replica can be reached'))
+    elif attempt.list_read_ms is None and not attempt.looking:
+        outs.append(messages.YieldDuty('the list cannot be read'))
     return outs
 
 
@@ -328,6 +360,8 @@
     attempt: attempts.Attempt,
     chosen: str,
 ) -> list:
+    if not attempts.has_list(attempt, now_ms):
+        return []
     attempt.chosen = chosen
     attempt.chosen_place = attempt.reports[chosen].received
     attempt.ordered_ms = now_ms
@@ -355,9 +389,14 @@
 def _repeat_order(
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
-    """Send the order again that got no answer: same upstream, same token."""
+    """Send the order again that got no answer: same upstream, same token.
+
+    The chosen one may have begun again meanwhile, empty.
+    """
     if attempt.accepted or attempt.ordering:
         return []
+    if not attempts.has_list(attempt, now_ms):
+        return _read_list(now_ms, attempt)
     attempt.ordering = True
     return [messages.Order(attempt.chosen, attempt.token)]
 
--- a/topazring/core/synchronous/tests/support.py
+++ b/topazring/core/synchronous/tests/support.py
@@ -31,6 +31,8 @@
         self.state.began_ms = 0
         self.keys = itertools.count(1)
         self.outs: list = []
+        # Nothing that is listed is news to this proxy.
+        self.reads_list = True
 
     def post(self, message: object) -> list:
         """Give the core a message; return what it said to that."""
@@ -39,6 +41,9 @@
         if broken:
             raise AssertionError(f'after {message}: {broken}')
         self.outs += outs
+        for out in outs:
+            if isinstance(out, messages.ReadList) and self.reads_list:
+                return outs + self.post(messages.ListRead(out.token))
         return outs
 
     def tick(self, after_ms: int, paused_ms: int = 0) -> list:
--- a/topazring/core/synchronous/tests/world.py
+++ b/topazring/core/synchronous/tests/world.py
@@ -30,6 +30,8 @@
 TICK_MS = 20
 # All proxies see that the duty is free, and one gains it.
 GAIN_MS = 150
+# Reading the list anew, the longest answer included.
+LIST_READ_MS = 10
 POLICIES = (
     messages.Policy('exact', 's', messages.Freshness.PRIMARY, 0, 600),
     messages.Policy('bounded', 's', messages.Freshness.BOUNDED, 500, 900),
@@ -143,11 +145,18 @@
                 self.take_answer(proxy, out)
             case messages.Order():
                 self.order_promotion(proxy, out)
+            case messages.ReadList():
+                self.at(self.delay(), self.read_list, proxy, out)
             case messages.YieldDuty():
                 self.at(GAIN_MS, self.gain_duty_after, proxy)
             case messages.Decided():
                 self.note(f'{proxy} {out.what} {dict(out.inputs)}')
 
+    def read_list(self, proxy: str, out: messages.ReadList) -> None:
+        """Tell a proxy what is listed now; the answer takes its time."""
+        self.at(self.delay(), self.tell_list, proxy, self.listed())
+        self.at(LIST_READ_MS, self.post, proxy, messages.ListRead(out.token))
+
     def delay(self) -> float:
         """Return how long a message takes."""
         return self.rng.choice((0.5, 1, 1, 2, 9))
@@ -169,9 +178,18 @@
         if proxy == self.holder:
             self.post(proxy, messages.DutySeen(True, self.next_block))
 
-    def tell_list(self, proxy: str) -> None:
-        """Tell a proxy what the platform lists."""
-        listed = tuple(
+    def tell_list(
+        self,
+        proxy: str,
+        listed: tuple[messages.Listed, ...] | None = None,
+    ) -> None:
+        """Tell a proxy what the platform lists, now or when it was read."""
+        listed = self.listed() if listed is None else listed
+        self.post(proxy, messages.UpstreamsSeen(listed))
+
+    def listed(self) -> tuple[messages.Listed, ...]:
+        """Return what the platform lists."""
+        return tuple(
             messages.Listed(
                 member.name,
                 member.name,
@@ -184,7 +202,6 @@
             for member in self.members.values()
             if member.listed
         )
-        self.post(proxy, messages.UpstreamsSeen(listed))
 
     # ---- connections ----
 
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -33,6 +33,9 @@
 # Of those that the store turns away, a third of a fleet at the worst, all
 # three are asked in one case of thirty.
 ASKED_PEERS = 3
+# A promotion waits for what is listed by now: the service and peers answer in
+# milliseconds, and each has so long.
+CATCH_UP_S = 0.1
 
 
 class ProxyValue(msgspec.Struct):
@@ -209,6 +212,31 @@
             )
         return answer
 
+    async def catch_up(self) -> bool:
+        """Learn what has changed by now; say whether anyone told it.
+
+        Peers are asked where the service does not answer in time.
+        """
+        if self.away_since_ms is None:
+            try:
+                async with asyncio.timeout(CATCH_UP_S):
+                    if await self._read_changes():
+                        return True
+            except TimeoutError:
+                self.log.emit('directory', 'slow to catch up')
+        return await self.ask_peers(CATCH_UP_S)
+
+    async def _read_changes(self) -> bool:
+        """Read what is new without waiting; say whether it is known."""
+        answer = await self.adapter.store.changes(
+            EVERYTHING, self.known.seen, 0
+        )
+        if isinstance(answer, key_value.HistoryLost):
+            answer = await self._read_everything()
+        elif isinstance(answer, key_value.Changes):
+            self._take(answer.changes, answer.upto)
+        return isinstance(answer, key_value.Changes)
+
     async def ask_peers(
         self, within_s: float, count: int = ASKED_PEERS
     ) -> bool:
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -67,6 +67,8 @@
         self.doubt_duty = None
         # Says, right before an order, whether the duty is still ours.
         self.may_order = None
+        # Reads anew what is listed, and tells what has changed.
+        self.read_list = None
         # Called when another proxy should have the duty.
         self.yield_duty = None
 
@@ -165,6 +167,8 @@
                     link.close()
             case messages.Order():
                 self._spawn(self._order(out))
+            case messages.ReadList():
+                self._spawn(self._read_list(out))
             case messages.YieldDuty():
                 if self.yield_duty:
                     self.yield_duty(out.why)
@@ -211,6 +215,10 @@
         if result is messages.OrderResult.REFUSED and self.doubt_duty:
             self.doubt_duty()
 
+    async def _read_list(self, out: messages.ReadList) -> None:
+        told = self.read_list is None or await self.read_list()
+        self.post(messages.ListRead(out.token, told))
+
     async def _tick_forever(self) -> None:
         before_ms = clock.suspended_ms()
         while True:
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -242,6 +242,7 @@
         )
         group.doubt_duty = self.duty.doubt
         group.may_order = self.duty.may_order
+        group.read_list = self.directory.catch_up
         group.yield_duty = self.duty.yield_to_another
         self.groups[service] = group
         group.start()
