Acknowledge during a hand-over only what all unpaused members hold

While a primary leaves, every reached member that is not paused has to hold the write, the heir among them; a proxy that gave the order itself asks for its chosen one. The new test failed before (Done).

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -20,11 +20,11 @@
 
 Neither counts while a member says that it is paused for a later term: then
 somebody is replacing the primary, and may have chosen already. While a leaving
-primary hands over the others are paused by design, and the word of a member
-that vouches counts: its heir goes on receiving, and is ordered only once it
-holds what the paused ones hold. Nor does either count while another is named
-as the primary, or was named and is gone: the one that is believed to lead goes
-on until it learns of that.
+primary hands over the others are paused by design, and all that are reached
+and not paused have to hold the write: its heir is among them. Whoever ordered
+a successor itself knows which one has to. Nothing counts while another is
+named as the primary, or was named and is gone: the one that is believed to
+lead goes on until it learns of that.
 """
 
 from topazring.core import places
@@ -74,7 +74,9 @@
 
 
 def is_sound(
-    state: states.GroupState, confirmation: known_places.Confirmation
+    state: states.GroupState,
+    now_ms: int,
+    confirmation: known_places.Confirmation,
 ) -> bool:
     """Say whether a confirmed write survives the loss of its primary."""
     listed = state.primary in state.upstreams
@@ -85,12 +87,16 @@
     if not states.others(state):
         # Nobody is listed who could be promoted.
         return True
-    paused = _is_any_paused(state, confirmation)
-    if paused and not state.upstreams[state.primary].leaving:
+    chosen = _ordered_successor(state)
+    if chosen is not None:
+        return _holds(chosen, confirmation)
+    if state.upstreams[state.primary].leaving:
+        return _heir_holds(state, now_ms, confirmation)
+    if _is_any_paused(state, confirmation):
         return False
     if any(_holds(u, confirmation) for u in _vouching(state)):
         return True
-    return not paused and _is_known_to_hold(state, confirmation)
+    return _is_known_to_hold(state, confirmation)
 
 
 def _is_outdated(
@@ -115,6 +121,36 @@
     )
 
 
+def _ordered_successor(state: states.GroupState) -> states.Upstream | None:
+    """Return the member that this proxy has ordered to lead, if any."""
+    attempt = state.promotion
+    if attempt is None or not attempt.chosen:
+        return None
+    return state.upstreams.get(attempt.chosen)
+
+
+def _heir_holds(
+    state: states.GroupState,
+    now_ms: int,
+    confirmation: known_places.Confirmation,
+) -> bool:
+    """Say whether the successor of a leaving primary holds a write.
+
+    Which member that is only the promoter knows; it is not paused. One that
+    restarted is not either, and the successor is not held to its log.
+    """
+    if confirmation.place is None:
+        return False
+    term = confirmation.place.log_term
+    unpaused = [
+        upstream
+        for upstream in witnesses(state)
+        if upstream.held_term <= term
+        and not proofs.is_unreached(state, now_ms, upstream)
+    ]
+    return bool(unpaused) and all(_holds(u, confirmation) for u in unpaused)
+
+
 def _is_known_to_hold(
     state: states.GroupState, confirmation: known_places.Confirmation
 ) -> bool:
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -158,7 +158,7 @@
     upstream = state.upstreams.get(connection.upstream)
     if upstream is not None:
         upstream.confirmed_ms = now_ms
-    if confirmations.is_sound(state, confirmation):
+    if confirmations.is_sound(state, now_ms, confirmation):
         return _acknowledge(state, now_ms, work, confirmation, outcome)
     work.confirmation = confirmation
     state.counters['write_held'] += 1
@@ -239,7 +239,7 @@
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
     confirmation = work.confirmation
-    if not confirmations.is_sound(state, confirmation):
+    if not confirmations.is_sound(state, now_ms, confirmation):
         return []
     state.held.discard(work.request.key)
     return _acknowledge(state, now_ms, work, confirmation, work.ready)
--- a/topazring/core/synchronous/tests/test_confirmations.py
+++ b/topazring/core/synchronous/tests/test_confirmations.py
@@ -238,9 +238,10 @@
         key, _ = driver.submit(verb=WRITE)
         test_isolation.play(driver, 20, 'u1', 'u2', 'u3')
         confirm(driver, key)
-        proving.answer_looks(
-            driver, 'u3', received=WITHOUT, term=1, held_term=2
-        )
+        for name in ('u3', 'u4'):
+            proving.answer_looks(
+                driver, name, received=WITHOUT, term=1, held_term=2
+            )
         outs = proving.answer_looks(
             driver, 'u2', received=WITH, term=1, held_term=0
         )
--- a/topazring/core/synchronous/tests/test_newcomers.py
+++ b/topazring/core/synchronous/tests/test_newcomers.py
@@ -127,6 +127,19 @@
         outcome = support.answers(driver.outs).get(self.key)
         self.assertNotIsInstance(outcome, outcomes.Done)
 
+    def test_member_whose_pause_ended_with_its_restart(self):
+        """Guards against the word of one that the heir was not held to."""
+        driver = self.confirmed(held_term=0)
+        for _ in range(5):
+            driver.tick(20)
+            said = {'received': WITHOUT, 'term': 1, 'held_term': 0}
+            proving.answer_looks(driver, 'u2', **said)
+            said = {'received': WITH, 'term': 1, 'held_term': 0}
+            proving.answer_looks(driver, 'u3', **said)
+            proving.answer_looks(driver, 'u4', received=WITHOUT, term=1)
+        outcome = support.answers(driver.outs).get(self.key)
+        self.assertNotIsInstance(outcome, outcomes.Done)
+
     def test_heir_that_holds_it(self):
         """Guards against writes that stand still during a hand-over."""
         driver = self.confirmed(held_term=0, received=WITH)
