Split the order and the end of a promotion from its steps

An order that finds its list too old asks for a new one by itself now: a demoted primary that was to lead again could wait for one that nobody had asked for.

--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -19,6 +19,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import promotion
+from topazring.core.synchronous import promotion_order
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import prospects
 from topazring.core.synchronous import questions
@@ -118,7 +119,7 @@
 def _ordered(
     state: states.GroupState, now_ms: int, message: messages.Ordered
 ) -> list:
-    return promotion.ordered(state, now_ms, message)
+    return promotion_order.ordered(state, now_ms, message)
 
 
 @_handles(messages.ListRead)
--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -5,6 +5,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import promotion
+from topazring.core.synchronous import promotion_end
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -70,7 +71,9 @@
             connection.sent_ms,
             report,
         )
-        return outs + promotion.finish(state, now_ms, attempt, 'another leads')
+        return outs + promotion_end.finish(
+            state, now_ms, attempt, 'another leads'
+        )
     if report.held_term < attempt.term:
         # A term was newer than any that had been seen: it is not paused.
         attempt.term = state.term + 1
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -25,18 +25,16 @@
 from topazring.core.synchronous import evidence
 from topazring.core.synchronous import known_places
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import promotion_end
+from topazring.core.synchronous import promotion_order
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 
-__all__ = ['finish', 'go_on', 'list_read', 'ordered', 'tick']
+__all__ = ['go_on', 'list_read', 'tick']
 
 # A promotion takes some hundred ms after the order. One that shows nothing
 # for so long failed, and the group is looked at anew.
 LEAD_MS = 3000
-# Pause before the next attempt after one that was broken off.
-PAUSE_MS = 300
-# After these the next attempt begins at once.
-AT_ONCE = frozenset({'succeeded', 'overtaken', 'lost meanwhile'})
 # A paused replica confirms nothing. If the primary lives after all, writes
 # stand still meanwhile, so an attempt that cannot choose lets go again.
 CHOOSE_MS = 800
@@ -139,30 +137,22 @@
         return ended
     if attempt.chosen:
         return _stand_by(state, now_ms, attempt)
-    outs = _read_list(now_ms, attempt)
+    outs = promotion_order.read_list(now_ms, attempt)
     outs += asking.ask(state, now_ms, attempt)
     chosen = attempts.choose(state, now_ms, attempt)
     if not chosen:
         return outs
     if attempt.looking and attempts.receives(state, now_ms, attempt):
-        return outs + finish(state, now_ms, attempt, 'replicas receive')
+        return outs + promotion_end.finish(
+            state, now_ms, attempt, 'replicas receive'
+        )
     if attempt.looking and chosen == attempt.old:
-        return outs + finish(state, now_ms, attempt, 'nobody may follow')
+        return outs + promotion_end.finish(
+            state, now_ms, attempt, 'nobody may follow'
+        )
     if attempt.looking:
         return outs + _stop_looking(state, now_ms, attempt)
-    return outs + _order(state, now_ms, attempt, chosen)
-
-
-def _read_list(now_ms: int, attempt: attempts.Attempt) -> list:
-    """Have the list read anew while the members are paused.
-
-    A replica that this proxy does not know yet may be the only one that holds
-    an acknowledged write: others knew it and asked it.
-    """
-    if attempt.looking or not attempts.wants_list(attempt, now_ms):
-        return []
-    attempt.reading_list = True
-    return [messages.ReadList(attempt.token)]
+    return outs + promotion_order.order(state, now_ms, attempt, chosen)
 
 
 def list_read(
@@ -190,8 +180,8 @@
     the order is still open, another upstream has to be chosen.
     """
     if not attempt.accepted and _is_overtaken(attempt):
-        return finish(state, now_ms, attempt, 'overtaken')
-    outs = _repeat_order(state, now_ms, attempt)
+        return promotion_end.finish(state, now_ms, attempt, 'overtaken')
+    outs = promotion_order.repeat(state, now_ms, attempt)
     if not attempt.unconfirmed:
         outs += asking.ask(state, now_ms, attempt)
     return outs
@@ -238,7 +228,7 @@
             # An heir received more after it was chosen.
             state.start = known_places.Start(leads, attempt.chosen_place)
         state.successor_gone = False
-        return finish(state, now_ms, attempt, 'succeeded')
+        return promotion_end.finish(state, now_ms, attempt, 'succeeded')
     if attempt.successor_gone:
         return _lose_successor(state, now_ms, attempt)
     if attempt.chosen:
@@ -246,31 +236,39 @@
         # is one. Meanwhile all are paused, so a primary that is back
         # acknowledges nothing that the chosen one lacks.
         if attempt.accepted and now_ms - attempt.ordered_ms > LEAD_MS:
-            return finish(state, now_ms, attempt, 'nobody leads')
+            return promotion_end.finish(state, now_ms, attempt, 'nobody leads')
         return None
     if not attempt.heir and now_ms - attempt.began_ms > CHOOSE_MS:
         if attempt.unconfirmed and not attempt.looking:
             # It may have been demoted; the search for one that leads shows.
             state.primary = ''
             state.primary_lost_ms = attempt.began_ms
-        return finish(state, now_ms, attempt, 'nobody may follow')
+        return promotion_end.finish(
+            state, now_ms, attempt, 'nobody may follow'
+        )
     old = state.upstreams.get(attempt.old)
     if attempt.looking and old is not None:
         if evidence.silent(state, now_ms, old) is not None:
-            return finish(state, now_ms, attempt, 'lost meanwhile')
+            return promotion_end.finish(
+                state, now_ms, attempt, 'lost meanwhile'
+            )
     if attempt.heir:
         if old is None or evidence.judge(state, now_ms) is not None:
-            return finish(state, now_ms, attempt, 'lost meanwhile')
+            return promotion_end.finish(
+                state, now_ms, attempt, 'lost meanwhile'
+            )
         return _unblock(state, now_ms, attempt)
     if old is None:
         if attempt.unconfirmed:
-            return finish(state, now_ms, attempt, 'lost meanwhile')
+            return promotion_end.finish(
+                state, now_ms, attempt, 'lost meanwhile'
+            )
         return None
     alive = old.heard_ms > attempt.began_ms
     if attempt.unconfirmed:
         alive = old.confirmed_ms > attempt.began_ms
     if alive and leads == attempt.old:
-        return finish(state, now_ms, attempt, 'it is back')
+        return promotion_end.finish(state, now_ms, attempt, 'it is back')
     return None
 
 
@@ -285,7 +283,7 @@
     """
     if attempt.chosen:
         confirmations.lose_successor(state, now_ms)
-    return finish(state, now_ms, attempt, 'lost meanwhile')
+    return promotion_end.finish(state, now_ms, attempt, 'lost meanwhile')
 
 
 def _unblock(
@@ -312,127 +310,5 @@
         return None
     if attempts.is_fresh(attempt, now_ms, attempt.old):
         # Its heir did not get all that it holds: it has to lead again.
-        return _order(state, now_ms, attempt, attempt.old)
-    return finish(state, now_ms, attempt, 'lost meanwhile')
-
-
-def finish(
-    state: states.GroupState, now_ms: int, attempt: attempts.Attempt, how: str
-) -> list:
-    """End an attempt; resume who was paused."""
-    state.promotion = None
-    state.next_promotion_ms = now_ms
-    if attempt.looking:
-        state.looked_ms = now_ms
-    if how not in AT_ONCE:
-        state.next_promotion_ms += PAUSE_MS
-    state.counters['promotion_' + how.replace(' ', '_')] += 1
-    decided = messages.Decided(
-        'promotion ended',
-        inputs={
-            'how': how,
-            'old': attempt.old,
-            'chosen': attempt.chosen,
-            'acknowledged': str(state.acknowledged),
-            'primary': state.primary,
-            'took_ms': now_ms - attempt.began_ms,
-        },
-    )
-    outs: list = [decided, *asking.resume(state, now_ms)]
-    if how != 'nobody may follow':
-        return outs
-    # On the wrong side of a partition: another may reach them.
-    if not _heard_any(attempt):
-        outs.append(messages.YieldDuty('no replica can be reached'))
-    elif attempt.list_read_ms is None and not attempt.looking:
-        outs.append(messages.YieldDuty('the list cannot be read'))
-    return outs
-
-
-def _heard_any(attempt: attempts.Attempt) -> bool:
-    """Say whether any member but the old primary answered."""
-    return any(name != attempt.old for name in attempt.reports)
-
-
-def _order(
-    state: states.GroupState,
-    now_ms: int,
-    attempt: attempts.Attempt,
-    chosen: str,
-) -> list:
-    if not attempts.has_list(attempt, now_ms):
-        return []
-    attempt.chosen = chosen
-    attempt.chosen_place = attempt.reports[chosen].received
-    attempt.ordered_ms = now_ms
-    attempt.ordering = True
-    decided = messages.Decided(
-        'promotion ordered',
-        inputs={
-            'old': attempt.old,
-            'chosen': chosen,
-            'token': attempt.token,
-            'places': {
-                name: str(report.received)
-                for name, report in attempt.reports.items()
-            },
-            'listed_for_ms': {
-                name: now_ms - upstream.come_ms
-                for name, upstream in state.upstreams.items()
-            },
-            'after_ms': now_ms - attempt.began_ms,
-        },
-    )
-    return [decided, messages.Order(chosen, attempt.token)]
-
-
-def _repeat_order(
-    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
-) -> list:
-    """Send the order again that got no answer: same upstream, same token.
-
-    The chosen one may have begun again meanwhile, empty.
-    """
-    if attempt.accepted or attempt.ordering:
-        return []
-    if not attempts.has_list(attempt, now_ms):
-        return _read_list(now_ms, attempt)
-    attempt.ordering = True
-    return [messages.Order(attempt.chosen, attempt.token)]
-
-
-def ordered(
-    state: states.GroupState, now_ms: int, message: messages.Ordered
-) -> list:
-    """Take in the platform's answer to an order."""
-    attempt = state.promotion
-    if message.token == state.fence_token:
-        return duty.fenced(state, message)
-    if attempt is None or attempt.token != message.token:
-        return []
-    match message.result:
-        case messages.OrderResult.ACCEPTED:
-            return _accepted(state, now_ms, attempt)
-        case messages.OrderResult.UNANSWERED:
-            attempt.ordering = False
-            return _repeat_order(state, now_ms, attempt)
-        case messages.OrderResult.REFUSED:
-            # Until the platform's service confirms the duty again, another
-            # may hold it.
-            state.holds_duty = False
-            return finish(state, now_ms, attempt, 'refused')
-
-
-def _accepted(
-    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
-) -> list:
-    attempt.accepted = True
-    # This order's token outdoes all earlier ones as well.
-    state.unfenced = False
-    old = state.upstreams.get(attempt.old)
-    if state.primary == attempt.old:
-        state.primary = ''
-        state.primary_lost_ms = now_ms
-    if old is not None:
-        old.refuted_ms = now_ms
-    return []
+        return promotion_order.order(state, now_ms, attempt, attempt.old)
+    return promotion_end.finish(state, now_ms, attempt, 'lost meanwhile')
--- /dev/null
+++ b/topazring/core/synchronous/promotion_end.py
@@ -0,0 +1,51 @@
+"""End an attempt to replace a primary."""
+
+from topazring.core.synchronous import asking
+from topazring.core.synchronous import attempts
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+
+__all__ = ['finish']
+
+# Pause before the next attempt after one that was broken off.
+PAUSE_MS = 300
+# After these the next attempt begins at once.
+AT_ONCE = frozenset({'succeeded', 'overtaken', 'lost meanwhile'})
+
+
+def finish(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt, how: str
+) -> list:
+    """End an attempt; resume who was paused."""
+    state.promotion = None
+    state.next_promotion_ms = now_ms
+    if attempt.looking:
+        state.looked_ms = now_ms
+    if how not in AT_ONCE:
+        state.next_promotion_ms += PAUSE_MS
+    state.counters['promotion_' + how.replace(' ', '_')] += 1
+    decided = messages.Decided(
+        'promotion ended',
+        inputs={
+            'how': how,
+            'old': attempt.old,
+            'chosen': attempt.chosen,
+            'acknowledged': str(state.acknowledged),
+            'primary': state.primary,
+            'took_ms': now_ms - attempt.began_ms,
+        },
+    )
+    outs: list = [decided, *asking.resume(state, now_ms)]
+    if how != 'nobody may follow':
+        return outs
+    # On the wrong side of a partition: another may reach them.
+    if not _heard_any(attempt):
+        outs.append(messages.YieldDuty('no replica can be reached'))
+    elif attempt.list_read_ms is None and not attempt.looking:
+        outs.append(messages.YieldDuty('the list cannot be read'))
+    return outs
+
+
+def _heard_any(attempt: attempts.Attempt) -> bool:
+    """Say whether any member but the old primary answered."""
+    return any(name != attempt.old for name in attempt.reports)
--- /dev/null
+++ b/topazring/core/synchronous/promotion_order.py
@@ -0,0 +1,109 @@
+"""Order the successor of a primary, and take in the platform's answers.
+
+An order goes out only on a list of upstreams that has just been read.
+"""
+
+from topazring.core.synchronous import attempts
+from topazring.core.synchronous import duty
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import promotion_end
+from topazring.core.synchronous import state as states
+
+__all__ = ['order', 'ordered', 'read_list', 'repeat']
+
+
+def read_list(now_ms: int, attempt: attempts.Attempt) -> list:
+    """Have the list read anew while the members are paused.
+
+    A replica that this proxy does not know yet may be the only one that holds
+    an acknowledged write: others knew it and asked it.
+    """
+    if attempt.looking or not attempts.wants_list(attempt, now_ms):
+        return []
+    attempt.reading_list = True
+    return [messages.ReadList(attempt.token)]
+
+
+def order(
+    state: states.GroupState,
+    now_ms: int,
+    attempt: attempts.Attempt,
+    chosen: str,
+) -> list:
+    """Order a member to lead, on a list of upstreams that is young enough."""
+    if not attempts.has_list(attempt, now_ms):
+        return read_list(now_ms, attempt)
+    attempt.chosen = chosen
+    attempt.chosen_place = attempt.reports[chosen].received
+    attempt.ordered_ms = now_ms
+    attempt.ordering = True
+    decided = messages.Decided(
+        'promotion ordered',
+        inputs={
+            'old': attempt.old,
+            'chosen': chosen,
+            'token': attempt.token,
+            'places': {
+                name: str(report.received)
+                for name, report in attempt.reports.items()
+            },
+            'listed_for_ms': {
+                name: now_ms - upstream.come_ms
+                for name, upstream in state.upstreams.items()
+            },
+            'after_ms': now_ms - attempt.began_ms,
+        },
+    )
+    return [decided, messages.Order(chosen, attempt.token)]
+
+
+def repeat(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list:
+    """Send the order again that got no answer: same upstream, same token.
+
+    The chosen one may have begun again meanwhile, empty.
+    """
+    if attempt.accepted or attempt.ordering:
+        return []
+    if not attempts.has_list(attempt, now_ms):
+        return read_list(now_ms, attempt)
+    attempt.ordering = True
+    return [messages.Order(attempt.chosen, attempt.token)]
+
+
+def ordered(
+    state: states.GroupState, now_ms: int, message: messages.Ordered
+) -> list:
+    """Take in the platform's answer to an order."""
+    attempt = state.promotion
+    if message.token == state.fence_token:
+        return duty.fenced(state, message)
+    if attempt is None or attempt.token != message.token:
+        return []
+    match message.result:
+        case messages.OrderResult.ACCEPTED:
+            return _accepted(state, now_ms, attempt)
+        case messages.OrderResult.UNANSWERED:
+            attempt.ordering = False
+            return repeat(state, now_ms, attempt)
+        case messages.OrderResult.REFUSED:
+            # Until the platform's service confirms the duty again, another
+            # may hold it.
+            state.holds_duty = False
+            return promotion_end.finish(state, now_ms, attempt, 'refused')
+
+
+def _accepted(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list:
+    attempt.accepted = True
+    # This order's token outdoes all earlier ones as well.
+    state.unfenced = False
+    old = state.upstreams.get(attempt.old)
+    if state.primary == attempt.old:
+        state.primary = ''
+        state.primary_lost_ms = now_ms
+    if old is not None:
+        old.refuted_ms = now_ms
+    return []
