--- a/topazring/core/synchronous/tests/test_newcomers.py
+++ b/topazring/core/synchronous/tests/test_newcomers.py
@@ -3,6 +3,8 @@
 import testtools
 
 from topazring.core import outcomes
+from topazring.core.synchronous import messages
+from topazring.core.synchronous.tests import failing
 from topazring.core.synchronous.tests import proving
 from topazring.core.synchronous.tests import support
 from topazring.core.synchronous.tests import test_confirmations
@@ -147,6 +149,64 @@
         self.assertIsInstance(outcome, outcomes.Done)
 
 
+class PromoterTest(testtools.TestCase):
+    """Whoever promotes asks all that are listed by then."""
+
+    def lost(self) -> support.Driver:
+        """Lose the primary; the list is read when the test says so."""
+        driver = failing.holder()
+        driver.reads_list = False
+        failing.lose_primary(driver)
+        return driver
+
+    def token(self, driver: support.Driver) -> int:
+        """Return the token of the attempt."""
+        return driver.state.promotion.token
+
+    def test_nobody_is_ordered_before_the_list_is_read(self):
+        """Guards against a choice among those that were known before."""
+        driver = self.lost()
+        outs = failing.answer_controls(driver)
+        self.assertEqual([], support.orders(outs))
+        outs = driver.post(messages.ListRead(self.token(driver)))
+        self.assertEqual(1, len(support.orders(outs)))
+
+    def test_newcomer_that_alone_holds_a_write_is_chosen(self):
+        """Guards against passing over one that others knew for long."""
+        driver = self.lost()
+        failing.answer_controls(driver)
+        driver.list_upstreams(primary='', names=FOUR, revision=2)
+        driver.open_all()
+        outs = driver.post(messages.ListRead(self.token(driver)))
+        self.assertEqual([], support.orders(outs))
+        outs = failing.answer_controls(driver, u4=WITH)
+        (order,) = support.orders(outs)
+        self.assertEqual('u4', order.upstream)
+
+    def test_list_that_nobody_could_tell(self):
+        """Guards against an order by one that hears of nothing new."""
+        driver = self.lost()
+        failing.answer_controls(driver)
+        outs = driver.post(messages.ListRead(self.token(driver), False))
+        self.assertEqual([], support.orders(outs))
+        for _ in range(60):
+            outs += driver.tick(20) + failing.answer_controls(driver)
+        self.assertEqual([], support.orders(outs))
+        yields = [out for out in outs if isinstance(out, messages.YieldDuty)]
+        self.assertEqual('the list cannot be read', yields[0].why)
+
+    def test_order_is_repeated_only_on_a_new_list(self):
+        """Guards against ordering one that began again, empty, meanwhile."""
+        driver = self.lost()
+        failing.answer_controls(driver)
+        token = self.token(driver)
+        (order,) = support.orders(driver.post(messages.ListRead(token)))
+        driver.now_ms += 900
+        lost = messages.OrderResult.UNANSWERED
+        outs = driver.post(messages.Ordered(order.upstream, token, lost))
+        self.assertEqual([], support.orders(outs))
+
+
 class WalksTest(testtools.TestCase):
     """Members of a group are released one after the other, overlapping."""
 
--- a/topazring/pooler/tests/test_hearing.py
+++ b/topazring/pooler/tests/test_hearing.py
@@ -53,6 +53,45 @@
 
         self.play(steps)
 
+    def test_proxy_that_catches_up(self):
+        """Guards against a promotion by one that news have not reached."""
+
+        async def steps():
+            (hearer, *_) = self.fleet.hearers()
+            for follower in self.fleet.followers():
+                follower.frozen = True
+            await self.fleet.configure()
+            self.assertNotEqual(self.fleet.version, hearer.version)
+            self.assertTrue(await hearer.directory.catch_up())
+            self.assertEqual(self.fleet.version, hearer.version)
+
+        self.play(steps)
+
+    def test_proxy_that_cannot_catch_up(self):
+        """Guards against taking old news for new where nobody answers."""
+
+        async def steps():
+            (hearer, *_) = self.fleet.hearers()
+            hearer.client.away = True
+            for other in self.others([hearer]):
+                other.frozen = True
+            await self.fleet.configure()
+            self.assertFalse(await hearer.directory.catch_up())
+
+        self.play(steps)
+
+    def test_proxy_that_is_turned_away_catches_up_with_peers(self):
+        """Guards against waiting for a store that answers others."""
+
+        async def steps():
+            (hearer, *_) = self.fleet.hearers()
+            hearer.client.away = True
+            await self.fleet.configure()
+            await self.fleet.in_force(self.others([hearer]))
+            self.assertTrue(await hearer.directory.catch_up())
+
+        self.play(steps)
+
     def test_forgotten_history_is_read_anew_by_followers(self):
         """And what ended meanwhile is known to have ended everywhere."""
 
