Look at a line only if somebody takes from it

What costs: after each message every waiting request was offered to every upstream, and each looked at all connections anew; nothing of that can differ between two requests until one is served. Which upstreams serve reads and which have room is looked at once now, the primary's line is not gone over while it takes nobody, and only upstreams with room are ranked.

--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -35,46 +35,84 @@
     What proves the lead goes first: answers that are ready wait for it.
     """
     outs: list = questions.ask(state, now_ms)
-    for primary_only in (True, False):
-        for key in waiting.heads(state, primary_only):
-            work = state.work[key]
-            if work.not_before_ms > now_ms:
-                continue
-            if primary_only:
-                outs += _at_primary(state, now_ms, work)
-            else:
-                outs += _anywhere(state, now_ms, work)
+    outs += _serve_at_primary(state, now_ms)
+    return outs + _serve_anywhere(state, now_ms)
+
+
+def _serve_at_primary(state: states.GroupState, now_ms: int) -> list:
+    """Serve those for the primary for as long as it takes another."""
+    outs: list = []
+    if not waiting.is_any(state, True) or not _primary_takes(state, now_ms):
+        return outs
+    for key in waiting.heads(state, True):
+        work = state.work[key]
+        if work.not_before_ms > now_ms:
+            continue
+        outs += _start_at_primary(state, now_ms, work)
+        if not _primary_takes(state, now_ms):
+            return outs
+    return outs
+
+
+def _serve_anywhere(state: states.GroupState, now_ms: int) -> list:
+    """Serve those that any upstream may take that is fresh enough."""
+    outs: list = []
+    if not waiting.is_any(state, False):
+        return outs
+    room = None
+    for key in waiting.heads(state, False):
+        work = state.work[key]
+        if work.not_before_ms > now_ms:
+            continue
+        if room is None:
+            room = routing.look(state, now_ms)
+        done = _anywhere(state, now_ms, work, room)
+        if done:
+            # It took a connection, or others made way for it.
+            room = None
+            outs += done
     return outs
 
 
+def _primary_takes(state: states.GroupState, now_ms: int) -> bool:
+    """Say whether the primary takes another request, whichever it is."""
+    upstream = state.upstreams.get(state.primary)
+    if upstream is None or states.is_closed_to_work(upstream, now_ms):
+        return False
+    return routing.takes(state, now_ms, upstream)
+
+
 def _at_primary(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
-    upstream = state.upstreams.get(state.primary)
-    if upstream is None or states.is_closed_to_work(upstream, now_ms):
-        return []
-    if upstream.busy_until_ms > now_ms:
-        return []
-    if not pace.has_room(state, now_ms, upstream):
-        return []
-    connection = routing.best_connection(state, upstream.name, work.request)
-    if connection is None:
+    if not _primary_takes(state, now_ms):
         return []
+    return _start_at_primary(state, now_ms, work)
+
+
+def _start_at_primary(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> list:
+    connection = routing.best_connection(state, state.primary, work.request)
     return _start(state, now_ms, work, connection, None)
 
 
 def _anywhere(
-    state: states.GroupState, now_ms: int, work: states.Work
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    room: routing.Room,
 ) -> list:
     place = freshness.required_place(state, work.request)
     if place is None:
         return _move_to_primary(state, now_ms, work, 'no age is known')
-    among = routing.fresh_enough(state, now_ms, work, place)
+    among = routing.fresh_among(state, now_ms, work, place, room.readable)
     if not among:
         return _move_to_primary(state, now_ms, work, 'no replica will do')
-    chosen = routing.choose(state, now_ms, among, work)
-    if chosen is None:
+    free = [upstream for upstream in among if upstream.name in room.free]
+    if not free:
         return []
+    chosen = routing.choose_free(state, now_ms, free, work)
     return _start(state, now_ms, work, chosen, place)
 
 
--- a/topazring/core/synchronous/routing.py
+++ b/topazring/core/synchronous/routing.py
@@ -1,5 +1,7 @@
 """Choose the upstream, and the connection, that serves a request soonest."""
 
+import dataclasses
+
 from topazring.core import places
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import exchanges
@@ -9,10 +11,15 @@
 from topazring.core.synchronous import state as states
 
 __all__ = [
+    'Room',
     'best_connection',
     'candidates',
     'choose',
+    'choose_free',
+    'fresh_among',
     'fresh_enough',
+    'look',
+    'takes',
 ]
 
 # A read goes to another data centre, or to the primary, only if it is
@@ -46,32 +53,88 @@
     place: places.Place,
 ) -> list[states.Upstream]:
     """Return the upstreams that may serve a read that has to see a place."""
+    readable = _readable(state, now_ms)
+    return fresh_among(state, now_ms, work, place, readable)
+
+
+def fresh_among(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    place: places.Place,
+    readable: list[states.Upstream],
+) -> list[states.Upstream]:
+    """Return those of the readable upstreams that are fresh enough."""
     return [
         upstream
-        for upstream in state.upstreams.values()
-        if _may_serve(state, now_ms, work, upstream, place)
+        for upstream in readable
+        if upstream.name not in work.passed_over
+        and _has(state, now_ms, upstream, place)
     ]
 
 
-def _may_serve(
+def _has(
     state: states.GroupState,
     now_ms: int,
-    work: states.Work,
     upstream: states.Upstream,
     place: places.Place,
 ) -> bool:
-    if upstream.name in work.passed_over:
-        return False
+    """Say whether an upstream holds a place, as far as is known."""
+    if upstream.name == state.primary or upstream.place >= place:
+        return True
+    lacks = states.lacks_lately(upstream, now_ms)
+    return not (lacks and upstream.lacked <= place)
+
+
+def _readable(state: states.GroupState, now_ms: int) -> list[states.Upstream]:
+    """Return the upstreams that serve reads, whatever these have to see."""
+    return [
+        upstream
+        for upstream in state.upstreams.values()
+        if _is_readable(state, now_ms, upstream)
+    ]
+
+
+def _is_readable(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> bool:
     if upstream.leaving and upstream.name != state.primary:
         return False
     if states.is_closed_to_work(upstream, now_ms):
         return False
-    if not connections.is_held(state, upstream.name):
+    return connections.is_held(state, upstream.name)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """Hold what is the same for all that wait, until one is served."""
+
+    readable: list[states.Upstream]
+    # The names of those of them that take another request now.
+    free: frozenset[str]
+
+
+def look(state: states.GroupState, now_ms: int) -> Room:
+    """Return which upstreams serve reads, and which have room."""
+    readable = _readable(state, now_ms)
+    free = frozenset(
+        upstream.name
+        for upstream in readable
+        if takes(state, now_ms, upstream)
+    )
+    return Room(readable, free)
+
+
+def takes(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> bool:
+    """Say whether an upstream takes another request, whichever it is."""
+    if upstream.busy_until_ms > now_ms:
+        # Asked again at once it would refuse hundreds of times.
         return False
-    if upstream.place >= place or upstream.name == state.primary:
-        return True
-    lacks = states.lacks_lately(upstream, now_ms)
-    return not (lacks and upstream.lacked <= place)
+    if not states.idle_connections(state, upstream.name):
+        return False
+    return pace.has_room(state, now_ms, upstream)
 
 
 def choose(
@@ -81,24 +144,28 @@
     work: states.Work,
 ) -> states.Connection | None:
     """Return a free connection to the upstream expected to answer first."""
-    ranked = sorted(
-        among,
+    free = [upstream for upstream in among if takes(state, now_ms, upstream)]
+    return choose_free(state, now_ms, free, work) if free else None
+
+
+def choose_free(
+    state: states.GroupState,
+    now_ms: int,
+    free: list[states.Upstream],
+    work: states.Work,
+) -> states.Connection:
+    """Return a connection to one of some upstreams, all of which have room."""
+    if len(free) == 1:
+        return best_connection(state, free[0].name, work.request)
+    first = min(
+        free,
         key=lambda upstream: (
             _stalled(state, now_ms, upstream),
             _expected_ms(state, now_ms, upstream),
             upstream.name,
         ),
     )
-    for upstream in ranked:
-        if upstream.busy_until_ms > now_ms:
-            # Asked again at once it would refuse hundreds of times.
-            continue
-        if not pace.has_room(state, now_ms, upstream):
-            continue
-        connection = best_connection(state, upstream.name, work.request)
-        if connection is not None:
-            return connection
-    return None
+    return best_connection(state, first.name, work.request)
 
 
 def _expected_ms(
--- a/topazring/core/synchronous/waiting.py
+++ b/topazring/core/synchronous/waiting.py
@@ -8,7 +8,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 
-__all__ = ['add', 'ahead_of', 'count', 'heads', 'remove', 'take']
+__all__ = ['add', 'ahead_of', 'count', 'heads', 'is_any', 'remove', 'take']
 
 
 def _queues(
@@ -39,6 +39,12 @@
     work.queued = False
 
 
+def is_any(state: states.GroupState, primary_only: bool) -> bool:
+    """Say whether any request waits for the primary, or for whichever."""
+    queues = _queues(state, primary_only)
+    return any(admission.size(queue) for queue in queues.values())
+
+
 def heads(state: states.GroupState, primary_only: bool) -> list[int]:
     """Return the waiting requests in the order in which to serve them."""
     keys = []
