--- a/topazring/plumbing/framing.py
+++ b/topazring/plumbing/framing.py
@@ -32,8 +32,7 @@
 class Reader:
     """Read a stream's frames, as many as come at once in one go.
 
-    Waiting for a length and then for a body costs two waits a frame: 80 us a
-    message on one core, and 50 like this.
+    Waiting for a length and then for a body would cost two waits a frame.
     """
 
     def __init__(self, stream: iostream.IOStream):
