A fault soak of real processes before our own stand-ins

topazring-load soak draws a schedule of faults from a seed, runs the real proxies as processes before the tests' store and a new group of upstreams with synchronous replicas, logs and terms, and checks the promises while it runs. The fake store's leases may end, it may be slow; a proxy may be started without waiting for it.

--- a/topazring/load/main.py
+++ b/topazring/load/main.py
@@ -1,9 +1,13 @@
-"""Load a fleet: `topazring-load run`; or run an experiment on stand-ins."""
+"""Load a fleet, run an experiment on stand-ins, or soak real processes."""
 
 import asyncio
 import dataclasses
+import importlib
 import json
+import shutil
+import signal
 import sys
+import tempfile
 import typing
 
 import cappa
@@ -11,11 +15,16 @@
 from topazring.load import experiments
 from topazring.load import generator
 from topazring.load import report
+from topazring.soak import report as soak_report
+from topazring.soak import schedules
+from topazring.soak import soaks
 
 __all__ = ['main']
 
 EXIT_VIOLATIONS = 1
 EXIT_BAD_INPUT = 2
+# The stand-ins that a soak runs on need what only tests need.
+SOAK_STAGE = 'topazring.platform.tests.soak_stage'
 
 
 @cappa.command(name='run', help='Load proxies that run already.')
@@ -110,12 +119,46 @@
             print(experiments.render(rows))
 
 
+@cappa.command(name='soak', help='Run real processes through faults.')
+@dataclasses.dataclass
+class Soak:
+    """Cause the faults of a seed and check every promise meanwhile."""
+
+    seed: typing.Annotated[int, cappa.Arg(long=True)]
+    seconds: typing.Annotated[float, cappa.Arg(long=True)] = 25.0
+    proxies: typing.Annotated[int, cappa.Arg(long=True)] = 3
+    quiet: typing.Annotated[
+        bool, cappa.Arg(long=True, help='do not tell each fault')
+    ] = False
+
+    def __call__(self) -> None:
+        """Run it; exit 1 and keep the logs if a promise was broken."""
+        schedule = schedules.draw(self.seed, self.seconds)
+        folder = tempfile.mkdtemp(prefix=f'topazring-soak-{self.seed}-')
+        kind = importlib.import_module(SOAK_STAGE).Stage
+        stage = kind(schedule, self.proxies, folder)
+        outcome = asyncio.run(self._run(stage, schedule))
+        print(soak_report.render(outcome, stage.logs()))
+        if outcome.violations or outcome.failed:
+            print(f'  logs: {folder}')
+            sys.exit(EXIT_VIOLATIONS)
+        shutil.rmtree(folder)
+
+    async def _run(self, stage, schedule: schedules.Schedule) -> soaks.Outcome:
+        # An interrupted soak ends its processes too.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        tell = (lambda text: None) if self.quiet else print
+        return await soaks.play(stage, schedule, tell)
+
+
 @cappa.command(name='topazring-load')
 @dataclasses.dataclass
 class LoadCommand:
     """Load a fleet and measure it."""
 
-    command: cappa.Subcommands[Run | Experiment]
+    command: cappa.Subcommands[Run | Experiment | Soak]
 
 
 def main() -> None:
--- a/topazring/platform/tests/fake_store.py
+++ b/topazring/platform/tests/fake_store.py
@@ -24,6 +24,8 @@
         self.failing = 0
         # The same for those who come by one port.
         self.failing_ports: dict[int, int] = {}
+        # Let answers wait for so long.
+        self.slow_s = 0.0
         # Take calls and never answer them, also not when this is over.
         self.swallowing = False
         # Carry writes out and never answer them.
@@ -82,6 +84,9 @@
         """Write a value as the operator and the upstreams do."""
         return await self.put(key, json.dumps(value))
 
+    def renew(self, lease: int) -> None:
+        """Take in that a lease begins or is kept; none ends by itself."""
+
     async def end_lease(self, lease: int) -> None:
         """End a lease with all that is written under it."""
         self.leases.pop(lease, None)
@@ -105,6 +110,8 @@
         self.store.calls.append(f'{self.request.method} {self.request.path}')
         if self.store.swallowing:
             await asyncio.sleep(3600)
+        if self.store.slow_s:
+            await asyncio.sleep(self.store.slow_s)
         port = int(self.request.host.rpartition(':')[2])
         code = self.store.failing or self.store.failing_ports.get(port)
         if code:
@@ -218,6 +225,7 @@
         self.store.next_lease += 1
         ttl_ms = self.body()['ttl-ms']
         self.store.leases[self.store.next_lease] = ttl_ms
+        self.store.renew(self.store.next_lease)
         await self.answer({'lease': self.store.next_lease, 'ttl-ms': ttl_ms})
 
 
@@ -230,6 +238,7 @@
         if ttl_ms is None:
             self.set_status(404)
             return
+        self.store.renew(int(lease))
         self.write({'ttl-ms': ttl_ms})
 
 
--- a/topazring/platform/tests/fake_upstreams.py
+++ b/topazring/platform/tests/fake_upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import inspect
 import itertools
 
 from tornado import iostream
@@ -36,6 +37,8 @@
         # None outside a transaction, else whether it only reads.
         self.read_only: bool | None = None
         self.failed = False
+        # In which its transaction began.
+        self.term = 0
         self.writes: list[tuple[str, str]] = []
 
 
@@ -46,7 +49,7 @@
         self.service = service
         self.members = [Member(f'i-{port}', port, 'replica') for port in ports]
         self.members[0].role = 'primary'
-        self.servers: dict[str, _Server] = {}
+        self.servers: dict[str, Server] = {}
         self.signatures = itertools.count(1)
         # Every statement that ran: id, text, values.
         self.ran: list[tuple[str, str, dict]] = []
@@ -54,9 +57,17 @@
     def start(self) -> None:
         """Listen."""
         for member in self.members:
-            server = _Server(self, member)
-            server.listen(member.port, '127.0.0.1')
-            self.servers[member.name] = server
+            self.listen(member)
+
+    def listen(self, member: Member) -> None:
+        """Start one upstream."""
+        server = self.make_server(member)
+        server.listen(member.port, '127.0.0.1')
+        self.servers[member.name] = server
+
+    def make_server(self, member: Member) -> 'Server':
+        """Return what speaks for a member."""
+        return Server(self, member)
 
     def close(self) -> None:
         """End every upstream."""
@@ -106,7 +117,7 @@
         }
 
 
-class _Server(tcpserver.TCPServer):
+class Server(tcpserver.TCPServer):
     """Speak for one member."""
 
     def __init__(self, group: FakeGroup, member: Member):
@@ -140,7 +151,7 @@
         while True:
             line = (await stream.read_until(b'\r\n')).decode().rstrip('\r\n')
             word, request_id, text = line.split(' ', 2)
-            answer = self._answer(session, request_id, text)
+            answer = await self._answer(session, request_id, text)
             reads = text.startswith('READ')
             await asyncio.sleep(self.member.reads_take_s if reads else 0)
             if answer is None:
@@ -157,17 +168,21 @@
     def _place(self) -> str:
         return f'{self.member.term}.{len(self.member.log)}'
 
-    def _answer(
+    async def _answer(
         self, session: Session, request_id: str, text: str
     ) -> list[str] | None:
         words = text.split(' ')
         if words[0] == 'AFTER':
-            if int(words[1].split('.')[1]) > len(self.member.log):
+            if self._lacks(*words[1].split('.')):
                 return ['ERROR LAGGING behind']
             words = words[2:]
         verb, rest = words[0].lower(), words[1:]
         handler = getattr(self, f'_{verb}')
-        return handler(session, request_id, rest)
+        answer = handler(session, request_id, rest)
+        return await answer if inspect.isawaitable(answer) else answer
+
+    def _lacks(self, term: str, number: str) -> bool:
+        return int(number) > len(self.member.log)
 
     def _signed(self, session: Session, request_id: str, words) -> str:
         text = ' '.join(words)
--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -115,6 +115,14 @@
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
+        await self.spawn()
+        try:
+            await wait_until(self.is_ready, STARTS_S)
+        except TimeoutError:
+            raise AssertionError(f'{self.name} is not ready') from None
+
+    async def spawn(self) -> None:
+        """Start the process."""
         with open(self.log, 'ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -125,10 +133,6 @@
                 stdout=log,
                 stderr=log,
             )
-        try:
-            await wait_until(self.is_ready, STARTS_S)
-        except TimeoutError:
-            raise AssertionError(f'{self.name} is not ready') from None
 
     async def is_ready(self) -> bool:
         """Ask as the balancer does."""
--- /dev/null
+++ b/topazring/platform/tests/synchronous_upstreams.py
@@ -0,0 +1,455 @@
+"""Play a group with synchronous replicas, logs and terms, on sockets.
+
+A commit is answered once a replica has received it. Members receive nothing
+while they are paused, deaf, dark, or cut off from the primary.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import random
+import time
+
+from topazring.core.synchronous import statements
+from topazring.platform.tests import fake_upstreams
+from topazring.soak import sightings
+
+Entry = sightings.Entry
+Verb = statements.Verb
+
+# A replaced primary that could not reach its successor leads on for so long
+# once it can.
+STEP_DOWN_MS = 1000
+TICK_S = 0.03
+MOST_DELAY_MS = 6.0
+BUSY_SHARE = 0.005
+
+
+def now_ms() -> float:
+    """Return the steady clock."""
+    return time.monotonic() * 1000
+
+
+@dataclasses.dataclass
+class Member(fake_upstreams.Member):
+    """Hold one upstream."""
+
+    log: list[Entry] = dataclasses.field(default_factory=list)
+    # Of the log so many entries are applied.
+    applied: int = 0
+    lag_ms: float = 10.0
+    deaf_until_ms: float = 0.0
+    # Its process or machine is gone, its log is not.
+    dark: bool = False
+    listed: bool = False
+    leaving: bool = False
+    born_ms: int = 1
+    # Since when a replaced primary could learn that it is.
+    outdated_ms: float | None = None
+    # Term, number and waiter of each commit that no replica received yet.
+    waiting: list[tuple[int, int, asyncio.Future]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def place(self, upto: int) -> str:
+        """Return the place of an entry."""
+        return f'{self.log[upto - 1].term}.{upto}' if upto else '0.0'
+
+
+class Group(fake_upstreams.FakeGroup):
+    """Own upstreams, each with a log of its own."""
+
+    def __init__(
+        self,
+        service: str,
+        ports: list[int],
+        note: collections.abc.Callable[[object], None],
+        promote_ms: float,
+    ):
+        super().__init__(service, ports)
+        self.note = note
+        self.promote_ms = promote_ms
+        self.rng = random.Random()
+        self.term = 1
+        self.cut_pairs: set[frozenset[str]] = set()
+        self.items: dict[str, list[tuple[Entry, str]]] = (
+            collections.defaultdict(list)
+        )
+        # Called with a member whose entry changes.
+        self.changed: collections.abc.Callable[[Member], None] = print
+        self.ticking: asyncio.Task | None = None
+        first = Entry(1, 1, '')
+        self.members: list[Member] = [
+            Member(m.name, m.port, m.role, log=[first], applied=1)
+            for m in self.members
+        ]
+
+    def start(self) -> None:
+        """Listen, and begin to replicate."""
+        super().start()
+        leader = self.members[0]
+        self.note(sightings.Led(now_ms(), leader.name, 1, leader.log))
+        self.ticking = asyncio.create_task(self._tick())
+
+    def close(self) -> None:
+        """End every upstream."""
+        self.ticking.cancel()
+        super().close()
+
+    def make_server(self, member: Member) -> fake_upstreams.Server:
+        """Return what speaks for a member."""
+        return Server(self, member)
+
+    def member(self, name: str) -> Member | None:
+        """Return a member, None if it is gone."""
+        return next((m for m in self.members if m.name == name), None)
+
+    def primary(self) -> Member:
+        """Return the one that leads the newest term, or was to."""
+        leading = [m for m in self.members if m.role == 'primary']
+        return max(leading or self.members, key=lambda m: m.term)
+
+    # ---- replication ----
+
+    async def _tick(self) -> None:
+        while True:
+            for member in self.members:
+                if member.role == 'primary':
+                    self.replicate(member)
+                    self._step_down(member)
+            await asyncio.sleep(TICK_S)
+
+    def later(self, after_ms: float, step, *arguments) -> None:
+        """Do something after a while."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(after_ms / 1000, step, *arguments)
+
+    def delay_ms(self) -> float:
+        """Return how long a message between members takes."""
+        return self.rng.uniform(0.5, MOST_DELAY_MS)
+
+    def replicate(self, primary: Member) -> None:
+        """Send the log to all others."""
+        for member in self.members:
+            behind = len(member.log) < len(primary.log)
+            if member is not primary and (
+                behind or member.term < primary.term
+            ):
+                self.later(self.delay_ms(), self._receive, primary, member)
+
+    def is_cut(self, one: Member, other: Member) -> bool:
+        """Say whether two members do not reach each other."""
+        pair = frozenset((one.name, other.name))
+        return one.dark or other.dark or pair in self.cut_pairs
+
+    def _receive(self, primary: Member, member: Member) -> None:
+        if primary.role != 'primary' or member.role == 'primary':
+            return
+        if member.held or member not in self.members:
+            return
+        if now_ms() < member.deaf_until_ms or self.is_cut(primary, member):
+            return
+        if member.term > primary.term or self._follows_newer(member, primary):
+            return
+        same = member.term == primary.term
+        if same and len(member.log) >= len(primary.log):
+            return
+        self.cut_back(member, primary)
+        member.term = primary.term
+        member.log.extend(primary.log[len(member.log) :])
+        received = len(member.log)
+        self.later(self.delay_ms(), self._confirm, primary, received)
+        self.later(member.lag_ms, self._apply, member, member.log, received)
+
+    def _follows_newer(self, member: Member, primary: Member) -> bool:
+        return any(
+            other.role == 'primary'
+            and other.term > primary.term
+            and not self.is_cut(other, member)
+            for other in self.members
+        )
+
+    def _apply(self, member: Member, log: list[Entry], upto: int) -> None:
+        if member.log is log:
+            member.applied = max(member.applied, min(upto, len(log)))
+
+    def _confirm(self, primary: Member, upto: int) -> None:
+        if primary.role != 'primary' or primary.dark:
+            return
+        left = []
+        for term, number, waiter in primary.waiting:
+            if term != primary.term or number > upto:
+                left.append((term, number, waiter))
+            elif not waiter.done():
+                waiter.set_result(True)
+        primary.waiting = left
+
+    def cut_back(self, other: Member, primary: Member) -> None:
+        """Roll a member back to what it shares with its primary."""
+        shared = min(len(other.log), len(primary.log))
+        while shared and other.log[shared - 1] is not primary.log[shared - 1]:
+            shared -= 1
+        del other.log[shared:]
+        other.applied = min(other.applied, shared)
+
+    async def append(
+        self, member: Member, request_id: str, writes: list[tuple[str, str]]
+    ) -> bool:
+        """Commit; return once a replica has it, False if none will."""
+        number = len(member.log) + 1
+        entry = Entry(member.term, number, request_id, tuple(writes))
+        self.note(sightings.Committed(now_ms(), member.name, entry))
+        member.log.append(entry)
+        member.applied = number
+        for item, data in writes:
+            self.items[item].append((entry, data))
+        waiter = asyncio.get_running_loop().create_future()
+        member.waiting.append((member.term, number, waiter))
+        self.replicate(member)
+        return await waiter
+
+    def read(self, member: Member, item: str) -> str | None:
+        """Return an item's value as a member has applied it."""
+        for entry, data in reversed(self.items[item]):
+            at = entry.position
+            if at <= member.applied and member.log[at - 1] is entry:
+                return data
+        return None
+
+    def _fail_waiting(self, member: Member) -> None:
+        for _, _, waiter in member.waiting:
+            if not waiter.done():
+                waiter.set_result(False)
+        member.waiting = []
+
+    # ---- promotion ----
+
+    def promote(self, service: str, name: str) -> bool:
+        """Have a member lead the next term, some hundred ms later."""
+        member = self.member(name)
+        if member is None or member.dark or service != self.service:
+            return False
+        if member.role != 'primary':
+            self.later(self.promote_ms, self._lead, member, member.born_ms)
+        return True
+
+    def _lead(self, member: Member, born_ms: int) -> None:
+        gone = member not in self.members or member.born_ms != born_ms
+        if gone or member.dark or member.role == 'primary':
+            return
+        self.term += 1
+        led = sightings.Led(now_ms(), member.name, self.term, member.log)
+        self.note(led)
+        for other in self.members:
+            if other is member:
+                continue
+            if other.role == 'primary':
+                self._replace(other, member)
+            elif not self.is_cut(other, member):
+                self.cut_back(other, member)
+                other.held = 0
+                other.term = self.term
+        member.role = 'primary'
+        member.term = self.term
+        member.held = 0
+        member.applied = len(member.log)
+        self.changed(member)
+        self.replicate(member)
+
+    def _replace(self, old: Member, successor: Member) -> None:
+        if self.is_cut(old, successor):
+            # It goes on until it learns of its successor.
+            old.outdated_ms = None
+            return
+        self.become_replica(old)
+
+    def become_replica(self, old: Member) -> None:
+        """End a lead; nothing that waits is confirmed any more."""
+        old.role = 'replica'
+        old.outdated_ms = None
+        self._fail_waiting(old)
+        self.changed(old)
+
+    def _step_down(self, old: Member) -> None:
+        newest = self.primary()
+        if newest is old or newest.term <= old.term:
+            return
+        if self.is_cut(old, newest):
+            old.outdated_ms = None
+        elif old.outdated_ms is None:
+            old.outdated_ms = now_ms()
+        elif now_ms() - old.outdated_ms >= STEP_DOWN_MS:
+            self.become_replica(old)
+
+    # ---- coming and going ----
+
+    def come(self, port: int) -> Member:
+        """Start a new replica, which nobody has heard of."""
+        name = f'i-{port}'
+        member = Member(name, port, 'replica', term=0, born_ms=_wall_ms())
+        self.members.append(member)
+        self.listen(member)
+        self.replicate(self.primary())
+        return member
+
+    def end(self, member: Member) -> None:
+        """End a member for good; its log is gone with it."""
+        self.crash(member.name)
+        self.members.remove(member)
+
+    def crash(self, name: str) -> None:
+        """End one upstream with its connections."""
+        member = self.member(name)
+        member.dark = True
+        self._fail_waiting(member)
+        if name in self.servers:
+            super().crash(name)
+
+    def back(self, member: Member, empty: bool = False) -> None:
+        """Start a crashed member again, with its log or without."""
+        member.dark = False
+        member.held = 0
+        if empty:
+            member.log, member.applied, member.term = [], 0, 0
+            member.role = 'replica'
+            member.born_ms = _wall_ms()
+        elif member.role == 'primary' and member.term < self.term:
+            member.role = 'replica'
+        self.listen(member)
+        self.changed(member)
+
+    def is_spare(self, member: Member) -> bool:
+        """Say whether another that stays holds all that a member does."""
+        return any(
+            other is not member
+            and other.listed
+            and not (other.dark or other.leaving)
+            and len(other.log) >= len(member.log)
+            and other.term >= member.term
+            for other in self.members
+        )
+
+
+def _wall_ms() -> int:
+    return int(time.time() * 1000)
+
+
+class Server(fake_upstreams.Server):
+    """Speak for one member."""
+
+    def _place(self) -> str:
+        return self.member.place(self.member.applied)
+
+    def _lacks(self, term: str, number: str) -> bool:
+        member, at = self.member, int(number)
+        if at == 0:
+            return False
+        held = at <= member.applied
+        return not held or member.log[at - 1].term != int(term)
+
+    def _ran(
+        self,
+        session: fake_upstreams.Session,
+        ask: sightings.Ask,
+        rows: tuple[str, ...] = (),
+        inside: bool | None = None,
+    ) -> str:
+        signature = f'{ask.request_id}.{next(self.group.signatures)}'
+        if inside is None:
+            inside = session.read_only is not None
+        values = tuple(sorted(session.values.items()))
+        member = self.member
+        self.group.note(
+            sightings.Ran(
+                now_ms(),
+                member.name,
+                ask,
+                signature,
+                rows,
+                member.log,
+                member.applied,
+                inside,
+                values,
+            )
+        )
+        return f'DONE {signature}'
+
+    def _has_lost_lead(self, session: fake_upstreams.Session) -> bool:
+        lost = self.member.role != 'primary'
+        return lost or session.term != self.member.term
+
+    def _begin(self, session, request_id, rest):
+        session.term = self.member.term
+        return super()._begin(session, request_id, rest)
+
+    def _read(self, session, request_id, rest):
+        if session.failed:
+            return ['ERROR MALFORMED the transaction failed']
+        if self.group.rng.random() < BUSY_SHARE:
+            return self._refuse(session, 'BUSY')
+        if session.read_only is False and self._has_lost_lead(session):
+            return self._refuse(session, 'READONLY')
+        data = self.group.read(self.member, rest[0])
+        written = [d for i, d in session.writes if i == rest[0]]
+        data = written[-1] if written else data
+        rows = () if data is None else (data,)
+        ask = sightings.Ask(request_id, Verb.READ, rest[0])
+        done = self._ran(session, ask, rows)
+        return [*(f'ROW {row}' for row in rows), done]
+
+    async def _write(self, session, request_id, rest):
+        if session.failed:
+            return ['ERROR MALFORMED the transaction failed']
+        if self.group.rng.random() < BUSY_SHARE:
+            return self._refuse(session, 'BUSY')
+        inside = session.read_only is not None
+        if self.member.role != 'primary' or (
+            inside and self._has_lost_lead(session)
+        ):
+            return self._refuse(session, 'READONLY')
+        write = (rest[0], rest[1])
+        ask = sightings.Ask(request_id, Verb.WRITE, *write)
+        done = self._ran(session, ask)
+        if inside:
+            session.writes.append(write)
+            return [done]
+        kept = await self.group.append(self.member, request_id, [write])
+        return [done] if kept else None
+
+    async def _commit(self, session, request_id, rest):
+        if session.failed or session.read_only is None:
+            return ['ERROR MALFORMED no transaction']
+        writes = list(session.writes)
+        if writes and self._has_lost_lead(session):
+            return self._refuse(session, 'READONLY')
+        ask = sightings.Ask(request_id, Verb.COMMIT)
+        done = self._ran(session, ask)
+        session.read_only = None
+        session.writes.clear()
+        if writes:
+            kept = await self.group.append(self.member, request_id, writes)
+            return [done] if kept else None
+        return [done]
+
+    def _status(self, session, request_id, rest):
+        member = self.member
+        received = member.place(len(member.log))
+        row = f'{member.role} {member.term} {received} {member.held}'
+        return [f'ROW {row} 0 0 {len(self.streams)}', 'DONE -']
+
+    def _pause(self, session, request_id, rest):
+        term = int(rest[0])
+        if self.member.role == 'replica' and term > self.member.term:
+            self.member.held = term
+        return self._status(session, request_id, rest)
+
+    def _resume(self, session, request_id, rest):
+        self.member.held = 0
+        return self._status(session, request_id, rest)
+
+    def _demote(self, session, request_id, rest):
+        member = self.member
+        if member.role == 'primary' and member.term < int(rest[0]):
+            self.group.become_replica(member)
+        return self._status(session, request_id, rest)
--- /dev/null
+++ b/topazring/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Load a fleet and measure what it does."""
--- /dev/null
+++ b/topazring/soak/callers.py
@@ -0,0 +1,178 @@
+"""Send reads, writes and transactions, and tell what became of each."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import statements
+from topazring.soak import sightings
+from topazring.soak import stages
+
+__all__ = ['Caller', 'write_once']
+
+Verb = statements.Verb
+ITEMS = 12
+# Longer than any time limit; an answer that takes longer counts as missing.
+ANSWER_S = 13.0
+AGAIN_S = 0.1
+REST_S = (0.0, 0.01, 0.03, 0.1)
+LONG_REST_S = 1.2
+
+
+class _Left(Exception):
+    """Say that the caller is done with its session."""
+
+
+class Caller:
+    """Own one caller that keeps a session open until it ends."""
+
+    def __init__(self, stage: stages.Stage, number: int, seed: int):
+        self.stage = stage
+        self.number = number
+        # What callers do need not be the same twice; their mix is.
+        self.rng = random.Random(f'{seed}/{number}')
+        self.ids = itertools.count(1)
+        self.sessions = itertools.count(1)
+        self.task: asyncio.Task | None = None
+        self.leaving = False
+        self.instance: stages.Instance | None = None
+        self.database: stages.Database | None = None
+        self.talk: stages.Talk | None = None
+        self.session = ''
+        self.values: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Begin to call."""
+        self.task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop after the answer that is waited for."""
+        self.leaving = True
+        await self.task
+
+    async def _run(self) -> None:
+        while not self.leaving:
+            if not self.stage.rotation:
+                await asyncio.sleep(AGAIN_S)
+                continue
+            self.instance = self.rng.choice(self.stage.rotation)
+            self.database = self.rng.choice(self.stage.databases)
+            try:
+                self.talk = await self.stage.connect(
+                    self.instance, self.database.name
+                )
+            except stages.Ended:
+                await asyncio.sleep(AGAIN_S)
+                continue
+            await self._use_session()
+            self.talk.close()
+
+    async def _use_session(self) -> None:
+        self.session = f'c{self.number}s{next(self.sessions)}'
+        self.values = {}
+        with contextlib.suppress(stages.Ended, _Left):
+            while not self.leaving:
+                await self._operation()
+                await self._rest()
+
+    async def _rest(self) -> None:
+        rest_s = self.rng.choice(REST_S)
+        if self.rng.random() < 0.03:
+            rest_s = LONG_REST_S
+        await asyncio.sleep(rest_s)
+
+    async def _operation(self) -> None:
+        how = self.rng.random()
+        if how < 0.02:
+            raise _Left
+        if how < 0.05:
+            name, value = self.rng.choice('ab'), f'v{next(self.ids)}'
+            answer = await self._say(Verb.SET, name, value)
+            if answer.kind is not sightings.Kind.DONE:
+                raise _Left
+            self.values[name] = value
+        elif how < 0.20:
+            await self._transaction()
+        else:
+            await self._read_or_write('')
+
+    async def _read_or_write(self, transaction: str) -> sightings.Answer:
+        item = f'k{self.rng.randrange(ITEMS)}'
+        if self.rng.random() < 0.6:
+            return await self._say(Verb.READ, item, transaction=transaction)
+        data = f'd{self.session}x{next(self.ids)}'
+        return await self._say(Verb.WRITE, item, data, transaction)
+
+    async def _transaction(self) -> None:
+        name = f'{self.session}t{next(self.ids)}'
+        begun = await self._say(Verb.BEGIN, transaction=name)
+        if begun.kind is not sightings.Kind.DONE:
+            return
+        for _ in range(self.rng.randint(1, 4)):
+            said = await self._read_or_write(name)
+            if said.kind is not sightings.Kind.DONE:
+                await self._say(Verb.ROLLBACK, transaction=name)
+                return
+            if self.rng.random() < 0.02:
+                raise _Left
+            await asyncio.sleep(self.rng.choice(REST_S))
+        ends = Verb.COMMIT if self.rng.random() < 0.85 else Verb.ROLLBACK
+        await self._say(ends, transaction=name)
+
+    async def _say(
+        self, verb: Verb, item: str = '', data: str = '', transaction: str = ''
+    ) -> sightings.Answer:
+        note = self.stage.oracle.note
+        for text in self.talk.unasked:
+            unasked = sightings.Unasked(
+                stages.now_ms(), self.session, self.instance.name, text
+            )
+            note(unasked)
+        request_id = f'q{self.number}x{next(self.ids)}'
+        ask = sightings.Ask(request_id, verb, item, data)
+        note(
+            sightings.Asked(
+                stages.now_ms(),
+                ask,
+                self.session,
+                self.instance.name,
+                self.database.freshness,
+                self.database.max_staleness_ms,
+                transaction,
+                tuple(sorted(self.values.items())),
+            )
+        )
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                answer = await self.talk.say(ask)
+        except stages.Ended:
+            note(sightings.Cut(stages.now_ms(), request_id))
+            raise
+        except TimeoutError:
+            # It stays without an answer, which the oracle finds in the end.
+            raise _Left from None
+        note(sightings.Answered(stages.now_ms(), request_id, answer))
+        return answer
+
+
+async def write_once(stage: stages.Stage, number: int) -> bool:
+    """Say whether a write through some instance succeeds now."""
+    caller = Caller(stage, number, number)
+    for instance in stage.rotation:
+        caller.instance = instance
+        caller.database = next(
+            each
+            for each in stage.databases
+            if each.freshness is messages.Freshness.PRIMARY
+        )
+        caller.session = f'c{number}s0'
+        with contextlib.suppress(stages.Ended, _Left):
+            name = caller.database.name
+            caller.talk = await stage.connect(instance, name)
+            answer = await caller._say(Verb.WRITE, 'k0', f'd{number}')
+            caller.talk.close()
+            if answer.kind is sightings.Kind.DONE:
+                return True
+    return False
--- /dev/null
+++ b/topazring/soak/report.py
@@ -0,0 +1,45 @@
+"""Print what a soak showed."""
+
+import pathlib
+
+from topazring.soak import checks
+from topazring.soak import soaks
+
+__all__ = ['render']
+
+MOST_SHOWN = 20
+
+
+def render(outcome: soaks.Outcome, logs: list[pathlib.Path]) -> str:
+    """Return a soak's outcome as text; each failure says how to trace it."""
+    schedule = outcome.schedule
+    counts = outcome.counts
+    promotions = max(0, counts.get('led', 0) - 1)
+    kept = [name for name in counts if ' ' in name]
+    lines = [
+        f'seed {schedule.seed}: {len(outcome.violations)} violations, '
+        f'{len(schedule.steps)} faults of {", ".join(schedule.families)}; '
+        f'{promotions} promotions of {schedule.promote_ms} ms',
+        '  ' + ', '.join(f'{name} {counts[name]}' for name in sorted(kept)),
+    ]
+    lines += [f'  not caused: {text}' for text in outcome.failed]
+    for violation in outcome.violations[:MOST_SHOWN]:
+        lines += _render_violation(outcome, violation, logs)
+    more = len(outcome.violations) - MOST_SHOWN
+    if more > 0:
+        lines.append(f'  and {more} more')
+    return '\n'.join(lines)
+
+
+def _render_violation(
+    outcome: soaks.Outcome,
+    violation: checks.Violation,
+    logs: list[pathlib.Path],
+) -> list[str]:
+    at_s = (violation.at_ms - outcome.began_ms) / 1000
+    request = f' {violation.request_id}' if violation.request_id else ''
+    lines = [f'  {at_s:.2f} s {violation.check}:{request} {violation.text}']
+    if request:
+        files = ' '.join(str(path) for path in logs)
+        lines.append(f'    topazring-admin trace{request} {files}')
+    return lines
--- /dev/null
+++ b/topazring/soak/schedules.py
@@ -0,0 +1,57 @@
+"""Draw a schedule of faults from a seed."""
+
+import dataclasses
+import random
+
+from topazring.soak import faults
+
+__all__ = ['Schedule', 'draw']
+
+# Nothing happens at first, and at the end there is time to recover.
+FIRST_MS = 1500
+QUIET_MS = 6000
+FOR_MS = (150, 400, 900, 1600, 2500, 4000)
+GAPS_MS = (20, 100, 300, 700, 1200)
+MEANS_MS = (400, 800, 1500, 3000)
+# Promotions take some hundred ms, on some days up to a second.
+PROMOTE_MS = (120, 300, 1000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Schedule:
+    """Hold all that a seed decides."""
+
+    seed: int
+    seconds: float
+    families: tuple[str, ...]
+    promote_ms: int
+    steps: tuple[faults.Step, ...]
+
+
+def draw(seed: int, seconds: float) -> Schedule:
+    """Return the schedule of a seed, the same each time.
+
+    >>> draw(7, 20) == draw(7, 20)
+    True
+    """
+    rng = random.Random(seed)
+    families = faults.families()
+    count = rng.randint(1, len(families))
+    chosen = tuple(sorted(rng.sample(families, count)))
+    known = [f for f in faults.known().values() if f.family in chosen]
+    weights = [f.weight for f in known]
+    mean_ms = rng.choice(MEANS_MS)
+    steps = []
+    at_ms = FIRST_MS
+    while at_ms < seconds * 1000 - QUIET_MS:
+        step = faults.Step(
+            int(at_ms),
+            rng.choices(known, weights)[0].name,
+            rng.random(),
+            rng.choice(FOR_MS),
+            rng.choice(GAPS_MS),
+        )
+        steps.append(step)
+        at_ms += rng.expovariate(1 / mean_ms)
+    promote_ms = rng.choice(PROMOTE_MS)
+    return Schedule(seed, seconds, chosen, promote_ms, tuple(steps))
--- /dev/null
+++ b/topazring/soak/soaks.py
@@ -0,0 +1,100 @@
+"""Run one schedule of faults, and sum up what was seen."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from topazring.soak import callers
+from topazring.soak import checks
+from topazring.soak import faults
+from topazring.soak import schedules
+from topazring.soak import sightings
+from topazring.soak import stages
+
+__all__ = ['Outcome', 'play']
+
+CALLERS = 16
+# Once all trouble is over, writes succeed within that time.
+RECOVERY_S = 12.0
+PROBE_S = 0.3
+# A write that shows recovery bears numbers from here.
+LAST_CALLER = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """Hold what one soak showed."""
+
+    schedule: schedules.Schedule
+    violations: list[checks.Violation]
+    # Times count from here.
+    began_ms: float
+    counts: dict[str, int]
+    # Faults that could not be caused, by name.
+    failed: list[str]
+
+
+async def play(
+    stage: stages.Stage,
+    schedule: schedules.Schedule,
+    tell: collections.abc.Callable[[str], None] = lambda text: None,
+) -> Outcome:
+    """Run a schedule; whatever was started is ended, also on interruption."""
+    failed: list[str] = []
+    background: set[asyncio.Task] = set()
+    try:
+        await stage.start()
+        began_ms = stages.now_ms()
+        calling = [
+            callers.Caller(stage, number, schedule.seed)
+            for number in range(CALLERS)
+        ]
+        for caller in calling:
+            caller.start()
+        for step in schedule.steps:
+            await _until(began_ms + step.at_ms)
+            tell(f'{step.at_ms / 1000:6.1f} s {step.fault}')
+            causing = asyncio.create_task(_cause(stage, step, failed))
+            background.add(causing)
+        if background:
+            await asyncio.wait(background)
+        await _until(began_ms + schedule.seconds * 1000)
+        await asyncio.gather(*(caller.close() for caller in calling))
+        serves = await _recovers(stage)
+        finished = sightings.Finished(
+            stages.now_ms(), stage.final_log(), serves
+        )
+        stage.oracle.note(finished)
+    finally:
+        for task in background:
+            task.cancel()
+        await stage.close()
+    oracle = stage.oracle
+    return Outcome(
+        schedule, oracle.violations, began_ms, oracle.facts.counts, failed
+    )
+
+
+async def _until(at_ms: float) -> None:
+    await asyncio.sleep(max(0.0, (at_ms - stages.now_ms()) / 1000))
+
+
+async def _cause(
+    stage: stages.Stage, step: faults.Step, failed: list[str]
+) -> None:
+    try:
+        await faults.cause(stage, step)
+    except Exception as error:
+        # One fault that fails must not hide what the others show.
+        failed.append(f'{step.fault}: {error!r}')
+
+
+async def _recovers(stage: stages.Stage) -> bool:
+    until_ms = stages.now_ms() + RECOVERY_S * 1000
+    number = LAST_CALLER
+    while stages.now_ms() < until_ms:
+        if await callers.write_once(stage, number):
+            return True
+        number += 1
+        await asyncio.sleep(PROBE_S)
+    return False
