--- a/topazring/platform/tests/soak_stage.py
+++ b/topazring/platform/tests/soak_stage.py
@@ -92,6 +92,35 @@
                     await self.end_lease(lease)
 
 
+class Instance(support.Proxy):
+    """Own an instance's process, and those that went before it."""
+
+    def __init__(self, *fields, note):
+        super().__init__(*fields)
+        self.note = note
+        self.starting = asyncio.Lock()
+        self.started: list[asyncio.subprocess.Process] = []
+
+    async def restart(self) -> None:
+        """Start the process, unless it runs or is being started."""
+        async with self.starting:
+            if self.process is None or self.process.returncode is not None:
+                self.note(sightings.Started(stages.now_ms(), self.name))
+                await self.spawn()
+
+    async def spawn(self) -> None:
+        """Start the process, and remember it."""
+        await super().spawn()
+        self.started.append(self.process)
+
+    async def end(self) -> None:
+        """Kill whatever was started here and still runs."""
+        for process in self.started:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
 class Talk:
     """Speak one session."""
 
@@ -214,7 +243,10 @@
     async def close(self) -> None:
         """End all."""
         for name in list(self.links):
+            self.mend(name)
             await self.end(name)
+        # Let the connections find out that they are closed.
+        await asyncio.sleep(LEASE_TICK_S)
 
 
 class Upstreams:
@@ -398,7 +430,7 @@
     ):
         self.oracle = checks.Oracle()
         self.databases = _DATABASES
-        self.rotation: list[support.Proxy] = []
+        self.rotation: list[Instance] = []
         self.grace_s = 3.0
         self.folder = folder
         self.store = Store()
@@ -407,7 +439,7 @@
             self.store, self.links, self.oracle, schedule.promote_ms
         )
         self.store.promote = self.upstreams.promote
-        self.instances: list[support.Proxy] = []
+        self.instances: list[Instance] = []
         self.proxies = proxies
         self.version = 0
         self.tasks: list[asyncio.Task] = []
@@ -423,7 +455,9 @@
             name = f'p{number}'
             door = await self.links.open(f'{name}/service', port)
             mine = found[4 * number - 4 : 4 * number]
-            proxy = support.Proxy(name, door, self.folder, mine)
+            proxy = Instance(
+                name, door, self.folder, mine, note=self.oracle.note
+            )
             self.instances.append(proxy)
         for proxy in self.instances:
             self.rewrite_settings(proxy)
@@ -439,12 +473,7 @@
         """End everything that was started, and nothing else."""
         for task in self.tasks:
             task.cancel()
-        for proxy in self.instances:
-            if proxy.process is not None and proxy.process.returncode is None:
-                proxy.process.kill()
-        for proxy in self.instances:
-            if proxy.process is not None:
-                await proxy.process.wait()
+        await asyncio.gather(*(each.end() for each in self.instances))
         self.upstreams.close()
         await self.links.close()
         self.store.close()
@@ -455,7 +484,7 @@
 
     # ---- callers ----
 
-    async def connect(self, instance: support.Proxy, database: str) -> Talk:
+    async def connect(self, instance: Instance, database: str) -> Talk:
         """Start a session; raise Ended if it is refused."""
         talk, said = await self._greet(instance, database)
         if said.startswith('READY'):
@@ -464,7 +493,7 @@
         raise stages.Ended(said)
 
     async def _greet(
-        self, instance: support.Proxy, database: str
+        self, instance: Instance, database: str
     ) -> tuple[Talk, str]:
         try:
             async with asyncio.timeout(CONNECT_S):
@@ -480,7 +509,7 @@
             talk.close()
             raise stages.Ended('no greeting') from error
 
-    async def _balance(self, proxy: support.Proxy) -> None:
+    async def _balance(self, proxy: Instance) -> None:
         """Take a proxy in and out of rotation as the platform does."""
         misses = 0
         while True:
@@ -496,19 +525,18 @@
             await self._supervise(proxy)
             await asyncio.sleep(POLL_S)
 
-    async def _supervise(self, proxy: support.Proxy) -> None:
+    async def _supervise(self, proxy: Instance) -> None:
         """Start a process again that ended by itself, as the platform does."""
         code = proxy.process.returncode
         if code is None or code in checks.ORDERLY:
             return
         ended = sightings.Exited(stages.now_ms(), proxy.name, code)
         self.oracle.note(ended)
-        self.oracle.note(sightings.Started(stages.now_ms(), proxy.name))
-        await proxy.spawn()
+        await proxy.restart()
 
     # ---- the operator ----
 
-    def rewrite_settings(self, instance: support.Proxy) -> None:
+    def rewrite_settings(self, instance: Instance) -> None:
         """Write an instance's settings anew."""
         seeds = [f'{HOST}:{p.peer_port}' for p in self.instances]
         instance.write_settings(seeds)
@@ -552,7 +580,7 @@
             )
             await asyncio.sleep(PROBE_S)
 
-    async def _probe(self, proxy: support.Proxy, version: int) -> None:
+    async def _probe(self, proxy: Instance, version: int) -> None:
         """Ask an instance for a database that a version has."""
         asked_ms = stages.now_ms()
         process = proxy.process
--- a/topazring/soak/checks.py
+++ b/topazring/soak/checks.py
@@ -324,7 +324,9 @@
 def all_is_answered(facts: Facts, finished: sightings.Finished) -> Found:
     """Every request has come to an end."""
     left = [
-        f'{request_id} at {request.asked.instance}'
+        f'{request_id} ({request.asked.ask.verb}) at '
+        f'{request.asked.instance}, asked '
+        f'{finished.at_ms - request.asked.at_ms:.0f} ms before the end'
         for request_id, request in facts.requests.items()
         if not request.is_over
         and finished.at_ms - request.asked.at_ms > UNANSWERED_MS
--- a/topazring/soak/faults.py
+++ b/topazring/soak/faults.py
@@ -105,14 +105,6 @@
         instance.process.send_signal(number)
 
 
-async def _restart(stage: stages.Stage, instance: stages.Instance) -> None:
-    """Start an instance whose process ended, once however many want it."""
-    if _runs(instance):
-        return
-    stage.oracle.note(sightings.Started(stages.now_ms(), instance.name))
-    await instance.spawn()
-
-
 async def _stop(
     stage: stages.Stage, instance: stages.Instance, pause_ms: float
 ) -> None:
@@ -133,7 +125,7 @@
             await process.wait()
     await asyncio.sleep(pause_ms / 1000)
     _trouble(stage, instance.name, START_MS, planned=True)
-    await _restart(stage, instance)
+    await instance.restart()
 
 
 async def _freeze(
@@ -155,7 +147,7 @@
         _signal(instance, signal.SIGKILL)
         await instance.process.wait()
     await asyncio.sleep(for_ms / 1000)
-    await _restart(stage, instance)
+    await instance.restart()
 
 
 # ---- planned work ----
--- a/topazring/soak/stages.py
+++ b/topazring/soak/stages.py
@@ -1,7 +1,6 @@
 """Say what a soak needs of the world that it runs in."""
 
 import asyncio
-import collections.abc
 import dataclasses
 import time
 import typing
@@ -58,8 +57,8 @@
     name: str
     process: asyncio.subprocess.Process | None
 
-    async def spawn(self) -> None:
-        """Start the process."""
+    async def restart(self) -> None:
+        """Start the process, unless it runs or is being started."""
 
     async def is_ready(self) -> bool:
         """Ask as the balancer does."""
@@ -131,6 +130,3 @@
 
     def final_log(self) -> list[sightings.Entry]:
         """Return the log that leads."""
-
-
-Step = collections.abc.Callable[..., collections.abc.Awaitable[None]]
