--- a/topazring/load/main.py
+++ b/topazring/load/main.py
@@ -15,6 +15,7 @@
 from topazring.load import experiments
 from topazring.load import generator
 from topazring.load import report
+from topazring.soak import faults
 from topazring.soak import report as soak_report
 from topazring.soak import schedules
 from topazring.soak import soaks
@@ -127,13 +128,23 @@
     seed: typing.Annotated[int, cappa.Arg(long=True)]
     seconds: typing.Annotated[float, cappa.Arg(long=True)] = 25.0
     proxies: typing.Annotated[int, cappa.Arg(long=True)] = 3
+    family: typing.Annotated[
+        list[str], cappa.Arg(long=True, help='draw only such faults')
+    ] = dataclasses.field(default_factory=list)
     quiet: typing.Annotated[
         bool, cappa.Arg(long=True, help='do not tell each fault')
     ] = False
 
     def __call__(self) -> None:
         """Run it; exit 1 and keep the logs if a promise was broken."""
-        schedule = schedules.draw(self.seed, self.seconds)
+        unknown = set(self.family) - set(faults.families())
+        if unknown:
+            print(
+                f'topazring-load: no such family: {sorted(unknown)}',
+                file=sys.stderr,
+            )
+            sys.exit(EXIT_BAD_INPUT)
+        schedule = schedules.draw(self.seed, self.seconds, tuple(self.family))
         folder = tempfile.mkdtemp(prefix=f'topazring-soak-{self.seed}-')
         kind = importlib.import_module(SOAK_STAGE).Stage
         stage = kind(schedule, self.proxies, folder)
--- a/topazring/soak/callers.py
+++ b/topazring/soak/callers.py
@@ -28,9 +28,16 @@
 class Caller:
     """Own one caller that keeps a session open until it ends."""
 
-    def __init__(self, stage: stages.Stage, number: int, seed: int):
+    def __init__(
+        self,
+        stage: stages.Stage,
+        number: int,
+        seed: int,
+        rest_scale: float = 1.0,
+    ):
         self.stage = stage
         self.number = number
+        self.rest_scale = rest_scale
         # What callers do need not be the same twice; their mix is.
         self.rng = random.Random(f'{seed}/{number}')
         self.ids = itertools.count(1)
@@ -78,7 +85,7 @@
                 await self._rest()
 
     async def _rest(self) -> None:
-        rest_s = self.rng.choice(REST_S)
+        rest_s = self.rng.choice(REST_S) * self.rest_scale
         if self.rng.random() < 0.03:
             rest_s = LONG_REST_S
         await asyncio.sleep(rest_s)
--- a/topazring/soak/faults.py
+++ b/topazring/soak/faults.py
@@ -267,7 +267,7 @@
 async def release_beside_deaf(stage: stages.Stage, step: Step) -> None:
     """Have only the unlisted new replica receive; then lose the primary."""
     upstreams = stage.upstreams
-    unlisted_ms = 600 + step.gap_ms
+    unlisted_ms = 900 + step.gap_ms
     _trouble(stage, upstreams.primary_name(), step.for_ms + unlisted_ms)
     releasing = asyncio.create_task(
         upstreams.release(step.choice, unlisted_ms)
--- a/topazring/soak/report.py
+++ b/topazring/soak/report.py
@@ -19,7 +19,8 @@
     lines = [
         f'seed {schedule.seed}: {len(outcome.violations)} violations, '
         f'{len(schedule.steps)} faults of {", ".join(schedule.families)}; '
-        f'{promotions} promotions of {schedule.promote_ms} ms',
+        f'{promotions} promotions of {schedule.promote_ms} ms, '
+        f'{schedule.callers} callers, rests times {schedule.rest_scale:g}',
         '  ' + ', '.join(f'{name} {counts[name]}' for name in sorted(kept)),
     ]
     lines += [f'  not caused: {text}' for text in outcome.failed]
--- a/topazring/soak/schedules.py
+++ b/topazring/soak/schedules.py
@@ -15,6 +15,8 @@
 MEANS_MS = (400, 800, 1500, 3000)
 # Promotions take some hundred ms, on some days up to a second.
 PROMOTE_MS = (120, 300, 1000)
+CALLERS = (3, 8, 16)
+REST_SCALES = (1.0, 1.0, 5.0, 20.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,19 +27,26 @@
     seconds: float
     families: tuple[str, ...]
     promote_ms: int
+    # Few and slow callers leave each instance with old knowledge.
+    callers: int
+    rest_scale: float
     steps: tuple[faults.Step, ...]
 
 
-def draw(seed: int, seconds: float) -> Schedule:
+def draw(
+    seed: int, seconds: float, families: tuple[str, ...] = ()
+) -> Schedule:
     """Return the schedule of a seed, the same each time.
 
+    Without families, these are drawn as well.
+
     >>> draw(7, 20) == draw(7, 20)
     True
     """
     rng = random.Random(seed)
-    families = faults.families()
-    count = rng.randint(1, len(families))
-    chosen = tuple(sorted(rng.sample(families, count)))
+    every = faults.families()
+    drawn = rng.sample(every, rng.randint(1, len(every)))
+    chosen = tuple(sorted(families or drawn))
     known = [f for f in faults.known().values() if f.family in chosen]
     weights = [f.weight for f in known]
     mean_ms = rng.choice(MEANS_MS)
@@ -53,5 +62,12 @@
         )
         steps.append(step)
         at_ms += rng.expovariate(1 / mean_ms)
-    promote_ms = rng.choice(PROMOTE_MS)
-    return Schedule(seed, seconds, chosen, promote_ms, tuple(steps))
+    return Schedule(
+        seed,
+        seconds,
+        chosen,
+        rng.choice(PROMOTE_MS),
+        rng.choice(CALLERS),
+        rng.choice(REST_SCALES),
+        tuple(steps),
+    )
--- a/topazring/soak/soaks.py
+++ b/topazring/soak/soaks.py
@@ -13,7 +13,6 @@
 
 __all__ = ['Outcome', 'play']
 
-CALLERS = 16
 # Once all trouble is over, writes succeed within that time.
 RECOVERY_S = 12.0
 PROBE_S = 0.3
@@ -46,8 +45,8 @@
         await stage.start()
         began_ms = stages.now_ms()
         calling = [
-            callers.Caller(stage, number, schedule.seed)
-            for number in range(CALLERS)
+            callers.Caller(stage, number, schedule.seed, schedule.rest_scale)
+            for number in range(schedule.callers)
         ]
         for caller in calling:
             caller.start()
