--- a/topazring/load/main.py
+++ b/topazring/load/main.py
@@ -24,6 +24,7 @@
 
 EXIT_VIOLATIONS = 1
 EXIT_BAD_INPUT = 2
+EXIT_INTERRUPTED = 130
 # The stand-ins that a soak runs on need what only tests need.
 SOAK_STAGE = 'topazring.platform.tests.soak_stage'
 
@@ -148,7 +149,11 @@
         folder = tempfile.mkdtemp(prefix=f'topazring-soak-{self.seed}-')
         kind = importlib.import_module(SOAK_STAGE).Stage
         stage = kind(schedule, self.proxies, folder)
-        outcome = asyncio.run(self._run(stage, schedule))
+        try:
+            outcome = asyncio.run(self._run(stage, schedule))
+        except (asyncio.CancelledError, KeyboardInterrupt):
+            print(f'topazring-load: interrupted; logs: {folder}')
+            sys.exit(EXIT_INTERRUPTED)
         print(soak_report.render(outcome, stage.logs()))
         if outcome.violations or outcome.failed:
             print(f'  logs: {folder}')
