--- /dev/null
+++ b/topazring/platform/tests/soak_upstreams.py
@@ -0,0 +1,217 @@
+"""Release the soak's upstreams, list them, and have them fail."""
+
+import asyncio
+import collections.abc
+
+from topazring.bench import ports
+from topazring.platform.tests import support
+from topazring.platform.tests import synchronous_upstreams
+from topazring.soak import sightings
+from topazring.soak import stages
+
+UPSTREAMS = 3
+MOST_MEMBERS = 6
+# An upstream says that it drains this long after its successor is listed.
+SUCCEEDS_S = 0.4
+DRAIN_S = 7.2
+# It goes on for many seconds at the most, if it still leads.
+STAYS_S = 15.0
+RETRY_S = 0.3
+# Three heartbeats of an upstream.
+LAPSE_S = 3.0
+Member = synchronous_upstreams.Member
+
+
+class Upstreams:
+    """Play a group, its entries in the store, and what befalls it."""
+
+    def __init__(self, store, links, note, promote_ms: float):
+        self.store = store
+        self.links = links
+        self.note = note
+        self.group = synchronous_upstreams.Group(
+            support.SERVICE, ports.free_many(UPSTREAMS), note, promote_ms
+        )
+        self.group.changed = self._changed
+        self.listing: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Start the first members, and list them."""
+        self.group.start()
+        for member in self.group.members:
+            await self._list(member)
+
+    def close(self) -> None:
+        """End all."""
+        for task in self.listing:
+            task.cancel()
+        self.group.close()
+
+    async def _list(self, member: Member, listed: bool = True) -> None:
+        """Write a member's entry as it is, once the store takes it."""
+        door = await self.links.open(member.name, member.port)
+        member.listed = listed
+        while self.store.is_away:
+            await asyncio.sleep(RETRY_S / 10)
+        key = f'servers/{member.name}'
+        if not member.listed and key in self.store.items:
+            await self.store.put(key, None)
+        elif member.listed and not member.dark:
+            state = 'draining' if member.leaving else 'ready'
+            more = {'state': state, 'born': member.born_ms}
+            address = f'127.0.0.1:{door}'
+            entry = self.group.entry(member, address=address, **more)
+            await self.store.put_json(key, entry)
+
+    def _changed(self, member: Member) -> None:
+        if member.listed:
+            task = asyncio.create_task(self._list(member))
+            self.listing.add(task)
+            task.add_done_callback(self.listing.discard)
+
+    def promote(self, service: str, name: str) -> bool:
+        """Take an order that the store has let pass."""
+        order = self.store.orders[-1]
+        fields = (name, order['holder'], order['token'])
+        self.note(sightings.Ordered(stages.now_ms(), *fields))
+        return self.group.promote(service, name)
+
+    def _listed(self, **where) -> list[Member]:
+        return [
+            member
+            for member in self.group.members
+            if member.listed
+            and all(getattr(member, k) == v for k, v in where.items())
+        ]
+
+    # ---- trouble ----
+
+    async def trouble(
+        self, how: str, choice: float, for_ms: int, gap_ms: int
+    ) -> None:
+        """Have something befall the group, and wait until it is over."""
+        primary = self.group.primary()
+        replicas = self._listed(role='replica')
+        listed = self._listed()
+        member = listed[int(choice * len(listed))] if listed else primary
+        match how:
+            case 'release':
+                await self._release(choice, gap_ms)
+            case 'release in turn':
+                await self._release_in_turn(choice, gap_ms)
+            case 'release beside deaf':
+                await self._release_beside_deaf(choice, for_ms, gap_ms)
+            case 'crash' | 'born again':
+                await self._crash(member, for_ms, how == 'born again')
+            case 'crash primary':
+                await self._crash(primary, for_ms)
+            case 'silence':
+                await self._silence(member, for_ms)
+            case 'deafen':
+                # One replica, or all of them.
+                some = replicas[int(choice * 10) % 2 :][:1]
+                self._deafen(some if choice < 0.7 else replicas, for_ms)
+            case 'isolate':
+                await self._isolate(for_ms)
+
+    async def _release(self, choice: float, unlisted_ms: float) -> None:
+        """Have a new replica start, be listed late, and an old one leave."""
+        staying = self._listed(leaving=False)
+        if len(self.group.members) >= MOST_MEMBERS or not staying:
+            return
+        old = staying[int(choice * len(staying))]
+        new = self.group.come(ports.free())
+        await asyncio.sleep(unlisted_ms / 1000)
+        await self._list(new)
+        await asyncio.sleep(SUCCEEDS_S)
+        if old.leaving or old not in self.group.members:
+            return
+        old.leaving = True
+        await self._list(old)
+        self.note(sightings.Leaves(stages.now_ms(), old.name))
+        await asyncio.sleep(DRAIN_S)
+        async with asyncio.timeout(STAYS_S):
+            while (
+                old.role == 'primary'
+                or old.dark
+                or not self.group.is_spare(old)
+            ):
+                await asyncio.sleep(RETRY_S)
+        self.group.end(old)
+        await self._list(old, listed=False)
+        await self.links.end(old.name)
+
+    async def _release_in_turn(self, choice: float, gap_ms: int) -> None:
+        """Replace several, each before the last one has gone."""
+        releasing = []
+        for turn in range(2 + int(choice * 10) % 2):
+            one = self._release((choice + turn * 0.37) % 1, gap_ms)
+            releasing.append(asyncio.create_task(one))
+            await asyncio.sleep(SUCCEEDS_S + gap_ms / 1000)
+        await asyncio.gather(*releasing)
+
+    async def _release_beside_deaf(
+        self, choice: float, for_ms: int, gap_ms: int
+    ) -> None:
+        """Have only the unlisted new replica receive; lose the primary."""
+        releasing = asyncio.create_task(self._release(choice, 900 + gap_ms))
+        await asyncio.sleep(0.15)
+        self._deafen(self._listed(role='replica'), for_ms + 1500)
+        await asyncio.sleep(0.3 + choice * 0.2)
+        if choice < 0.5:
+            await self._crash(self.group.primary(), 3000)
+        else:
+            await self._isolate(for_ms)
+        await releasing
+
+    async def _crash(
+        self, member: Member, for_ms: int, empty: bool = False
+    ) -> None:
+        """End an upstream; it is back later, with its log or empty.
+
+        Nothing may go with it that cannot be had from anyone else.
+        """
+        if any(each.dark for each in self.group.members):
+            return
+        if empty and not self.group.is_spare(member):
+            return
+        self.group.crash(member.name)
+        if empty:
+            member.log, member.applied = [], 0
+        await asyncio.sleep(min(for_ms / 1000, LAPSE_S))
+        if for_ms / 1000 > LAPSE_S:
+            await self._list(member, listed=False)
+            await asyncio.sleep(for_ms / 1000 - LAPSE_S)
+        self.group.back(member, empty)
+        await self._list(member)
+
+    async def _silence(self, member: Member, for_ms: int) -> None:
+        if any(each.dark for each in self.group.members):
+            return
+        member.dark = True
+        self.links.trouble(member.name, 'no way')
+        await asyncio.sleep(for_ms / 1000)
+        member.dark = False
+        self.links.mend(member.name)
+        self._changed(member)
+
+    async def _isolate(self, for_ms: int) -> None:
+        """Cut the primary off from the listed ones, with those that start."""
+        primary = self.group.primary()
+        others = [each for each in self._listed() if each is not primary]
+        pairs = {
+            frozenset((member.name, other.name))
+            for member in self.group.members
+            for other in others
+            if member not in others
+        }
+        self.group.cut_pairs |= pairs
+        await asyncio.sleep(for_ms / 1000)
+        self.group.cut_pairs -= pairs
+
+    def _deafen(
+        self, members: collections.abc.Iterable[Member], for_ms: int
+    ) -> None:
+        until_ms = stages.now_ms() + for_ms
+        for member in members:
+            member.deaf_until_ms = max(member.deaf_until_ms, until_ms)
--- a/topazring/soak/checks.py
+++ b/topazring/soak/checks.py
@@ -272,7 +272,7 @@
     now = facts.versions[-1]
     if probed.asked_ms - now.at_ms <= APPLY_MS:
         return
-    places = (probed.instance, soak_facts.SERVICE)
+    places = (probed.instance, 'service', 'links')
     from_ms = min(probed.asked_ms - STABILITY_MS, now.at_ms - STABILITY_MS)
     if not facts.is_calm(from_ms, probed.at_ms, *places):
         return
--- a/topazring/soak/facts.py
+++ b/topazring/soak/facts.py
@@ -6,9 +6,7 @@
 from topazring.core.synchronous import messages
 from topazring.soak import sightings
 
-__all__ = ['Facts', 'Request', 'SERVICE', 'holds', 'take']
-
-SERVICE = 'service'
+__all__ = ['Facts', 'Request', 'holds', 'take']
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,7 +75,7 @@
         Planned work is no trouble if `planned` is false.
         """
         return not any(
-            trouble.from_ms <= to_ms
+            trouble.at_ms <= to_ms
             and trouble.to_ms >= from_ms
             and (planned or not trouble.planned)
             and (not places or trouble.where in places)
--- a/topazring/soak/faults.py
+++ b/topazring/soak/faults.py
@@ -8,9 +8,10 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import signal
+import typing
 
-from topazring.soak import facts
 from topazring.soak import sightings
 from topazring.soak import stages
 
@@ -20,6 +21,8 @@
 PAST_GRACE_S = 1.0
 # One that starts takes about so long.
 START_MS = 1500
+# What troubles have done is over a moment after them.
+AFTER_MS = 2000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +38,7 @@
     gap_ms: int
 
 
+Instance = typing.Any
 Cause = collections.abc.Callable[
     [stages.Stage, Step], collections.abc.Awaitable[None]
 ]
@@ -81,7 +85,7 @@
     await _faults[step.fault].cause(stage, step)
 
 
-def _pick(stage: stages.Stage, choice: float) -> stages.Instance:
+def _pick(stage: stages.Stage, choice: float) -> Instance:
     found = stage.instances
     return found[int(choice * len(found)) % len(found)]
 
@@ -90,23 +94,27 @@
     stage: stages.Stage, where: str, for_ms: float, planned: bool = False
 ) -> None:
     now = stages.now_ms()
-    trouble = sightings.Disturbed(now, now + for_ms, where, planned)
-    stage.oracle.note(trouble)
+    stage.oracle.note(sightings.Disturbed(now, now + for_ms, where, planned))
 
 
-def _runs(instance: stages.Instance) -> bool:
+def _runs(instance: Instance) -> bool:
     process = instance.process
     return process is not None and process.returncode is None
 
 
-def _signal(instance: stages.Instance, number: signal.Signals) -> None:
+def _signal(instance: Instance, number: signal.Signals) -> None:
     """Signal the instance's own process, if it still runs."""
     if _runs(instance):
         instance.process.send_signal(number)
 
 
+async def _restart(stage: stages.Stage, instance: Instance) -> None:
+    stage.oracle.note(sightings.Started(stages.now_ms(), instance.name))
+    await instance.restart()
+
+
 async def _stop(
-    stage: stages.Stage, instance: stages.Instance, pause_ms: float
+    stage: stages.Stage, instance: Instance, pause_ms: float
 ) -> None:
     """Stop an instance in its grace, then start it again."""
     if not _runs(instance):
@@ -125,11 +133,11 @@
             await process.wait()
     await asyncio.sleep(pause_ms / 1000)
     _trouble(stage, instance.name, START_MS, planned=True)
-    await instance.restart()
+    await _restart(stage, instance)
 
 
 async def _freeze(
-    stage: stages.Stage, instance: stages.Instance, for_ms: float
+    stage: stages.Stage, instance: Instance, for_ms: float
 ) -> None:
     _trouble(stage, instance.name, for_ms + 200)
     process = instance.process
@@ -140,14 +148,14 @@
 
 
 async def _kill(
-    stage: stages.Stage, instance: stages.Instance, for_ms: float
+    stage: stages.Stage, instance: Instance, for_ms: float
 ) -> None:
     _trouble(stage, instance.name, for_ms + START_MS)
     if _runs(instance):
         _signal(instance, signal.SIGKILL)
         await instance.process.wait()
     await asyncio.sleep(for_ms / 1000)
-    await instance.restart()
+    await _restart(stage, instance)
 
 
 # ---- planned work ----
@@ -242,181 +250,47 @@
     await asyncio.gather(*freezing)
 
 
-# ---- releases of upstreams ----
-
-
-@fault('releases', weight=3)
-async def release(stage: stages.Stage, step: Step) -> None:
-    """Replace an upstream; the new one is listed late."""
-    await stage.upstreams.release(step.choice, step.gap_ms)
-
-
-@fault('releases', weight=2)
-async def release_in_turn(stage: stages.Stage, step: Step) -> None:
-    """Replace several, each before the last one has gone."""
-    releasing = []
-    for turn in range(2 + int(step.choice * 10) % 2):
-        choice = (step.choice + turn * 0.37) % 1
-        one = stage.upstreams.release(choice, step.gap_ms)
-        releasing.append(asyncio.create_task(one))
-        await asyncio.sleep((400 + step.gap_ms) / 1000)
-    await asyncio.gather(*releasing)
-
-
-@fault('releases', weight=2)
-async def release_beside_deaf(stage: stages.Stage, step: Step) -> None:
-    """Have only the unlisted new replica receive; then lose the primary."""
-    upstreams = stage.upstreams
-    unlisted_ms = 900 + step.gap_ms
-    _trouble(stage, upstreams.primary_name(), step.for_ms + unlisted_ms)
-    releasing = asyncio.create_task(
-        upstreams.release(step.choice, unlisted_ms)
-    )
-    await asyncio.sleep(0.15)
-    upstreams.deafen(upstreams.listed_replicas(), step.for_ms + 1500)
-    await asyncio.sleep(0.3 + step.choice * 0.2)
-    primary = upstreams.primary_name()
-    if step.choice < 0.5:
-        await upstreams.crash(primary, 3000, empty=False)
-    else:
-        await upstreams.isolate(step.for_ms)
-    await releasing
-
-
-# ---- upstreams that fail ----
-
-
-@fault('upstreams', weight=3)
-async def crash(stage: stages.Stage, step: Step) -> None:
-    """Crash an upstream; it comes back with its log."""
-    name = stage.upstreams.choose(step.choice)
-    _trouble(stage, name, step.for_ms)
-    await stage.upstreams.crash(name, step.for_ms, empty=False)
-
-
-@fault('upstreams', weight=2)
-async def crash_primary(stage: stages.Stage, step: Step) -> None:
-    """Crash the primary; it comes back with its log."""
-    name = stage.upstreams.primary_name()
-    _trouble(stage, name, step.for_ms)
-    await stage.upstreams.crash(name, step.for_ms, empty=False)
-
-
-@fault('upstreams')
-async def born_again(stage: stages.Stage, step: Step) -> None:
-    """Have an upstream begin again, empty, under its name."""
-    name = stage.upstreams.choose(step.choice)
-    _trouble(stage, name, step.for_ms)
-    await stage.upstreams.crash(name, step.for_ms, empty=True)
-
-
-@fault('upstreams')
-async def silence(stage: stages.Stage, step: Step) -> None:
-    """Have an upstream go silent."""
-    name = stage.upstreams.choose(step.choice)
-    _trouble(stage, name, step.for_ms)
-    await stage.upstreams.silence(name, step.for_ms)
-
-
-@fault('upstreams')
-async def deafen(stage: stages.Stage, step: Step) -> None:
-    """Have a replica, or all of them, receive nothing."""
-    replicas = stage.upstreams.listed_replicas()
-    if step.choice < 0.7:
-        replicas = replicas[int(step.choice * 10) % 2 :][:1]
-    _trouble(stage, 'upstreams', step.for_ms)
-    stage.upstreams.deafen(replicas, step.for_ms)
-    await asyncio.sleep(step.for_ms / 1000)
-
-
-@fault('upstreams')
-async def isolate(stage: stages.Stage, step: Step) -> None:
-    """Cut the primary off from its group; it goes on when replaced."""
-    _trouble(stage, stage.upstreams.primary_name(), step.for_ms)
-    await stage.upstreams.isolate(step.for_ms)
-
-
-# ---- the platform's service ----
-
-
-async def _service(stage: stages.Stage, step: Step, how: str) -> None:
-    _trouble(stage, facts.SERVICE, step.for_ms + 200)
-    stage.service(how, step.choice)
-    await asyncio.sleep(step.for_ms / 1000)
-    stage.service('well', step.choice)
-
-
-@fault('service')
-async def service_down(stage: stages.Stage, step: Step) -> None:
-    """Have the service refuse everybody."""
-    await _service(stage, step, 'down')
-
-
-@fault('service')
-async def service_silent(stage: stages.Stage, step: Step) -> None:
-    """Have the service take calls and never answer."""
-    await _service(stage, step, 'silent')
-
-
-@fault('service')
-async def service_slow(stage: stages.Stage, step: Step) -> None:
-    """Have the service answer late."""
-    await _service(stage, step, 'slow')
-
-
-@fault('service')
-async def service_loses_answers(stage: stages.Stage, step: Step) -> None:
-    """Have the service carry writes out without an answer."""
-    await _service(stage, step, 'loses answers')
-
-
-@fault('service')
-async def service_forgets(stage: stages.Stage, step: Step) -> None:
-    """Have the service drop its history."""
-    await _service(stage, step, 'forgets')
-
-
-@fault('service')
-async def service_turns_away(stage: stages.Stage, step: Step) -> None:
-    """Have the service serve some instances only."""
-    await _service(stage, step, 'turns away')
-
-
-# ---- links ----
-
-
-async def _link(stage: stages.Stage, step: Step, how: str) -> None:
-    name = stage.link(how, step.choice)
-    _trouble(stage, name, step.for_ms + 200)
-    await asyncio.sleep(step.for_ms / 1000)
-    stage.mend_link(name)
-
-
-@fault('links')
-async def link_delayed(stage: stages.Stage, step: Step) -> None:
-    """Have a link pass bytes late."""
-    await _link(stage, step, 'delayed')
-
-
-@fault('links')
-async def link_reset(stage: stages.Stage, step: Step) -> None:
-    """Reset a link's connections, and refuse new ones for a moment."""
-    await _link(stage, step, 'reset')
-
-
-@fault('links')
-async def link_one_way(stage: stages.Stage, step: Step) -> None:
-    """Have requests pass and answers wait."""
-    await _link(stage, step, 'one way')
-
-
-@fault('links')
-async def link_silent(stage: stages.Stage, step: Step) -> None:
-    """Have nothing pass, and nothing close."""
-    await _link(stage, step, 'silent')
+# ---- upstreams, the platform's service, links ----
+
+# By family: how often each is drawn. The stage says what is troubled.
+_AROUND = {
+    'releases': {'release': 3, 'release in turn': 2, 'release beside deaf': 2},
+    'upstreams': {
+        'crash': 3,
+        'crash primary': 2,
+        'born again': 2,
+        'silence': 2,
+        'deafen': 2,
+        'isolate': 2,
+    },
+    'service': {
+        'down': 2,
+        'silent': 2,
+        'slow': 2,
+        'loses answers': 2,
+        'forgets': 2,
+        'turns away': 2,
+    },
+    'links': {
+        'delayed': 2,
+        'reset': 2,
+        'one way': 2,
+        'no way': 2,
+        'loses answers for good': 2,
+    },
+}
+
+
+async def _around(
+    family: str, how: str, stage: stages.Stage, step: Step
+) -> None:
+    if family != 'releases' or how == 'release beside deaf':
+        _trouble(stage, family, step.for_ms + step.gap_ms + AFTER_MS)
+    choice, for_ms, gap_ms = step.choice, step.for_ms, step.gap_ms
+    await stage.trouble(family, how, choice, for_ms, gap_ms)
 
 
-@fault('links')
-async def link_loses(stage: stages.Stage, step: Step) -> None:
-    """Have open connections lose answers for good; new ones work."""
-    await _link(stage, step, 'loses')
+for _family, _hows in _AROUND.items():
+    for _how, _weight in _hows.items():
+        _cause = functools.partial(_around, _family, _how)
+        _faults[_how] = Fault(_how, _family, _weight, _cause)
--- a/topazring/soak/sightings.py
+++ b/topazring/soak/sightings.py
@@ -4,35 +4,17 @@
 passes through the process that runs the soak.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 
-__all__ = [
-    'Answer',
-    'Answered',
-    'Ask',
-    'Asked',
-    'Committed',
-    'Cut',
-    'Disturbed',
-    'Entry',
-    'Exited',
-    'Finished',
-    'InForce',
-    'Kind',
-    'Led',
-    'Leaves',
-    'Ordered',
-    'Probed',
-    'Ran',
-    'Started',
-    'Unasked',
-]
+__all__ = ['Answer', 'Ask', 'Entry', 'Kind', 'Sighting']
 
 Verb = statements.Verb
+Freshness = messages.Freshness
 
 
 class Kind(enum.StrEnum):
@@ -47,8 +29,7 @@
     REJECTED = 'rejected'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """Hold one final answer."""
 
     kind: Kind
@@ -58,8 +39,7 @@
     detail: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(msgspec.Struct, frozen=True):
     """Hold a statement as its caller sends it."""
 
     request_id: str
@@ -68,8 +48,7 @@
     data: str = ''
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class Entry:
+class Entry(msgspec.Struct, eq=False):
     """Hold one commit in logs; logs that share it hold this very object."""
 
     term: int
@@ -79,26 +58,28 @@
     writes: tuple[tuple[str, str], ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Asked:
-    """Report that a caller sends a statement."""
+class Sighting(msgspec.Struct, frozen=True):
+    """Report something that was seen at a moment."""
 
     at_ms: float
+
+
+class Asked(Sighting):
+    """Report that a caller sends a statement."""
+
     ask: Ask
     session: str
     instance: str
-    freshness: messages.Freshness = messages.Freshness.PRIMARY
+    freshness: Freshness = Freshness.PRIMARY
     max_staleness_ms: int = 0
     # Names the caller's transaction, empty outside one.
     transaction: str = ''
     values: tuple[tuple[str, str], ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ran:
+class Ran(Sighting):
     """Report that an upstream ran a statement."""
 
-    at_ms: float
     upstream: str
     ask: Ask
     signature: str
@@ -110,111 +91,87 @@
     values: tuple[tuple[str, str], ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Committed:
+class Committed(Sighting):
     """Report that a primary added a commit to its log."""
 
-    at_ms: float
     upstream: str
     entry: Entry
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answered:
+class Answered(Sighting):
     """Report a final answer as its caller got it."""
 
-    at_ms: float
     request_id: str
     answer: Answer
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Cut:
+class Cut(Sighting):
     """Report that a connection ended without an answer."""
 
-    at_ms: float
     request_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unasked:
+class Unasked(Sighting):
     """Report that a caller was told something while it had asked nothing."""
 
-    at_ms: float
     session: str
     instance: str
     text: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ordered:
+class Ordered(Sighting):
     """Report an order to promote."""
 
-    at_ms: float
     upstream: str
     holder: str
     token: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Led:
+class Led(Sighting):
     """Report that an upstream begins to lead with what it has received."""
 
-    at_ms: float
     upstream: str
     term: int
     log: list[Entry]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Leaves:
+class Leaves(Sighting):
     """Report that the platform's service accepted that an upstream drains."""
 
-    at_ms: float
     upstream: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InForce:
+class InForce(Sighting):
     """Report that the platform's service accepted a configuration."""
 
-    at_ms: float
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Probed:
+class Probed(Sighting):
     """Report whether an instance takes a session on a version's database."""
 
     asked_ms: float
-    at_ms: float
     instance: str
     version: int
     taken: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Started:
+class Started(Sighting):
     """Report that an instance's process starts."""
 
-    at_ms: float
     instance: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Exited:
+class Exited(Sighting):
     """Report that an instance's process has ended."""
 
-    at_ms: float
     instance: str
     code: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Disturbed:
-    """Report trouble, from when to when."""
+class Disturbed(Sighting):
+    """Report trouble from now to some time."""
 
-    from_ms: float
     to_ms: float
     # An instance, `service` for the platform's service, or an upstream.
     where: str
@@ -222,11 +179,9 @@
     planned: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finished:
+class Finished(Sighting):
     """Report the log that leads in the end."""
 
-    at_ms: float
     log: list[Entry]
     # Whether a write succeeded once all trouble was over.
     serves: bool = True
