--- a/topazring/soak/checks.py
+++ b/topazring/soak/checks.py
@@ -273,8 +273,8 @@
     if probed.asked_ms - now.at_ms <= APPLY_MS:
         return
     places = (probed.instance, 'service', 'links')
-    from_ms = min(probed.asked_ms - STABILITY_MS, now.at_ms - STABILITY_MS)
-    if not facts.is_calm(from_ms, probed.at_ms, *places):
+    since_ms = probed.asked_ms - STABILITY_MS
+    if not facts.is_calm(since_ms, probed.at_ms, *places):
         return
     if probed.taken != (probed.version == now.version):
         yield (
--- a/topazring/soak/faults.py
+++ b/topazring/soak/faults.py
@@ -193,7 +193,6 @@
     """Change settings and tell the instance, twice in a row at times."""
     instance = _pick(stage, step.choice)
     for _ in range(1 + int(step.choice * 10) % 2):
-        _trouble(stage, instance.name, 1000, planned=True)
         stage.rewrite_settings(instance)
         _signal(instance, signal.SIGHUP)
         await asyncio.sleep(step.gap_ms / 1000)
--- a/topazring/soak/soaks.py
+++ b/topazring/soak/soaks.py
@@ -13,6 +13,7 @@
 
 __all__ = ['Outcome', 'play']
 
+CALM_S = (checks.STABILITY_MS + faults.AFTER_MS + 500) / 1000
 # Once all trouble is over, writes succeed within that time.
 RECOVERY_S = 12.0
 PROBE_S = 0.3
@@ -57,6 +58,8 @@
             background.add(causing)
         if background:
             await asyncio.wait(background)
+            # Promises that hold with a time hold again by then.
+            await asyncio.sleep(CALM_S)
         await _until(began_ms + schedule.seconds * 1000)
         await asyncio.gather(*(caller.close() for caller in calling))
         serves = await _recovers(stage)
