--- a/topazring/soak/tests/test_soak.py
+++ b/topazring/soak/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Run a soak of real processes, and interrupt one."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import subprocess
@@ -53,10 +54,13 @@
 
     def interrupt(self, number: signal.Signals) -> None:
         """Interrupt a soak once its proxies run; look for them after it."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
         words = ['soak', '--seed', '1', '--seconds', '60', '--quiet']
         soak = subprocess.Popen(
             [sys.executable, '-m', 'topazring.load.main', *words],
             cwd=ROOT,
+            env={**os.environ, 'TMPDIR': folder.name},
             stdout=subprocess.DEVNULL,
             stderr=subprocess.DEVNULL,
         )
