--- /dev/null
+++ b/topazring/soak/tests/test_oracle.py
@@ -0,0 +1,219 @@
+"""Each check fails on what breaks its promise, and only on that."""
+
+import testtools
+
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import statements
+from topazring.soak import checks
+from topazring.soak import sightings
+
+Freshness = messages.Freshness
+Kind = sightings.Kind
+Verb = statements.Verb
+
+
+class Story:
+    """Tell an oracle what happens, step by step; `u1` leads at first."""
+
+    def __init__(self):
+        self.oracle = checks.Oracle()
+        self.now_ms = 100_000.0
+        self.log: list[sightings.Entry] = []
+        self.note(sightings.Led, 'u1', 1, self.log)
+
+    def tell(self, text: str) -> list[str]:
+        """Tell a line; return the names of the checks that fail."""
+        for step in text.split('; '):
+            name, *words = step.split(' ')
+            fields = [_value(word) for word in words if '=' not in word]
+            named = dict(word.split('=') for word in words if '=' in word)
+            more = {key: _value(word) for key, word in named.items()}
+            getattr(self, name)(*fields, **more)
+        return [each.check for each in self.oracle.violations]
+
+    def note(self, kind, *fields, **more) -> None:
+        """Note a sighting at a new moment."""
+        self.now_ms += 1
+        self.oracle.note(kind(self.now_ms, *fields, **more))
+
+    def wait(self, for_ms):
+        self.now_ms += for_ms
+
+    def lead(self, upstream, term):
+        """Lead with nothing."""
+        self.note(sightings.Led, upstream, term, [])
+
+    def order(self, upstream, holder):
+        self.note(sightings.Ordered, upstream, holder, 7)
+
+    def ask(self, request_id, verb=Verb.WRITE, age=2000, **more):
+        ask = sightings.Ask(request_id, verb, 'k', 'd')
+        more['max_staleness_ms'] = age
+        self.note(sightings.Asked, ask, 's1', 'p1', **more)
+
+    def run(self, request_id, verb=Verb.WRITE, data='d', **more):
+        """Have `u1` run a statement."""
+        ask = sightings.Ask(request_id, verb, 'k', data)
+        applied = more.pop('applied', len(self.log))
+        fields = (ask, f'{request_id}.1', (), self.log, applied)
+        self.note(sightings.Ran, 'u1', *fields, **more)
+
+    def commit(self, request_id):
+        entry = sightings.Entry(1, len(self.log) + 1, request_id)
+        self.note(sightings.Committed, 'u1', entry)
+        self.log.append(entry)
+
+    def find(self, request_id):
+        """Have a commit in the log that nobody saw happen."""
+        entry = sightings.Entry(1, len(self.log) + 1, request_id)
+        self.log.append(entry)
+
+    def answer(self, request_id, kind=Kind.DONE, **more):
+        fields = {'signature': f'{request_id}.1', **more}
+        answer = sightings.Answer(kind, **fields)
+        self.note(sightings.Answered, request_id, answer)
+
+    def refuse(self, request_id):
+        self.answer(request_id, Kind.NOT_RUN)
+
+    def write(self, request_id):
+        """Have a write asked for, run, committed and acknowledged."""
+        self.ask(request_id)
+        self.run(request_id)
+        self.commit(request_id)
+        self.answer(request_id)
+
+    def read(self, request_id, applied, **more):
+        """Read at a log that ends early."""
+        self.ask(request_id, Verb.READ, **more)
+        inside = 'transaction' in more
+        self.run(request_id, Verb.READ, applied=applied, inside=inside)
+        self.answer(request_id)
+
+    def cut(self, request_id):
+        self.note(sightings.Cut, request_id)
+
+    def overhear(self):
+        self.note(sightings.Unasked, 's1', 'p1', 'DONE q1.1')
+
+    def trouble(self, where, planned=False):
+        until_ms = self.now_ms + 10_000
+        self.note(sightings.Disturbed, until_ms, where, planned)
+
+    def drain(self):
+        """Have `u1` drain, and its time be over."""
+        self.note(sightings.Leaves, 'u1')
+        self.wait(checks.DRAIN_MS)
+
+    def configure(self, version):
+        self.note(sightings.InForce, version)
+
+    def probe(self, version, taken):
+        self.note(sightings.Probed, self.now_ms, 'p1', version, taken)
+
+    def begin(self):
+        self.note(sightings.Started, 'p1')
+
+    def exit(self, code):
+        self.note(sightings.Exited, 'p1', code)
+
+    def finish(self, log=None, serves=True):
+        log = self.log if log is None else log
+        self.note(sightings.Finished, log, serves)
+
+
+def _value(word: str):
+    if word.lstrip('-').isdecimal():
+        return int(word)
+    return WORDS.get(word, word)
+
+
+# A story is a line of steps; each is a method of `Story` and its words. A word
+# is a number, a name below, or text; `key=word` is passed by its name.
+WORDS = {
+    'READ': Verb.READ,
+    'BEGIN': Verb.BEGIN,
+    'UNKNOWN': Kind.UNKNOWN,
+    'empty': [],
+    'yes': True,
+    'no': False,
+    'values': (('a', 'x'),),
+    'rows': ('d',),
+    'session': Freshness.SESSION,
+    'bounded': Freshness.BOUNDED,
+}
+# Each breaks one promise, once.
+BROKEN = [
+    ('only_what_was_asked', 'run q9'),
+    ('only_what_was_asked', 'ask q1; run q1 data=other'),
+    ('session_holds_together', 'ask q1 values=values; run q1'),
+    ('session_holds_together', 'ask q1 transaction=t; run q1'),
+    ('session_holds_together', 'ask q1; run q1 inside=yes'),
+    ('at_most_once', 'ask q1; commit q1; commit q1'),
+    ('not_after_its_refusal', 'ask q1; refuse q1; commit q1'),
+    ('no_work_after_drain', 'drain; ask q1; run q1'),
+    ('one_final_answer', 'answer q1 UNKNOWN'),
+    ('one_final_answer', 'ask q1; refuse q1; refuse q1'),
+    ('nothing_unasked', 'overhear'),
+    ('answer_is_its_own', 'ask q1 READ; run q1 READ; answer q1 rows=rows'),
+    ('answer_is_its_own', 'ask q1; run q1; answer q1 signature=q2.1'),
+    ('refusals_hold', 'ask q1; commit q1; refuse q1'),
+    ('fresh_enough', 'write q1; read q2 0'),
+    ('fresh_enough', 'write q1; read q2 0 freshness=session age=2000'),
+    ('fresh_enough', 'write q1; wait 2000; read q2 0 freshness=bounded'),
+    # A loss is told once.
+    ('survives_a_promotion', 'write q1; lead u2 2; lead u3 3; finish empty'),
+    (
+        'acknowledged_by_its_leader',
+        'ask q1; run q1; commit q1; lead u2 2; answer q1',
+    ),
+    ('one_holder', 'order u1 p1; order u2 p1; order u2 p2'),
+    ('all_is_answered', 'ask q1; wait 12000; finish'),
+    ('all_is_kept', 'write q1; finish empty'),
+    ('all_is_kept', 'ask q1; refuse q1; find q1; finish'),
+    ('all_is_kept', 'find q1; find q1; finish'),
+    ('serves_again', 'finish serves=no'),
+    ('configuration_in_force', 'configure 4; wait 3100; probe 4 no'),
+    ('configuration_in_force', 'configure 4; wait 3100; probe 3 yes'),
+    (
+        'configuration_never_back',
+        'configure 4; probe 4 yes; wait 300; probe 3 yes',
+    ),
+    ('planned_work_cuts_nothing', 'ask q1; run q1; cut q1'),
+    ('planned_work_cuts_nothing', 'trouble p1 yes; ask q1; wait 300; cut q1'),
+    ('no_end_by_itself', 'exit 70'),
+]
+# None breaks any.
+KEPT = [
+    'write q1; read q2 1; ask q3; run q3; refuse q3; finish',
+    # What a promotion cut off may be committed anew.
+    'ask q1; commit q1; lead u2 2; commit q1',
+    'drain; trouble p2; ask q1; run q1',
+    'write q1; read q2 0 freshness=bounded',
+    # A transaction has to see what its beginning had to.
+    'ask q1 BEGIN transaction=t; write q2; read q3 0 transaction=t',
+    'configure 4; wait 2900; probe 4 no',
+    'configure 4; wait 2900; trouble service; wait 500; probe 4 no',
+    'configure 4; probe 4 yes; probe 3 yes',
+    # Another process may begin with what it is told first.
+    'configure 4; probe 4 yes; begin; wait 300; probe 3 yes',
+    'trouble p1; ask q1; run q1; cut q1',
+    # It crossed the end of its session.
+    'trouble p1 yes; ask q1; cut q1',
+    'exit 0; exit -9; exit -15',
+]
+
+
+class OracleTest(testtools.TestCase):
+    """Stories that break a promise, and some that break none."""
+
+    def test_broken(self):
+        for check, text in BROKEN:
+            self.assertEqual([check], Story().tell(text), text)
+
+    def test_kept(self):
+        for text in KEPT:
+            self.assertEqual([], Story().tell(text), text)
+
+    def test_every_check_is_shown_to_fail(self):
+        self.assertEqual(set(checks.checks()), {name for name, _ in BROKEN})
