Tell a request that its link is lost if that ended as it was opened

Cause: the stream's end was read, and all that had been asked on it answered, before the request was noted on it. Now a stream that is not the link's own any more is not used; nothing was sent, so the request goes elsewhere.

--- a/topazring/pooler/hop.py
+++ b/topazring/pooler/hop.py
@@ -77,7 +77,8 @@
         load: forwarding.Load,
     ) -> outcomes.Outcome | forwarding.Lost:
         stream = await self._open()
-        if stream is None:
+        if stream is None or stream is not self.stream:
+            # It has ended meanwhile, and whoever reads it has gone.
             return forwarding.Lost(False)
         number = next(self.numbers)
         answer = asyncio.get_running_loop().create_future()
