Count a new heir's word while a leaving primary hands over

A new replica may be the heir of a leaving primary: it holds as much as the others, and names decided. Now the word of every reached member that is not paused counts, new or not, and a member that all know is preferred as the heir where it holds as much. The new test failed before (no answer).

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -144,7 +144,7 @@
     term = confirmation.place.log_term
     unpaused = [
         upstream
-        for upstream in witnesses(state)
+        for upstream in states.others(state)
         if upstream.held_term <= term
         and not proofs.is_unreached(state, now_ms, upstream)
     ]
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -91,7 +91,8 @@
         for upstream in staying
         if not proofs.is_unreached(state, now_ms, upstream)
     ]
-    return max(reached or staying, key=lambda u: (u.place, u.name)).name
+    ahead = max(reached or staying, key=lambda u: (u.place, u.vouches, u.name))
+    return ahead.name
 
 
 def _begin(
--- a/topazring/core/synchronous/tests/test_newcomers.py
+++ b/topazring/core/synchronous/tests/test_newcomers.py
@@ -142,6 +142,12 @@
         outcome = support.answers(driver.outs).get(self.key)
         self.assertNotIsInstance(outcome, outcomes.Done)
 
+    def test_heir_that_is_new(self):
+        """Guards against writes that stand still as all known are paused."""
+        driver = self.confirmed(held_term=2)
+        outcome = support.answers(driver.outs).get(self.key)
+        self.assertIsInstance(outcome, outcomes.Done)
+
     def test_heir_that_holds_it(self):
         """Guards against writes that stand still during a hand-over."""
         driver = self.confirmed(held_term=0, received=WITH)
