Take a connection that ends as it is made for no answer

What callers saw: a proxy that goes on by an old list for ever (an exception that nobody retrieved, in a run of the pooler's tests; 7 of 2,000 calls to a listener that resets what it takes).

Cause: a stream that has ended has no socket whose options could be set; the error that this raised ended the task that follows the store. The client's connect says now that the stream is closed, which is no answer like any other; links between proxies use the same.

--- a/topazring/plumbing/dialling.py
+++ b/topazring/plumbing/dialling.py
@@ -2,6 +2,7 @@
 
 import socket
 
+from tornado import iostream
 from tornado import tcpclient
 
 __all__ = ['KeepaliveClient', 'keep_alive']
@@ -32,7 +33,12 @@
     """Connect for tornado's HTTP client with keep-alive probes."""
 
     async def connect(self, *args, **kwargs):
-        """Return a stream whose peer's end is noticed."""
+        """Return a stream whose peer's end is noticed.
+
+        Raises StreamClosedError if it has ended already.
+        """
         stream = await super().connect(*args, **kwargs)
+        if stream.closed():
+            raise iostream.StreamClosedError()
         keep_alive(stream.socket)
         return stream
--- a/topazring/pooler/hop.py
+++ b/topazring/pooler/hop.py
@@ -9,7 +9,6 @@
 import itertools
 
 from tornado import iostream
-from tornado import tcpclient
 
 from topazring.core import outcomes
 from topazring.core.synchronous import forwarding
@@ -114,14 +113,13 @@
         target = settings.endpoint(self.address)
         try:
             async with asyncio.timeout(CONNECT_S):
-                stream = await tcpclient.TCPClient().connect(
+                stream = await dialling.KeepaliveClient().connect(
                     target.host, target.port
                 )
         except (OSError, TimeoutError, iostream.StreamClosedError):
             return None
         finally:
             self.opening = None
-        dialling.keep_alive(stream.socket)
         self.stream = stream
         self.heard_ms = clock.suspended_ms()
         for work in (self._read_forever(stream), self._watch(stream)):
