Let a hand-over carry on what it received, and wait for a silent heir

The tests' own upstreams named the new term for a log without an entry of it, and name the last entry's now. Only what leaves is waited for: after a loss the answer is as before.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -20,14 +20,15 @@
 
 Neither counts while a member says that it is paused for a later term: then
 somebody is replacing the primary, and may have chosen already. While a leaving
-primary hands over the others are paused by design, and all that are reached
-and not paused have to hold the write: its heir is among them. Whoever ordered
-a successor itself knows which one has to. Nothing counts while another is
-named as the primary, or was named and is gone: the one that is believed to
-lead goes on until it learns of that.
+primary hands over the others are paused by design, and all that are not have
+to hold the write: its heir is among them. Whoever ordered a successor itself
+knows which one has to. Nothing counts while another is named as the primary,
+or was named and is gone: the one that is believed to lead goes on until it
+learns of that.
 """
 
 from topazring.core import places
+from topazring.core.synchronous import evidence
 from topazring.core.synchronous import known_places
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
@@ -35,6 +36,7 @@
 
 __all__ = [
     'is_alone',
+    'is_carried_on',
     'is_sound',
     'is_unsure',
     'lose_successor',
@@ -48,6 +50,9 @@
 FIRST_TERM = 1
 # Proxies hear of a new member within milliseconds of each other.
 KNOWN_MS = 300
+# A hand-over takes no longer: a successor that was silent before it began
+# would not have been chosen.
+HAND_OVER_MS = 3000
 # Whoever holds the duty has heard as well that a successor is gone, and has
 # promoted another by then. If it has not, it knows better, or never will.
 OVER_MS = 5000
@@ -99,6 +104,26 @@
     return _is_known_to_hold(state, confirmation)
 
 
+def is_carried_on(
+    state: states.GroupState, confirmation: known_places.Confirmation
+) -> bool | None:
+    """Say whether the heir of a write's primary began with the write.
+
+    None while that may still be learned: until its first entry an heir's log
+    ends where it began, in the term before.
+    """
+    before = state.upstreams.get(confirmation.upstream)
+    if before is None or not before.leaving:
+        return False
+    successor = state.upstreams.get(state.primary)
+    if successor is None or state.proven != state.primary:
+        return None
+    if _holds(successor, confirmation):
+        return True
+    asked = successor.log_end_sent_ms >= confirmation.sent_ms
+    return False if asked else None
+
+
 def _is_outdated(
     state: states.GroupState, confirmation: known_places.Confirmation
 ) -> bool:
@@ -137,7 +162,8 @@
     """Say whether the successor of a leaving primary holds a write.
 
     Which member that is only the promoter knows; it is not paused. One that
-    restarted is not either, and the successor is not held to its log.
+    restarted is not either, and the successor is not held to its log. One
+    that is silent may be cut off from here alone.
     """
     if confirmation.place is None:
         return False
@@ -146,11 +172,18 @@
         upstream
         for upstream in states.others(state)
         if upstream.held_term <= term
-        and not proofs.is_unreached(state, now_ms, upstream)
+        and not _is_long_silent(state, now_ms, upstream)
     ]
     return bool(unpaused) and all(_holds(u, confirmation) for u in unpaused)
 
 
+def _is_long_silent(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> bool:
+    since_ms = evidence.unanswered_since(state, upstream)
+    return since_ms is not None and now_ms - since_ms >= HAND_OVER_MS
+
+
 def _is_known_to_hold(
     state: states.GroupState, confirmation: known_places.Confirmation
 ) -> bool:
@@ -220,6 +253,7 @@
     return any(
         now_ms - confirmation.confirmed_ms >= UNSURE_MS
         for confirmation in waiting(state)
+        if confirmation.upstream == state.primary
     )
 
 
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -220,9 +220,7 @@
         if work is None or work.ready is None:
             state.held.discard(key)
         elif work.ready.served_by != state.primary:
-            # Another leads: what it read is not to be used.
-            state.held.discard(key)
-            outs += _replaced(state, now_ms, work)
+            outs += _after_replacement(state, now_ms, work)
         elif work.confirmation is not None:
             outs += _acknowledge_held(state, now_ms, work)
     # What was just acknowledged proves the lead for reads before it.
@@ -245,6 +243,25 @@
     return _acknowledge(state, now_ms, work, confirmation, work.ready)
 
 
+def _after_replacement(
+    state: states.GroupState, now_ms: int, work: states.Work
+) -> list:
+    """Judge an answer of an upstream that leads no more.
+
+    What it read is not to be used. What was written lasts if its successor
+    began with it.
+    """
+    if work.confirmation is not None:
+        carried_on = confirmations.is_carried_on(state, work.confirmation)
+        if carried_on is None:
+            return []
+        if carried_on:
+            state.held.discard(work.request.key)
+            return answer(state, work, work.ready)
+    state.held.discard(work.request.key)
+    return _replaced(state, now_ms, work)
+
+
 def _replaced(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
--- a/topazring/core/synchronous/questions.py
+++ b/topazring/core/synchronous/questions.py
@@ -76,8 +76,12 @@
     if not waiting:
         return []
     newest_ms = max(confirmation.confirmed_ms for confirmation in waiting)
+    asked = states.others(state)
+    if any(c.upstream != state.primary for c in waiting):
+        # Whoever leads now may have begun with the write.
+        asked.append(state.upstreams[state.primary])
     outs = []
-    for upstream in states.others(state):
+    for upstream in asked:
         is_asked = upstream.report_asked_ms >= newest_ms
         if is_asked and now_ms - upstream.report_asked_ms < HOLDER_MS:
             continue
--- a/topazring/core/synchronous/tests/test_newcomers.py
+++ b/topazring/core/synchronous/tests/test_newcomers.py
@@ -90,6 +90,36 @@
         self.assertIsInstance(outcome, outcomes.Unknown)
 
 
+class ReplacedTest(testtools.TestCase):
+    """A write is confirmed as the leaving primary's heir begins to lead."""
+
+    def carried_on(self, place: support.Place) -> outcomes.Outcome | None:
+        """Return the answer where the heir's log ends there as it leads."""
+        driver = support.Driver().ready()
+        driver.list_upstreams(leaving='u1')
+        test_isolation.play(driver, 40, 'u1', 'u2', 'u3')
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        driver.state.upstreams['u1'].refuted_ms = driver.now_ms
+        driver.state.primary = ''
+        driver.list_upstreams(primary='u2', leaving='u1', revision=2)
+        self.assertNotIn(key, support.answers(driver.outs))
+        for _ in range(5):
+            driver.tick(20)
+            said = {'role': support.Role.PRIMARY, 'term': 2, 'held_term': 0}
+            proving.answer_looks(driver, 'u2', received=place, **said)
+        return support.answers(driver.outs).get(key)
+
+    def test_heir_that_began_with_it(self):
+        """Guards against calling unknown what a hand-over carried on."""
+        self.assertIsInstance(self.carried_on(WITH), outcomes.Done)
+
+    def test_heir_that_began_without_it(self):
+        """Guards against acknowledging what the heir never received."""
+        answer = self.carried_on(WITHOUT)
+        self.assertIsInstance(answer, outcomes.Unknown)
+
+
 class AloneTest(testtools.TestCase):
     """A primary is the only one that is listed."""
 
@@ -142,6 +172,25 @@
         outcome = support.answers(driver.outs).get(self.key)
         self.assertNotIsInstance(outcome, outcomes.Done)
 
+    def test_heir_that_is_silent(self):
+        """Guards against the word of a newcomer while the heir is cut off."""
+        driver = support.Driver().ready()
+        driver.list_upstreams(leaving='u1')
+        driver.list_upstreams(names=FOUR, leaving='u1')
+        driver.open_all()
+        test_isolation.play(driver, 400, 'u1', 'u3', 'u4')
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        for _ in range(30):
+            driver.tick(20)
+            said = {'received': WITHOUT, 'term': 1, 'held_term': 2}
+            proving.answer_looks(driver, 'u3', **said)
+            new = {'received': WITH, 'term': 1, 'held_term': 0}
+            proving.answer_looks(driver, 'u4', **new)
+            test_isolation.answer_guards_of(driver, 'u1')
+        outcome = support.answers(driver.outs).get(key)
+        self.assertNotIsInstance(outcome, outcomes.Done)
+
     def test_heir_that_is_new(self):
         """Guards against writes that stand still as all known are paused."""
         driver = self.confirmed(held_term=2)
--- a/topazring/platform/tests/fake_upstreams.py
+++ b/topazring/platform/tests/fake_upstreams.py
@@ -21,6 +21,8 @@
     term: int = 1
     # Item and data of each commit; replicas receive at once.
     log: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    # The term of its last commit; a new primary's own is the first of its.
+    log_term: int = 1
     held: int = 0
     # Closes without an answer once a write was carried out.
     loses_answers: bool = False
@@ -98,6 +100,7 @@
             member.term = term
             member.held = 0
             member.log = list(chosen.log)
+            member.log_term = chosen.log_term
         chosen.role = 'primary'
         return True
 
@@ -166,7 +169,7 @@
             )
 
     def _place(self) -> str:
-        return f'{self.member.term}.{len(self.member.log)}'
+        return f'{self.member.log_term}.{len(self.member.log)}'
 
     async def _answer(
         self, session: Session, request_id: str, text: str
@@ -220,6 +223,7 @@
         for member in self.group.members:
             if not member.held:
                 member.log.extend(writes)
+                member.log_term = self.member.term
 
     def _read(self, session, request_id, rest):
         rows = [f'ROW {d}' for i, d in self.member.log if i == rest[0]][-1:]
@@ -269,6 +273,7 @@
     def _resume(self, session, request_id, rest):
         self.member.held = 0
         self.member.log = list(self.group.primary().log)
+        self.member.log_term = self.group.primary().log_term
         return self._status(session, request_id, rest)
 
     def _demote(self, session, request_id, rest):
