Take no newcomer's word alone while a lost primary leaves

One of those that are not paused has to have been listed for 300 ms, as an heir is: new replicas come about a second before a primary leaves. The new test failed before.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -163,7 +163,8 @@
 
     Which member that is only the promoter knows; it is not paused. One that
     restarted is not either, and the successor is not held to its log. One
-    that is silent may be cut off from here alone.
+    that is silent may be cut off from here alone. If only new ones are left,
+    all others may have been paused because the primary was lost.
     """
     if confirmation.place is None:
         return False
@@ -174,7 +175,11 @@
         if upstream.held_term <= term
         and not _is_long_silent(state, now_ms, upstream)
     ]
-    return bool(unpaused) and all(_holds(u, confirmation) for u in unpaused)
+    is_any_known = any(
+        upstream.vouches or _is_known(upstream, confirmation)
+        for upstream in unpaused
+    )
+    return is_any_known and all(_holds(u, confirmation) for u in unpaused)
 
 
 def _is_long_silent(
@@ -184,6 +189,13 @@
     return since_ms is not None and now_ms - since_ms >= HAND_OVER_MS
 
 
+def _is_known(
+    upstream: states.Upstream, confirmation: known_places.Confirmation
+) -> bool:
+    """Say whether a member was listed long before a write was sent."""
+    return confirmation.sent_ms - upstream.come_ms >= KNOWN_MS
+
+
 def _is_known_to_hold(
     state: states.GroupState, confirmation: known_places.Confirmation
 ) -> bool:
@@ -191,11 +203,10 @@
 
     One that began again may have been paused and chosen from before that.
     """
-    sent_ms = confirmation.sent_ms
     holders = [
         upstream
         for upstream in states.others(state)
-        if sent_ms - upstream.come_ms >= KNOWN_MS
+        if _is_known(upstream, confirmation)
         and not upstream.began_again
         and _holds(upstream, confirmation)
     ]
--- a/topazring/core/synchronous/tests/test_newcomers.py
+++ b/topazring/core/synchronous/tests/test_newcomers.py
@@ -191,6 +191,26 @@
         outcome = support.answers(driver.outs).get(key)
         self.assertNotIsInstance(outcome, outcomes.Done)
 
+    def test_newcomer_while_all_others_are_paused(self):
+        """Guards against taking a lost primary that leaves for a hand-over."""
+        driver = support.Driver().ready()
+        test_isolation.play(driver, 40, 'u1', 'u2', 'u3', held_term=2)
+        driver.list_upstreams(names=FOUR, leaving='u1')
+        driver.open_all()
+        test_isolation.play(driver, 40, 'u1', 'u2', 'u3', held_term=2)
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        for _ in range(15):
+            driver.tick(20)
+            said = {'received': WITHOUT, 'term': 1, 'held_term': 2}
+            proving.answer_looks(driver, 'u2', **said)
+            proving.answer_looks(driver, 'u3', **said)
+            new = {'received': WITH, 'term': 1, 'held_term': 0}
+            proving.answer_looks(driver, 'u4', **new)
+            test_isolation.answer_guards_of(driver, 'u1')
+        outcome = support.answers(driver.outs).get(key)
+        self.assertNotIsInstance(outcome, outcomes.Done)
+
     def test_heir_that_is_new(self):
         """Guards against writes that stand still as all known are paused."""
         driver = self.confirmed(held_term=2)
