--- a/topazring/bench/fleet.py
+++ b/topazring/bench/fleet.py
@@ -62,6 +62,8 @@
             await self.wait_ready(f'p{number + 1}')
         for database in self.plan.databases:
             await self.wait_primary(database)
+            for name in self.upstream_names(database):
+                await self.wait_upstream(name)
 
     async def close(self) -> None:
         """End every process."""
@@ -295,6 +297,14 @@
         except TimeoutError as error:
             raise TimeoutError(f'{error}\n{self.log_of(proxy)}') from None
 
+    async def wait_upstream(self, name: str) -> None:
+        """Wait until an upstream answers: a primary needs only a majority."""
+
+        async def answers() -> bool:
+            return await self.get(name, '/ledger') is not None
+
+        await wait_until(answers, f'{name} answers')
+
     async def wait_primary(self, database: str) -> str:
         """Wait until an owner knows a primary; return its name."""
 
