--- a/topazring/platform/tests/test_whole_path.py
+++ b/topazring/platform/tests/test_whole_path.py
@@ -253,6 +253,42 @@
                 said = await caller.query('WRITE k 1')
                 self.assertTrue(said[0].startswith('DONE'), said)
 
+    def test_start_while_nobody_leads(self):
+        """A proxy that starts has somebody lead where nobody does.
+
+        Symptom: no write is ever served again. Sequence: a primary is
+        demoted for a promotion; all proxies are killed before another is
+        ordered; they start, and all upstreams are replicas. Cause: nobody
+        is missed who was never seen to lead. Proof: in the soak of seed 229
+        the demoted one is a replica at 9.6 s, the proxies are back at 11 s,
+        one gains the duty at 11.8 s, and no promotion is considered up to
+        the end at 39 s.
+        """
+        self.on_platform(self.nobody_leads)
+
+    async def nobody_leads(self):
+        proxy = self.proxies[0]
+        await proxy.stop()
+        for member in self.group.members:
+            member.role = 'replica'
+        await self.list_upstreams()
+
+        def promote(service: str, name: str) -> bool:
+            done = self.group.promote(service, name)
+            self.listing = asyncio.ensure_future(self.list_upstreams())
+            return done
+
+        self.store.promote = promote
+        await proxy.start()
+
+        async def is_written() -> bool:
+            caller = await self.session('own')
+            said = await caller.query('WRITE k v')
+            caller.close()
+            return said[0].startswith('DONE')
+
+        await support.wait_until(is_written, 10.0)
+
     def test_log_and_metrics(self):
         """They explain a refusal, and hold nobody's data."""
         self.on_platform(self.log_and_metrics)
