--- a/topazring/platform/tests/test_whole_path.py
+++ b/topazring/platform/tests/test_whole_path.py
@@ -281,6 +281,11 @@
         self.store.promote = promote
         await proxy.start()
 
+        async def holds_duty() -> bool:
+            return 'topazring_holds_duty 1' in await proxy.get('/metrics')
+
+        await support.wait_until(holds_duty)
+
         async def is_written() -> bool:
             caller = await self.session('own')
             said = await caller.query('WRITE k v')
