Ask an ordered successor only until it leads

From its logs: 5613 ms the ordered member leads, the others are paused or receive nothing; 5632 ms its own write 2.40 is acknowledged, before the attempt is ended at the next tick; it is replaced 0.5 s later without it. Cause: whoever ordered a successor asks that one for the write, and it was the primary itself by then.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -147,9 +147,9 @@
 
 
 def _ordered_successor(state: states.GroupState) -> states.Upstream | None:
-    """Return the member that this proxy has ordered to lead, if any."""
+    """Return the member that this proxy has ordered to lead, until it does."""
     attempt = state.promotion
-    if attempt is None or not attempt.chosen:
+    if attempt is None or attempt.chosen in ('', state.primary):
         return None
     return state.upstreams.get(attempt.chosen)
 
--- a/topazring/core/synchronous/tests/test_newcomers.py
+++ b/topazring/core/synchronous/tests/test_newcomers.py
@@ -258,6 +258,25 @@
         (order,) = support.orders(outs)
         self.assertEqual('u4', order.upstream)
 
+    def test_successor_that_leads_by_now(self):
+        """Guards against a new primary's word for its own write."""
+        driver = self.lost()
+        failing.answer_controls(driver)
+        token = self.token(driver)
+        (order,) = support.orders(driver.post(messages.ListRead(token)))
+        accepted = messages.OrderResult.ACCEPTED
+        driver.post(messages.Ordered(order.upstream, token, accepted))
+        driver.tick(60)
+        proving.answer_questions(driver, order.upstream, support.ok())
+        self.assertEqual(order.upstream, driver.state.primary)
+        self.assertIsNotNone(driver.state.promotion)
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        place = support.Place(2, 6)
+        leader = driver.running(key)
+        driver.reply(leader, support.ok('signed', place=place))
+        outcome = support.answers(driver.outs).get(key)
+        self.assertNotIsInstance(outcome, outcomes.Done)
+
     def test_list_that_nobody_could_tell(self):
         """Guards against an order by one that hears of nothing new."""
         driver = self.lost()
