--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -31,7 +31,7 @@
 SILENT_GUARD_MS = 400
 MOST_HEDGES = 2
 # A confirmed write waits so long for a member's word, also past its deadline:
-# members are asked twice by then, and most callers still take the answer.
+# members are asked again by then, and most callers still take the answer.
 WORD_MS = 50
 
 
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -15,7 +15,8 @@
 A replica that cannot be asked may be the only one that holds an acknowledged
 write. Nobody is promoted without its answer, nor anyone whose log ends
 before what is known to be acknowledged: the last replica that is listed may
-be one that received nothing for a while.
+be one that received nothing for a while. The list of upstreams is read anew
+meanwhile, for one that only others know may hold it as well.
 """
 
 from topazring.core.synchronous import asking
--- a/topazring/core/synchronous/tests/test_confirmations.py
+++ b/topazring/core/synchronous/tests/test_confirmations.py
@@ -168,7 +168,7 @@
         self.assertEqual({'u2', 'u3'}, asked)
 
     def test_members_are_asked_again_for_the_next_write(self):
-        """Guards against counting an answer that is older than the write."""
+        """Guards against a write that waits for an answer to another's."""
         driver = support.Driver().ready()
         first, _ = driver.submit(verb=WRITE)
         second, _ = driver.submit(verb=WRITE)
@@ -176,6 +176,10 @@
         driver.now_ms += 1
         later = driver.running(second)
         driver.reply(later, support.ok('signed', place=Place(1, 7)))
+        asked = [
+            c for c in driver.busy('u2') if c.commands == exchanges.REPORT
+        ]
+        self.assertEqual(2, len(asked))
         said = {'received': WITH, 'term': 1, 'held_term': 0}
         proving.answer_looks(driver, 'u2', **said)
         answered = support.answers(driver.outs)
