--- a/topazring/core/synchronous/tests/test_newcomers.py
+++ b/topazring/core/synchronous/tests/test_newcomers.py
@@ -19,6 +19,18 @@
 # hung during a hand-over.
 LOST_WALKS = (20003, 20060, 20129, 21013, 21024, 21303)
 STEPS = 400
+# What a paused member says that lacks the write, and one that holds it.
+PAUSED = {'received': WITHOUT, 'term': 1, 'held_term': 2}
+HOLDER = {'received': WITH, 'term': 1, 'held_term': 0}
+
+
+def play_words(driver: support.Driver, for_ms: int, **words: dict) -> None:
+    """Let time pass while members say this, and `u1` leads."""
+    for _ in range(for_ms // 20):
+        driver.tick(20)
+        for name, said in words.items():
+            proving.answer_looks(driver, name, **said)
+        test_isolation.answer_guards_of(driver, 'u1')
 
 
 class NewcomerTest(testtools.TestCase):
@@ -143,14 +155,7 @@
         test_isolation.play(driver, 400, *FOUR)
         self.key, _ = driver.submit(verb=support.Verb.WRITE)
         test_confirmations.confirm(driver, self.key)
-        for _ in range(15):
-            driver.tick(20)
-            said = {'received': WITHOUT, 'term': 1, 'held_term': 2}
-            proving.answer_looks(driver, 'u3', **said)
-            proving.answer_looks(driver, 'u2', **{**said, **heir})
-            new = {'received': WITH, 'term': 1, 'held_term': 0}
-            proving.answer_looks(driver, 'u4', **new)
-            test_isolation.answer_guards_of(driver, 'u1')
+        play_words(driver, 300, u2={**PAUSED, **heir}, u3=PAUSED, u4=HOLDER)
         return driver
 
     def test_heir_that_receives_nothing(self):
@@ -181,13 +186,7 @@
         test_isolation.play(driver, 400, 'u1', 'u3', 'u4')
         key, _ = driver.submit(verb=support.Verb.WRITE)
         test_confirmations.confirm(driver, key)
-        for _ in range(30):
-            driver.tick(20)
-            said = {'received': WITHOUT, 'term': 1, 'held_term': 2}
-            proving.answer_looks(driver, 'u3', **said)
-            new = {'received': WITH, 'term': 1, 'held_term': 0}
-            proving.answer_looks(driver, 'u4', **new)
-            test_isolation.answer_guards_of(driver, 'u1')
+        play_words(driver, 600, u3=PAUSED, u4=HOLDER)
         outcome = support.answers(driver.outs).get(key)
         self.assertNotIsInstance(outcome, outcomes.Done)
 
@@ -200,14 +199,7 @@
         test_isolation.play(driver, 40, 'u1', 'u2', 'u3', held_term=2)
         key, _ = driver.submit(verb=support.Verb.WRITE)
         test_confirmations.confirm(driver, key)
-        for _ in range(15):
-            driver.tick(20)
-            said = {'received': WITHOUT, 'term': 1, 'held_term': 2}
-            proving.answer_looks(driver, 'u2', **said)
-            proving.answer_looks(driver, 'u3', **said)
-            new = {'received': WITH, 'term': 1, 'held_term': 0}
-            proving.answer_looks(driver, 'u4', **new)
-            test_isolation.answer_guards_of(driver, 'u1')
+        play_words(driver, 300, u2=PAUSED, u3=PAUSED, u4=HOLDER)
         outcome = support.answers(driver.outs).get(key)
         self.assertNotIsInstance(outcome, outcomes.Done)
 
