One test for how long an upstream has been silent; one read of the store's changes

Whether an upstream has left everything unanswered for some time stood three times, with three bounds (a dial, reached or not, an heir that is cut off); the read of what changed in the platform's service stood twice, with the same taking in. Whether the list is wanted was a function of one caller.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -25,7 +25,6 @@
     'paused_at',
     'receives',
     'take_report',
-    'wants_list',
 ]
 
 # A replica that restarts is paused no more, and confirms again. So what it
@@ -162,11 +161,6 @@
     return attempt.reports[name].received
 
 
-def wants_list(attempt: Attempt, now_ms: int) -> bool:
-    """Say whether the list of upstreams has to be read anew."""
-    return not attempt.reading_list and not has_list(attempt, now_ms)
-
-
 def has_list(attempt: Attempt, now_ms: int) -> bool:
     """Say whether all are known who may vouch for an acknowledged write."""
     read_ms = attempt.list_read_ms
--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -173,7 +173,7 @@
         upstream
         for upstream in states.others(state)
         if upstream.held_term <= term
-        and not _is_long_silent(state, now_ms, upstream)
+        and not evidence.is_unanswered(state, now_ms, upstream, HAND_OVER_MS)
     ]
     is_any_known = any(
         upstream.vouches or _is_known(upstream, confirmation)
@@ -182,13 +182,6 @@
     return is_any_known and all(_holds(u, confirmation) for u in unpaused)
 
 
-def _is_long_silent(
-    state: states.GroupState, now_ms: int, upstream: states.Upstream
-) -> bool:
-    since_ms = evidence.unanswered_since(state, upstream)
-    return since_ms is not None and now_ms - since_ms >= HAND_OVER_MS
-
-
 def _is_known(
     upstream: states.Upstream, confirmation: known_places.Confirmation
 ) -> bool:
--- a/topazring/core/synchronous/evidence.py
+++ b/topazring/core/synchronous/evidence.py
@@ -17,6 +17,7 @@
     'Loss',
     'began_again',
     'hanging_since',
+    'is_unanswered',
     'judge',
     'needs_dial',
     'silent',
@@ -134,12 +135,22 @@
     return min(asked, default=None)
 
 
+def is_unanswered(
+    state: states.GroupState,
+    now_ms: int,
+    upstream: states.Upstream,
+    for_ms: int,
+) -> bool:
+    """Say whether an upstream has answered nothing for so long."""
+    since_ms = unanswered_since(state, upstream)
+    return since_ms is not None and now_ms - since_ms >= for_ms
+
+
 def needs_dial(
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> bool:
     """Say whether silence is to be checked by a new connection."""
-    since_ms = unanswered_since(state, upstream)
-    return since_ms is not None and now_ms - since_ms >= DIAL_AFTER_MS
+    return is_unanswered(state, now_ms, upstream, DIAL_AFTER_MS)
 
 
 def _hanging(
--- a/topazring/core/synchronous/fates.py
+++ b/topazring/core/synchronous/fates.py
@@ -251,14 +251,14 @@
     What it read is not to be used. What was written lasts if its successor
     began with it.
     """
+    carried_on: bool | None = False
     if work.confirmation is not None:
         carried_on = confirmations.is_carried_on(state, work.confirmation)
-        if carried_on is None:
-            return []
-        if carried_on:
-            state.held.discard(work.request.key)
-            return answer(state, work, work.ready)
+    if carried_on is None:
+        return []
     state.held.discard(work.request.key)
+    if carried_on:
+        return answer(state, work, work.ready)
     return _replaced(state, now_ms, work)
 
 
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -18,7 +18,9 @@
     A replica that this proxy does not know yet may be the only one that holds
     an acknowledged write: others knew it and asked it.
     """
-    if attempt.looking or not attempts.wants_list(attempt, now_ms):
+    if attempt.looking or attempt.reading_list:
+        return []
+    if attempts.has_list(attempt, now_ms):
         return []
     attempt.reading_list = True
     return [messages.ReadList(attempt.token)]
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -154,8 +154,7 @@
     state: states.GroupState, now_ms: int, upstream: states.Upstream
 ) -> bool:
     """Say whether a member leaves unanswered what it is asked."""
-    since_ms = evidence.unanswered_since(state, upstream)
-    return since_ms is not None and now_ms - since_ms >= UNREACHED_MS
+    return evidence.is_unanswered(state, now_ms, upstream, UNREACHED_MS)
 
 
 def want(state: states.GroupState, at_ms: int) -> None:
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -178,8 +178,12 @@
             return heard
         if self.history_lost:
             return await self._read_everything()
+        return await self._read_changes(self._watch_ms())
+
+    async def _read_changes(self, wait_ms: int):
+        """Read what is new, waiting for the first of it; take it in."""
         answer = await self.adapter.store.changes(
-            EVERYTHING, self.known.seen, self._watch_ms()
+            EVERYTHING, self.known.seen, wait_ms
         )
         if isinstance(answer, key_value.Changes):
             self._take(answer.changes, answer.upto)
@@ -220,21 +224,17 @@
         if self.away_since_ms is None:
             try:
                 async with asyncio.timeout(CATCH_UP_S):
-                    if await self._read_changes():
+                    if await self._read_now():
                         return True
             except TimeoutError:
                 self.log.emit('directory', 'slow to catch up')
         return await self.ask_peers(CATCH_UP_S)
 
-    async def _read_changes(self) -> bool:
+    async def _read_now(self) -> bool:
         """Read what is new without waiting; say whether it is known."""
-        answer = await self.adapter.store.changes(
-            EVERYTHING, self.known.seen, 0
-        )
+        answer = await self._read_changes(0)
         if isinstance(answer, key_value.HistoryLost):
             answer = await self._read_everything()
-        elif isinstance(answer, key_value.Changes):
-            self._take(answer.changes, answer.upto)
         return isinstance(answer, key_value.Changes)
 
     async def ask_peers(
