Log what a promotion waits for and which departures it ignores

From the log nobody could tell which wait ended before an order, for whom and since when. 'promotion ordered' and 'promotion ended' name each departed member with its age, its bound and whether it is ignored, the members that have not reported and the position known as acknowledged. A write is logged with the state of the members also while one of them is unreachable: that is how a write behind a split is acknowledged.

--- a/topazring/core/synchronous/completion.py
+++ b/topazring/core/synchronous/completion.py
@@ -191,11 +191,13 @@
 ) -> list:
     """Return a log event with the state of the members if one is unusual.
 
-    The usual state: each other member is established and not paused, and
-    the primary is not leaving.
+    The usual state: each other member is established, not paused and
+    reachable, and the primary is not leaving.
     """
     is_usual = all(
-        upstream.is_established and not upstream.held_term
+        upstream.is_established
+        and not upstream.held_term
+        and not proofs.is_unreachable(state, now_ms, upstream)
         for upstream in states.other_members(state)
     )
     if is_usual and not state.upstreams[state.primary].leaving:
@@ -205,6 +207,7 @@
             'log_end': str(upstream.log_end),
             'held_term': upstream.held_term,
             'reported_ms_ago': now_ms - upstream.answered_status_sent_ms,
+            'unreachable': proofs.is_unreachable(state, now_ms, upstream),
             'listed_for_ms': now_ms - upstream.first_listed_ms,
         }
         for upstream in states.other_members(state)
--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -134,6 +134,19 @@
             and (member.bound is None or member.bound > place)
         ]
 
+    def describe(self, now_ms: int) -> list[dict[str, object]]:
+        """Return the departed members and their bounds, for the log."""
+        return [
+            {
+                'upstream': member.name,
+                'departed_ms_ago': now_ms - member.departed_ms,
+                'left': member.left,
+                'bound': '' if member.bound is None else str(member.bound),
+                'ignored': now_ms - member.departed_ms >= _lifetime_ms(member),
+            }
+            for member in self.known.values()
+        ]
+
 
 def _lifetime_ms(member: DepartedMember) -> int:
     """Return how long a departed member is taken into account."""
--- a/topazring/core/synchronous/promotion_end.py
+++ b/topazring/core/synchronous/promotion_end.py
@@ -31,6 +31,15 @@
             'old': attempt.old_primary,
             'chosen': attempt.chosen,
             'acknowledged': str(state.acknowledged),
+            'silent': sorted(
+                set(attempts.required_members(state, attempt))
+                - attempt.reports.keys()
+            ),
+            'places': {
+                name: str(report.received)
+                for name, report in attempt.reports.items()
+            },
+            'departed': state.departed_members.describe(now_ms),
             'primary': state.primary,
             'took_ms': now_ms - attempt.began_ms,
         },
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -61,6 +61,8 @@
                 name: now_ms - upstream.first_listed_ms
                 for name, upstream in state.upstreams.items()
             },
+            'departed': state.departed_members.describe(now_ms),
+            'acknowledged': str(state.acknowledged),
             'after_ms': now_ms - attempt.began_ms,
         },
     )
