Show that a split that outlasts the wait loses acknowledged writes

Simulated: a split puts the primary, a replica and a proxy on one side and the third member and the proxy that reaches the store on the other.

--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -60,6 +60,8 @@
         self.wires: dict[tuple[str, int], fake_group.Wire] = {}
         self.waiting_acks: list = []
         self.cut_pairs: set[frozenset[str]] = set()
+        # Proxies that cannot reach the store, nor the platform's orders.
+        self.without_store: set[str] = set()
         self.states: dict[str, states.GroupState] = {}
         self.frozen_until_ms: dict[str, int] = {}
         # Messages queued for paused proxies.
@@ -155,6 +157,10 @@
 
     def read_list(self, proxy: str, out: messages.ReadUpstreamList) -> None:
         """Send a proxy the current list, after a delay."""
+        if proxy in self.without_store:
+            unread = messages.UpstreamListRead(out.token, False)
+            self.at(LIST_READ_MS, self.post, proxy, unread)
+            return
         self.at(self.delay(), self.send_list, proxy, self.listed())
         self.at(
             LIST_READ_MS,
@@ -177,7 +183,8 @@
         """Grant the promotion lease to the other proxy after a yield."""
         if self.holder == before:
             (other,) = [name for name in PROXIES if name != before]
-            self.grant_lease(other)
+            if other not in self.without_store:
+                self.grant_lease(other)
 
     def confirm_lease(self, proxy: str) -> None:
         """Confirm the promotion lease if the proxy still holds it."""
@@ -192,6 +199,8 @@
         listed: tuple[messages.ListedUpstream, ...] | None = None,
     ) -> None:
         """Send a proxy the current list or an earlier one."""
+        if proxy in self.without_store:
+            return
         listed = self.listed() if listed is None else listed
         self.post(proxy, messages.UpstreamsSeen(listed))
 
@@ -409,6 +418,7 @@
     def end_faults(self) -> None:
         """End all faults."""
         self.cut_pairs.clear()
+        self.without_store.clear()
         for member in self.members.values():
             member.not_receiving_until_ms = 0
             member.is_down = False
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -296,6 +296,11 @@
         self, proxy: str, out: messages.OrderPromotion
     ) -> None:
         """Handle a promotion order; it may be late and unanswered."""
+        if proxy in self.without_store:
+            # The proxy cannot verify that it holds the promotion lease.
+            refused = messages.OrderResult.REFUSED
+            self.at(self.delay(), self.ordered, proxy, out, refused)
+            return
         how = self.rng.random()
         if how < 0.1:
             late_ms = self.rng.choice((50, 900, 3000))
--- a/topazring/core/synchronous/tests/walks.py
+++ b/topazring/core/synchronous/tests/walks.py
@@ -48,10 +48,26 @@
     for name, weight in ACTIONS
     if name not in CALM
 ) + (('replace_in_turn', 2),)
+# Partitions that last longer than the entries behind them.
+SPLITS = (
+    ('work', 30),
+    ('split', 3),
+    ('arrive', 3),
+    ('deaf', 2),
+    ('dark', 1),
+    ('back', 2),
+    ('lapse', 2),
+    ('list', 2),
+    ('duty', 1),
+    ('lose_answer', 1),
+    ('reset', 1),
+)
 # The longest duration of a promotion at the users' upstreams.
 SLOW_PROMOTE_MS = 1000
 # A restart of a process takes longer than a promotion.
 RESTART_MS = 400
+# Lifetime of the promotion lease of a holder that cannot renew it.
+LEASE_MS = 2000
 # How long a leaving upstream keeps running after it reported so.
 DRAIN_MS = 7000
 # How long the successor runs before the member leaves.
@@ -85,6 +101,13 @@
 _actions = {}
 
 
+def perform(
+    simulation: simulations.Simulation, rng: random.Random, name: str
+) -> None:
+    """Perform one action of a walk."""
+    _actions[name](simulation, rng)
+
+
 def _action(function):
     _actions[function.__name__.strip('_')] = function
     return function
@@ -117,6 +140,13 @@
         simulation.detach_session(*rng.choice(simulation.sessions))
 
 
+@_action
+def _work(simulation: simulations.Simulation, rng: random.Random) -> None:
+    for _ in range(20):
+        _speak(simulation, rng)
+        simulation.run(rng.choice((5, 10, 30)))
+
+
 @_action
 def _speak(simulation: simulations.Simulation, rng: random.Random) -> None:
     free = [
@@ -248,6 +278,63 @@
     simulation.cut_pairs.clear()
 
 
+@_action
+def _split(simulation: simulations.Simulation, rng: random.Random) -> None:
+    """Cut members and proxies in two; one side cannot reach the store."""
+    if simulation.without_store:
+        return
+    proxies = list(simulations.PROXIES)
+    rng.shuffle(proxies)
+    members = list(simulation.members)
+    rng.shuffle(members)
+    count = rng.randrange(len(members) + 1)
+    split_off(simulation, {proxies[0]}, set(members[:count]))
+    length_ms = rng.choice((1500, 5000, 8000, 12_000))
+    simulation.at(length_ms, heal_split, simulation)
+
+
+def split_off(
+    simulation: simulations.Simulation,
+    proxies: set[str],
+    members: set[str],
+) -> None:
+    """Cut proxies and members off from all others and from the store."""
+    side = proxies | members
+    others = {*simulations.PROXIES, *simulation.members} - side
+    for one in side:
+        for other in others:
+            simulation.cut_pairs.add(frozenset((one, other)))
+    simulation.without_store |= proxies
+    simulation.note(f'split off {sorted(side)}')
+    simulation.at(EXPIRY_MS, _expire_members, simulation, members)
+    if simulation.holder in proxies:
+        (other,) = set(simulations.PROXIES) - proxies
+        simulation.at(LEASE_MS, simulation.grant_lease, other)
+
+
+def _expire_members(
+    simulation: simulations.Simulation, names: set[str]
+) -> None:
+    if not simulation.without_store:
+        return
+    for name in sorted(names & simulation.members.keys()):
+        simulation.members[name].listed = False
+    for proxy in simulations.PROXIES:
+        simulation.send_list(proxy)
+
+
+def heal_split(simulation: simulations.Simulation) -> None:
+    """End a split; its members are listed again."""
+    simulation.cut_pairs.clear()
+    simulation.without_store.clear()
+    simulation.note('the split heals')
+    for member in simulation.members.values():
+        member.listed = not member.is_down or member.listed
+        member.revision += 1
+    for proxy in simulations.PROXIES:
+        simulation.send_list(proxy)
+
+
 @_action
 def _freeze(simulation: simulations.Simulation, rng: random.Random) -> None:
     proxy = rng.choice(simulations.PROXIES)
