Promote nobody on the log of a primary that was replaced

What callers saw: acknowledged writes gone after a promotion.

Cause: an attempt left three upstreams out of account at the same time: the primary to replace, the last one that the list named and the last one that proved to lead. Their own logs were neither waited for nor counted when they had departed, and a log as long as that of any of them passed for complete. That holds for the primary of the newest term alone. One that was replaced, or that the list names by an entry of before, follows its successor and confirms its writes.

Evidence: StaleClaimTest, both tests ordered a replica before.

Now only the upstream that is both the last named and the last proved is left out. Where a proxy has heard only from the list that another leads, it waits for all members, and another proxy that reached the new primary may promote.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -16,6 +16,7 @@
 __all__ = [
     'Attempt',
     'choose_primary',
+    'exempt_primary',
     'forget_member',
     'forget_reports',
     'has_fresh_list',
@@ -89,6 +90,19 @@
     accepted: bool = False
 
 
+def exempt_primary(state: states.GroupState) -> str:
+    """Return the primary whose own log need not be known, if there is one.
+
+    It is the primary of the newest term: it confirmed no writes of others, so
+    its own entries are held by another member or not acknowledged. An upstream
+    that only the list names, after another has proved to lead, may be one that
+    was replaced and confirms the writes of its successor.
+    """
+    if state.proven_primary in ('', state.last_primary):
+        return state.last_primary
+    return ''
+
+
 def required_members(state: states.GroupState, attempt: Attempt) -> list[str]:
     """Return the members that must report before a new primary is chosen.
 
@@ -102,11 +116,17 @@
     return [
         name
         for name in state.upstreams
-        if (name != attempt.old_primary or attempt.unconfirmed)
+        if (name != _exempt_old_primary(state, attempt) or attempt.unconfirmed)
         and name != attempt.chosen
     ]
 
 
+def _exempt_old_primary(state: states.GroupState, attempt: Attempt) -> str:
+    """Return the primary to replace if its log need not be known."""
+    exempt = exempt_primary(state)
+    return exempt if exempt == attempt.old_primary else ''
+
+
 def members_to_query(state: states.GroupState, attempt: Attempt) -> list[str]:
     """Return the members to query.
 
@@ -241,7 +261,7 @@
     reporting, silent = _split_by_report(state, now_ms, attempt)
     if not reporting or silent:
         return ''
-    lost = attempt.old_primary
+    lost = _exempt_old_primary(state, attempt)
     if failure_detection.is_recreated(state, lost):
         if lost not in reporting and has_fresh_report(attempt, now_ms, lost):
             reporting.append(lost)
@@ -302,16 +322,16 @@
     The last primary's own log holds all acknowledged writes, so a log that
     reaches its end is complete, whichever members departed.
     """
-    primaries = frozenset(
-        {attempt.old_primary, state.proven_primary, state.last_primary}
-    )
-    for name in primaries:
-        report = attempt.reports.get(name)
-        if report is None or failure_detection.is_recreated(state, name):
-            continue
+    primary = exempt_primary(state)
+    report = attempt.reports.get(primary)
+    if report is not None and not failure_detection.is_recreated(
+        state, primary
+    ):
         if position >= report.received:
             return True
-    return not state.departed_members.may_exceed(now_ms, position, primaries)
+    return not state.departed_members.may_exceed(
+        now_ms, position, frozenset({primary})
+    )
 
 
 def _may_hold_exclusively(
--- a/topazring/core/synchronous/tests/test_departures.py
+++ b/topazring/core/synchronous/tests/test_departures.py
@@ -369,3 +369,34 @@
         self.recreate_member(driver, 'u3')
         driver.list_upstreams(revision=1)
         self.assertEqual(99, driver.state.upstreams['u3'].born_ms)
+
+
+class StaleClaimTest(testtools.TestCase):
+    """The list names a primary that this proxy has never reached."""
+
+    def lose_all_but(self, name: str) -> list:
+        """Keep one replica listed beside the silent `u2`; return orders."""
+        driver = failover_support.make_lease_holder()
+        names = (name, 'u2')
+        driver.state.upstreams['u1'].refuted_ms = driver.now_ms
+        driver.state.primary = ''
+        driver.list_upstreams(primary='u2', names=names, revision=2)
+        outs = []
+        for _ in range(40):
+            outs += driver.tick(20)
+            for connection in list(driver.state.connections.values()):
+                if connection.upstream == 'u2':
+                    outs += driver.close(connection)
+            outs += failover_support.answer_control_commands(driver)
+            driver.answer_leadership_checks(primary='')
+        self.assertEqual('u2', driver.state.last_primary)
+        self.assertGreater(driver.state.counters['promotion_begins'], 0)
+        return support.orders(outs)
+
+    def test_log_of_an_earlier_primary(self):
+        """Guards against taking it for all that its successor wrote."""
+        self.assertEqual([], self.lose_all_but('u1'))
+
+    def test_departure_of_an_earlier_primary(self):
+        """Guards against a loss of what it confirmed as a replica."""
+        self.assertEqual([], self.lose_all_but('u3'))
