--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -9,6 +9,15 @@
 from topazring.core.synchronous import statements
 
 __all__ = [
+    'AcknowledgementsFenced',
+    'AcknowledgementsReported',
+    'CheckFence',
+    'FenceAcknowledgements',
+    'FenceChecked',
+    'FenceReleased',
+    'QueryAcknowledgements',
+    'QueryFence',
+    'RegistrationSeen',
     'Shutdown',
     'Answer',
     'Close',
@@ -229,6 +238,60 @@
     result: OrderResult
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RegistrationSeen:
+    """Report until when this proxy is surely listed in the store."""
+
+    valid_until_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcknowledgementsReported:
+    """Report what all other proxies have acknowledged.
+
+    Each of them has stopped acknowledging writes of terms before the queried
+    one. `position` is the highest that any of them has acknowledged since
+    `covered_since_ms`; what a proxy acknowledged that ended before is unknown.
+    """
+
+    token: int
+    # False if a listed proxy, or the store with the list, did not answer.
+    complete: bool
+    position: log_positions.LogPosition = log_positions.ORIGIN
+    covered_since_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceAcknowledgements:
+    """Stop acknowledging writes of terms before one, for another proxy.
+
+    `AcknowledgementsFenced` with the same key follows.
+    """
+
+    key: int
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckFence:
+    """Ask the lease holder whether acknowledgements must stay fenced.
+
+    `FenceChecked` with the same key follows.
+    """
+
+    key: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceReleased:
+    """Report that no promotion requires a fence any more.
+
+    The lease holder was asked at `asked_ms`.
+    """
+
+    asked_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """Report a timer tick.
@@ -297,6 +360,42 @@
     token: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueryAcknowledgements:
+    """Fence all other proxies and query what they have acknowledged.
+
+    `AcknowledgementsReported` with the same token follows.
+    """
+
+    token: int
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcknowledgementsFenced:
+    """Report the highest position that this proxy has acknowledged.
+
+    It covers everything since the group was created here.
+    """
+
+    key: int
+    position: log_positions.LogPosition
+    created_ms_ago: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueryFence:
+    """Query the lease holder for a fence; `FenceReleased` may follow."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceChecked:
+    """Report whether acknowledgements must stay fenced."""
+
+    key: int
+    is_needed: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class YieldPromotionLease:
     """Yield the promotion lease, because the group is unreachable."""
