--- a/topazring/plumbing/http_calls.py
+++ b/topazring/plumbing/http_calls.py
@@ -29,10 +29,12 @@
     detail: str
 
 
-def make_client() -> httpclient.AsyncHTTPClient:
+def make_client(
+    max_concurrent_calls: int = MAX_CONCURRENT_CALLS,
+) -> httpclient.AsyncHTTPClient:
     """Return a client whose connections detect unreachable peers."""
     client = simple_httpclient.SimpleAsyncHTTPClient(
-        force_instance=True, max_clients=MAX_CONCURRENT_CALLS
+        force_instance=True, max_clients=max_concurrent_calls
     )
     client.tcp_client = dialling.KeepaliveClient()
     return client
@@ -70,7 +72,8 @@
             request_timeout=timeout_s,
             raise_error=False,
         )
-    except (OSError, httpclient.HTTPError) as error:
+    except (OSError, ValueError, httpclient.HTTPError) as error:
+        # ValueError: an address that another process listed is malformed.
         return NoResponse(str(error))
     if reply.code == 599:
         return NoResponse(str(reply.error))
--- /dev/null
+++ b/topazring/pooler/acknowledgement_fences.py
@@ -0,0 +1,125 @@
+"""Answer other proxies that ask about acknowledgements and fences."""
+
+import collections.abc
+
+import msgspec
+
+from topazring.core import log_positions
+from topazring.core.synchronous import messages
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import acknowledgement_reports
+from topazring.pooler import group_task
+from topazring.pooler import peers
+
+__all__ = ['Fences']
+
+# Key of a fence whose answer nobody waits for.
+NO_KEY = 0
+
+
+class Fences:
+    """Fence the groups of this process for other proxies."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        groups: collections.abc.Mapping[str, group_task.GroupTask],
+        surely_holds: collections.abc.Callable[[], bool],
+        log: events.EventLog,
+    ):
+        self.name = name
+        self.incarnation = incarnation
+        self.groups = groups
+        # Returns whether no other process can hold the promotion lease.
+        self.surely_holds = surely_holds
+        self.log = log
+        # Since when services without a group have had none, at the latest.
+        self.without_group_since_ms = clock.boottime_ms()
+        # By service: the highest term asked for. A group may be created after
+        # its service was asked about.
+        self.terms: dict[str, int] = {}
+
+    def responders(self) -> dict[str, peers.Respond]:
+        """Return what answers each path."""
+        return {
+            acknowledgement_reports.ACKNOWLEDGEMENTS_PATH: (
+                self._respond_with_acknowledgements
+            ),
+            acknowledgement_reports.FENCE_PATH: self._respond_with_fence,
+        }
+
+    def handle_group_created(self, group: group_task.GroupTask) -> None:
+        """Fence a new group as its service was asked before."""
+        term = self.terms.get(group.service)
+        if term is not None:
+            group.post(messages.FenceAcknowledgements(NO_KEY, term))
+
+    def handle_group_dropped(self) -> None:
+        """Record that what a group has acknowledged is known no longer."""
+        self.without_group_since_ms = clock.boottime_ms()
+
+    async def check_fence(self, service: str) -> bool | None:
+        """Return whether a promotion here needs a service's fence.
+
+        Return None if another process may hold the promotion lease: its
+        promotion may need the fence.
+        """
+        group = self.groups.get(service)
+        checked = None if group is None else await group.check_fence()
+        if checked is None or not self.surely_holds():
+            return None
+        return checked.is_needed
+
+    async def _respond_with_fence(
+        self, arguments: dict[str, str]
+    ) -> bytes | None:
+        is_needed = await self.check_fence(arguments.get('service', ''))
+        if is_needed is None:
+            return None
+        return msgspec.msgpack.encode(
+            acknowledgement_reports.FenceAnswer(self.incarnation, is_needed)
+        )
+
+    async def _respond_with_acknowledgements(
+        self, arguments: dict[str, str]
+    ) -> bytes | None:
+        service = arguments.get('service', '')
+        term = arguments.get('term', '')
+        if not service or not term.isdecimal():
+            return None
+        fenced = await self._fence(service, int(term))
+        if fenced is None:
+            return None
+        self.log.emit(
+            'group',
+            'acknowledgements fenced',
+            service=service,
+            inputs={
+                'term': int(term),
+                'position': str(fenced.position),
+                'created_ms_ago': fenced.created_ms_ago,
+            },
+        )
+        return msgspec.msgpack.encode(
+            acknowledgement_reports.AcknowledgementsAnswer(
+                self.name,
+                fenced.position.log_term,
+                fenced.position.position,
+                fenced.created_ms_ago,
+            )
+        )
+
+    async def _fence(
+        self, service: str, term: int
+    ) -> messages.AcknowledgementsFenced | None:
+        self.terms[service] = max(term, self.terms.get(service, 0))
+        group = self.groups.get(service)
+        if group is not None:
+            return await group.fence_acknowledgements(term)
+        return messages.AcknowledgementsFenced(
+            NO_KEY,
+            log_positions.ORIGIN,
+            clock.boottime_ms() - self.without_group_since_ms,
+        )
--- /dev/null
+++ b/topazring/pooler/acknowledgement_reports.py
@@ -0,0 +1,239 @@
+"""Ask other proxies what they have acknowledged, and who needs a fence.
+
+A promoter asks every listed proxy for the highest log position that it has
+acknowledged; a proxy that answers stops acknowledging writes of older terms.
+A proxy that has stopped asks the lease holder whether it still has to.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import typing
+import urllib.parse
+
+import msgspec
+
+from topazring.core import log_positions
+from topazring.core.synchronous import listing as listings
+from topazring.core.synchronous import messages
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.plumbing import http_calls
+from topazring.pooler import directory as directories
+from topazring.pooler import promotion_lease as promotion_leases
+from topazring.pooler import settings
+
+__all__ = [
+    'ACKNOWLEDGEMENTS_PATH',
+    'ASK_TIMEOUT_S',
+    'AcknowledgementsAnswer',
+    'FENCE_PATH',
+    'FenceAnswer',
+    'Reports',
+]
+
+ACKNOWLEDGEMENTS_PATH = '/acknowledgements'
+FENCE_PATH = '/fence'
+# A group has no primary while this is waited for.
+ASK_TIMEOUT_S = 0.25
+# Each call opens a connection, and a process has few descriptors.
+MAX_CONCURRENT_CALLS = 256
+MAX_LOGGED_NAMES = 5
+
+_Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+
+
+class AcknowledgementsAnswer(msgspec.Struct, array_like=True):
+    """Highest position that a proxy has acknowledged in one group."""
+
+    # The name under which the proxy is listed.
+    name: str
+    log_term: _Count
+    index: _Count
+    # Earlier acknowledgements are unknown.
+    created_ms_ago: _Count
+
+
+class FenceAnswer(msgspec.Struct, array_like=True):
+    """Whether the lease holder needs acknowledgements to stay fenced."""
+
+    incarnation: str
+    is_needed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    """Answer of one proxy, covering all since a local time."""
+
+    position: log_positions.LogPosition
+    covered_since_ms: int
+
+
+CheckFence = collections.abc.Callable[
+    [str], collections.abc.Awaitable[bool | None]
+]
+
+
+class Reports:
+    """Ask other proxies for this one's groups."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        directory: directories.Directory,
+        log: events.EventLog,
+        check_own_fence: CheckFence,
+    ):
+        self.name = name
+        self.incarnation = incarnation
+        self.directory = directory
+        self.log = log
+        # Asks the group of a service in this process.
+        self.check_own_fence = check_own_fence
+        self.client = http_calls.make_client(MAX_CONCURRENT_CALLS)
+        self.concurrent_calls = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
+        # Fence queries without a known holder or without an answer.
+        self.unanswered_fence_queries = 0
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.client.close()
+
+    async def query_acknowledgements(
+        self, service: str, query: messages.QueryAcknowledgements
+    ) -> messages.AcknowledgementsReported:
+        """Fence all other listed proxies; return what they acknowledged."""
+        sent_ms = clock.boottime_ms()
+        store_answered = await self.directory.read_store_now()
+        answers = {}
+        if store_answered:
+            answers = await self._ask_all(service, query.term)
+        reported = self._summarize(
+            query.token, store_answered, list(answers.values())
+        )
+        silent = sorted(name for name in answers if answers[name] is None)
+        self.log.emit(
+            'group',
+            'acknowledgements reported',
+            service=service,
+            inputs={
+                'term': query.term,
+                'complete': reported.complete,
+                'position': str(reported.position),
+                'covered_for_ms': max(0, sent_ms - reported.covered_since_ms),
+                'store_answered': store_answered,
+                'asked': len(answers),
+                'silent': len(silent),
+                'silent_names': silent[:MAX_LOGGED_NAMES],
+                'took_ms': clock.boottime_ms() - sent_ms,
+            },
+        )
+        return reported
+
+    def _summarize(
+        self, token: int, store_answered: bool, answers: list[_Report | None]
+    ) -> messages.AcknowledgementsReported:
+        reports = [report for report in answers if report is not None]
+        complete = store_answered and len(reports) == len(answers)
+        position = max(
+            (report.position for report in reports),
+            default=log_positions.ORIGIN,
+        )
+        covered_since_ms = max(
+            (report.covered_since_ms for report in reports),
+            default=0,
+        )
+        covered_since_ms = max(
+            covered_since_ms, self.directory.proxies_changed_ms
+        )
+        return messages.AcknowledgementsReported(
+            token, complete, position, covered_since_ms
+        )
+
+    async def _ask_all(
+        self, service: str, term: int
+    ) -> dict[str, _Report | None]:
+        """Return each other proxy's report, by its listed name."""
+        records = [
+            record
+            for record in self.directory.listing.proxies.values()
+            if record.name != self.name
+        ]
+        answers = await asyncio.gather(
+            *(self._ask(record, service, term) for record in records)
+        )
+        names = (record.name for record in records)
+        return dict(zip(names, answers, strict=True))
+
+    async def _ask(
+        self, record: listings.ProxyRecord, service: str, term: int
+    ) -> _Report | None:
+        arguments = {'service': service, 'term': term}
+        body = await self._fetch(
+            record.peer_address, ACKNOWLEDGEMENTS_PATH, arguments
+        )
+        answered_ms = clock.boottime_ms()
+        answer = _decode(body, AcknowledgementsAnswer)
+        # Another proxy may have got the address.
+        if answer is None or answer.name != record.name:
+            return None
+        return _Report(
+            log_positions.LogPosition(answer.log_term, answer.index),
+            answered_ms - answer.created_ms_ago,
+        )
+
+    async def query_fence(self, service: str) -> int | None:
+        """Return when the lease holder was asked, if it needs no fence."""
+        asked_ms = clock.boottime_ms()
+        is_needed = await self._ask_holder(service)
+        if is_needed is None:
+            self.unanswered_fence_queries += 1
+        return asked_ms if is_needed is False else None
+
+    async def _ask_holder(self, service: str) -> bool | None:
+        holder = promotion_leases.listed_holder(self.directory)
+        if holder == self.incarnation:
+            return await self.check_own_fence(service)
+        name, _, _ = holder.rpartition('-')
+        record = self.directory.listing.proxies.get(
+            directories.PROXY_PREFIX + name
+        )
+        # A holder under this name is an earlier process.
+        if record is None or name == self.name:
+            return None
+        body = await self._fetch(
+            record.peer_address, FENCE_PATH, {'service': service}
+        )
+        answer = _decode(body, FenceAnswer)
+        if answer is None or answer.incarnation != holder:
+            return None
+        return answer.is_needed
+
+    async def _fetch(
+        self, address: str, path: str, arguments: dict[str, object]
+    ) -> bytes | None:
+        """Return the body of a proxy's answer, None without an answer."""
+        try:
+            settings.endpoint(address)
+        except settings.SettingsError:
+            return None
+        url = f'http://{address}{path}?{urllib.parse.urlencode(arguments)}'
+        async with self.concurrent_calls:
+            reply = await http_calls.call(
+                self.client, 'GET', url, timeout_s=ASK_TIMEOUT_S
+            )
+        if isinstance(reply, http_calls.NoResponse) or reply.code != 200:
+            return None
+        return reply.body
+
+
+def _decode(body: bytes | None, answer_type: type):
+    """Return the decoded answer, None if it is missing or malformed."""
+    if body is None:
+        return None
+    try:
+        return msgspec.msgpack.decode(body, type=answer_type)
+    except msgspec.MsgspecError:
+        # No proxy, or one of another version.
+        return None
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -14,6 +14,7 @@
 from topazring.pooler import follower_client
 from topazring.pooler import peers
 from topazring.pooler import ports
+from topazring.pooler import proxy_history
 
 __all__ = ['Directory', 'OWN_PREFIX', 'PROXY_PREFIX', 'ProxyValue']
 
@@ -47,6 +48,8 @@
     peer_address: str = ''
     # Where other proxies send it requests; empty if it accepts none.
     hop_address: str = ''
+    # The process that wrote the entry; empty if an older build did.
+    incarnation: str = ''
 
 
 class Directory:
@@ -79,10 +82,14 @@
         self.confirmed_ms = -(10**9)
         self.unavailable_since_ms: int | None = None
         self.own_changed = asyncio.Event()
+        self.proxy_history = proxy_history.ProxyHistory(
+            PROXY_PREFIX + follower.name, clock.boottime_ms()
+        )
         self.tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
         """Start following the store."""
+        self.proxy_history.record_gap(clock.boottime_ms())
         self.tasks = [
             asyncio.create_task(self._follow_forever()),
             asyncio.create_task(self._expire_forever()),
@@ -101,6 +108,11 @@
             return None
         return change
 
+    @property
+    def proxies_changed_ms(self) -> int:
+        """Return when another proxy last went missing or was replaced."""
+        return self.proxy_history.changed_ms
+
     @property
     def follows(self) -> bool:
         """Return whether this proxy reads the store itself, successfully."""
@@ -240,9 +252,23 @@
                 self.log.emit('directory', 'slow to catch up')
         return await self.ask_peers(CATCH_UP_TIMEOUT_S)
 
+    async def read_store_now(self) -> bool:
+        """Read what has changed by now from the store itself.
+
+        Return whether the store answered in time.
+        """
+        try:
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
+                return await self._read_now()
+        except TimeoutError:
+            return False
+
     async def _read_now(self) -> bool:
         """Read changes without waiting; return whether the store answered."""
-        answer = await self._read_changes(0)
+        if not self.known.seen:
+            answer = await self._read_everything()
+        else:
+            answer = await self._read_changes(0)
         if isinstance(answer, key_value.HistoryCompacted):
             answer = await self._read_everything()
         return isinstance(answer, key_value.Changes)
@@ -326,6 +352,7 @@
         """Apply a complete read; entries missing from it are removed."""
         ended = revisions.record_compaction(self.known, upto, changes)
         self._apply([*ended, *changes], upto)
+        self.proxy_history.record_gap(clock.boottime_ms())
 
     def _apply(self, changes: list[revisions.Change], upto: int) -> None:
         new = revisions.merge(self.known, self.known.seen, upto, changes)
@@ -344,9 +371,9 @@
             if not change.key.startswith(PROXY_PREFIX):
                 return set()
         if change.value is None:
-            return listings.record_removal(self.listing, now_ms, change.key)
+            return self._record_removal(now_ms, change.key)
         try:
-            record = self._decode(change)
+            record = self._decode(now_ms, change)
         except (ValueError, KeyError) as error:
             # A bad entry must not block the entries that follow. Its earlier
             # value is not valid any more: its writer counts as missing.
@@ -358,7 +385,7 @@
                     'error': str(error)[:MAX_ERROR_CHARS],
                 },
             )
-            return listings.record_removal(self.listing, now_ms, change.key)
+            return self._record_removal(now_ms, change.key)
         if record is None:
             return set()
         services = listings.apply_record(
@@ -368,10 +395,20 @@
             self._record_configuration(record, change)
         return services
 
-    def _decode(self, change: revisions.Change) -> listings.Record | None:
+    def _record_removal(self, now_ms: int, key: str) -> set[str]:
+        if key.startswith(PROXY_PREFIX):
+            self.proxy_history.record_loss(now_ms, key)
+        return listings.record_removal(self.listing, now_ms, key)
+
+    def _decode(
+        self, now_ms: int, change: revisions.Change
+    ) -> listings.Record | None:
         if change.key.startswith(PROXY_PREFIX):
             value = msgspec.json.decode(change.value, type=ProxyValue)
             name = change.key.removeprefix(PROXY_PREFIX)
+            self.proxy_history.record_entry(
+                now_ms, change.key, value.incarnation
+            )
             return listings.ProxyRecord(
                 name, value.data_centre, value.peer_address, value.hop_address
             )
@@ -399,9 +436,14 @@
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
-            now_ms = clock.boottime_ms()
-            self._notify_services(
-                listings.remove_expired(
-                    self.listing, now_ms, self.unavailable_since_ms
-                )
-            )
+            self._notify_services(self._remove_expired())
+
+    def _remove_expired(self) -> set[str]:
+        now_ms = clock.boottime_ms()
+        before = set(self.listing.proxies)
+        services = listings.remove_expired(
+            self.listing, now_ms, self.unavailable_since_ms
+        )
+        for key in before - self.listing.proxies.keys():
+            self.proxy_history.record_loss(now_ms, key)
+        return services
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import itertools
 import os
 import traceback
 
@@ -24,12 +25,15 @@
 # group; then the process ends, and with it all that it holds in memory.
 MAX_RESTARTS = 3
 RESTART_WINDOW_MS = 60_000
+# The core answers a check for another proxy at once, unless it fails.
+CHECK_TIMEOUT_S = 0.25
 # Messages that a group receives once and needs again after a restart, in the
 # order in which it needs them.
 _RETAINED_MESSAGES = (
     messages.InstancesSeen,
     messages.UpstreamsSeen,
     messages.PromotionLeaseSeen,
+    messages.RegistrationSeen,
 )
 
 
@@ -54,6 +58,9 @@
         self.state = states.make_group(service, data_centre, limits)
         self.links: dict[int, upstream_link.UpstreamLink] = {}
         self.pending_answers: dict[int, asyncio.Future] = {}
+        self.check_keys = itertools.count(1)
+        # Checks for other proxies that the core has not answered.
+        self.pending_checks: dict[int, asyncio.Future] = {}
         self.inbox: collections.deque[object] = collections.deque()
         self.is_processing = False
         # The last message of each retained type, for a new state.
@@ -71,6 +78,10 @@
         self.read_upstream_list = None
         # Called when another proxy should acquire the promotion lease.
         self.yield_lease = None
+        # Returns what the other proxies have acknowledged, and fences them.
+        self.query_acknowledgements = None
+        # Returns when the lease holder was asked, if it needs no fence.
+        self.query_fence = None
 
     def start(self) -> None:
         """Start the timer."""
@@ -102,6 +113,32 @@
         self.post(messages.Submit(request))
         return await answer
 
+    async def fence_acknowledgements(
+        self, term: int
+    ) -> messages.AcknowledgementsFenced | None:
+        """Fence older terms; return what has been acknowledged."""
+        key = next(self.check_keys)
+        return await self._check(messages.FenceAcknowledgements(key, term))
+
+    async def check_fence(self) -> messages.FenceChecked | None:
+        """Return whether a promotion here needs a fence."""
+        return await self._check(messages.CheckFence(next(self.check_keys)))
+
+    async def _check(
+        self, message: messages.FenceAcknowledgements | messages.CheckFence
+    ) -> messages.AcknowledgementsFenced | messages.FenceChecked | None:
+        """Return the core's answer, None if the group broke meanwhile."""
+        answer = asyncio.get_running_loop().create_future()
+        self.pending_checks[message.key] = answer
+        self.post(message)
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                return await answer
+        except TimeoutError:
+            return None
+        finally:
+            self.pending_checks.pop(message.key, None)
+
     def post(self, message: object) -> None:
         """Add a message to the inbox and process the inbox."""
         if isinstance(message, _RETAINED_MESSAGES):
@@ -176,6 +213,12 @@
             case messages.YieldPromotionLease():
                 if self.yield_lease:
                     self.yield_lease(out.why)
+            case messages.QueryAcknowledgements():
+                self._spawn(self._query_acknowledgements(out))
+            case messages.QueryFence():
+                self._spawn(self._query_fence())
+            case messages.AcknowledgementsFenced() | messages.FenceChecked():
+                self._answer_check(out)
             case messages.LogDecision():
                 self.log.emit(
                     'group', out.what, out.request_id, self.service, out.inputs
@@ -186,6 +229,14 @@
         if not answer.done():
             answer.set_result(out.outcome)
 
+    def _answer_check(
+        self, out: messages.AcknowledgementsFenced | messages.FenceChecked
+    ) -> None:
+        # Nobody waits any more if the core was slow.
+        answer = self.pending_checks.pop(out.key, None)
+        if answer is not None and not answer.done():
+            answer.set_result(out)
+
     def _open_link(self, out: messages.Open) -> None:
         link = upstream_link.UpstreamLink(
             out.connection, self.adapter.upstreams, self.handle_link_message
@@ -228,6 +279,21 @@
         )
         self.post(messages.UpstreamListRead(out.token, is_read))
 
+    async def _query_acknowledgements(
+        self, out: messages.QueryAcknowledgements
+    ) -> None:
+        reported = messages.AcknowledgementsReported(out.token, False)
+        if self.query_acknowledgements is not None:
+            reported = await self.query_acknowledgements(self.service, out)
+        self.post(reported)
+
+    async def _query_fence(self) -> None:
+        if self.query_fence is None:
+            return
+        asked_ms = await self.query_fence(self.service)
+        if asked_ms is not None:
+            self.post(messages.FenceReleased(asked_ms))
+
     async def _tick_forever(self) -> None:
         before_ms = clock.boottime_ms()
         while True:
--- a/topazring/pooler/membership.py
+++ b/topazring/pooler/membership.py
@@ -1,10 +1,12 @@
 """Keep this proxy listed while it runs, so that others compute their share."""
 
 import asyncio
+import collections.abc
 
 import msgspec
 
 from topazring import key_value
+from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import directory as directories
 
@@ -18,6 +20,8 @@
 # The directory's first read takes some ten milliseconds. After it a restarted
 # proxy has its predecessor's entry and needs two calls less to replace it.
 FIRST_READ_TIMEOUT_S = 0.3
+# The store measures a lease with a clock of its own, which may run faster.
+CLOCK_DRIFT_MARGIN_MS = 1000
 
 
 class Membership:
@@ -30,12 +34,16 @@
         store: key_value.Store,
         directory: directories.Directory,
         log: events.EventLog,
+        on_change: collections.abc.Callable[[int], None],
     ):
         self.key = directories.PROXY_PREFIX + name
         self.value = msgspec.json.encode(value).decode()
         self.store = store
         self.directory = directory
         self.log = log
+        # Receives the time until which this proxy is surely listed, 0 if it
+        # may not be.
+        self.on_change = on_change
         self.lease = 0
         self.task: asyncio.Task | None = None
 
@@ -49,6 +57,7 @@
             self.task.cancel()
         lease, self.lease = self.lease, 0
         if lease:
+            self.on_change(0)
             await self.store.end(lease)
 
     async def _run(self) -> None:
@@ -64,11 +73,23 @@
                 await self._register()
             await asyncio.sleep(RENEW_INTERVAL_S if self.lease else RETRY_S)
             if self.lease:
-                answer = await self.store.renew_lease(self.lease)
-                if isinstance(answer, key_value.Missing):
-                    self.lease = 0
+                await self._renew()
+
+    async def _renew(self) -> None:
+        sent_ms = clock.boottime_ms()
+        answer = await self.store.renew_lease(self.lease)
+        if isinstance(answer, key_value.Leased):
+            self._report_validity(sent_ms, answer)
+        elif isinstance(answer, key_value.Missing):
+            self.lease = 0
+            self.on_change(0)
+
+    def _report_validity(self, sent_ms: int, leased: key_value.Leased) -> None:
+        ttl_ms = min(leased.ttl_ms, TTL_MS)
+        self.on_change(max(0, sent_ms + ttl_ms - CLOCK_DRIFT_MARGIN_MS))
 
     async def _register(self) -> None:
+        sent_ms = clock.boottime_ms()
         leased = await self.store.lease(TTL_MS)
         if not isinstance(leased, key_value.Leased):
             return
@@ -84,6 +105,7 @@
                 written = await self._write(leased.lease, 0)
         if isinstance(written, key_value.Written):
             self.lease = leased.lease
+            self._report_validity(sent_ms, leased)
             self.log.emit('membership', 'listed')
 
     async def _write(self, lease: int, revision: int):
--- a/topazring/pooler/peers.py
+++ b/topazring/pooler/peers.py
@@ -22,7 +22,14 @@
 from topazring.plumbing import http_calls
 from topazring.pooler import settings
 
-__all__ = ['ASK_TIMEOUT_S', 'PeerClient', 'PATH', 'Server', 'PeerAnswer']
+__all__ = [
+    'ASK_TIMEOUT_S',
+    'PATH',
+    'PeerAnswer',
+    'PeerClient',
+    'Respond',
+    'Server',
+]
 
 PATH = '/changes'
 ASK_TIMEOUT_S = 0.4
@@ -84,14 +91,24 @@
 ReadChanges = collections.abc.Callable[
     [int, int], collections.abc.Awaitable[PeerAnswer]
 ]
+# Returns the body of an answer to a request's arguments, None without one.
+Respond = collections.abc.Callable[
+    [dict[str, str]], collections.abc.Awaitable[bytes | None]
+]
 
 
 class Server:
     """Answer requests of peers."""
 
-    def __init__(self, read_changes: ReadChanges):
+    def __init__(
+        self,
+        read_changes: ReadChanges,
+        responders: collections.abc.Mapping[str, Respond] | None = None,
+    ):
         # Returns the changes after a revision; waits up to so many ms.
         self.read_changes = read_changes
+        # By path; requests for changes are answered here.
+        self.responders = dict(responders or {})
         self.server = httpserver.HTTPServer(self._handle_request)
         # The last compressed changes, keyed by requested and current
         # revision: most readers ask for the same revision.
@@ -115,15 +132,26 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _answer(self, request: httputil.HTTPServerRequest) -> None:
-        code, body = 404, b''
-        after = request.arguments.get('after', [b'0'])[0]
-        wait_ms = request.arguments.get('wait_ms', [b'0'])[0]
-        if request.path == PATH and after.isdigit() and wait_ms.isdigit():
-            answer = await self.read_changes(
-                int(after), min(int(wait_ms), MAX_WAIT_MS)
-            )
-            code, body = 200, self._encode(int(after), answer)
-        http_calls.send_response(request, code, body)
+        respond = self.responders.get(request.path)
+        if request.path == PATH:
+            respond = self._respond_with_changes
+        body = None
+        if respond is not None:
+            body = await respond(_arguments(request))
+        code = 404 if body is None else 200
+        http_calls.send_response(request, code, body or b'')
+
+    async def _respond_with_changes(
+        self, arguments: dict[str, str]
+    ) -> bytes | None:
+        after = arguments.get('after', '0')
+        wait_ms = arguments.get('wait_ms', '0')
+        if not (after.isdecimal() and wait_ms.isdecimal()):
+            return None
+        answer = await self.read_changes(
+            int(after), min(int(wait_ms), MAX_WAIT_MS)
+        )
+        return self._encode(int(after), answer)
 
     def _encode(self, after: int, answer: PeerAnswer) -> bytes:
         cache_key = (after, answer.revision)
@@ -140,6 +168,14 @@
         )
 
 
+def _arguments(request: httputil.HTTPServerRequest) -> dict[str, str]:
+    """Return the first value of each argument."""
+    return {
+        name: values[0].decode(errors='replace')
+        for name, values in request.arguments.items()
+    }
+
+
 class PeerClient:
     """Request changes from peers."""
 
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -17,6 +17,8 @@
 from topazring.core.synchronous import state as states
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.pooler import acknowledgement_fences
+from topazring.pooler import acknowledgement_reports
 from topazring.pooler import caller_server
 from topazring.pooler import caller_task
 from topazring.pooler import directory as directories
@@ -64,6 +66,7 @@
         self.keys = itertools.count(1)
         self.holds = False
         self.token = 0
+        self.registered_until_ms = 0
         peer_client = peers.PeerClient(config.peers, config.peer_address or '')
         self.directory = directories.Directory(
             adapter,
@@ -84,12 +87,13 @@
                 config.data_centre,
                 config.peer_address or '',
                 config.hop_address or '',
+                self.incarnation,
             ),
             adapter.store,
             self.directory,
             self.log,
+            self._handle_registration,
         )
-        self.peer_server = peers.Server(self.directory.changes_after)
         self.promotion_lease = promotion_leases.PromotionLease(
             self.incarnation,
             adapter.store,
@@ -97,6 +101,23 @@
             self.log,
             self._handle_lease_change,
         )
+        self.fences = acknowledgement_fences.Fences(
+            config.name,
+            self.incarnation,
+            self.groups,
+            self.promotion_lease.surely_holds,
+            self.log,
+        )
+        self.reports = acknowledgement_reports.Reports(
+            config.name,
+            self.incarnation,
+            self.directory,
+            self.log,
+            self.fences.check_fence,
+        )
+        self.peer_server = peers.Server(
+            self.directory.changes_after, self.fences.responders()
+        )
         self.router = router.Router(
             config.name, config.data_centre, self, self.log
         )
@@ -253,10 +274,15 @@
         group.verify_holder = self.promotion_lease.verify_holder
         group.read_upstream_list = self.directory.catch_up
         group.yield_lease = self.promotion_lease.yield_lease
+        group.query_acknowledgements = self.reports.query_acknowledgements
+        group.query_fence = self.reports.query_fence
         self.groups[service] = group
         group.start()
         if self.holds:
             group.post(messages.PromotionLeaseSeen(True, self.token))
+        if self.registered_until_ms:
+            group.post(messages.RegistrationSeen(self.registered_until_ms))
+        self.fences.handle_group_created(group)
         return group
 
     def _drop_group(self, service: str) -> None:
@@ -264,6 +290,12 @@
         self.router.ownerships.pop(service, None)
         if group is not None:
             group.close()
+            self.fences.handle_group_dropped()
+
+    def _handle_registration(self, valid_until_ms: int) -> None:
+        self.registered_until_ms = valid_until_ms
+        for group in self.groups.values():
+            group.post(messages.RegistrationSeen(valid_until_ms))
 
     def _handle_lease_change(self, holds: bool, token: int) -> None:
         self.holds = holds
@@ -300,6 +332,9 @@
                 'sessions': len(self.callers),
                 'holds_duty': int(self.holds),
                 'forwarded': self.router.forwarded,
+                'fence_queries_unanswered': (
+                    self.reports.unanswered_fence_queries
+                ),
                 'log_lines': self.log.lines,
                 'log_lines_dropped': self.log.dropped,
             },
@@ -329,6 +364,7 @@
         await shutdown.flush_answers(self)
         self.hop_server.close()
         self.directory.close()
+        self.reports.close()
         try:
             async with asyncio.timeout(CLOSE_S):
                 await self.membership.close()
--- a/topazring/pooler/promotion_lease.py
+++ b/topazring/pooler/promotion_lease.py
@@ -19,7 +19,7 @@
 from topazring.plumbing import events
 from topazring.pooler import directory as directories
 
-__all__ = ['PromotionLease']
+__all__ = ['PromotionLease', 'listed_holder']
 
 LEASE_KEY = directories.OWN_PREFIX + 'duty'
 TOKEN_BLOCK_KEY = directories.OWN_PREFIX + 'block'
@@ -54,6 +54,8 @@
 # Pause after yielding. Partitions last for seconds; if all other proxies are
 # affected too, this one tries again after that.
 YIELD_PAUSE_MS = 3000
+# The store measures a lease with a clock of its own, which may run faster.
+CLOCK_DRIFT_MARGIN_MS = 100
 
 
 class _Holder(msgspec.Struct):
@@ -107,6 +109,11 @@
         if lease:
             await self.store.end(lease)
 
+    def surely_holds(self) -> bool:
+        """Return whether no other process can hold the lease now."""
+        until_ms = self.valid_until_ms - CLOCK_DRIFT_MARGIN_MS
+        return self.holds and clock.boottime_ms() < until_ms
+
     def request_recheck(self) -> None:
         """Request a check with the store, as after a refused order."""
         self.recheck_requested.set()
@@ -321,5 +328,16 @@
         self._give_up('an order was refused')
 
 
+def listed_holder(directory: directories.Directory) -> str:
+    """Return the holder's incarnation, empty if none is known."""
+    change = directory.own_value(LEASE_KEY)
+    if change is None:
+        return ''
+    try:
+        return msgspec.json.decode(change.value, type=_Holder).holder
+    except msgspec.MsgspecError:
+        return ''
+
+
 def _next_block(block: revisions.Change | None) -> int:
     return BLOCK_TOKENS + (int(block.value) if block is not None else 0)
--- /dev/null
+++ b/topazring/pooler/tests/test_acknowledgement_reports.py
@@ -0,0 +1,530 @@
+"""Ask proxies what they have acknowledged, and the holder for a fence."""
+
+import asyncio
+import types
+from unittest import mock
+
+import msgspec
+import testtools
+from tornado import httpserver
+
+from topazring.bench import ports
+from topazring.core import log_positions
+from topazring.core import revisions
+from topazring.core.synchronous import listing as listings
+from topazring.core.synchronous import messages
+from topazring.plumbing import clock
+from topazring.plumbing import http_calls
+from topazring.pooler import acknowledgement_fences
+from topazring.pooler import acknowledgement_reports
+from topazring.pooler import directory as directories
+from topazring.pooler import peers
+from topazring.pooler import promotion_lease as promotion_leases
+from topazring.pooler.tests import fake_core
+
+# A local call takes some milliseconds.
+SLACK_MS = 200
+LONG_AGO_MS = 60_000
+HOLDER = 'p2-aaaaaaaa'
+
+
+class Directory:
+    """Fake directory: a listing, and a store that may be away."""
+
+    def __init__(self):
+        self.listing = listings.Listing()
+        self.is_away = False
+        self.proxies_changed_ms = 0
+        self.values: dict[str, str] = {}
+
+    async def read_store_now(self) -> bool:
+        """Return whether the store answers."""
+        return not self.is_away
+
+    def own_value(self, key: str) -> revisions.Change | None:
+        """Return one of the proxies' own values."""
+        value = self.values.get(key)
+        return None if value is None else revisions.Change(key, 1, value)
+
+    def list_proxy(self, name: str, address: str) -> None:
+        """List a proxy."""
+        self.listing.proxies[directories.PROXY_PREFIX + name] = (
+            listings.ProxyRecord(name, 'cork', address)
+        )
+
+    def set_holder(self, incarnation: str) -> None:
+        """Name the holder of the promotion lease."""
+        text = f'{{"holder":"{incarnation}","token":1}}'
+        self.values[promotion_leases.LEASE_KEY] = text
+
+
+class Other:
+    """Another proxy: its group's core, and its server for peers."""
+
+    def __init__(self, name: str, port: int):
+        self.name = name
+        self.address = f'127.0.0.1:{port}'
+        self.core = fake_core.Core()
+        self.groups = {'s': fake_core.make_group(self.core)}
+        self.surely_holds = True
+        self.log = mock.Mock()
+        self.fences = acknowledgement_fences.Fences(
+            name,
+            f'{name}-aaaaaaaa',
+            self.groups,
+            lambda: self.surely_holds,
+            self.log,
+        )
+        self.server = peers.Server(None, self.fences.responders())
+        self.server.start(self.address)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.server.close()
+
+
+class ReportsTestCase(testtools.TestCase):
+    """Base of tests of one proxy that asks others."""
+
+    def play(self, steps, others=2):
+        """Run `steps()` with proxy p1 and some others, p2 and on."""
+        asyncio.run(self._play(steps, others))
+
+    async def _play(self, steps, others):
+        self.directory = Directory()
+        self.directory.list_proxy('p1', '127.0.0.1:1')
+        self.log = mock.Mock()
+        self.own_answers = []
+        self.reports = acknowledgement_reports.Reports(
+            'p1',
+            'p1-aaaaaaaa',
+            self.directory,
+            self.log,
+            self.check_own_fence,
+        )
+        self.others = [
+            Other(f'p{number}', port)
+            for number, port in enumerate(ports.find_free_ports(others), 2)
+        ]
+        for other in self.others:
+            self.directory.list_proxy(other.name, other.address)
+        try:
+            await steps()
+        finally:
+            self.reports.close()
+            for other in self.others:
+                other.close()
+
+    async def check_own_fence(self, service: str) -> bool | None:
+        """Return the next answer of this proxy's own group."""
+        return self.own_answers.pop(0)
+
+    async def query(self, term: int = 7) -> messages.AcknowledgementsReported:
+        """Query all others for group `s`."""
+        return await self.reports.query_acknowledgements(
+            's', messages.QueryAcknowledgements(3, term)
+        )
+
+    def last_inputs(self) -> dict:
+        """Return the values of the last log line."""
+        return self.log.emit.call_args.kwargs['inputs']
+
+    async def serve(self, respond) -> str:
+        """Start a server for any path; return its address."""
+        (port,) = ports.find_free_ports(1)
+        server = httpserver.HTTPServer(respond)
+        server.listen(port, '127.0.0.1')
+        self.addCleanup(server.stop)
+        return f'127.0.0.1:{port}'
+
+
+class AcknowledgementsTest(ReportsTestCase):
+    """A report is complete only if every listed proxy has answered."""
+
+    def test_highest_position_of_all(self):
+        """Every other proxy is fenced, and the highest position counts."""
+
+        async def steps():
+            first, second = self.others
+            first.core.position = log_positions.LogPosition(2, 5)
+            second.core.position = log_positions.LogPosition(1, 900)
+            reported = await self.query(term=7)
+            self.assertTrue(reported.complete)
+            self.assertEqual(3, reported.token)
+            self.assertEqual(
+                log_positions.LogPosition(2, 5), reported.position
+            )
+            for other in self.others:
+                (fence,) = other.core.of(messages.FenceAcknowledgements)
+                self.assertEqual(7, fence.term)
+                inputs = other.log.emit.call_args.kwargs['inputs']
+                self.assertEqual(7, inputs['term'])
+                self.assertEqual(str(other.core.position), inputs['position'])
+            self.assertTrue(self.last_inputs()['complete'])
+            self.assertEqual('2.5', self.last_inputs()['position'])
+
+        self.play(steps)
+
+    def test_only_proxy(self):
+        """Nobody else has acknowledged anything."""
+
+        async def steps():
+            self.directory.proxies_changed_ms = 5
+            reported = await self.query()
+            self.assertEqual(
+                messages.AcknowledgementsReported(
+                    3, True, log_positions.ORIGIN, 5
+                ),
+                reported,
+            )
+
+        self.play(steps, others=0)
+
+    def test_covers_the_time_since_the_last_restart(self):
+        """Guards against a write that only a restarted proxy acknowledged.
+
+        Its successor under the same name has not, and says since when it
+        has been running.
+        """
+
+        async def steps():
+            first, second = self.others
+            first.core.created_ms_ago = LONG_AGO_MS
+            second.core.created_ms_ago = 1500
+            before_ms = clock.boottime_ms()
+            reported = await self.query()
+            self.assertTrue(reported.complete)
+            self.assertBetween(before_ms - 1500, reported)
+
+        self.play(steps)
+
+    def test_covers_the_time_since_a_proxy_left(self):
+        """Guards against a write that only a proxy acknowledged that left."""
+
+        async def steps():
+            changed_ms = clock.boottime_ms() - 700
+            self.directory.proxies_changed_ms = changed_ms
+            reported = await self.query()
+            self.assertTrue(reported.complete)
+            self.assertEqual(changed_ms, reported.covered_since_ms)
+
+        self.play(steps)
+
+    def assertBetween(self, earliest_ms, reported):
+        """Check the start of the covered time, to within a local call."""
+        since_ms = reported.covered_since_ms
+        self.assertLessEqual(earliest_ms, since_ms)
+        self.assertLess(since_ms, earliest_ms + SLACK_MS)
+
+    def test_proxy_that_does_not_answer(self):
+        """Guards against a promotion beside a proxy that is cut off."""
+
+        async def steps():
+            first, second = self.others
+            second.core.is_silent = True
+            first.core.position = log_positions.LogPosition(2, 5)
+            sent_ms = clock.boottime_ms()
+            reported = await self.query()
+            took_ms = clock.boottime_ms() - sent_ms
+            self.assertFalse(reported.complete)
+            self.assertEqual(['p3'], self.last_inputs()['silent_names'])
+            limit_ms = acknowledgement_reports.ASK_TIMEOUT_S * 1000
+            self.assertLess(took_ms, limit_ms + SLACK_MS)
+
+        self.play(steps)
+
+    def test_proxy_that_accepts_no_connection(self):
+        """A refused connection is no answer."""
+
+        async def steps():
+            self.others[0].close()
+            self.assertFalse((await self.query()).complete)
+
+        self.play(steps)
+
+    def test_proxies_without_a_usable_address(self):
+        """A proxy that cannot be asked makes the report incomplete."""
+
+        async def steps():
+            for address in ('', 'no port', ':80', 'a b:80', '[:80', 'x' * 300):
+                self.directory.list_proxy('p9', address)
+                reported = await self.query()
+                self.assertFalse(reported.complete, address)
+
+        self.play(steps)
+
+    def test_at_most_five_names_are_logged(self):
+        """A line stays short when a whole region is cut off."""
+
+        async def steps():
+            for number in range(20, 30):
+                self.directory.list_proxy(f'p{number}', '')
+            await self.query()
+            inputs = self.last_inputs()
+            self.assertEqual(10, inputs['silent'])
+            self.assertEqual(5, len(inputs['silent_names']))
+
+        self.play(steps)
+
+    def test_missing_proxy_is_asked(self):
+        """An entry that has just expired may belong to a live proxy."""
+
+        async def steps():
+            key = directories.PROXY_PREFIX + 'p3'
+            listings.record_removal(self.directory.listing, 0, key)
+            self.others[1].core.is_silent = True
+            self.assertFalse((await self.query()).complete)
+
+        self.play(steps)
+
+    def test_store_that_is_away(self):
+        """Guards against a list that lacks a proxy that acknowledges."""
+
+        async def steps():
+            self.directory.is_away = True
+            reported = await self.query()
+            self.assertFalse(reported.complete)
+            self.assertFalse(self.last_inputs()['store_answered'])
+            for other in self.others:
+                self.assertEqual([], other.core.received)
+
+        self.play(steps)
+
+    def test_malformed_answers(self):
+        """What is no answer of the asked proxy makes the report incomplete."""
+        answers = (
+            (404, b''),
+            (200, b''),
+            (200, b'<html>'),
+            (200, encoded('p9', -1, 5, 5)),
+            (200, encoded('p9', 1, 5, -5)),
+            (200, encoded('p9', 1, 'x', 5)),
+            (200, encoded('p8', 1, 5, 5)),
+            (500, encoded('p9', 1, 5, 5)),
+        )
+
+        async def steps():
+            given = []
+
+            def respond(request):
+                http_calls.send_response(request, *given[-1])
+
+            address = await self.serve(respond)
+            self.directory.list_proxy('p9', address)
+            given.append((200, encoded('p9', 1, 5, 5)))
+            self.assertTrue((await self.query()).complete)
+            for answer in answers:
+                given.append(answer)
+                reported = await self.query()
+                self.assertFalse(reported.complete, answer)
+
+        self.play(steps, others=0)
+
+    def test_address_of_another_proxy(self):
+        """Guards against a proxy that is taken for asked by its address."""
+
+        async def steps():
+            self.directory.list_proxy('p9', self.others[0].address)
+            self.assertFalse((await self.query()).complete)
+            self.assertEqual(['p9'], self.last_inputs()['silent_names'])
+
+        self.play(steps)
+
+    def test_proxy_without_the_group(self):
+        """It has acknowledged nothing since it was started."""
+
+        async def steps():
+            (other,) = self.others
+            other.groups.clear()
+            began_ms = clock.boottime_ms() - 900
+            other.fences.without_group_since_ms = began_ms
+            reported = await self.query()
+            self.assertTrue(reported.complete)
+            self.assertEqual(log_positions.ORIGIN, reported.position)
+            self.assertBetween(began_ms, reported)
+
+        self.play(steps, others=1)
+
+    def test_proxy_that_dropped_the_group(self):
+        """What the dropped group has acknowledged is unknown."""
+
+        async def steps():
+            (other,) = self.others
+            other.fences.without_group_since_ms -= LONG_AGO_MS
+            other.groups.clear()
+            before_ms = clock.boottime_ms()
+            other.fences.handle_group_dropped()
+            self.assertBetween(before_ms, await self.query())
+
+        self.play(steps, others=1)
+
+    def test_group_created_after_its_service_was_asked(self):
+        """Guards against acknowledgements after an answer that had none."""
+
+        async def steps():
+            (other,) = self.others
+            other.groups.clear()
+            await self.query(term=7)
+            await self.query(term=6)
+            core = fake_core.Core()
+            group = fake_core.make_group(core)
+            other.fences.handle_group_created(group)
+            (fence,) = core.of(messages.FenceAcknowledgements)
+            self.assertEqual(7, fence.term)
+            unasked = fake_core.make_group(core, 'unasked')
+            other.fences.handle_group_created(unasked)
+            self.assertEqual([fence], core.received)
+
+        self.play(steps, others=1)
+
+    def test_question_without_service_or_term(self):
+        """No group is fenced for a malformed question."""
+
+        async def steps():
+            respond = self.others[0].fences.responders()[
+                acknowledgement_reports.ACKNOWLEDGEMENTS_PATH
+            ]
+            for arguments in (
+                {},
+                {'service': 's'},
+                {'term': '7'},
+                {'service': 's', 'term': '-7'},
+                {'service': 's', 'term': 'x'},
+            ):
+                self.assertIsNone(await respond(arguments))
+            self.assertEqual([], self.others[0].core.received)
+
+        self.play(steps)
+
+
+def encoded(*fields) -> bytes:
+    """Return an answer with these fields, valid or not."""
+    return msgspec.msgpack.encode(fields)
+
+
+class FenceTest(ReportsTestCase):
+    """A fence ends only by the word of the present lease holder."""
+
+    async def query_fence(self) -> int | None:
+        """Ask for group `s`."""
+        return await self.reports.query_fence('s')
+
+    def test_holder_needs_no_fence(self):
+        """The time before the call is reported."""
+
+        async def steps():
+            self.directory.set_holder(HOLDER)
+            before_ms = clock.boottime_ms()
+            asked_ms = await self.query_fence()
+            self.assertBetweenTimes(before_ms, asked_ms)
+            holder, other = self.others
+            self.assertEqual(1, len(holder.core.of(messages.CheckFence)))
+            self.assertEqual([], other.core.received)
+
+        self.play(steps)
+
+    def assertBetweenTimes(self, before_ms, asked_ms):
+        """Check that the time is that before the call."""
+        self.assertLessEqual(before_ms, asked_ms)
+        self.assertLess(asked_ms, before_ms + SLACK_MS)
+
+    def test_holder_needs_the_fence(self):
+        """Nothing is reported while the holder promotes."""
+
+        async def steps():
+            self.directory.set_holder(HOLDER)
+            self.others[0].core.needs_fence = True
+            self.assertIsNone(await self.query_fence())
+            self.assertEqual(0, self.reports.unanswered_fence_queries)
+
+        self.play(steps)
+
+    def test_asked_proxy_may_be_replaced_as_the_holder(self):
+        """Guards against a release while the next holder promotes.
+
+        The asking proxy has not read of the next holder yet, and the asked
+        one has not noticed that its lease has ended.
+        """
+
+        async def steps():
+            self.directory.set_holder(HOLDER)
+            self.others[0].surely_holds = False
+            self.assertIsNone(await self.query_fence())
+            self.assertEqual(1, self.reports.unanswered_fence_queries)
+
+        self.play(steps)
+
+    def test_no_answer(self):
+        """The fence stays; the unanswered queries are counted, not logged."""
+
+        async def steps():
+            holder = self.others[0]
+            self.assertIsNone(await self.query_fence())
+            self.directory.set_holder('gone-aaaaaaaa')
+            self.assertIsNone(await self.query_fence())
+            self.directory.set_holder(HOLDER)
+            holder.core.is_silent = True
+            self.assertIsNone(await self.query_fence())
+            holder.groups.clear()
+            self.assertIsNone(await self.query_fence())
+            holder.close()
+            self.assertIsNone(await self.query_fence())
+            self.assertEqual(5, self.reports.unanswered_fence_queries)
+            self.log.emit.assert_not_called()
+
+        self.play(steps)
+
+    def test_restarted_holder(self):
+        """The entry names an earlier process, which holds nothing now."""
+
+        async def steps():
+            for earlier in ('p2-bbbbbbbb', 'p1-bbbbbbbb'):
+                self.directory.set_holder(earlier)
+                self.assertIsNone(await self.query_fence())
+
+        self.play(steps)
+
+    def test_malformed_lease_value(self):
+        """A value in another format names no holder."""
+
+        async def steps():
+            for text in ('', '{}', '{"holder": 7, "token": 1}', 'x'):
+                self.directory.values[promotion_leases.LEASE_KEY] = text
+                self.assertIsNone(await self.query_fence())
+
+        self.play(steps)
+
+    def test_holder_is_this_proxy(self):
+        """Its own group is asked in the same way, without a call."""
+
+        async def steps():
+            self.directory.set_holder('p1-aaaaaaaa')
+            self.own_answers = [False, True, None]
+            before_ms = clock.boottime_ms()
+            self.assertBetweenTimes(before_ms, await self.query_fence())
+            self.assertIsNone(await self.query_fence())
+            self.assertIsNone(await self.query_fence())
+            self.assertEqual(1, self.reports.unanswered_fence_queries)
+            for other in self.others:
+                self.assertEqual([], other.core.received)
+
+        self.play(steps)
+
+
+class SurelyHoldsTest(testtools.TestCase):
+    """A holder vouches for itself only while its lease cannot have ended."""
+
+    def holder(self, valid_for_ms: int, holds: bool = True):
+        """Return a holder whose lease is valid for some time."""
+        return types.SimpleNamespace(
+            holds=holds, valid_until_ms=clock.boottime_ms() + valid_for_ms
+        )
+
+    def test_lease_that_may_have_ended(self):
+        """The store may be away for longer than the lease lasts."""
+        surely_holds = promotion_leases.PromotionLease.surely_holds
+        self.assertTrue(surely_holds(self.holder(1500)))
+        self.assertFalse(surely_holds(self.holder(1500, holds=False)))
+        margin_ms = promotion_leases.CLOCK_DRIFT_MARGIN_MS
+        self.assertFalse(surely_holds(self.holder(margin_ms)))
+        self.assertFalse(surely_holds(self.holder(-500)))
--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -17,6 +17,7 @@
 from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import group_task
+from topazring.pooler.tests import fake_core
 
 Verb = statements.Verb
 POLICY = messages.Policy('d', 's', messages.Freshness.PRIMARY, 0, 600)
@@ -204,6 +205,147 @@
         self.play(steps)
 
 
+class AcknowledgementFenceTest(testtools.TestCase):
+    """A group asks other proxies, and answers those that ask it."""
+
+    def play(self, steps):
+        """Run `steps()` with a group that is driven by a fake core."""
+        asyncio.run(self._play(steps))
+
+    async def _play(self, steps):
+        self.core = fake_core.Core()
+        self.task = fake_core.make_group(self.core)
+        with contextlib.redirect_stderr(io.StringIO()):
+            await steps()
+            self.task.close()
+
+    async def emit(self, out):
+        """Have the core return an action; process what follows."""
+        self.task.post(fake_core.Emit(out))
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    def test_report_is_posted(self):
+        """The core gets the report of the queried proxies."""
+        reported = messages.AcknowledgementsReported(
+            3, True, log_positions.LogPosition(2, 5), 40
+        )
+        query = messages.QueryAcknowledgements(3, 7)
+
+        async def steps():
+            queried = mock.AsyncMock(return_value=reported)
+            self.task.query_acknowledgements = queried
+            await self.emit(query)
+            queried.assert_awaited_once_with('s', query)
+            self.assertEqual(
+                [reported], self.core.of(messages.AcknowledgementsReported)
+            )
+
+        self.play(steps)
+
+    def test_query_without_other_proxies_to_ask(self):
+        """A group that nobody has connected reports nothing as complete."""
+
+        async def steps():
+            await self.emit(messages.QueryAcknowledgements(3, 7))
+            await self.emit(messages.QueryFence())
+            self.assertEqual(
+                [messages.AcknowledgementsReported(3, False)],
+                self.core.of(messages.AcknowledgementsReported),
+            )
+
+        self.play(steps)
+
+    def test_release_is_posted_only_if_the_holder_answers(self):
+        """The core gets the time before the holder was asked."""
+
+        async def steps():
+            self.task.query_fence = mock.AsyncMock(return_value=None)
+            await self.emit(messages.QueryFence())
+            self.assertEqual([], self.core.of(messages.FenceReleased))
+            self.task.query_fence = mock.AsyncMock(return_value=40)
+            await self.emit(messages.QueryFence())
+            self.task.query_fence.assert_awaited_once_with('s')
+            self.assertEqual(
+                [messages.FenceReleased(40)],
+                self.core.of(messages.FenceReleased),
+            )
+
+        self.play(steps)
+
+    def test_checks_are_answered_by_key(self):
+        """Several proxies ask at the same time."""
+
+        async def steps():
+            self.core.is_silent = True
+            checks = [
+                asyncio.create_task(self.task.fence_acknowledgements(term))
+                for term in (7, 8)
+            ]
+            checks.append(asyncio.create_task(self.task.check_fence()))
+            await asyncio.sleep(0)
+            first, second = self.core.of(messages.FenceAcknowledgements)
+            (third,) = self.core.of(messages.CheckFence)
+            self.assertEqual((7, 8), (first.term, second.term))
+            outs = [
+                messages.FenceChecked(third.key, True),
+                *(
+                    messages.AcknowledgementsFenced(
+                        fence.key, log_positions.LogPosition(fence.term, 1), 9
+                    )
+                    for fence in (second, first)
+                ),
+            ]
+            for out in outs:
+                await self.emit(out)
+            answers = await asyncio.gather(*checks)
+            self.assertEqual([outs[2], outs[1], outs[0]], answers)
+            self.assertEqual({}, self.task.pending_checks)
+
+        self.play(steps)
+
+    def test_check_that_the_core_does_not_answer(self):
+        """Guards against a question that is kept for good.
+
+        The group breaks, and its new state knows nothing of the question.
+        """
+
+        async def steps():
+            self.core.is_silent = True
+            self.assertIsNone(await self.task.fence_acknowledgements(7))
+            (fence,) = self.core.of(messages.FenceAcknowledgements)
+            self.assertEqual({}, self.task.pending_checks)
+            late = messages.AcknowledgementsFenced(
+                fence.key, log_positions.ORIGIN, 9
+            )
+            await self.emit(late)
+
+        with mock.patch.object(group_task, 'CHECK_TIMEOUT_S', 0.02):
+            self.play(steps)
+
+    def test_registration_survives_a_restart(self):
+        """A group that breaks still knows until when its proxy is listed."""
+
+        async def steps():
+            seen = messages.RegistrationSeen(40)
+            self.task.post(messages.RegistrationSeen(30))
+            self.task.post(seen)
+            failing = mock.Mock(
+                side_effect=lambda *args: self.fail_once(failing)
+            )
+            self.task.kind = groups.GroupKind('broken', failing)
+            self.core.received.clear()
+            self.task.post(messages.Tick())
+            self.assertEqual([seen], self.core.received)
+
+        self.play(steps)
+
+    def fail_once(self, step):
+        """Break the group; its next step is that of the fake core."""
+        step.side_effect = self.core.step
+        raise KeyError(9)
+
+
 def _runs(link) -> bool:
     """Return whether a caller's statement is in flight on a link."""
     return any(isinstance(c, statements.Run) for c in link.sent)
--- a/topazring/pooler/tests/test_membership.py
+++ b/topazring/pooler/tests/test_membership.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import types
+from unittest import mock
 
 import testtools
 
 from topazring.core import revisions
 from topazring import key_value
+from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import directory as directories
 from topazring.pooler import membership
@@ -20,15 +22,37 @@
     def __init__(self, revision: int):
         self.revision = revision
         self.calls: list[str] = []
+        # Time between a call's effect and its answer.
+        self.delay_s = 0.0
+        # Longest lease that the store grants.
+        self.ttl_ms = membership.TTL_MS
+        # Answers to give instead of the usual ones.
+        self.renewed = None
+        self.written = None
 
     async def lease(self, ttl_ms):
         """Begin a lease."""
         self.calls.append('lease')
-        return key_value.Leased(7, ttl_ms)
+        await asyncio.sleep(self.delay_s)
+        return key_value.Leased(7, min(ttl_ms, self.ttl_ms))
+
+    async def renew_lease(self, lease):
+        """Renew a lease."""
+        self.calls.append('keep')
+        await asyncio.sleep(self.delay_s)
+        return self.renewed or key_value.Leased(lease, self.ttl_ms)
+
+    async def end(self, lease):
+        """End a lease."""
+        self.calls.append('end')
+        return True
 
     async def put_all(self, values):
         """Write if the entry has the expected revision."""
         self.calls.append('put')
+        await asyncio.sleep(self.delay_s)
+        if self.written is not None:
+            return self.written
         (value,) = values
         if value.revision != self.revision:
             return key_value.Conflict()
@@ -59,8 +83,9 @@
             directory.first_read.set()
         value = directories.ProxyValue('cork')
         log = events.EventLog('p1')
+        reported: list[int] = []
         registration = membership.Membership(
-            'p1', value, store, directory, log
+            'p1', value, store, directory, log, reported.append
         )
         registration.start()
         async with asyncio.timeout(2):
@@ -91,3 +116,137 @@
         """Others wait for a proxy that has not read anything yet."""
         store = Store(0)
         self.assertEqual(7, self.register(store, 0, read=False))
+
+
+class ValidityTest(testtools.TestCase):
+    """A proxy knows until when the others can surely find it."""
+
+    def play(self, steps):
+        """Run `steps()` with a registration that renews every 20 ms."""
+        renewal = mock.patch.object(membership, 'RENEW_INTERVAL_S', 0.02)
+        with renewal:
+            asyncio.run(self._play(steps))
+
+    async def _play(self, steps):
+        self.store = Store(0)
+        directory = types.SimpleNamespace(
+            first_read=asyncio.Event(), own_value=lambda key: None
+        )
+        directory.first_read.set()
+        self.reported: list[int] = []
+        self.registration = membership.Membership(
+            'p1',
+            directories.ProxyValue('cork'),
+            self.store,
+            directory,
+            events.EventLog('p1'),
+            self.reported.append,
+        )
+        self.started_ms = clock.boottime_ms()
+        self.registration.start()
+        try:
+            await steps()
+        finally:
+            self.registration.task.cancel()
+
+    async def until_reported(self, count: int) -> None:
+        """Wait for so many reports in all."""
+        async with asyncio.timeout(2):
+            while len(self.reported) < count:
+                await asyncio.sleep(0.005)
+
+    def latest_ms(self) -> int:
+        """Return the latest time that a call sent now can be valid until."""
+        margin_ms = membership.CLOCK_DRIFT_MARGIN_MS
+        return clock.boottime_ms() + membership.TTL_MS - margin_ms
+
+    def test_written_and_renewed(self):
+        """Each renewal counts from the time before it was sent."""
+
+        async def steps():
+            await self.until_reported(3)
+            first_ms, second_ms, third_ms = self.reported[:3]
+            self.assertLess(first_ms, second_ms)
+            self.assertLess(second_ms, third_ms)
+            self.assertLessEqual(third_ms, self.latest_ms())
+
+        self.play(steps)
+
+    def test_slow_store(self):
+        """Guards against a proxy that acknowledges while it is not listed.
+
+        The store has begun the lease, or renewed it, long before its answer
+        arrives, and the write of the entry does not prolong it.
+        """
+
+        async def steps():
+            self.store.delay_s = 0.1
+            await self.until_reported(1)
+            self.assertLessEqual(self.reported[0], self.latest_ms() - 200)
+            await self.until_reported(2)
+            self.assertLessEqual(self.reported[1], self.latest_ms() - 100)
+
+        self.play(steps)
+
+    def test_shorter_lease_than_requested(self):
+        """The store decides how long a lease lasts."""
+
+        async def steps():
+            self.store.ttl_ms = 10_000
+            await self.until_reported(2)
+            latest_ms = self.latest_ms() - membership.TTL_MS + 10_000
+            self.assertLessEqual(max(self.reported[:2]), latest_ms)
+
+        self.play(steps)
+
+    def test_unanswered_renewal(self):
+        """The time is neither prolonged nor withdrawn."""
+
+        async def steps():
+            await self.until_reported(1)
+            self.store.renewed = key_value.Unavailable('away')
+            await asyncio.sleep(0.1)
+            reported = list(self.reported)
+            await asyncio.sleep(0.1)
+            self.assertEqual(reported, self.reported)
+            self.assertNotIn(0, reported)
+
+        self.play(steps)
+
+    def test_lost_lease(self):
+        """The entry is gone, until it is written again."""
+
+        async def steps():
+            await self.until_reported(1)
+            self.store.renewed = key_value.Missing()
+            self.store.revision = 0
+            async with asyncio.timeout(2):
+                while 0 not in self.reported:
+                    await asyncio.sleep(0.005)
+            position = self.reported.index(0)
+            self.store.renewed = None
+            await self.until_reported(position + 2)
+            self.assertGreater(self.reported[position + 1], self.started_ms)
+
+        self.play(steps)
+
+    def test_entry_that_was_not_written(self):
+        """A lease without the entry lists nobody."""
+
+        async def steps():
+            self.store.written = key_value.Unavailable('away')
+            await asyncio.sleep(0.1)
+            self.assertEqual([], self.reported)
+
+        self.play(steps)
+
+    def test_process_that_leaves(self):
+        """It is not listed any more, whether or not the store answers."""
+
+        async def steps():
+            await self.until_reported(1)
+            await self.registration.close()
+            self.assertEqual(0, self.reported[-1])
+            self.assertEqual('end', self.store.calls[-1])
+
+        self.play(steps)
--- /dev/null
+++ b/topazring/pooler/tests/test_process.py
@@ -0,0 +1,226 @@
+"""Connect the parts of processes that ask each other about a fence."""
+
+import asyncio
+import contextlib
+import types
+from unittest import mock
+
+import msgspec
+import testtools
+
+from topazring.bench import ports
+from topazring.core import log_positions
+from topazring.core import revisions
+from topazring.core.synchronous import messages
+from topazring.plumbing import clock
+from topazring.pooler import directory as directories
+from topazring.pooler import group_task
+from topazring.pooler import process
+from topazring.pooler import promotion_lease as promotion_leases
+from topazring.pooler import settings
+from topazring.pooler.tests import fake_core
+from topazring.pooler.tests import fleet
+
+
+class ProcessTest(testtools.TestCase):
+    """Two processes with a group each, driven by fake cores."""
+
+    def play(self, steps):
+        """Run `steps()` with processes p1 and p2, which read the store."""
+        asyncio.run(self._play(steps))
+
+    async def _play(self, steps):
+        self.service = fleet.Service()
+        self.cores: list[fake_core.Core] = []
+        make = mock.patch.object(
+            group_task.groups, 'group_kind', self.make_kind
+        )
+        with make, contextlib.ExitStack() as stack:
+            self.poolers = [
+                self.make_pooler(f'p{number}', port)
+                for number, port in enumerate(ports.find_free_ports(2), 1)
+            ]
+            for pooler in self.poolers:
+                await self.list_proxy(pooler)
+                pooler.peer_server.start(pooler.config.peer_address)
+                stack.callback(pooler.peer_server.close)
+                stack.callback(pooler.reports.close)
+            self.groups = [pooler._make_group('s') for pooler in self.poolers]
+            for group in self.groups:
+                stack.callback(group.close)
+            await steps()
+
+    def make_kind(self, name: str):
+        """Return a kind with a new fake core."""
+        self.cores.append(fake_core.Core())
+        return self.cores[-1].kind()
+
+    def make_pooler(self, name: str, port: int) -> process.Pooler:
+        """Return a process that has not been started."""
+        config = settings.PoolerSettings(
+            name=name,
+            data_centre='cork',
+            caller_address='127.0.0.1:0',
+            ready_address='127.0.0.1:0',
+            store_address='127.0.0.1:0',
+            peer_address=f'127.0.0.1:{port}',
+        )
+        adapter = types.SimpleNamespace(
+            callers=mock.Mock(),
+            upstreams=mock.Mock(),
+            store=fleet.Client(self.service),
+            orders=mock.Mock(),
+            decode=lambda key, value, revision: None,
+            ready_path='/ready',
+        )
+        return process.Pooler(config, adapter)
+
+    async def list_proxy(self, pooler: process.Pooler) -> None:
+        """Write the value under which a process lists itself."""
+        await self.service.put(pooler.membership.key, pooler.membership.value)
+
+    def set_holder(self, pooler: process.Pooler) -> None:
+        """Have both processes know one as the holder of the lease."""
+        text = f'{{"holder":"{pooler.incarnation}","token":9}}'
+        change = revisions.Change(promotion_leases.LEASE_KEY, 9, text)
+        for each in self.poolers:
+            each.directory.known.changes[change.key] = change
+        pooler.promotion_lease.holds = True
+        pooler.promotion_lease.valid_until_ms = clock.boottime_ms() + 60_000
+
+    async def emit(self, out, kind: type) -> list:
+        """Have p1's core return an action; return what follows of a type."""
+        self.groups[0].post(fake_core.Emit(out))
+        with contextlib.suppress(TimeoutError):
+            await fleet.until(lambda: self.cores[0].of(kind), 1.0)
+        return self.cores[0].of(kind)
+
+    def test_listed_value_names_the_incarnation(self):
+        """Others can tell a restarted process from the one before."""
+
+        async def steps():
+            pooler, _ = self.poolers
+            value = msgspec.json.decode(
+                pooler.membership.value, type=directories.ProxyValue
+            )
+            self.assertEqual(pooler.incarnation, value.incarnation)
+
+        self.play(steps)
+
+    def test_query_from_core_to_core(self):
+        """Only the other process is asked, once it has been read."""
+
+        async def steps():
+            self.cores[1].position = log_positions.LogPosition(2, 5)
+            (reported,) = await self.emit(
+                messages.QueryAcknowledgements(3, 7),
+                messages.AcknowledgementsReported,
+            )
+            self.assertTrue(reported.complete)
+            self.assertEqual(self.cores[1].position, reported.position)
+            self.assertEqual(
+                self.poolers[0].directory.proxies_changed_ms,
+                reported.covered_since_ms,
+            )
+            (fence,) = self.cores[1].of(messages.FenceAcknowledgements)
+            self.assertEqual(7, fence.term)
+            own = self.cores[0].of(messages.FenceAcknowledgements)
+            self.assertEqual([], own)
+
+        self.play(steps)
+
+    def test_query_while_the_store_is_away(self):
+        """Nobody is asked from a list that may be old."""
+
+        async def steps():
+            self.poolers[0].adapter.store.is_unavailable = True
+            (reported,) = await self.emit(
+                messages.QueryAcknowledgements(3, 7),
+                messages.AcknowledgementsReported,
+            )
+            self.assertFalse(reported.complete)
+            fences = self.cores[1].of(messages.FenceAcknowledgements)
+            self.assertEqual([], fences)
+
+        self.play(steps)
+
+    def test_release_by_the_other_process(self):
+        """Its group is asked, and it must still hold the lease."""
+
+        async def steps():
+            holder = self.poolers[1]
+            await self.poolers[0].directory.read_store_now()
+            self.set_holder(holder)
+            holder.promotion_lease.valid_until_ms = 0
+            self.assertEqual(
+                [],
+                await self.emit(messages.QueryFence(), messages.FenceReleased),
+            )
+            metrics = self.poolers[0]._render_metrics().decode()
+            self.assertIn('topazring_fence_queries_unanswered 1', metrics)
+            self.set_holder(holder)
+            before_ms = clock.boottime_ms()
+            (released,) = await self.emit(
+                messages.QueryFence(), messages.FenceReleased
+            )
+            self.assertLessEqual(before_ms, released.asked_ms)
+            self.assertEqual(2, len(self.cores[1].of(messages.CheckFence)))
+
+        self.play(steps)
+
+    def test_release_by_this_process(self):
+        """The holder's own group is asked in the same way."""
+
+        async def steps():
+            self.set_holder(self.poolers[0])
+            self.cores[0].needs_fence = True
+            self.assertEqual(
+                [],
+                await self.emit(messages.QueryFence(), messages.FenceReleased),
+            )
+            self.cores[0].needs_fence = False
+            released = await self.emit(
+                messages.QueryFence(), messages.FenceReleased
+            )
+            self.assertEqual(1, len(released))
+            self.assertEqual(2, len(self.cores[0].of(messages.CheckFence)))
+            self.assertEqual([], self.cores[1].of(messages.CheckFence))
+
+        self.play(steps)
+
+    def test_registration_reaches_all_groups(self):
+        """Present groups and new ones know until when they are listed."""
+
+        async def steps():
+            pooler, _ = self.poolers
+            pooler.membership.on_change(40)
+            group = pooler._make_group('new')
+            seen = messages.RegistrationSeen
+            self.assertEqual([seen(40)], self.cores[0].of(seen))
+            self.assertEqual([seen(40)], self.cores[2].of(seen))
+            pooler.membership.on_change(0)
+            self.assertEqual([seen(40), seen(0)], self.cores[2].of(seen))
+            group.close()
+
+        self.play(steps)
+
+    def test_dropped_group(self):
+        """What it has acknowledged is unknown from then on."""
+
+        async def steps():
+            asked = self.poolers[1]
+            asked.fences.without_group_since_ms -= 60_000
+            before_ms = clock.boottime_ms()
+            asked._drop_group('s')
+            (reported,) = await self.emit(
+                messages.QueryAcknowledgements(3, 7),
+                messages.AcknowledgementsReported,
+            )
+            self.assertTrue(reported.complete)
+            self.assertGreaterEqual(reported.covered_since_ms, before_ms)
+            asked._make_group('s')
+            (fence,) = self.cores[2].of(messages.FenceAcknowledgements)
+            self.assertEqual(7, fence.term)
+            asked._drop_group('s')
+
+        self.play(steps)
