Ask at most sixteen proxies at a time; stop at five without an answer

One whole region that is silent would have been waited for in many rounds.

Effect: a report is complete at that size; an incomplete one takes two rounds at most.

--- a/topazring/pooler/acknowledgement_reports.py
+++ b/topazring/pooler/acknowledgement_reports.py
@@ -36,9 +36,12 @@
 FENCE_PATH = '/fence'
 # A group has no primary while this is waited for.
 ASK_TIMEOUT_S = 0.25
-# Each call opens a connection, and a process has few descriptors.
-MAX_CONCURRENT_CALLS = 256
-MAX_LOGGED_NAMES = 5
+# Each call takes about a millisecond of processor time. If many more are begun
+# together, the last ones time out before their answers are read.
+MAX_CONCURRENT_CALLS = 16
+# A report without one answer is incomplete, so after some the rest of a large
+# fleet is not asked any more.
+MAX_UNANSWERED = 5
 
 _Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 
@@ -69,6 +72,15 @@
     covered_since_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class _Query:
+    """Query of all other proxies, and those that have not answered."""
+
+    service: str
+    term: int
+    unanswered: list[str] = dataclasses.field(default_factory=list)
+
+
 CheckFence = collections.abc.Callable[
     [str], collections.abc.Awaitable[bool | None]
 ]
@@ -106,13 +118,9 @@
         """Fence all other listed proxies; return what they acknowledged."""
         sent_ms = clock.boottime_ms()
         store_answered = await self.directory.read_store_now()
-        answers = {}
-        if store_answered:
-            answers = await self._ask_all(service, query.term)
-        reported = self._summarize(
-            query.token, store_answered, list(answers.values())
-        )
-        silent = sorted(name for name in answers if answers[name] is None)
+        asked = _Query(service, query.term)
+        answers = await self._ask_all(asked) if store_answered else []
+        reported = self._summarize(query.token, store_answered, answers)
         self.log.emit(
             'group',
             'acknowledgements reported',
@@ -123,9 +131,9 @@
                 'position': str(reported.position),
                 'covered_for_ms': max(0, sent_ms - reported.covered_since_ms),
                 'store_answered': store_answered,
-                'asked': len(answers),
-                'silent': len(silent),
-                'silent_names': silent[:MAX_LOGGED_NAMES],
+                'listed': len(answers),
+                'answered': sum(report is not None for report in answers),
+                'unanswered': asked.unanswered[:MAX_UNANSWERED],
                 'took_ms': clock.boottime_ms() - sent_ms,
             },
         )
@@ -151,25 +159,31 @@
             token, complete, position, covered_since_ms
         )
 
-    async def _ask_all(
-        self, service: str, term: int
-    ) -> dict[str, _Report | None]:
-        """Return each other proxy's report, by its listed name."""
-        records = [
-            record
-            for record in self.directory.listing.proxies.values()
-            if record.name != self.name
-        ]
-        answers = await asyncio.gather(
-            *(self._ask(record, service, term) for record in records)
+    async def _ask_all(self, query: _Query) -> list[_Report | None]:
+        """Return each other proxy's report, None without one."""
+        return await asyncio.gather(
+            *(
+                self._ask(query, record)
+                for record in self.directory.listing.proxies.values()
+                if record.name != self.name
+            )
         )
-        names = (record.name for record in records)
-        return dict(zip(names, answers, strict=True))
 
     async def _ask(
-        self, record: listings.ProxyRecord, service: str, term: int
+        self, query: _Query, record: listings.ProxyRecord
+    ) -> _Report | None:
+        async with self.concurrent_calls:
+            if len(query.unanswered) >= MAX_UNANSWERED:
+                return None
+            report = await self._fetch_report(query, record)
+        if report is None:
+            query.unanswered.append(record.name)
+        return report
+
+    async def _fetch_report(
+        self, query: _Query, record: listings.ProxyRecord
     ) -> _Report | None:
-        arguments = {'service': service, 'term': term}
+        arguments = {'service': query.service, 'term': query.term}
         body = await self._fetch(
             record.peer_address, ACKNOWLEDGEMENTS_PATH, arguments
         )
@@ -202,9 +216,10 @@
         # A holder under this name is an earlier process.
         if record is None or name == self.name:
             return None
-        body = await self._fetch(
-            record.peer_address, FENCE_PATH, {'service': service}
-        )
+        async with self.concurrent_calls:
+            body = await self._fetch(
+                record.peer_address, FENCE_PATH, {'service': service}
+            )
         answer = _decode(body, FenceAnswer)
         if answer is None or answer.incarnation != holder:
             return None
@@ -219,10 +234,9 @@
         except settings.SettingsError:
             return None
         url = f'http://{address}{path}?{urllib.parse.urlencode(arguments)}'
-        async with self.concurrent_calls:
-            reply = await http_calls.call(
-                self.client, 'GET', url, timeout_s=ASK_TIMEOUT_S
-            )
+        reply = await http_calls.call(
+            self.client, 'GET', url, timeout_s=ASK_TIMEOUT_S
+        )
         if isinstance(reply, http_calls.NoResponse) or reply.code != 200:
             return None
         return reply.body
--- a/topazring/pooler/tests/test_acknowledgement_reports.py
+++ b/topazring/pooler/tests/test_acknowledgement_reports.py
@@ -129,11 +129,11 @@
         """Return the values of the last log line."""
         return self.log.emit.call_args.kwargs['inputs']
 
-    async def serve(self, respond) -> str:
+    async def serve(self, respond, host='127.0.0.1') -> str:
         """Start a server for any path; return its address."""
         (port,) = ports.find_free_ports(1)
         server = httpserver.HTTPServer(respond)
-        server.listen(port, '127.0.0.1')
+        server.listen(port, host)
         self.addCleanup(server.stop)
         return f'127.0.0.1:{port}'
 
@@ -227,7 +227,7 @@
             reported = await self.query()
             took_ms = clock.boottime_ms() - sent_ms
             self.assertFalse(reported.complete)
-            self.assertEqual(['p3'], self.last_inputs()['silent_names'])
+            self.assertEqual(['p3'], self.last_inputs()['unanswered'])
             limit_ms = acknowledgement_reports.ASK_TIMEOUT_S * 1000
             self.assertLess(took_ms, limit_ms + SLACK_MS)
 
@@ -253,19 +253,56 @@
 
         self.play(steps)
 
-    def test_at_most_five_names_are_logged(self):
-        """A line stays short when a whole region is cut off."""
+    def test_many_proxies_that_do_not_answer(self):
+        """Guards against seconds of waiting when a whole region is cut off.
+
+        What each of them costs is waited for a few times at most, and the
+        log line stays short.
+        """
 
         async def steps():
-            for number in range(20, 30):
-                self.directory.list_proxy(f'p{number}', '')
-            await self.query()
+            silent = await self.serve(lambda request: None)
+            count = 10 * acknowledgement_reports.MAX_CONCURRENT_CALLS
+            for number in range(count):
+                self.directory.list_proxy(f'q{number}', silent)
+            sent_ms = clock.boottime_ms()
+            self.assertFalse((await self.query()).complete)
+            took_ms = clock.boottime_ms() - sent_ms
+            limit_ms = acknowledgement_reports.ASK_TIMEOUT_S * 1000
+            self.assertLess(took_ms, 2 * limit_ms + SLACK_MS)
             inputs = self.last_inputs()
-            self.assertEqual(10, inputs['silent'])
-            self.assertEqual(5, len(inputs['silent_names']))
+            self.assertEqual(count + 2, inputs['listed'])
+            self.assertEqual(2, inputs['answered'])
+            self.assertEqual(5, len(inputs['unanswered']))
 
         self.play(steps)
 
+    def test_large_fleet(self):
+        """Guards against answers that are read after their calls timed out.
+
+        Beginning 195 calls at once takes longer than a call may take: most
+        of them had no answer, so no report was ever complete.
+        """
+
+        def respond(request):
+            number = request.host.partition(':')[0].rpartition('.')[2]
+            body = encoded(f'q{number}', 1, 5, LONG_AGO_MS)
+            http_calls.send_response(request, 200, body)
+
+        async def steps():
+            address = await self.serve(respond, host='0.0.0.0')
+            _, _, port = address.rpartition(':')
+            for number in range(1, 196):
+                self.directory.list_proxy(
+                    f'q{number}', f'127.0.0.{number}:{port}'
+                )
+            reported = await self.query()
+            self.assertEqual([], self.last_inputs()['unanswered'])
+            self.assertEqual(195, self.last_inputs()['answered'])
+            self.assertTrue(reported.complete)
+
+        self.play(steps, others=0)
+
     def test_missing_proxy_is_asked(self):
         """An entry that has just expired may belong to a live proxy."""
 
@@ -326,7 +363,7 @@
         async def steps():
             self.directory.list_proxy('p9', self.others[0].address)
             self.assertFalse((await self.query()).complete)
-            self.assertEqual(['p9'], self.last_inputs()['silent_names'])
+            self.assertEqual(['p9'], self.last_inputs()['unanswered'])
 
         self.play(steps)
 
