--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -59,13 +59,7 @@
     _set_fence(state, now_ms, message.term)
     state.counters['acknowledgements_fenced'] += 1
     complete_ms = freshness.complete_until_ms(state, message.position)
-    inputs = {
-        'term': message.term,
-        'acknowledged': str(state.acknowledged_until),
-        'primary': state.primary,
-    }
     return [
-        messages.LogDecision('acknowledgements fenced', inputs=inputs),
         messages.AcknowledgementsFenced(
             message.key,
             state.acknowledged_until,
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -207,18 +207,11 @@
     message: messages.AcknowledgementsReported,
 ) -> list:
     """Continue the attempt once all proxies have been queried."""
-    inputs = {
-        'complete': message.complete,
-        'position': str(message.position),
-        'covered_for_ms': now_ms - message.covered_since_ms,
-        'token': message.token,
-    }
-    decided = messages.LogDecision('acknowledgements reported', inputs=inputs)
     attempt = state.promotion
     if attempt is None or attempt.token != message.token:
-        return [decided]
+        return []
     attempt.acknowledgements = message
-    return [decided, *advance(state, now_ms, attempt)]
+    return advance(state, now_ms, attempt)
 
 
 def _keep_paused(
