Don't acknowledge for lack of other entries while members may be alive

What callers saw: acknowledged writes were gone after a promotion. The entries of both replicas had expired (the store refused them, or was down for them) while both lived and followed. Each write was acknowledged at once, since no member was listed that could be promoted. Then one of the two was listed again and promoted: the other had confirmed the last writes.

Cause: that no other member is listed was taken for there being none.

The short way now counts only if no other member has been listed, or those that were announced that they leave. A group without synchronous replication takes no writes once its last replica has crashed and expired, until one is listed again.

Still open: a proxy that starts while only the primary is listed, and members that announced that they leave and whose entry expires while they drain.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -31,6 +31,7 @@
 """
 
 from topazring.core import log_positions
+from topazring.core.synchronous import departed_members
 from topazring.core.synchronous import failure_detection
 from topazring.core.synchronous import position_records
 from topazring.core.synchronous import proofs
@@ -95,8 +96,7 @@
     if _is_contested(state) or _is_outdated(state, confirmation):
         return False
     if not states.other_members(state):
-        # No other member is listed that could be promoted.
-        return True
+        return _was_always_alone(state)
     chosen = _ordered_successor(state)
     if chosen is not None:
         return _holds(chosen, confirmation)
@@ -109,6 +109,18 @@
     return _is_holder_listed(state, confirmation)
 
 
+def _was_always_alone(state: states.GroupState) -> bool:
+    """Return whether no other member exists that could be promoted.
+
+    One whose entry expired may be alive. It may have confirmed the write, and
+    another whose entry expired may be listed again and promoted without it.
+    """
+    return all(
+        member.left or member.name == departed_members.BEFORE_START
+        for member in state.departed_members.known.values()
+    )
+
+
 def is_in_successor_log(
     state: states.GroupState, confirmation: position_records.Confirmation
 ) -> bool | None:
--- /dev/null
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -0,0 +1,146 @@
+"""Test conclusions from what is not listed, not heard of, or long ago."""
+
+import random
+
+import testtools
+
+from topazring.core.synchronous import sessions
+from topazring.core.synchronous.tests import fake_group
+from topazring.core.synchronous.tests import simulation as simulations
+from topazring.core.synchronous.tests import walks
+
+SEEDS = 10
+STEP_MS = 10
+
+
+class Play:
+    """Play one sequence of faults; p1 may promote, p2 acknowledges writes."""
+
+    def __init__(self, seed: int, at_p1: int, at_p2: int):
+        self.rng = random.Random(seed)
+        self.world = simulations.Simulation(seed, walks.SLOW_PROMOTE_MS)
+        self.world.run(300)
+        for proxy in ('p1',) * at_p1 + ('p2',) * at_p2:
+            self.open_session(proxy)
+        self.work(4)
+
+    def open_session(self, proxy: str) -> None:
+        """Open a session that demands exact reads."""
+        session = sessions.Session(next(self.world.keys), 'exact')
+        self.world.sessions.append((proxy, session))
+
+    def work(self, count: int) -> None:
+        """Submit statements for some 300 ms each."""
+        for _ in range(count):
+            walks.perform(self.world, self.rng, 'work')
+
+    def list_only(self, *names: str) -> None:
+        """Let the entries of all other members expire."""
+        for member in self.world.members.values():
+            member.listed = member.name in names
+        self.send_lists()
+
+    def send_lists(self) -> None:
+        """Send the list to the proxies that reach the store."""
+        for proxy in simulations.PROXIES:
+            self.world.send_list(proxy)
+
+    def cut(self, name: str, *others: str) -> None:
+        """Cut the links between one process and others."""
+        for other in others:
+            self.world.cut_pairs.add(frozenset((name, other)))
+
+    def heal(self, name: str, other: str) -> None:
+        """Restore one link."""
+        self.world.cut_pairs.discard(frozenset((name, other)))
+
+    def isolate(self, name: str) -> None:
+        """Cut one member off from all others."""
+        others = {*simulations.PROXIES, *self.world.members} - {name}
+        self.cut(name, *others)
+
+    def without_log(self, name: str, for_ms: int) -> None:
+        """Have a replica receive nothing for a while."""
+        member = self.world.members[name]
+        member.not_receiving_until_ms = int(self.world.now_ms) + for_ms
+
+    def stop(self, name: str) -> None:
+        """Crash a member."""
+        walks._stop_member(self.world, self.world.members[name])
+        for wire in self.world.wires.values():
+            if wire.upstream == name:
+                wire.silent = True
+
+    def run_until(self, condition) -> None:
+        """Run until a condition on the attempt of p1 is met."""
+        for _ in range(300):
+            self.world.run(STEP_MS)
+            attempt = self.world.states['p1'].promotion
+            if attempt is not None and condition(attempt):
+                return
+        raise AssertionError('the promotion did not get that far')
+
+    def order(self) -> str:
+        """Cut p1 off from the primary; return whom it then promotes."""
+        self.cut('p1', 'u1')
+        self.run_until(lambda attempt: attempt.accepted)
+        return self.world.states['p1'].promotion.chosen
+
+    def finish(self) -> None:
+        """End all faults and check the final log."""
+        self.world.end_faults()
+        for member in self.world.members.values():
+            member.revision += 1
+        self.send_lists()
+        self.work(4)
+        self.world.finish()
+
+
+def failures(play, seeds: int = SEEDS) -> dict[int, str]:
+    """Return the first line of each violated guarantee, by seed."""
+    found = {}
+    for seed in range(seeds):
+        try:
+            play(seed)
+        except fake_group.Violation as error:
+            found[seed] = str(error).splitlines()[0]
+    return found
+
+
+class AloneTest(testtools.TestCase):
+    """The entries of both replicas expire; both are alive and follow."""
+
+    def alone(self, seed: int, at_p1: int, at_p2: int) -> Play:
+        """Return a play in which only the primary is listed."""
+        play = Play(seed, at_p1, at_p2)
+        play.list_only('u1')
+        play.work(3)
+        return play
+
+    def test_other_replica_is_promoted_after_a_crash(self):
+        """Guards against acknowledging what only an unlisted replica has."""
+
+        def crash(seed: int) -> None:
+            play = self.alone(seed, 0, 6)
+            play.without_log('u3', 2000)
+            play.work(1)
+            play.world.run(100)
+            play.stop('u1')
+            play.list_only('u1', 'u3')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(crash))
+
+    def test_other_replica_is_promoted_by_a_proxy_that_lists_it(self):
+        """Guards against acknowledging on a list without any replica."""
+
+        def cut(seed: int) -> None:
+            play = self.alone(seed, 1, 5)
+            play.world.without_store.add('p2')
+            play.list_only('u1', 'u3')
+            play.cut('p1', 'u1')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(cut))
