Replace the primary once an accepted order shows no new one

What callers saw: writes acknowledged by a primary that had been replaced, and rolled back when the two sides met. The promoting proxy had lost sight of the primary for a moment and ordered a replica, the platform accepted, and the replica's machine was cut off before anybody saw it lead. The old primary was reached again. 3 s after the order the attempt ended as 'nobody leads', the other replica was resumed and confirmed the old primary's writes.

Cause: that nobody was seen to lead for 3 s was taken for nobody leading.

The end of such an attempt now counts like the loss of the chosen upstream from the list: the next attempt replaces the old primary with a higher token, and the paused members stay paused until it has. Members are also not resumed in the moment between the two attempts.

Cost: only where an order for a primary that lives was accepted and the chosen upstream crashed before it led.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -304,7 +304,7 @@
 
 
 def note_successor_gone(state: states.GroupState, now_ms: int) -> None:
-    """Record that the successor of the last primary has left the list."""
+    """Record that the successor of the last primary may lead unseen."""
     state.successor_gone = True
     state.ended_term = max(state.term, FIRST_TERM)
     state.term_ended_ms = now_ms
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -270,6 +270,8 @@
         # primary that has returned acknowledges nothing that the chosen
         # upstream lacks.
         if attempt.accepted and now_ms - attempt.ordered_ms > LEAD_TIMEOUT_MS:
+            # The chosen upstream may lead out of reach of this proxy.
+            confirmations.note_successor_gone(state, now_ms)
             return promotion_end.finish(state, now_ms, attempt, 'nobody leads')
         return None
     if not attempt.successor and now_ms - attempt.began_ms > CHOICE_TIMEOUT_MS:
--- a/topazring/core/synchronous/promotion_commands.py
+++ b/topazring/core/synchronous/promotion_commands.py
@@ -77,10 +77,10 @@
 def resume_paused(state: states.GroupState, now_ms: int) -> list:
     """Resume replication on every replica that an attempt had paused."""
     outs: list = []
-    if not state.primary or state.needs_fencing:
-        # An order of an earlier lease holder may still be carried out, and
-        # its choice of successor is safe only while the members that it
-        # paused remain paused.
+    if not state.primary or state.needs_fencing or state.successor_gone:
+        # An earlier order may still be carried out, or its upstream may lead
+        # unseen. Its choice of successor is safe only while the members that
+        # were paused for it remain paused.
         return outs
     for name in sorted(state.paused):
         upstream = state.upstreams.get(name)
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -144,3 +144,22 @@
             play.finish()
 
         self.assertEqual({}, failures(cut))
+
+
+class AcceptedOrderTest(testtools.TestCase):
+    """An order is accepted, and nobody is seen to lead."""
+
+    def test_chosen_member_leads_unseen(self):
+        """Guards against a replaced primary whose writes are confirmed."""
+
+        def unseen(seed: int) -> None:
+            play = Play(seed, 3, 4)
+            chosen = play.order()
+            play.isolate(chosen)
+            play.heal('p1', 'u1')
+            # Nobody learns of its new role.
+            play.world.without_store |= set(simulations.PROXIES)
+            play.work(16)
+            play.finish()
+
+        self.assertEqual({}, failures(unseen))
