Keep members paused after an order that may still be carried out

What callers could see: acknowledged writes gone after a late promotion. An order got no answer, was sent again and refused, for its upstream was just restarting. With the refusal the paused members were resumed; they confirm the writes of a primary that has returned. The first order, carried out after that, makes an upstream lead that lacks them.

Cause: the end of an attempt was taken for the end of its order.

Evidence: UnansweredOrderTest, by hand on one core: before this change a member is resumed with the refusal, before any later token was sent. No play that loses a write this way was run: the moment up to the next token is short.

An attempt that ends after its order was sent and not accepted (refused, overtaken, its upstream gone) now asks for a fence: members stay paused until an order with a higher token has been accepted, be it the next promotion or that of the present primary. After a gain of the lease it was so already.

Cost: only after such an order, for the time of one more answer of the platform.

--- a/topazring/core/synchronous/promotion_end.py
+++ b/topazring/core/synchronous/promotion_end.py
@@ -18,6 +18,9 @@
 ) -> list:
     """End an attempt with the given result; resume paused members."""
     state.promotion = None
+    if attempt.chosen and not attempt.accepted and how != 'succeeded':
+        # An order that was sent may still be carried out.
+        state.needs_fencing = True
     state.next_promotion_ms = now_ms
     if attempt.is_query_only:
         state.replication_checked_ms = now_ms
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -4,9 +4,13 @@
 
 import testtools
 
+from topazring.core.synchronous import messages
 from topazring.core.synchronous import sessions
+from topazring.core.synchronous import statements
+from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import fake_group
 from topazring.core.synchronous.tests import simulation as simulations
+from topazring.core.synchronous.tests import support
 from topazring.core.synchronous.tests import walks
 
 SEEDS = 10
@@ -163,3 +167,61 @@
             play.finish()
 
         self.assertEqual({}, failures(unseen))
+
+
+class UnansweredOrderTest(testtools.TestCase):
+    """An order without an answer may be carried out seconds later."""
+
+    def refused(self) -> support.Driver:
+        """Have an order refused that was sent before and not answered."""
+        driver = failover_support.make_lease_holder()
+        failover_support.lose_primary(driver)
+        (order,) = support.orders(
+            failover_support.answer_control_commands(driver)
+        )
+        self.answer_all(driver)
+        self.assertEqual('u1', driver.state.primary)
+        driver.outs.clear()
+        for result in ('UNANSWERED', 'REFUSED'):
+            driver.post(
+                messages.PromotionOrdered(
+                    order.upstream, order.token, messages.OrderResult[result]
+                )
+            )
+        return driver
+
+    def answer_all(self, driver: support.Driver) -> None:
+        """Let some time pass in which all members answer; u1 leads."""
+        for _ in range(20):
+            driver.tick(20)
+            driver.open_all()
+            driver.answer_leadership_checks()
+            failover_support.answer_control_commands(driver)
+
+    def resumed(self, driver: support.Driver) -> bool:
+        """Return whether a member was resumed."""
+        return any(
+            isinstance(command, statements.Resume)
+            for sent in support.sends(driver.outs)
+            for command in sent.commands
+        )
+
+    def test_members_stay_paused_after_a_refusal(self):
+        """Guards against writes that the late order's upstream lacks."""
+        driver = self.refused()
+        driver.tick(40)
+        self.assertFalse(self.resumed(driver))
+
+    def test_members_are_resumed_after_the_fence(self):
+        """Guards against members that stay paused."""
+        driver = self.refused()
+        driver.post(messages.PromotionLeaseSeen(True, 5000))
+        self.answer_all(driver)
+        fence = support.orders(driver.outs)[-1]
+        self.assertEqual('u1', fence.upstream)
+        accepted = messages.OrderResult.ACCEPTED
+        driver.post(
+            messages.PromotionOrdered(fence.upstream, fence.token, accepted)
+        )
+        driver.tick(40)
+        self.assertTrue(self.resumed(driver))
