--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -31,7 +31,7 @@
 """
 
 from topazring.core import log_positions
-from topazring.core.synchronous import failure_detection
+from topazring.core.synchronous import departed_members
 from topazring.core.synchronous import position_records
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
@@ -53,9 +53,6 @@
 FIRST_TERM = 1
 # Proxies see a new member in the list within milliseconds of each other.
 LISTING_DELAY_MS = 300
-# Upper bound of a hand-over: a successor that was silent before the hand-over
-# began would not have been chosen.
-HAND_OVER_MS = 3000
 # How long writes of an ended term are not acknowledged. By then the holder of
 # the promotion lease has also seen that the successor left the list, and has
 # promoted another. If it has not, it either has newer information on the
@@ -100,10 +97,9 @@
     if not _is_fence_passed(state, now_ms, confirmation):
         return False
     if not states.other_members(state):
-        # No other member is listed that could be promoted.
-        return True
+        return _was_always_alone(state)
     if state.upstreams[state.primary].leaving:
-        return _successor_holds(state, now_ms, confirmation)
+        return _successor_holds(state, confirmation)
     if _is_any_paused(state, confirmation):
         return False
     if any(_holds(u, confirmation) for u in _established(state)):
@@ -111,6 +107,18 @@
     return _is_holder_listed(state, confirmation)
 
 
+def _was_always_alone(state: states.GroupState) -> bool:
+    """Return whether no other member exists that could be promoted.
+
+    One whose entry expired may be alive. It may have confirmed the write, and
+    another whose entry expired may be listed again and promoted without it.
+    """
+    return all(
+        member.left or member.name == departed_members.BEFORE_START
+        for member in state.departed_members.known.values()
+    )
+
+
 def is_in_successor_log(
     state: states.GroupState, confirmation: position_records.Confirmation
 ) -> bool | None:
@@ -184,9 +192,7 @@
 
 
 def _successor_holds(
-    state: states.GroupState,
-    now_ms: int,
-    confirmation: position_records.Confirmation,
+    state: states.GroupState, confirmation: position_records.Confirmation
 ) -> bool:
     """Return whether the successor of a leaving primary has a write.
 
@@ -204,9 +210,6 @@
         upstream
         for upstream in states.other_members(state)
         if upstream.held_term <= term
-        and not failure_detection.is_unanswered(
-            state, now_ms, upstream, HAND_OVER_MS
-        )
     ]
     has_long_listed = any(
         upstream.is_established
@@ -314,7 +317,7 @@
 
 
 def note_successor_gone(state: states.GroupState, now_ms: int) -> None:
-    """Record that the successor of the last primary has left the list."""
+    """Record that the successor of the last primary may lead unseen."""
     state.successor_gone = True
     state.ended_term = max(state.term, FIRST_TERM)
     state.term_ended_ms = now_ms
--- /dev/null
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -0,0 +1,255 @@
+"""Test conclusions from what is not listed, not heard of, or long ago."""
+
+import random
+
+import testtools
+
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import sessions
+from topazring.core.synchronous import statements
+from topazring.core.synchronous.tests import failover_support
+from topazring.core.synchronous.tests import fake_group
+from topazring.core.synchronous.tests import simulation as simulations
+from topazring.core.synchronous.tests import support
+from topazring.core.synchronous.tests import walks
+
+SEEDS = 10
+STEP_MS = 10
+
+
+class Play:
+    """Play one sequence of faults; p1 may promote, p2 acknowledges writes."""
+
+    def __init__(self, seed: int, at_p1: int, at_p2: int):
+        self.rng = random.Random(seed)
+        self.world = simulations.Simulation(seed, walks.SLOW_PROMOTE_MS)
+        self.world.run(300)
+        for proxy in ('p1',) * at_p1 + ('p2',) * at_p2:
+            self.open_session(proxy)
+        self.work(4)
+
+    def open_session(self, proxy: str) -> None:
+        """Open a session that demands exact reads."""
+        session = sessions.Session(next(self.world.keys), 'exact')
+        self.world.sessions.append((proxy, session))
+
+    def work(self, count: int) -> None:
+        """Submit statements for some 300 ms each."""
+        for _ in range(count):
+            walks.perform(self.world, self.rng, 'work')
+
+    def list_only(self, *names: str) -> None:
+        """Let the entries of all other members expire."""
+        for member in self.world.members.values():
+            member.listed = member.name in names
+        self.send_lists()
+
+    def send_lists(self) -> None:
+        """Send the list to the proxies that reach the store."""
+        for proxy in simulations.PROXIES:
+            self.world.send_list(proxy)
+
+    def cut(self, name: str, *others: str) -> None:
+        """Cut the links between one process and others."""
+        for other in others:
+            self.world.cut_pairs.add(frozenset((name, other)))
+
+    def heal(self, name: str, other: str) -> None:
+        """Restore one link."""
+        self.world.cut_pairs.discard(frozenset((name, other)))
+
+    def isolate(self, name: str) -> None:
+        """Cut one member off from all others."""
+        others = {*simulations.PROXIES, *self.world.members} - {name}
+        self.cut(name, *others)
+
+    def without_log(self, name: str, for_ms: int) -> None:
+        """Have a replica receive nothing for a while."""
+        member = self.world.members[name]
+        member.not_receiving_until_ms = int(self.world.now_ms) + for_ms
+
+    def stop(self, name: str) -> None:
+        """Crash a member."""
+        walks._stop_member(self.world, self.world.members[name])
+        for wire in self.world.wires.values():
+            if wire.upstream == name:
+                wire.silent = True
+
+    def choice(self) -> str:
+        """Run until p1 has ordered a promotion; return whose, if any."""
+        for _ in range(300):
+            self.world.run(STEP_MS)
+            attempt = self.world.states['p1'].promotion
+            if attempt is not None and attempt.chosen:
+                return attempt.chosen
+        return ''
+
+    def order(self) -> str:
+        """Cut p1 off from the primary; return whom it then promotes."""
+        self.cut('p1', 'u1')
+        chosen = self.choice()
+        self.world.run(STEP_MS)
+        if not self.world.states['p1'].promotion.accepted:
+            raise AssertionError('no order was accepted')
+        return chosen
+
+    def finish(self) -> None:
+        """End all faults and check the final log."""
+        self.world.end_faults()
+        for member in self.world.members.values():
+            member.revision += 1
+        self.send_lists()
+        self.work(4)
+        self.world.finish()
+
+
+def failures(play, seeds: int = SEEDS) -> dict[int, str]:
+    """Return the first line of each violated guarantee, by seed."""
+    found = {}
+    for seed in range(seeds):
+        try:
+            play(seed)
+        except fake_group.Violation as error:
+            found[seed] = str(error).splitlines()[0]
+    return found
+
+
+class AloneTest(testtools.TestCase):
+    """The entries of both replicas expire; both are alive and follow."""
+
+    def alone(self, seed: int, at_p1: int, at_p2: int) -> Play:
+        """Return a play in which only the primary is listed."""
+        play = Play(seed, at_p1, at_p2)
+        play.list_only('u1')
+        play.work(3)
+        return play
+
+    def test_other_replica_is_promoted_after_a_crash(self):
+        """Guards against acknowledging what only an unlisted replica has."""
+
+        def crash(seed: int) -> None:
+            play = self.alone(seed, 0, 6)
+            play.without_log('u3', 2000)
+            play.work(1)
+            play.world.run(100)
+            play.stop('u1')
+            play.list_only('u1', 'u3')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(crash))
+
+    def test_other_replica_is_promoted_by_a_proxy_that_lists_it(self):
+        """Guards against acknowledging on a list without any replica."""
+
+        def cut(seed: int) -> None:
+            play = self.alone(seed, 1, 5)
+            play.world.without_store.add('p2')
+            play.list_only('u1', 'u3')
+            play.cut('p1', 'u1')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(cut))
+
+
+class AcceptedOrderTest(testtools.TestCase):
+    """An order is accepted, and nobody is seen to lead."""
+
+    def test_chosen_member_leads_unseen(self):
+        """Guards against a replaced primary whose writes are confirmed."""
+
+        def unseen(seed: int) -> None:
+            play = Play(seed, 3, 4)
+            chosen = play.order()
+            play.isolate(chosen)
+            play.heal('p1', 'u1')
+            # Nobody learns its new role from the list.
+            play.world.without_store |= set(simulations.PROXIES)
+            play.work(16)
+            play.finish()
+
+        self.assertEqual({}, failures(unseen))
+
+
+class UnansweredOrderTest(testtools.TestCase):
+    """An order without an answer may be carried out seconds later."""
+
+    def refused(self) -> support.Driver:
+        """Have an order refused that was sent before and not answered."""
+        driver = failover_support.make_lease_holder()
+        failover_support.lose_primary(driver)
+        (order,) = support.orders(
+            failover_support.answer_control_commands(driver)
+        )
+        self.answer_all(driver)
+        self.assertEqual('u1', driver.state.primary)
+        driver.outs.clear()
+        for result in ('UNANSWERED', 'REFUSED'):
+            driver.post(
+                messages.PromotionOrdered(
+                    order.upstream, order.token, messages.OrderResult[result]
+                )
+            )
+        return driver
+
+    def answer_all(self, driver: support.Driver) -> None:
+        """Let some time pass in which all members answer; u1 leads."""
+        for _ in range(20):
+            driver.tick(20)
+            driver.open_all()
+            driver.answer_leadership_checks()
+            failover_support.answer_control_commands(driver)
+
+    def resumed(self, driver: support.Driver) -> bool:
+        """Return whether a member was resumed."""
+        return any(
+            isinstance(command, statements.Resume)
+            for sent in support.sends(driver.outs)
+            for command in sent.commands
+        )
+
+    def test_members_stay_paused_after_a_refusal(self):
+        """Guards against writes that the late order's upstream lacks."""
+        driver = self.refused()
+        driver.tick(40)
+        self.assertFalse(self.resumed(driver))
+
+    def test_members_are_resumed_after_the_fence(self):
+        """Guards against members that stay paused."""
+        driver = self.refused()
+        driver.post(messages.PromotionLeaseSeen(True, 5000))
+        self.answer_all(driver)
+        fence = support.orders(driver.outs)[-1]
+        self.assertEqual('u1', fence.upstream)
+        accepted = messages.OrderResult.ACCEPTED
+        driver.post(
+            messages.PromotionOrdered(fence.upstream, fence.token, accepted)
+        )
+        driver.tick(40)
+        self.assertTrue(self.resumed(driver))
+
+
+class HandOverTest(testtools.TestCase):
+    """A leaving primary's successor is out of reach of one proxy."""
+
+    def test_new_member_confirms_what_the_successor_lacks(self):
+        """Guards against leaving out a member for its silence here."""
+        played = []
+
+        def silent(seed: int) -> None:
+            play = Play(seed, 2, 5)
+            play.cut('p2', 'u3')
+            play.work(12)
+            play.world.announce_leaving(play.world.members['u1'])
+            if play.choice() != 'u3':
+                return
+            played.append(seed)
+            play.without_log('u3', 3000)
+            play.cut('p1', 'u4')
+            play.world.add_member('u4')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(silent, 3 * SEEDS))
+        self.assertGreater(len(played), SEEDS)
