Prove no lead where all others' entries have merely expired

What callers saw: reads without acknowledged writes, at a replaced primary.

Cause: that no other member is listed was taken for there being none that could lead. A promoter whose order had been carried out out of its sight listed the old primary alone, as it came back after a crash, and answered reads there.

The short way counts only where no member may return, as it does for writes.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -31,7 +31,6 @@
 """
 
 from topazring.core import log_positions
-from topazring.core.synchronous import departed_members
 from topazring.core.synchronous import position_records
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
@@ -97,7 +96,7 @@
     if not _is_fence_passed(state, now_ms, confirmation):
         return False
     if not states.other_members(state):
-        return _was_always_alone(state)
+        return not state.departed_members.may_return()
     if state.upstreams[state.primary].leaving:
         return _successor_holds(state, confirmation)
     if _is_any_paused(state, confirmation):
@@ -107,18 +106,6 @@
     return _is_holder_listed(state, confirmation)
 
 
-def _was_always_alone(state: states.GroupState) -> bool:
-    """Return whether no other member exists that could be promoted.
-
-    One whose entry expired may be alive. It may have confirmed the write, and
-    another whose entry expired may be listed again and promoted without it.
-    """
-    return all(
-        member.left or member.name == departed_members.BEFORE_START
-        for member in state.departed_members.known.values()
-    )
-
-
 def is_in_successor_log(
     state: states.GroupState, confirmation: position_records.Confirmation
 ) -> bool | None:
--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -88,6 +88,16 @@
         """Return whether a member of this name was listed before."""
         return any(member.name == name for member in self.known.values())
 
+    def may_return(self) -> bool:
+        """Return whether a member may be alive although it is not listed.
+
+        It may have confirmed a write that another member lacks, or lead.
+        """
+        return any(
+            not member.left and member.name != BEFORE_START
+            for member in self.known.values()
+        )
+
     def record_primary_place(
         self, sent_ms: int, place: log_positions.LogPosition
     ) -> None:
--- a/topazring/core/synchronous/tests/test_proofs.py
+++ b/topazring/core/synchronous/tests/test_proofs.py
@@ -15,6 +15,27 @@
 Verb = support.Verb
 
 
+class AloneTest(testtools.TestCase):
+    """The primary alone is listed."""
+
+    def read(self, names: tuple[str, ...]) -> bool:
+        """Return whether a read is answered; `names` were listed before."""
+        driver = support.Driver().ready(names=names)
+        driver.list_upstreams(names=('u1',), revision=2)
+        driver.tick(20)
+        key, _ = driver.submit()
+        outs = proof_support.answer_read(driver, key)
+        return key in support.answers(outs)
+
+    def test_members_whose_entries_expired(self):
+        """Guards against reads at a replaced primary that is listed again."""
+        self.assertFalse(self.read(('u1', 'u2', 'u3')))
+
+    def test_no_other_member(self):
+        """Guards against callers that wait for members that do not exist."""
+        self.assertTrue(self.read(('u1',)))
+
+
 class ReadTest(testtools.TestCase):
     """A read at the primary runs at once and waits for a leadership proof."""
 
