--- a/topazring/pooler/tests/test_acknowledgement_reports.py
+++ b/topazring/pooler/tests/test_acknowledgement_reports.py
@@ -515,9 +515,14 @@
         """The entry names an earlier process, which holds nothing now."""
 
         async def steps():
-            for earlier in ('p2-bbbbbbbb', 'p1-bbbbbbbb'):
-                self.directory.set_holder(earlier)
-                self.assertIsNone(await self.query_fence())
+            self.directory.set_holder('p2-bbbbbbbb')
+            self.assertIsNone(await self.query_fence())
+            # No process asks itself.
+            other = self.others[1]
+            self.directory.list_proxy('p1', other.address)
+            self.directory.set_holder('p1-bbbbbbbb')
+            self.assertIsNone(await self.query_fence())
+            self.assertEqual([], other.core.received)
 
         self.play(steps)
 
