--- a/topazring/core/synchronous/tests/test_promotion.py
+++ b/topazring/core/synchronous/tests/test_promotion.py
@@ -250,6 +250,24 @@
         )
         driver.list_upstreams(primary='u2', revision=2)
 
+    def test_replaced_primary_returns_after_its_successor_left(self):
+        """Guards against its lead where only the list showed the new one."""
+        driver = failover_support.make_lease_holder()
+        self.promote_u2(driver)
+        self.assertEqual('u2', driver.state.primary)
+        driver.tick(20)
+        driver.list_upstreams(primary='', names=('u1', 'u3'), revision=3)
+        for _ in range(30):
+            driver.tick(20)
+            driver.open_all()
+            for connection in driver.busy('u1'):
+                if connection.purpose is states.Purpose.LEADERSHIP_CHECK:
+                    driver.reply(connection, support.ok(), support.ok())
+        self.assertGreater(
+            driver.state.upstreams['u1'].begin_accepted_sent_ms, 0
+        )
+        self.assertNotEqual('u1', driver.state.primary)
+
     def choose_after_u2(
         self, driver: support.Driver, **places: LogPosition
     ) -> str:
