Prove a lone primary's lead unless its own term is known to have ended

Cause: any departed member counted as one that may lead. Only a successor that was chosen can, and a primary that leads a later term shows that it does not.

--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -91,10 +91,11 @@
     if primary is None or not leads_newest_term(state, primary):
         return states.NEVER_MS
     others = states.other_members(state)
-    if not others and state.departed_members.may_return():
+    if not others and _own_term(primary) <= state.ended_term:
+        # The successor may lead although it is not listed.
         return states.NEVER_MS
     if not others:
-        # No other member exists that could be promoted.
+        # No other member is listed that could be promoted.
         return primary.begin_accepted_sent_ms
     refused_ms = min(upstream.begin_refused_sent_ms for upstream in others)
     if any(claims_to_lead(upstream) for upstream in others):
