End a hand-over whose old primary was recreated without its log

What callers could see: an acknowledged write gone after a planned change of primary. The promoter, just back from a pause of its process, found its hand-over blocked by a silent member and compared the successor with the demoted primary alone. That one had been recreated empty meanwhile, and any log reaches the end of an empty one.

Cause: for 400 ms after a pause of the process nothing counts as the loss of a primary, not even its recreation, so the attempt went on; that nothing was reported was taken for nothing having happened.

Evidence: an unplayed walk (THROUGH_ENTRIES, promotions of 1 s) lost a write before this change, and the same by hand on one core went on with the attempt. Both pass with it.

A recreated primary ends the hand-over at once, whatever the process did before.

--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -295,6 +295,7 @@
     if attempt.successor:
         if (
             old_primary is None
+            or failure_detection.is_recreated(state, old_primary.name)
             or failure_detection.detect_loss(state, now_ms) is not None
         ):
             return promotion_end.finish(
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from topazring.core.synchronous import group
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import statements
@@ -14,6 +15,7 @@
 from topazring.core.synchronous.tests import walks
 
 SEEDS = 10
+EMPTY_LOG_WALK = 740130
 STEP_MS = 10
 
 
@@ -231,7 +233,27 @@
 
 
 class HandOverTest(testtools.TestCase):
-    """A leaving primary's successor is out of reach of one proxy."""
+    """A leaving primary is handed over beside other faults."""
+
+    def test_primary_is_recreated_while_the_promoter_pauses(self):
+        """Guards against a successor compared with a recreated, empty log."""
+        driver = failover_support.make_lease_holder()
+        driver.list_upstreams(leaving='u1', revision=2)
+        driver.tick(20)
+        self.assertEqual('u1', driver.state.promotion.old_primary)
+        driver.tick(20, group.PROCESS_PAUSE_MS)
+        outs = driver.list_upstreams(
+            primary='', leaving='u1', revision=3, born_ms={'u1': 99}
+        )
+        outs += driver.tick(20)
+        ended = support.decisions(outs, 'promotion ended')
+        self.assertEqual(['lost meanwhile'], [each['how'] for each in ended])
+
+    def test_walk_that_compared_with_an_empty_log(self):
+        """Guards against the same loss beside other faults."""
+        walks.walk(
+            EMPTY_LOG_WALK, 400, walks.THROUGH_ENTRIES, walks.SLOW_PROMOTE_MS
+        )
 
     def test_new_member_confirms_what_the_successor_lacks(self):
         """Guards against leaving out a member for its silence here."""
