Resume members only when the new primary has answered

What callers saw: writes acknowledged by a replaced primary, and rolled back later. A promoted replica was cut off from all others as it began to lead; its entry in the store still said that it leads. The promoter took it from the list and resumed the other replica, which cannot reach its new primary, followed the old one again and confirmed its writes. They were acknowledged by a proxy with an older list at once, by others once the entry had expired and 5 s had passed.

Cause: a primary that is only listed was taken for one that leads its members; that an ended term was 5 s old was taken for its promotion being undone.

Paused members now stay paused until the primary has accepted a transaction here.

--- a/topazring/core/synchronous/promotion_commands.py
+++ b/topazring/core/synchronous/promotion_commands.py
@@ -77,6 +77,10 @@
 def resume_paused(state: states.GroupState, now_ms: int) -> list:
     """Resume replication on every replica that an attempt had paused."""
     outs: list = []
+    if state.proven_primary != state.primary:
+        # It leads by its own entry alone. A member that cannot reach it would
+        # follow the replaced primary again.
+        return outs
     if not state.primary or state.needs_fencing or state.successor_gone:
         # An earlier order may still be carried out, or its upstream may lead
         # unseen. Its choice of successor is safe only while the members that
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -61,7 +61,7 @@
         self.world.cut_pairs.discard(frozenset((name, other)))
 
     def isolate(self, name: str) -> None:
-        """Cut one member off from all others."""
+        """Cut one member off from all others, but not from the store."""
         others = {*simulations.PROXIES, *self.world.members} - {name}
         self.cut(name, *others)
 
@@ -77,23 +77,21 @@
             if wire.upstream == name:
                 wire.silent = True
 
-    def choice(self) -> str:
+    def choice(self, is_accepted: bool = False) -> str:
         """Run until p1 has ordered a promotion; return whose, if any."""
         for _ in range(300):
             self.world.run(STEP_MS)
             attempt = self.world.states['p1'].promotion
-            if attempt is not None and attempt.chosen:
+            if attempt is None or not attempt.chosen:
+                continue
+            if attempt.accepted or not is_accepted:
                 return attempt.chosen
         return ''
 
     def order(self) -> str:
         """Cut p1 off from the primary; return whom it then promotes."""
         self.cut('p1', 'u1')
-        chosen = self.choice()
-        self.world.run(STEP_MS)
-        if not self.world.states['p1'].promotion.accepted:
-            raise AssertionError('no order was accepted')
-        return chosen
+        return self.choice(is_accepted=True)
 
     def finish(self) -> None:
         """End all faults and check the final log."""
@@ -275,3 +273,37 @@
 
         self.assertEqual({}, failures(silent, 3 * SEEDS))
         self.assertGreater(len(played), SEEDS)
+
+
+class ListedPrimaryTest(testtools.TestCase):
+    """The promoted member is cut off, and its entry says that it leads."""
+
+    def led_unseen(self, seed: int) -> tuple[Play, str]:
+        """Return a play in which only the list tells p1 who leads."""
+        play = Play(seed, 1, 5)
+        chosen = play.order()
+        play.isolate(chosen)
+        return play, chosen
+
+    def test_proxy_that_does_not_see_the_entry(self):
+        """Guards against resuming members that cannot reach the new one."""
+
+        def old_list(seed: int) -> None:
+            play, _ = self.led_unseen(seed)
+            play.world.without_store.add('p2')
+            play.work(8)
+            play.finish()
+
+        self.assertEqual({}, failures(old_list))
+
+    def test_entry_that_expires(self):
+        """Guards against writes of an ended term after some seconds."""
+
+        def expires(seed: int) -> None:
+            play, chosen = self.led_unseen(seed)
+            play.work(12)
+            play.list_only(*(set(play.world.members) - {chosen}))
+            play.work(30)
+            play.finish()
+
+        self.assertEqual({}, failures(expires))
