Count a proxy's own acknowledged write as known, not only what came before

What callers could see: the last write of a quiet group is gone, though the proxy that acknowledged it is the one that ordered the promotion.

Cause: an acknowledgement only raised the position below which nobody may be promoted to what the primary was known to hold before the write was sent, so a log that ends just before the write was good enough.

Evidence: OwnWriteTest on one core, before this change: position 1.5 is known as acknowledged after a write at 1.6 was.

A write follows what its primary held, so it counts one position later, if that is of the same term. It is the lowest position that the write can have, so no log is refused that holds all acknowledged writes.

--- a/topazring/core/synchronous/reply_effects.py
+++ b/topazring/core/synchronous/reply_effects.py
@@ -47,7 +47,23 @@
     proofs.note_confirmed(upstream, confirmation.sent_ms)
     if proofs.is_superseded(state, upstream):
         return
-    state.acknowledged = max(state.acknowledged, confirmation.place_before)
+    state.acknowledged = max(
+        state.acknowledged, _lowest_position(confirmation)
+    )
     if confirmation.place is not None:
         sample = log_positions.Sample(confirmation.sent_ms, confirmation.place)
         freshness.add_sample(state, sample)
+
+
+def _lowest_position(
+    confirmation: position_records.Confirmation,
+) -> log_positions.LogPosition:
+    """Return the lowest position that a confirmed write can have.
+
+    It follows the last known position of its primary, which counts only if
+    it is of the same term: an earlier log may have been longer.
+    """
+    before, place = confirmation.place_before, confirmation.place
+    if place is None or place.log_term != before.log_term:
+        return before
+    return log_positions.LogPosition(before.log_term, before.position + 1)
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -10,12 +10,15 @@
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import fake_group
+from topazring.core.synchronous.tests import proof_support
 from topazring.core.synchronous.tests import simulation as simulations
 from topazring.core.synchronous.tests import support
+from topazring.core.synchronous.tests import test_confirmations
 from topazring.core.synchronous.tests import walks
 
 SEEDS = 10
 EMPTY_LOG_WALK = 740130
+WITH = test_confirmations.WITH
 STEP_MS = 10
 
 
@@ -172,6 +175,30 @@
         self.assertEqual({}, failures(unseen))
 
 
+class OwnWriteTest(testtools.TestCase):
+    """The promoter itself acknowledged the last write of the group."""
+
+    def test_write_itself_is_known_as_acknowledged(self):
+        """Guards against promoting a log that ends just before the write."""
+        driver = support.Driver().ready()
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        report = {'received': WITH, 'term': 1, 'held_term': 0}
+        outs = proof_support.answer_status_queries(driver, 'u2', **report)
+        self.assertIn(key, support.answers(outs))
+        self.assertEqual(WITH, driver.state.acknowledged)
+
+    def test_position_of_another_term_tells_nothing_more(self):
+        """Guards against requiring a position that no log reaches."""
+        driver = support.Driver().ready()
+        driver.state.upstreams['u1'].place = support.Place(0, 9)
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        report = {'received': WITH, 'term': 1, 'held_term': 0}
+        proof_support.answer_status_queries(driver, 'u2', **report)
+        self.assertLessEqual(driver.state.acknowledged, WITH)
+
+
 class UnansweredOrderTest(testtools.TestCase):
     """An order without an answer may be carried out seconds later."""
 
