--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -4,16 +4,21 @@
 
 import testtools
 
+from topazring.core.synchronous import group
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import fake_group
+from topazring.core.synchronous.tests import proof_support
 from topazring.core.synchronous.tests import simulation as simulations
 from topazring.core.synchronous.tests import support
+from topazring.core.synchronous.tests import test_confirmations
 from topazring.core.synchronous.tests import walks
 
 SEEDS = 10
+EMPTY_LOG_WALK = 740130
+WITH = test_confirmations.WITH
 STEP_MS = 10
 
 
@@ -59,7 +64,7 @@
         self.world.cut_pairs.discard(frozenset((name, other)))
 
     def isolate(self, name: str) -> None:
-        """Cut one member off from all others."""
+        """Cut one member off from all others, but not from the store."""
         others = {*simulations.PROXIES, *self.world.members} - {name}
         self.cut(name, *others)
 
@@ -75,23 +80,21 @@
             if wire.upstream == name:
                 wire.silent = True
 
-    def choice(self) -> str:
+    def choice(self, is_accepted: bool = False) -> str:
         """Run until p1 has ordered a promotion; return whose, if any."""
         for _ in range(300):
             self.world.run(STEP_MS)
             attempt = self.world.states['p1'].promotion
-            if attempt is not None and attempt.chosen:
+            if attempt is None or not attempt.chosen:
+                continue
+            if attempt.accepted or not is_accepted:
                 return attempt.chosen
         return ''
 
     def order(self) -> str:
         """Cut p1 off from the primary; return whom it then promotes."""
         self.cut('p1', 'u1')
-        chosen = self.choice()
-        self.world.run(STEP_MS)
-        if not self.world.states['p1'].promotion.accepted:
-            raise AssertionError('no order was accepted')
-        return chosen
+        return self.choice(is_accepted=True)
 
     def finish(self) -> None:
         """End all faults and check the final log."""
@@ -172,6 +175,30 @@
         self.assertEqual({}, failures(unseen))
 
 
+class OwnWriteTest(testtools.TestCase):
+    """The promoter itself acknowledged the last write of the group."""
+
+    def test_write_itself_is_known_as_acknowledged(self):
+        """Guards against promoting a log that ends just before the write."""
+        driver = support.Driver().ready()
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        report = {'received': WITH, 'term': 1, 'held_term': 0}
+        outs = proof_support.answer_status_queries(driver, 'u2', **report)
+        self.assertIn(key, support.answers(outs))
+        self.assertEqual(WITH, driver.state.acknowledged)
+
+    def test_position_of_another_term_tells_nothing_more(self):
+        """Guards against requiring a position that no log reaches."""
+        driver = support.Driver().ready()
+        driver.state.upstreams['u1'].place = support.Place(0, 9)
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        report = {'received': WITH, 'term': 1, 'held_term': 0}
+        proof_support.answer_status_queries(driver, 'u2', **report)
+        self.assertLessEqual(driver.state.acknowledged, WITH)
+
+
 class UnansweredOrderTest(testtools.TestCase):
     """An order without an answer may be carried out seconds later."""
 
@@ -231,7 +258,27 @@
 
 
 class HandOverTest(testtools.TestCase):
-    """A leaving primary's successor is out of reach of one proxy."""
+    """A leaving primary is handed over beside other faults."""
+
+    def test_primary_is_recreated_while_the_promoter_pauses(self):
+        """Guards against a successor compared with a recreated, empty log."""
+        driver = failover_support.make_lease_holder()
+        driver.list_upstreams(leaving='u1', revision=2)
+        driver.tick(20)
+        self.assertEqual('u1', driver.state.promotion.old_primary)
+        driver.tick(20, group.PROCESS_PAUSE_MS)
+        outs = driver.list_upstreams(
+            primary='', leaving='u1', revision=3, born_ms={'u1': 99}
+        )
+        outs += driver.tick(20)
+        ended = support.decisions(outs, 'promotion ended')
+        self.assertEqual(['lost meanwhile'], [each['how'] for each in ended])
+
+    def test_walk_that_compared_with_an_empty_log(self):
+        """Guards against the same loss beside other faults."""
+        walks.walk(
+            EMPTY_LOG_WALK, 400, walks.THROUGH_ENTRIES, walks.SLOW_PROMOTE_MS
+        )
 
     def test_new_member_confirms_what_the_successor_lacks(self):
         """Guards against leaving out a member for its silence here."""
@@ -253,3 +300,37 @@
 
         self.assertEqual({}, failures(silent, 3 * SEEDS))
         self.assertGreater(len(played), SEEDS)
+
+
+class ListedPrimaryTest(testtools.TestCase):
+    """The promoted member is cut off, and its entry says that it leads."""
+
+    def led_unseen(self, seed: int) -> tuple[Play, str]:
+        """Return a play in which only the list tells p1 who leads."""
+        play = Play(seed, 1, 5)
+        chosen = play.order()
+        play.isolate(chosen)
+        return play, chosen
+
+    def test_proxy_that_does_not_see_the_entry(self):
+        """Guards against resuming members that cannot reach the new one."""
+
+        def old_list(seed: int) -> None:
+            play, _ = self.led_unseen(seed)
+            play.world.without_store.add('p2')
+            play.work(8)
+            play.finish()
+
+        self.assertEqual({}, failures(old_list))
+
+    def test_entry_that_expires(self):
+        """Guards against writes of an ended term after some seconds."""
+
+        def expires(seed: int) -> None:
+            play, chosen = self.led_unseen(seed)
+            play.work(12)
+            play.list_only(*(set(play.world.members) - {chosen}))
+            play.work(30)
+            play.finish()
+
+        self.assertEqual({}, failures(expires))
