Add splits of two sides that outlast store entries to the soak

Cause: the soak had no partition of whole sides, so it could not reach what follows once the entries of the far members have expired. Configuration in force is not expected during a split, as with links: a far proxy has no path to the store.

--- a/topazring/load/main.py
+++ b/topazring/load/main.py
@@ -138,6 +138,9 @@
     quiet: typing.Annotated[
         bool, cappa.Arg(long=True, help='do not print each fault')
     ] = False
+    keep_logs: typing.Annotated[
+        bool, cappa.Arg(long=True, help='keep the logs in any case')
+    ] = False
 
     def __call__(self) -> None:
         """Run the soak; keep the logs and exit with 1 if a check failed."""
@@ -158,10 +161,12 @@
             print(f'topazring-load: interrupted; logs: {folder}')
             sys.exit(EXIT_INTERRUPTED)
         print(soak_report.render(outcome, stage.logs()))
-        if outcome.violations or outcome.failed:
+        has_failed = bool(outcome.violations or outcome.failed)
+        if has_failed or self.keep_logs:
             print(f'  logs: {folder}')
-            sys.exit(EXIT_VIOLATIONS)
-        shutil.rmtree(folder)
+        else:
+            shutil.rmtree(folder)
+        sys.exit(EXIT_VIOLATIONS if has_failed else 0)
 
     async def _run(self, stage, schedule: schedules.Schedule) -> soaks.Outcome:
         # SIGTERM cancels the task, so that an interrupted soak also ends its
--- a/topazring/platform/tests/soak_stage.py
+++ b/topazring/platform/tests/soak_stage.py
@@ -2,20 +2,21 @@
 
 import asyncio
 import contextlib
+import json
 import pathlib
+import random
 import time
 
 from topazring.bench import ports
 from topazring.core.synchronous import messages
 from topazring.platform.tests import fake_store
+from topazring.platform.tests import soak_links
 from topazring.platform.tests import soak_upstreams
 from topazring.platform.tests import support
 from topazring.soak import checks
 from topazring.soak import environment
 from topazring.soak import observations
 from topazring.soak import schedules
-from topazring.standin import faults as link_faults
-from topazring.standin import settings as link_settings
 
 HOST = '127.0.0.1'
 LEASE_TICK_S = 0.05
@@ -34,15 +35,6 @@
     'TOOMANY',
 )
 _UNKNOWN_CODES = ('UNKNOWN', 'TIMEOUT', 'FAILED')
-Mode = link_faults.Mode
-# Modes of the two directions, delay in seconds, and affected connections.
-_LINKS = {
-    'delayed': (Mode.PASS, Mode.PASS, 0.15, ''),
-    'reset': (Mode.CUT, Mode.CUT, 0.0, ''),
-    'one way': (Mode.PASS, Mode.SILENT, 0.0, ''),
-    'no way': (Mode.SILENT, Mode.SILENT, 0.0, ''),
-    'loses answers for good': (Mode.PASS, Mode.DROP, 0.0, 'old'),
-}
 _DATABASES = [
     environment.Database('exact', messages.Freshness.PRIMARY),
     environment.Database('own', messages.Freshness.SESSION, 2500),
@@ -58,6 +50,14 @@
         self.renewed_s: dict[int, float] = {}
         # Whether leases do not expire while the store is unavailable.
         self.pauses_leases = False
+        # Addresses that proxies register, and those that others are to use.
+        self.translated: dict[str, str] = {}
+
+    async def put(self, key: str, value: str | None, lease: int = 0) -> int:
+        """Write a value with the addresses that others are to use."""
+        for own, used in self.translated.items():
+            value = value and value.replace(own, used)
+        return await super().put(key, value, lease)
 
     def renew(self, lease: int) -> None:
         """Record a new or renewed lease."""
@@ -155,47 +155,6 @@
         super().close()
 
 
-class Links:
-    """Run fault-injecting links, each in front of one port."""
-
-    def __init__(self):
-        self.links: dict[str, link_faults.Link] = {}
-
-    async def open(self, name: str, target_port: int) -> int:
-        """Return the port of the link to a target, opening it if necessary."""
-        if name not in self.links:
-            config = link_settings.LinkSettings(
-                name=name, port=ports.find_free_port(), target_port=target_port
-            )
-            self.links[name] = link_faults.Link(config, HOST)
-            await self.links[name].start()
-        return self.links[name].config.port
-
-    async def end(self, name: str) -> None:
-        """Close a link."""
-        self.mend(name)
-        await self.links.pop(name).close()
-
-    def disturb(self, name: str, how: str) -> None:
-        """Inject a fault into a link, if it still exists."""
-        if name in self.links:
-            self.links[name].set_modes(*_LINKS[how])
-
-    def mend(self, name: str) -> None:
-        """End the fault of a link.
-
-        Connections that dropped an answer stay silent: a later answer would
-        be mistaken for the dropped one.
-        """
-        link = self.links.get(name)
-        pipes = link.pipes if link else ()
-        lost = [pipe for pipe in pipes if Mode.DROP in pipe.modes.values()]
-        if link:
-            link.set_modes(Mode.PASS, Mode.PASS, 0.0, '')
-        for pipe in lost:
-            pipe.set_modes(Mode.PASS, Mode.DROP)
-
-
 class Stage:
     """Run everything that a soak test needs."""
 
@@ -206,8 +165,10 @@
         self.databases = _DATABASES
         self.grace_s = 3.0
         self.folder = folder
+        self.log = pathlib.Path(folder) / 'soak.log'
         self.store = Store()
-        self.links = Links()
+        self.links = soak_links.Links()
+        self.links.process_ids = self._process_ids
         self.upstreams = soak_upstreams.Upstreams(
             self.store, self.links, self.oracle.note, schedule.promote_ms
         )
@@ -215,6 +176,9 @@
         self.rotation: list[support.Proxy] = []
         self.instances: list[support.Proxy] = []
         self.proxies = proxies
+        # Links between proxies cost time, and other faults may hit them.
+        self.has_peer_links = 'splits' in schedule.families
+        self.is_splitting = False
         self.version = 0
         self.tasks: list[asyncio.Task] = []
 
@@ -228,6 +192,8 @@
             own_ports = ports.find_free_ports(4)
             proxy = support.Proxy(name, link_port, self.folder, own_ports)
             self.instances.append(proxy)
+            if self.has_peer_links:
+                await self._open_peer_links(proxy)
         for proxy in self.instances:
             self.rewrite_settings(proxy)
         await self.configure()
@@ -238,6 +204,22 @@
         self.tasks = [asyncio.create_task(each) for each in work]
         self.rotation = list(self.instances)
 
+    async def _open_peer_links(self, proxy: support.Proxy) -> None:
+        """Have other proxies reach a proxy through links."""
+        for part, port in (
+            (soak_links.PEER, proxy.peer_port),
+            (soak_links.HOP, proxy.hop_port),
+        ):
+            used = await self.links.open(f'{proxy.name}/{part}', port)
+            self.store.translated[f'{HOST}:{port}'] = f'{HOST}:{used}'
+
+    def _process_ids(self) -> dict[str, int]:
+        return {
+            each.name: each.process.pid
+            for each in self.instances
+            if each.process is not None and each.process.returncode is None
+        }
+
     async def close(self) -> None:
         """Stop the processes, tasks and links started here, and only these."""
         for task in self.tasks:
@@ -316,8 +298,9 @@
 
     def rewrite_settings(self, instance: support.Proxy) -> None:
         """Rewrite the settings file of an instance."""
-        seeds = [f'{HOST}:{p.peer_port}' for p in self.instances]
-        instance.write_settings(seeds)
+        own = [f'{HOST}:{p.peer_port}' for p in self.instances]
+        used = [self.store.translated.get(each, each) for each in own]
+        instance.write_settings(used)
 
     async def configure(self) -> None:
         """Write a new configuration version that has a route of its own.
@@ -386,5 +369,52 @@
             self.links.disturb(name, how)
             await asyncio.sleep(for_ms / 1000)
             self.links.mend(name)
+        elif part == 'splits':
+            await self._split(how, choice, for_ms, gap_ms)
         else:
             await self.upstreams.disturb(how, choice, for_ms, gap_ms)
+
+    async def _split(
+        self, how: str, choice: float, for_ms: int, gap_ms: int
+    ) -> None:
+        """Split some members and proxies off, unless a split goes on."""
+        rng = random.Random(choice)
+        members = self.upstreams.draw_far(rng, how)
+        if self.is_splitting or not members:
+            return
+        count = rng.randint(1, len(self.instances) - 1)
+        proxies = rng.sample([each.name for each in self.instances], count)
+        self.is_splitting = True
+        try:
+            await self._keep_split(members, proxies, for_ms)
+            await asyncio.sleep(gap_ms / 1000)
+            await self.upstreams.list_again(members)
+            self._log('listed again', members=members)
+        finally:
+            self.is_splitting = False
+
+    async def _keep_split(
+        self, members: list[str], proxies: list[str], for_ms: int
+    ) -> None:
+        """Split members and proxies off until their entries have expired."""
+        primary = self.upstreams.group.primary().name
+        self._log('split', members=members, proxies=proxies, primary=primary)
+        self.links.split([*members, *proxies])
+        try:
+            await asyncio.sleep(soak_upstreams.ENTRY_TIMEOUT_S)
+            self.links.drop_unreachable()
+            await self.upstreams.expire_far()
+            self._log('entries expired', members=members)
+            left_ms = for_ms - soak_upstreams.ENTRY_TIMEOUT_S * 1000
+            await asyncio.sleep(left_ms / 1000)
+        finally:
+            self.links.heal()
+            self._log('healed', members=members)
+
+    def _log(self, event: str, **inputs) -> None:
+        """Add a line to the soak's own log, beside those of the proxies."""
+        now_ms = int(time.time() * 1000)
+        line = {'time_ms': now_ms, 'process': 'soak', 'part': 'splits'}
+        line |= {'event': event, 'inputs': inputs}
+        with open(self.log, 'a') as log:
+            print(json.dumps(line), file=log)
--- a/topazring/platform/tests/soak_upstreams.py
+++ b/topazring/platform/tests/soak_upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import random
 
 from topazring.bench import ports
 from topazring.platform.tests import support
@@ -34,6 +35,7 @@
             support.SERVICE, ports.find_free_ports(UPSTREAMS), note, promote_ms
         )
         self.group.changed = self._changed
+        self.group.is_far = self._is_far
         self.listing: set[asyncio.Task] = set()
 
     async def start(self) -> None:
@@ -51,6 +53,8 @@
     async def _list(self, member: Member, listed: bool = True) -> None:
         """Update a member's store entry once the store is available."""
         link_port = await self.links.open(member.name, member.port)
+        while listed and self._is_far(member):
+            await asyncio.sleep(RETRY_S / 10)
         member.listed = listed
         while self.store.is_away:
             await asyncio.sleep(RETRY_S / 10)
@@ -64,6 +68,9 @@
             entry = self.group.entry(member, address=address, **more)
             await self.store.put_json(key, entry)
 
+    def _is_far(self, member: Member) -> bool:
+        return member.name in self.links.far
+
     def _changed(self, member: Member) -> None:
         if member.listed:
             task = asyncio.create_task(self._list(member))
@@ -75,6 +82,8 @@
         order = self.store.orders[-1]
         fields = (name, order['holder'], order['token'])
         self.note(observations.Ordered(environment.now_ms(), *fields))
+        if name in self.links.far:
+            return False
         return self.group.promote(service, name)
 
     def _listed(self, **where) -> list[Member]:
@@ -211,6 +220,29 @@
         await asyncio.sleep(for_ms / 1000)
         self.group.cut_pairs -= pairs
 
+    def draw_far(self, rng: random.Random, how: str) -> list[str]:
+        """Return the far members of a split; none if too few are listed."""
+        primary = self.group.primary()
+        names = [each.name for each in self._listed() if each is not primary]
+        if not names:
+            return []
+        if how == 'split primary and replica':
+            return [primary.name, rng.choice(names)]
+        names.append(primary.name)
+        return rng.sample(names, rng.randint(1, len(names) - 1))
+
+    async def expire_far(self) -> None:
+        """Remove the entries of members that do not reach the store."""
+        for member in self.group.members:
+            if member.listed and self._is_far(member):
+                await self._list(member, listed=False)
+
+    async def list_again(self, names: list[str]) -> None:
+        """List the members of a healed far side that are still there."""
+        for member in self.group.members:
+            if member.name in names and not member.is_down:
+                await self._list(member)
+
     def _deafen(
         self, members: collections.abc.Iterable[Member], for_ms: int
     ) -> None:
--- a/topazring/platform/tests/synchronous_upstreams.py
+++ b/topazring/platform/tests/synchronous_upstreams.py
@@ -146,8 +146,14 @@
                     self.delay_ms(), self._receive, primary, member
                 )
 
+    def is_far(self, member: Member) -> bool:
+        """Return whether a split is between a member and the store."""
+        return False
+
     def is_cut(self, one: Member, other: Member) -> bool:
         """Return whether two members cannot reach each other."""
+        if self.is_far(one) != self.is_far(other):
+            return True
         pair = frozenset((one.name, other.name))
         return one.is_down or other.is_down or pair in self.cut_pairs
 
--- a/topazring/soak/checks.py
+++ b/topazring/soak/checks.py
@@ -283,7 +283,7 @@
     newest = facts.versions[-1]
     if probed.asked_ms - newest.at_ms <= APPLY_MS:
         return
-    targets = (probed.instance, 'service', 'links')
+    targets = (probed.instance, 'service', 'links', 'splits')
     since_ms = probed.asked_ms - STABILITY_MS
     if not facts.is_undisturbed(since_ms, probed.at_ms, *targets):
         return
--- a/topazring/soak/faults.py
+++ b/topazring/soak/faults.py
@@ -22,6 +22,12 @@
 KILL_DELAY_S = 1.0
 # The approximate time that a process takes to start.
 START_DURATION_MS = 1500
+# A split outlasts the entries of the members on its far side.
+SPLIT_MIN_MS = 4000
+SPLIT_MAX_MS = 10_000
+SPLIT_SCALE = 2.5
+# Drawn only if asked for, so that each seed keeps the families it draws.
+OPTIONAL_FAMILIES = ('splits',)
 # The effects of a fault may last this long after its end.
 AFTEREFFECT_MS = 2000
 
@@ -286,6 +292,7 @@
         'forgets': 2,
         'turns away': 2,
     },
+    'splits': {'split': 2, 'split primary and replica': 2},
     'links': {
         'delayed': 2,
         'reset': 2,
@@ -299,11 +306,11 @@
 async def _disturb_environment(
     family: str, how: str, env: environment.Environment, step: Step
 ) -> None:
-    if family != 'releases' or how == 'release beside deaf':
-        _note_disturbance(
-            env, family, step.for_ms + step.gap_ms + AFTEREFFECT_MS
-        )
     choice, for_ms, gap_ms = step.choice, step.for_ms, step.gap_ms
+    if family == 'splits':
+        for_ms = min(SPLIT_MIN_MS + int(SPLIT_SCALE * for_ms), SPLIT_MAX_MS)
+    if family != 'releases' or how == 'release beside deaf':
+        _note_disturbance(env, family, for_ms + gap_ms + AFTEREFFECT_MS)
     await env.disturb(family, how, choice, for_ms, gap_ms)
 
 
--- a/topazring/soak/schedules.py
+++ b/topazring/soak/schedules.py
@@ -39,13 +39,18 @@
 ) -> Schedule:
     """Return the schedule of a seed; it depends on the arguments only.
 
-    Without families, these are drawn from the seed as well.
+    Without families, these are drawn from the seed as well, except for
+    optional ones.
 
     >>> draw(7, 20) == draw(7, 20)
     True
     """
     rng = random.Random(seed)
-    all_families = faults.families()
+    all_families = [
+        each
+        for each in faults.families()
+        if each not in faults.OPTIONAL_FAMILIES
+    ]
     drawn = rng.sample(all_families, rng.randint(1, len(all_families)))
     chosen = tuple(sorted(families or drawn))
     candidates = [
--- a/topazring/soak/tests/test_schedules.py
+++ b/topazring/soak/tests/test_schedules.py
@@ -23,8 +23,21 @@
             for seed in SEEDS
             for step in schedules.draw(seed, 20).steps
         }
+        for family in faults.OPTIONAL_FAMILIES:
+            for seed in SEEDS:
+                steps = schedules.draw(seed, 20, (family,)).steps
+                drawn |= {step.fault for step in steps}
         self.assertEqual(set(faults.faults_by_name()), drawn)
 
+    def test_seeds_keep_their_families(self):
+        """Guards against seeds that draw other faults than before."""
+        for seed in SEEDS:
+            families = schedules.draw(seed, 20).families
+            self.assertNotIn('splits', families)
+        known = schedules.draw(1119, 20)
+        self.assertEqual(('service',), known.families)
+        self.assertEqual('forgets', known.steps[0].fault)
+
     def test_no_faults_at_the_end(self):
         for seed in SEEDS:
             for step in schedules.draw(seed, 20).steps:
