Have the soak's replaced primary step down if its successor was demoted

Cause: a replaced primary only looked for a newer primary; if a proxy had demoted that one meanwhile, the old one led for ever, which no platform does. Effect: it steps down once it reaches a member of a newer term. The report counts what it does not show, and a proxy that is not ready shows the end of its log.

--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -20,6 +20,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 SERVICE = 'calc-db'
 STARTUP_TIMEOUT_S = 15.0
+# Lines of a process' log to show if it does not become ready.
+LINES_OF_FAILURE = 5
 
 # Tests call the fake store many times per second and make it fail on purpose.
 logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
@@ -121,7 +123,11 @@
         try:
             await wait_until(self.is_ready, STARTUP_TIMEOUT_S)
         except TimeoutError:
-            raise AssertionError(f'{self.name} is not ready') from None
+            code = self.process.returncode
+            last = self.log.read_text().splitlines()[-LINES_OF_FAILURE:]
+            raise AssertionError(
+                '\n'.join([f'{self.name} is not ready, exit {code}', *last])
+            ) from None
 
     async def restart(self) -> None:
         """Start the process unless it is running or being started."""
--- a/topazring/platform/tests/synchronous_upstreams.py
+++ b/topazring/platform/tests/synchronous_upstreams.py
@@ -298,7 +298,10 @@
         self.changed(old)
 
     def _step_down(self, old: Member) -> None:
-        newest = self.primary()
+        # The successor may have been demoted since.
+        newest = max(
+            self.members, key=lambda each: (each.term, each.role == 'primary')
+        )
         if newest is old or newest.term <= old.term:
             return
         if self.is_cut(old, newest):
--- a/topazring/platform/tests/test_synchronous_upstreams.py
+++ b/topazring/platform/tests/test_synchronous_upstreams.py
@@ -125,3 +125,19 @@
         await asyncio.sleep(synchronous_upstreams.STEP_DOWN_MS / 1000 + 0.3)
         self.assertEqual('replica', old.role)
         self.assertEqual(1, self.size(old))
+
+    def test_successor_demoted_meanwhile(self):
+        """Guards against a replaced primary that leads for ever."""
+        self.run_steps(self.successor_demoted)
+
+    async def successor_demoted(self):
+        old, new, third = self.group.members
+        self.group.is_far = lambda member: member is old
+        self.group.promote(SERVICE, new.name)
+        await asyncio.sleep(SHORT_S)
+        self.group.become_replica(new)
+        await asyncio.sleep(synchronous_upstreams.STEP_DOWN_MS / 1000 + 0.3)
+        self.assertEqual('primary', old.role)
+        del self.group.is_far
+        await asyncio.sleep(synchronous_upstreams.STEP_DOWN_MS / 1000 + 0.3)
+        self.assertEqual('replica', old.role)
--- a/topazring/soak/report.py
+++ b/topazring/soak/report.py
@@ -1,5 +1,6 @@
 """Render the result of a soak as text."""
 
+import collections
 import pathlib
 
 from topazring.soak import checks
@@ -34,7 +35,10 @@
         lines += _render_violation(outcome, violation, logs)
     more = len(outcome.violations) - MAX_SHOWN
     if more > 0:
-        lines.append(f'  and {more} more')
+        checks_failed = collections.Counter(
+            violation.check for violation in outcome.violations
+        )
+        lines.append(f'  and {more} more; in all {dict(checks_failed)}')
     return '\n'.join(lines)
 
 
