Ask all proxies also where a bound on a departed member may be too low

Cause: an entry that is missing was taken for a process that has ended. Only a member that had its whole time to drain, or whose name another instance has, has ended; its bound holds at once. For any other a position of the primary counts once no proxy acts on a list that names the member: proxies tie what they acknowledge on one member's word to a list and a registration of at most 30 s. Before that all proxies are asked. A hand-over goes by the first bound: its primary is alive and in reach.

Tests changed: test_no_wait_after_primary_left_as_well and test_primary_and_replica_gone_permanently asserted that members that announced to leave are not waited for. ReleaseInSplitTest shows that this loses writes; AllLeftTest asserts instead that a group has a primary as soon as all proxies have answered. test_bounded_by_first_position_after_departure and test_paused_member_is_bounded_by_its_report hold for members that have ended and for hand-overs, and say so.

--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -22,6 +22,7 @@
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import promotion_commands
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -45,7 +46,14 @@
 def record_registration(
     state: states.GroupState, now_ms: int, message: messages.RegistrationSeen
 ) -> list:
-    """Record until when this proxy is surely listed in the store."""
+    """Record until when this proxy is surely listed in the store.
+
+    A promoting proxy may have read the list while this one was not listed, so
+    the lease holder has to be asked again after that.
+    """
+    if now_ms >= state.registered_until_ms:
+        state.is_fence_checked = False
+        state.registered_ms = now_ms
     state.registered_until_ms = message.valid_until_ms
     return []
 
@@ -56,7 +64,8 @@
     message: messages.FenceAcknowledgements,
 ) -> list:
     """Stop acknowledging writes of earlier terms; report what was."""
-    _set_fence(state, now_ms, message.term)
+    # A promoter that has missed a term must not end with a newer one.
+    _set_fence(state, now_ms, max(message.term, state.term + 1))
     state.counters['acknowledgements_fenced'] += 1
     complete_ms = freshness.complete_until_ms(state, message.position)
     return [
@@ -77,8 +86,13 @@
 def release(
     state: states.GroupState, now_ms: int, message: messages.FenceReleased
 ) -> list:
-    """End the fence unless it was renewed since the lease holder was asked."""
-    if message.asked_ms < state.fenced_ms:
+    """End the fence if the lease holder was asked late enough.
+
+    That is after the fence was last set and after this proxy was listed.
+    """
+    if message.asked_ms <= state.fenced_ms:
+        return []
+    if message.asked_ms < state.registered_ms:
         return []
     state.fence_term = 0
     state.is_fence_checked = True
@@ -108,13 +122,12 @@
 ) -> list:
     """Report whether a promotion, or an order of it, may be under way.
 
-    The conditions are those under which paused members are resumed.
+    It is not under the conditions under which paused members are resumed.
     """
     is_needed = (
         not state.holds_promotion_lease
         or state.promotion is not None
-        or state.needs_fencing
-        or not state.primary
+        or not promotion_commands.may_resume(state)
     )
     return [messages.FenceChecked(message.key, is_needed)]
 
--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     'Attempt',
+    'awaits_acknowledgements',
     'choose_primary',
     'exempt_primary',
     'forget_member',
@@ -44,6 +45,10 @@
 # Entries that a primary held this long before its last reply are assumed to be
 # acknowledged, because replicas receive them within milliseconds.
 ASSUME_ACKNOWLEDGED_MS = 1000
+# Querying all proxies takes a millisecond of processor time each.
+ACKNOWLEDGEMENTS_TIMEOUT_MS = 3000
+# Time to query the members again after that.
+CONCLUSION_MS = 300
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,8 +87,11 @@
     is_reading_list: bool = False
     # When the list of upstreams was last read during this attempt.
     list_read_ms: int | None = None
-    # What the other proxies have acknowledged, once they were queried.
+    # When the other proxies were queried for what they acknowledged, and what
+    # they have reported.
+    acknowledgements_queried_ms: int | None = None
     acknowledgements: messages.AcknowledgementsReported | None = None
+    acknowledgements_ms: int = 0
     chosen: str = ''
     # Where the chosen upstream's log ended when it was chosen.
     chosen_position: log_positions.LogPosition = log_positions.ORIGIN
@@ -333,13 +341,27 @@
     ):
         if position >= report.received:
             return True
-    if not state.departed_members.may_exceed(position, primary):
+    is_hand_over = bool(attempt.successor)
+    if not state.departed_members.may_exceed(position, primary, is_hand_over):
         return True
     return acknowledgement_fence.covers(
         state, attempt.acknowledgements, position
     )
 
 
+def awaits_acknowledgements(attempt: Attempt, now_ms: int) -> bool:
+    """Return whether other proxies may still report, or have just done so.
+
+    The reports of the members have expired by then, and are requested again.
+    """
+    queried_ms = attempt.acknowledgements_queried_ms
+    if queried_ms is None:
+        return False
+    if attempt.acknowledgements is None:
+        return now_ms - queried_ms < ACKNOWLEDGEMENTS_TIMEOUT_MS
+    return now_ms - attempt.acknowledgements_ms < CONCLUSION_MS
+
+
 def position_to_verify(
     state: states.GroupState, now_ms: int, attempt: Attempt
 ) -> log_positions.LogPosition | None:
--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -44,6 +44,7 @@
     'note_log_position',
     'note_report',
     'note_successor_gone',
+    'note_term_ended',
     'pending_confirmations',
     'witnesses',
 ]
@@ -306,6 +307,11 @@
 def note_successor_gone(state: states.GroupState, now_ms: int) -> None:
     """Record that the successor of the last primary may lead unseen."""
     state.successor_gone = True
+    note_term_ended(state, now_ms)
+
+
+def note_term_ended(state: states.GroupState, now_ms: int) -> None:
+    """Record that a newer term than any seen on a connection has begun."""
     state.ended_term = max(state.term, FIRST_TERM)
     state.term_ended_ms = now_ms
 
--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -2,14 +2,19 @@
 
 A replica that left, or whose entry expired, may be the only one that confirmed
 the last writes. If this is ignored, an acknowledged write is lost in the next
-promotion. Everything that it confirmed was in the log of the primary when its
-departure was noticed, so a log position that the primary reports after that is
-an upper bound on the log of the departed member: an upstream may only be
-promoted if its log reaches this bound. Until the primary has reported such a
-position, no candidate is safe.
-
-A departure does not expire. A member behind a partition is not listed either,
-and it confirms writes for as long as the partition lasts.
+promotion. An upstream may only be promoted if its log reaches an upper bound
+on the log of each departed member. Until such a bound is known, no candidate
+is safe.
+
+A member that has ended confirms nothing more. Everything that it confirmed was
+in the log of the primary when its departure was noticed, so a log position
+that the primary reports after that is a bound.
+
+A member that is merely not listed may be alive behind a partition. It confirms
+writes for as long as the partition lasts, so a departure never expires, and
+proxies that cannot read the list acknowledge writes on its word. Only once no
+proxy can have a list that names it, a position of the primary is a bound. A
+planned hand-over does not wait for that: its primary is alive and in reach.
 """
 
 import dataclasses
@@ -20,6 +25,10 @@
 
 # Represents all members that departed before this process started.
 BEFORE_START = '(before)'
+# For how long after a departure a proxy may acknowledge writes on a list that
+# names the member: the lifetime of a proxy's registration, and twice the grace
+# period of an entry.
+OLD_LIST_MS = 35_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,11 +37,21 @@
 
     name: str
     departed_ms: int
-    # It announced that it leaves, or another instance has its name now; it
-    # does not return.
+    # It announced that it leaves.
     left: bool = False
-    # Upper bound on its log position; None until it is known.
+    # Its process has ended: it drained for as long as it had to, or another
+    # instance has its name now.
+    ended: bool = False
+    # Position that the primary reported after the departure, or where its own
+    # log ended while it was paused; None until it is known.
     bound: log_positions.LogPosition | None = None
+    # Position that the primary reported once no proxy had an older list.
+    late_bound: log_positions.LogPosition | None = None
+
+    @property
+    def upper_bound(self) -> log_positions.LogPosition | None:
+        """Return a position that its log surely does not exceed, if any."""
+        return self.bound if self.ended else self.late_bound
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,12 +71,13 @@
         left: bool = False,
         paused_at: log_positions.LogPosition | None = None,
         born_ms: int = 0,
+        ended: bool = False,
     ) -> None:
         """Record that an upstream is no longer listed.
 
         `paused_at` is the end of its log if it was paused until now.
         """
-        member = DepartedMember(name, now_ms, left, paused_at)
+        member = DepartedMember(name, now_ms, left, ended, paused_at)
         self.known[(name, born_ms)] = member
 
     def record_first_place(
@@ -69,7 +89,7 @@
         everything up to it.
         """
         self.known[(BEFORE_START, 0)] = DepartedMember(
-            BEFORE_START, now_ms, bound=place
+            BEFORE_START, now_ms, ended=True, bound=place
         )
 
     def remove(self, name: str, born_ms: int = 0) -> None:
@@ -94,7 +114,8 @@
         It may have confirmed a write that another member lacks, or lead.
         """
         return any(
-            not member.left and member.name != BEFORE_START
+            not member.ended
+            and not (member.left and member.late_bound is not None)
             for member in self.known.values()
         )
 
@@ -105,39 +126,38 @@
         for member in self.known.values():
             if member.bound is None and member.departed_ms <= sent_ms:
                 member.bound = place
+            is_late = sent_ms - member.departed_ms >= OLD_LIST_MS
+            if member.late_bound is None and is_late:
+                member.late_bound = place
 
     def forget_reached(self, place: log_positions.LogPosition) -> None:
-        """Remove members that left for good and whose bound is reached.
+        """Remove members whose logs surely do not exceed a position.
 
         `place` is a position that every candidate is required to hold.
         """
         for key, member in list(self.known.items()):
-            is_reached = member.bound is not None and member.bound <= place
-            if member.left and is_reached:
+            bound = member.upper_bound
+            if bound is not None and bound <= place:
                 del self.known[key]
 
     def may_exceed(
-        self, place: log_positions.LogPosition, primary: str
+        self,
+        place: log_positions.LogPosition,
+        primary: str,
+        is_hand_over: bool = False,
     ) -> list[str]:
         """Return the members whose logs may extend beyond a position.
 
         `primary` is the one of the newest term. Its own log does not count:
-        its entries were confirmed by others or are not acknowledged. But only
-        a primary can still report what a member that left had, unless the
-        primary left too.
+        its entries were confirmed by others or are not acknowledged.
         """
-        has_primary_left = any(
-            member.left
-            for member in self.known.values()
-            if member.name == primary
-        )
-        return [
-            member.name
-            for member in self.known.values()
-            if member.name != primary
-            and not (has_primary_left and member.left)
-            and (member.bound is None or member.bound > place)
-        ]
+        found = []
+        for member in self.known.values():
+            bound = member.bound if is_hand_over else member.upper_bound
+            is_reached = bound is not None and bound <= place
+            if member.name != primary and not is_reached:
+                found.append(member.name)
+        return found
 
     def describe(self, now_ms: int) -> list[dict[str, object]]:
         """Return the departed members and their bounds, for the log."""
@@ -146,6 +166,7 @@
                 'upstream': member.name,
                 'departed_ms_ago': now_ms - member.departed_ms,
                 'left': member.left,
+                'ended': member.ended,
                 'bound': '' if member.bound is None else str(member.bound),
             }
             for member in self.known.values()
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -63,6 +63,9 @@
     if proofs.contests_leadership(state, upstream):
         # Its own log may have been the only evidence of its term.
         confirmations.note_successor_gone(state, now_ms)
+    elif name == state.primary != state.proven_primary:
+        # Only the list has shown its term.
+        confirmations.note_term_ended(state, now_ms)
     paused_log_end = None
     if state.promotion is not None:
         paused_log_end = attempts.paused_log_end(state.promotion, now_ms, name)
@@ -70,9 +73,10 @@
     state.departed_members.add(
         now_ms,
         name,
-        upstream.leaving or is_recreated,
+        upstream.leaving,
         paused_log_end,
         upstream.born_ms,
+        is_recreated or _has_drained(state, now_ms, upstream),
     )
     state.paused.discard(name)
     outs: list = [
@@ -82,6 +86,17 @@
     return outs
 
 
+def _has_drained(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> bool:
+    """Return whether a leaving upstream had its whole time to drain.
+
+    One whose entry vanishes earlier may be alive: its entry has expired.
+    """
+    since_ms = upstream.leaving_since_ms
+    return since_ms is not None and now_ms - since_ms >= state.limits.drain_ms
+
+
 def _add_upstream(
     state: states.GroupState, now_ms: int, entry: messages.ListedUpstream
 ) -> list:
@@ -98,6 +113,9 @@
     upstream.is_established = now_ms == state.listed_ms
     upstream.is_recreated = state.departed_members.has_departed(entry.name)
     state.upstreams[entry.name] = upstream
+    if state.holds_promotion_lease:
+        # It may still be paused by an attempt that ended while it was away.
+        state.paused.add(entry.name)
     state.departed_members.remove(entry.name, entry.born_ms)
     _record_leaving(state, now_ms, upstream, entry)
     return [
@@ -165,7 +183,9 @@
     upstream.leaving = entry.leaving
     if not entry.leaving:
         upstream.closed_to_work_ms = None
+        upstream.leaving_since_ms = None
         return
+    upstream.leaving_since_ms = now_ms
     upstream.closed_to_work_ms = now_ms
     if entry.role is statements.Role.PRIMARY or state.primary == entry.name:
         drain_ms = state.limits.drain_ms * DRAIN_SHARE
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -22,6 +22,7 @@
 proxies have seen may also hold such a write.
 """
 
+from topazring.core import log_positions
 from topazring.core.synchronous import acknowledgement_fence
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import confirmations
@@ -164,9 +165,7 @@
     chosen = attempts.choose_primary(state, now_ms, attempt)
     unverified = attempts.position_to_verify(state, now_ms, attempt)
     if unverified is not None and not attempt.is_query_only:
-        outs += acknowledgement_fence.query_acknowledgements(
-            state, now_ms, attempt.token, attempt.term, unverified
-        )
+        outs += _query_acknowledgements(state, now_ms, attempt, unverified)
     if not chosen:
         return outs
     if attempt.is_query_only and attempts.has_receiving_replica(
@@ -186,6 +185,21 @@
     )
 
 
+def _query_acknowledgements(
+    state: states.GroupState,
+    now_ms: int,
+    attempt: attempts.Attempt,
+    position: log_positions.LogPosition,
+) -> list:
+    outs = acknowledgement_fence.query_acknowledgements(
+        state, now_ms, attempt.token, attempt.term, position
+    )
+    if outs:
+        attempt.acknowledgements = None
+        attempt.acknowledgements_queried_ms = now_ms
+    return outs
+
+
 def handle_list_read(
     state: states.GroupState, now_ms: int, message: messages.UpstreamListRead
 ) -> list:
@@ -211,6 +225,7 @@
     if attempt is None or attempt.token != message.token:
         return []
     attempt.acknowledgements = message
+    attempt.acknowledgements_ms = now_ms
     return advance(state, now_ms, attempt)
 
 
@@ -302,7 +317,9 @@
             confirmations.note_successor_gone(state, now_ms)
             return promotion_end.finish(state, now_ms, attempt, 'nobody leads')
         return None
-    if not attempt.successor and now_ms - attempt.began_ms > CHOICE_TIMEOUT_MS:
+    is_late = now_ms - attempt.began_ms > CHOICE_TIMEOUT_MS
+    is_waiting = attempts.awaits_acknowledgements(attempt, now_ms)
+    if is_late and not attempt.successor and not is_waiting:
         if attempt.unconfirmed and not attempt.is_query_only:
             # The old primary may have been demoted. The search for the
             # current primary will show whether it was.
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -122,6 +122,8 @@
     # New work is refused from this time on; None unless it is leaving.
     closed_to_work_ms: int | None = None
     leaving: bool = False
+    # When it was first listed as leaving.
+    leaving_since_ms: int | None = None
     # Last reported log position, and when it was reported.
     place: log_positions.LogPosition = log_positions.ORIGIN
     place_ms: int = 0
@@ -316,6 +318,8 @@
     acknowledged_until: log_positions.LogPosition = log_positions.ORIGIN
     # Until when this proxy is surely listed in the store.
     registered_until_ms: int = NEVER_MS
+    # When it was listed after it may not have been.
+    registered_ms: int = NEVER_MS
     # Writes of terms before this one are not acknowledged, and since when.
     fence_term: int = 0
     fenced_ms: int = NEVER_MS
--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from topazring.core import log_positions
+from topazring.core.synchronous import acknowledgement_fence
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import completion
 from topazring.core.synchronous import connections
@@ -24,7 +25,12 @@
 from topazring.core.synchronous.tests import fake_group
 from topazring.core.synchronous.tests import simulation
 
-__all__ = ['ABLATIONS', 'SOON', 'SOON_THROUGH_ENTRIES']
+__all__ = [
+    'ABLATIONS',
+    'SOON',
+    'SOON_THROUGH_ENTRIES',
+    'SOON_THROUGH_SPLITS',
+]
 
 Ablation = collections.abc.Callable[[], contextlib.AbstractContextManager]
 ABLATIONS: dict[str, Ablation] = {}
@@ -33,6 +39,8 @@
 SOON: set[str] = set()
 # The same for walks in which the proxies that requests enter through are lost.
 SOON_THROUGH_ENTRIES: set[str] = set()
+# The same for walks through partitions that last for seconds.
+SOON_THROUGH_SPLITS: set[str] = set()
 
 
 def _ablation(function: Ablation) -> Ablation:
@@ -45,6 +53,11 @@
     return function
 
 
+def _soon_through_splits(function: Ablation) -> Ablation:
+    SOON_THROUGH_SPLITS.add(function.__name__.strip('_'))
+    return function
+
+
 def _soon(function: Ablation) -> Ablation:
     SOON.add(function.__name__.strip('_'))
     return function
@@ -193,6 +206,7 @@
 
 
 @_ablation
+@_soon_through_splits
 def _forget_departed():
     """Promote as if a departed member had confirmed no write."""
     return mock.patch.object(
@@ -200,6 +214,36 @@
     )
 
 
+@_ablation
+@_soon_through_splits
+def _promote_on_a_partial_report():
+    """Promote although a proxy did not say what it acknowledged."""
+    covers = acknowledgement_fence.covers
+
+    def covers_partly(state, report, position):
+        if report is not None:
+            report = dataclasses.replace(report, complete=True)
+        return covers(state, report, position)
+
+    return mock.patch.object(acknowledgement_fence, 'covers', covers_partly)
+
+
+@_ablation
+def _acknowledge_behind_a_fence():
+    """Acknowledge writes of earlier terms after reporting to a promoter."""
+    return mock.patch.object(
+        acknowledgement_fence, '_set_fence', lambda *args: None
+    )
+
+
+@_ablation
+def _exempt_any_earlier_primary():
+    """Ignore the logs of all that have led, as if they confirmed nothing."""
+    return mock.patch.object(
+        attempts, 'exempt_primary', lambda state: state.proven_primary
+    )
+
+
 @_ablation
 def _acknowledge_behind_a_partition():
     """Wait for confirmations behind a partition as in normal operation."""
--- a/topazring/core/synchronous/tests/test_acknowledgement_fence.py
+++ b/topazring/core/synchronous/tests/test_acknowledgement_fence.py
@@ -105,6 +105,31 @@
         self.assertEqual(1, len(support.orders(self.report())))
 
 
+class AllLeftTest(testtools.TestCase):
+    """The primary and a replica announced to leave, and are gone."""
+
+    def test_new_replica_that_holds_all_acknowledged_writes(self):
+        """Guards against a group without a primary after a release."""
+        driver = failover_support.make_lease_holder(leaving='u1')
+        driver.list_upstreams(names=('u1', 'u2'), leaving='u1', revision=2)
+        driver.list_upstreams(primary='', names=('u2',), revision=3)
+        outs = []
+        for _ in range(20):
+            outs += driver.tick(20)
+            outs += failover_support.answer_control_commands(driver)
+        self.assertEqual([], support.orders(outs))
+        (query,) = queries(outs)
+        report = messages.AcknowledgementsReported(
+            query.token, True, LOG_END, complete_until_ms=0
+        )
+        outs = driver.post(report)
+        for _ in range(12):
+            outs += driver.tick(20)
+            outs += failover_support.answer_control_commands(driver)
+        (order,) = support.orders(outs)
+        self.assertEqual('u2', order.upstream)
+
+
 class FencedTest(testtools.TestCase):
     """Another proxy promotes while this one serves writes."""
 
--- a/topazring/core/synchronous/tests/test_departures.py
+++ b/topazring/core/synchronous/tests/test_departures.py
@@ -24,16 +24,42 @@
         high = LogPosition(9, 9)
         self.assertEqual(['u3'], departed.may_exceed(high, NO_PRIMARY))
 
-    def test_bounded_by_first_position_after_departure(self):
-        """The departed member cannot hold writes made after it left."""
+    def test_ended_member_is_bounded_by_first_position(self):
+        """It cannot hold writes made after it left."""
         departed = departed_members.DepartedMembers()
-        departed.add(1000, 'u3')
+        departed.add(1000, 'u3', ended=True)
         departed.record_primary_place(1001, LogPosition(1, 7))
         departed.record_primary_place(1100, LogPosition(1, 9))
         below, enough = LogPosition(1, 6), LogPosition(1, 7)
         self.assertEqual(['u3'], departed.may_exceed(below, NO_PRIMARY))
         self.assertEqual([], departed.may_exceed(enough, NO_PRIMARY))
 
+    def test_unlisted_member_is_bounded_once_no_list_names_it(self):
+        """Guards against a bound that it exceeds behind a partition."""
+        departed = departed_members.DepartedMembers()
+        departed.add(1000, 'u3')
+        departed.record_primary_place(1001, LogPosition(1, 7))
+        high, enough = LogPosition(9, 9), LogPosition(1, 8)
+        self.assertEqual(['u3'], departed.may_exceed(high, NO_PRIMARY))
+        late_ms = 1000 + departed_members.OLD_LIST_MS
+        departed.record_primary_place(late_ms, enough)
+        self.assertEqual([], departed.may_exceed(enough, NO_PRIMARY))
+        below = LogPosition(1, 7)
+        self.assertEqual(['u3'], departed.may_exceed(below, NO_PRIMARY))
+
+    def test_hand_over_beside_an_unlisted_member(self):
+        """Guards against a primary that ends before it is replaced."""
+        departed = departed_members.DepartedMembers()
+        departed.add(1000, 'u3')
+        departed.record_primary_place(1001, LogPosition(1, 7))
+        below, enough = LogPosition(1, 6), LogPosition(1, 7)
+        self.assertEqual(
+            ['u3'], departed.may_exceed(below, 'u1', is_hand_over=True)
+        )
+        self.assertEqual(
+            [], departed.may_exceed(enough, 'u1', is_hand_over=True)
+        )
+
     def test_returned_member_does_not_block(self):
         """A member that is listed again can be queried itself."""
         departed = departed_members.DepartedMembers()
@@ -66,26 +92,40 @@
         below = LogPosition(1, 6)
         self.assertEqual(['u3'], departed.may_exceed(below, NO_PRIMARY))
 
-    def test_no_wait_after_primary_left_as_well(self):
-        """No member that may return can report what the replica held.
-
-        A group had no primary for the rest of the day: all members were
-        replaced, and the primary and a replica ended before a hand-over was
-        possible. No member was promoted, because the replica might have held
-        more, although both had announced that they would not return.
-        """
+    def test_primary_and_replica_that_drain_behind_a_partition(self):
+        """Guards against taking members for gone that announced to leave."""
         departed = departed_members.DepartedMembers()
         departed.add(1000, 'u1', left=True)
         departed.add(1000, 'u3', left=True)
-        low = LogPosition(0, 0)
-        self.assertEqual([], departed.may_exceed(low, 'u1'))
+        high = LogPosition(9, 9)
+        self.assertEqual(['u3'], departed.may_exceed(high, 'u1'))
 
     def test_paused_member_is_bounded_by_its_report(self):
-        """A paused member confirms nothing after its report."""
+        """A paused member confirms nothing while a hand-over is under way."""
         departed = departed_members.DepartedMembers()
         departed.add(1000, 'u3', left=True, paused_at=LogPosition(1, 5))
         enough = LogPosition(1, 5)
-        self.assertEqual([], departed.may_exceed(enough, NO_PRIMARY))
+        self.assertEqual(
+            [], departed.may_exceed(enough, 'u1', is_hand_over=True)
+        )
+
+    def test_pause_that_may_have_ended(self):
+        """Guards against a bound that outlasts the pause it came from."""
+        departed = departed_members.DepartedMembers()
+        departed.add(1000, 'u3', paused_at=LogPosition(1, 5))
+        enough = LogPosition(1, 5)
+        self.assertEqual(['u3'], departed.may_exceed(enough, 'u1'))
+
+    def test_time_to_drain(self):
+        """Guards against taking an expired entry for the end of its member."""
+        for drained_ms, is_ended in ((6990, False), (7010, True)):
+            driver = support.Driver().ready(leaving='u3')
+            since_ms = driver.state.upstreams['u3'].leaving_since_ms
+            driver.now_ms = since_ms + drained_ms
+            driver.list_upstreams(names=('u1', 'u2'), revision=2)
+            known = driver.state.departed_members.known.values()
+            (member,) = [m for m in known if m.name == 'u3']
+            self.assertEqual(is_ended, member.ended)
 
 
 class NewProcessTest(testtools.TestCase):
@@ -124,6 +164,8 @@
     def test_primary_reply_after_departure_sets_bound(self):
         """A leadership check after the departure reports the bound."""
         driver = failover_support.make_lease_holder(leaving='u3')
+        drain_ms = driver.state.limits.drain_ms
+        driver.state.upstreams['u3'].leaving_since_ms -= drain_ms
         driver.list_upstreams(names=('u1', 'u2'), revision=2)
         driver.tick(120)
         driver.answer_leadership_checks()
@@ -221,23 +263,8 @@
         (order,) = support.orders(outs)
         self.assertIn(order.upstream, ('u2', 'u3'))
 
-    def test_primary_and_replica_gone_permanently(self):
-        """No member that may return can report what the replica held.
-
-        A group had no primary for the rest of the day although its members
-        held all acknowledged writes: a replica left and ended, and the
-        primary, whose log was longer than the others', crashed and was
-        recreated empty. Promotions waited for what the replica may have
-        confirmed, although the log of the primary was lost for good, too. In
-        walk 6110 both members were at 2.7, which covers all acknowledged
-        writes, u3 left at 3.9, and ten attempts ended without a successor.
-        """
-        departed = departed_members.DepartedMembers()
-        departed.add(1000, 'u3', left=True)
-        departed.record_primary_place(1001, LogPosition(3, 9))
-        departed.add(1100, 'u1', left=True, born_ms=7)
-        low = LogPosition(2, 7)
-        self.assertEqual([], departed.may_exceed(low, 'u1'))
+    def test_recreated_primary_has_ended(self):
+        """Its log is gone, and so is what it might still have confirmed."""
         driver = support.Driver().ready()
         driver.list_upstreams(primary='', revision=2, born_ms={'u1': 99})
         (gone,) = [
@@ -245,7 +272,7 @@
             for departure in driver.state.departed_members.known.values()
             if departure.name == 'u1'
         ]
-        self.assertTrue(gone.left)
+        self.assertTrue(gone.ended)
 
     def test_primary_with_reused_name_is_not_gone(self):
         """It is present, and so are writes that a replica confirmed for it.
--- a/topazring/core/synchronous/tests/test_long_splits.py
+++ b/topazring/core/synchronous/tests/test_long_splits.py
@@ -4,6 +4,8 @@
 
 import testtools
 
+from topazring.core.synchronous.tests import ablations
+from topazring.core.synchronous.tests import fake_group
 from topazring.core.synchronous.tests import simulation as simulations
 from topazring.core.synchronous.tests import walks
 
@@ -58,3 +60,18 @@
         """Guards against a loss in splits beside other faults."""
         for seed in range(WALKS):
             walks.walk(seed, WALK_STEPS, walks.SPLITS, walks.SLOW_PROMOTE_MS)
+
+    def test_walks_notice_what_is_left_out(self):
+        """Each rule that is left out leads to a violation on some walk."""
+        for name in sorted(ablations.SOON_THROUGH_SPLITS):
+            with ablations.ABLATIONS[name]():
+                self.assertTrue(_is_any_walk_broken(), name)
+
+
+def _is_any_walk_broken() -> bool:
+    for seed in range(WALKS):
+        try:
+            walks.walk(seed, WALK_STEPS, walks.SPLITS, walks.SLOW_PROMOTE_MS)
+        except fake_group.Violation:
+            return True
+    return False
--- a/topazring/pooler/membership.py
+++ b/topazring/pooler/membership.py
@@ -87,7 +87,9 @@
 
     def _report_validity(self, sent_ms: int, leased: key_value.Leased) -> None:
         ttl_ms = min(leased.ttl_ms, TTL_MS)
-        self.on_change(max(0, sent_ms + ttl_ms - CLOCK_DRIFT_MARGIN_MS))
+        # An old list may name upstreams that are no longer members.
+        since_ms = min(sent_ms, self.directory.confirmed_ms)
+        self.on_change(max(0, since_ms + ttl_ms - CLOCK_DRIFT_MARGIN_MS))
 
     async def _register(self) -> None:
         sent_ms = clock.boottime_ms()
--- a/topazring/pooler/tests/test_membership.py
+++ b/topazring/pooler/tests/test_membership.py
@@ -121,6 +121,9 @@
 class ValidityTest(testtools.TestCase):
     """A proxy knows until when the others can surely find it."""
 
+    # When the list was last known to be complete: always.
+    confirmed_ms = 10**15
+
     def play(self, steps):
         """Run `steps()` with a registration that renews every 20 ms."""
         renewal = mock.patch.object(membership, 'RENEW_INTERVAL_S', 0.02)
@@ -130,7 +133,9 @@
     async def _play(self, steps):
         self.store = Store(0)
         directory = types.SimpleNamespace(
-            first_read=asyncio.Event(), own_value=lambda key: None
+            first_read=asyncio.Event(),
+            own_value=lambda key: None,
+            confirmed_ms=self.confirmed_ms,
         )
         directory.first_read.set()
         self.reported: list[int] = []
@@ -172,6 +177,16 @@
 
         self.play(steps)
 
+    def test_old_list(self):
+        """Guards against counting upstreams that are no longer listed."""
+        self.confirmed_ms = clock.boottime_ms() - 20_000
+
+        async def steps():
+            await self.until_reported(2)
+            self.assertLessEqual(self.reported[1], self.latest_ms() - 20_000)
+
+        self.play(steps)
+
     def test_slow_store(self):
         """Guards against a proxy that acknowledges while it is not listed.
 
