--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -7,6 +7,7 @@
 from topazring.core.synchronous import group
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import sessions
+from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import fake_group
@@ -43,6 +44,24 @@
         for _ in range(count):
             walks.perform(self.world, self.rng, 'work')
 
+    def read(self, proxy: str, session: sessions.Session) -> None:
+        """Submit one read."""
+        statement = statements.Statement(
+            f'r{next(self.world.keys)}', statements.Verb.READ, 'read'
+        )
+        self.world.submit_statement(proxy, session, statement)
+
+    def start_anew(self, proxy: str) -> None:
+        """Restart the process of a proxy that has no sessions."""
+        for key in [key for key in self.world.wires if key[0] == proxy]:
+            del self.world.wires[key]
+        before = self.world.states[proxy]
+        self.world.states[proxy] = states.make_group('s', 'dc', before.limits)
+        # Messages of its earlier connections match none of the new ones.
+        self.world.states[proxy].next_connection = before.next_connection
+        self.world.post(proxy, messages.InstancesSeen(2, 8))
+        self.world.send_list(proxy)
+
     def list_only(self, *names: str) -> None:
         """Let the entries of all other members expire."""
         for member in self.world.members.values():
@@ -155,6 +174,27 @@
 
         self.assertEqual({}, failures(cut))
 
+    def test_reads_on_a_list_without_any_replica(self):
+        """Guards against exact reads at a primary that was replaced."""
+
+        def split(seed: int) -> None:
+            play = Play(seed, 4, 0)
+            play.list_only('u1')
+            play.world.run(1000)
+            play.world.without_store.add('p2')
+            play.list_only(*simulations.UPSTREAMS)
+            play.world.run(3000)
+            walks.split_off(play.world, {'p2'}, {'u1'})
+            reader = sessions.Session(next(play.world.keys), 'exact')
+            for _ in range(200):
+                walks.perform(play.world, play.rng, 'speak')
+                play.world.run(20)
+                if not play.world.is_busy(reader):
+                    play.read('p2', reader)
+            play.finish()
+
+        self.assertEqual({}, failures(split))
+
 
 class AcceptedOrderTest(testtools.TestCase):
     """An order is accepted, and nobody is seen to lead."""
@@ -175,6 +215,59 @@
         self.assertEqual({}, failures(unseen))
 
 
+class DepartedMemberTest(testtools.TestCase):
+    """A replica lives, but its entry expired; one proxy still lists it."""
+
+    def test_promoter_is_cut_off_from_the_primary(self):
+        """Guards against a bound on the log of a member that still follows."""
+
+        def cut(seed: int) -> None:
+            play = Play(seed, 2, 5)
+            play.world.without_store.add('p2')
+            play.list_only('u1', 'u3')
+            play.work(2)
+            play.cut('p1', 'u1')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(cut))
+
+    def test_promoter_is_split_off_with_the_other_replica(self):
+        """Guards against the same where no promotion is seen at all."""
+
+        def split(seed: int) -> None:
+            play = Play(seed, 2, 5)
+            play.world.without_store.add('p2')
+            play.list_only('u1', 'u3')
+            play.work(2)
+            play.cut('p1', 'u1', 'u2')
+            play.cut('u3', 'u1', 'u2', 'p2')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(split))
+
+
+class FirstListTest(testtools.TestCase):
+    """A proxy starts while members are paused and another one starts."""
+
+    def test_new_member_in_the_first_list(self):
+        """Guards against taking all members of a first list for long known."""
+
+        def start(seed: int) -> None:
+            play = Play(seed, 2, 0)
+            play.order()
+            play.world.run(200)
+            play.world.add_member('u4')
+            play.start_anew('p2')
+            for _ in range(5):
+                play.open_session('p2')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(start, 3 * SEEDS))
+
+
 class OwnWriteTest(testtools.TestCase):
     """The promoter itself acknowledged the last write of the group."""
 
