--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -21,6 +21,7 @@
 EMPTY_LOG_WALK = 740130
 WITH = test_confirmations.WITH
 STEP_MS = 10
+READS = 400
 
 
 class Play:
@@ -44,12 +45,17 @@
         for _ in range(count):
             walks.perform(self.world, self.rng, 'work')
 
-    def read(self, proxy: str, session: sessions.Session) -> None:
-        """Submit one read."""
-        statement = statements.Statement(
-            f'r{next(self.world.keys)}', statements.Verb.READ, 'read'
-        )
-        self.world.submit_statement(proxy, session, statement)
+    def read_beside_work(self, proxy: str) -> None:
+        """Read at one proxy while the other sessions go on."""
+        reader = sessions.Session(next(self.world.keys), 'exact')
+        for _ in range(READS):
+            walks.perform(self.world, self.rng, 'speak')
+            self.world.run(STEP_MS)
+            if not self.world.is_busy(reader):
+                read = statements.Statement(
+                    f'r{next(self.world.keys)}', statements.Verb.READ, 'read'
+                )
+                self.world.submit_statement(proxy, reader, read)
 
     def start_anew(self, proxy: str) -> None:
         """Restart the process of a proxy that has no sessions."""
@@ -185,12 +191,7 @@
             play.list_only(*simulations.UPSTREAMS)
             play.world.run(3000)
             walks.split_off(play.world, {'p2'}, {'u1'})
-            reader = sessions.Session(next(play.world.keys), 'exact')
-            for _ in range(200):
-                walks.perform(play.world, play.rng, 'speak')
-                play.world.run(20)
-                if not play.world.is_busy(reader):
-                    play.read('p2', reader)
+            play.read_beside_work('p2')
             play.finish()
 
         self.assertEqual({}, failures(split))
@@ -248,6 +249,28 @@
         self.assertEqual({}, failures(split))
 
 
+class UnlistedPrimaryTest(testtools.TestCase):
+    """A member is promoted that one proxy's older list lacks."""
+
+    def test_reads_on_the_refusals_of_the_listed_members(self):
+        """Guards against a proof without the member that leads."""
+
+        def lead(seed: int) -> None:
+            play = Play(seed, 4, 0)
+            play.list_only('u1', 'u3')
+            play.world.run(1000)
+            play.world.without_store.add('p2')
+            play.list_only(*simulations.UPSTREAMS)
+            play.world.run(3000)
+            play.world.members['u3'].lag_ms = 200
+            play.cut('u1', 'u2', 'u3', 'p1')
+            play.cut('p2', 'u2')
+            play.read_beside_work('p2')
+            play.finish()
+
+        self.assertEqual({}, failures(lead))
+
+
 class FirstListTest(testtools.TestCase):
     """A proxy starts while members are paused and another one starts."""
 
