Show a proxy that starts on a list without any replica

The test in test_new_members that asks for an immediate answer where there is no other member stands against the obvious mend.

--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -180,6 +180,25 @@
 
         self.assertEqual({}, failures(cut))
 
+    def test_proxy_that_starts_on_a_list_without_any_replica(self):
+        """Guards against the same where no replica was ever listed."""
+
+        def start(seed: int) -> None:
+            play = Play(seed, 2, 0)
+            play.list_only('u1')
+            play.work(1)
+            play.start_anew('p2')
+            for _ in range(5):
+                play.open_session('p2')
+            play.work(2)
+            play.world.without_store.add('p2')
+            play.list_only('u1', 'u3')
+            play.cut('p1', 'u1')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(start))
+
     def test_reads_on_a_list_without_any_replica(self):
         """Guards against exact reads at a primary that was replaced."""
 
