Count members that announced that they leave as possibly alive too

What callers could see: as with entries that expire otherwise, acknowledged writes gone. Both replicas had announced that they leave; they receive and confirm for their whole drain, and their entries expired before its end.

Cause: a member that announced its end and is listed no more was taken for ended, so the primary for alone.

A primary without a listed replica now counts as alone only if none was ever listed here. Cost: none where a replica has to confirm each write; a group without synchronous replication that once had another member takes no writes while it has one alone.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -108,11 +108,12 @@
 def _was_always_alone(state: states.GroupState) -> bool:
     """Return whether no other member exists that could be promoted.
 
-    One whose entry expired may be alive. It may have confirmed the write, and
-    another whose entry expired may be listed again and promoted without it.
+    One whose entry expired may be alive, also if it had announced that it
+    leaves. It may have confirmed the write, and another whose entry expired
+    may be listed again and promoted without it.
     """
     return all(
-        member.left or member.name == departed_members.BEFORE_START
+        member.name == departed_members.BEFORE_START
         for member in state.departed_members.known.values()
     )
 
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -180,6 +180,27 @@
 
         self.assertEqual({}, failures(cut))
 
+    def test_replicas_that_leave_and_whose_entries_expire(self):
+        """Guards against taking a member that drains for one that ended."""
+
+        def drain(seed: int) -> None:
+            play = Play(seed, 0, 6)
+            for name in ('u2', 'u3'):
+                play.world.announce_leaving(play.world.members[name])
+            play.send_lists()
+            play.world.run(900)
+            play.list_only('u1')
+            play.work(3)
+            play.without_log('u3', 2000)
+            play.work(1)
+            play.world.run(100)
+            play.stop('u1')
+            play.list_only('u1', 'u3')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(drain))
+
     def test_proxy_that_starts_on_a_list_without_any_replica(self):
         """Guards against the same where no replica was ever listed."""
 
