Remember an ordered promotion when its lease is lost

What callers could see: a write acknowledged by the proxy that had ordered the primary's replacement, and gone as the replacement led. The proxy lost the promotion lease in between and the attempt with it; it reached the primary again, and a replica whose restart had ended its pause confirmed.

Cause: that no attempt is held here was taken for no order being under way.

With the lease's loss the term that an unfinished order ends now counts as ended: for 5 s, as after a successor that is gone, or until a newer term is seen, this proxy acknowledges none of its writes.

Cost: only for a proxy that loses the lease between an order and its lead, and others serve its callers meanwhile.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -45,6 +45,7 @@
     'note_log_position',
     'note_report',
     'note_successor_gone',
+    'note_term_ended',
     'pending_confirmations',
     'witnesses',
 ]
@@ -298,7 +299,12 @@
 def note_successor_gone(state: states.GroupState, now_ms: int) -> None:
     """Record that the successor of the last primary may lead unseen."""
     state.successor_gone = True
-    state.ended_term = max(state.term, FIRST_TERM)
+    note_term_ended(state, now_ms, state.term)
+
+
+def note_term_ended(state: states.GroupState, now_ms: int, term: int) -> None:
+    """Record that another upstream may lead a newer term than this."""
+    state.ended_term = max(term, FIRST_TERM)
     state.term_ended_ms = now_ms
 
 
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -1,5 +1,6 @@
 """Gain and lose the promotion lease, and fence off earlier orders."""
 
+from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
@@ -32,7 +33,7 @@
     if message.holds:
         state.token = max(state.token, message.token)
     else:
-        state.promotion = None
+        _drop_attempt(state, now_ms)
     if is_gained:
         state.fence_token = 0
         state.paused = set(state.upstreams) - {state.primary}
@@ -40,6 +41,13 @@
     return []
 
 
+def _drop_attempt(state: states.GroupState, now_ms: int) -> None:
+    """Drop the attempt; the upstream that it ordered may lead before long."""
+    attempt, state.promotion = state.promotion, None
+    if attempt is not None and attempt.chosen not in ('', state.primary):
+        confirmations.note_term_ended(state, now_ms, attempt.term - 1)
+
+
 def is_another_promoting(state: states.GroupState, now_ms: int) -> bool:
     """Return whether a member is paused, but not by this proxy.
 
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from topazring.core import outcomes
 from topazring.core.synchronous import group
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import sessions
@@ -19,6 +20,7 @@
 
 SEEDS = 10
 EMPTY_LOG_WALK = 740130
+LOST_LEASE_WALK = 780181
 WITH = test_confirmations.WITH
 STEP_MS = 10
 READS = 400
@@ -458,6 +460,53 @@
         self.assertGreater(len(played), SEEDS)
 
 
+class LostLeaseTest(testtools.TestCase):
+    """A proxy loses the promotion lease after it ordered a promotion."""
+
+    def outcome(self, has_ordered: bool) -> object:
+        """Return the outcome of a write that another replica reports."""
+        driver = failover_support.make_lease_holder()
+        failover_support.lose_primary(driver)
+        (order,) = support.orders(
+            failover_support.answer_control_commands(driver)
+        )
+        if has_ordered:
+            accepted = messages.OrderResult.ACCEPTED
+            driver.post(
+                messages.PromotionOrdered(
+                    order.upstream, order.token, accepted
+                )
+            )
+        else:
+            driver.state.promotion = None
+        driver.post(messages.PromotionLeaseSeen(False))
+        for _ in range(20):
+            driver.tick(20)
+            driver.open_all()
+            driver.answer_leadership_checks()
+        self.assertEqual('u1', driver.state.primary)
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        (other,) = {'u2', 'u3'} - {order.upstream}
+        report = {'received': WITH, 'term': 1, 'held_term': 0}
+        proof_support.answer_status_queries(driver, other, **report)
+        return support.answers(driver.outs).get(key)
+
+    def test_write_that_the_ordered_member_lacks(self):
+        """Guards against forgetting an order along with the lease."""
+        self.assertIsNone(self.outcome(has_ordered=True))
+
+    def test_write_without_an_order(self):
+        """Guards against writes that wait after any loss of the lease."""
+        self.assertIsInstance(self.outcome(has_ordered=False), outcomes.Done)
+
+    def test_walk_that_forgot_an_order(self):
+        """Guards against the same beside other faults."""
+        walks.walk(
+            LOST_LEASE_WALK, 400, walks.THROUGH_ENTRIES, walks.SLOW_PROMOTE_MS
+        )
+
+
 class ListedPrimaryTest(testtools.TestCase):
     """The promoted member is cut off, and its entry says that it leads."""
 
