--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -107,6 +107,10 @@
             if wire.upstream == name:
                 wire.silent = True
 
+    def restart(self, name: str) -> None:
+        """Restart a member; it keeps its log."""
+        walks._restart_member(self.world, self.world.members[name])
+
     def choice(self, is_accepted: bool = False) -> str:
         """Run until p1 has ordered a promotion; return whose, if any."""
         for _ in range(300):
@@ -333,6 +337,28 @@
         self.assertEqual({}, failures(start, 3 * SEEDS))
 
 
+class RestartTest(testtools.TestCase):
+    """A paused replica restarts, which ends its pause, after an order."""
+
+    def test_replica_that_the_promoter_does_not_reach(self):
+        """Guards against taking a member that is not paused for no promotion.
+
+        The proxy that acknowledges does not reach the ordered member.
+        """
+
+        def restart(seed: int) -> None:
+            play = Play(seed, 2, 5)
+            chosen = play.order()
+            (other,) = {'u2', 'u3'} - {chosen}
+            play.restart(other)
+            play.cut('p1', other)
+            play.cut('p2', chosen)
+            play.work(8)
+            play.finish()
+
+        self.assertEqual({}, failures(restart, 3 * SEEDS))
+
+
 class OwnWriteTest(testtools.TestCase):
     """The promoter itself acknowledged the last write of the group."""
 
