--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -307,12 +307,12 @@
 def note_successor_gone(state: states.GroupState, now_ms: int) -> None:
     """Record that the successor of the last primary may lead unseen."""
     state.successor_gone = True
-    note_term_ended(state, now_ms)
+    note_term_ended(state, now_ms, state.term)
 
 
-def note_term_ended(state: states.GroupState, now_ms: int) -> None:
-    """Record that a newer term than any seen on a connection has begun."""
-    state.ended_term = max(state.term, FIRST_TERM)
+def note_term_ended(state: states.GroupState, now_ms: int, term: int) -> None:
+    """Record that another upstream may lead a newer term than this."""
+    state.ended_term = max(term, FIRST_TERM)
     state.term_ended_ms = now_ms
 
 
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -65,7 +65,7 @@
         confirmations.note_successor_gone(state, now_ms)
     elif name == state.primary != state.proven_primary:
         # Only the list has shown its term.
-        confirmations.note_term_ended(state, now_ms)
+        confirmations.note_term_ended(state, now_ms, state.term)
     paused_log_end = None
     if state.promotion is not None:
         paused_log_end = attempts.paused_log_end(state.promotion, now_ms, name)
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -4,9 +4,11 @@
 
 import testtools
 
+from topazring.core import outcomes
 from topazring.core.synchronous import group
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import sessions
+from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import fake_group
@@ -18,8 +20,10 @@
 
 SEEDS = 10
 EMPTY_LOG_WALK = 740130
+LOST_LEASE_WALK = 780181
 WITH = test_confirmations.WITH
 STEP_MS = 10
+READS = 400
 
 
 class Play:
@@ -43,6 +47,29 @@
         for _ in range(count):
             walks.perform(self.world, self.rng, 'work')
 
+    def read_beside_work(self, proxy: str) -> None:
+        """Read at one proxy while the other sessions go on."""
+        reader = sessions.Session(next(self.world.keys), 'exact')
+        for _ in range(READS):
+            walks.perform(self.world, self.rng, 'speak')
+            self.world.run(STEP_MS)
+            if not self.world.is_busy(reader):
+                read = statements.Statement(
+                    f'r{next(self.world.keys)}', statements.Verb.READ, 'read'
+                )
+                self.world.submit_statement(proxy, reader, read)
+
+    def start_anew(self, proxy: str) -> None:
+        """Restart the process of a proxy that has no sessions."""
+        for key in [key for key in self.world.wires if key[0] == proxy]:
+            del self.world.wires[key]
+        before = self.world.states[proxy]
+        self.world.states[proxy] = states.make_group('s', 'dc', before.limits)
+        # Messages of its earlier connections match none of the new ones.
+        self.world.states[proxy].next_connection = before.next_connection
+        self.world.post(proxy, messages.InstancesSeen(2, 8))
+        self.world.send_list(proxy)
+
     def list_only(self, *names: str) -> None:
         """Let the entries of all other members expire."""
         for member in self.world.members.values():
@@ -80,6 +107,10 @@
             if wire.upstream == name:
                 wire.silent = True
 
+    def restart(self, name: str) -> None:
+        """Restart a member; it keeps its log."""
+        walks._restart_member(self.world, self.world.members[name])
+
     def choice(self, is_accepted: bool = False) -> str:
         """Run until p1 has ordered a promotion; return whose, if any."""
         for _ in range(300):
@@ -155,6 +186,62 @@
 
         self.assertEqual({}, failures(cut))
 
+    def test_replicas_that_leave_and_whose_entries_expire(self):
+        """Guards against taking a member that drains for one that ended."""
+
+        def drain(seed: int) -> None:
+            play = Play(seed, 0, 6)
+            for name in ('u2', 'u3'):
+                play.world.announce_leaving(play.world.members[name])
+            play.send_lists()
+            play.world.run(900)
+            play.list_only('u1')
+            play.work(3)
+            play.without_log('u3', 2000)
+            play.work(1)
+            play.world.run(100)
+            play.stop('u1')
+            play.list_only('u1', 'u3')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(drain))
+
+    def test_proxy_that_starts_on_a_list_without_any_replica(self):
+        """Guards against the same where no replica was ever listed."""
+
+        def start(seed: int) -> None:
+            play = Play(seed, 2, 0)
+            play.list_only('u1')
+            play.work(1)
+            play.start_anew('p2')
+            for _ in range(5):
+                play.open_session('p2')
+            play.work(2)
+            play.world.without_store.add('p2')
+            play.list_only('u1', 'u3')
+            play.cut('p1', 'u1')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(start))
+
+    def test_reads_on_a_list_without_any_replica(self):
+        """Guards against exact reads at a primary that was replaced."""
+
+        def split(seed: int) -> None:
+            play = Play(seed, 4, 0)
+            play.list_only('u1')
+            play.world.run(1000)
+            play.world.without_store.add('p2')
+            play.list_only(*simulations.UPSTREAMS)
+            play.world.run(3000)
+            walks.split_off(play.world, {'p2'}, {'u1'})
+            play.read_beside_work('p2')
+            play.finish()
+
+        self.assertEqual({}, failures(split))
+
 
 class AcceptedOrderTest(testtools.TestCase):
     """An order is accepted, and nobody is seen to lead."""
@@ -175,6 +262,103 @@
         self.assertEqual({}, failures(unseen))
 
 
+class DepartedMemberTest(testtools.TestCase):
+    """A replica lives, but its entry expired; one proxy still lists it."""
+
+    def test_promoter_is_cut_off_from_the_primary(self):
+        """Guards against a bound on the log of a member that still follows."""
+
+        def cut(seed: int) -> None:
+            play = Play(seed, 2, 5)
+            play.world.without_store.add('p2')
+            play.list_only('u1', 'u3')
+            play.work(2)
+            play.cut('p1', 'u1')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(cut))
+
+    def test_promoter_is_split_off_with_the_other_replica(self):
+        """Guards against the same where no promotion is seen at all."""
+
+        def split(seed: int) -> None:
+            play = Play(seed, 2, 5)
+            play.world.without_store.add('p2')
+            play.list_only('u1', 'u3')
+            play.work(2)
+            play.cut('p1', 'u1', 'u2')
+            play.cut('u3', 'u1', 'u2', 'p2')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(split))
+
+
+class UnlistedPrimaryTest(testtools.TestCase):
+    """A member is promoted that one proxy's older list lacks."""
+
+    def test_reads_on_the_refusals_of_the_listed_members(self):
+        """Guards against a proof without the member that leads."""
+
+        def lead(seed: int) -> None:
+            play = Play(seed, 4, 0)
+            play.list_only('u1', 'u3')
+            play.world.run(1000)
+            play.world.without_store.add('p2')
+            play.list_only(*simulations.UPSTREAMS)
+            play.world.run(3000)
+            play.world.members['u3'].lag_ms = 200
+            play.cut('u1', 'u2', 'u3', 'p1')
+            play.cut('p2', 'u2')
+            play.read_beside_work('p2')
+            play.finish()
+
+        self.assertEqual({}, failures(lead))
+
+
+class FirstListTest(testtools.TestCase):
+    """A proxy starts while members are paused and another one starts."""
+
+    def test_new_member_in_the_first_list(self):
+        """Guards against taking all members of a first list for long known."""
+
+        def start(seed: int) -> None:
+            play = Play(seed, 2, 0)
+            play.order()
+            play.world.run(200)
+            play.world.add_member('u4')
+            play.start_anew('p2')
+            for _ in range(5):
+                play.open_session('p2')
+            play.work(10)
+            play.finish()
+
+        self.assertEqual({}, failures(start, 3 * SEEDS))
+
+
+class RestartTest(testtools.TestCase):
+    """A paused replica restarts, which ends its pause, after an order."""
+
+    def test_replica_that_the_promoter_does_not_reach(self):
+        """Guards against taking a member that is not paused for no promotion.
+
+        The proxy that acknowledges does not reach the ordered member.
+        """
+
+        def restart(seed: int) -> None:
+            play = Play(seed, 2, 5)
+            chosen = play.order()
+            (other,) = {'u2', 'u3'} - {chosen}
+            play.restart(other)
+            play.cut('p1', other)
+            play.cut('p2', chosen)
+            play.work(8)
+            play.finish()
+
+        self.assertEqual({}, failures(restart, 3 * SEEDS))
+
+
 class OwnWriteTest(testtools.TestCase):
     """The promoter itself acknowledged the last write of the group."""
 
@@ -302,6 +486,53 @@
         self.assertGreater(len(played), SEEDS)
 
 
+class LostLeaseTest(testtools.TestCase):
+    """A proxy loses the promotion lease after it ordered a promotion."""
+
+    def outcome(self, has_ordered: bool) -> object:
+        """Return the outcome of a write that another replica reports."""
+        driver = failover_support.make_lease_holder()
+        failover_support.lose_primary(driver)
+        (order,) = support.orders(
+            failover_support.answer_control_commands(driver)
+        )
+        if has_ordered:
+            accepted = messages.OrderResult.ACCEPTED
+            driver.post(
+                messages.PromotionOrdered(
+                    order.upstream, order.token, accepted
+                )
+            )
+        else:
+            driver.state.promotion = None
+        driver.post(messages.PromotionLeaseSeen(False))
+        for _ in range(20):
+            driver.tick(20)
+            driver.open_all()
+            driver.answer_leadership_checks()
+        self.assertEqual('u1', driver.state.primary)
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        (other,) = {'u2', 'u3'} - {order.upstream}
+        report = {'received': WITH, 'term': 1, 'held_term': 0}
+        proof_support.answer_status_queries(driver, other, **report)
+        return support.answers(driver.outs).get(key)
+
+    def test_write_that_the_ordered_member_lacks(self):
+        """Guards against forgetting an order along with the lease."""
+        self.assertIsNone(self.outcome(has_ordered=True))
+
+    def test_write_without_an_order(self):
+        """Guards against writes that wait after any loss of the lease."""
+        self.assertIsInstance(self.outcome(has_ordered=False), outcomes.Done)
+
+    def test_walk_that_forgot_an_order(self):
+        """Guards against the same beside other faults."""
+        walks.walk(
+            LOST_LEASE_WALK, 400, walks.THROUGH_ENTRIES, walks.SLOW_PROMOTE_MS
+        )
+
+
 class ListedPrimaryTest(testtools.TestCase):
     """The promoted member is cut off, and its entry says that it leads."""
 
--- a/topazring/core/synchronous/tests/test_acknowledgement_fence.py
+++ b/topazring/core/synchronous/tests/test_acknowledgement_fence.py
@@ -116,6 +116,7 @@
         outs = []
         for _ in range(20):
             outs += driver.tick(20)
+            driver.answer_leadership_checks(primary='')
             outs += failover_support.answer_control_commands(driver)
         self.assertEqual([], support.orders(outs))
         (query,) = queries(outs)
@@ -125,6 +126,7 @@
         outs = driver.post(report)
         for _ in range(12):
             outs += driver.tick(20)
+            driver.answer_leadership_checks(primary='')
             outs += failover_support.answer_control_commands(driver)
         (order,) = support.orders(outs)
         self.assertEqual('u2', order.upstream)
