Show that a paused member that returns to the list is not resumed

Cause: the set of paused members forgets those that leave the list, and a new holder takes over only those that are listed.

--- a/topazring/core/synchronous/tests/test_promotion_lease.py
+++ b/topazring/core/synchronous/tests/test_promotion_lease.py
@@ -126,6 +126,31 @@
             failover_support.command_targets(driver, statements.Resume),
         )
 
+    def test_paused_member_that_returns_is_resumed(self):
+        """Guards against a group in which nobody confirms writes any more."""
+        driver = support.Driver().ready()
+        driver.list_upstreams(names=('u1', 'u2'))
+        driver.post(messages.PromotionLeaseSeen(True, 100))
+        outs = driver.tick(120) + driver.answer_leadership_checks()
+        (order,) = support.orders(outs)
+        accepted = OrderResult.ACCEPTED
+        driver.post(
+            messages.PromotionOrdered(order.upstream, order.token, accepted)
+        )
+        driver.list_upstreams()
+        resumed = set()
+        for _ in range(50):
+            driver.tick(20)
+            driver.open_all()
+            driver.answer_leadership_checks()
+            paused = support.report(held_term=2).report
+            returned = driver.state.upstreams['u3']
+            confirmations.note_report(returned, driver.now_ms, paused)
+            resumed |= failover_support.command_targets(
+                driver, statements.Resume
+            )
+        self.assertIn('u3', resumed)
+
 
 class AnotherHolderTest(testtools.TestCase):
     """A holder that is cut off from the store may have been replaced."""
