--- a/topazring/soak/tests/test_soak.py
+++ b/topazring/soak/tests/test_soak.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -11,7 +12,9 @@
 
 import testtools
 
+from topazring.bench import ports
 from topazring.platform.tests import soak_stage
+from topazring.platform.tests import support
 from topazring.soak import report
 from topazring.soak import schedules
 from topazring.soak import soaks
@@ -44,6 +47,25 @@
         self.assertGreater(outcome.counts['led'], 1, text)
 
 
+class StartTest(testtools.TestCase):
+    """A proxy that does not start says why."""
+
+    def test_port_in_use(self):
+        """Guards against an end at the start that leaves no trace."""
+        with socket.socket() as other, tempfile.TemporaryDirectory() as folder:
+            other.bind(('127.0.0.1', 0))
+            other.listen()
+            taken = other.getsockname()[1]
+            found = [taken, *ports.find_free_ports(4)]
+            proxy = support.Proxy('p1', found.pop(), folder, found)
+            proxy.write_settings([])
+            raised = self.assertRaises(
+                AssertionError, asyncio.run, proxy.start()
+            )
+        self.assertIn('p1 is not ready, exit 1\n', str(raised))
+        self.assertIn('Address already in use', str(raised))
+
+
 class InterruptionTest(testtools.TestCase):
     """An interrupted soak leaves none of its processes running."""
 
