Take the ordered term, not a later one, as begun by a promotion

Cause: the term that an attempt announces rises while it waits, as members that have joined the new term already report it.

What a lost lease records of its order had the same fault.

The term at the time of the order counts, a lower bound of the one that begins.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -96,6 +96,9 @@
     # Where the chosen upstream's log ended when it was chosen.
     chosen_position: log_positions.LogPosition = log_positions.ORIGIN
     ordered_ms: int = 0
+    # Lower bound on the term that the order begins. `term` may exceed it once
+    # members report that term.
+    ordered_term: int = 0
     # The successor or chosen upstream is no longer listed, or was recreated.
     successor_gone: bool = False
     # An order was sent and has not been answered yet.
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -302,7 +302,7 @@
         if primary == attempt.chosen != attempt.old_primary:
             # It leads a newer term than any seen before, also if only the
             # list has shown that it leads.
-            state.term = max(state.term, attempt.term)
+            state.term = max(state.term, attempt.ordered_term)
         state.successor_gone = False
         return promotion_end.finish(state, now_ms, attempt, 'succeeded')
     if attempt.successor_gone:
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -45,7 +45,7 @@
     """Drop the attempt; the upstream that it ordered may lead before long."""
     attempt, state.promotion = state.promotion, None
     if attempt is not None and attempt.chosen not in ('', state.primary):
-        confirmations.note_term_ended(state, now_ms, attempt.term - 1)
+        confirmations.note_term_ended(state, now_ms, attempt.ordered_term - 1)
 
 
 def is_another_promoting(state: states.GroupState, now_ms: int) -> bool:
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -46,6 +46,7 @@
     attempt.chosen = chosen
     attempt.chosen_position = attempt.reports[chosen].received
     attempt.ordered_ms = now_ms
+    attempt.ordered_term = attempt.term
     attempt.is_order_pending = True
     decided = messages.LogDecision(
         'promotion ordered',
--- a/topazring/core/synchronous/tests/test_promotion.py
+++ b/topazring/core/synchronous/tests/test_promotion.py
@@ -268,6 +268,34 @@
         )
         self.assertNotEqual('u1', driver.state.primary)
 
+    def test_members_that_report_the_new_term_first(self):
+        """Guards against a new primary that is taken for a replaced one."""
+        driver = failover_support.make_lease_holder()
+        failover_support.lose_primary(driver)
+        (order,) = support.orders(
+            failover_support.answer_control_commands(driver)
+        )
+        driver.post(
+            messages.PromotionOrdered(
+                order.upstream, order.token, OrderResult.ACCEPTED
+            )
+        )
+        for _ in range(20):
+            driver.tick(20)
+            driver.answer_leadership_checks(primary='')
+            for connection in driver.busy():
+                if connection.purpose is states.Purpose.CONTROL:
+                    began = support.report(term=2, held_term=0)
+                    driver.reply(connection, began)
+        new = order.upstream
+        driver.list_upstreams(primary=new, revision=2)
+        driver.state.upstreams[new].lead_term = 2
+        for _ in range(10):
+            driver.tick(20)
+            driver.answer_leadership_checks(primary=new)
+        self.assertEqual(2, driver.state.term)
+        self.assertEqual(new, driver.state.proven_primary)
+
     def choose_after_u2(
         self, driver: support.Driver, **places: LogPosition
     ) -> str:
