Play again what a test that was taken out guarded against, as known red

With another proxy that vouches for the time since the start the replica is ordered; without one nobody is, for as long as the crashed primary is down.

--- a/topazring/core/synchronous/tests/test_acknowledgement_fence.py
+++ b/topazring/core/synchronous/tests/test_acknowledgement_fence.py
@@ -132,6 +132,51 @@
         self.assertEqual('u2', order.upstream)
 
 
+class NewPromoterTest(testtools.TestCase):
+    """A proxy starts while writes hang at the primary, which then crashes."""
+
+    def order_after(self, **known) -> list[messages.OrderPromotion]:
+        """Return the orders after all others reported 1.5 as acknowledged."""
+        driver = support.Driver()
+        driver.post(messages.RegistrationSeen(driver.now_ms + 10**9))
+        driver.list_upstreams()
+        driver.open_all()
+        driver.tick(60)
+        self.started_ms = driver.now_ms
+        for connection in driver.busy('u1'):
+            hanging = support.ok(place=LogPosition(1, 9))
+            driver.reply(connection, hanging, hanging)
+        driver.answer_leadership_checks()
+        self.assertEqual('u1', driver.state.proven_primary)
+        driver.post(messages.PromotionLeaseSeen(True, 100))
+        outs = failover_support.lose_primary(driver)
+        # The first order of a new lease holder names the present primary.
+        (fencing,) = support.orders(outs)
+        self.assertEqual('u1', fencing.upstream)
+        accepted = messages.OrderResult.ACCEPTED
+        driver.post(messages.PromotionOrdered('u1', fencing.token, accepted))
+        outs += failover_support.answer_control_commands(driver)
+        (query,) = queries(outs)
+        report = messages.AcknowledgementsReported(
+            query.token, True, LOG_END, self.started_ms, **known
+        )
+        outs = driver.post(report)
+        for _ in range(12):
+            outs += driver.tick(20)
+            driver.answer_leadership_checks(primary='')
+            outs += failover_support.answer_control_commands(driver)
+        return support.orders(outs)
+
+    def test_another_proxy_knows_the_log_to_be_complete(self):
+        """Guards against waiting for writes that no replica received."""
+        orders = self.order_after(complete_until_ms=10**6)
+        self.assertNotEqual([], orders)
+
+    def test_no_proxy_knows_it_since_the_start(self):
+        """Guards against no primary for as long as the crashed one is down."""
+        self.assertNotEqual([], self.order_after(complete_until_ms=0))
+
+
 class FencedTest(testtools.TestCase):
     """Another proxy promotes while this one serves writes."""
 
