Break a circle of imports: keep may_resume beside the promotion lease

acknowledgement_fence took may_resume from promotion_commands, which took attempts, which took covers from acknowledgement_fence. The predicate needs only the state of the lease and its orders.

--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -22,7 +22,7 @@
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import messages
-from topazring.core.synchronous import promotion_commands
+from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -127,7 +127,7 @@
     is_needed = (
         not state.holds_promotion_lease
         or state.promotion is not None
-        or not promotion_commands.may_resume(state)
+        or not promotion_lease.may_resume(state)
     )
     return [messages.FenceChecked(message.key, is_needed)]
 
--- a/topazring/core/synchronous/promotion_commands.py
+++ b/topazring/core/synchronous/promotion_commands.py
@@ -4,10 +4,11 @@
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import failure_detection
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
-__all__ = ['may_resume', 'resume_paused', 'send_commands']
+__all__ = ['resume_paused', 'send_commands']
 
 # A member that has not replied is sent the command again after this long, on
 # another connection.
@@ -74,26 +75,10 @@
     return connections.dial_beyond_share(state, now_ms, upstream)
 
 
-def may_resume(state: states.GroupState) -> bool:
-    """Return whether no promotion depends on members that are paused.
-
-    A primary that leads by its own entry alone may not reach a member, which
-    would then follow the replaced primary again. An earlier order may still be
-    carried out, or its upstream may lead unseen. Its choice is safe only while
-    the members that were paused for it remain paused.
-    """
-    return (
-        bool(state.primary)
-        and state.proven_primary == state.primary
-        and not state.needs_fencing
-        and not state.successor_gone
-    )
-
-
 def resume_paused(state: states.GroupState, now_ms: int) -> list:
     """Resume replication on every replica that an attempt had paused."""
     outs: list = []
-    if not may_resume(state):
+    if not promotion_lease.may_resume(state):
         return outs
     for name in sorted(state.paused):
         upstream = state.upstreams.get(name)
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -10,6 +10,7 @@
     'handle_fence_result',
     'handle_lease_change',
     'is_another_promoting',
+    'may_resume',
 ]
 
 # A leadership check is answered within a few ms and a promotion takes at least
@@ -66,6 +67,22 @@
     )
 
 
+def may_resume(state: states.GroupState) -> bool:
+    """Return whether no promotion depends on members that are paused.
+
+    A primary that leads by its own entry alone may not reach a member, which
+    would then follow the replaced primary again. An earlier order may still be
+    carried out, or its upstream may lead unseen. Its choice is safe only while
+    the members that were paused for it remain paused.
+    """
+    return (
+        bool(state.primary)
+        and state.proven_primary == state.primary
+        and not state.needs_fencing
+        and not state.successor_gone
+    )
+
+
 def fence_earlier_orders(state: states.GroupState, now_ms: int) -> list:
     """Fence off the orders of earlier lease holders.
 
