Keep ended terms fenced when a fence is released

What callers saw: an acknowledged write was gone, or was taken by a primary that had been replaced, at a proxy that reaches the old primary but not the new one.

Cause: a fenced proxy asks the lease holder whether a promotion is under way. Once the promotion has succeeded none is, so the fence was taken away, and the proxy, which had not learned of the new term, acknowledged writes of the old one on the word of a replica that still followed the old primary.

Ruled out: a report that lacks a position (the promoter's order covers all that was acknowledged before the fence).

The release names the newest term that the holder has seen, and writes of earlier terms stay fenced. A holder that promotes always knows its own term. An answer without a term counts as none.

--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -15,7 +15,9 @@
 Behind a partition some proxy does not answer, and no member is promoted.
 
 A fence ends with the start of a new term, or once the holder of the promotion
-lease reports that no promotion is under way.
+lease reports that no promotion is under way. It then still applies to terms
+before the newest one that the holder has seen: the promotion may have ended
+with a new primary that this proxy does not reach.
 """
 
 from topazring.core import log_positions
@@ -86,7 +88,7 @@
 def release(
     state: states.GroupState, now_ms: int, message: messages.FenceReleased
 ) -> list:
-    """End the fence if the lease holder was asked late enough.
+    """Limit the fence to ended terms if the holder was asked late enough.
 
     That is after the fence was last set and after this proxy was listed.
     """
@@ -94,7 +96,7 @@
         return []
     if message.asked_ms < state.registered_ms:
         return []
-    state.fence_term = 0
+    state.fence_term = message.term
     state.is_fence_checked = True
     return []
 
@@ -129,7 +131,7 @@
         or state.promotion is not None
         or not promotion_lease.may_resume(state)
     )
-    return [messages.FenceChecked(message.key, is_needed)]
+    return [messages.FenceChecked(message.key, is_needed, state.term)]
 
 
 def query_acknowledgements(
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -291,10 +291,12 @@
 class FenceReleased:
     """Report that no promotion requires a fence any more.
 
-    The lease holder was asked at `asked_ms`.
+    The lease holder was asked at `asked_ms`. Writes of terms before `term`
+    stay fenced: a promotion that has ended began it.
     """
 
     asked_ms: int
+    term: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -400,10 +402,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FenceChecked:
-    """Report whether acknowledgements must stay fenced."""
+    """Report whether acknowledgements must stay fenced.
+
+    `term` is the newest one that the lease holder has seen.
+    """
 
     key: int
     is_needed: bool
+    term: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -88,7 +88,7 @@
             self.post(proxy, messages.InstancesSeen(2, 8))
             self.send_list(proxy)
             self.renew_registration(proxy)
-            released = messages.FenceReleased(int(self.now_ms))
+            released = messages.FenceReleased(int(self.now_ms), self.term)
             self.post(proxy, released)
             self.at(TICK_MS, self.tick, proxy, self.now_ms)
         self.grant_lease('p1')
@@ -244,7 +244,7 @@
         """Release the fence of a proxy if none is needed."""
         asker, asked_ms = self.peer_queries.pop(out.key)
         if not out.is_needed:
-            released = messages.FenceReleased(asked_ms)
+            released = messages.FenceReleased(asked_ms, out.term)
             self.at(self.delay(), self.post, asker, released)
 
     def delay(self) -> float:
--- a/topazring/core/synchronous/tests/support.py
+++ b/topazring/core/synchronous/tests/support.py
@@ -92,7 +92,7 @@
     def ready(self, **more) -> 'Driver':
         """Reach a steady state: all connected, leadership proved."""
         self.post(messages.RegistrationSeen(self.now_ms + 10**9))
-        self.post(messages.FenceReleased(self.now_ms))
+        self.post(messages.FenceReleased(self.now_ms, 1))
         self.list_upstreams(**more)
         self.open_all()
         self.tick(40)
--- a/topazring/core/synchronous/tests/test_acknowledgement_fence.py
+++ b/topazring/core/synchronous/tests/test_acknowledgement_fence.py
@@ -238,7 +238,7 @@
         self.fence()
         self.assertIsNone(self.write())
         self.driver.tick(20)
-        outs = self.driver.post(messages.FenceReleased(self.driver.now_ms))
+        outs = self.driver.post(messages.FenceReleased(self.driver.now_ms, 1))
         (outcome,) = support.answers(outs).values()
         self.assertIsInstance(outcome, outcomes.Done)
 
@@ -247,9 +247,18 @@
         asked_ms = self.driver.now_ms
         self.driver.tick(20)
         self.fence()
-        self.driver.post(messages.FenceReleased(asked_ms))
+        self.driver.post(messages.FenceReleased(asked_ms, 1))
         self.assertIsNone(self.write())
 
+    def test_release_after_the_promotion(self):
+        """Guards against writes of the ended term at its old primary."""
+        self.fence()
+        self.assertIsNone(self.write(also=('u3',)))
+        self.driver.tick(20)
+        released = messages.FenceReleased(self.driver.now_ms, 2)
+        self.assertEqual({}, support.answers(self.driver.post(released)))
+        self.assertIsNone(self.write(also=('u3',)))
+
     def test_write_of_the_next_term(self):
         """Guards against a fence that outlives the promotion."""
         self.fence()
@@ -312,6 +321,13 @@
         """Guards against a fence that never ends."""
         self.assertFalse(self.is_needed(failover_support.make_lease_holder()))
 
+    def test_term(self):
+        """Guards against a release that does not say which term is over."""
+        driver = failover_support.make_lease_holder()
+        driver.state.term = 3
+        (checked,) = driver.post(messages.CheckFence(5))
+        self.assertEqual(3, checked.term)
+
     def test_promotion_under_way(self):
         """Guards against a release before the order is carried out."""
         driver = failover_support.make_lease_holder()
--- a/topazring/core/synchronous/tests/test_fence_gaps.py
+++ b/topazring/core/synchronous/tests/test_fence_gaps.py
@@ -193,7 +193,7 @@
         """Guards against a promotion that began before it was listed."""
         self.driver.state.is_fence_checked = False
         self.driver.post(messages.RegistrationSeen(0))
-        self.driver.post(messages.FenceReleased(self.driver.now_ms))
+        self.driver.post(messages.FenceReleased(self.driver.now_ms, 1))
         self.driver.tick(20)
         self.register(28_000)
         self.assertIsNone(write(self.driver))
--- a/topazring/pooler/acknowledgement_fences.py
+++ b/topazring/pooler/acknowledgement_fences.py
@@ -63,7 +63,7 @@
         """Record that what a group has acknowledged is known no longer."""
         self.without_group_since_ms = clock.boottime_ms()
 
-    async def check_fence(self, service: str) -> bool | None:
+    async def check_fence(self, service: str) -> messages.FenceChecked | None:
         """Return whether a promotion here needs a service's fence.
 
         Return None if another process may hold the promotion lease: its
@@ -73,16 +73,18 @@
         checked = None if group is None else await group.check_fence()
         if checked is None or not self.surely_holds():
             return None
-        return checked.is_needed
+        return checked
 
     async def _respond_with_fence(
         self, arguments: dict[str, str]
     ) -> bytes | None:
-        is_needed = await self.check_fence(arguments.get('service', ''))
-        if is_needed is None:
+        checked = await self.check_fence(arguments.get('service', ''))
+        if checked is None:
             return None
         return msgspec.msgpack.encode(
-            acknowledgement_reports.FenceAnswer(self.incarnation, is_needed)
+            acknowledgement_reports.FenceAnswer(
+                self.incarnation, checked.is_needed, checked.term
+            )
         )
 
     async def _respond_with_acknowledgements(
--- a/topazring/pooler/acknowledgement_reports.py
+++ b/topazring/pooler/acknowledgement_reports.py
@@ -76,6 +76,8 @@
 
     incarnation: str
     is_needed: bool
+    # The newest term that the holder has seen.
+    term: _Count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +98,7 @@
 
 
 CheckFence = collections.abc.Callable[
-    [str], collections.abc.Awaitable[bool | None]
+    [str], collections.abc.Awaitable[messages.FenceChecked | None]
 ]
 
 
@@ -240,15 +242,20 @@
             complete_until_ms,
         )
 
-    async def query_fence(self, service: str) -> int | None:
-        """Return when the lease holder was asked, if it needs no fence."""
+    async def query_fence(self, service: str) -> messages.FenceReleased | None:
+        """Return the release by the lease holder, if it needs no fence."""
         asked_ms = clock.boottime_ms()
-        is_needed = await self._ask_holder(service)
-        if is_needed is None:
+        checked = await self._ask_holder(service)
+        if checked is None:
             self.unanswered_fence_queries += 1
-        return asked_ms if is_needed is False else None
+            return None
+        if checked.is_needed:
+            return None
+        return messages.FenceReleased(asked_ms, checked.term)
 
-    async def _ask_holder(self, service: str) -> bool | None:
+    async def _ask_holder(
+        self, service: str
+    ) -> messages.FenceChecked | FenceAnswer | None:
         holder = promotion_leases.listed_holder(self.directory)
         if holder == self.incarnation:
             return await self.check_own_fence(service)
@@ -266,7 +273,7 @@
         answer = _decode(body, FenceAnswer)
         if answer is None or answer.incarnation != holder:
             return None
-        return answer.is_needed
+        return answer
 
     async def _fetch(
         self, address: str, path: str, arguments: dict[str, object]
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -81,7 +81,7 @@
         self.yield_lease = None
         # Returns what the other proxies have acknowledged, and fences them.
         self.query_acknowledgements = None
-        # Returns when the lease holder was asked, if it needs no fence.
+        # Returns the release of the fence, if the lease holder needs none.
         self.query_fence = None
 
     def start(self) -> None:
@@ -293,9 +293,9 @@
     async def _query_fence(self) -> None:
         if self.query_fence is None:
             return
-        asked_ms = await self.query_fence(self.service)
-        if asked_ms is not None:
-            self.post(messages.FenceReleased(asked_ms))
+        released = await self.query_fence(self.service)
+        if released is not None:
+            self.post(released)
 
     async def _tick_forever(self) -> None:
         before_ms = clock.boottime_ms()
--- a/topazring/pooler/tests/fake_core.py
+++ b/topazring/pooler/tests/fake_core.py
@@ -27,6 +27,7 @@
         self.created_ms_ago = 60_000
         self.complete_ms_ago: int | None = None
         self.needs_fence = False
+        self.term = 3
         # Checks get no answer.
         self.is_silent = False
 
@@ -46,7 +47,11 @@
                     )
                 ]
             case messages.CheckFence() if not self.is_silent:
-                return [messages.FenceChecked(message.key, self.needs_fence)]
+                return [
+                    messages.FenceChecked(
+                        message.key, self.needs_fence, self.term
+                    )
+                ]
         return []
 
     def of(self, kind: type) -> list:
--- a/topazring/pooler/tests/test_acknowledgement_reports.py
+++ b/topazring/pooler/tests/test_acknowledgement_reports.py
@@ -118,7 +118,9 @@
             for other in self.others:
                 other.close()
 
-    async def check_own_fence(self, service: str) -> bool | None:
+    async def check_own_fence(
+        self, service: str
+    ) -> messages.FenceChecked | None:
         """Return the next answer of this proxy's own group."""
         return self.own_answers.pop(0)
 
@@ -463,19 +465,21 @@
 class FenceTest(ReportsTestCase):
     """A fence ends only by the word of the present lease holder."""
 
-    async def query_fence(self) -> int | None:
+    async def query_fence(self) -> messages.FenceReleased | None:
         """Ask for group `s`."""
         return await self.reports.query_fence('s')
 
     def test_holder_needs_no_fence(self):
-        """The time before the call is reported."""
+        """The time before the call and the holder's term are reported."""
 
         async def steps():
             self.directory.set_holder(HOLDER)
             before_ms = clock.boottime_ms()
-            asked_ms = await self.query_fence()
-            self.assertBetweenTimes(before_ms, asked_ms)
             holder, other = self.others
+            holder.core.term = 7
+            released = await self.query_fence()
+            self.assertBetweenTimes(before_ms, released.asked_ms)
+            self.assertEqual(7, released.term)
             self.assertEqual(1, len(holder.core.of(messages.CheckFence)))
             self.assertEqual([], other.core.received)
 
@@ -532,6 +536,23 @@
 
         self.play(steps)
 
+    def test_answer_without_a_term(self):
+        """Guards against a release by a holder of an earlier version."""
+
+        async def steps():
+            self.directory.set_holder(HOLDER)
+
+            async def respond(arguments):
+                return encoded(HOLDER, False)
+
+            server = self.others[0].server
+            path = acknowledgement_reports.FENCE_PATH
+            server.responders[path] = respond
+            self.assertIsNone(await self.query_fence())
+            self.assertEqual(1, self.reports.unanswered_fence_queries)
+
+        self.play(steps)
+
     def test_restarted_holder(self):
         """The entry names an earlier process, which holds nothing now."""
 
@@ -562,9 +583,15 @@
 
         async def steps():
             self.directory.set_holder('p1-aaaaaaaa')
-            self.own_answers = [False, True, None]
+            self.own_answers = [
+                messages.FenceChecked(1, False, 4),
+                messages.FenceChecked(2, True, 4),
+                None,
+            ]
             before_ms = clock.boottime_ms()
-            self.assertBetweenTimes(before_ms, await self.query_fence())
+            released = await self.query_fence()
+            self.assertBetweenTimes(before_ms, released.asked_ms)
+            self.assertEqual(4, released.term)
             self.assertIsNone(await self.query_fence())
             self.assertIsNone(await self.query_fence())
             self.assertEqual(1, self.reports.unanswered_fence_queries)
--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -260,17 +260,18 @@
         self.play(steps)
 
     def test_release_is_posted_only_if_the_holder_answers(self):
-        """The core gets the time before the holder was asked."""
+        """The core gets the holder's release as it is."""
 
         async def steps():
+            released = messages.FenceReleased(40, 2)
             self.task.query_fence = mock.AsyncMock(return_value=None)
             await self.emit(messages.QueryFence())
             self.assertEqual([], self.core.of(messages.FenceReleased))
-            self.task.query_fence = mock.AsyncMock(return_value=40)
+            self.task.query_fence = mock.AsyncMock(return_value=released)
             await self.emit(messages.QueryFence())
             self.task.query_fence.assert_awaited_once_with('s')
             self.assertEqual(
-                [messages.FenceReleased(40)],
+                [released],
                 self.core.of(messages.FenceReleased),
             )
 
@@ -293,7 +294,7 @@
             (third,) = self.core.of(messages.CheckFence)
             self.assertEqual((7, 8), (first.term, second.term))
             outs = [
-                messages.FenceChecked(third.key, True),
+                messages.FenceChecked(third.key, True, 1),
                 *(
                     messages.AcknowledgementsFenced(
                         fence.key, log_positions.LogPosition(fence.term, 1), 9
--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -167,6 +167,7 @@
                 messages.QueryFence(), messages.FenceReleased
             )
             self.assertLessEqual(before_ms, released.asked_ms)
+            self.assertEqual(self.cores[1].term, released.term)
             self.assertEqual(2, len(self.cores[1].of(messages.CheckFence)))
 
         self.play(steps)
