End a simulated member once if two replacements remove it

The second removal does nothing now. No check is eased: the three walks that the test plays run to their final check and pass it.

--- a/topazring/core/synchronous/tests/test_fence_gaps.py
+++ b/topazring/core/synchronous/tests/test_fence_gaps.py
@@ -135,6 +135,11 @@
         """Guards against acknowledging writes of the one it replaced."""
         self.play(254, CUT_SPLITS)
 
+    def test_two_replacements_end_the_same_member(self):
+        """Guards against a walk that stops before its final check."""
+        for seed in (28, 114, 403):
+            self.play(seed, MIXED_SPLITS)
+
 
 class GrowingSplitTest(testtools.TestCase):
     """Test a split that takes the primary later than a replica."""
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -277,8 +277,11 @@
         """End a member that left; its log is lost.
 
         A primary that could not be replaced in time stays: the transfer of its
-        log to a successor is not simulated here.
+        log to a successor is not simulated here. Two replacements may end the
+        same member.
         """
+        if self.members.get(member.name) is not member:
+            return
         if member.role is Role.PRIMARY or member.is_down:
             self.at(RETRY_END_MS, self.remove_member, member)
             return
