Fence the owners of a group when its primary is replaced

What callers saw: acknowledged writes were gone after a promotion.

Cause: a replica that was paused for a promotion and restarts is not paused any more and says so. An owner that reaches it and the old primary, but not the ordered upstream, took that for no promotion and acknowledged what the replica confirmed.

Ruled out: the bound of departed members (none has departed), the report of the replica (it holds what it says).

A hand-over fences nobody.

--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -14,6 +14,9 @@
 ended is covered if the candidate holds a position that the primary had later.
 Behind a partition some proxy does not answer, and no member is promoted.
 
+Where the members alone show that a candidate is complete, nobody is waited
+for. The other owners of the group are fenced all the same.
+
 A fence ends with the start of a new term, or once the holder of the promotion
 lease reports that no promotion is under way. It then still applies to terms
 before the newest one that the holder has seen: the promotion may have ended
@@ -41,7 +44,8 @@
 # query is in vain for as long as that lasts.
 QUERY_INTERVAL_MS = 2000
 # How long a confirmed write waits for other members before the lease holder is
-# queried for a fence, and the interval between two such queries.
+# queried, unless a fence holds the write back.
+RELEASE_QUERY_AFTER_MS = 100
 RELEASE_QUERY_INTERVAL_MS = 100
 
 
@@ -110,8 +114,10 @@
         return []
     if now_ms - state.fence_queried_ms < RELEASE_QUERY_INTERVAL_MS:
         return []
+    is_fenced = state.fence_term > state.term
+    after_ms = 0 if is_fenced else RELEASE_QUERY_AFTER_MS
     if not any(
-        now_ms - confirmation.confirmed_ms >= RELEASE_QUERY_INTERVAL_MS
+        now_ms - confirmation.confirmed_ms >= after_ms
         for confirmation in confirmations.pending_confirmations(state)
     ):
         return []
--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -80,6 +80,8 @@
     reported_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     # When the condition that caused the attempt started.
     since_ms: int = 0
+    # Term for which the other owners of the group were fenced.
+    fenced_term: int = 0
     # Members that report leading an older term; they are demoted first.
     stale_primaries: set[str] = dataclasses.field(default_factory=set)
     # Members whose first reply to a pause has been logged.
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -14,6 +14,7 @@
     'CheckFence',
     'FenceAcknowledgements',
     'FenceChecked',
+    'FenceOwners',
     'FenceReleased',
     'QueryAcknowledgements',
     'QueryFence',
@@ -395,6 +396,16 @@
     complete_ms_ago: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceOwners:
+    """Fence the other owners of the group; nobody waits for their answers.
+
+    They are to stop acknowledging writes of terms before `term`.
+    """
+
+    term: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueryFence:
     """Query the lease holder for a fence; `FenceReleased` may follow."""
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -158,9 +158,10 @@
     ended = _end_if_finished(state, now_ms, attempt)
     if ended is not None:
         return ended
+    outs = _fence_owners(state, attempt)
     if attempt.chosen:
-        return _keep_paused(state, now_ms, attempt)
-    outs = promotion_order.request_list(now_ms, attempt)
+        return outs + _keep_paused(state, now_ms, attempt)
+    outs += promotion_order.request_list(now_ms, attempt)
     outs += promotion_commands.send_commands(state, now_ms, attempt)
     chosen = attempts.choose_primary(state, now_ms, attempt)
     unverified = attempts.position_to_verify(state, now_ms, attempt)
@@ -185,6 +186,23 @@
     )
 
 
+def _fence_owners(state: states.GroupState, attempt: attempts.Attempt) -> list:
+    """Fence the other owners once for each term that the attempt is to begin.
+
+    A paused replica that restarts is not paused any more and reports so. An
+    owner that reaches it, but not the ordered upstream, cannot detect the
+    promotion, and would acknowledge what that replica confirms. During a
+    hand-over writes go on, and what is acknowledged is in the successor's log.
+    """
+    if attempt.is_query_only or attempt.successor:
+        return []
+    if attempt.fenced_term >= attempt.term:
+        return []
+    attempt.fenced_term = attempt.term
+    state.counters['owners_fenced'] += 1
+    return [messages.FenceOwners(attempt.term)]
+
+
 def _query_acknowledgements(
     state: states.GroupState,
     now_ms: int,
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -10,6 +10,7 @@
 import itertools
 import random
 
+from topazring.core import log_positions
 from topazring.core import outcomes
 from topazring.core.synchronous import group
 from topazring.core.synchronous import messages
@@ -36,6 +37,8 @@
 RENEW_MS = 10_000
 # A proxy that does not answer another one's query is given up.
 PEER_TIMEOUT_MS = 250
+# Key of a fence whose answer nobody waits for.
+NO_KEY = 0
 # Time to read the list again, including the slowest answer.
 LIST_READ_MS = 10
 POLICIES = (
@@ -162,6 +165,8 @@
                 self.at(self.delay(), self.read_list, proxy, out)
             case messages.QueryAcknowledgements():
                 self.query_acknowledgements(proxy, out)
+            case messages.FenceOwners():
+                self.fence_owners(proxy, out)
             case messages.AcknowledgementsFenced():
                 self.report_acknowledgements(proxy, out)
             case messages.QueryFence():
@@ -215,10 +220,21 @@
         asked = messages.FenceAcknowledgements(key, out.term, out.position)
         self.at(self.delay(), self.post, other, asked)
 
+    def fence_owners(self, proxy: str, out: messages.FenceOwners) -> None:
+        """Fence the other proxy, if it can be reached."""
+        (other,) = [name for name in PROXIES if name != proxy]
+        if self.can_talk(proxy, other):
+            fence = messages.FenceAcknowledgements(
+                NO_KEY, out.term, log_positions.ORIGIN
+            )
+            self.at(self.delay(), self.post, other, fence)
+
     def report_acknowledgements(
         self, proxy: str, out: messages.AcknowledgementsFenced
     ) -> None:
         """Return what a proxy acknowledged to the one that queried it."""
+        if out.key == NO_KEY:
+            return
         asker, token = self.peer_queries.pop(out.key)
         reported = messages.AcknowledgementsReported(
             token,
--- a/topazring/pooler/acknowledgement_reports.py
+++ b/topazring/pooler/acknowledgement_reports.py
@@ -168,6 +168,41 @@
         )
         return reported
 
+    async def fence_owners(
+        self, service: str, term: int, owners: collections.abc.Set[str]
+    ) -> None:
+        """Fence the other owners of a group that are listed."""
+        began_ms = clock.boottime_ms()
+        arguments = AcknowledgementsQuery(service, term, 0, 0)
+        answers = await asyncio.gather(
+            *(
+                self._fetch_fenced(record, arguments)
+                for record in self.directory.listing.proxies.values()
+                if record.name in owners and record.name != self.name
+            )
+        )
+        self.log.emit(
+            'group',
+            'owners fenced',
+            service=service,
+            inputs={
+                'term': term,
+                'asked': len(answers),
+                'answered': sum(body is not None for body in answers),
+                'took_ms': clock.boottime_ms() - began_ms,
+            },
+        )
+
+    async def _fetch_fenced(
+        self, record: listings.ProxyRecord, arguments: AcknowledgementsQuery
+    ) -> bytes | None:
+        async with self.concurrent_calls:
+            return await self._fetch(
+                record.peer_address,
+                ACKNOWLEDGEMENTS_PATH,
+                msgspec.structs.asdict(arguments),
+            )
+
     def _summarize(
         self, token: int, store_answered: bool, answers: list[_Report | None]
     ) -> messages.AcknowledgementsReported:
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -81,6 +81,8 @@
         self.yield_lease = None
         # Returns what the other proxies have acknowledged, and fences them.
         self.query_acknowledgements = None
+        # Fences the other owners; does not return what they acknowledged.
+        self.fence_owners = None
         # Returns the release of the fence, if the lease holder needs none.
         self.query_fence = None
 
@@ -218,6 +220,9 @@
                     self.yield_lease(out.why)
             case messages.QueryAcknowledgements():
                 self._spawn(self._query_acknowledgements(out))
+            case messages.FenceOwners():
+                if self.fence_owners is not None:
+                    self._spawn(self.fence_owners(self.service, out.term))
             case messages.QueryFence():
                 self._spawn(self._query_fence())
             case messages.AcknowledgementsFenced() | messages.FenceChecked():
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -275,6 +275,7 @@
         group.read_upstream_list = self.directory.catch_up
         group.yield_lease = self.promotion_lease.yield_lease
         group.query_acknowledgements = self.reports.query_acknowledgements
+        group.fence_owners = self._fence_owners
         group.query_fence = self.reports.query_fence
         self.groups[service] = group
         group.start()
@@ -285,6 +286,12 @@
         self.fences.handle_group_created(group)
         return group
 
+    async def _fence_owners(self, service: str, term: int) -> None:
+        owned = self.router.ownerships.get(service)
+        if owned is not None:
+            names = {owner.name for owner in owned.owners}
+            await self.reports.fence_owners(service, term, names)
+
     def _drop_group(self, service: str) -> None:
         group = self.groups.pop(service, None)
         self.router.ownerships.pop(service, None)
--- a/topazring/pooler/tests/test_acknowledgement_reports.py
+++ b/topazring/pooler/tests/test_acknowledgement_reports.py
@@ -418,6 +418,31 @@
 
         self.play(steps, others=1)
 
+    def test_owners_are_fenced(self):
+        """Guards against owners that do not notice a promotion."""
+
+        async def steps():
+            await self.reports.fence_owners('s', 7, {'p1', 'p3', 'gone'})
+            owner = self.others[1]
+            (fence,) = owner.core.of(messages.FenceAcknowledgements)
+            self.assertEqual(7, fence.term)
+            self.assertEqual([], self.others[0].core.received)
+            inputs = self.last_inputs()
+            self.assertEqual((1, 1), (inputs['asked'], inputs['answered']))
+
+        self.play(steps)
+
+    def test_owner_that_does_not_answer(self):
+        """The other owners are fenced all the same."""
+
+        async def steps():
+            self.others[0].close()
+            await self.reports.fence_owners('s', 7, {'p2', 'p3'})
+            inputs = self.last_inputs()
+            self.assertEqual((2, 1), (inputs['asked'], inputs['answered']))
+
+        self.play(steps)
+
     def test_group_created_after_its_service_was_asked(self):
         """Guards against acknowledgements after an answer that had none."""
 
--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -12,6 +12,7 @@
 from topazring.core import log_positions
 from topazring.core import revisions
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import ownership
 from topazring.plumbing import clock
 from topazring.pooler import directory as directories
 from topazring.pooler import group_task
@@ -147,6 +148,29 @@
 
         self.play(steps)
 
+    def test_other_owners_are_fenced(self):
+        """Guards against owners that do not notice a promotion."""
+
+        async def steps():
+            await self.poolers[0].directory.read_store_now()
+            names = ('p1', 'p2')
+            owners = ownership.Ownership(
+                tuple(ownership.Proxy(name, 'cork') for name in names)
+            )
+            self.poolers[0].router.ownerships['s'] = owners
+            self.groups[0].post(fake_core.Emit(messages.FenceOwners(7)))
+            other = self.cores[1]
+            await fleet.until(
+                lambda: other.of(messages.FenceAcknowledgements), 1.0
+            )
+            (fence,) = other.of(messages.FenceAcknowledgements)
+            self.assertEqual(7, fence.term)
+            self.assertEqual(
+                [], self.cores[0].of(messages.FenceAcknowledgements)
+            )
+
+        self.play(steps)
+
     def test_release_by_the_other_process(self):
         """Its group is asked, and it must still hold the lease."""
 
