Handle signals from the first line of a program to its exit

What callers saw: a SIGHUP within the first half second or so of a process ended it, exit -1, and a proxy that had just been started was gone. A stop as early ended it by the signal (-15, -2) instead of with 0. topazring-proxy and topazring-standin had no handler for SIGHUP, so it ended them at any time. A SIGHUP after the loop had closed made the exit code -1 as well.

Cause: the handlers were set when the loop ran, after all imports. Before that, and again once the loop had been closed, Python's defaults held.

SIGHUP is blocked, so the kernel keeps it until the loop can take it. A stop exits at once, as nothing has been started. The loop takes over and hands back by calls of signal.signal, so that the default is in force at no time between. Nothing is installed on import, as the test runner imports every module.

--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -6,7 +6,6 @@
 import itertools
 import resource
 import secrets
-import signal
 
 from topazring.core import outcomes
 from topazring.core.synchronous import forwarding
@@ -16,6 +15,7 @@
 from topazring.core.synchronous import request_queues
 from topazring.core.synchronous import state as states
 from topazring.plumbing import clock
+from topazring.plumbing import early_signals
 from topazring.plumbing import events
 from topazring.pooler import acknowledgement_fences
 from topazring.pooler import acknowledgement_reports
@@ -398,20 +398,19 @@
     """Run until a signal to stop; a second signal exits at once."""
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_requested.set)
     pooler = Pooler(config, adapter)
-    loop.add_signal_handler(signal.SIGHUP, pooler.reload)
-    await pooler.start()
-    # Imported objects stay for good; collecting them repeatedly costs time.
-    gc.freeze()
-    await stop_requested.wait()
-    stop_requested.clear()
-    draining = asyncio.create_task(shutdown.drain(pooler))
-    second_signal = asyncio.create_task(stop_requested.wait())
-    await asyncio.wait(
-        {draining, second_signal}, return_when=asyncio.FIRST_COMPLETED
-    )
-    draining.cancel()
-    second_signal.cancel()
-    await pooler.close()
+    with early_signals.handled(loop, stop_requested.set, pooler.reload):
+        await pooler.start()
+        # Imported objects stay for good; collecting them repeatedly costs
+        # time.
+        gc.freeze()
+        await stop_requested.wait()
+        stop_requested.clear()
+        draining = asyncio.create_task(shutdown.drain(pooler))
+        second_signal = asyncio.create_task(stop_requested.wait())
+        await asyncio.wait(
+            {draining, second_signal}, return_when=asyncio.FIRST_COMPLETED
+        )
+        draining.cancel()
+        second_signal.cancel()
+        await pooler.close()
