Order no replaced primary whose successor is gone on its own log

What callers saw: acknowledged writes were gone after the list lost the entry of the member that leads.

Cause: for a primary whose writes hang its own log is complete, and it may lead again. Both were applied as well to one that was replaced, if its successor is listed no more.

Once a chosen successor is gone nobody's own log is complete, and the replaced primary is a candidate like all others, for what all proxies report.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -114,8 +114,11 @@
     It is the primary of the newest term: it confirmed no writes of others, so
     its own entries are held by another member or not acknowledged. An upstream
     that only the list names, after another has proved to lead, may be one that
-    was replaced and confirms the writes of its successor.
+    was replaced and confirms the writes of its successor. If a successor was
+    chosen and is gone, its writes are not in the log of the one before.
     """
+    if state.successor_gone:
+        return ''
     if state.proven_primary in ('', state.last_primary):
         return state.last_primary
     return ''
@@ -306,7 +309,9 @@
         or not is_enough
         or _may_hold_exclusively(state, attempt, highest)
     ):
-        return attempt.old_primary if attempt.unconfirmed else ''
+        # Its writes hang, so that its log holds all acknowledged ones.
+        holds_all = attempt.unconfirmed and not state.successor_gone
+        return attempt.old_primary if holds_all else ''
     eligible = [name for name in others if others[name] == highest]
     staying = [n for n in eligible if not state.upstreams[n].leaving]
     return min(
--- /dev/null
+++ b/topazring/core/synchronous/tests/test_successor_gone.py
@@ -0,0 +1,120 @@
+"""Test promotions after the successor of the last primary is gone."""
+
+import testtools
+
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous.tests import failover_support
+from topazring.core.synchronous.tests import proof_support
+from topazring.core.synchronous.tests import support
+
+LogPosition = support.Place
+# The log of the replicas at the order.
+LOG_END = LogPosition(1, 5)
+REFUSED = proof_support.REFUSED
+# Where the log of a replaced primary ends that followed its successor.
+REPLACED_END = LogPosition(2, 35)
+
+
+class ReplacedPrimaryTest(testtools.TestCase):
+    """The entry of the member that leads is gone; the replaced one answers.
+
+    Its log ends at 2.35, since it followed its successor for a while.
+    """
+
+    def setUp(self):
+        """Depose the primary once the list lacks its successor."""
+        super().setUp()
+        self.driver = failover_support.make_lease_holder()
+        self.driver.list_upstreams(primary='u2', revision=2)
+        self.driver.list_upstreams(primary='', names=('u1',), revision=3)
+        self.assertTrue(self.driver.state.successor_gone)
+        self.outs = []
+        for _ in range(20):
+            self.outs += self.driver.tick(20)
+            self.driver.open_all(REPLACED_END)
+            self.answer()
+
+    def answer(self) -> None:
+        """Have the replaced primary answer as a replica of term 2."""
+        for connection in self.driver.busy('u1'):
+            command = connection.commands[0]
+            answer = support.report(
+                received=REPLACED_END,
+                term=2,
+                held_term=getattr(command, 'term', 0),
+            )
+            if connection.purpose is states.Purpose.LEADERSHIP_CHECK:
+                self.outs += self.driver.reply(
+                    connection, REFUSED, support.ok(place=REPLACED_END)
+                )
+            else:
+                self.outs += self.driver.reply(connection, answer)
+
+    def orders_after(self, **report) -> list[str]:
+        """Return who is ordered once the other proxies have reported."""
+        (query,) = [
+            out
+            for out in self.outs
+            if isinstance(out, messages.QueryAcknowledgements)
+        ]
+        self.outs += self.driver.post(
+            messages.AcknowledgementsReported(query.token, **report)
+        )
+        for _ in range(12):
+            self.outs += self.driver.tick(20)
+            self.answer()
+        return [order.upstream for order in support.orders(self.outs)]
+
+    def test_order_before_the_report(self):
+        """Guards against an order that does not wait for its own query."""
+        self.assertEqual([], support.orders(self.outs))
+
+    def test_proxy_that_acknowledged_more(self):
+        """Guards against a loss of what the successor has acknowledged."""
+        position = LogPosition(2, 38)
+        ordered = self.orders_after(complete=True, position=position)
+        self.assertEqual([], ordered)
+
+    def test_proxy_that_does_not_answer(self):
+        """Guards against the same at a proxy that is out of reach."""
+        self.assertEqual([], self.orders_after(complete=False))
+
+    def test_log_that_holds_all_acknowledged_writes(self):
+        """Guards against a group without a primary."""
+        ordered = self.orders_after(
+            complete=True, position=REPLACED_END, complete_until_ms=10**6
+        )
+        self.assertEqual(['u1'], ordered[:1])
+
+
+class OrderedMemberTest(testtools.TestCase):
+    """The entry of an ordered member is gone; all others answer."""
+
+    def test_all_others_report(self):
+        """Guards against a group without a primary: nobody confirms for it."""
+        driver = failover_support.make_lease_holder()
+        failover_support.lose_primary(driver)
+        (order,) = support.orders(
+            failover_support.answer_control_commands(driver)
+        )
+        self.assertEqual('u2', order.upstream)
+        accepted = messages.OrderResult.ACCEPTED
+        driver.post(messages.PromotionOrdered('u2', order.token, accepted))
+        driver.tick(20)
+        driver.list_upstreams(names=('u1', 'u3'), revision=2)
+        outs = []
+        for _ in range(150):
+            outs += driver.tick(20)
+            driver.open_all()
+            outs += driver.answer_leadership_checks()
+            outs += failover_support.answer_control_commands(driver)
+            for out in list(outs):
+                if isinstance(out, messages.QueryAcknowledgements):
+                    outs.remove(out)
+                    outs += driver.post(
+                        messages.AcknowledgementsReported(
+                            out.token, True, LOG_END, 0, 10**6
+                        )
+                    )
+        self.assertEqual(['u3'], [o.upstream for o in support.orders(outs)])
