--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -114,10 +114,10 @@
     It is the primary of the newest term: it confirmed no writes of others, so
     its own entries are held by another member or not acknowledged. An upstream
     that only the list names, after another has proved to lead, may be one that
-    was replaced and confirms the writes of its successor. If a successor was
-    chosen and is gone, its writes are not in the log of the one before.
+    was replaced and confirms the writes of its successor. If a successor led
+    and is gone, its writes are not in the log of the one before.
     """
-    if state.successor_gone:
+    if state.successor_gone and state.successor_led:
         return ''
     if state.proven_primary in ('', state.last_primary):
         return state.last_primary
--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -304,9 +304,12 @@
     ]
 
 
-def note_successor_gone(state: states.GroupState, now_ms: int) -> None:
+def note_successor_gone(
+    state: states.GroupState, now_ms: int, has_led: bool = False
+) -> None:
     """Record that the successor of the last primary may lead unseen."""
     state.successor_gone = True
+    state.successor_led = has_led
     note_term_ended(state, now_ms, state.term)
 
 
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -62,7 +62,7 @@
     upstream = state.upstreams.pop(name)
     if proofs.contests_leadership(state, upstream):
         # Its own log may have been the only evidence of its term.
-        confirmations.note_successor_gone(state, now_ms)
+        confirmations.note_successor_gone(state, now_ms, has_led=True)
     elif name == state.primary != state.proven_primary:
         # Only the list has shown its term.
         confirmations.note_term_ended(state, now_ms, state.term)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -293,6 +293,8 @@
     primary_since_ms: int = NEVER_MS
     # The chosen successor of the last primary is no longer listed.
     successor_gone: bool = False
+    # It was seen to lead, or listed as the primary.
+    successor_led: bool = False
     # The newest term known to have ended, because a successor was chosen, and
     # when this was recorded.
     ended_term: int = 0
