Log what holds the connections of a soak's upstreams

A soak that ended with connection_limit told only that proxies were refused. Once a second its own log now counts, for each member, the connections that it accepted, those of them that the client has closed, the commits that wait for a replica, and the connections of its link by mode and by the process that opened them.

--- a/topazring/platform/tests/soak_links.py
+++ b/topazring/platform/tests/soak_links.py
@@ -1,6 +1,7 @@
 """Run the links of a soak test, and split them into two sides."""
 
 import asyncio
+import collections
 import collections.abc
 
 from topazring.bench import ports
@@ -76,6 +77,15 @@
         for pipe in lost:
             pipe.set_modes(Mode.PASS, Mode.DROP)
 
+    def count_clients(
+        self, pipes: collections.abc.Iterable[link_faults.Pipe]
+    ) -> collections.Counter[str]:
+        """Count connections by client, '' for those that it has closed."""
+        names = soak_clients.names_by_inode(self.process_ids())
+        return collections.Counter(
+            _client(names, pipe.caller) for pipe in pipes
+        )
+
     # ---- splits ----
 
     def split(self, far: collections.abc.Iterable[str]) -> None:
--- a/topazring/platform/tests/soak_stage.py
+++ b/topazring/platform/tests/soak_stage.py
@@ -21,6 +21,7 @@
 HOST = '127.0.0.1'
 LEASE_TICK_S = 0.05
 POLL_INTERVAL_S = 1.0
+COUNT_INTERVAL_S = 1.0
 MAX_FAILED_PROBES = 2
 PROBE_INTERVAL_S = 0.25
 PROBE_TIMEOUT_S = 0.8
@@ -200,6 +201,7 @@
         await self.upstreams.start()
         await asyncio.gather(*(each.start() for each in self.instances))
         work = [self.store.end_leases(), self._probe_forever()]
+        work.append(self._count_connections())
         work += [self._balance(proxy) for proxy in self.instances]
         self.tasks = [asyncio.create_task(each) for each in work]
         self.rotation = list(self.instances)
@@ -352,6 +354,13 @@
             probed = (now, asked_ms, proxy.name, version, taken)
             self.oracle.note(observations.Probed(*probed))
 
+    async def _count_connections(self) -> None:
+        """Log what holds connections, so that a refusal can be explained."""
+        while True:
+            counts = self.upstreams.connection_counts()
+            self._log('connections', 'upstreams', **counts)
+            await asyncio.sleep(COUNT_INTERVAL_S)
+
     # ---- faults ----
 
     async def disturb(
@@ -411,10 +420,10 @@
             self.links.heal()
             self._log('healed', members=members)
 
-    def _log(self, event: str, **inputs) -> None:
+    def _log(self, event: str, part: str = 'splits', **inputs) -> None:
         """Add a line to the soak's own log, beside those of the proxies."""
         now_ms = int(time.time() * 1000)
-        line = {'time_ms': now_ms, 'process': 'soak', 'part': 'splits'}
+        line = {'time_ms': now_ms, 'process': 'soak', 'part': part}
         line |= {'event': event, 'inputs': inputs}
         with open(self.log, 'a') as log:
             print(json.dumps(line), file=log)
--- a/topazring/platform/tests/soak_upstreams.py
+++ b/topazring/platform/tests/soak_upstreams.py
@@ -1,6 +1,7 @@
 """Replace, list and disturb the upstreams of a soak test."""
 
 import asyncio
+import collections
 import collections.abc
 import random
 
@@ -77,6 +78,34 @@
             self.listing.add(task)
             task.add_done_callback(self.listing.discard)
 
+    def connection_counts(self) -> dict[str, dict]:
+        """Count what holds connections to each member.
+
+        A member counts a connection until it is done with it: one that its
+        client has closed remains while its commit waits for a replica.
+        """
+        counts = {}
+        for member in self.group.members:
+            server = self.group.servers.get(member.name)
+            streams = server.streams if server else ()
+            link = self.links.links.get(member.name)
+            pipes = link.pipes if link else ()
+            modes = collections.Counter(
+                '/'.join(pipe.modes.values()) for pipe in pipes
+            )
+            counts[member.name] = {
+                'role': member.role,
+                'term': member.term,
+                'position': member.position_text(len(member.log)),
+                'down': member.is_down,
+                'accepted': len(streams),
+                'closed_by_client': sum(each.closed() for each in streams),
+                'unconfirmed': [each[:2] for each in member.waiting],
+                'forwarded': dict(modes),
+                'opened_by': dict(self.links.count_clients(pipes)),
+            }
+        return counts
+
     def promote(self, service: str, name: str) -> bool:
         """Record and carry out an order that the store has accepted."""
         order = self.store.orders[-1]
