Fill a primary with hanging writes, as known red

The test does that in this order: the holder of the lease pauses the replicas, its order is not carried out, the primary returns and its writes hang. The upstream counts their connections also after the proxies closed them: 23 accepted, 23 hung, none of a proxy, to the end. A new holder of the lease gets no proof, so it neither fences nor resumes the replicas, and a primary that refuses for its limit does not count as lost.

--- a/topazring/soak/tests/test_soak.py
+++ b/topazring/soak/tests/test_soak.py
@@ -16,6 +16,7 @@
 from topazring.bench import ports
 from topazring.platform.tests import soak_stage
 from topazring.platform.tests import support
+from topazring.soak import faults
 from topazring.soak import report
 from topazring.soak import schedules
 from topazring.soak import soaks
@@ -31,6 +32,22 @@
 EXIT_TIMEOUT_S = 20.0
 # Longer than a process on a busy machine takes to find its port in use.
 EXIT_AT_START_S = 8.0
+# The primary is silent until the replicas are paused. Without the store the
+# order is not carried out, and the writes of the primary hang once it is back.
+HANGING_WRITES = schedules.Schedule(
+    seed=0,
+    seconds=9.0,
+    families=('service', 'signals', 'upstreams'),
+    promote_ms=300,
+    callers=16,
+    rest_scale=1.0,
+    steps=(
+        faults.Step(4000, 'silence', 0.0, 900, 0),
+        faults.Step(4100, 'down', 0.0, 4000, 0),
+    ),
+)
+# All connections to the primary are in use by then.
+FULL_AFTER_S = 3.6
 
 
 class SoakTest(testtools.TestCase):
@@ -73,6 +90,46 @@
         self.assertIn('Address already in use', str(raised))
 
 
+class FullPrimaryTest(testtools.TestCase):
+    """A primary whose connections are all held by hanging writes recovers."""
+
+    def test_lease_holder_is_killed(self):
+        """Guards against paused replicas that nobody resumes any more."""
+
+        def lease_holder(stage):
+            holder = stage.store.orders[-1]['holder'].partition('-')[0]
+            names = [each.name for each in stage.instances]
+            choice = (names.index(holder) + 0.5) / PROXIES
+            return faults.Step(0, 'kill', choice, 0, 100)
+
+        self.recovers(lease_holder)
+
+    def test_all_proxies_are_killed(self):
+        """Guards against the same where no proxy has seen the writes."""
+        self.recovers(lambda stage: faults.Step(0, 'kill_all', 0.0, 0, 100))
+
+    def recovers(self, choose_step) -> None:
+        """Inject another fault once the primary is full; check the end."""
+        with tempfile.TemporaryDirectory() as folder:
+            stage = soak_stage.Stage(HANGING_WRITES, PROXIES, folder)
+            outcome = asyncio.run(self.play(stage, choose_step))
+            text = report.render(outcome, stage.logs())
+            self.assertEqual([], outcome.violations, text)
+            self.assertEqual([], outcome.failed, text)
+
+    async def play(self, stage, choose_step) -> soaks.Outcome:
+        async def inject_when_full():
+            while not stage.store.is_away:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(FULL_AFTER_S)
+            await faults.inject(stage, choose_step(stage))
+
+        outcome, _ = await asyncio.gather(
+            soaks.run_schedule(stage, HANGING_WRITES), inject_when_full()
+        )
+        return outcome
+
+
 class InterruptionTest(testtools.TestCase):
     """An interrupted soak leaves none of its processes running."""
 
