Log requests that are unanswered after their time limit

No log could tell where they waited: in this process, at another owner, or on a link. Once a second each that is a second past its limit is now logged with the owner it waits for and the state of the link to it. Sight only; the fault isn't traced.

--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -98,6 +98,8 @@
         self.reader = host.codec.reader(host.message_bytes())
         self.pending: collections.deque[ports.CallerItem] = collections.deque()
         self.session: sessions.Session | None = None
+        # The request that this process or another one serves.
+        self.request: messages.Request | None = None
         self.busy = False
         self.idle_since_ms = clock.boottime_ms()
         dialling.enable_keepalive(stream.socket)
@@ -270,7 +272,9 @@
                 self._withdraw(transaction_before.policy, result.ends)
             outcome = result.outcome
         else:
+            self.request = result
             outcome = await self.host.run(result)
+            self.request = None
             sessions.record_outcome(session, result, outcome)
         took_ms = clock.boottime_ms() - began_ms
         self.host.note(str(statement.verb), outcome, took_ms)
--- a/topazring/pooler/hop.py
+++ b/topazring/pooler/hop.py
@@ -54,6 +54,15 @@
             task.cancel()
         self._close_stream()
 
+    def describe(self) -> dict[str, object]:
+        """Return the state of the link, as inputs of a log line."""
+        return {
+            'is_connecting': self.connecting is not None,
+            'is_open': self.stream is not None and not self.stream.closed(),
+            'pending': len(self.pending),
+            'silent_ms': clock.boottime_ms() - self.last_received_ms,
+        }
+
     async def send_request(
         self,
         request: messages.Request,
--- /dev/null
+++ b/topazring/pooler/overdue_report.py
@@ -0,0 +1,71 @@
+"""Log the requests that are unanswered after their time limit.
+
+Each request is answered by its deadline. One that is not would leave no other
+trace than its caller, which waits.
+"""
+
+import asyncio
+import typing
+
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import caller_task
+from topazring.pooler import router
+
+__all__ = ['OverdueReport']
+
+PERIOD_S = 1.0
+# A process that was paused, and one that is busy, answer this late at times.
+LATE_MS = 1000
+
+
+class Host(typing.Protocol):
+    """Parts of a process that the report reads."""
+
+    log: events.EventLog
+    callers: set[caller_task.CallerTask]
+    router: router.Router
+
+
+class OverdueReport:
+    """Log once a second which requests are overdue, and where they wait."""
+
+    def __init__(self, host: Host):
+        self.host = host
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start the timer."""
+        self.task = asyncio.create_task(self._report_forever())
+
+    def close(self) -> None:
+        """Stop the timer."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def _report_forever(self) -> None:
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            self.report()
+
+    def report(self) -> None:
+        """Log each request that is overdue."""
+        now_ms = clock.boottime_ms()
+        for caller in self.host.callers:
+            request = caller.request
+            if request is None:
+                continue
+            late_ms = now_ms - request.arrived_ms - request.policy.timeout_ms
+            if late_ms < LATE_MS:
+                continue
+            self.host.log.emit(
+                'session',
+                'answer overdue',
+                request.statement.request_id,
+                request.policy.service,
+                {
+                    'late_ms': late_ms,
+                    'verb': str(request.statement.verb),
+                    **self.host.router.describe_wait(request.key),
+                },
+            )
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -27,6 +27,7 @@
 from topazring.pooler import hop_server
 from topazring.pooler import membership
 from topazring.pooler import metrics as metric_sets
+from topazring.pooler import overdue_report
 from topazring.pooler import peers
 from topazring.pooler import ports
 from topazring.pooler import probes
@@ -126,6 +127,7 @@
         self.probe_server = probes.Server(
             adapter.ready_path, self.ready, self._render_metrics
         )
+        self.overdue_report = overdue_report.OverdueReport(self)
 
     async def start(self) -> None:
         """Start all parts and listen."""
@@ -147,6 +149,7 @@
             self.hop_server.start_at(self.config.hop_address)
         self.probe_server.start(self.config.ready_address)
         self.caller_server.start_at(self.config.caller_address)
+        self.overdue_report.start()
 
     # ---- callers ----
 
@@ -372,6 +375,7 @@
         self.hop_server.close()
         self.directory.close()
         self.reports.close()
+        self.overdue_report.close()
         try:
             async with asyncio.timeout(CLOSE_S):
                 await self.membership.close()
--- a/topazring/pooler/router.py
+++ b/topazring/pooler/router.py
@@ -76,6 +76,8 @@
         self.ownerships: dict[str, ownership.Ownership] = {}
         # Owner of each open transaction: THIS_PROXY or a proxy's name.
         self.transaction_owners: dict[int, str] = {}
+        # Owner that each request waits for, by its key.
+        self.awaited_owners: dict[int, str] = {}
         self.turns = itertools.count()
         self.forwarded = 0
         self.closed = False
@@ -166,8 +168,27 @@
             return forwarding.lost_link_outcome(request, answer)
         return answer
 
+    def describe_wait(self, key: int) -> dict[str, object]:
+        """Return what a request waits for, as inputs of a log line."""
+        owner = self.awaited_owners.get(key)
+        if owner is None:
+            return {'owner': 'none'}
+        if owner == forwarding.THIS_PROXY:
+            return {'owner': 'this process'}
+        peer = self.peers.get(owner)
+        return {'owner': owner, **(peer.link.describe() if peer else {})}
+
     async def _send(
         self, owner: str, request: messages.Request
+    ) -> outcomes.Outcome | forwarding.LinkLost:
+        self.awaited_owners[request.key] = owner
+        try:
+            return await self._exchange(owner, request)
+        finally:
+            del self.awaited_owners[request.key]
+
+    async def _exchange(
+        self, owner: str, request: messages.Request
     ) -> outcomes.Outcome | forwarding.LinkLost:
         if owner == forwarding.THIS_PROXY:
             return await self.local.serve_locally(request)
