Let the report of all proxies decide over what a primary has shown

What callers saw: no primary, though a replica holds all acknowledged writes.

Cause: the place at which a primary was first seen to lead, and what it showed a second before its loss, count as acknowledged and are required of the next one. They are upper estimates; all proxies, which know, were asked only where members had departed.

A complete report decides now, as it does for departed members; without one the estimates hold as before.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -302,13 +302,7 @@
         return attempt.successor if is_caught_up and is_complete else ''
     others = {name: positions[name] for name in reporting if name != lost}
     highest = max(others.values(), default=log_positions.ORIGIN)
-    is_complete = _is_complete(state, attempt, highest)
-    is_enough = is_complete and highest >= _min_position(state, attempt)
-    if (
-        not others
-        or not is_enough
-        or _may_hold_exclusively(state, attempt, highest)
-    ):
+    if not others or not _holds_acknowledged(state, attempt, highest):
         # Its writes hang, so that its log holds all acknowledged ones.
         holds_all = attempt.unconfirmed and not state.successor_gone
         return attempt.old_primary if holds_all else ''
@@ -320,6 +314,25 @@
     )
 
 
+def _holds_acknowledged(
+    state: states.GroupState,
+    attempt: Attempt,
+    position: log_positions.LogPosition,
+) -> bool:
+    """Return whether a log surely holds all acknowledged writes.
+
+    What the members show is an upper estimate: writes that were in a log for a
+    while may hang and not be acknowledged. What all proxies report is exact.
+    """
+    if acknowledgement_fence.covers(state, attempt.acknowledgements, position):
+        return True
+    return (
+        _is_complete(state, attempt, position)
+        and position >= _min_position(state, attempt)
+        and not _may_hold_exclusively(state, attempt, position)
+    )
+
+
 def _holds_known_writes(
     state: states.GroupState, position: log_positions.LogPosition
 ) -> bool:
@@ -375,7 +388,7 @@
 def position_to_verify(
     state: states.GroupState, now_ms: int, attempt: Attempt
 ) -> log_positions.LogPosition | None:
-    """Return the longest log if only departed members prevent its choice.
+    """Return the longest log if what others may hold prevents its choice.
 
     A hand-over is not concerned: its primary reports what they may hold.
     """
@@ -389,7 +402,8 @@
         (attempt.reports[n].received for n in reporting if n != lost),
         default=log_positions.ORIGIN,
     )
-    return None if _is_complete(state, attempt, longest) else longest
+    is_known = _holds_acknowledged(state, attempt, longest)
+    return None if is_known else longest
 
 
 def _may_hold_exclusively(
--- a/topazring/core/synchronous/tests/test_acknowledgement_fence.py
+++ b/topazring/core/synchronous/tests/test_acknowledgement_fence.py
@@ -106,6 +106,54 @@
         self.assertEqual(1, len(support.orders(self.report())))
 
 
+class LateAcceptanceTest(testtools.TestCase):
+    """A primary had written for a while when this proxy saw that it leads.
+
+    All that its log held then counts as acknowledged; replicas may lack some.
+    """
+
+    def setUp(self):
+        """Lose the primary."""
+        super().setUp()
+        self.driver = failover_support.make_lease_holder()
+        self.driver.state.acknowledged = LogPosition(1, 9)
+        outs = failover_support.lose_primary(self.driver)
+        outs += failover_support.answer_control_commands(self.driver)
+        self.assertEqual([], support.orders(outs))
+        (self.query,) = queries(outs)
+
+    def orders_after(self, **report) -> list[messages.OrderPromotion]:
+        """Return the orders after all other proxies have reported."""
+        reported = messages.AcknowledgementsReported(
+            self.query.token, **report
+        )
+        return support.orders(self.driver.post(reported))
+
+    def test_nothing_more_was_acknowledged(self):
+        """Guards against no primary for as long as the lost one is down."""
+        (order,) = self.orders_after(complete=True, position=LOG_END)
+        self.assertIn(order.upstream, ('u2', 'u3'))
+
+    def test_more_was_acknowledged(self):
+        """Guards against promoting a log that lacks it."""
+        acknowledged = LogPosition(1, 6)
+        orders = self.orders_after(complete=True, position=acknowledged)
+        self.assertEqual([], orders)
+
+    def test_proxy_that_does_not_answer(self):
+        """Guards against the same where a proxy cannot tell."""
+        self.assertEqual([], self.orders_after(complete=False))
+
+    def test_proxy_that_ended_since(self):
+        """Guards against the same where a proxy's word is lost with it."""
+        orders = self.orders_after(
+            complete=True,
+            position=LOG_END,
+            covered_since_ms=self.driver.now_ms,
+        )
+        self.assertEqual([], orders)
+
+
 class AllLeftTest(testtools.TestCase):
     """The primary and a replica announced to leave, and are gone."""
 
