Drop what all proxies reported once the term is raised

Cause: a proxy that answers stops acknowledging writes of terms below the queried one. When a member showed a newer term, the attempt was raised above it and the members' reports were discarded, but the report of the proxies was kept, although these go on acknowledging writes of the term between.

Found elsewhere: a demotion answered by a primary of a newer term raised the term and kept the members' reports as well.

A single function raises the term and discards both. A report names the term of its query, so one that was under way does not count, and a higher term is queried at once, not after QUERY_INTERVAL_MS.

Tests that construct a report name its term now.

--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -161,9 +161,11 @@
     position: log_positions.LogPosition,
 ) -> list:
     """Fence all proxies and query what they have acknowledged."""
-    if now_ms - state.acknowledgements_queried_ms < QUERY_INTERVAL_MS:
+    is_recent = now_ms - state.acknowledgements_queried_ms < QUERY_INTERVAL_MS
+    if is_recent and term <= state.acknowledgements_queried_term:
         return []
     state.acknowledgements_queried_ms = now_ms
+    state.acknowledgements_queried_term = term
     state.counters['acknowledgements_queried'] += 1
     _set_fence(state, now_ms, term)
     return [messages.QueryAcknowledgements(token, term, position)]
--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -29,6 +29,7 @@
     'members_to_query',
     'paused_log_end',
     'position_to_verify',
+    'raise_term',
     'record_report',
     'required_members',
 ]
@@ -194,6 +195,17 @@
     attempt.asked_ms.clear()
 
 
+def raise_term(state: states.GroupState, attempt: Attempt) -> None:
+    """Raise an attempt's term above one that a member has seen.
+
+    The members are not paused for it, and the other proxies are not fenced
+    for it, so what either reported for the lower term is discarded.
+    """
+    attempt.term = state.term + 1
+    forget_reports(attempt)
+    attempt.acknowledgements = None
+
+
 def has_fresh_report(attempt: Attempt, now_ms: int, name: str) -> bool:
     """Return whether a member's report is recent enough to count."""
     reported_ms = attempt.reported_ms.get(name)
--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -86,8 +86,7 @@
     if report.held_term < attempt.term:
         # The member has seen a newer term than any seen here, so it is not
         # paused.
-        attempt.term = state.term + 1
-        attempts.forget_reports(attempt)
+        attempts.raise_term(state, attempt)
         return promotion.advance(state, now_ms, attempt)
     decided = _log_paused(state, now_ms, attempt, name, report)
     attempts.record_report(attempt, now_ms, name, report)
@@ -131,8 +130,7 @@
     write is lost in a hand-over.
     """
     if report.role is statements.Role.PRIMARY:
-        attempt.term = state.term + 1
-        attempt.asked_ms.pop(name, None)
+        attempts.raise_term(state, attempt)
         return promotion.advance(state, now_ms, attempt)
     state.upstreams[name].refuted_ms = now_ms
     if name in attempt.stale_primaries:
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -263,6 +263,8 @@
     position: log_positions.LogPosition = log_positions.ORIGIN
     covered_since_ms: int = 0
     complete_until_ms: int | None = None
+    # The term of the query.
+    term: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -242,6 +242,9 @@
     attempt = state.promotion
     if attempt is None or attempt.token != message.token:
         return []
+    if message.term < attempt.term:
+        # The term was raised meanwhile; the proxies are queried again.
+        return []
     attempt.acknowledgements = message
     attempt.acknowledgements_ms = now_ms
     return advance(state, now_ms, attempt)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -333,8 +333,10 @@
     # under way, and the newest term that it had seen.
     no_promotion_ms: int = NEVER_MS
     no_promotion_term: int = 0
-    # When the other proxies were last queried for what they acknowledged.
+    # When, and for which term, the other proxies were last queried for what
+    # they acknowledged.
     acknowledgements_queried_ms: int = NEVER_MS
+    acknowledgements_queried_term: int = 0
     # Departed members that may be the only ones to hold some writes.
     departed_members: departed.DepartedMembers = dataclasses.field(
         default_factory=departed.DepartedMembers
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -71,7 +71,7 @@
         # Proxies that cannot reach the store, nor the platform's orders.
         self.without_store: set[str] = set()
         # Queries between proxies that await their answer, by key.
-        self.peer_queries: dict[int, tuple[str, int]] = {}
+        self.peer_queries: dict[int, tuple[str, object]] = {}
         self.states: dict[str, states.GroupState] = {}
         self.frozen_until_ms: dict[str, int] = {}
         # Messages queued for paused proxies.
@@ -212,11 +212,13 @@
         """Query the other proxy; without an answer the result is partial."""
         (other,) = [name for name in PROXIES if name != proxy]
         if proxy in self.without_store or not self.can_talk(proxy, other):
-            partial = messages.AcknowledgementsReported(out.token, False)
+            partial = messages.AcknowledgementsReported(
+                out.token, False, term=out.term
+            )
             self.at(PEER_TIMEOUT_MS, self.post, proxy, partial)
             return
         key = next(self.keys)
-        self.peer_queries[key] = (proxy, out.token)
+        self.peer_queries[key] = (proxy, out)
         asked = messages.FenceAcknowledgements(key, out.term, out.position)
         self.at(self.delay(), self.post, other, asked)
 
@@ -235,15 +237,16 @@
         """Return what a proxy acknowledged to the one that queried it."""
         if out.key == NO_KEY:
             return
-        asker, token = self.peer_queries.pop(out.key)
+        asker, query = self.peer_queries.pop(out.key)
         reported = messages.AcknowledgementsReported(
-            token,
+            query.token,
             self.can_talk(proxy, asker),
             out.position,
             int(self.now_ms) - out.created_ms_ago,
             None
             if out.complete_ms_ago is None
             else int(self.now_ms) - out.complete_ms_ago,
+            query.term,
         )
         self.at(self.delay(), self.post, asker, reported)
 
--- a/topazring/core/synchronous/tests/test_acknowledgement_fence.py
+++ b/topazring/core/synchronous/tests/test_acknowledgement_fence.py
@@ -4,6 +4,7 @@
 
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import proof_support
@@ -46,6 +47,7 @@
             'complete': True,
             'position': LOG_END,
             'covered_since_ms': 0,
+            'term': self.query.term,
             **more,
         }
         return self.driver.post(messages.AcknowledgementsReported(**values))
@@ -105,6 +107,39 @@
         self.driver.state.samples.clear()
         self.assertEqual(1, len(support.orders(self.report())))
 
+    def wait(self, *terms: int) -> list:
+        """Let time pass; the replica has seen these terms when paused."""
+        outs = []
+        seen = list(terms)
+        for _ in range(10):
+            outs += self.driver.tick(20)
+            outs += self.driver.answer_leadership_checks(primary='')
+            for connection in self.driver.busy('u2'):
+                if connection.purpose is states.Purpose.CONTROL and seen:
+                    newer = support.report(term=seen.pop(), held_term=0)
+                    outs += self.driver.reply(connection, newer)
+            if not seen and terms:
+                outs += failover_support.answer_control_commands(self.driver)
+        return outs
+
+    def test_term_that_is_raised_after_the_report(self):
+        """Guards against proxies that acknowledge writes of that term."""
+        outs = self.wait()
+        outs += self.report()
+        outs += self.wait(2)
+        self.assertEqual([], support.orders(outs))
+        (query,) = queries(outs)
+        self.assertEqual(3, query.term)
+
+    def test_term_that_is_raised_before_the_report(self):
+        """Guards against a report that was still under way."""
+        outs = self.wait(2)
+        outs += self.report()
+        self.assertEqual([], support.orders(outs))
+        (query,) = queries(outs)
+        (order,) = support.orders(self.report(term=query.term))
+        self.assertEqual('u2', order.upstream)
+
 
 class LateAcceptanceTest(testtools.TestCase):
     """A primary had written for a while when this proxy saw that it leads.
@@ -125,7 +160,7 @@
     def orders_after(self, **report) -> list[messages.OrderPromotion]:
         """Return the orders after all other proxies have reported."""
         reported = messages.AcknowledgementsReported(
-            self.query.token, **report
+            self.query.token, term=self.query.term, **report
         )
         return support.orders(self.driver.post(reported))
 
@@ -170,7 +205,7 @@
         self.assertEqual([], support.orders(outs))
         (query,) = queries(outs)
         report = messages.AcknowledgementsReported(
-            query.token, True, LOG_END, complete_until_ms=0
+            query.token, True, LOG_END, 0, 0, query.term
         )
         outs = driver.post(report)
         for _ in range(12):
@@ -207,7 +242,12 @@
         outs += failover_support.answer_control_commands(driver)
         (query,) = queries(outs)
         report = messages.AcknowledgementsReported(
-            query.token, True, LOG_END, self.started_ms, **known
+            query.token,
+            True,
+            LOG_END,
+            self.started_ms,
+            term=query.term,
+            **known,
         )
         outs = driver.post(report)
         for _ in range(12):
--- a/topazring/core/synchronous/tests/test_fence_gaps.py
+++ b/topazring/core/synchronous/tests/test_fence_gaps.py
@@ -154,6 +154,11 @@
         for seed in (90, 274):
             self.play(seed, CUT_SPLITS)
 
+    def test_term_is_raised_once_all_proxies_have_reported(self):
+        """Guards against acknowledging what the chosen member lacks."""
+        for seed in (470, 652):
+            self.play(seed, MIXED_SPLITS)
+
     def test_primary_of_a_newer_term_is_not_listed(self):
         """Guards against acknowledging writes of the one it replaced."""
         self.play(254, CUT_SPLITS)
@@ -276,7 +281,7 @@
         driver = failover_support.make_lease_holder()
         driver.list_upstreams(names=('u1', 'u2'), revision=2)
         end_ms = driver.now_ms + 20_000
-        pending: list[tuple[int, int]] = []
+        pending: list[tuple[int, messages.QueryAcknowledgements]] = []
         outs: list = []
         while driver.now_ms < end_ms:
             new = driver.tick(20)
@@ -286,13 +291,13 @@
             new += driver.answer_leadership_checks(primary='')
             new += failover_support.answer_control_commands(driver)
             while pending and pending[0][0] <= driver.now_ms:
-                _, token = pending.pop(0)
+                _, query = pending.pop(0)
                 report = messages.AcknowledgementsReported(
-                    token, True, support.Place(1, 5), 0
+                    query.token, True, support.Place(1, 5), term=query.term
                 )
                 new += driver.post(report)
             pending += [
-                (driver.now_ms + took_ms, out.token)
+                (driver.now_ms + took_ms, out)
                 for out in new
                 if isinstance(out, messages.QueryAcknowledgements)
             ]
--- a/topazring/core/synchronous/tests/test_fence_release.py
+++ b/topazring/core/synchronous/tests/test_fence_release.py
@@ -70,7 +70,7 @@
         )
         return self.promoter.post(
             messages.AcknowledgementsReported(
-                query.token, True, fenced.position, 0
+                query.token, True, fenced.position, term=query.term
             )
         )
 
--- a/topazring/core/synchronous/tests/test_promotion.py
+++ b/topazring/core/synchronous/tests/test_promotion.py
@@ -91,6 +91,32 @@
         self.assertTrue(pauses)
         self.assertEqual({5}, {pause.term for pause in pauses})
 
+    def test_pause_is_repeated_for_a_term_that_a_demotion_shows(self):
+        """Guards against a member that follows the primary of that term."""
+        driver = failover_support.make_lease_holder()
+        failover_support.lose_primary(driver)
+        driver.state.term = 2
+        for name, role in (('u2', Role.REPLICA), ('u3', Role.PRIMARY)):
+            for connection in driver.busy(name):
+                if connection.purpose is states.Purpose.CONTROL:
+                    paused = support.report(role, term=1, held_term=2)
+                    driver.reply(connection, paused)
+        driver.tick(20)
+        driver.answer_leadership_checks(primary='')
+        (demoting,) = [
+            connection
+            for connection in driver.busy('u3')
+            if isinstance(connection.commands[0], statements.Demote)
+        ]
+        driver.reply(demoting, support.report(Role.PRIMARY, term=3))
+        driver.tick(20)
+        pauses = [
+            connection.commands[0].term
+            for connection in driver.busy('u2')
+            if isinstance(connection.commands[0], statements.Pause)
+        ]
+        self.assertEqual([4], pauses)
+
     def test_old_report_is_asked_for_again(self):
         """A paused replica that restarts confirms writes again.
 
--- a/topazring/core/synchronous/tests/test_successor_gone.py
+++ b/topazring/core/synchronous/tests/test_successor_gone.py
@@ -59,7 +59,9 @@
             if isinstance(out, messages.QueryAcknowledgements)
         ]
         self.outs += self.driver.post(
-            messages.AcknowledgementsReported(query.token, **report)
+            messages.AcknowledgementsReported(
+                query.token, term=query.term, **report
+            )
         )
         for _ in range(12):
             self.outs += self.driver.tick(20)
@@ -114,7 +116,7 @@
                     outs.remove(out)
                     outs += driver.post(
                         messages.AcknowledgementsReported(
-                            out.token, True, LOG_END, 0, 10**6
+                            out.token, True, LOG_END, 0, 10**6, out.term
                         )
                     )
         self.assertEqual(['u3'], [o.upstream for o in support.orders(outs)])
--- a/topazring/pooler/acknowledgement_reports.py
+++ b/topazring/pooler/acknowledgement_reports.py
@@ -143,7 +143,7 @@
             )
         )
         answers = await self._ask_all(asked) if store_answered else []
-        reported = self._summarize(query.token, store_answered, answers)
+        reported = self._summarize(query, store_answered, answers)
         self.log.emit(
             'group',
             'acknowledgements reported',
@@ -204,7 +204,10 @@
             )
 
     def _summarize(
-        self, token: int, store_answered: bool, answers: list[_Report | None]
+        self,
+        query: messages.QueryAcknowledgements,
+        store_answered: bool,
+        answers: list[_Report | None],
     ) -> messages.AcknowledgementsReported:
         reports = [report for report in answers if report is not None]
         complete = store_answered and len(reports) == len(answers)
@@ -225,11 +228,12 @@
             if report.complete_until_ms is not None
         ]
         return messages.AcknowledgementsReported(
-            token,
+            query.token,
             complete,
             position,
             covered_since_ms,
             max(known_ms, default=None),
+            query.term,
         )
 
     async def _ask_all(self, query: _Query) -> list[_Report | None]:
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -290,7 +290,9 @@
     async def _query_acknowledgements(
         self, out: messages.QueryAcknowledgements
     ) -> None:
-        reported = messages.AcknowledgementsReported(out.token, False)
+        reported = messages.AcknowledgementsReported(
+            out.token, False, term=out.term
+        )
         if self.query_acknowledgements is not None:
             reported = await self.query_acknowledgements(self.service, out)
         self.post(reported)
--- a/topazring/pooler/tests/test_acknowledgement_reports.py
+++ b/topazring/pooler/tests/test_acknowledgement_reports.py
@@ -179,7 +179,7 @@
             reported = await self.query()
             self.assertEqual(
                 messages.AcknowledgementsReported(
-                    3, True, log_positions.ORIGIN, 5
+                    3, True, log_positions.ORIGIN, 5, term=7
                 ),
                 reported,
             )
--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -253,7 +253,7 @@
             await self.emit(messages.QueryAcknowledgements(3, 7, END))
             await self.emit(messages.QueryFence())
             self.assertEqual(
-                [messages.AcknowledgementsReported(3, False)],
+                [messages.AcknowledgementsReported(3, False, term=7)],
                 self.core.of(messages.AcknowledgementsReported),
             )
 
