Fence off an accepted order while another member leads

Cause: an order that was accepted counted as one with nothing left to be carried out, and so did any order once the attempt had succeeded, whoever led.

Found elsewhere: the promoter itself acknowledged writes of u3 meanwhile. It had asked the other proxies to stop, and had not bound itself.

An attempt that ends while its chosen member does not lead needs fencing, and until it is released this proxy acknowledges only what all members hold.

--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -35,6 +35,7 @@
     'check_fence',
     'covers',
     'fence',
+    'fence_own',
     'query_acknowledgements',
     'query_fence',
     'record_registration',
@@ -90,6 +91,15 @@
     state.fenced_ms = now_ms
 
 
+def fence_own(state: states.GroupState, now_ms: int) -> None:
+    """Acknowledge only what all members hold until the next release.
+
+    An order of this proxy may still be carried out, whatever term it begins.
+    """
+    state.is_fence_checked = False
+    state.fenced_ms = now_ms
+
+
 def release(
     state: states.GroupState, now_ms: int, message: messages.FenceReleased
 ) -> list:
--- a/topazring/core/synchronous/promotion_end.py
+++ b/topazring/core/synchronous/promotion_end.py
@@ -1,5 +1,6 @@
 """End an attempt to replace a primary."""
 
+from topazring.core.synchronous import acknowledgement_fence
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import promotion_commands
@@ -18,9 +19,10 @@
 ) -> list:
     """End an attempt with the given result; resume paused members."""
     state.promotion = None
-    if attempt.chosen and not attempt.accepted and how != 'succeeded':
-        # An order that was sent may still be carried out.
+    if attempt.chosen and attempt.chosen != state.primary:
+        # An order that was sent may still be carried out, even if accepted.
         state.needs_fencing = True
+        acknowledgement_fence.fence_own(state, now_ms)
     state.next_promotion_ms = now_ms
     if attempt.is_query_only:
         state.replication_checked_ms = now_ms
--- a/topazring/core/synchronous/tests/test_fence_gaps.py
+++ b/topazring/core/synchronous/tests/test_fence_gaps.py
@@ -159,6 +159,10 @@
         for seed in (470, 652):
             self.play(seed, MIXED_SPLITS)
 
+    def test_another_leads_while_an_accepted_order_is_carried_out(self):
+        """Guards against an order that is forgotten once accepted."""
+        self.play(977, MIXED_SPLITS)
+
     def test_primary_of_a_newer_term_is_not_listed(self):
         """Guards against acknowledging writes of the one it replaced."""
         self.play(254, CUT_SPLITS)
--- a/topazring/core/synchronous/tests/test_promotion.py
+++ b/topazring/core/synchronous/tests/test_promotion.py
@@ -2,11 +2,13 @@
 
 import testtools
 
+from topazring.core import outcomes
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
+from topazring.core.synchronous.tests import proof_support
 from topazring.core.synchronous.tests import support
 
 LogPosition = support.Place
@@ -276,6 +278,98 @@
         )
         driver.list_upstreams(primary='u2', revision=2)
 
+    def another_leads(self) -> support.Driver:
+        """Have `u3` lead while an accepted order of `u2` is carried out."""
+        driver = failover_support.make_lease_holder()
+        for _ in range(5):
+            driver.tick(20)
+            driver.answer_leadership_checks()
+            failover_support.answer_control_commands(driver)
+        self.assertEqual(set(), driver.state.paused)
+        failover_support.lose_primary(driver)
+        places = {'u2': LogPosition(1, 7), 'u3': LogPosition(1, 6)}
+        (order,) = support.orders(
+            failover_support.answer_control_commands(driver, **places)
+        )
+        accepted = OrderResult.ACCEPTED
+        driver.post(messages.PromotionOrdered('u2', order.token, accepted))
+        driver.list_upstreams(primary='u3', revision=2)
+        driver.open_all()
+        self.assertEqual('u3', driver.state.primary)
+        self.assertIsNone(driver.state.promotion)
+        return driver
+
+    def prove(self, driver: support.Driver) -> list:
+        """Have `u3` answer that it leads term 2, and all others that not."""
+        driver.state.upstreams['u3'].lead_term = 2
+        outs = []
+        for _ in range(20):
+            driver.open_all()
+            outs += driver.tick(20)
+            outs += driver.answer_leadership_checks(primary='u3')
+            failover_support.answer_control_commands(driver)
+        self.assertEqual('u3', driver.state.proven_primary)
+        return outs
+
+    def is_any_resumed(self, outs: list) -> bool:
+        """Return whether a member is sent a resume."""
+        return any(
+            isinstance(command, statements.Resume)
+            for send in support.sends(outs)
+            for command in send.commands
+        )
+
+    def test_accepted_order_while_another_leads(self):
+        """Guards against an order that is carried out once it is forgotten."""
+        driver = self.another_leads()
+        token = driver.state.token
+        outs = self.prove(driver)
+        self.assertFalse(self.is_any_resumed(outs))
+        (fencing,) = support.orders(outs)
+        self.assertEqual('u3', fencing.upstream)
+        self.assertGreater(fencing.token, token)
+        accepted = OrderResult.ACCEPTED
+        driver.post(messages.PromotionOrdered('u3', fencing.token, accepted))
+        self.assertTrue(self.is_any_resumed(self.prove(driver)))
+
+    def write(self, driver: support.Driver) -> None:
+        """Confirm a write of `u3`, which `u1` holds."""
+        self.key, _ = driver.submit(verb=support.Verb.WRITE)
+        place = LogPosition(2, 7)
+        driver.reply(driver.running(self.key), support.ok('s', place))
+        report = {'received': place, 'term': 2, 'held_term': 0}
+        proof_support.answer_status_queries(driver, 'u1', **report)
+
+    def test_write_of_another_while_the_order_is_carried_out(self):
+        """Guards against acknowledging what the ordered member lacks."""
+        driver = self.another_leads()
+        self.prove(driver)
+        self.write(driver)
+        self.assertNotIn(self.key, support.answers(driver.outs))
+
+    def test_write_of_another_once_the_order_is_fenced_off(self):
+        """Guards against a primary whose writes are not acknowledged."""
+        driver = self.another_leads()
+        (fencing,) = support.orders(self.prove(driver))
+        accepted = OrderResult.ACCEPTED
+        driver.post(messages.PromotionOrdered('u3', fencing.token, accepted))
+        driver.tick(20)
+        self.write(driver)
+        outs = []
+        for _ in range(20):
+            for out in driver.tick(20):
+                if isinstance(out, messages.QueryFence):
+                    asked_ms = driver.now_ms
+                    (checked,) = driver.post(messages.CheckFence(5))
+                    self.assertFalse(checked.is_needed)
+                    driver.now_ms += 1
+                    outs += driver.post(
+                        messages.FenceReleased(asked_ms, checked.term)
+                    )
+        self.assertIsInstance(
+            support.answers(driver.outs)[self.key], outcomes.Done
+        )
+
     def test_replaced_primary_returns_after_its_successor_left(self):
         """Guards against its lead where only the list showed the new one."""
         driver = failover_support.make_lease_holder()
