Count a successor whose order is not accepted as others would

Cause: a proxy that has ordered a successor checked that member alone, from the moment it sent the order. Until the platform accepts it another order may come first. In walk 594 p2's order of u5 is carried out from 6.1 s, p1 orders u7 at 6920 ms, 235 ms after it was listed, acknowledges two writes at 6933 and 7013 on u7's word, its order still unanswered, and u5 leads at 7120.

Until then the successor counts only if a promoter whose order comes first must have queried it (it is established or has been listed for 300 ms), and while no earlier order is known that may still be carried out. Found elsewhere: that check came before the fence, so a promoter that had been fenced by another one went on acknowledging.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -24,10 +24,11 @@
 primary is being replaced, and the successor may have been chosen already.
 While a leaving primary hands over, the other members are paused by design, and
 all members that are not paused must have the write, since the successor is one
-of them. The proxy that ordered a successor checks that member alone. Nothing
-counts while another member is named as the primary, or was named and has left
-the list: the current primary keeps accepting writes until it learns that it
-was replaced.
+of them. The proxy that ordered a successor checks that member alone. Until the
+order is accepted, another one may come first, whose promoter must have queried
+that member. Nothing counts while another member is named as the primary, or
+was named and has left the list: the current primary keeps accepting writes
+until it learns that it was replaced.
 """
 
 from topazring.core import log_positions
@@ -92,10 +93,12 @@
     if _is_contested(state) or _is_outdated(state, confirmation):
         return False
     chosen = _ordered_successor(state)
-    if chosen is not None:
-        return _holds(chosen, confirmation)
     if not _is_fence_passed(state, now_ms, confirmation):
         return False
+    if chosen is not None:
+        return _is_counted(state, chosen, confirmation) and _holds(
+            chosen, confirmation
+        )
     if not states.other_members(state):
         return not state.departed_members.may_return()
     if state.upstreams[state.primary].leaving:
@@ -179,6 +182,24 @@
     return state.upstreams.get(attempt.chosen)
 
 
+def _is_counted(
+    state: states.GroupState,
+    chosen: states.Upstream,
+    confirmation: position_records.Confirmation,
+) -> bool:
+    """Return whether an ordered member's word counts, whoever promotes.
+
+    Once its order is accepted, no other can come first. Before that, none that
+    was sent earlier may be outstanding, and a promoter that sends one from now
+    on must have seen the member in the list.
+    """
+    if state.promotion.accepted:
+        return True
+    return not state.needs_fencing and (
+        chosen.is_established or _is_listed_everywhere(chosen, confirmation)
+    )
+
+
 def _successor_holds(
     state: states.GroupState, confirmation: position_records.Confirmation
 ) -> bool:
--- a/topazring/core/synchronous/tests/test_fence_gaps.py
+++ b/topazring/core/synchronous/tests/test_fence_gaps.py
@@ -163,6 +163,10 @@
         """Guards against an order that is forgotten once accepted."""
         self.play(977, MIXED_SPLITS)
 
+    def test_order_that_is_sent_while_another_is_carried_out(self):
+        """Guards against counting on a successor that is not accepted."""
+        self.play(594, MIXED_SPLITS)
+
     def test_primary_of_a_newer_term_is_not_listed(self):
         """Guards against acknowledging writes of the one it replaced."""
         self.play(254, CUT_SPLITS)
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -2,11 +2,13 @@
 
 import testtools
 
+from topazring.core import outcomes
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import position_records
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
+from topazring.core.synchronous.tests import proof_support
 from topazring.core.synchronous.tests import support
 from topazring.core.synchronous.tests import test_isolation
 
@@ -126,6 +128,51 @@
         (order,) = support.orders(outs)
         self.assertEqual(successor, order.upstream)
 
+    def write_during_order(
+        self, driver: support.Driver
+    ) -> outcomes.Outcome | None:
+        """Confirm a write of the old primary while the order is unanswered.
+
+        Only the successor holds it.
+        """
+        (order,) = support.orders(
+            failover_support.answer_control_commands(driver)
+        )
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        place = LogPosition(1, 6)
+        driver.reply(driver.running(key), support.ok('s', place))
+        proof_support.answer_status_queries(
+            driver, order.upstream, received=place, term=1, held_term=0
+        )
+        self.assertFalse(driver.state.promotion.accepted)
+        return support.answers(driver.outs).get(key)
+
+    def test_write_of_the_old_primary(self):
+        """Guards against writes that wait for the reply to the order."""
+        driver = self.make_leaving()
+        outcome = self.write_during_order(driver)
+        self.assertIsInstance(outcome, outcomes.Done)
+
+    def test_write_that_only_a_new_successor_holds(self):
+        """Guards against an order of a promoter that has not seen it."""
+        driver = self.make_leaving()
+        for name in ('u2', 'u3'):
+            driver.state.upstreams[name].first_listed_ms = driver.now_ms
+            driver.state.upstreams[name].is_established = False
+        self.assertIsNone(self.write_during_order(driver))
+
+    def test_write_while_an_earlier_order_may_be_carried_out(self):
+        """Guards against another member that leads in its place."""
+        driver = self.make_leaving()
+        driver.state.needs_fencing = True
+        self.assertIsNone(self.write_during_order(driver))
+
+    def test_write_while_another_promotes(self):
+        """Guards against acknowledging what was reported as not done."""
+        driver = self.make_leaving()
+        driver.post(messages.FenceAcknowledgements(7, 2, LogPosition(1, 5)))
+        self.assertIsNone(self.write_during_order(driver))
+
     def test_successor_is_reachable(self):
         """A longer log is of no use if the replica cannot be queried.
 
