Promote after a start while nobody leads

What callers saw: every write refused (no_primary) for good after all proxies had been restarted while all upstreams were replicas.

Cause: detect_loss counts from when a primary that the process knew was lost, and a process that has known none has no such time. Counting from the start is no mend: departures before the start are unknown, so every log counts as complete, and members without acknowledged writes are promoted.

Now the holder of the promotion lease records in the store, at topazring/members/SERVICE, the name and start time of each member that may hold acknowledged writes: the listed ones, and departed ones until the primary has reported, once proved, a position that bounds their logs. A proxy that has seen no primary for 1.5 s and finds a record pauses the listed members, asks and fences all other proxies, and promotes the longest log if it reaches all that these acknowledged and every recorded member is listed. Else it waits as for any departed member. Without a valid record it does as before.

Why this works: each acknowledged write is in the log of a recorded member. The primary that reported the bound of a departed member holds it itself, is recorded, and is not left out here as a lost primary otherwise is. A new primary holds all acknowledged writes when it is chosen. A proxy that runs on is asked, and the report must be complete. A holder replaces only a record that it has read (compare-and-swap), and keeps members in it that it has not listed itself until a bound is known.

Price: one call to the store for each change of the recorded members, one for the first record of each group. A new or a departed member costs one, a recreated one two. By argument, not measured: each is also an answer to the watch of every proxy that reads the store.

--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -36,6 +36,7 @@
     'covers',
     'fence',
     'fence_own',
+    'holds_reported',
     'query_acknowledgements',
     'query_fence',
     'record_registration',
@@ -181,15 +182,24 @@
     return [messages.QueryAcknowledgements(token, term, position)]
 
 
-def covers(
+def holds_reported(
     state: states.GroupState,
     report: messages.AcknowledgementsReported | None,
     position: log_positions.LogPosition,
 ) -> bool:
-    """Return whether a log holds everything that any proxy acknowledged."""
+    """Return whether a log holds all that running proxies acknowledged."""
     if report is None or not report.complete:
         return False
-    if max(report.position, state.acknowledged_until) > position:
+    return max(report.position, state.acknowledged_until) <= position
+
+
+def covers(
+    state: states.GroupState,
+    report: messages.AcknowledgementsReported | None,
+    position: log_positions.LogPosition,
+) -> bool:
+    """Return whether a log holds everything that any proxy acknowledged."""
+    if not holds_reported(state, report, position):
         return False
     known_ms = [
         complete_ms
--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -11,6 +11,7 @@
 from topazring.core.synchronous import acknowledgement_fence
 from topazring.core.synchronous import failure_detection
 from topazring.core.synchronous import freshness
+from topazring.core.synchronous import member_record
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -367,7 +368,8 @@
     """Return whether no departed member can have confirmed a later position.
 
     The last primary's own log holds all acknowledged writes, so a log that
-    reaches its end is complete, whichever members departed.
+    reaches its end is complete, whichever members departed. If no primary was
+    seen, all recorded members and all proxies have to be asked.
     """
     primary = exempt_primary(state)
     report = attempt.reports.get(primary)
@@ -377,11 +379,15 @@
         if position >= report.received:
             return True
     is_hand_over = bool(attempt.successor)
+    reported = attempt.acknowledgements
     if not state.departed_members.may_exceed(position, primary, is_hand_over):
-        return True
-    return acknowledgement_fence.covers(
-        state, attempt.acknowledgements, position
-    )
+        if not member_record.has_seen_no_primary(state):
+            return True
+        if not member_record.is_any_missing(state):
+            return acknowledgement_fence.holds_reported(
+                state, reported, position
+            )
+    return acknowledgement_fence.covers(state, reported, position)
 
 
 def awaits_acknowledgements(attempt: Attempt, now_ms: int) -> bool:
--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -47,6 +47,8 @@
     bound: log_positions.LogPosition | None = None
     # Position that the primary reported once no proxy had an older list.
     late_bound: log_positions.LogPosition | None = None
+    # The primary reported a position that its log surely does not exceed.
+    is_held: bool = False
 
     @property
     def upper_bound(self) -> log_positions.LogPosition | None:
@@ -135,6 +137,8 @@
             is_late = sent_ms - member.departed_ms >= OLD_LIST_MS
             if member.late_bound is None and is_late:
                 member.late_bound = place
+            if is_late or member.ended and member.departed_ms <= sent_ms:
+                member.is_held = True
 
     def forget_reached(self, place: log_positions.LogPosition) -> None:
         """Remove members whose logs surely do not exceed a position.
--- a/topazring/core/synchronous/failure_detection.py
+++ b/topazring/core/synchronous/failure_detection.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from topazring.core.synchronous import freshness
+from topazring.core.synchronous import member_record
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -97,8 +98,14 @@
 
 
 def _no_primary(state: states.GroupState, now_ms: int) -> Loss | None:
-    """Return a loss if a promotion was abandoned and left no primary."""
+    """Return a loss if a promotion was abandoned and left no primary.
+
+    This process may have started after that; then the record of the members
+    shows that the group is not new.
+    """
     since_ms = state.primary_lost_ms
+    if member_record.has_seen_no_primary(state) and state.upstreams:
+        since_ms = state.listed_ms
     if since_ms is None or now_ms - since_ms < NO_PRIMARY_MS:
         return None
     return Loss('', 'nobody leads', since_ms)
--- a/topazring/core/synchronous/freshness.py
+++ b/topazring/core/synchronous/freshness.py
@@ -41,7 +41,8 @@
 
     Replies arrive on several connections and can overtake each other.
     """
-    state.departed_members.record_primary_place(sample.sent_ms, sample.place)
+    for departed in (state.departed_members, state.member_record.unlisted):
+        departed.record_primary_place(sample.sent_ms, sample.place)
     _add_to_history(state, sample)
     samples = state.samples
     if samples and sample.place < samples[-1].place:
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -14,6 +14,7 @@
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import isolation
 from topazring.core.synchronous import member_queries
+from topazring.core.synchronous import member_record
 from topazring.core.synchronous import member_replies
 from topazring.core.synchronous import membership
 from topazring.core.synchronous import messages
@@ -103,6 +104,7 @@
 _handles(messages.InstancesSeen)(connections.update_share)
 _handles(messages.PromotionLeaseSeen)(promotion_lease.handle_lease_change)
 _handles(messages.RegistrationSeen)(acknowledgement_fence.record_registration)
+_handles(messages.MembersRecorded)(member_record.note_record)
 _handles(messages.FenceAcknowledgements)(acknowledgement_fence.fence)
 _handles(messages.CheckFence)(acknowledgement_fence.check_fence)
 _handles(messages.AcknowledgementsReported)(promotion.handle_acknowledgements)
@@ -121,6 +123,7 @@
     state: states.GroupState, now_ms: int, message: messages.UpstreamsSeen
 ) -> list:
     outs = membership.handle_upstream_list(state, now_ms, message)
+    outs += member_record.record_members(state)
     outs += primary.adopt_listed_primary(state, now_ms)
     outs += connections.open_missing(state, now_ms)
     outs += _continue_promotion(state, now_ms)
@@ -232,6 +235,7 @@
     outs += completion.answer_proven(state, now_ms)
     outs += membership.close_leaving_connections(state, now_ms)
     outs += acknowledgement_fence.query_fence(state, now_ms)
+    outs += member_record.record_members(state)
     outs += promotion.tick(state, now_ms)
     outs += _send_leadership_checks(state, now_ms)
     outs += primary.resolve_claims(state, now_ms)
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -3,6 +3,7 @@
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
+from topazring.core.synchronous import member_record
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
@@ -117,6 +118,7 @@
         # It may still be paused by an attempt that ended while it was away.
         state.paused.add(entry.name)
     state.departed_members.remove(entry.name, entry.born_ms)
+    member_record.note_listed(state, entry.name, entry.born_ms)
     _record_leaving(state, now_ms, upstream, entry)
     return [
         messages.LogDecision(
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -18,12 +18,14 @@
     'FenceReleased',
     'QueryAcknowledgements',
     'QueryFence',
+    'RecordMembers',
     'RegistrationSeen',
     'Shutdown',
     'Answer',
     'Close',
     'Closed',
     'LogDecision',
+    'MembersRecorded',
     'PromotionLeaseSeen',
     'Freshness',
     'InstancesSeen',
@@ -246,6 +248,19 @@
     valid_until_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersRecorded:
+    """Report which members the record in the store names.
+
+    Each is a name and the start time of its process. None if there is no
+    valid record.
+    """
+
+    members: frozenset[tuple[str, int]] | None
+    # This process wrote it, or has replaced it since.
+    is_own: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AcknowledgementsReported:
     """Report what all other proxies have acknowledged.
@@ -425,6 +440,16 @@
     term: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordMembers:
+    """Write the record of the members to the store.
+
+    Each is a name and the start time of its process.
+    """
+
+    members: frozenset[tuple[str, int]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class YieldPromotionLease:
     """Yield the promotion lease, because the group is unreachable."""
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -27,6 +27,7 @@
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import failure_detection
+from topazring.core.synchronous import member_record
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import position_records
 from topazring.core.synchronous import promotion_commands
@@ -125,6 +126,8 @@
     attempt = attempts.Attempt(
         old_primary, why, now_ms, state.term + 1, state.token, successor
     )
+    if member_record.has_seen_no_primary(state):
+        state.counters['promotion_begins_without_primary'] += 1
     if loss is not None:
         attempt.unconfirmed = loss.unconfirmed or loss.replaced
         attempt.is_query_only = loss.unconfirmed
--- a/topazring/core/synchronous/promotion_end.py
+++ b/topazring/core/synchronous/promotion_end.py
@@ -45,6 +45,9 @@
                 for name, report in attempt.reports.items()
             },
             'departed': state.departed_members.describe(now_ms),
+            'missing': sorted(
+                name for name, _ in state.member_record.unlisted.known
+            ),
             'primary': state.primary,
             'took_ms': now_ms - attempt.began_ms,
         },
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -31,6 +31,8 @@
     """
     is_gained = message.holds and not state.holds_promotion_lease
     state.holds_promotion_lease = message.holds
+    if is_gained or not message.holds:
+        state.member_record.ordered = None
     if message.holds:
         state.token = max(state.token, message.token)
     else:
--- a/topazring/core/synchronous/restart.py
+++ b/topazring/core/synchronous/restart.py
@@ -50,6 +50,7 @@
     renewed.token = state.token
     renewed.acknowledged = state.acknowledged
     renewed.departed_members = state.departed_members
+    renewed.member_record = state.member_record
     renewed.created_ms = state.created_ms
     renewed.acknowledged_until = state.acknowledged_until
     renewed.fence_term = state.fence_term
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -246,6 +246,23 @@
     wrote: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class MemberRecord:
+    """Hold what the store records of the members of a group.
+
+    A member is a name and the start time of its process.
+    """
+
+    # The members that the record names; None without a valid record.
+    stored: frozenset[tuple[str, int]] | None = None
+    # The members that this lease holder last had written.
+    ordered: frozenset[tuple[str, int]] | None = None
+    # Recorded members that have not been listed here.
+    unlisted: departed.DepartedMembers = dataclasses.field(
+        default_factory=departed.DepartedMembers
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class GroupState:
     """Hold the state of one group in one proxy."""
@@ -341,6 +358,9 @@
     departed_members: departed.DepartedMembers = dataclasses.field(
         default_factory=departed.DepartedMembers
     )
+    member_record: MemberRecord = dataclasses.field(
+        default_factory=MemberRecord
+    )
     # The last upstream whose leadership was proved, and when that was first
     # the case.
     proven_primary: str = ''
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -62,12 +62,15 @@
         follower: follower_client.FollowerClient,
         log: events.EventLog,
         on_change: collections.abc.Callable[[set[str]], None],
+        on_own_change: collections.abc.Callable[[str], None] | None = None,
     ):
         self.adapter = adapter
         self.peer_client = peer_client
         self.follower_client = follower
         self.log = log
         self.on_change = on_change
+        # Called with the key of each of the proxies' own values that changes.
+        self.on_own_change = on_own_change
         self.listing = listings.Listing()
         # Set once the whole store has been read.
         self.first_read = asyncio.Event()
@@ -369,6 +372,8 @@
         if change.key.startswith(OWN_PREFIX):
             self.own_changed.set()
             if not change.key.startswith(PROXY_PREFIX):
+                if self.on_own_change is not None:
+                    self.on_own_change(change.key)
                 return set()
         if change.value is None:
             return self._record_removal(now_ms, change.key)
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -32,6 +32,7 @@
 # order in which it needs them.
 _RETAINED_MESSAGES = (
     messages.InstancesSeen,
+    messages.MembersRecorded,
     messages.UpstreamsSeen,
     messages.PromotionLeaseSeen,
     messages.RegistrationSeen,
@@ -83,6 +84,8 @@
         self.query_acknowledgements = None
         # Fences the other owners; does not return what they acknowledged.
         self.fence_owners = None
+        # Writes the record of the members to the store.
+        self.record_members = None
         # Returns the release of the fence, if the lease holder needs none.
         self.query_fence = None
 
@@ -223,6 +226,9 @@
             case messages.FenceOwners():
                 if self.fence_owners is not None:
                     self._spawn(self.fence_owners(self.service, out.term))
+            case messages.RecordMembers():
+                if self.record_members:
+                    self.record_members(self.service, out.members)
             case messages.QueryFence():
                 self._spawn(self._query_fence())
             case messages.AcknowledgementsFenced() | messages.FenceChecked():
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -25,6 +25,7 @@
 from topazring.pooler import follower_client
 from topazring.pooler import group_task
 from topazring.pooler import hop_server
+from topazring.pooler import member_records
 from topazring.pooler import membership
 from topazring.pooler import metrics as metric_sets
 from topazring.pooler import overdue_report
@@ -81,6 +82,7 @@
             ),
             self.log,
             self._apply_listing_changes,
+            self._handle_own_change,
         )
         self.membership = membership.Membership(
             config.name,
@@ -102,6 +104,12 @@
             self.log,
             self._handle_lease_change,
         )
+        self.member_records = member_records.MemberRecords(
+            adapter.store,
+            self.directory,
+            self.log,
+            lambda: self.promotion_lease.holds,
+        )
         self.fences = acknowledgement_fences.Fences(
             config.name,
             self.incarnation,
@@ -143,6 +151,7 @@
         self.directory.start()
         self.membership.start()
         self.promotion_lease.start()
+        self.member_records.start()
         if self.config.peer_address:
             self.peer_server.start(self.config.peer_address)
         if self.config.hop_address:
@@ -280,8 +289,11 @@
         group.query_acknowledgements = self.reports.query_acknowledgements
         group.fence_owners = self._fence_owners
         group.query_fence = self.reports.query_fence
+        group.record_members = self.member_records.write
         self.groups[service] = group
         group.start()
+        recorded = self.member_records.read(service)
+        group.post(messages.MembersRecorded(recorded))
         if self.holds:
             group.post(messages.PromotionLeaseSeen(True, self.token))
         if self.registered_until_ms:
@@ -302,6 +314,14 @@
             group.close()
             self.fences.handle_group_dropped()
 
+    def _handle_own_change(self, key: str) -> None:
+        service = key.removeprefix(member_records.KEY_PREFIX)
+        group = self.groups.get(service)
+        if group is not None and service != key:
+            recorded = self.member_records.read(service)
+            is_own = self.member_records.is_own(service)
+            group.post(messages.MembersRecorded(recorded, is_own))
+
     def _handle_registration(self, valid_until_ms: int) -> None:
         self.registered_until_ms = valid_until_ms
         for group in self.groups.values():
@@ -376,6 +396,7 @@
         self.directory.close()
         self.reports.close()
         self.overdue_report.close()
+        self.member_records.close()
         try:
             async with asyncio.timeout(CLOSE_S):
                 await self.membership.close()
--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -16,6 +16,7 @@
 from topazring.plumbing import clock
 from topazring.pooler import directory as directories
 from topazring.pooler import group_task
+from topazring.pooler import member_records
 from topazring.pooler import process
 from topazring.pooler import promotion_lease as promotion_leases
 from topazring.pooler import settings
@@ -111,6 +112,27 @@
 
         self.play(steps)
 
+    def test_record_of_the_members(self):
+        """Guards against a core that misses a change of the record."""
+
+        async def steps():
+            pooler, _ = self.poolers
+            key = member_records.KEY_PREFIX + 's'
+            texts = ('{"members":[["u1",5]]}', '{"members":[]}', None)
+            for revision, text in enumerate(texts, 1):
+                change = revisions.Change(key, revision, text)
+                pooler.directory._apply([change], revision)
+            recorded = [
+                message.members
+                for message in self.cores[0].of(messages.MembersRecorded)
+            ]
+            first = frozenset({('u1', 5)})
+            self.assertEqual([None, first, None, None], recorded)
+            self.groups[0].post(fake_core.Emit(messages.RecordMembers(first)))
+            self.assertEqual({'s': first}, pooler.member_records.pending)
+
+        self.play(steps)
+
     def test_query_from_core_to_core(self):
         """Only the other process is asked, once it has been read."""
 
