--- a/topazring/core/synchronous/tests/test_start_without_primary.py
+++ b/topazring/core/synchronous/tests/test_start_without_primary.py
@@ -46,7 +46,11 @@
                 if isinstance(query, messages.QueryAcknowledgements):
                     step += driver.post(
                         messages.AcknowledgementsReported(
-                            query.token, complete, position, 10_000
+                            query.token,
+                            complete,
+                            position,
+                            10_000,
+                            term=query.term,
                         )
                     )
             outs += step
