Remember that an earlier successor led

What callers saw, in forced orders by a reviewer: a log that lacks acknowledged writes was promoted after a second successor had gone too; and a group of two was left without a primary for good where the ordered member went before it led. Cause: the second departure overwrote what the first one had shown, and the replaced primary, if it is the only one left, was no candidate. Tests: SecondSuccessorGoneTest and OnlyTheReplacedPrimaryIsLeftTest of test_fence_orders, red before.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -117,9 +117,11 @@
     its own entries are held by another member or not acknowledged. An upstream
     that only the list names, after another has proved to lead, may be one that
     was replaced and confirms the writes of its successor. If a successor led
-    and is gone, its writes are not in the log of the one before.
+    and is gone, its writes are not in the log of the one before. If no other
+    member is left, the one before is the only candidate.
     """
-    if state.successor_gone and state.successor_led:
+    is_alone = len(state.upstreams) == 1
+    if state.successor_gone and (state.successor_led or is_alone):
         return ''
     if state.proven_primary in ('', state.last_primary):
         return state.last_primary
--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -329,8 +329,10 @@
     state: states.GroupState, now_ms: int, has_led: bool = False
 ) -> None:
     """Record that the successor of the last primary may lead unseen."""
+    state.successor_led = has_led or (
+        state.successor_gone and state.successor_led
+    )
     state.successor_gone = True
-    state.successor_led = has_led
     note_term_ended(state, now_ms, state.term)
 
 
