End the record of a departed member that has a later instance

What callers saw: exact reads refused for 35 s after a replica had restarted under its name while another was silent (RestartedReplicaTest), and stale ones where an old list arrived again (OldListTest). Cause: the earlier instance counted as alive; a member that may be alive was forgotten once the primary had passed its log, which says nothing of who leads. A later instance ends the record of the earlier one, whose bound is taken anew; a member that may be alive is kept while this proxy may not be registered.

--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -104,6 +104,20 @@
         """Remove an upstream that is listed again: it can be queried."""
         self.known.pop((name, born_ms), None)
 
+    def note_later_instance(
+        self, now_ms: int, name: str, born_ms: int
+    ) -> None:
+        """Record that the members of a name that started earlier have ended.
+
+        They confirmed writes until then, so an earlier bound is too low.
+        """
+        for (other, other_born_ms), member in self.known.items():
+            is_earlier = other == name and other_born_ms < born_ms
+            if is_earlier and not member.ended:
+                member.ended = True
+                member.departed_ms = now_ms
+                member.bound = None
+
     def record_leader(self, name: str) -> None:
         """Remove all records under the name of an upstream that leads.
 
@@ -140,13 +154,18 @@
             if is_late or member.ended and member.departed_ms <= sent_ms:
                 member.is_held = True
 
-    def forget_reached(self, place: log_positions.LogPosition) -> None:
+    def forget_reached(
+        self, place: log_positions.LogPosition, is_list_current: bool
+    ) -> None:
         """Remove members whose logs surely do not exceed a position.
 
-        `place` is a position that every candidate is required to hold.
+        `place` is a position that every candidate is required to hold. One
+        that may be alive may lead, unless the list would name it then.
         """
         for key, member in list(self.known.items()):
             bound = member.upper_bound
+            if member.may_live and not is_list_current:
+                continue
             if bound is not None and bound <= place:
                 del self.known[key]
 
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -26,7 +26,8 @@
     for name in list(state.upstreams):
         if name not in listed:
             outs += _remove_upstream(state, now_ms, name)
-    state.departed_members.forget_reached(state.acknowledged)
+    is_list_current = now_ms < state.registered_until_ms
+    state.departed_members.forget_reached(state.acknowledged, is_list_current)
     if not state.listed_ms:
         state.listed_ms = now_ms
     for entry in message.upstreams:
@@ -118,6 +119,9 @@
         # It may still be paused by an attempt that ended while it was away.
         state.paused.add(entry.name)
     state.departed_members.remove(entry.name, entry.born_ms)
+    state.departed_members.note_later_instance(
+        now_ms, entry.name, entry.born_ms
+    )
     member_record.note_listed(state, entry.name, entry.born_ms)
     _record_leaving(state, now_ms, upstream, entry)
     return [
