Release fences only for terms that the holder has asked for

What callers saw, in forced orders by a reviewer (test_fence_orders): writes acknowledged at a replaced primary, as a holder that had just gained the lease named an older term, as an earlier answer overtook a later one, or as a group had been recreated; writes that waited for the store, as a holder beyond its lease fences and does not release; a write without a position that waited in the first term. Cause: the answer of the holder was taken for newer than it is.

The holder queries its primary's term before it releases; the answer that was asked last counts, and the term never falls; a recreated group keeps its term; owners are fenced only while the holder may release them; the first term fences nothing.

--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -106,15 +106,18 @@
 ) -> list:
     """Limit the fence to ended terms if the holder was asked late enough.
 
-    That is after the fence was last set and after this proxy was listed.
+    That is after the fence was last set and after this proxy was listed. An
+    answer that is overtaken by a later one tells nothing new.
     """
     if message.asked_ms <= state.fenced_ms:
         return []
     if message.asked_ms < state.registered_ms:
         return []
-    state.fence_term = message.term
+    if message.asked_ms < state.no_promotion_ms:
+        return []
     state.no_promotion_ms = message.asked_ms
-    state.no_promotion_term = message.term
+    state.no_promotion_term = max(state.no_promotion_term, message.term)
+    state.fence_term = state.no_promotion_term
     state.is_fence_checked = True
     return []
 
@@ -125,16 +128,24 @@
         return []
     if now_ms - state.fence_queried_ms < RELEASE_QUERY_INTERVAL_MS:
         return []
-    if not _is_proof_delayed(state) and not _is_write_delayed(state, now_ms):
+    is_delayed = _is_proof_delayed(state, now_ms) or _is_write_delayed(
+        state, now_ms
+    )
+    if not is_delayed:
         return []
     state.fence_queried_ms = now_ms
     return [messages.QueryFence()]
 
 
-def _is_proof_delayed(state: states.GroupState) -> bool:
-    """Return whether only the lease holder can prove the leadership."""
-    return proofs.depends_on_lease_holder(state) and (
-        proofs.proven_until_ms(state) < state.newest_needed_ms
+def _is_proof_delayed(state: states.GroupState, now_ms: int) -> bool:
+    """Return whether the listed members do not prove the leadership."""
+    if proofs.proven_until_ms(state) >= state.newest_needed_ms:
+        return False
+    if proofs.depends_on_lease_holder(state):
+        return True
+    since_ms = state.oldest_unproven_ms
+    return proofs.must_query_terms(state) and (
+        since_ms is not None and now_ms - since_ms >= RELEASE_QUERY_AFTER_MS
     )
 
 
@@ -154,10 +165,14 @@
 ) -> list:
     """Report whether a promotion, or an order of it, may be under way.
 
-    It is not under the conditions under which paused members are resumed.
+    It is not under the conditions under which paused members are resumed,
+    once the primary has been queried for its term since the lease was gained:
+    the term is the least that the fence stays for.
     """
+    primary = state.upstreams.get(state.primary)
     is_needed = (
         not state.holds_promotion_lease
+        or (primary is not None and primary.has_pending_claim)
         or state.promotion is not None
         or not promotion_lease.may_resume(state)
     )
--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -165,7 +165,7 @@
     not be listed, or a promotion may have begun before it was, all members
     that may be promoted must hold the write.
     """
-    if state.fence_term:
+    if state.fence_term > FIRST_TERM:
         position = confirmation.place
         if position is None or position.log_term < state.fence_term:
             return False
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -41,6 +41,10 @@
         state.fence_token = 0
         state.paused = set(state.upstreams) - {state.primary}
         state.needs_fencing = True
+        primary = state.upstreams.get(state.primary)
+        if primary is not None:
+            # Its term may be newer than any seen here.
+            primary.has_pending_claim = True
     return []
 
 
--- a/topazring/core/synchronous/restart.py
+++ b/topazring/core/synchronous/restart.py
@@ -48,6 +48,7 @@
     renewed.starting_share = state.starting_share
     renewed.began_ms = state.began_ms
     renewed.token = state.token
+    renewed.term = state.term
     renewed.acknowledged = state.acknowledged
     renewed.departed_members = state.departed_members
     renewed.member_record = state.member_record
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -302,8 +302,13 @@
         return group
 
     async def _fence_owners(self, service: str, term: int) -> None:
+        """Fence the other owners while this process could release them.
+
+        Only a holder whose lease has not ended may release a fence. Without
+        the store it goes on promoting, and writes would wait for the store.
+        """
         owned = self.router.ownerships.get(service)
-        if owned is not None:
+        if owned is not None and self.promotion_lease.surely_holds():
             names = {owner.name for owner in owned.owners}
             await self.reports.fence_owners(service, term, names)
 
