Show that the plays notice each new rule that is left out

Three ablations: a release for all terms, no notice to the owners, proofs by the listed members alone. Each makes the play of its fault fail.

--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -311,3 +311,32 @@
         return sessions.LocalAnswer(sessions._DONE)
 
     return mock.patch.object(sessions, '_prepare', prepare)
+
+
+@_ablation
+def _release_the_fence_for_all_terms():
+    """Take a fence away once a promotion has ended, whatever its term."""
+    limit = acknowledgement_fence.release
+
+    def release(state, now_ms, message):
+        outs = limit(state, now_ms, message)
+        state.fence_term = 0
+        return outs
+
+    return mock.patch.object(acknowledgement_fence, 'release', release)
+
+
+@_ablation
+def _fence_no_owners():
+    """Promote without a notice to the other owners of the group."""
+    return mock.patch.object(
+        promotion, '_fence_owners', lambda state, attempt: []
+    )
+
+
+@_ablation
+def _prove_by_listed_members():
+    """Leave members whose entries have expired out of a proof."""
+    return mock.patch.object(
+        departed_members.DepartedMembers, 'count_living', lambda self: 0
+    )
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -1,6 +1,7 @@
 """Test conclusions from what is not listed, not heard of, or long ago."""
 
 import random
+import unittest
 
 import testtools
 
@@ -10,6 +11,7 @@
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
+from topazring.core.synchronous.tests import ablations
 from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import fake_group
 from topazring.core.synchronous.tests import proof_support
@@ -565,3 +567,31 @@
             play.finish()
 
         self.assertEqual({}, failures(expires))
+
+
+class AblationTest(testtools.TestCase):
+    """The plays notice a rule that is left out."""
+
+    def test_each_rule_is_needed(self):
+        """Guards against plays that pass for another reason."""
+        for name, case, method in (
+            (
+                'release_the_fence_for_all_terms',
+                DepartedMemberTest,
+                'test_promoter_is_split_off_with_the_other_replica',
+            ),
+            (
+                'fence_no_owners',
+                RestartTest,
+                'test_replica_that_the_promoter_does_not_reach',
+            ),
+            (
+                'prove_by_listed_members',
+                UnlistedPrimaryTest,
+                'test_reads_on_the_refusals_of_the_listed_members',
+            ),
+        ):
+            result = unittest.TestResult()
+            with ablations.ABLATIONS[name]():
+                case(method).run(result)
+            self.assertEqual(1, len(result.failures), name)
