Take a deposed primary for complete only if this attempt has demoted it

Cause: the last primary's own log counts as complete, whichever members have departed. A proxy that gains the lease after another one demoted that primary, for a successor out of reach, took it for the primary of the newest term and ordered it again.

The commits on replaced primaries rest on what this process knows of a successor; a new holder knows of none.

A last primary that does not lead any more is a candidate like the others, unless the attempt itself has demoted it.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -123,11 +123,30 @@
     is_alone = len(state.upstreams) == 1
     if state.successor_gone and (state.successor_led or is_alone):
         return ''
+    if _is_deposed_by_another(state):
+        return ''
     if state.proven_primary in ('', state.last_primary):
         return state.last_primary
     return ''
 
 
+def _is_deposed_by_another(state: states.GroupState) -> bool:
+    """Return whether the last primary does not lead, and not by our demotion.
+
+    Another proxy may have demoted it for a successor that was not seen here.
+    """
+    last = state.upstreams.get(state.last_primary)
+    if last is None or last.refuted_ms is None:
+        return False
+    attempt = state.promotion
+    is_own = (
+        attempt is not None
+        and attempt.old_primary == last.name
+        and last.refuted_ms >= attempt.began_ms
+    )
+    return not is_own
+
+
 def required_members(state: states.GroupState, attempt: Attempt) -> list[str]:
     """Return the members that must report before a new primary is chosen.
 
--- a/topazring/core/synchronous/tests/test_successor_gone.py
+++ b/topazring/core/synchronous/tests/test_successor_gone.py
@@ -120,3 +120,26 @@
                         )
                     )
         self.assertEqual(['u3'], [o.upstream for o in support.orders(outs)])
+
+
+class DeposedPrimaryTest(testtools.TestCase):
+    """A primary was demoted by another promoter; the other entries expire."""
+
+    def test_order_on_its_own_log(self):
+        """Guards against a loss of what a successor that was not seen has."""
+        driver = support.Driver().ready()
+        driver.tick(20)
+        outs = []
+        for gained in (False, True):
+            if gained:
+                driver.list_upstreams(primary='', names=('u1',), revision=2)
+                driver.post(messages.PromotionLeaseSeen(True, 100))
+            for _ in range(100):
+                outs += driver.tick(20)
+                driver.open_all()
+                outs += failover_support.answer_control_commands(driver)
+                for connection in driver.busy('u1'):
+                    if connection.purpose is states.Purpose.LEADERSHIP_CHECK:
+                        outs += driver.reply(connection, REFUSED, support.ok())
+        self.assertEqual('', driver.state.primary)
+        self.assertEqual([], support.orders(outs))
