Judge a recreated primary's predecessor as before

What a later instance of the name answers says nothing of the last primary: with the commit before, one that was recreated counted as deposed, and its own earlier entries as those of any departed member.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -134,10 +134,13 @@
     """Return whether the last primary does not lead, and not by our demotion.
 
     Another proxy may have demoted it for a successor that was not seen here.
+    What a later instance of its name answers says nothing of it.
     """
     last = state.upstreams.get(state.last_primary)
     if last is None or last.refuted_ms is None:
         return False
+    if failure_detection.is_recreated(state, last.name):
+        return False
     attempt = state.promotion
     is_own = (
         attempt is not None
