Have the first owner create the record of a group's members

Cause: the holder of the promotion lease alone wrote the record without which nobody is promoted. All proxies may end before one holds the lease.

Now the first of a group's owners creates the record once a primary is proved; it cannot replace one (compare with the missing key), and a process never creates it twice.

Why it works: the first record needs a proved primary, which held all acknowledged writes and is named in it, whoever writes it.

Changed checks: `test_lease_lost` now has a record in the store, as without one a write is allowed; `test_other_proxies_write_nothing` also asks that the first owner replaces none. New: a first record without the lease, an own record that is not read yet, before a proof.

Price: one more call a group and start of a fleet. Open: the record is not kept up to date until somebody holds the lease, as before.

--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -108,6 +108,7 @@
     reserve would be too small for them.
     """
     share = 0
+    state.is_first_owner = message.rank == 0
     if message.rank is not None:
         max_connections, owners = message.max_connections, message.count
         share = share_of(max_connections, owners, message.rank)
--- a/topazring/core/synchronous/member_record.py
+++ b/topazring/core/synchronous/member_record.py
@@ -72,10 +72,12 @@
     """Have the record written if its members have changed.
 
     The first record needs a proved primary: it holds all acknowledged writes,
-    whichever members departed before this process started.
+    whichever members departed before this process started. The first owner
+    also creates it: proxies serve before one of them holds the lease, and
+    without a record nobody is promoted after all of them have ended.
     """
     known = state.member_record
-    if not state.holds_promotion_lease or not state.listed_ms:
+    if not state.listed_ms or not _may_write(state):
         return []
     if known.stored is None and not state.position_history:
         return []
@@ -93,6 +95,14 @@
     return [messages.RecordMembers(members)]
 
 
+def _may_write(state: states.GroupState) -> bool:
+    if state.holds_promotion_lease:
+        return True
+    known = state.member_record
+    is_absent = known.stored is None and known.ordered is None
+    return is_absent and state.is_first_owner
+
+
 def _listed(state: states.GroupState) -> frozenset[tuple[str, int]]:
     return frozenset(
         (upstream.name, upstream.born_ms)
--- a/topazring/core/synchronous/restart.py
+++ b/topazring/core/synchronous/restart.py
@@ -51,6 +51,7 @@
     renewed.term = state.term
     renewed.acknowledged = state.acknowledged
     renewed.departed_members = state.departed_members
+    renewed.is_first_owner = state.is_first_owner
     renewed.member_record = state.member_record
     renewed.created_ms = state.created_ms
     renewed.acknowledged_until = state.acknowledged_until
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -358,6 +358,8 @@
     departed_members: departed.DepartedMembers = dataclasses.field(
         default_factory=departed.DepartedMembers
     )
+    # Whether this proxy is the first of the group's owners.
+    is_first_owner: bool = False
     member_record: MemberRecord = dataclasses.field(
         default_factory=MemberRecord
     )
--- a/topazring/core/synchronous/tests/test_start_without_primary.py
+++ b/topazring/core/synchronous/tests/test_start_without_primary.py
@@ -218,12 +218,44 @@
         self.proceed()
         self.assertEqual([first, first], records(self.driver.outs))
 
-    def test_other_proxies_write_nothing(self):
-        """Guards against a record by a proxy without the lease."""
-        driver = support.Driver().ready()
+    def without_lease(self, rank: int, **recorded) -> support.Driver:
+        """Return the core of an owner without the lease, some time on."""
+        driver = support.Driver()
+        driver.post(messages.InstancesSeen(3, 8, rank))
+        if recorded:
+            driver.post(messages.MembersRecorded(**recorded))
+        driver.ready()
         for _ in range(20):
             driver.tick(20)
+            driver.open_all()
             driver.answer_leadership_checks()
+        return driver
+
+    def test_first_owner_creates_the_record(self):
+        """Guards against a group without a record until a lease is held."""
+        driver = self.without_lease(0)
+        (record,) = records(driver.outs)
+        self.assertEqual({(name, 0) for name in ALL}, record)
+        driver.list_upstreams(names=(*ALL, 'u4'))
+        driver.tick(20)
+        self.assertEqual(1, len(records(driver.outs)))
+
+    def test_first_owner_before_a_proof(self):
+        """Guards against a record that names too few members."""
+        driver = support.Driver()
+        driver.post(messages.InstancesSeen(3, 8, 0))
+        driver.list_upstreams(primary='')
+        driver.open_all()
+        for _ in range(20):
+            driver.tick(20)
+            driver.answer_leadership_checks(primary='none')
+        self.assertEqual([], records(driver.outs))
+
+    def test_other_proxies_write_nothing(self):
+        """Guards against a record by a proxy without the lease."""
+        self.assertEqual([], records(self.without_lease(1).outs))
+        stored = frozenset({('u1', 0)})
+        driver = self.without_lease(0, members=stored)
         self.assertEqual([], records(driver.outs))
 
 
--- a/topazring/platform/tests/test_whole_path.py
+++ b/topazring/platform/tests/test_whole_path.py
@@ -266,11 +266,6 @@
 
     async def nobody_leads(self):
         proxy = self.proxies[0]
-
-        async def is_recorded() -> bool:
-            return f'topazring/members/{support.SERVICE}' in self.store.items
-
-        await support.wait_until(is_recorded, 10.0)
         await proxy.stop()
         for member in self.group.members:
             member.role = 'replica'
--- a/topazring/pooler/member_records.py
+++ b/topazring/pooler/member_records.py
@@ -2,7 +2,8 @@
 
 The holder of the promotion lease writes it when the members change, one call
 per change and group. A write that fails is repeated until the record is as
-the group needs it or the lease is lost.
+the group needs it or the lease is lost. Without the lease a record is only
+created.
 """
 
 import asyncio
@@ -106,9 +107,9 @@
             await self.requested.wait()
             self.requested.clear()
             for service, members in list(self.pending.items()):
-                if not self.holds_lease():
-                    self.pending.clear()
-                    break
+                if not self._may_write(service):
+                    del self.pending[service]
+                    continue
                 is_written = await self._write(service, members)
                 if is_written and self.pending.get(service) == members:
                     del self.pending[service]
@@ -116,6 +117,12 @@
                 await asyncio.sleep(RETRY_S)
                 self.requested.set()
 
+    def _may_write(self, service: str) -> bool:
+        """Return whether this process holds the lease or creates a record."""
+        key = KEY_PREFIX + service
+        is_absent = self.directory.own_value(key) is None
+        return self.holds_lease() or (is_absent and key not in self.written)
+
     async def _write(self, service: str, members: Members) -> bool:
         """Write a record; return whether the store holds it."""
         if self.directory.unavailable_since_ms is not None:
--- a/topazring/pooler/tests/test_member_records.py
+++ b/topazring/pooler/tests/test_member_records.py
@@ -101,6 +101,7 @@
         """Guards against a record by an earlier holder."""
 
         async def steps():
+            await self.store_value('{"members":[["u4",0]]}')
             self.holds = False
             self.records.write('s', TWO)
             await asyncio.sleep(0.1)
@@ -109,6 +110,32 @@
 
         self.play(steps)
 
+    def test_first_record_without_the_lease(self):
+        """Guards against a group without a record until a lease is held."""
+
+        async def steps():
+            self.holds = False
+            await self.written(TWO)
+            self.records.write('s', THREE)
+            await asyncio.sleep(0.1)
+            self.assertEqual(['put'], self.store.calls)
+            self.assertEqual(TWO, self.records.read('s'))
+
+        self.play(steps)
+
+    def test_own_record_before_it_is_read(self):
+        """Guards against replacing an own record after the lease was lost."""
+
+        async def steps():
+            await self.written(TWO)
+            self.holds = False
+            self.directory.own_value = lambda key: None
+            self.records.write('s', THREE)
+            await asyncio.sleep(0.1)
+            self.assertEqual(['put'], self.store.calls)
+
+        self.play(steps)
+
     def test_malformed_record(self):
         """Guards against using a record that names too few members."""
 
