Let a replaced primary that has reported be a candidate

What callers see: no write succeeds while an ordered member is away, in a group where only the replaced primary, which answers, holds all acknowledged writes.

Cause: "Let the only member left lead again" asked how many members are listed (`is_alone`), so it held for a group of two and not for its class.

`test_group_of_any_size` (one, two and three replicas) fails for two and three before, for as long as it plays (8 s). Now the primary before the one that was ordered counts like any other member as soon as it has reported in the attempt: its log is required, and its choice needs what every choice needs, the other members' reports and departures, or all proxies' answers.

Why it loses nothing: the exemption is taken away, which asks for more, and no rule for a choice changes. The new test of a silent primary (`test_it_was_demoted_while_it_was_silent`) passed before as well.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -117,11 +117,14 @@
     its own entries are held by another member or not acknowledged. An upstream
     that only the list names, after another has proved to lead, may be one that
     was replaced and confirms the writes of its successor. If a successor led
-    and is gone, its writes are not in the log of the one before. If no other
-    member is left, the one before is the only candidate.
+    and is gone, its writes are not in the log of the one before. If it was
+    only ordered, the one before is a candidate as soon as it has reported.
     """
-    is_alone = len(state.upstreams) == 1
-    if state.successor_gone and (state.successor_led or is_alone):
+    attempt = state.promotion
+    has_reported = (
+        attempt is not None and state.last_primary in attempt.reports
+    )
+    if state.successor_gone and (state.successor_led or has_reported):
         return ''
     if _is_deposed_by_another(state):
         return ''
--- a/topazring/core/synchronous/tests/test_successor_gone.py
+++ b/topazring/core/synchronous/tests/test_successor_gone.py
@@ -4,6 +4,7 @@
 
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import proof_support
 from topazring.core.synchronous.tests import support
@@ -143,3 +144,79 @@
                         outs += driver.reply(connection, REFUSED, support.ok())
         self.assertEqual('', driver.state.primary)
         self.assertEqual([], support.orders(outs))
+
+    def test_it_was_demoted_while_it_was_silent(self):
+        """Guards against taking another promoter's demotion for our own."""
+        driver = failover_support.make_lease_holder()
+        outs = failover_support.lose_primary(driver)
+        self.assertEqual('u1', driver.state.promotion.old_primary)
+        driver.list_upstreams(primary='', names=('u1',), revision=2)
+        for _ in range(100):
+            outs += driver.tick(20)
+            driver.open_all()
+            outs += failover_support.answer_control_commands(driver)
+            for connection in driver.busy('u1'):
+                if connection.purpose is states.Purpose.LEADERSHIP_CHECK:
+                    outs += driver.reply(connection, REFUSED, support.ok())
+        self.assertEqual([], support.orders(outs))
+
+
+def answer_checks(driver: support.Driver, leads: str) -> list:
+    """Answer leadership checks and status queries; nobody else leads."""
+    outs = []
+    for connection in driver.busy():
+        name = connection.upstream
+        if connection.purpose is states.Purpose.LEADERSHIP_CHECK:
+            first = support.ok() if name == leads else REFUSED
+            outs += driver.reply(connection, first, support.ok())
+        elif connection.purpose is states.Purpose.STATUS_QUERY:
+            role = support.Role.PRIMARY
+            if name != leads:
+                role = support.Role.REPLICA
+            outs += driver.reply(connection, support.report(role, held_term=0))
+    return outs
+
+
+class ReplicasThatLackWritesTest(testtools.TestCase):
+    """The ordered member is gone; only the replaced primary holds all."""
+
+    HELD = LogPosition(1, 8)
+
+    def ordered(self, count: int) -> list[str]:
+        """Return who is ordered in a group with this many replicas."""
+        replicas = [f'u{number}' for number in range(2, count + 2)]
+        driver = failover_support.make_lease_holder(names=('u1', *replicas))
+        failover_support.lose_primary(driver)
+        (order,) = support.orders(
+            failover_support.answer_control_commands(driver, u2=self.HELD)
+        )
+        self.assertEqual('u2', order.upstream)
+        accepted = messages.OrderResult.ACCEPTED
+        driver.post(messages.PromotionOrdered('u2', order.token, accepted))
+        left = ('u1', *replicas[1:])
+        driver.list_upstreams(names=left, revision=2)
+        outs, leads = [], 'u1'
+        for _ in range(400):
+            step = driver.tick(20)
+            driver.open_all()
+            if failover_support.command_targets(driver, statements.Demote):
+                leads = ''
+            step += answer_checks(driver, leads)
+            step += failover_support.answer_control_commands(
+                driver, u1=self.HELD
+            )
+            for out in list(step):
+                if isinstance(out, messages.QueryAcknowledgements):
+                    step += driver.post(
+                        messages.AcknowledgementsReported(
+                            out.token, True, self.HELD, 0, 10**6, out.term
+                        )
+                    )
+            outs += step
+        ordered = support.decisions(outs, 'promotion ordered')
+        return [each['chosen'] for each in ordered]
+
+    def test_group_of_any_size(self):
+        """Guards against no primary for as long as the ordered one is gone."""
+        for count in (1, 2, 3):
+            self.assertEqual(['u1'], self.ordered(count)[:1], count)
