Trust no pause or demotion before earlier orders are fenced off

What callers could see: an acknowledged write is gone. A holder's order is late; the next holder's attempt pauses its member, the order is carried out, the replaced primary alone confirms a write, and the ordered member begins again empty. The attempt took the end of the paused log for the most that member had held, and the replaced primary, demoted meanwhile, for one that it had demoted itself, and promoted a member without the write.

Evidence: `EarlierOrderTest` forces the order of events; two of its three tests fail before, each with one of the two conditions alone.

Now an attempt of a holder that has not fenced off earlier orders knows no bound of a member that it paused and that departed, and exempts no primary that stopped leading. Why it works: after a fence, or an accepted order of its own, no earlier order can be carried out, so nobody else can have led.

Price: only attempts of a new holder, before its first fence or accepted order, and only where a paused member departs or the primary answers that it does not lead: they ask all proxies first. The third test asks that a fenced holder promotes as before.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -136,7 +136,8 @@
 def _is_deposed_by_another(state: states.GroupState) -> bool:
     """Return whether the last primary does not lead, and not by our demotion.
 
-    Another proxy may have demoted it for a successor that was not seen here.
+    Another proxy may have demoted it for a successor that was not seen here,
+    also during the attempt while an earlier order may still be carried out.
     What a later instance of its name answers says nothing of it.
     """
     last = state.upstreams.get(state.last_primary)
@@ -147,6 +148,7 @@
     attempt = state.promotion
     is_own = (
         attempt is not None
+        and not state.needs_fencing
         and attempt.old_primary == last.name
         and last.refuted_ms >= attempt.began_ms
     )
@@ -243,15 +245,17 @@
 
 
 def paused_log_end(
-    attempt: Attempt, now_ms: int, name: str
+    state: states.GroupState, attempt: Attempt, now_ms: int, name: str
 ) -> log_positions.LogPosition | None:
     """Return where a paused member's log ends.
 
-    Return None if that is unknown: the successor keeps receiving, and a
-    query-only attempt pauses no members.
+    Return None if that is unknown: the successor keeps receiving, a query-only
+    attempt pauses no members, and an earlier order may have made it lead.
     """
     if attempt.is_query_only or name == attempt.successor:
         return None
+    if state.needs_fencing:
+        return None
     if not has_fresh_report(attempt, now_ms, name):
         return None
     return attempt.reports[name].received
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -70,8 +70,9 @@
         confirmations.note_term_ended(state, now_ms, state.term)
     paused_log_end = None
     if state.promotion is not None:
-        paused_log_end = attempts.paused_log_end(state.promotion, now_ms, name)
-        attempts.forget_member(state.promotion, name)
+        attempt = state.promotion
+        paused_log_end = attempts.paused_log_end(state, attempt, now_ms, name)
+        attempts.forget_member(attempt, name)
     state.departed_members.add(
         now_ms,
         name,
--- a/topazring/core/synchronous/tests/test_successor_gone.py
+++ b/topazring/core/synchronous/tests/test_successor_gone.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from topazring.core.synchronous import attempts
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -220,3 +221,73 @@
         """Guards against no primary for as long as the ordered one is gone."""
         for count in (1, 2, 3):
             self.assertEqual(['u1'], self.ordered(count)[:1], count)
+
+
+class EarlierOrderTest(testtools.TestCase):
+    """An earlier holder's order is carried out while a new one promotes."""
+
+    ENDS = {'u2': LogPosition(0, 0), 'u3': LOG_END}
+
+    def ordered(self, driver: support.Driver, answers: bool) -> list[str]:
+        """Return who is ordered once a paused member has led, and is empty.
+
+        The replaced primary confirmed its write. It is silent, or it answers
+        that it does not lead.
+        """
+        while driver.state.promotion is None:
+            driver.tick(20)
+            driver.answer_leadership_checks(primary='')
+        for connection in driver.busy('u2'):
+            if connection.purpose is states.Purpose.CONTROL:
+                held = support.report(received=LOG_END, held_term=2)
+                driver.reply(connection, held)
+        driver.list_upstreams(primary='', revision=2, born_ms={'u2': 99})
+        for connection in driver.busy('u1') if answers else ():
+            if connection.purpose is states.Purpose.LEADERSHIP_CHECK:
+                driver.reply(connection, REFUSED, support.ok())
+        outs = []
+        for _ in range(15):
+            outs += driver.tick(20)
+            for connection in list(driver.state.connections.values()):
+                is_opening = connection.phase is states.Phase.OPENING
+                if is_opening and connection.upstream != 'u1':
+                    driver.post(messages.Opened(connection.number, LOG_END))
+            outs += driver.answer_leadership_checks(primary='')
+            for name, end in self.ENDS.items():
+                outs += self.answer_commands(driver, name, end)
+        self.assertEqual('u1', driver.state.promotion.old_primary)
+        return [order.upstream for order in support.orders(outs)]
+
+    def answer_commands(
+        self, driver: support.Driver, name: str, end: LogPosition
+    ) -> list:
+        """Answer the commands of the promotion to one member."""
+        outs = []
+        for connection in driver.busy(name):
+            if connection.purpose is states.Purpose.CONTROL:
+                term = getattr(connection.commands[0], 'term', 0)
+                report = support.report(received=end, held_term=term)
+                outs += driver.reply(connection, report)
+        return outs
+
+    def new_holder(self) -> support.Driver:
+        """Return a core whose lease does not fence off earlier orders yet."""
+        driver = support.Driver().ready()
+        driver.post(messages.PromotionLeaseSeen(True, 100))
+        return driver
+
+    def test_replaced_primary_answers(self):
+        """Guards against passing over the only log with a write."""
+        driver = self.new_holder()
+        self.assertEqual([], self.ordered(driver, True))
+        self.assertEqual('', attempts.exempt_primary(driver.state))
+
+    def test_replaced_primary_is_silent(self):
+        """Guards against the same where only the paused one was known."""
+        self.assertEqual([], self.ordered(self.new_holder(), False))
+
+    def test_no_earlier_order_is_left(self):
+        """Guards against waiting where no other member can have led."""
+        for answers in (True, False):
+            holder = failover_support.make_lease_holder()
+            self.assertEqual(['u3'], self.ordered(holder, answers))
