Log it when a promoter fences nobody

A promoter whose lease may have ended, or that knows no owners of the group, fenced nobody without a line: in a trace that looked like a fence that was sent. `test_fence_that_could_not_be_released` fails before.

Changed test: `test_other_owners_are_fenced` held both cases, with a docstring of several lines. The case beyond the lease moved to the new test with the same assertion, which also plays unknown owners and the lines.

--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -308,9 +308,13 @@
         the store it goes on promoting, and writes would wait for the store.
         """
         owned = self.router.ownerships.get(service)
-        if owned is not None and self.promotion_lease.surely_holds():
-            names = {owner.name for owner in owned.owners}
-            await self.reports.fence_owners(service, term, names)
+        if owned is None or not self.promotion_lease.surely_holds():
+            why = 'owners unknown' if owned is None else 'lease may have ended'
+            inputs = {'service': service, 'term': term, 'why': why}
+            self.log.emit('duty', 'owners not fenced', inputs=inputs)
+            return
+        names = {owner.name for owner in owned.owners}
+        await self.reports.fence_owners(service, term, names)
 
     def _drop_group(self, service: str) -> None:
         group = self.groups.pop(service, None)
--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -171,27 +171,13 @@
         self.play(steps)
 
     def test_other_owners_are_fenced(self):
-        """Guards against owners that do not notice a promotion.
-
-        A holder that cannot release them again fences nobody.
-        """
+        """Guards against owners that do not notice a promotion."""
 
         async def steps():
-            await self.poolers[0].directory.read_store_now()
-            names = ('p1', 'p2')
-            owners = ownership.Ownership(
-                tuple(ownership.Proxy(name, 'cork') for name in names)
-            )
-            self.poolers[0].router.ownerships['s'] = owners
-            fence_owners = fake_core.Emit(messages.FenceOwners(7))
+            await self.own_jointly()
             other = self.cores[1]
             self.set_holder(self.poolers[0])
-            self.poolers[0].promotion_lease.valid_until_ms = 0
-            self.groups[0].post(fence_owners)
-            await asyncio.sleep(0.1)
-            self.assertEqual([], other.of(messages.FenceAcknowledgements))
-            self.set_holder(self.poolers[0])
-            self.groups[0].post(fence_owners)
+            self.groups[0].post(fake_core.Emit(messages.FenceOwners(7)))
             await fleet.until(
                 lambda: other.of(messages.FenceAcknowledgements), 1.0
             )
@@ -203,6 +189,43 @@
 
         self.play(steps)
 
+    async def own_jointly(self) -> None:
+        """Have p1 know both processes as the owners of the group."""
+        await self.poolers[0].directory.read_store_now()
+        owners = ownership.Ownership(
+            tuple(ownership.Proxy(name, 'cork') for name in ('p1', 'p2'))
+        )
+        self.poolers[0].router.ownerships['s'] = owners
+
+    def test_fence_that_could_not_be_released(self):
+        """Guards against fencing owners beyond the lease, and in silence."""
+
+        async def steps():
+            holder = self.poolers[0]
+            holder.log.emit = mock.Mock()
+            await self.own_jointly()
+            self.set_holder(holder)
+            holder.promotion_lease.valid_until_ms = 0
+            self.groups[0].post(fake_core.Emit(messages.FenceOwners(7)))
+            await asyncio.sleep(0.1)
+            self.set_holder(holder)
+            del holder.router.ownerships['s']
+            self.groups[0].post(fake_core.Emit(messages.FenceOwners(8)))
+            await asyncio.sleep(0.1)
+            self.assertEqual(
+                [], self.cores[1].of(messages.FenceAcknowledgements)
+            )
+            logged = [
+                (call.kwargs['inputs']['term'], call.kwargs['inputs']['why'])
+                for call in holder.log.emit.call_args_list
+                if call.args[1] == 'owners not fenced'
+            ]
+            self.assertEqual(
+                [(7, 'lease may have ended'), (8, 'owners unknown')], logged
+            )
+
+        self.play(steps)
+
     def test_release_by_the_other_process(self):
         """Its group is asked, and it must still hold the lease."""
 
