--- a/topazring/core/synchronous/tests/test_fence_orders.py
+++ b/topazring/core/synchronous/tests/test_fence_orders.py
@@ -122,11 +122,7 @@
     """A hand-over beside a proxy whose list does not name it."""
 
     def test_paused_replica_restarts_beside_an_older_list(self):
-        """Guards against a write that the ordered successor lacks.
-
-        `u2` was paused, has restarted and confirms. The other proxy does not
-        reach `u3`, and its list does not say that the primary leaves.
-        """
+        """Guards against a write that the ordered successor lacks."""
         holder = failover_support.make_lease_holder()
         outs = holder.list_upstreams(leaving='u1', revision=2)
         for _ in range(40):
--- a/topazring/core/synchronous/tests/test_unlisted_members.py
+++ b/topazring/core/synchronous/tests/test_unlisted_members.py
@@ -45,10 +45,7 @@
         self.assertNotIsInstance(self.read('u1'), outcomes.Done)
 
     def test_refusals_of_the_listed_members(self):
-        """Guards against the same where a listed member does not lead.
-
-        It follows the member that leads, as its report tells.
-        """
+        """Guards against the same where a listed member follows it."""
         answer = self.read('u1', 'u3', term=2)
         self.assertNotIsInstance(answer, outcomes.Done)
 
--- a/topazring/plumbing/tests/test_early_signals.py
+++ b/topazring/plumbing/tests/test_early_signals.py
@@ -79,10 +79,7 @@
         self.assertEqual((0, words), ran)
 
     def test_signals_while_handed_over(self):
-        """Guards against a gap between the early handlers and the loop's.
-
-        The signal is sent before and after each of the five calls.
-        """
+        """Guards against a gap between the early handlers and the loop's."""
         names = ('set_wakeup_fd', 'signal', 'pthread_sigmask')
         for call in range(6):
             for name in ('SIGHUP', 'SIGTERM', 'SIGINT'):
--- a/topazring/tests/test_signals_while_starting.py
+++ b/topazring/tests/test_signals_while_starting.py
@@ -131,10 +131,7 @@
                 self.assertEqual(0, started.wait_exit())
 
     def test_signals_while_exiting(self):
-        """Guards against signals after the loop has closed that end it.
-
-        They are sent when Python's own handlers would be in force again.
-        """
+        """Guards against signals after the loop has closed that end it."""
         for number in (None, signal.SIGTERM, signal.SIGINT):
             started = self.start('exit')
             started.wait_logged(self.running)
