Serve organisations: keys at the session's start, connections of their own

Callers name an API key; upstreams are told the organisation that holds it, never the key. Keys are hashed as soon as an entry is read, so neither the memory of the list nor messages between proxies hold them. Unknown keys are rejected; a session whose key is revoked ends between two statements.

A connection serves one organisation for its life. It is opened on demand; the least recently used idle one is closed for it. Requests take turns by organisation. A proxy of an older build gets no request of an organisation, and one that it sends without a name is refused.

--- a/topazring/admin/main.py
+++ b/topazring/admin/main.py
@@ -16,6 +16,7 @@
 from topazring.admin import exits
 from topazring.admin import trace_command
 from topazring import catalogue
+from topazring.core import organisations
 from topazring import key_value
 from topazring import platform_client
 
@@ -353,7 +354,7 @@
 
     def __call__(self) -> None:
         """Print the hash."""
-        print(catalogue.hash_key(sys.stdin.readline().rstrip('\n')))
+        print(organisations.hash_key(sys.stdin.readline().rstrip('\n')))
 
 
 @cappa.command(name='topazring-admin')
--- a/topazring/bench/fleet.py
+++ b/topazring/bench/fleet.py
@@ -18,6 +18,7 @@
 from topazring.bench import ports
 from topazring import catalogue
 from topazring import client
+from topazring.core import organisations
 from topazring import key_value
 from topazring import platform_client
 
@@ -261,7 +262,7 @@
         for name, value in plans.PROFILES.items():
             await self.put('profile', name, value)
         for name in self.plan.organisations:
-            key = catalogue.hash_key(f'{name}-key')
+            key = organisations.hash_key(f'{name}-key')
             await self.put('organisation', name, {'key_sha256': key})
         for database in self.plan.databases:
             await self.put(
--- a/topazring/catalogue.py
+++ b/topazring/catalogue.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import hashlib
 import json
 import sys
 import typing
@@ -20,7 +19,6 @@
     'UpstreamAddress',
     'apply_changes',
     'check',
-    'hash_key',
     'kinds',
     'register_kind',
 ]
@@ -180,11 +178,6 @@
         return self.token_keys[max(self.token_keys)]
 
 
-def hash_key(key: str) -> str:
-    """Return the hash of an organisation's key as it is configured."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def check(kind: str, value: object) -> pydantic.BaseModel:
     """Validate a value; raise pydantic.ValidationError if invalid."""
     return _kinds[kind].model_validate(value)
--- a/topazring/core/synchronous/arrival.py
+++ b/topazring/core/synchronous/arrival.py
@@ -1,5 +1,6 @@
 """Admit requests, or refuse those that cannot be answered in time."""
 
+from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import completion
 from topazring.core.synchronous import concurrency_limit
@@ -40,6 +41,8 @@
     if request.continues_transaction:
         return dispatch.continue_transaction(state, now_ms, work)
     work.primary_only = request.needs_primary
+    if request.organisation != organisations.ANONYMOUS:
+        state.serves_organisations = True
     refusal = _refusal(state, now_ms, work)
     if refusal is not None:
         return completion.give_up(
@@ -70,11 +73,11 @@
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> float:
     """Estimate the time to the answer of a request; 0 if none is queued."""
-    policy = work.request.policy
-    ahead = request_queues.count_ahead(state, work.primary_only, policy)
+    request = work.request
+    ahead = request_queues.count_ahead(state, work.primary_only, request)
     at_primary = 0
     if not work.primary_only:
-        at_primary = request_queues.count_ahead(state, True, policy)
+        at_primary = request_queues.count_ahead(state, True, request)
     if not ahead and not at_primary:
         return 0.0
     candidates = routing.candidates(state, now_ms, work)
--- a/topazring/core/synchronous/concurrency_limit.py
+++ b/topazring/core/synchronous/concurrency_limit.py
@@ -87,6 +87,9 @@
         connection.phase is not states.Phase.OPENING
         for connection in states.connections_to(state, upstream.name)
     )
+    if state.serves_organisations:
+        # The others are opened when they are needed.
+        connected = max(connected, state.connection_share)
     by_hold_time = connected / max(1.0, upstream.hold_ms)
     by_limit = min(connected, upstream.concurrency_limit) / max(
         1.0, upstream.service_ms
--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -6,8 +6,13 @@
 loss, while the upstreams still hold the previous connections for some
 seconds. An upstream that is at its connection limit refuses new connections
 and is not dialled again for a short time.
+
+A connection serves one organisation for its whole life. Where requests name
+an organisation, connections are opened on demand; if the share is used up,
+the least recently used idle connection of another one is closed for it.
 """
 
+from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
@@ -23,7 +28,10 @@
     'handle_opened',
     'has_usable_connection',
     'is_excluded_by_limit',
+    'is_opening_for',
     'mark_idle',
+    'may_open',
+    'open_for',
     'open_missing',
     'reserve_of',
     'send',
@@ -54,6 +62,11 @@
 # The longest statement takes about 200 ms behind a full queue; a reply that
 # takes longer than this is usually lost.
 STALLED_MS = 250
+# Dials to one upstream at a time for organisations without a connection. Each
+# dial takes one of the slots that statements need.
+MAX_DEMANDED_DIALS = 2
+# A dial that takes longer is late: another upstream is dialled as well.
+LATE_DIAL_MS = 80
 # In a rolling restart a proxy is absent for about ten seconds at most.
 GROW_AFTER_MS = 15_000
 # A connection beyond the share that has been idle this long is not needed.
@@ -172,18 +185,15 @@
     outs: list = []
     if state.began_ms is None:
         state.began_ms = now_ms
-    has_just_started = now_ms - state.began_ms < LINGER_MS
-    share = state.connection_share
-    if has_just_started:
-        share = min(state.starting_share, share)
-    if state.holds_promotion_lease:
-        # The lease holder has to reach all members, even if it is no owner.
-        share = max(1, share)
     for upstream in state.upstreams.values():
         connections = states.connections_to(state, upstream.name)
         if _is_opening(connections) or now_ms < upstream.dial_after_ms:
             continue
-        if len(connections) >= share + _are_all_stalled(now_ms, connections):
+        wanted = _limit(state, now_ms, connections)
+        if state.serves_organisations:
+            # The others are opened for the organisations that need them.
+            wanted = min(wanted, 1)
+        if len(connections) >= wanted:
             continue
         if states.is_closed_to_work(upstream, now_ms):
             # Connections to it would only occupy connections at its successor.
@@ -192,6 +202,78 @@
     return outs
 
 
+def _limit(
+    state: states.GroupState,
+    now_ms: int,
+    connections: list[states.Connection],
+) -> int:
+    """Return how many connections to an upstream may be open now."""
+    share = state.connection_share
+    if state.began_ms is None or now_ms - state.began_ms < LINGER_MS:
+        share = min(state.starting_share, share)
+    if state.holds_promotion_lease:
+        # The lease holder has to reach all members, even if it is no owner.
+        share = max(1, share)
+    return share + _are_all_stalled(now_ms, connections)
+
+
+def may_open(
+    state: states.GroupState, now_ms: int, upstream: states.Upstream
+) -> bool:
+    """Return whether a connection could be opened for an organisation now."""
+    if not state.serves_organisations or now_ms < upstream.dial_after_ms:
+        return False
+    connections = states.connections_to(state, upstream.name)
+    opening = [c for c in connections if c.phase is states.Phase.OPENING]
+    if len(opening) >= MAX_DEMANDED_DIALS:
+        return False
+    if len(connections) < _limit(state, now_ms, connections):
+        return True
+    return _least_recently_used(state, upstream.name) is not None
+
+
+def open_for(
+    state: states.GroupState,
+    now_ms: int,
+    upstream: states.Upstream,
+    organisation: str,
+) -> list:
+    """Open a connection for an organisation unless one is being opened.
+
+    If the share is used up, close an idle connection of another organisation.
+    """
+    if not may_open(state, now_ms, upstream):
+        return []
+    if is_opening_for(state, upstream.name, organisation):
+        return []
+    outs: list = []
+    connections = states.connections_to(state, upstream.name)
+    if len(connections) >= _limit(state, now_ms, connections):
+        replaced = _least_recently_used(state, upstream.name)
+        outs += close_connection(state, replaced)
+        state.counters['connection_replaced'] += 1
+    state.counters['dial_on_demand'] += 1
+    return [*outs, _dial(state, now_ms, upstream, organisation)]
+
+
+def is_opening_for(
+    state: states.GroupState, upstream: str, organisation: str
+) -> bool:
+    """Return whether a connection for an organisation is being opened."""
+    return any(
+        connection.phase is states.Phase.OPENING
+        and connection.organisation == organisation
+        for connection in states.connections_to(state, upstream)
+    )
+
+
+def _least_recently_used(
+    state: states.GroupState, upstream: str
+) -> states.Connection | None:
+    idle = states.idle_connections(state, upstream)
+    return min(idle, key=lambda c: c.served_ms, default=None)
+
+
 def _is_opening(connections: list[states.Connection]) -> bool:
     return any(c.phase is states.Phase.OPENING for c in connections)
 
@@ -236,15 +318,20 @@
 
 
 def _dial(
-    state: states.GroupState, now_ms: int, upstream: states.Upstream
+    state: states.GroupState,
+    now_ms: int,
+    upstream: states.Upstream,
+    organisation: str = organisations.ANONYMOUS,
 ) -> messages.Open:
     number = state.next_connection
     state.next_connection += 1
-    connection = states.Connection(number, upstream.name, sent_ms=now_ms)
+    connection = states.Connection(
+        number, upstream.name, organisation, sent_ms=now_ms
+    )
     state.connections[number] = connection
     by_number = state.connections_by_upstream.setdefault(upstream.name, {})
     by_number[number] = connection
-    return messages.Open(number, upstream.name, upstream.address)
+    return messages.Open(number, upstream.name, upstream.address, organisation)
 
 
 def handle_opened(
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -98,6 +98,13 @@
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
     connection = routing.best_connection(state, state.primary, work.request)
+    if connection is None:
+        return connections.open_for(
+            state,
+            now_ms,
+            state.upstreams[state.primary],
+            work.request.organisation,
+        )
     return _start(state, now_ms, work, connection, None)
 
 
@@ -118,8 +125,31 @@
     free = [upstream for upstream in fresh if upstream.name in capacity.free]
     if not free:
         return []
-    chosen = routing.choose_free_connection(state, now_ms, free, work)
-    return _start(state, now_ms, work, chosen, position)
+    organisation = work.request.organisation
+    chosen = routing.choose_free_upstream(state, now_ms, free, organisation)
+    connection = routing.best_connection(state, chosen.name, work.request)
+    if connection is not None:
+        return _start(state, now_ms, work, connection, position)
+    if _is_being_connected(state, now_ms, work, fresh):
+        return []
+    return connections.open_for(state, now_ms, chosen, organisation)
+
+
+def _is_being_connected(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    upstreams: list[states.Upstream],
+) -> bool:
+    """Return whether a connection that a request needs is due soon."""
+    organisation = work.request.organisation
+    return any(
+        connection.phase is states.Phase.OPENING
+        and connection.organisation == organisation
+        and now_ms - connection.sent_ms < connections.LATE_DIAL_MS
+        for upstream in upstreams
+        for connection in states.connections_to(state, upstream.name)
+    )
 
 
 def _move_to_primary(
@@ -157,7 +187,7 @@
     if work.first_sent_ms is None:
         work.first_sent_ms = now_ms
     concurrency_limit.start_hold(connection, now_ms)
-    _assign_connection(state, work, connection)
+    _assign_connection(state, now_ms, work, connection)
     outs = _sent_events(state, now_ms, work, connection, after)
     if after is None and proofs.needs_proof(request):
         proofs.request_proof(state, request.arrived_ms)
@@ -209,6 +239,7 @@
 
 def _assign_connection(
     state: states.GroupState,
+    now_ms: int,
     work: states.Work,
     connection: states.Connection,
 ) -> None:
@@ -219,6 +250,7 @@
         connection.place_before = upstream.place
     work.running.add(connection.number)
     connection.work = work.request.key
+    connection.served_ms = now_ms
     connection.is_writing = work.request.writes
 
 
@@ -236,7 +268,7 @@
     commands = exchanges.adapt(connection, request)
     commands.append(exchanges.statement_command(request))
     work.first_sent_ms = now_ms
-    _assign_connection(state, work, connection)
+    _assign_connection(state, now_ms, work, connection)
     purpose = states.Purpose.STATEMENT
     sent = connections.send(connection, now_ms, purpose, tuple(commands))
     return [sent]
@@ -253,6 +285,27 @@
     ]
 
 
+def _open_for_hedge(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    upstreams: list[states.Upstream],
+) -> list:
+    """Open a connection on which the next tick may send the copy."""
+    free = [
+        upstream
+        for upstream in upstreams
+        if routing.accepts_request(state, now_ms, upstream)
+    ]
+    if not free or _is_being_connected(state, now_ms, work, free):
+        return []
+    organisation = work.request.organisation
+    chosen = routing.choose_free_upstream(state, now_ms, free, organisation)
+    if routing.is_connected(state, chosen, organisation):
+        return []
+    return connections.open_for(state, now_ms, chosen, organisation)
+
+
 def hedge(state: states.GroupState, now_ms: int, work: states.Work) -> list:
     """Send another copy of a slow read to another upstream.
 
@@ -279,7 +332,9 @@
         position = None
         if not states.is_closed_to_work(primary, now_ms):
             chosen = routing.best_connection(state, primary.name, request)
-    if chosen is None or not retries.spend(state.budget):
+    if chosen is None:
+        return _open_for_hedge(state, now_ms, work, fresh)
+    if not retries.spend(state.budget):
         return []
     work.hedges += 1
     work.is_traced = True
--- a/topazring/core/synchronous/listing.py
+++ b/topazring/core/synchronous/listing.py
@@ -8,6 +8,7 @@
 import collections.abc
 import dataclasses
 
+from topazring.core import organisations
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
 
@@ -19,6 +20,7 @@
     'UpstreamRecord',
     'apply_record',
     'hop_addresses',
+    'old_proxies',
     'proxies_of',
     'reconcile',
     'record_removal',
@@ -44,6 +46,8 @@
     policies: collections.abc.Mapping[str, messages.Policy]
     # By service: connections that one upstream accepts from all proxies.
     max_connections: collections.abc.Mapping[str, int]
+    # None if no database needs a key.
+    known_organisations: organisations.Organisations | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +66,8 @@
     data_centre: str
     peer_address: str = ''
     hop_address: str = ''
+    # Whether it runs forwarded requests in the name of their organisation.
+    carries_organisations: bool = False
 
 
 Record = Configuration | UpstreamRecord | ProxyRecord
@@ -225,6 +231,15 @@
     return [proxies[each] for each in sorted(proxies)]
 
 
+def old_proxies(listing: Listing) -> frozenset[str]:
+    """Return the live proxies that ignore the organisation of a request."""
+    return frozenset(
+        record.name
+        for record in listing.proxies.values()
+        if not record.carries_organisations
+    )
+
+
 def hop_addresses(listing: Listing) -> dict[str, str]:
     """Return the addresses at which live proxies accept forwarded requests."""
     return {
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -5,6 +5,7 @@
 import enum
 
 from topazring.core import log_positions
+from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import statements
 
@@ -75,6 +76,8 @@
     version: int = 0
     # An open transaction that is idle for longer may be rolled back.
     transaction_idle_ms: int = 10_000
+    # Whether callers need no key.
+    anonymous: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +104,8 @@
     # The statement shape that an EXECUTE needs to be prepared, under its
     # shared name.
     prepared: statements.Prepare | None = None
+    # The organisation in whose name upstreams run it.
+    organisation: str = organisations.ANONYMOUS
 
     @property
     def continues_transaction(self) -> bool:
@@ -342,6 +347,8 @@
     connection: int
     upstream: str
     address: str
+    # The organisation that the connection serves for its whole life.
+    organisation: str = organisations.ANONYMOUS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/core/synchronous/request_queues.py
+++ b/topazring/core/synchronous/request_queues.py
@@ -26,6 +26,11 @@
     return state.primary_queues if primary_only else state.any_queues
 
 
+def _turn_of(request: messages.Request) -> str:
+    """Return the name under which a request takes turns."""
+    return request.organisation or request.policy.database
+
+
 def add(state: states.GroupState, work: states.Work) -> int | None:
     """Add a request; return the key of the one evicted for it, if any."""
     policy = work.request.policy
@@ -36,7 +41,7 @@
         queues[policy.priority] = queue
     work.is_queued = True
     return admission.push(
-        queue, policy.database, work.deadline_ms, work.request.key
+        queue, _turn_of(work.request), work.deadline_ms, work.request.key
     )
 
 
@@ -44,7 +49,7 @@
     """Remove a request that no longer waits."""
     policy = work.request.policy
     queue = _queues(state, work.primary_only)[policy.priority]
-    admission.remove(queue, policy.database, work.request.key)
+    admission.remove(queue, _turn_of(work.request), work.request.key)
     work.is_queued = False
 
 
@@ -74,10 +79,10 @@
 
 def dequeue(state: states.GroupState, now_ms: int, work: states.Work) -> None:
     """Remove a request from its queue because it is being started."""
-    policy = work.request.policy
-    queue = _queues(state, work.primary_only)[policy.priority]
-    if queue.turns and queue.turns[0] == policy.database:
-        entries = queue.heaps[policy.database]
+    queue = _queues(state, work.primary_only)[work.request.policy.priority]
+    turn = _turn_of(work.request)
+    if queue.turns and queue.turns[0] == turn:
+        entries = queue.heaps[turn]
         if entries[0][1] == work.request.key:
             admission.pop(queue, now_ms)
             work.is_queued = False
@@ -95,13 +100,14 @@
 
 
 def count_ahead(
-    state: states.GroupState, primary_only: bool, policy: messages.Policy
+    state: states.GroupState, primary_only: bool, request: messages.Request
 ) -> int:
-    """Return how many waiting requests precede a new one of a policy."""
+    """Return how many waiting requests precede a new one."""
     ahead = 0
+    own_priority = request.policy.priority
     for priority, queue in _queues(state, primary_only).items():
-        if priority < policy.priority:
+        if priority < own_priority:
             ahead += admission.size(queue)
-        elif priority == policy.priority:
-            ahead += admission.count_ahead(queue, policy.database)
+        elif priority == own_priority:
+            ahead += admission.count_ahead(queue, _turn_of(request))
     return ahead
--- a/topazring/core/synchronous/restart.py
+++ b/topazring/core/synchronous/restart.py
@@ -46,6 +46,7 @@
     renewed.next_connection = state.next_connection
     renewed.connection_share = state.connection_share
     renewed.starting_share = state.starting_share
+    renewed.serves_organisations = state.serves_organisations
     renewed.began_ms = state.began_ms
     renewed.token = state.token
     renewed.term = state.term
--- a/topazring/core/synchronous/routing.py
+++ b/topazring/core/synchronous/routing.py
@@ -16,9 +16,10 @@
     'best_connection',
     'candidates',
     'choose_connection',
-    'choose_free_connection',
+    'choose_free_upstream',
     'filter_fresh',
     'fresh_upstreams',
+    'is_connected',
     'read_capacity',
 ]
 
@@ -28,6 +29,8 @@
 # justifies some waiting. A typical statement takes 10 to 20 ms.
 REMOTE_COST_MS = 12.0
 PRIMARY_COST_MS = 6.0
+# A new connection takes about this long and occupies a slot meanwhile.
+DIAL_COST_MS = 14.0
 # Half-life of a high service time: a replica that hung for some seconds is
 # tried again within about three seconds.
 SERVICE_HALF_LIFE_MS = 500
@@ -134,7 +137,8 @@
         # Sending again at once would lead to hundreds of refusals.
         return False
     if not states.idle_connections(state, upstream.name):
-        return False
+        if not connections.may_open(state, now_ms, upstream):
+            return False
     return concurrency_limit.has_capacity(state, now_ms, upstream)
 
 
@@ -145,32 +149,53 @@
     work: states.Work,
 ) -> states.Connection | None:
     """Return a free connection to the upstream expected to answer first."""
+    organisation = work.request.organisation
     free = [
         upstream
         for upstream in fresh
         if accepts_request(state, now_ms, upstream)
+        and is_connected(state, upstream, organisation)
     ]
-    return choose_free_connection(state, now_ms, free, work) if free else None
+    if not free:
+        return None
+    chosen = choose_free_upstream(state, now_ms, free, organisation)
+    return best_connection(state, chosen.name, work.request)
 
 
-def choose_free_connection(
+def choose_free_upstream(
     state: states.GroupState,
     now_ms: int,
     free: list[states.Upstream],
-    work: states.Work,
-) -> states.Connection:
-    """Return a connection to one of several upstreams with free capacity."""
+    organisation: str,
+) -> states.Upstream:
+    """Return the best of several upstreams with free capacity.
+
+    A connection for the organisation may have to be opened to it.
+    """
     if len(free) == 1:
-        return best_connection(state, free[0].name, work.request)
-    first = min(
+        return free[0]
+
+    def expected_wait_ms(upstream: states.Upstream) -> float:
+        wait_ms = _expected_wait_ms(state, now_ms, upstream)
+        if not is_connected(state, upstream, organisation):
+            wait_ms += DIAL_COST_MS
+        return wait_ms
+
+    return min(
         free,
         key=lambda upstream: (
             _is_stalled(state, now_ms, upstream),
-            _expected_wait_ms(state, now_ms, upstream),
+            expected_wait_ms(upstream),
             upstream.name,
         ),
     )
-    return best_connection(state, first.name, work.request)
+
+
+def is_connected(
+    state: states.GroupState, upstream: states.Upstream, organisation: str
+) -> bool:
+    """Return whether a connection for an organisation is free."""
+    return bool(states.idle_connections_of(state, upstream.name, organisation))
 
 
 def _expected_wait_ms(
@@ -225,7 +250,7 @@
     state: states.GroupState, upstream: str, request: messages.Request
 ) -> states.Connection | None:
     """Return the free connection that needs the fewest setup commands."""
-    free = states.idle_connections(state, upstream)
+    free = states.idle_connections_of(state, upstream, request.organisation)
     if not free:
         return None
     return min(free, key=lambda c: exchanges.adapt_cost(c, request))
--- a/topazring/core/synchronous/sessions.py
+++ b/topazring/core/synchronous/sessions.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from topazring.core import log_positions
+from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
@@ -45,6 +46,9 @@
 
     number: int
     database: str
+    # The organisation that holds the key of the session, and the key's hash.
+    organisation: str = organisations.ANONYMOUS
+    key_hash: str = ''
     state: SessionState = SessionState.IDLE
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: dict[str, statements.Prepare] = dataclasses.field(
@@ -210,6 +214,7 @@
         session.place,
         dict(session.values),
         prepared,
+        session.organisation,
     )
 
 
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -6,6 +6,7 @@
 
 from topazring.core import admission
 from topazring.core import log_positions
+from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core import retries
 from topazring.core.synchronous import departed_members as departed
@@ -26,6 +27,7 @@
     'Work',
     'connections_to',
     'idle_connections',
+    'idle_connections_of',
     'is_closed_to_work',
     'is_recently_lagging',
     'make_group',
@@ -90,12 +92,16 @@
 
     number: int
     upstream: str
+    # The only organisation whose requests it runs.
+    organisation: str = organisations.ANONYMOUS
     phase: Phase = Phase.OPENING
     purpose: Purpose = Purpose.NONE
     commands: tuple[statements.Command, ...] = ()
     # When the dial or the commands in flight were sent.
     sent_ms: int = 0
     idle_since_ms: int = 0
+    # When it last ran a request.
+    served_ms: int = 0
     work: int = 0
     # When a queued request checked it out; None while it is free.
     checked_out_ms: int | None = None
@@ -286,6 +292,9 @@
     created_ms: int = 0
     # When the group was first listed; 0 until then.
     listed_ms: int = 0
+    # Whether requests name an organisation, so that a connection has to be
+    # opened for each.
+    serves_organisations: bool = False
     # Most connections that this proxy may hold to one upstream.
     connection_share: int = 2
     # The limit while connections of an earlier share may still be open there.
@@ -448,6 +457,17 @@
     ]
 
 
+def idle_connections_of(
+    state: GroupState, upstream: str, organisation: str
+) -> list[Connection]:
+    """Return the idle connections that serve an organisation."""
+    return [
+        connection
+        for connection in idle_connections(state, upstream)
+        if connection.organisation == organisation
+    ]
+
+
 def other_members(state: GroupState) -> list[Upstream]:
     """Return all members except the assumed primary."""
     return [
--- a/topazring/platform/caller_codec.py
+++ b/topazring/platform/caller_codec.py
@@ -35,6 +35,7 @@
     Reason.UPSTREAM_TIMEOUT: 'TIMEOUT',
 }
 _REJECTED = {
+    Reason.FORBIDDEN: 'NOAUTH',
     Reason.UNKNOWN_DATABASE: 'NODB',
     Reason.NO_STATEMENT: 'NOSTMT',
     Reason.TOO_LARGE: 'TOOLARGE',
@@ -177,10 +178,7 @@
             raise line_protocol.LineError('QUERY takes an id and a text')
         return parse_statement(request_id, text)
     if word == 'START':
-        # The client name, the second field, is unused: a session is
-        # identified by its connection.
-        database = _split_fields(rest, 2, 1)[0]
-        return ports.StartSession(database)
+        return ports.StartSession(*_split_fields(rest, 2, 1))
     if word == 'QUIT' and not rest:
         return ports.Quit()
     raise line_protocol.LineError('no such message')
--- a/topazring/platform/program.py
+++ b/topazring/platform/program.py
@@ -28,6 +28,7 @@
         store.StoreClient(config.store_address),
         orders.OrdersClient(config.orders_address),
         records.decode,
+        records.redact,
         READY_PATH,
     )
 
--- a/topazring/platform/records.py
+++ b/topazring/platform/records.py
@@ -8,15 +8,18 @@
 
 import msgspec
 
+from topazring.core import organisations
 from topazring.core.synchronous import listing
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 from topazring.pooler import settings
 
-__all__ = ['decode']
+__all__ = ['decode', 'redact']
 
 CONFIGURATION_KEY = 'op/config'
 UPSTREAM_PREFIX = 'servers/'
+_KEYS_FIELD = 'api-keys'
+_HASHES_FIELD = 'key-hashes'
 
 _FRESHNESS = {
     'primary': messages.Freshness.PRIMARY,
@@ -39,6 +42,8 @@
     latency_goal_ms: int = 250
     priority: int = 1
     max_staleness_ms: int = 0
+    # Whether callers need no key.
+    anonymous: bool = False
 
 
 class _Service(_Entry):
@@ -51,10 +56,22 @@
     tx_idle_ms: int = 10_000
 
 
+class _Tenant(_Entry):
+    name: str
+    # Only `redact` reads keys; it replaces them by their hashes.
+    key_hashes: list[str] = []
+    # Operations per second; unlimited if missing.
+    rate_per_s: float | None = None
+    # Operations beyond the rate that may come at once.
+    burst: float | None = None
+
+
 class _Configuration(_Entry):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
+    # None where no database needs a key.
+    tenants: list[_Tenant] | None = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -89,6 +106,25 @@
     return None
 
 
+def redact(key: str, value: str) -> str:
+    """Return the value of an entry with its API keys replaced by hashes.
+
+    A value that cannot be decoded becomes empty, as it may hold keys.
+    """
+    if key != CONFIGURATION_KEY or f'"{_KEYS_FIELD}"' not in value:
+        return value
+    try:
+        raw = msgspec.json.decode(value)
+        for tenant in raw.get('tenants') or ():
+            keys = tenant.pop(_KEYS_FIELD, [])
+            tenant[_HASHES_FIELD] = [
+                organisations.hash_key(each) for each in keys if each
+            ]
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return ''
+    return msgspec.json.encode(raw).decode()
+
+
 def _to_configuration(raw: _Configuration) -> listing.Configuration:
     return listing.Configuration(
         raw.version,
@@ -103,14 +139,41 @@
                 route.priority,
                 raw.version,
                 raw.limits.tx_idle_ms,
+                raw.tenants is None or route.anonymous,
             )
             for route in raw.routes
             if route.type in _FRESHNESS
         },
         {service.name: service.max_conns for service in raw.services},
+        None if raw.tenants is None else _to_organisations(raw.tenants),
     )
 
 
+def _to_organisations(
+    tenants: list[_Tenant],
+) -> organisations.Organisations:
+    for tenant in tenants:
+        if not tenant.name or not tenant.name.isprintable():
+            raise ValueError('an organisation has an invalid name')
+        if ' ' in tenant.name:
+            raise ValueError('the name of an organisation has a blank')
+    return organisations.make_organisations(
+        {tenant.name: tenant.key_hashes for tenant in tenants},
+        {
+            tenant.name: _to_quota(tenant)
+            for tenant in tenants
+            if tenant.rate_per_s is not None
+        },
+    )
+
+
+def _to_quota(tenant: _Tenant) -> organisations.Quota:
+    burst = tenant.rate_per_s if tenant.burst is None else tenant.burst
+    if tenant.rate_per_s < 0 or burst < 0:
+        raise ValueError('a quota is negative')
+    return organisations.Quota(tenant.rate_per_s, burst)
+
+
 def _to_upstream(
     name: str, raw: _Upstream, revision: int
 ) -> listing.UpstreamRecord:
--- a/topazring/platform/tests/test_line_protocol.py
+++ b/topazring/platform/tests/test_line_protocol.py
@@ -64,7 +64,7 @@
         start, set_value, prepare, execute, begin, quit_message = self.read(
             MESSAGES
         )
-        self.assertEqual(ports.StartSession('lepu270'), start)
+        self.assertEqual(ports.StartSession('lepu270', 'u3f1'), start)
         self.assertEqual(
             ('zone', 'cork hall'), (set_value.name, set_value.value)
         )
--- a/topazring/platform/upstream_codec.py
+++ b/topazring/platform/upstream_codec.py
@@ -28,7 +28,8 @@
 }
 # Request id of statements issued by the proxy itself.
 _PROXY_ID = '-'
-_CLIENT_NAME = 'topazring'
+# Client name of connections that serve no organisation.
+_OWN_NAME = 'topazring'
 _STATUS_FIELDS = 7
 
 Encoder = collections.abc.Callable[[object], tuple[str, str]]
@@ -223,10 +224,10 @@
 class UpstreamCodec:
     """Encode and decode the line protocol of upstreams."""
 
-    def hello(self, service: str, upstream: str) -> bytes:
+    def hello(self, service: str, organisation: str, upstream: str) -> bytes:
         """Return the first line of a connection to this upstream."""
         return line_protocol.format_line(
-            'START', service, _CLIENT_NAME, upstream
+            'START', service, organisation or _OWN_NAME, upstream
         )
 
     def encode(self, commands: tuple[statements.Command, ...]) -> bytes:
--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -7,6 +7,7 @@
 
 from tornado import iostream
 
+from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import messages
@@ -23,6 +24,7 @@
 Reason = outcomes.Reason
 
 READ_BYTES = 65536
+_UNKNOWN_KEY = outcomes.Rejected(Reason.FORBIDDEN, 'no such key')
 # Verbs that begin an operation at an upstream.
 _OPERATIONS = frozenset(
     {
@@ -67,6 +69,13 @@
     def policy(self, database: str) -> messages.Policy | None:
         """Return the policy in force for a database."""
 
+    def organisation(self, database: str, key_hash: str) -> str | None:
+        """Return the organisation that may use a database with a key.
+
+        It is `organisations.ANONYMOUS` if the database needs no key, and None
+        if no organisation holds the key.
+        """
+
     async def run(self, request: messages.Request) -> outcomes.Outcome:
         """Return the final outcome of a request."""
 
@@ -155,6 +164,40 @@
         if self._may_close():
             self.stream.close()
 
+    def close_if_revoked(self) -> None:
+        """Close the session if its key is not valid any more.
+
+        A request that is in progress is answered; the next one is refused.
+        """
+        if self.session is None or self.busy or self.pending:
+            return
+        if not self._is_authorised(self.session):
+            self._note_revoked(self.session)
+            self.stream.close()
+
+    def _is_authorised(self, session: sessions.Session) -> bool:
+        """Return whether the session's key still stands for its organisation.
+
+        Whether the database still exists is checked with each operation.
+        """
+        if self.host.policy(session.database) is None:
+            return True
+        found = self.host.organisation(session.database, session.key_hash)
+        return found == session.organisation
+
+    def _note_revoked(self, session: sessions.Session) -> None:
+        self.host.note('revoked', _UNKNOWN_KEY, 0)
+        inputs = {'organisation': session.organisation}
+        self.host.log.emit('session', 'key revoked', inputs=inputs)
+
+    async def _refuse_revoked(self, session: sessions.Session) -> bool:
+        """Refuse a statement whose session lost its key; end the session."""
+        self._abort_transaction()
+        self._note_revoked(session)
+        await self._send_answer(_UNKNOWN_KEY)
+        await self._discard()
+        return False
+
     def _abort_transaction(self) -> None:
         session = self.session
         if session is None or session.transaction is None:
@@ -225,8 +268,13 @@
             )
             await self.stream.write(self.host.codec.refusal(refusal))
             return False
-        number = self.host.next_key()
-        self.session = sessions.Session(number, start.database)
+        key_hash = organisations.hash_key(start.key)
+        self.session = sessions.Session(
+            self.host.next_key(),
+            start.database,
+            self.host.organisation(start.database, key_hash),
+            key_hash,
+        )
         await self.stream.write(self.host.codec.greeting())
         return True
 
@@ -241,6 +289,9 @@
         if self.host.policy(start.database) is None:
             detail = 'no such database'
             return outcomes.Rejected(Reason.UNKNOWN_DATABASE, detail)
+        key_hash = organisations.hash_key(start.key)
+        if self.host.organisation(start.database, key_hash) is None:
+            return _UNKNOWN_KEY
         return None
 
     async def _handle_statement(self, statement: statements.Statement) -> bool:
@@ -251,6 +302,8 @@
             )
             await self.stream.write(self.host.codec.refusal(rejected))
             return False
+        if not self._is_authorised(session):
+            return await self._refuse_revoked(session)
         if self._must_refuse(session, statement):
             refusal = outcomes.NotRun(
                 Reason.DRAINING, primary_availability.OTHER_PROXY_RETRY_MS
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 
 import msgspec
@@ -50,6 +51,9 @@
     hop_address: str = ''
     # The process that wrote the entry; empty if an older build did.
     incarnation: str = ''
+    # Whether it runs forwarded requests in the name of their organisation;
+    # an older build would run them in its own.
+    carries_organisations: bool = False
 
 
 class Directory:
@@ -358,6 +362,7 @@
         self.proxy_history.record_gap(clock.boottime_ms())
 
     def _apply(self, changes: list[revisions.Change], upto: int) -> None:
+        changes = [self._redact(change) for change in changes]
         new = revisions.merge(self.known, self.known.seen, upto, changes)
         self.first_read.set()
         now_ms = clock.boottime_ms()
@@ -368,6 +373,13 @@
             self._notify_waiters()
         self._notify_services(services)
 
+    def _redact(self, change: revisions.Change) -> revisions.Change:
+        """Remove secrets, which must not be kept or sent to other proxies."""
+        if change.value is None:
+            return change
+        value = self.adapter.redact(change.key, change.value)
+        return dataclasses.replace(change, value=value)
+
     def _apply_change(self, now_ms: int, change: revisions.Change) -> set[str]:
         if change.key.startswith(OWN_PREFIX):
             self.own_changed.set()
@@ -415,7 +427,11 @@
                 now_ms, change.key, value.incarnation
             )
             return listings.ProxyRecord(
-                name, value.data_centre, value.peer_address, value.hop_address
+                name,
+                value.data_centre,
+                value.peer_address,
+                value.hop_address,
+                value.carries_organisations,
             )
         return self.adapter.decode(change.key, change.value, change.revision)
 
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -256,7 +256,7 @@
             out.connection, self.adapter.upstreams, self.handle_link_message
         )
         self.links[out.connection] = link
-        link.start(self.service, out.upstream, out.address)
+        link.start(self.service, out)
 
     def handle_link_message(self, message: object) -> None:
         """Post a link's message; remove the link when it is closed."""
--- a/topazring/pooler/ports.py
+++ b/topazring/pooler/ports.py
@@ -29,9 +29,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartSession:
-    """Start a session on a database."""
+    """Start a session on a database with the caller's key."""
 
     database: str
+    key: str = dataclasses.field(default='', repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,7 +87,7 @@
 class UpstreamCodec(typing.Protocol):
     """Encode and decode the upstreams' protocol."""
 
-    def hello(self, service: str, upstream: str) -> bytes:
+    def hello(self, service: str, organisation: str, upstream: str) -> bytes:
         """Return the bytes that open a connection; one reply follows."""
 
     def encode(self, commands: tuple[statements.Command, ...]) -> bytes:
@@ -118,5 +119,7 @@
     orders: Orders
     # Decodes one of the platform's own entries: key, value, revision.
     decode: typing.Callable[[str, str, int], listing.Record | None]
+    # Returns the value of an entry without secrets: key, value.
+    redact: typing.Callable[[str, str], str]
     # Path on which the load balancer probes whether to send callers here.
     ready_path: str
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -7,6 +7,7 @@
 import resource
 import secrets
 
+from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import listing as listings
@@ -66,6 +67,8 @@
         self.exit_deadline_ms: int | None = None
         self.groups: dict[str, group_task.GroupTask] = {}
         self.keys = itertools.count(1)
+        # The last configuration against which open sessions were checked.
+        self.checked_version: int | None = None
         self.holds = False
         self.token = 0
         self.registered_until_ms = 0
@@ -91,6 +94,7 @@
                 config.peer_address or '',
                 config.hop_address or '',
                 self.incarnation,
+                carries_organisations=True,
             ),
             adapter.store,
             self.directory,
@@ -169,6 +173,16 @@
             return None
         return configuration.policies.get(database)
 
+    def organisation(self, database: str, key_hash: str) -> str | None:
+        """Return the organisation that may use a database with a key."""
+        policy = self.policy(database)
+        if policy is None:
+            return None
+        if policy.anonymous:
+            return organisations.ANONYMOUS
+        configured = self.directory.listing.configuration.known_organisations
+        return configured.names.get(key_hash)
+
     async def run(self, request: messages.Request) -> outcomes.Outcome:
         """Serve a request here or at another proxy."""
         return await self.router.run(
@@ -183,6 +197,9 @@
         self, request: messages.Request
     ) -> outcomes.Outcome:
         """Serve a request in this process."""
+        if self._lacks_organisation(request):
+            # A proxy of an older build does not say for whom it asks.
+            return forwarding.unconfigured_outcome()
         refuses_new = (
             self.shutdown_phase is caller_task.ShutdownPhase.REFUSE_NEW
         )
@@ -193,6 +210,13 @@
             return forwarding.unconfigured_outcome()
         return await group.submit(request)
 
+    def _lacks_organisation(self, request: messages.Request) -> bool:
+        """Return whether a request misses the organisation that it needs."""
+        if request.organisation != organisations.ANONYMOUS:
+            return False
+        policy = self.policy(request.policy.database)
+        return policy is not None and not policy.anonymous
+
     async def serve_for_peer(
         self, request: messages.Request
     ) -> outcomes.Outcome:
@@ -257,6 +281,8 @@
             listing, self.config.name, self.config.data_centre
         )
         self.router.set_peers(listings.hop_addresses(listing))
+        self.router.old_peers = listings.old_proxies(listing)
+        self._close_revoked(configuration)
         for service in services:
             limit = configuration.max_connections.get(service)
             if limit is None:
@@ -273,6 +299,14 @@
             group.post(messages.InstancesSeen(count, limit, rank))
             group.post(messages.UpstreamsSeen(upstreams))
 
+    def _close_revoked(self, configuration: listings.Configuration) -> None:
+        """Close idle sessions whose keys a new configuration has revoked."""
+        if configuration.version == self.checked_version:
+            return
+        self.checked_version = configuration.version
+        for caller in list(self.callers):
+            caller.close_if_revoked()
+
     def _make_group(self, service: str) -> group_task.GroupTask:
         group = group_task.GroupTask(
             service,
--- a/topazring/pooler/router.py
+++ b/topazring/pooler/router.py
@@ -73,6 +73,8 @@
         self.local = local
         self.log = log
         self.peers: dict[str, _Peer] = {}
+        # Peers that would run a request in their own name.
+        self.old_peers: frozenset[str] = frozenset()
         self.ownerships: dict[str, ownership.Ownership] = {}
         # Owner of each open transaction: THIS_PROXY or a proxy's name.
         self.transaction_owners: dict[int, str] = {}
@@ -107,9 +109,7 @@
         plan = forwarding.Plan()
         deadline_ms = request.arrived_ms + request.policy.timeout_ms
         turn = next(self.turns)
-        queue_length = functools.partial(
-            self._queue_length, request.policy.service
-        )
+        queue_length = functools.partial(self._queue_length, request)
         while not self.closed and clock.boottime_ms() < deadline_ms:
             owner = forwarding.next_owner(
                 plan,
@@ -221,8 +221,13 @@
         inputs = {'proxy': owner, 'sent': answer.sent, 'avoid_ms': avoid_ms}
         self.log.emit('router', 'proxy lost', inputs=inputs)
 
-    def _queue_length(self, service: str, owner: str) -> float | None:
+    def _queue_length(
+        self, request: messages.Request, owner: str
+    ) -> float | None:
         """Return the expected queue length, None if not available."""
+        service = request.policy.service
+        if request.organisation and owner in self.old_peers:
+            return None
         if owner == forwarding.THIS_PROXY:
             return self.local.queued_locally(service)
         peer = self.peers.get(owner)
--- a/topazring/pooler/tests/fleet.py
+++ b/topazring/pooler/tests/fleet.py
@@ -105,7 +105,11 @@
         self.is_paused = False
         asker = peers.PeerClient((), self.address)
         self.directory = directories.Directory(
-            types.SimpleNamespace(store=self.client, decode=_decode),
+            types.SimpleNamespace(
+                store=self.client,
+                decode=_decode,
+                redact=lambda key, value: value,
+            ),
             asker,
             follower_client.FollowerClient(
                 name, CENTRE, asker, self.log, IN_FORCE_MS
--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -76,6 +76,7 @@
             store=fleet.Client(self.service),
             orders=mock.Mock(),
             decode=lambda key, value, revision: None,
+            redact=lambda key, value: value,
             ready_path='/ready',
         )
         return process.Pooler(config, adapter)
--- a/topazring/pooler/upstream_link.py
+++ b/topazring/pooler/upstream_link.py
@@ -44,9 +44,9 @@
         self.expected_replies = 0
         self.replies: list[statements.Reply] = []
 
-    def start(self, service: str, upstream: str, address: str) -> None:
+    def start(self, service: str, target: messages.Open) -> None:
         """Connect, and read until the connection ends."""
-        self.task = asyncio.create_task(self._run(service, upstream, address))
+        self.task = asyncio.create_task(self._run(service, target))
 
     def close(self) -> None:
         """Close the connection without reporting it."""
@@ -67,9 +67,9 @@
                 self._report_closed, Reason.CONNECTION_LOST
             )
 
-    async def _run(self, service: str, upstream: str, address: str) -> None:
+    async def _run(self, service: str, target: messages.Open) -> None:
         try:
-            answer = await self._connect(service, upstream, address)
+            answer = await self._connect(service, target)
         except (OSError, iostream.StreamClosedError, ValueError):
             self._report_closed(Reason.CONNECTION_LOST)
             return
@@ -79,14 +79,16 @@
         self.on_message(messages.Opened(self.number, answer))
         await self._read_forever()
 
-    async def _connect(self, service: str, upstream: str, address: str):
+    async def _connect(self, service: str, target: messages.Open):
         """Return the upstream's log position, or the reply that refuses."""
-        target = settings.endpoint(address)
+        endpoint = settings.endpoint(target.address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         dialling.enable_keepalive(sock)
         self.stream = iostream.IOStream(sock)
-        await self.stream.connect((target.host, target.port))
-        await self.stream.write(self.codec.hello(service, upstream))
+        await self.stream.connect((endpoint.host, endpoint.port))
+        await self.stream.write(
+            self.codec.hello(service, target.organisation, target.upstream)
+        )
         while True:
             data = await self.stream.read_bytes(READ_BYTES, partial=True)
             for reply in self.reader.feed(data):
--- a/topazring/proxy/sessions.py
+++ b/topazring/proxy/sessions.py
@@ -6,8 +6,8 @@
 
 from tornado import websocket
 
-from topazring import catalogue
 from topazring.core import log_positions
+from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core import request_ids
 from topazring.core import requests
@@ -198,7 +198,7 @@
             return outcomes.NotRun(Reason.NO_CONFIGURATION, RETRY_MS)
         configured = self.front.cluster_state.catalogue
         organisation = configured.organisations.get(frame.organisation)
-        key_hash = catalogue.hash_key(frame.key)
+        key_hash = organisations.hash_key(frame.key)
         expected_hash = organisation.key_sha256 if organisation else ''
         if not hmac.compare_digest(key_hash, expected_hash):
             return outcomes.Rejected(
