Hold organisations to their quotas over all proxies

A limiter for each organisation, by rendezvous, grants permits; a standby uses half of the rate once the two have lost contact. See core/quotas.py.

--- a/topazring/core/outcomes.py
+++ b/topazring/core/outcomes.py
@@ -38,6 +38,8 @@
     REPLACED = 'replaced'
     REPLICA_BEHIND = 'replica_behind'
     REPLICAS_BEHIND = 'replicas_behind'
+    QUOTA = 'quota'
+    QUOTA_UNKNOWN = 'quota_unknown'
     RETRY_BUDGET = 'retry_budget'
     SILENT = 'silent'
     SLOTS_BUSY = 'slots_busy'
--- a/topazring/core/synchronous/listing.py
+++ b/topazring/core/synchronous/listing.py
@@ -21,6 +21,7 @@
     'apply_record',
     'hop_addresses',
     'old_proxies',
+    'organisation_proxies',
     'proxies_of',
     'reconcile',
     'record_removal',
@@ -240,6 +241,12 @@
     )
 
 
+def organisation_proxies(listing: Listing, name: str) -> frozenset[str]:
+    """Return the live proxies that know organisations, and this one."""
+    names = {record.name for record in listing.proxies.values()}
+    return frozenset(names - old_proxies(listing) | {name})
+
+
 def hop_addresses(listing: Listing) -> dict[str, str]:
     """Return the addresses at which live proxies accept forwarded requests."""
     return {
--- a/topazring/platform/tests/test_caller.py
+++ b/topazring/platform/tests/test_caller.py
@@ -41,6 +41,9 @@
     def withdraw(self, service, transaction):
         """Ignore the withdrawal."""
 
+    def organisation(self, database, key_hash):
+        return ''
+
     def next_key(self):
         self.keys += 1
         return self.keys
--- a/topazring/pooler/hop.py
+++ b/topazring/pooler/hop.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections.abc
 import itertools
 
 from tornado import iostream
@@ -85,6 +86,22 @@
         deadline_ms: int,
         load: forwarding.Load,
     ) -> outcomes.Outcome | forwarding.LinkLost:
+        def make_frame(number: int) -> hop_frames.RequestFrame:
+            left_ms = deadline_ms - clock.boottime_ms() - RETURN_MARGIN_MS
+            return hop_frames.RequestFrame(number, left_ms, request)
+
+        result = await self.ask(make_frame)
+        if isinstance(result, forwarding.LinkLost):
+            return result
+        outcome, load.waiting = result
+        load.reported_ms = clock.boottime_ms()
+        return outcome
+
+    async def ask(
+        self,
+        make_frame: collections.abc.Callable[[int], hop_frames.Frame],
+    ) -> object:
+        """Send a frame with a new number; return its answer or LinkLost."""
         stream = await self._connected_stream()
         if stream is None or stream is not self.stream:
             # The stream has ended meanwhile, and nothing reads it any more.
@@ -96,16 +113,11 @@
             self.last_received_ms = clock.boottime_ms()
         self.pending[number] = answer
         self.has_pending.set()
-        left_ms = deadline_ms - clock.boottime_ms() - RETURN_MARGIN_MS
-        hop_frames.write(
-            stream, hop_frames.RequestFrame(number, left_ms, request)
-        )
-        result = await answer
-        if isinstance(result, forwarding.LinkLost):
-            return result
-        outcome, load.waiting = result
-        load.reported_ms = clock.boottime_ms()
-        return outcome
+        hop_frames.write(stream, make_frame(number))
+        try:
+            return await answer
+        finally:
+            self.pending.pop(number, None)
 
     def withdraw(self, service: str, transaction: int) -> None:
         """Ask the owner to abort a transaction."""
@@ -149,8 +161,14 @@
             while True:
                 frame = await hop_frames.read(reader)
                 self.last_received_ms = clock.boottime_ms()
-                if isinstance(frame, hop_frames.AnswerFrame):
-                    self._handle_answer(frame)
+                match frame:
+                    case hop_frames.AnswerFrame():
+                        # An unknown outcome ends the link, as a malformed
+                        # frame does, and the request gets LinkLost.
+                        outcome = hop_frames.to_outcome(frame)
+                        self._resolve(frame.id, (outcome, frame.waiting))
+                    case hop_frames.GrantFrame() | hop_frames.ConfirmFrame():
+                        self._resolve(frame.id, frame)
         except (OSError, iostream.StreamClosedError, ValueError):
             # _close_stream() reports the lost link to pending requests.
             pass
@@ -158,13 +176,10 @@
             if self.stream is stream:
                 self._close_stream()
 
-    def _handle_answer(self, frame: hop_frames.AnswerFrame) -> None:
-        # Decode before the request is removed: an unknown outcome then ends
-        # the link, as a malformed frame does, and the request gets LinkLost.
-        outcome = hop_frames.to_outcome(frame)
-        answer = self.pending.pop(frame.id, None)
+    def _resolve(self, number: int, result: object) -> None:
+        answer = self.pending.pop(number, None)
         if answer is not None and not answer.done():
-            answer.set_result((outcome, frame.waiting))
+            answer.set_result(result)
 
     async def _watch_for_silence(self, stream: iostream.IOStream) -> None:
         """Close a link that stays silent although answers are due.
--- a/topazring/pooler/hop_frames.py
+++ b/topazring/pooler/hop_frames.py
@@ -14,6 +14,10 @@
     'RequestFrame',
     'Frame',
     'AnswerFrame',
+    'ConfirmFrame',
+    'ContactFrame',
+    'GrantFrame',
+    'PermitFrame',
     'WithdrawFrame',
     'read',
     'to_outcome',
@@ -53,8 +57,47 @@
     transaction: int
 
 
+class PermitFrame(msgspec.Struct, array_like=True, tag='p'):
+    """Ask for permits to run operations of an organisation."""
+
+    id: int
+    organisation: str
+    wanted: int
+
+
+class GrantFrame(msgspec.Struct, array_like=True, tag='g'):
+    """Grant permits, or report after how many ms one is due."""
+
+    id: int
+    granted: int
+    wait_ms: int
+
+
+class ContactFrame(msgspec.Struct, array_like=True, tag='c'):
+    """Name the organisations for which the receiver is the standby."""
+
+    id: int
+    limiter: str
+    organisations: list[str]
+
+
+class ConfirmFrame(msgspec.Struct, array_like=True, tag='f'):
+    """Name the organisations for which the receiver is the limiter."""
+
+    id: int
+    organisations: list[str]
+
+
 Frame = (
-    RequestFrame | AnswerFrame | WithdrawFrame | framing.Ping | framing.Pong
+    RequestFrame
+    | AnswerFrame
+    | WithdrawFrame
+    | PermitFrame
+    | GrantFrame
+    | ContactFrame
+    | ConfirmFrame
+    | framing.Ping
+    | framing.Pong
 )
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Frame).decode
--- a/topazring/pooler/hop_server.py
+++ b/topazring/pooler/hop_server.py
@@ -42,6 +42,12 @@
     def next_key(self) -> int:
         """Return a number that is unique in this process."""
 
+    def grant_permits(self, organisation: str, wanted: int) -> tuple[int, int]:
+        """Return the permits granted and, if none, when one is due, in ms."""
+
+    def confirm_limiter(self, limiter: str, names: list[str]) -> list[str]:
+        """Return the organisations for which this proxy is the standby."""
+
 
 class Server(tcpserver.TCPServer):
     """Accept the streams of other proxies."""
@@ -116,6 +122,18 @@
                 task.add_done_callback(self.tasks.discard)
             case hop_frames.WithdrawFrame():
                 self._withdraw(frame.transaction)
+            case hop_frames.PermitFrame():
+                granted, wait_ms = self.host.grant_permits(
+                    frame.organisation, frame.wanted
+                )
+                answer = hop_frames.GrantFrame(frame.id, granted, wait_ms)
+                hop_frames.write(self.stream, answer)
+            case hop_frames.ContactFrame():
+                confirmed = self.host.confirm_limiter(
+                    frame.limiter, frame.organisations
+                )
+                answer = hop_frames.ConfirmFrame(frame.id, confirmed)
+                hop_frames.write(self.stream, answer)
             case framing.Ping():
                 hop_frames.write(self.stream, framing.Pong())
             case _:
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -9,6 +9,7 @@
 
 from topazring.core import organisations
 from topazring.core import outcomes
+from topazring.core import quotas as quota_rules
 from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import listing as listings
 from topazring.core.synchronous import messages
@@ -34,6 +35,7 @@
 from topazring.pooler import ports
 from topazring.pooler import probes
 from topazring.pooler import promotion_lease as promotion_leases
+from topazring.pooler import quotas
 from topazring.pooler import router
 from topazring.pooler import settings
 from topazring.pooler import shutdown
@@ -135,6 +137,16 @@
             config.name, config.data_centre, self, self.log
         )
         self.hop_server = hop_server.Server(self)
+        self.quotas = quotas.Quotas(
+            config.name,
+            quota_rules.Overrun(
+                round(config.quota_window_s * 1000),
+                config.quota_excess,
+                config.quota_slack,
+            ),
+            self.router,
+            self.log,
+        )
         self.caller_server = caller_server.Server(self, config.max_descriptors)
         self.probe_server = probes.Server(
             adapter.ready_path, self.ready, self._render_metrics
@@ -163,6 +175,7 @@
         self.probe_server.start(self.config.ready_address)
         self.caller_server.start_at(self.config.caller_address)
         self.overdue_report.start()
+        self.quotas.start()
 
     # ---- callers ----
 
@@ -185,9 +198,23 @@
 
     async def run(self, request: messages.Request) -> outcomes.Outcome:
         """Serve a request here or at another proxy."""
-        return await self.router.run(
+        refusal = await self.quotas.admit(request)
+        if refusal is not None:
+            return refusal
+        outcome = await self.router.run(
             shutdown.limit_timeout(request, self.exit_deadline_ms)
         )
+        if isinstance(outcome, outcomes.NotRun):
+            self.quotas.give_back(request)
+        return outcome
+
+    def grant_permits(self, organisation: str, wanted: int) -> tuple[int, int]:
+        """Grant permits to run operations of an organisation."""
+        return self.quotas.grant(organisation, wanted)
+
+    def confirm_limiter(self, limiter: str, names: list[str]) -> list[str]:
+        """Return the organisations for which this proxy is the standby."""
+        return self.quotas.confirm_limiter(limiter, names)
 
     def withdraw(self, service: str, transaction: int) -> None:
         """Abort a transaction, wherever it was begun."""
@@ -283,6 +310,10 @@
         self.router.set_peers(listings.hop_addresses(listing))
         self.router.old_peers = listings.old_proxies(listing)
         self._close_revoked(configuration)
+        self.quotas.update(
+            configuration.known_organisations,
+            listings.organisation_proxies(listing, self.config.name),
+        )
         for service in services:
             limit = configuration.max_connections.get(service)
             if limit is None:
@@ -439,6 +470,7 @@
         self.directory.close()
         self.reports.close()
         self.overdue_report.close()
+        self.quotas.close()
         self.member_records.close()
         try:
             async with asyncio.timeout(CLOSE_S):
--- /dev/null
+++ b/topazring/pooler/quotas.py
@@ -0,0 +1,285 @@
+"""Hold organisations to their quotas over all proxies.
+
+Each operation needs a permit of its organisation's limiter or, where that
+cannot be reached, of another keeper. Permits are asked for over the links to
+other proxies, some ahead of need where an organisation is busy. A permit whose
+operation did not run serves the next one.
+"""
+
+import asyncio
+import collections
+
+from topazring.core import organisations
+from topazring.core import outcomes
+from topazring.core import quotas as rules
+from topazring.core.synchronous import messages
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import hop_frames
+from topazring.pooler import router as routers
+
+__all__ = ['Quotas']
+
+Reason = outcomes.Reason
+
+# A keeper answers within a few ms; the caller's operation waits for it.
+PERMIT_TIMEOUT_S = 0.1
+# Permits are asked for as many operations as came in this time, and unused
+# ones are dropped after twice the time.
+BATCH_MS = 250
+PERMIT_LIFE_MS = 500
+# Interval of queries to the standby: a third of the time that an answer lasts.
+CONTACT_INTERVAL_S = rules.CONTACT_MS / 3000
+# Organisations without operations for this long need no contact.
+ACTIVE_MS = 5000
+# Retry delay if no keeper answers: a process returns within about a second.
+NO_KEEPER_RETRY_MS = 300
+
+
+class _Entry:
+    """What this proxy knows of one organisation as an entry for callers."""
+
+    def __init__(self):
+        # Until when each permit in stock is valid.
+        self.permits: collections.deque[int] = collections.deque()
+        self.refused_until_ms = 0
+        # When its latest operations came.
+        self.arrivals: collections.deque[int] = collections.deque(maxlen=256)
+        self.admitted = 0
+        self.refused = 0
+
+
+class Quotas:
+    """Admit operations, and grant permits as a keeper."""
+
+    def __init__(
+        self,
+        name: str,
+        overrun: rules.Overrun,
+        router: routers.Router,
+        log: events.EventLog,
+    ):
+        self.name = name
+        self.overrun = overrun
+        self.router = router
+        self.log = log
+        self.configured: organisations.Organisations | None = None
+        self.proxies: frozenset[str] = frozenset()
+        self.keepers: dict[str, tuple[str, ...]] = {}
+        self.counters: dict[str, rules.Counter] = {}
+        self.entries: dict[str, _Entry] = {}
+        self.started_ms = clock.boottime_ms()
+        self.contact_needed = asyncio.Event()
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start to keep in contact with standbys."""
+        self.task = asyncio.create_task(self._contact_forever())
+
+    def close(self) -> None:
+        """Stop keeping in contact."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def update(
+        self,
+        configured: organisations.Organisations | None,
+        proxies: frozenset[str],
+    ) -> None:
+        """Set the configured organisations and the live proxies."""
+        self.configured = configured
+        if proxies != self.proxies:
+            self.proxies = proxies
+            self.keepers.clear()
+        limited = {} if configured is None else configured.quotas
+        for table in (self.counters, self.entries):
+            for organisation in table.keys() - limited.keys():
+                del table[organisation]
+
+    def _quota(self, organisation: str) -> organisations.Quota | None:
+        if self.configured is None:
+            return None
+        return self.configured.quotas.get(organisation)
+
+    def _keepers(self, organisation: str) -> tuple[str, ...]:
+        found = self.keepers.get(organisation)
+        if found is None:
+            found = rules.keepers_of(organisation, self.proxies)
+            self.keepers[organisation] = found
+        return found
+
+    # ---- callers ----
+
+    async def admit(self, request: messages.Request) -> outcomes.NotRun | None:
+        """Return the refusal of an operation beyond its quota."""
+        organisation = request.organisation
+        if not _is_counted(request) or self._quota(organisation) is None:
+            return None
+        entry = self.entries.setdefault(organisation, _Entry())
+        refusal = await self._refusal(organisation, entry)
+        if refusal is None:
+            entry.admitted += 1
+        else:
+            entry.refused += 1
+        return refusal
+
+    async def _refusal(
+        self, organisation: str, entry: _Entry
+    ) -> outcomes.NotRun | None:
+        now_ms = clock.boottime_ms()
+        entry.arrivals.append(now_ms)
+        if _take_permit(entry, now_ms):
+            return None
+        if now_ms < entry.refused_until_ms:
+            left_ms = entry.refused_until_ms - now_ms
+            return outcomes.NotRun(Reason.QUOTA, left_ms)
+        wanted = sum(now_ms - came_ms < BATCH_MS for came_ms in entry.arrivals)
+        for keeper in self._keepers(organisation):
+            answer = await self._ask(keeper, organisation, wanted)
+            if answer is None:
+                continue
+            return self._use(entry, *answer)
+        return outcomes.NotRun(Reason.QUOTA_UNKNOWN, NO_KEEPER_RETRY_MS)
+
+    def _use(
+        self, entry: _Entry, granted: int, wait_ms: int
+    ) -> outcomes.NotRun | None:
+        now_ms = clock.boottime_ms()
+        if not granted:
+            entry.refused_until_ms = now_ms + wait_ms
+            return outcomes.NotRun(Reason.QUOTA, wait_ms)
+        entry.permits.extend([now_ms + PERMIT_LIFE_MS] * (granted - 1))
+        return None
+
+    async def _ask(
+        self, keeper: str, organisation: str, wanted: int
+    ) -> tuple[int, int] | None:
+        """Return a keeper's answer, None if it does not answer."""
+        if keeper == self.name:
+            return self.grant(organisation, wanted)
+        link = self.router.reachable_link(keeper)
+        if link is None:
+            return None
+        try:
+            async with asyncio.timeout(PERMIT_TIMEOUT_S):
+                answer = await link.ask(
+                    lambda number: hop_frames.PermitFrame(
+                        number, organisation, wanted
+                    )
+                )
+        except TimeoutError:
+            answer = None
+        if not isinstance(answer, hop_frames.GrantFrame):
+            self.router.record_silence(keeper)
+            return None
+        return answer.granted, answer.wait_ms
+
+    def give_back(self, request: messages.Request) -> None:
+        """Keep the permit of an operation that did not run."""
+        entry = self.entries.get(request.organisation)
+        if entry is not None and _is_counted(request):
+            entry.permits.append(clock.boottime_ms() + PERMIT_LIFE_MS)
+
+    # ---- keepers ----
+
+    def grant(self, organisation: str, wanted: int) -> tuple[int, int]:
+        """Return the permits granted and, if none, when one is due, in ms."""
+        quota = self._quota(organisation)
+        if quota is None:
+            # The asking proxy has an older or a newer configuration.
+            return 0, rules.NO_PERMIT_RETRY_MS
+        now_ms = clock.boottime_ms()
+        counter = self._counter(organisation)
+        keepers = self._keepers(organisation)
+        rank = keepers.index(self.name) if self.name in keepers else None
+        held = rules.authority(counter, now_ms, rank, len(keepers))
+        if rank == 0 and held is not rules.Authority.FULL:
+            self.contact_needed.set()
+        return rules.grant(counter, now_ms, quota, self.overrun, held, wanted)
+
+    def _counter(self, organisation: str) -> rules.Counter:
+        counter = self.counters.get(organisation)
+        if counter is None:
+            counter = rules.Counter(self.started_ms)
+            self.counters[organisation] = counter
+        return counter
+
+    def confirm_limiter(self, limiter: str, names: list[str]) -> list[str]:
+        """Return the organisations whose limiter and standby are these two.
+
+        After the answer the limiter may use the full rate for a while.
+        """
+        confirmed = [
+            name
+            for name in names
+            if self._quota(name) is not None
+            and self._keepers(name)[:2] == (limiter, self.name)
+        ]
+        now_ms = clock.boottime_ms()
+        for name in confirmed:
+            self._counter(name).answered_ms = now_ms
+        return confirmed
+
+    async def _contact_forever(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(CONTACT_INTERVAL_S):
+                    await self.contact_needed.wait()
+            except TimeoutError:
+                # The regular interval has passed.
+                pass
+            self.contact_needed.clear()
+            waiting = self._awaited_standbys()
+            if waiting:
+                await asyncio.gather(
+                    *(
+                        self._contact(standby, names)
+                        for standby, names in waiting.items()
+                    )
+                )
+
+    def _awaited_standbys(self) -> dict[str, list[str]]:
+        """Return the organisations that this proxy limits, by standby."""
+        now_ms = clock.boottime_ms()
+        found: dict[str, list[str]] = collections.defaultdict(list)
+        for name, counter in self.counters.items():
+            keepers = self._keepers(name)
+            if now_ms - counter.used_ms >= ACTIVE_MS or len(keepers) < 2:
+                continue
+            if keepers[0] == self.name:
+                found[keepers[1]].append(name)
+        return found
+
+    async def _contact(self, standby: str, names: list[str]) -> None:
+        link = self.router.reachable_link(standby)
+        if link is None:
+            return
+        sent_ms = clock.boottime_ms()
+        try:
+            async with asyncio.timeout(PERMIT_TIMEOUT_S):
+                answer = await link.ask(
+                    lambda number: hop_frames.ContactFrame(
+                        number, self.name, names
+                    )
+                )
+        except TimeoutError:
+            return
+        if not isinstance(answer, hop_frames.ConfirmFrame):
+            return
+        for name in answer.organisations:
+            counter = self.counters.get(name)
+            if counter is not None:
+                counter.contact_ms = sent_ms
+
+
+def _is_counted(request: messages.Request) -> bool:
+    """Return whether a request begins an operation of an organisation."""
+    is_known = request.organisation != organisations.ANONYMOUS
+    return is_known and not request.continues_transaction
+
+
+def _take_permit(entry: _Entry, now_ms: int) -> bool:
+    while entry.permits:
+        if entry.permits.popleft() > now_ms:
+            return True
+    return False
--- a/topazring/pooler/router.py
+++ b/topazring/pooler/router.py
@@ -238,6 +238,19 @@
             return None
         return peer.load(service).expected_ahead(now_ms)
 
+    def reachable_link(self, name: str) -> hop.Link | None:
+        """Return the link to a proxy, None if it is unknown or avoided."""
+        peer = self.peers.get(name)
+        if peer is None or clock.boottime_ms() < peer.avoid_until_ms:
+            return None
+        return peer.link
+
+    def record_silence(self, name: str) -> None:
+        """Avoid a proxy that did not answer in time."""
+        peer = self.peers.get(name)
+        if peer is not None:
+            self._record_link_result(name, peer, forwarding.LinkLost(True))
+
     def withdraw(self, service: str, transaction: int) -> None:
         """Abort a transaction at its owner."""
         owner = self.transaction_owners.pop(transaction, None)
--- a/topazring/pooler/settings.py
+++ b/topazring/pooler/settings.py
@@ -41,6 +41,11 @@
     # lasts as long: a watch without an answer is then detected in time, and a
     # shorter one would cost every proxy more calls.
     config_apply_ms: int = 3000
+    # By how much operators accept that a quota is exceeded: a share of what it
+    # allows in a window, and a number of operations.
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.1
+    quota_slack: float = 20.0
     # Time from the stop signal until the process is killed.
     grace_s: float = 6.0
 
--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -36,7 +36,7 @@
         self.closed = False
         self.sent = []
 
-    def start(self, service, upstream, address):
+    def start(self, service, target):
         """Report an open connection at once."""
         place = log_positions.LogPosition(1, 5)
         loop = asyncio.get_running_loop()
