--- a/topazring/pooler/hop_frames.py
+++ b/topazring/pooler/hop_frames.py
@@ -57,7 +57,7 @@
     transaction: int
 
 
-class PermitFrame(msgspec.Struct, array_like=True, tag='p'):
+class PermitFrame(msgspec.Struct, array_like=True, tag='permit'):
     """Ask for permits to run operations of an organisation."""
 
     id: int
@@ -65,7 +65,7 @@
     wanted: int
 
 
-class GrantFrame(msgspec.Struct, array_like=True, tag='g'):
+class GrantFrame(msgspec.Struct, array_like=True, tag='grant'):
     """Grant permits, or report after how many ms one is due."""
 
     id: int
@@ -73,7 +73,7 @@
     wait_ms: int
 
 
-class ContactFrame(msgspec.Struct, array_like=True, tag='c'):
+class ContactFrame(msgspec.Struct, array_like=True, tag='contact'):
     """Name the organisations for which the receiver is the standby."""
 
     id: int
@@ -81,7 +81,7 @@
     organisations: list[str]
 
 
-class ConfirmFrame(msgspec.Struct, array_like=True, tag='f'):
+class ConfirmFrame(msgspec.Struct, array_like=True, tag='confirm'):
     """Name the organisations for which the receiver is the limiter."""
 
     id: int
