--- a/topazring/core/quotas.py
+++ b/topazring/core/quotas.py
@@ -7,7 +7,7 @@
 uses more than its half until they are in contact again. What a proxy grants
 without ever having been in contact comes out of the overrun that operators
 accept, and so does the initial content of a bucket: a restart brings no new
-burst. Half of the overrun enlarges the bucket, so that operations of a small
+burst. A part of the overrun enlarges the bucket, so that operations of a small
 organisation that happen to come together are not refused.
 
 The limiter uses the full rate for a fixed time after it sent a query that the
@@ -18,6 +18,7 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 
 from topazring.core import hashing
 from topazring.core import organisations
@@ -39,9 +40,12 @@
 # Proxies of an organisation that may grant permits: the limiter, the standby
 # and two more, in case both are lost.
 MAX_KEEPERS = 4
-# Parts into which half of the accepted overrun is divided: each keeper may
-# start with one and use up another.
-OVERRUN_PARTS = 2 * MAX_KEEPERS
+# Shares of the accepted overrun: what the bucket of the limiter holds beyond
+# the burst, and what a limiter and a standby start with.
+BUCKET_SHARE = 0.2
+INITIAL_SHARE = 0.2
+# What each keeper may grant at once without contact, and again per window.
+RESERVE_SHARE = 0.05
 # A proxy that starts sees the others within this time.
 ALONE_AFTER_MS = 3000
 # Retry delay where no permit becomes due, as the quota is zero.
@@ -131,28 +135,28 @@
     counter.used_ms = now_ms
     if held is Authority.NONE:
         return 0, NO_PERMIT_RETRY_MS
-    spare = _half_overrun(quota, overrun)
-    part = spare / OVERRUN_PARTS
+    accepted = _accepted_overrun(quota, overrun)
     if held is Authority.OVERRUN:
+        part = accepted * RESERVE_SHARE
         if counter.reserve is None:
             counter.reserve = Bucket(part, now_ms)
         rate_per_s = part * 1000 / overrun.window_ms
         return _take(counter.reserve, now_ms, rate_per_s, part, wanted)
     if counter.main is None:
-        counter.main = Bucket(part, now_ms)
+        counter.main = Bucket(accepted * INITIAL_SHARE, now_ms)
     scale = 1.0 if held is Authority.FULL else 0.5
     return _take(
         counter.main,
         now_ms,
         quota.rate_per_s * scale,
-        (quota.burst + spare) * scale,
+        (quota.burst + accepted * BUCKET_SHARE) * scale,
         wanted,
     )
 
 
-def _half_overrun(quota: organisations.Quota, overrun: Overrun) -> float:
+def _accepted_overrun(quota: organisations.Quota, overrun: Overrun) -> float:
     in_window = quota.rate_per_s * overrun.window_ms / 1000 + quota.burst
-    return (in_window * overrun.share + overrun.operations) / 2
+    return in_window * overrun.share + overrun.operations
 
 
 def _take(
@@ -170,4 +174,4 @@
     if rate_per_s <= 0:
         return 0, NO_PERMIT_RETRY_MS
     missing = 1.0 - bucket.tokens
-    return 0, max(1, round(missing * 1000 / rate_per_s))
+    return 0, math.ceil(missing * 1000 / rate_per_s)
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -130,8 +130,28 @@
     connection = routing.best_connection(state, chosen.name, work.request)
     if connection is not None:
         return _start(state, now_ms, work, connection, position)
-    if _is_being_connected(state, now_ms, work, fresh):
+    return _open_any(state, now_ms, work, free)
+
+
+def _open_any(
+    state: states.GroupState,
+    now_ms: int,
+    work: states.Work,
+    upstreams: list[states.Upstream],
+) -> list:
+    """Open a connection for a request unless one is due soon."""
+    if _is_being_connected(state, now_ms, work, upstreams):
         return []
+    organisation = work.request.organisation
+    others = [
+        upstream
+        for upstream in upstreams
+        if not connections.is_opening_for(state, upstream.name, organisation)
+        and not routing.is_connected(state, upstream, organisation)
+    ]
+    if not others:
+        return []
+    chosen = routing.choose_free_upstream(state, now_ms, others, organisation)
     return connections.open_for(state, now_ms, chosen, organisation)
 
 
@@ -297,13 +317,7 @@
         for upstream in upstreams
         if routing.accepts_request(state, now_ms, upstream)
     ]
-    if not free or _is_being_connected(state, now_ms, work, free):
-        return []
-    organisation = work.request.organisation
-    chosen = routing.choose_free_upstream(state, now_ms, free, organisation)
-    if routing.is_connected(state, chosen, organisation):
-        return []
-    return connections.open_for(state, now_ms, chosen, organisation)
+    return _open_any(state, now_ms, work, free)
 
 
 def hedge(state: states.GroupState, now_ms: int, work: states.Work) -> list:
--- a/topazring/core/synchronous/forwarding.py
+++ b/topazring/core/synchronous/forwarding.py
@@ -16,6 +16,8 @@
 import collections.abc
 import dataclasses
 
+from topazring.core import hashing
+from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
@@ -58,6 +60,9 @@
 # centres.
 HOP_COST = 1.0
 REMOTE_HOP_COST = 3.0
+# Cost of an owner that is unlikely to have a connection for the organisation:
+# the new connection occupies a slot about as long as a statement.
+DIAL_COST = 2.0
 # Half-life of the queue length that an owner reported.
 LOAD_HALF_LIFE_MS = 300
 # Retry delay for callers if no owner could be reached.
@@ -110,14 +115,18 @@
     data_centre: str,
     weigh: LoadEstimate,
     turn: int,
+    organisation: str = organisations.ANONYMOUS,
 ) -> str | None:
     """Return the owner to try next, None if none is left.
 
     `weigh` returns the number of requests ahead at an owner, or None if the
     owner is unreachable. `turn` spreads requests over owners of equal cost.
+    The requests of an organisation prefer one owner, so that its connections
+    are used again.
     """
     if len(plan.tried) >= MAX_ATTEMPTS:
         return None
+    preferred = _preferred_owner(owned, data_centre, organisation)
     costs: dict[str, float] = {}
     for owner in owned.owners:
         candidate = THIS_PROXY if owner.name == name else owner.name
@@ -127,6 +136,8 @@
         if candidate != THIS_PROXY:
             is_local = owner.data_centre == data_centre
             ahead += HOP_COST if is_local else REMOTE_HOP_COST
+        if preferred not in (None, owner):
+            ahead += DIAL_COST
         costs[candidate] = ahead
     if not costs:
         return None
@@ -137,6 +148,24 @@
     return cheapest[turn % len(cheapest)]
 
 
+def _preferred_owner(
+    owned: ownership.Ownership, data_centre: str, organisation: str
+) -> ownership.Proxy | None:
+    """Return the owner that should keep connections for an organisation.
+
+    Each data centre has one of its own, if it has owners: a hop to another
+    data centre costs more than a connection.
+    """
+    if organisation == organisations.ANONYMOUS:
+        return None
+    local = [each for each in owned.owners if each.data_centre == data_centre]
+    return max(
+        local or owned.owners,
+        key=lambda owner: hashing.score(organisation, owner.name),
+        default=None,
+    )
+
+
 def is_final(request: messages.Request, outcome: outcomes.Outcome) -> bool:
     """Return whether an owner's answer is final, so no other is tried."""
     if request.continues_transaction or not isinstance(
--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -21,6 +21,7 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import reply_effects
 from topazring.core.synchronous import sessions
+from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import fake_group
 from topazring.core.synchronous.tests import simulation
@@ -30,6 +31,7 @@
     'SOON',
     'SOON_THROUGH_ENTRIES',
     'SOON_THROUGH_SPLITS',
+    'SOON_WITH_ORGANISATIONS',
 ]
 
 Ablation = collections.abc.Callable[[], contextlib.AbstractContextManager]
@@ -43,6 +45,10 @@
 SOON_THROUGH_SPLITS: set[str] = set()
 
 
+# The same for walks whose sessions belong to several organisations.
+SOON_WITH_ORGANISATIONS: set[str] = set()
+
+
 def _ablation(function: Ablation) -> Ablation:
     ABLATIONS[function.__name__.strip('_')] = function
     return function
@@ -53,6 +59,11 @@
     return function
 
 
+def _soon_with_organisations(function: Ablation) -> Ablation:
+    SOON_WITH_ORGANISATIONS.add(function.__name__.strip('_'))
+    return function
+
+
 def _soon_through_splits(function: Ablation) -> Ablation:
     SOON_THROUGH_SPLITS.add(function.__name__.strip('_'))
     return function
@@ -340,3 +351,16 @@
     return mock.patch.object(
         departed_members.DepartedMembers, 'count_living', lambda self: 0
     )
+
+
+@_soon_with_organisations
+@_ablation
+def _share_connections():
+    """Run a request on any idle connection, whichever organisation has it."""
+    return mock.patch.object(
+        states,
+        'idle_connections_of',
+        lambda state, upstream, organisation: states.idle_connections(
+            state, upstream
+        ),
+    )
--- a/topazring/core/synchronous/tests/fake_group.py
+++ b/topazring/core/synchronous/tests/fake_group.py
@@ -32,6 +32,7 @@
     proxy: str
     number: int
     upstream: str
+    organisation: str = ''
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: dict[str, str] = dataclasses.field(default_factory=dict)
     # None outside a transaction.
--- a/topazring/core/synchronous/tests/invariants.py
+++ b/topazring/core/synchronous/tests/invariants.py
@@ -32,6 +32,8 @@
                 )
             elif connection.work != key:
                 found.append(f'request {key} runs on {number}, not its own')
+            elif connection.organisation != work.request.organisation:
+                found.append(f"request {key} runs on another's {number}")
         if not (work.is_queued or work.running or work.unproven_answer):
             found.append(f'request {key} waits for nothing')
         if work.is_queued and work.running:
--- a/topazring/core/synchronous/tests/load_simulation.py
+++ b/topazring/core/synchronous/tests/load_simulation.py
@@ -42,10 +42,13 @@
         queue: int = 24,
         pause_ms: float = 40.0,
         entries: int = 60,
+        organisations: dict[str, float] | None = None,
     ):
         super().__init__(now_ms=10_000.0)
         self.rng = random.Random(seed)
         self.pause_ms = pause_ms
+        # The share of each organisation in all operations.
+        self.organisations = organisations or {}
         self.rate = 1.0
         self.keys = itertools.count(1)
         self.upstreams = {
@@ -95,6 +98,15 @@
             for u in self.upstreams.values()
         )
 
+    def draw_organisation(self) -> str:
+        """Return the organisation of a new operation."""
+        if not self.organisations:
+            return ''
+        (name,) = self.rng.choices(
+            list(self.organisations), list(self.organisations.values())
+        )
+        return name
+
     def reset_tallies(self) -> None:
         """Reset all tallies."""
         for name in self.tallies:
@@ -141,7 +153,9 @@
     def _dial(self, owner: str, out: messages.Open) -> None:
         if out.connection not in self.states[owner].connections:
             return
-        wire = fake_group.Wire(owner, out.connection, out.upstream)
+        wire = fake_group.Wire(
+            owner, out.connection, out.upstream, out.organisation
+        )
         self.wires[(owner, out.connection)] = wire
         position = self.upstreams[out.upstream].log_position()
         self.post(owner, messages.Opened(out.connection, position))
--- a/topazring/core/synchronous/tests/oracle.py
+++ b/topazring/core/synchronous/tests/oracle.py
@@ -92,6 +92,8 @@
         request = asked.request
         if wire.values != dict(request.values):
             raise Violation(f'{request_id}: other values: {wire.values}')
+        if wire.organisation != request.organisation:
+            raise Violation(f'{request_id}: for {wire.organisation!r}')
         inside = wire.read_only is not None
         if inside != bool(request.transaction):
             raise Violation(f'{request_id}: in or out of a transaction')
--- a/topazring/core/synchronous/tests/simulated_callers.py
+++ b/topazring/core/synchronous/tests/simulated_callers.py
@@ -47,6 +47,10 @@
     in_goal: int = 0
     refused_immediately: int = 0
     failed_after_waiting: int = 0
+    # How long the operations of each organisation took.
+    by_organisation: dict[str, list[float]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
 
 
 class Operation:
@@ -58,7 +62,8 @@
         self.began_ms = simulation.now_ms
         self.entry = simulation.rng.randrange(len(simulation.loads))
         self.centre = CENTRES[self.entry % len(CENTRES)]
-        self.session = sessions.Session(0, kind.policy.database)
+        self.organisation = simulation.draw_organisation()
+        self.session = self._new_session()
         self.owner = ''
         # Total time that the caller paused between statements.
         self.paused_ms = 0.0
@@ -75,6 +80,11 @@
             self.body = [single]
         self.remaining: collections.deque[Verb] = collections.deque()
 
+    def _new_session(self) -> sessions.Session:
+        return sessions.Session(
+            0, self.kind.policy.database, self.organisation
+        )
+
     def start(self) -> None:
         """Start an attempt with the first statement of the operation."""
         self.tries_left -= 1
@@ -116,6 +126,7 @@
                 self.centre,
                 lambda name: loads[name].expected_ahead(simulation.now_ms),
                 request.key,
+                request.organisation,
             )
             if owner is None:
                 self._complete(request, forwarding.final_outcome(plan))
@@ -182,7 +193,7 @@
         pause_ms = max(MIN_BACKOFF_MS, refusal.retry_after_ms)
         if not self.tries_left or pause_ms >= left_ms:
             return
-        self.session = sessions.Session(0, self.kind.policy.database)
+        self.session = self._new_session()
         self.simulation.at(pause_ms, self.start)
 
     def _continue(self) -> None:
@@ -193,6 +204,9 @@
             simulation.at(pause_ms, self._send_next)
             return
         tally = simulation.tallies[self.kind.policy.database]
+        tally.by_organisation[self.organisation].append(
+            simulation.now_ms - self.began_ms - self.paused_ms
+        )
         took_ms = simulation.now_ms - self.began_ms - self.paused_ms
         if took_ms <= self.kind.patience_ms:
             tally.done += 1
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -51,8 +51,14 @@
 class Simulation(upstream_side.UpstreamSide, simulated_time.SimulatedTime):
     """Hold proxies, upstreams, messages in flight and the oracle."""
 
-    def __init__(self, seed: int, promote_ms: int = upstream_side.PROMOTE_MS):
+    def __init__(
+        self,
+        seed: int,
+        promote_ms: int = upstream_side.PROMOTE_MS,
+        organisations: tuple[str, ...] = (),
+    ):
         super().__init__(now_ms=1000)
+        self.organisations = organisations
         self.promote_ms = promote_ms
         self.rng = random.Random(seed)
         self.keys = itertools.count(1)
@@ -348,7 +354,9 @@
             )
             self.at(self.delay(), self.post, proxy, closed)
             return
-        wire = fake_group.Wire(proxy, out.connection, out.upstream)
+        wire = fake_group.Wire(
+            proxy, out.connection, out.upstream, out.organisation
+        )
         self.wires[(proxy, out.connection)] = wire
         place = self.members[out.upstream].place()
         opened = messages.Opened(out.connection, place)
@@ -422,7 +430,11 @@
         """Open a session at a random proxy."""
         proxy = self.rng.choice(PROXIES)
         policy = self.rng.choice(POLICIES)
-        session = sessions.Session(next(self.keys), policy.database)
+        number = next(self.keys)
+        session = sessions.Session(number, policy.database)
+        if self.organisations:
+            index = number % len(self.organisations)
+            session.organisation = self.organisations[index]
         self.sessions.append((proxy, session))
 
     def submit_statement(
--- a/topazring/core/synchronous/tests/walks.py
+++ b/topazring/core/synchronous/tests/walks.py
@@ -79,10 +79,11 @@
     steps: int,
     actions: tuple[tuple[str, int], ...] = ACTIONS,
     promote_ms: int = upstream_side.PROMOTE_MS,
+    organisations: tuple[str, ...] = (),
 ) -> simulations.Simulation:
     """Run a random walk; raise Violation if a guarantee is violated."""
     rng = random.Random(seed)
-    simulation = simulations.Simulation(seed, promote_ms)
+    simulation = simulations.Simulation(seed, promote_ms, organisations)
     simulation.run(300)
     for _ in range(6):
         simulation.open_session()
--- /dev/null
+++ b/topazring/core/tests/test_quotas.py
@@ -0,0 +1,270 @@
+"""Test that quotas hold over all proxies, and serve what lies within them."""
+
+import collections
+import itertools
+import random
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from topazring.core import organisations
+from topazring.core import quotas
+
+SMALL = organisations.Quota(2, 2)
+LARGE = organisations.Quota(100, 100)
+OVERRUN = quotas.Overrun()
+NAMES = ('p1', 'p2', 'p3', 'p4', 'p5', 'p6')
+STEP_MS = 20
+# How often a limiter queries its standby.
+CONTACT_STEP_MS = 340
+
+
+def accepted(quota: organisations.Quota) -> float:
+    """Return the most operations that operators accept in a window."""
+    usual = quota.rate_per_s * OVERRUN.window_ms / 1000 + quota.burst
+    return usual * (1 + OVERRUN.share) + OVERRUN.operations
+
+
+def largest_window(granted: list[int]) -> int:
+    """Return the most permits granted in any window, by their times."""
+    window: collections.deque[int] = collections.deque()
+    largest = 0
+    for at_ms in granted:
+        window.append(at_ms)
+        while at_ms - window[0] >= OVERRUN.window_ms:
+            window.popleft()
+        largest = max(largest, len(window))
+    return largest
+
+
+class Fleet:
+    """Play the keepers of one organisation, and entries that ask them."""
+
+    def __init__(self, quota: organisations.Quota, names=NAMES):
+        self.quota = quota
+        self.now_ms = 100_000
+        self.names = names
+        self.keepers = quotas.keepers_of('o', names)
+        self.counters: dict[str, quotas.Counter] = {}
+        # The part of a partition in which each proxy is.
+        self.side = dict.fromkeys(names, 0)
+        self.paused: set[str] = set()
+        self.granted: list[int] = []
+        self.refused = 0
+        for name in names:
+            self.restart(name)
+        self.next_contact_ms = self.now_ms
+
+    def restart(self, name: str) -> None:
+        """Begin again, with an empty memory."""
+        self.counters[name] = quotas.Counter(self.now_ms)
+
+    def can_reach(self, one: str, other: str) -> bool:
+        """Return whether two proxies hear each other now."""
+        is_split = self.side[one] != self.side[other]
+        return not is_split and not self.paused & {one, other}
+
+    def contact(self) -> None:
+        """Let the limiter query its standby."""
+        if len(self.keepers) < 2:
+            return
+        limiter, standby = self.keepers[:2]
+        if self.can_reach(limiter, standby):
+            self.counters[standby].answered_ms = self.now_ms
+            self.counters[limiter].contact_ms = self.now_ms
+
+    def ask(self, entry: str) -> bool:
+        """Ask for one permit, of the first keeper in reach."""
+        for rank, keeper in enumerate(self.keepers):
+            if keeper != entry and not self.can_reach(entry, keeper):
+                continue
+            counter = self.counters[keeper]
+            held = quotas.authority(
+                counter, self.now_ms, rank, len(self.keepers)
+            )
+            count, _ = quotas.grant(
+                counter, self.now_ms, self.quota, OVERRUN, held
+            )
+            if rank == 0 and held is not quotas.Authority.FULL:
+                self.contact()
+            self.granted += [self.now_ms] * count
+            self.refused += not count
+            return bool(count)
+        self.refused += 1
+        return False
+
+    def run(self, for_ms: int, per_s: float, rng: random.Random) -> None:
+        """Let operations come at random entries."""
+        for _ in range(for_ms // STEP_MS):
+            self.now_ms += STEP_MS
+            if self.now_ms >= self.next_contact_ms:
+                self.next_contact_ms = self.now_ms + CONTACT_STEP_MS
+                self.contact()
+            asked = per_s * STEP_MS / 1000
+            count = int(asked) + (rng.random() < asked % 1)
+            for _ in range(count):
+                entry = rng.choice(self.names)
+                if entry not in self.paused:
+                    self.ask(entry)
+
+    def share_served(self) -> float:
+        """Return the share of the operations that got a permit."""
+        count = len(self.granted)
+        return count / max(1, count + self.refused)
+
+
+class WithinTheQuotaTest(testtools.TestCase):
+    """What an organisation may ask is served."""
+
+    def test_usual_load(self):
+        """Guards against refusals of operations that come together."""
+        for quota in (SMALL, LARGE):
+            fleet = Fleet(quota)
+            rng = random.Random(1)
+            fleet.run(60_000, quota.rate_per_s / 1.6, rng)
+            self.assertGreater(fleet.share_served(), 0.995)
+
+    def test_split(self):
+        """Guards against a side of a split without permits."""
+        for quota in (SMALL, LARGE):
+            fleet = Fleet(quota)
+            rng = random.Random(2)
+            fleet.run(10_000, quota.rate_per_s / 1.6, rng)
+            fleet.granted.clear()
+            fleet.refused = 0
+            limiter, standby = fleet.keepers[:2]
+            for name in fleet.names:
+                fleet.side[name] = int(name not in (limiter, 'p1'))
+            fleet.side[standby] = 1
+            fleet.run(10_000, quota.rate_per_s / 2.2, rng)
+            self.assertGreater(fleet.share_served(), 0.8)
+
+    def test_lost_limiter(self):
+        """Guards against an organisation that waits for one process."""
+        fleet = Fleet(LARGE)
+        rng = random.Random(3)
+        fleet.run(10_000, 60, rng)
+        fleet.paused = {fleet.keepers[0]}
+        fleet.run(1100, 60, rng)
+        fleet.granted.clear()
+        fleet.refused = 0
+        fleet.run(5000, 45, rng)
+        self.assertGreater(fleet.share_served(), 0.98)
+
+
+class BeyondTheQuotaTest(testtools.TestCase):
+    """What exceeds a quota is refused, whatever happens to the proxies."""
+
+    def test_hot_organisation(self):
+        """Guards against an organisation that takes the others' capacity."""
+        for quota in (SMALL, LARGE):
+            fleet = Fleet(quota)
+            rng = random.Random(4)
+            fleet.run(20_000, quota.rate_per_s * 4.7, rng)
+            self.assertLessEqual(
+                largest_window(fleet.granted), accepted(quota)
+            )
+            usual = quota.rate_per_s * 20
+            self.assertGreater(len(fleet.granted), 0.95 * usual)
+
+    def test_half_of_the_fleet_restarts(self):
+        """Guards against a new burst with each start."""
+        for quota in (SMALL, LARGE):
+            fleet = Fleet(quota)
+            rng = random.Random(5)
+            fleet.run(10_000, quota.rate_per_s * 4, rng)
+            for name in fleet.keepers[:2]:
+                fleet.restart(name)
+            fleet.run(10_000, quota.rate_per_s * 4, rng)
+            self.assertLessEqual(
+                largest_window(fleet.granted), accepted(quota)
+            )
+
+    def test_limiter_that_was_paused(self):
+        """Guards against a limiter that does not know that it was paused."""
+        fleet = Fleet(LARGE)
+        rng = random.Random(6)
+        fleet.run(10_000, 400, rng)
+        limiter = fleet.keepers[0]
+        fleet.paused = {limiter}
+        fleet.run(3000, 400, rng)
+        fleet.paused = set()
+        fleet.side[limiter] = 1
+        fleet.run(5000, 400, rng)
+        self.assertLessEqual(largest_window(fleet.granted), accepted(LARGE))
+
+    def test_lowered_quota(self):
+        """Guards against a bucket that was filled under the higher quota."""
+        fleet = Fleet(LARGE)
+        rng = random.Random(7)
+        fleet.run(10_000, 50, rng)
+        fleet.quota = SMALL
+        fleet.granted.clear()
+        fleet.run(10_000, 50, rng)
+        self.assertLessEqual(largest_window(fleet.granted), accepted(SMALL))
+
+    def test_quota_of_zero(self):
+        """No permit is granted; the caller is told to come back later."""
+        counter = quotas.Counter(0)
+        nothing = organisations.Quota(0, 0)
+        none = quotas.Overrun(5000, 0.0, 0.0)
+        for held in quotas.Authority:
+            count, wait_ms = quotas.grant(counter, 9000, nothing, none, held)
+            self.assertEqual(0, count)
+            self.assertGreater(wait_ms, 0)
+
+    def test_retry_delay(self):
+        """The delay says when a permit is due."""
+        counter = quotas.Counter(0)
+        full = quotas.Authority.FULL
+        for now_ms in itertools.count(5000):
+            count, wait_ms = quotas.grant(
+                counter, now_ms, SMALL, OVERRUN, full
+            )
+            if not count:
+                break
+        count, _ = quotas.grant(
+            counter, now_ms + wait_ms, SMALL, OVERRUN, full
+        )
+        self.assertEqual(1, count)
+
+
+class SequencesTest(testtools.TestCase):
+    """Any sequence of splits, pauses and restarts keeps the quota."""
+
+    @hypothesis.settings(
+        derandomize=True, max_examples=150, deadline=None, database=None
+    )
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(['split', 'heal', 'pause', 'restart']),
+                strategies.sets(strategies.sampled_from(NAMES), max_size=4),
+                strategies.integers(100, 3000),
+            ),
+            max_size=10,
+        ),
+        strategies.sampled_from([SMALL, organisations.Quota(20, 5), LARGE]),
+        strategies.integers(0, 1000),
+    )
+    def test_walk(self, changes, quota, seed):
+        """Both sides of each split serve, and their sum is accepted."""
+        fleet = Fleet(quota)
+        rng = random.Random(seed)
+        fleet.run(2000, quota.rate_per_s * 3, rng)
+        restarts_left = 2
+        for what, names, for_ms in changes:
+            if what == 'split':
+                fleet.side = {n: int(n in names) for n in fleet.names}
+            elif what == 'heal':
+                fleet.side = dict.fromkeys(fleet.names, 0)
+                fleet.paused = set()
+            elif what == 'pause':
+                fleet.paused = names
+            elif restarts_left:
+                restarts_left -= 1
+                for name in names:
+                    fleet.restart(name)
+            fleet.run(for_ms, quota.rate_per_s * 3, rng)
+        self.assertLessEqual(largest_window(fleet.granted), accepted(quota))
--- a/topazring/pooler/router.py
+++ b/topazring/pooler/router.py
@@ -118,6 +118,7 @@
                 self.data_centre,
                 queue_length,
                 turn,
+                request.organisation,
             )
             if owner is None:
                 break
