--- a/topazring/platform/tests/fake_store.py
+++ b/topazring/platform/tests/fake_store.py
@@ -80,6 +80,10 @@
             self.changed.notify_all()
         return self.revision
 
+    def value(self, key: str) -> str:
+        """Return the value of a key."""
+        return base64.b64decode(self.items[key]['value']).decode()
+
     async def put_json(self, key: str, value: dict) -> int:
         """Write a value as JSON, as the operator and the upstreams do."""
         return await self.put(key, json.dumps(value))
--- a/topazring/platform/tests/fake_upstreams.py
+++ b/topazring/platform/tests/fake_upstreams.py
@@ -34,7 +34,9 @@
 class Session:
     """Hold one connection's state."""
 
-    def __init__(self):
+    def __init__(self, client: str):
+        # Whom the connection serves.
+        self.client = client
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
         # Whether the transaction is read-only; None outside a transaction.
@@ -56,6 +58,8 @@
         self.signatures = itertools.count(1)
         # Request id, text and session values of every statement that ran.
         self.ran: list[tuple[str, str, dict]] = []
+        # The client and the text of every statement that ran.
+        self.ran_for: list[tuple[str, str]] = []
 
     def start(self) -> None:
         """Start every upstream."""
@@ -150,7 +154,7 @@
             await stream.write(b'ERROR TOOMANY\r\n')
             stream.close()
             return
-        session = Session()
+        session = Session(start[2])
         await stream.write(f'READY I {self._position()}\r\n'.encode())
         while True:
             line = (await stream.read_until(b'\r\n')).decode().rstrip('\r\n')
@@ -191,6 +195,7 @@
     def _run_signed(self, session: Session, request_id: str, words) -> str:
         text = ' '.join(words)
         self.group.ran.append((request_id, text, dict(session.values)))
+        self.group.ran_for.append((session.client, text))
         return f'DONE {request_id}.{next(self.group.signatures)}'
 
     def _refuse(self, session: Session, code: str) -> list[str]:
--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -50,10 +50,13 @@
         self.ids = 0
 
     @classmethod
-    async def connect(cls, port: int, database: str) -> 'Caller':
+    async def connect(
+        cls, port: int, database: str, key: str = 'me'
+    ) -> 'Caller':
         """Connect and start a session."""
         caller = cls(*await asyncio.open_connection('127.0.0.1', port))
-        caller.greeting = await caller.send_line(f'START {database} me')
+        start = f'START {database} {key}'.rstrip()
+        caller.greeting = await caller.send_line(start)
         return caller
 
     async def send_line(self, line: str) -> list[str]:
