--- /dev/null
+++ b/topazring/pooler/tests/test_quotas.py
@@ -0,0 +1,205 @@
+"""Test how an entry gets its permits, and how keepers stay in contact."""
+
+import asyncio
+from unittest import mock
+
+import testtools
+
+from topazring.core import organisations
+from topazring.core import outcomes
+from topazring.core import quotas as rules
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import statements
+from topazring.plumbing import events
+from topazring.pooler import hop_frames
+from topazring.pooler import quotas
+
+Reason = outcomes.Reason
+NAMES = ('p1', 'p2', 'p3', 'p4')
+POLICY = messages.Policy('d', 's', messages.Freshness.PRIMARY, anonymous=False)
+QUOTA = organisations.Quota(1, 1)
+
+
+def request(organisation: str = 'ash', **more) -> messages.Request:
+    """Return a read of an organisation."""
+    statement = statements.Statement('r', statements.Verb.READ, 'READ k')
+    return messages.Request(
+        1, statement, POLICY, False, 0, organisation=organisation, **more
+    )
+
+
+class FakeLink:
+    """Answer as a keeper does, or never."""
+
+    def __init__(self, far: quotas.Quotas):
+        self.far = far
+        self.is_silent = False
+        self.asked = 0
+
+    async def ask(self, make_frame):
+        """Return the answer of the other proxy."""
+        self.asked += 1
+        frame = make_frame(1)
+        if self.is_silent:
+            await asyncio.Event().wait()
+        if isinstance(frame, hop_frames.PermitFrame):
+            granted, wait_ms = self.far.grant(frame.organisation, frame.wanted)
+            return hop_frames.GrantFrame(1, granted, wait_ms)
+        confirmed = self.far.confirm_limiter(
+            frame.limiter, frame.organisations
+        )
+        return hop_frames.ConfirmFrame(1, confirmed)
+
+
+class FakeRouter:
+    """Hold the links of one proxy."""
+
+    def __init__(self):
+        self.links: dict[str, FakeLink] = {}
+        self.avoided: set[str] = set()
+
+    def reachable_link(self, name):
+        """Return a link unless the proxy is avoided."""
+        return None if name in self.avoided else self.links.get(name)
+
+    def record_silence(self, name):
+        """Avoid a proxy."""
+        self.avoided.add(name)
+
+
+class QuotasTest(testtools.TestCase):
+    """Permits come from the first keeper that answers."""
+
+    def play(self, steps) -> None:
+        """Run `steps()` with four proxies that reach each other."""
+
+        async def run():
+            with mock.patch.object(quotas, 'PERMIT_TIMEOUT_S', 0.02):
+                self.make_fleet()
+                try:
+                    async with asyncio.timeout(5):
+                        await steps()
+                finally:
+                    for each in self.fleet.values():
+                        each.close()
+
+        asyncio.run(run())
+
+    def make_fleet(self) -> None:
+        configured = organisations.Organisations({}, {'ash': QUOTA})
+        self.routers = {name: FakeRouter() for name in NAMES}
+        self.fleet = {
+            name: quotas.Quotas(
+                name,
+                rules.Overrun(),
+                self.routers[name],
+                events.EventLog(name),
+            )
+            for name in NAMES
+        }
+        for name, each in self.fleet.items():
+            each.update(configured, frozenset(NAMES))
+            self.routers[name].links = {
+                other: FakeLink(self.fleet[other])
+                for other in NAMES
+                if other != name
+            }
+            each.start()
+        self.keepers = rules.keepers_of('ash', NAMES)
+        (self.entry,) = set(NAMES) - set(self.keepers)
+
+    async def admit(self, count: int) -> list[outcomes.NotRun]:
+        """Ask for operations one after the other; return the refusals."""
+        answers = [
+            await self.fleet[self.entry].admit(request()) for _ in range(count)
+        ]
+        return [answer for answer in answers if answer is not None]
+
+    def test_contact_at_the_first_operation(self):
+        """Guards against an organisation that waits for a regular query."""
+
+        async def steps():
+            await self.admit(1)
+            await asyncio.sleep(0.05)
+            counter = self.fleet[self.keepers[0]].counters['ash']
+            self.assertGreater(counter.contact_ms, 0)
+
+        self.play(steps)
+
+    def test_refusal_is_remembered(self):
+        """Guards against a query to the limiter for each refusal."""
+
+        async def steps():
+            await self.admit(1)
+            await asyncio.sleep(0.05)
+            refusals = await self.admit(40)
+            self.assertTrue(refusals)
+            self.assertEqual({Reason.QUOTA}, {r.reason for r in refusals})
+            self.assertGreater(min(r.retry_after_ms for r in refusals), 0)
+            asked = self.routers[self.entry].links[self.keepers[0]].asked
+            self.assertLessEqual(asked, 42 - len(refusals))
+
+        self.play(steps)
+
+    def test_silent_limiter(self):
+        """The standby is asked, and the silent limiter is avoided."""
+
+        async def steps():
+            links = self.routers[self.entry].links
+            links[self.keepers[0]].is_silent = True
+            self.assertEqual([], await self.admit(1))
+            self.assertEqual(1, links[self.keepers[1]].asked)
+            self.assertIn(self.keepers[0], self.routers[self.entry].avoided)
+
+        self.play(steps)
+
+    def test_nobody_answers(self):
+        """Guards against a caller that waits for a permit."""
+
+        async def steps():
+            self.routers[self.entry].avoided = set(NAMES)
+            (refusal,) = await self.admit(1)
+            self.assertEqual(Reason.QUOTA_UNKNOWN, refusal.reason)
+            self.assertGreater(refusal.retry_after_ms, 0)
+
+        self.play(steps)
+
+    def test_permit_of_an_operation_that_did_not_run(self):
+        """Guards against a quota that is used up by refused operations."""
+
+        async def steps():
+            await self.admit(1)
+            entry = self.fleet[self.entry]
+            for _ in range(60):
+                entry.give_back(request())
+                self.assertIsNone(await entry.admit(request()))
+
+        self.play(steps)
+
+    def test_not_counted(self):
+        """Later statements of a transaction belong to one operation."""
+
+        async def steps():
+            entry = self.fleet[self.entry]
+            for _ in range(60):
+                later = request(transaction=7)
+                self.assertIsNone(await entry.admit(later))
+                self.assertIsNone(await entry.admit(request('')))
+                self.assertIsNone(await entry.admit(request('unlimited')))
+
+        self.play(steps)
+
+    def test_standby_with_another_list(self):
+        """Guards against two limiters that both use the full rate."""
+
+        async def steps():
+            standby = self.fleet[self.keepers[1]]
+            standby.update(
+                standby.configured, frozenset({self.keepers[1], self.entry})
+            )
+            await self.admit(1)
+            await asyncio.sleep(0.05)
+            counter = self.fleet[self.keepers[0]].counters['ash']
+            self.assertEqual(rules.NEVER_MS, counter.contact_ms)
+
+        self.play(steps)
