--- /dev/null
+++ b/topazring/pooler/tests/test_rolling_upgrade.py
@@ -0,0 +1,124 @@
+"""Test a fleet of an older build, which knows no organisations, and this one.
+
+The older build ignores the organisation of a request and runs it in the
+proxy's own name.
+"""
+
+import asyncio
+import dataclasses
+from unittest import mock
+
+import msgspec
+import testtools
+
+from topazring.core import outcomes
+from topazring.core.synchronous import forwarding
+from topazring.core.synchronous import listing as listings
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import ownership
+from topazring.core.synchronous import statements
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import directory
+from topazring.pooler import process
+from topazring.pooler import router as routers
+
+Reason = outcomes.Reason
+POLICY = messages.Policy('d', 's', messages.Freshness.PRIMARY, anonymous=False)
+
+
+def request(organisation: str) -> messages.Request:
+    """Return a read that arrives now."""
+    return messages.Request(
+        1,
+        statements.Statement('r', statements.Verb.READ, 'READ k'),
+        POLICY,
+        False,
+        clock.boottime_ms(),
+        organisation=organisation,
+    )
+
+
+class ToAnOldOwnerTest(testtools.TestCase):
+    """An entry of this build forwards to owners of an older one."""
+
+    def forward(self, organisation: str) -> tuple[object, int]:
+        """Return the outcome, and how often the old owner was asked."""
+
+        async def run():
+            router = routers.Router(
+                'new', 'a', mock.Mock(), events.EventLog('new')
+            )
+            owner = ownership.Proxy('old', 'a')
+            router.ownerships['s'] = ownership.Ownership((owner,))
+            router.set_peers({'old': '127.0.0.1:1'})
+            router.old_peers = frozenset({'old'})
+            link = mock.Mock()
+            done = outcomes.Done([], None)
+            link.send_request = mock.AsyncMock(return_value=done)
+            router.peers['old'].link = link
+            outcome = await router.run(request(organisation))
+            return outcome, link.send_request.call_count
+
+        return asyncio.run(run())
+
+    def test_request_of_an_organisation(self):
+        """Guards against a request that runs in the proxy's name."""
+        outcome, asked = self.forward('ash')
+        self.assertEqual(Reason.NO_OWNER, outcome.reason)
+        self.assertEqual(0, asked)
+
+    def test_request_without_an_organisation(self):
+        """It is served as before."""
+        outcome, asked = self.forward('')
+        self.assertIsInstance(outcome, outcomes.Done)
+        self.assertEqual(1, asked)
+
+
+class FromAnOldEntryTest(testtools.TestCase):
+    """An owner of this build is asked by an entry of an older one."""
+
+    def serve(self, asked: messages.Request, policy: messages.Policy):
+        """Return the outcome at an owner whose policy is given."""
+        pooler = mock.Mock(spec=process.Pooler)
+        pooler.policy.return_value = policy
+        pooler.shutdown_phase = None
+        group = mock.Mock()
+        group.submit = mock.AsyncMock(return_value=outcomes.Done([], None))
+        pooler.groups = {'s': group}
+        pooler._lacks_organisation = lambda found: (
+            process.Pooler._lacks_organisation(pooler, found)
+        )
+        return asyncio.run(process.Pooler.serve_locally(pooler, asked))
+
+    def test_request_without_its_organisation(self):
+        """Guards against a request of an unknown caller."""
+        outcome = self.serve(request(''), POLICY)
+        self.assertIsInstance(outcome, outcomes.NotRun)
+        self.assertIn(outcome.reason, forwarding.FORWARDABLE_REASONS)
+
+    def test_request_that_needs_no_organisation(self):
+        """It is served as before."""
+        policy = dataclasses.replace(POLICY, anonymous=True)
+        outcome = self.serve(request(''), policy)
+        self.assertIsInstance(outcome, outcomes.Done)
+
+
+class ListingTest(testtools.TestCase):
+    """A proxy's entry in the store says whether it knows organisations."""
+
+    def test_entries(self):
+        """The entry of an older build lacks the field."""
+        older = msgspec.json.decode(
+            b'{"data_centre": "a"}', type=directory.ProxyValue
+        )
+        self.assertFalse(older.carries_organisations)
+        listing = listings.Listing()
+        for name, carries in (('old', False), ('new', True)):
+            listing.proxies[name] = listings.ProxyRecord(
+                name, 'a', carries_organisations=carries
+            )
+        self.assertEqual({'old'}, listings.old_proxies(listing))
+        self.assertEqual(
+            {'new', 'own'}, listings.organisation_proxies(listing, 'own')
+        )
