--- a/topazring/pooler/metrics.py
+++ b/topazring/pooler/metrics.py
@@ -41,11 +41,13 @@
         self,
         counters: collections.abc.Mapping[str, int],
         gauges: collections.abc.Mapping[str, int],
+        operations: collections.abc.Mapping[tuple[str, str], int],
     ) -> bytes:
         """Return all metrics in the Prometheus text format.
 
         Every reason is present from the start, so that a counter exists
-        before its first event.
+        before its first event. `operations` counts by organisation and
+        result.
         """
         lines = []
         for (kind, name, reason), count in sorted(self.answers.items()):
@@ -66,6 +68,15 @@
             lines.append(
                 f'topazring_group_events_total{{what="{what}"}} {count}'
             )
+        for (organisation, result), count in sorted(operations.items()):
+            name = _escape_label(organisation)
+            labels = f'organisation="{name}",result="{result}"'
+            lines.append(f'topazring_operations_total{{{labels}}} {count}')
         for what, value in sorted(gauges.items()):
             lines.append(f'topazring_{what} {value}')
         return ('\n'.join(lines) + '\n').encode()
+
+
+def _escape_label(value: str) -> str:
+    """Return a label's value as the text format requires it."""
+    return value.replace('\\', r'\\').replace('"', r'\"')
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -442,6 +442,7 @@
                 'log_lines': self.log.lines,
                 'log_lines_dropped': self.log.dropped,
             },
+            self.quotas.operations(),
         )
 
     # ---- shutdown ----
--- a/topazring/pooler/quotas.py
+++ b/topazring/pooler/quotas.py
@@ -32,6 +32,10 @@
 CONTACT_INTERVAL_S = rules.CONTACT_MS / 3000
 # Organisations without operations for this long need no contact.
 ACTIVE_MS = 5000
+# Organisations that metrics name, and the name of all others together; no
+# organisation has a name with a blank.
+MAX_NAMED = 50
+OTHERS = 'all others'
 # Retry delay if no keeper answers: a process returns within about a second.
 NO_KEEPER_RETRY_MS = 300
 
@@ -108,6 +112,23 @@
             self.keepers[organisation] = found
         return found
 
+    def operations(self) -> dict[tuple[str, str], int]:
+        """Return the operations by organisation and result.
+
+        The organisations with most refusals are named, and the others are
+        counted together, so that the number of series is bounded.
+        """
+        busiest = sorted(
+            self.entries, key=lambda name: -self.entries[name].refused
+        )
+        found: collections.Counter[tuple[str, str]] = collections.Counter()
+        for index, name in enumerate(busiest):
+            entry = self.entries[name]
+            label = name if index < MAX_NAMED else OTHERS
+            found[label, 'admitted'] += entry.admitted
+            found[label, 'refused'] += entry.refused
+        return dict(found)
+
     # ---- callers ----
 
     async def admit(self, request: messages.Request) -> outcomes.NotRun | None:
@@ -119,8 +140,19 @@
         refusal = await self._refusal(organisation, entry)
         if refusal is None:
             entry.admitted += 1
-        else:
-            entry.refused += 1
+            return None
+        entry.refused += 1
+        self.log.emit(
+            'quota',
+            'refused',
+            request.statement.request_id,
+            request.policy.service,
+            {
+                'organisation': organisation,
+                'reason': str(refusal.reason),
+                'retry_after_ms': refusal.retry_after_ms,
+            },
+        )
         return refusal
 
     async def _refusal(
@@ -138,17 +170,15 @@
             answer = await self._ask(keeper, organisation, wanted)
             if answer is None:
                 continue
-            return self._use(organisation, entry, *answer)
+            return self._use(entry, *answer)
         return outcomes.NotRun(Reason.QUOTA_UNKNOWN, NO_KEEPER_RETRY_MS)
 
     def _use(
-        self, organisation: str, entry: _Entry, granted: int, wait_ms: int
+        self, entry: _Entry, granted: int, wait_ms: int
     ) -> outcomes.NotRun | None:
         now_ms = clock.boottime_ms()
         if not granted:
             entry.refused_until_ms = now_ms + wait_ms
-            inputs = {'organisation': organisation, 'retry_after_ms': wait_ms}
-            self.log.emit('quota', 'refused', inputs=inputs)
             return outcomes.NotRun(Reason.QUOTA, wait_ms)
         entry.permits.extend([now_ms + PERMIT_LIFE_MS] * (granted - 1))
         return None
--- a/topazring/pooler/tests/test_quotas.py
+++ b/topazring/pooler/tests/test_quotas.py
@@ -189,6 +189,24 @@
 
         self.play(steps)
 
+    def test_number_of_series_is_bounded(self):
+        """Guards against a metric that grows with the organisations."""
+
+        async def steps():
+            names = [f'o{n}' for n in range(200)]
+            entry = self.fleet[self.entry]
+            configured = organisations.Organisations(
+                {}, dict.fromkeys(names, QUOTA)
+            )
+            entry.update(configured, frozenset({self.entry}))
+            for name in names:
+                await entry.admit(request(name))
+            operations = entry.operations()
+            self.assertEqual(2 * (quotas.MAX_NAMED + 1), len(operations))
+            self.assertEqual(200, sum(operations.values()))
+
+        self.play(steps)
+
     def test_standby_with_another_list(self):
         """Guards against two limiters that both use the full rate."""
 
