--- a/topazring/core/quotas.py
+++ b/topazring/core/quotas.py
@@ -45,11 +45,12 @@
 # Proxies of an organisation that may grant permits: the limiter, the standby
 # and another one, in case both are lost.
 MAX_KEEPERS = 3
-# Shares of the accepted overrun: what the buckets hold beyond the burst, and
-# what a limiter and a standby start with.
+# Shares of the accepted overrun: what the bucket of the burst holds beyond it,
+# what the other one holds and gets in a window, and what both start with.
 BURST_SHARE = 0.2
-STEADY_SHARE = 0.25
-INITIAL_SHARE = 0.1
+STEADY_SHARE = 0.1
+STEADY_RATE_SHARE = 0.6
+INITIAL_SHARE = 0.05
 # What each keeper may grant at once without contact, and again per window.
 RESERVE_SHARE = 0.05
 # A proxy that starts sees the others within this time.
@@ -189,7 +190,7 @@
         # Earlier bursts, of this keeper or another one, are not counted in it.
         first_ms = now_ms + overrun.window_ms
         counter.steady = Bucket(0.0, now_ms, grants_from_ms=first_ms)
-    steady_per_s = in_window / window_s
+    steady_per_s = (in_window + accepted * STEADY_RATE_SHARE) / window_s
     _fill(counter.burst, now_ms, quota.rate_per_s, burst_size)
     _fill(counter.steady, now_ms, steady_per_s, accepted * STEADY_SHARE)
     return [(counter.burst, quota.rate_per_s), (counter.steady, steady_per_s)]
--- a/topazring/core/synchronous/forwarding.py
+++ b/topazring/core/synchronous/forwarding.py
@@ -61,8 +61,9 @@
 HOP_COST = 1.0
 REMOTE_HOP_COST = 3.0
 # Cost of an owner that is unlikely to have a connection for the organisation:
-# the new connection occupies a slot about as long as a statement.
-DIAL_COST = 2.0
+# the new connection occupies a slot about as long as a statement, and more
+# than a hop to another data centre costs.
+DIAL_COST = 4.0
 # Half-life of the queue length that an owner reported.
 LOAD_HALF_LIFE_MS = 300
 # Retry delay for callers if no owner could be reached.
@@ -126,7 +127,7 @@
     """
     if len(plan.tried) >= MAX_ATTEMPTS:
         return None
-    preferred = _preferred_owner(owned, data_centre, organisation)
+    preferred = _preferred_owner(owned, organisation)
     costs: dict[str, float] = {}
     for owner in owned.owners:
         candidate = THIS_PROXY if owner.name == name else owner.name
@@ -149,18 +150,17 @@
 
 
 def _preferred_owner(
-    owned: ownership.Ownership, data_centre: str, organisation: str
+    owned: ownership.Ownership, organisation: str
 ) -> ownership.Proxy | None:
     """Return the owner that should keep connections for an organisation.
 
-    Each data centre has one of its own, if it has owners: a hop to another
-    data centre costs more than a connection.
+    It is the same for all data centres: with one in each, the connections of
+    an owner would have to serve three times as many organisations.
     """
     if organisation == organisations.ANONYMOUS:
         return None
-    local = [each for each in owned.owners if each.data_centre == data_centre]
     return max(
-        local or owned.owners,
+        owned.owners,
         key=lambda owner: hashing.score(organisation, owner.name),
         default=None,
     )
