--- a/topazring/core/quotas.py
+++ b/topazring/core/quotas.py
@@ -49,8 +49,8 @@
 # what the other one holds and gets in a window, and what both start with.
 BURST_SHARE = 0.2
 STEADY_SHARE = 0.1
-STEADY_RATE_SHARE = 0.6
-INITIAL_SHARE = 0.05
+STEADY_RATE_SHARE = 0.5
+INITIAL_SHARE = 0.1
 # What each keeper may grant at once without contact, and again per window.
 RESERVE_SHARE = 0.05
 # A proxy that starts sees the others within this time.
