Release the limiter's right when it shuts down

In a rolling restart each limiter is away for some seconds, in which its standby granted half of the rate to organisations that use five eighths of it.

--- a/topazring/core/quotas.py
+++ b/topazring/core/quotas.py
@@ -17,7 +17,8 @@
 
 The limiter uses the full rate for a fixed time after it sent a query that the
 standby answered. The standby starts to use its half when that time has passed
-since it last answered.
+since it last answered. A limiter that shuts down releases its right, and the
+standby uses the full rate until the limiter's next process asks it.
 """
 
 import collections.abc
@@ -104,6 +105,8 @@
     contact_ms: int = NEVER_MS
     # As the standby: when it last answered the limiter.
     answered_ms: int = NEVER_MS
+    # Whether the limiter has ended for good what it may grant.
+    is_released: bool = False
     used_ms: int = NEVER_MS
 
 
@@ -125,6 +128,8 @@
         return Authority.FULL if is_settled else Authority.OVERRUN
     if rank > 1:
         return Authority.OVERRUN
+    if rank == 1 and counter.is_released:
+        return Authority.FULL
     heard_ms = counter.contact_ms if rank == 0 else counter.answered_ms
     if heard_ms == NEVER_MS:
         return Authority.OVERRUN
--- a/topazring/core/tests/test_quotas.py
+++ b/topazring/core/tests/test_quotas.py
@@ -67,6 +67,14 @@
         """Begin again, with an empty memory."""
         self.counters[name] = quotas.Counter(self.now_ms)
 
+    def release(self, name: str) -> None:
+        """Shut a proxy down; its next process begins with an empty memory."""
+        if len(self.keepers) > 1 and name == self.keepers[0]:
+            standby = self.counters[self.keepers[1]]
+            if self.can_reach(name, self.keepers[1]):
+                standby.is_released = True
+        self.restart(name)
+
     def can_reach(self, one: str, other: str) -> bool:
         """Return whether two proxies hear each other now."""
         is_split = self.side[one] != self.side[other]
@@ -79,6 +87,7 @@
         limiter, standby = self.keepers[:2]
         if self.can_reach(limiter, standby):
             self.counters[standby].answered_ms = self.now_ms
+            self.counters[standby].is_released = False
             self.counters[limiter].contact_ms = self.now_ms
 
     def ask(self, entry: str, retries: int = RETRIES) -> None:
@@ -252,7 +261,9 @@
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(
-                strategies.sampled_from(['split', 'heal', 'pause', 'restart']),
+                strategies.sampled_from(
+                    ['split', 'heal', 'pause', 'restart', 'release']
+                ),
                 strategies.sets(strategies.sampled_from(NAMES), max_size=4),
                 strategies.integers(100, 3000),
             ),
@@ -278,6 +289,7 @@
             elif restarts_left:
                 restarts_left -= 1
                 for name in names:
-                    fleet.restart(name)
+                    end = fleet.release if what == 'release' else fleet.restart
+                    end(name)
             fleet.run(for_ms, quota.rate_per_s * 3, rng)
         self.assertLessEqual(largest_window(fleet.granted), accepted(quota))
--- a/topazring/pooler/hop_frames.py
+++ b/topazring/pooler/hop_frames.py
@@ -79,6 +79,8 @@
     id: int
     limiter: str
     organisations: list[str]
+    # The sender grants nothing any more.
+    releases: bool = False
 
 
 class ConfirmFrame(msgspec.Struct, array_like=True, tag='confirm'):
--- a/topazring/pooler/hop_server.py
+++ b/topazring/pooler/hop_server.py
@@ -45,7 +45,9 @@
     def grant_permits(self, organisation: str, wanted: int) -> tuple[int, int]:
         """Return the permits granted and, if none, when one is due, in ms."""
 
-    def confirm_limiter(self, limiter: str, names: list[str]) -> list[str]:
+    def confirm_limiter(
+        self, limiter: str, names: list[str], releases: bool
+    ) -> list[str]:
         """Return the organisations for which this proxy is the standby."""
 
 
@@ -130,7 +132,7 @@
                 hop_frames.write(self.stream, answer)
             case hop_frames.ContactFrame():
                 confirmed = self.host.confirm_limiter(
-                    frame.limiter, frame.organisations
+                    frame.limiter, frame.organisations, frame.releases
                 )
                 answer = hop_frames.ConfirmFrame(frame.id, confirmed)
                 hop_frames.write(self.stream, answer)
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -212,9 +212,11 @@
         """Grant permits to run operations of an organisation."""
         return self.quotas.grant(organisation, wanted)
 
-    def confirm_limiter(self, limiter: str, names: list[str]) -> list[str]:
+    def confirm_limiter(
+        self, limiter: str, names: list[str], releases: bool
+    ) -> list[str]:
         """Return the organisations for which this proxy is the standby."""
-        return self.quotas.confirm_limiter(limiter, names)
+        return self.quotas.confirm_limiter(limiter, names, releases)
 
     def withdraw(self, service: str, transaction: int) -> None:
         """Abort a transaction, wherever it was begun."""
@@ -466,12 +468,13 @@
         self.caller_server.stop()
         self.probe_server.close()
         self.peer_server.close()
-        await shutdown.flush_answers(self)
+        await asyncio.gather(
+            shutdown.flush_answers(self), self.quotas.release()
+        )
         self.hop_server.close()
         self.directory.close()
         self.reports.close()
         self.overdue_report.close()
-        self.quotas.close()
         self.member_records.close()
         try:
             async with asyncio.timeout(CLOSE_S):
--- a/topazring/pooler/quotas.py
+++ b/topazring/pooler/quotas.py
@@ -36,6 +36,8 @@
 # organisation has a name with a blank.
 MAX_NAMED = 50
 OTHERS = 'all others'
+# In place of a retry delay: the keeper shuts down, the next one grants.
+ASK_ANOTHER_MS = 0
 # Retry delay if no keeper answers: a process returns within about a second.
 NO_KEEPER_RETRY_MS = 300
 
@@ -75,6 +77,8 @@
         self.started_ms = clock.boottime_ms()
         self.contact_needed = asyncio.Event()
         self.task: asyncio.Task | None = None
+        # Whether this process shuts down and grants nothing any more.
+        self.is_released = False
 
     def start(self) -> None:
         """Start to keep in contact with standbys."""
@@ -168,7 +172,7 @@
         wanted = sum(now_ms - came_ms < BATCH_MS for came_ms in entry.arrivals)
         for keeper in self._keepers(organisation):
             answer = await self._ask(keeper, organisation, wanted)
-            if answer is None:
+            if answer is None or answer == (0, ASK_ANOTHER_MS):
                 continue
             return self._use(entry, *answer)
         return outcomes.NotRun(Reason.QUOTA_UNKNOWN, NO_KEEPER_RETRY_MS)
@@ -220,6 +224,8 @@
         if quota is None:
             # The asking proxy has an older or a newer configuration.
             return 0, rules.NO_PERMIT_RETRY_MS
+        if self.is_released:
+            return 0, ASK_ANOTHER_MS
         now_ms = clock.boottime_ms()
         counter = self._counter(organisation)
         keepers = self._keepers(organisation)
@@ -236,10 +242,13 @@
             self.counters[organisation] = counter
         return counter
 
-    def confirm_limiter(self, limiter: str, names: list[str]) -> list[str]:
+    def confirm_limiter(
+        self, limiter: str, names: list[str], releases: bool = False
+    ) -> list[str]:
         """Return the organisations whose limiter and standby are these two.
 
-        After the answer the limiter may use the full rate for a while.
+        After the answer the limiter may use the full rate for a while, or
+        grants nothing any more if it releases them.
         """
         confirmed = [
             name
@@ -249,7 +258,9 @@
         ]
         now_ms = clock.boottime_ms()
         for name in confirmed:
-            self._counter(name).answered_ms = now_ms
+            counter = self._counter(name)
+            counter.answered_ms = now_ms
+            counter.is_released = releases
         return confirmed
 
     async def _contact_forever(self) -> None:
@@ -282,6 +293,17 @@
                 found[keepers[1]].append(name)
         return found
 
+    async def release(self) -> None:
+        """Grant nothing any more, and let the standbys use the full rate."""
+        self.close()
+        self.is_released = True
+        await asyncio.gather(
+            *(
+                self._contact(standby, names)
+                for standby, names in self._awaited_standbys().items()
+            )
+        )
+
     async def _contact(self, standby: str, names: list[str]) -> None:
         link = self.router.reachable_link(standby)
         if link is None:
@@ -291,12 +313,12 @@
             async with asyncio.timeout(PERMIT_TIMEOUT_S):
                 answer = await link.ask(
                     lambda number: hop_frames.ContactFrame(
-                        number, self.name, names
+                        number, self.name, names, self.is_released
                     )
                 )
         except TimeoutError:
             return
-        if not isinstance(answer, hop_frames.ConfirmFrame):
+        if self.is_released or not isinstance(answer, hop_frames.ConfirmFrame):
             return
         for name in answer.organisations:
             counter = self.counters.get(name)
--- a/topazring/pooler/tests/test_quotas.py
+++ b/topazring/pooler/tests/test_quotas.py
@@ -46,7 +46,7 @@
             granted, wait_ms = self.far.grant(frame.organisation, frame.wanted)
             return hop_frames.GrantFrame(1, granted, wait_ms)
         confirmed = self.far.confirm_limiter(
-            frame.limiter, frame.organisations
+            frame.limiter, frame.organisations, frame.releases
         )
         return hop_frames.ConfirmFrame(1, confirmed)
 
@@ -153,6 +153,27 @@
 
         self.play(steps)
 
+    def test_limiter_that_shuts_down(self):
+        """Guards against half of a quota in each rolling restart."""
+
+        async def steps():
+            await self.admit(1)
+            await asyncio.sleep(0.05)
+            limiter, standby = (self.fleet[n] for n in self.keepers[:2])
+            await limiter.release()
+            self.assertEqual(
+                (0, quotas.ASK_ANOTHER_MS), limiter.grant('ash', 1)
+            )
+            counter = standby.counters['ash']
+            self.assertTrue(counter.is_released)
+            self.assertEqual([], await self.admit(1))
+            links = self.routers[self.entry].links
+            self.assertEqual(1, links[self.keepers[1]].asked)
+            standby.confirm_limiter(limiter.name, ['ash'])
+            self.assertFalse(counter.is_released)
+
+        self.play(steps)
+
     def test_nobody_answers(self):
         """Guards against a caller that waits for a permit."""
 
