Serve requests whose organisation is connected first; count what opening costs

With a primary that serves alone, each operation that opens a connection takes a slot of it for another 12 ms. The queue closed connections that it needed a moment later, and admission did not count the openings.

--- a/topazring/core/synchronous/concurrency_limit.py
+++ b/topazring/core/synchronous/concurrency_limit.py
@@ -48,9 +48,17 @@
 MIN_LATE_MS = 60
 
 
-def start_hold(connection: states.Connection, now_ms: int) -> None:
+def start_hold(
+    state: states.GroupState, connection: states.Connection, now_ms: int
+) -> None:
     """Record that a connection was assigned to a request from the queue."""
     connection.checked_out_ms = now_ms
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is None or not state.serves_organisations:
+        return
+    change_ms = upstream.opening_ms - upstream.opening_per_request_ms
+    upstream.opening_per_request_ms += change_ms * HOLD_TIME_WEIGHT
+    upstream.opening_ms = 0
 
 
 def end_hold(
@@ -90,9 +98,10 @@
     if state.serves_organisations:
         # The others are opened when they are needed.
         connected = max(connected, state.connection_share)
-    by_hold_time = connected / max(1.0, upstream.hold_ms)
+    opening_ms = upstream.opening_per_request_ms
+    by_hold_time = connected / max(1.0, upstream.hold_ms + opening_ms)
     by_limit = min(connected, upstream.concurrency_limit) / max(
-        1.0, upstream.service_ms
+        1.0, upstream.service_ms + opening_ms
     )
     return min(by_hold_time, by_limit)
 
--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -339,9 +339,11 @@
 ) -> list:
     """Record that a connection is ready for commands."""
     upstream = state.upstreams.get(connection.upstream)
+    opening_ms = now_ms - connection.sent_ms
     mark_idle(connection, now_ms)
     if upstream is None:
         return close_connection(state, connection)
+    upstream.opening_ms += opening_ms
     upstream.dial_after_ms = 0
     upstream.is_full = False
     if not upstream.is_unreachable:
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -1,5 +1,7 @@
 """Assign waiting requests to upstreams and send them."""
 
+import collections.abc
+
 from topazring.core import log_positions
 from topazring.core import outcomes
 from topazring.core import retries
@@ -25,6 +27,8 @@
 
 Reason = outcomes.Reason
 
+# A request without a connection is passed over by others for this long.
+MAX_PASSED_OVER_MS = 100
 # Of the requests without unusual events, one in this many is logged.
 LOG_SAMPLE_INTERVAL = 256
 
@@ -47,7 +51,8 @@
         state, now_ms
     ):
         return outs
-    for key in request_queues.service_order(state, True):
+    keys = request_queues.service_order(state, True)
+    for key in _connected_first(state, now_ms, keys, [state.primary]):
         work = state.work[key]
         if work.not_before_ms > now_ms:
             continue
@@ -63,7 +68,8 @@
     if not request_queues.has_any(state, False):
         return outs
     capacity = None
-    for key in request_queues.service_order(state, False):
+    keys = request_queues.service_order(state, False)
+    for key in _connected_first(state, now_ms, keys, state.upstreams):
         work = state.work[key]
         if work.not_before_ms > now_ms:
             continue
@@ -78,6 +84,35 @@
     return outs
 
 
+def _connected_first(
+    state: states.GroupState,
+    now_ms: int,
+    keys: list[int],
+    upstreams: collections.abc.Iterable[str],
+) -> list[int]:
+    """Return waiting requests in the order in which to look for connections.
+
+    Those whose organisation has an idle connection go first: it might be
+    closed for another organisation otherwise, and each new connection takes a
+    slot that statements need. Requests that have waited for long go ahead of
+    these, so that no organisation waits for the others' queues to end.
+    """
+    if not state.serves_organisations or len(keys) < 2:
+        return keys
+    connected = {
+        connection.organisation
+        for name in upstreams
+        for connection in states.idle_connections(state, name)
+    }
+
+    def rank(key: int) -> tuple[bool, bool]:
+        request = state.work[key].request
+        waits_long = now_ms - request.arrived_ms >= MAX_PASSED_OVER_MS
+        return not waits_long, request.organisation not in connected
+
+    return sorted(keys, key=rank)
+
+
 def _primary_accepts(state: states.GroupState, now_ms: int) -> bool:
     """Return whether the primary can accept another request."""
     upstream = state.upstreams.get(state.primary)
@@ -206,7 +241,7 @@
         request_queues.dequeue(state, now_ms, work)
     if work.first_sent_ms is None:
         work.first_sent_ms = now_ms
-    concurrency_limit.start_hold(connection, now_ms)
+    concurrency_limit.start_hold(state, connection, now_ms)
     _assign_connection(state, now_ms, work, connection)
     outs = _sent_events(state, now_ms, work, connection, after)
     if after is None and proofs.needs_proof(request):
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -198,6 +198,10 @@
     # How long a queued request holds a connection to it; for a transaction
     # this includes the time between its statements.
     hold_ms: float = TYPICAL_SERVICE_MS
+    # Time spent on opening connections since the last request was started, and
+    # its average for each request.
+    opening_ms: int = 0
+    opening_per_request_ms: float = 0.0
     # Service time of a statement that does not queue in the upstream, and
     # how many connections may be busy at a time.
     unqueued_service_ms: float = TYPICAL_SERVICE_MS
--- a/topazring/core/synchronous/tests/load_simulation.py
+++ b/topazring/core/synchronous/tests/load_simulation.py
@@ -133,6 +133,13 @@
 
     def _perform(self, owner: str, out: object) -> None:
         match out:
+            case messages.Open() if self.organisations:
+                self.at(
+                    simulated_upstreams.REMOTE_DELAY_MS,
+                    self._queue_dial,
+                    owner,
+                    out,
+                )
             case messages.Open():
                 self.at(CONNECT_MS, self._dial, owner, out)
             case messages.Send():
@@ -150,6 +157,26 @@
             case messages.Answer():
                 self.pending_answers.pop((owner, out.key))(out.outcome)
 
+    def _queue_dial(self, owner: str, out: messages.Open) -> None:
+        """Have a dial wait for a slot, which it takes for a while."""
+        upstream = self.upstreams[out.upstream]
+        wire = fake_group.Wire(owner, out.connection, out.upstream)
+        upstream.waiting.append((wire, out))
+        self._start_queued(upstream)
+
+    def _duration_ms(self, command) -> float:
+        if isinstance(command, messages.Open):
+            return CONNECT_MS
+        return super()._duration_ms(command)
+
+    def _finish(self, upstream, wire, command) -> None:
+        if isinstance(command, messages.Open):
+            upstream.running -= 1
+            self._start_queued(upstream)
+            self._dial(wire.proxy, command)
+            return
+        super()._finish(upstream, wire, command)
+
     def _dial(self, owner: str, out: messages.Open) -> None:
         if out.connection not in self.states[owner].connections:
             return
