--- a/topazring/core/synchronous/tests/test_organisations.py
+++ b/topazring/core/synchronous/tests/test_organisations.py
@@ -3,6 +3,7 @@
 import testtools
 
 from topazring.core.synchronous import connections
+from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous.tests import ablations
@@ -106,6 +107,37 @@
         self.assertFalse(self.driver.state.work[key].is_queued)
         self.assertTrue(self.driver.state.work[waiting].is_queued)
 
+    def occupy(self) -> tuple[states.Connection, states.Connection]:
+        """Have requests of two organisations use the whole share."""
+        running = []
+        for organisation in ('ash', 'birch'):
+            key, outs = self.submit(organisation)
+            for out in opened(outs):
+                self.driver.post(messages.Opened(out.connection, None))
+            running.append(self.driver.running(key))
+        return running[0], running[1]
+
+    def test_connected_requests_go_first(self):
+        """Guards against closing a connection that the queue needs."""
+        first, _ = self.occupy()
+        waiting, _ = self.submit('cedar')
+        key, _ = self.submit('ash')
+        outs = self.driver.reply(first, support.ok('sig'))
+        self.assertEqual([], opened(outs) + closed(outs))
+        self.assertEqual(first.number, self.driver.running(key).number)
+        self.assertTrue(self.driver.state.work[waiting].is_queued)
+
+    def test_requests_are_not_passed_over_for_long(self):
+        """Guards against an organisation that waits for the others' queues."""
+        first, _ = self.occupy()
+        self.submit('cedar')
+        self.driver.tick(dispatch.MAX_PASSED_OVER_MS - 40)
+        self.submit('ash')
+        self.driver.now_ms += 40
+        outs = self.driver.reply(first, support.ok('sig'))
+        self.assertIn(first.number, closed(outs))
+        self.assertEqual('cedar', opened(outs)[0].organisation)
+
     def test_dial_that_gets_no_answer(self):
         """Guards against reads that wait for a dial to a lost replica."""
         self.driver.tick(400)
@@ -192,6 +224,34 @@
         self.assertLess(hot_ms, calm_ms * 1.1)
 
 
+class PrimaryAloneTest(testtools.TestCase):
+    """Both replicas lag, and each organisation needs its own connections.
+
+    Guards against slots of the primary that are spent on new connections, and
+    against admitting what they leave no time for.
+    """
+
+    def test_operations_in_time(self):
+        """More than half are in time; three quarters without organisations."""
+        shares = {f'o{n}': 1 / (n + 1) ** 0.8 for n in range(85)}
+        simulation = load_simulation.LoadSimulation(
+            5,
+            test_load_simulation.kinds(134),
+            share=4,
+            entries=85,
+            organisations=shares,
+        )
+        simulation.run(3000)
+        simulation.reset_tallies()
+        for upstream in simulation.replicas():
+            upstream.lag_ms = 10_000
+        simulation.run(10_000)
+        tallies = simulation.tallies.values()
+        begun = sum(tally.begun for tally in tallies)
+        in_goal = sum(tally.in_goal for tally in tallies)
+        self.assertGreater(in_goal, 0.5 * begun)
+
+
 class ReuseTest(testtools.TestCase):
     """Many organisations share few connections.
 
