--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -42,6 +42,8 @@
 # How long the rest of a message that is too long is read and discarded before
 # the connection is closed.
 DISCARD_TIMEOUT_S = 0.5
+# How long a session whose key was revoked stays open after its last refusal.
+REVOKED_CLOSE_S = 1.0
 # A caller starts its session with its first message. A connection without one
 # for this long only occupies a descriptor.
 START_TIMEOUT_S = 10.0
@@ -165,14 +167,18 @@
             self.stream.close()
 
     def close_if_revoked(self) -> None:
-        """Close the session if its key is not valid any more.
+        """End the session if its key is not valid any more.
 
-        A request that is in progress is answered; the next one is refused.
+        A request that is in progress is answered; the next one is refused. An
+        open transaction is rolled back, and its next statement refused.
         """
         if self.session is None or self.busy or self.pending:
             return
-        if not self._is_authorised(self.session):
-            self._note_revoked(self.session)
+        if self._is_authorised(self.session):
+            return
+        self._note_revoked(self.session)
+        self._abort_transaction()
+        if self.session.state is sessions.SessionState.IDLE:
             self.stream.close()
 
     def _is_authorised(self, session: sessions.Session) -> bool:
@@ -190,13 +196,22 @@
         inputs = {'organisation': session.organisation}
         self.host.log.emit('session', 'key revoked', inputs=inputs)
 
-    async def _refuse_revoked(self, session: sessions.Session) -> bool:
-        """Refuse a statement whose session lost its key; end the session."""
+    async def _refuse_revoked(
+        self, session: sessions.Session, statement: statements.Statement
+    ) -> bool:
+        """Refuse a statement whose session lost its key.
+
+        The caller may have sent more already, which is answered as well. The
+        session is closed once it is idle.
+        """
         self._abort_transaction()
+        if statement.verb.ends_transaction:
+            session.state = sessions.SessionState.IDLE
         self._note_revoked(session)
         await self._send_answer(_UNKNOWN_KEY)
-        await self._discard()
-        return False
+        loop = asyncio.get_running_loop()
+        loop.call_later(REVOKED_CLOSE_S, self.close_if_revoked)
+        return True
 
     def _abort_transaction(self) -> None:
         session = self.session
@@ -303,7 +318,7 @@
             await self.stream.write(self.host.codec.refusal(rejected))
             return False
         if not self._is_authorised(session):
-            return await self._refuse_revoked(session)
+            return await self._refuse_revoked(session, statement)
         if self._must_refuse(session, statement):
             refusal = outcomes.NotRun(
                 Reason.DRAINING, primary_availability.OTHER_PROXY_RETRY_MS
