--- a/topazring/core/quotas.py
+++ b/topazring/core/quotas.py
@@ -43,17 +43,17 @@
 # How long a limiter may use the full rate after a query that its standby
 # answered. A shorter time would halve the rate whenever a process is paused.
 CONTACT_MS = 600
-# Proxies of an organisation that may grant permits: the limiter, the standby
-# and another one, in case both are lost.
-MAX_KEEPERS = 3
+# Shares of the accepted overrun that the keeper of each rank may grant at once
+# without contact, and again per window. A side of a partition that reaches
+# neither limiter nor standby asks the first of the others that it reaches.
+RESERVE_SHARES = (0.05, 0.05, 0.09, 0.055, 0.035, 0.025)
+MAX_KEEPERS = len(RESERVE_SHARES)
 # Shares of the accepted overrun: what the bucket of the burst holds beyond it,
 # what the other one holds and gets in a window, and what both start with.
-BURST_SHARE = 0.2
-STEADY_SHARE = 0.1
-STEADY_RATE_SHARE = 0.5
+BURST_SHARE = 0.05
+STEADY_SHARE = 0.05
+STEADY_RATE_SHARE = 0.13
 INITIAL_SHARE = 0.1
-# What each keeper may grant at once without contact, and again per window.
-RESERVE_SHARE = 0.05
 # A proxy that starts sees the others within this time.
 ALONE_AFTER_MS = 3000
 # Retry delay where no permit becomes due, as the quota is zero.
@@ -144,17 +144,18 @@
     quota: organisations.Quota,
     overrun: Overrun,
     held: Authority,
+    rank: int | None,
     wanted: int = 1,
 ) -> tuple[int, int]:
-    """Take permits for up to `wanted` operations.
+    """Take permits for up to `wanted` operations from the keeper of a rank.
 
     Return how many were granted, and if none was, after how many ms one is
     due.
     """
     counter.used_ms = now_ms
-    if held is Authority.NONE:
+    if held is Authority.NONE or rank is None:
         return 0, CONTACT_RETRY_MS
-    buckets = _fill_buckets(counter, now_ms, quota, overrun, held)
+    buckets = _fill_buckets(counter, now_ms, quota, overrun, held, rank)
     granting = [(b, rate) for b, rate in buckets if b.grants_from_ms <= now_ms]
     granted = min(wanted, max(0, *(int(b.tokens) for b, _ in granting)))
     for bucket, _ in buckets:
@@ -173,13 +174,14 @@
     quota: organisations.Quota,
     overrun: Overrun,
     held: Authority,
+    rank: int,
 ) -> list[tuple[Bucket, float]]:
     """Return the buckets in use, with their rates per second."""
     window_s = overrun.window_ms / 1000
     in_window = quota.rate_per_s * window_s + quota.burst
     accepted = in_window * overrun.share + overrun.operations
     if held is Authority.OVERRUN:
-        part = accepted * RESERVE_SHARE
+        part = accepted * RESERVE_SHARES[rank]
         counter.reserve = counter.reserve or Bucket(part, now_ms)
         _fill(counter.reserve, now_ms, part / window_s, part)
         return [(counter.reserve, part / window_s)]
--- a/topazring/core/tests/test_quotas.py
+++ b/topazring/core/tests/test_quotas.py
@@ -15,7 +15,7 @@
 SMALL = organisations.Quota(2, 2)
 LARGE = organisations.Quota(100, 100)
 OVERRUN = quotas.Overrun()
-NAMES = ('p1', 'p2', 'p3', 'p4', 'p5', 'p6')
+NAMES = ('p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7', 'p8')
 STEP_MS = 20
 # How often a limiter queries its standby.
 CONTACT_STEP_MS = 200
@@ -100,7 +100,7 @@
                 counter, self.now_ms, rank, len(self.keepers)
             )
             count, wait_ms = quotas.grant(
-                counter, self.now_ms, self.quota, OVERRUN, held
+                counter, self.now_ms, self.quota, OVERRUN, held, rank
             )
             if rank == 0 and held is not quotas.Authority.FULL:
                 self.contact()
@@ -157,7 +157,7 @@
             fleet.refused = 0
             standby = fleet.keepers[1]
             others = [n for n in NAMES if n not in fleet.keepers[:2]]
-            for name in (standby, *others[:2]):
+            for name in (standby, *others[:3]):
                 fleet.side[name] = 1
             fleet.run(10_000, quota.rate_per_s / 1.6, rng)
             self.assertGreater(fleet.share_served(), 0.98)
@@ -232,7 +232,9 @@
         nothing = organisations.Quota(0, 0)
         none = quotas.Overrun(5000, 0.0, 0.0)
         for held in quotas.Authority:
-            count, wait_ms = quotas.grant(counter, 9000, nothing, none, held)
+            count, wait_ms = quotas.grant(
+                counter, 9000, nothing, none, held, 0
+            )
             self.assertEqual(0, count)
             self.assertGreater(wait_ms, 0)
 
@@ -242,12 +244,12 @@
         full = quotas.Authority.FULL
         for now_ms in itertools.count(5000):
             count, wait_ms = quotas.grant(
-                counter, now_ms, SMALL, OVERRUN, full
+                counter, now_ms, SMALL, OVERRUN, full, 0
             )
             if not count:
                 break
         count, _ = quotas.grant(
-            counter, now_ms + wait_ms, SMALL, OVERRUN, full
+            counter, now_ms + wait_ms, SMALL, OVERRUN, full, 0
         )
         self.assertEqual(1, count)
 
@@ -264,7 +266,7 @@
                 strategies.sampled_from(
                     ['split', 'heal', 'pause', 'restart', 'release']
                 ),
-                strategies.sets(strategies.sampled_from(NAMES), max_size=4),
+                strategies.sets(strategies.sampled_from(NAMES), max_size=5),
                 strategies.integers(100, 3000),
             ),
             max_size=10,
--- a/topazring/pooler/hop_server.py
+++ b/topazring/pooler/hop_server.py
@@ -1,6 +1,7 @@
 """Serve the requests that other proxies send."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import typing
 
@@ -42,7 +43,9 @@
     def next_key(self) -> int:
         """Return a number that is unique in this process."""
 
-    def grant_permits(self, organisation: str, wanted: int) -> tuple[int, int]:
+    async def grant_permits(
+        self, organisation: str, wanted: int
+    ) -> tuple[int, int]:
         """Return the permits granted and, if none, when one is due, in ms."""
 
     def confirm_limiter(
@@ -119,17 +122,11 @@
         match frame:
             case hop_frames.RequestFrame():
                 request = self._localise(frame)
-                task = asyncio.create_task(self._serve(frame, request))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
+                self._spawn(self._serve(frame, request))
             case hop_frames.WithdrawFrame():
                 self._withdraw(frame.transaction)
             case hop_frames.PermitFrame():
-                granted, wait_ms = self.host.grant_permits(
-                    frame.organisation, frame.wanted
-                )
-                answer = hop_frames.GrantFrame(frame.id, granted, wait_ms)
-                hop_frames.write(self.stream, answer)
+                self._spawn(self._grant(frame))
             case hop_frames.ContactFrame():
                 confirmed = self.host.confirm_limiter(
                     frame.limiter, frame.organisations, frame.releases
@@ -141,6 +138,19 @@
             case _:
                 raise ValueError('no question')
 
+    def _spawn(self, coroutine: collections.abc.Coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _grant(self, frame: hop_frames.PermitFrame) -> None:
+        granted, wait_ms = await self.host.grant_permits(
+            frame.organisation, frame.wanted
+        )
+        answer = hop_frames.GrantFrame(frame.id, granted, wait_ms)
+        if not self.stream.closed():
+            hop_frames.write(self.stream, answer)
+
     async def _serve(
         self, frame: hop_frames.RequestFrame, request: messages.Request
     ) -> None:
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -208,9 +208,11 @@
             self.quotas.give_back(request)
         return outcome
 
-    def grant_permits(self, organisation: str, wanted: int) -> tuple[int, int]:
+    async def grant_permits(
+        self, organisation: str, wanted: int
+    ) -> tuple[int, int]:
         """Grant permits to run operations of an organisation."""
-        return self.quotas.grant(organisation, wanted)
+        return await self.quotas.grant_in_contact(organisation, wanted)
 
     def confirm_limiter(
         self, limiter: str, names: list[str], releases: bool
--- a/topazring/pooler/quotas.py
+++ b/topazring/pooler/quotas.py
@@ -28,6 +28,10 @@
 # ones are dropped after twice the time.
 BATCH_MS = 250
 PERMIT_LIFE_MS = 500
+# How long an operation waits for a limiter's first contact, within the time in
+# which a keeper is expected to answer.
+CONTACT_WAIT_MS = 60
+CONTACT_POLL_S = 0.01
 # Interval of queries to the standby: a third of the time that an answer lasts.
 CONTACT_INTERVAL_S = rules.CONTACT_MS / 3000
 # Organisations without operations for this long need no contact.
@@ -192,7 +196,7 @@
     ) -> tuple[int, int] | None:
         """Return a keeper's answer, None if it does not answer."""
         if keeper == self.name:
-            return self.grant(organisation, wanted)
+            return await self.grant_in_contact(organisation, wanted)
         link = self.router.reachable_link(keeper)
         if link is None:
             return None
@@ -233,7 +237,30 @@
         held = rules.authority(counter, now_ms, rank, len(keepers))
         if rank == 0 and held is not rules.Authority.FULL:
             self.contact_needed.set()
-        return rules.grant(counter, now_ms, quota, self.overrun, held, wanted)
+        return rules.grant(
+            counter, now_ms, quota, self.overrun, held, rank, wanted
+        )
+
+    async def grant_in_contact(
+        self, organisation: str, wanted: int
+    ) -> tuple[int, int]:
+        """Grant permits; wait briefly for the first contact if none is left.
+
+        A process that has just started would refuse what the quota allows.
+        """
+        answer = self.grant(organisation, wanted)
+        counter = self.counters.get(organisation)
+        is_limiter = self._keepers(organisation)[:1] == (self.name,)
+        if answer[0] or counter is None or not is_limiter:
+            return answer
+        if counter.contact_ms != rules.NEVER_MS:
+            return answer
+        until_ms = clock.boottime_ms() + CONTACT_WAIT_MS
+        while counter.contact_ms == rules.NEVER_MS:
+            if clock.boottime_ms() >= until_ms:
+                return answer
+            await asyncio.sleep(CONTACT_POLL_S)
+        return self.grant(organisation, wanted)
 
     def _counter(self, organisation: str) -> rules.Counter:
         counter = self.counters.get(organisation)
--- a/topazring/pooler/tests/test_quotas.py
+++ b/topazring/pooler/tests/test_quotas.py
@@ -15,7 +15,7 @@
 from topazring.pooler import quotas
 
 Reason = outcomes.Reason
-NAMES = ('p1', 'p2', 'p3', 'p4')
+NAMES = ('p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7')
 POLICY = messages.Policy('d', 's', messages.Freshness.PRIMARY, anonymous=False)
 QUOTA = organisations.Quota(1, 1)
 
@@ -43,7 +43,9 @@
         if self.is_silent:
             await asyncio.Event().wait()
         if isinstance(frame, hop_frames.PermitFrame):
-            granted, wait_ms = self.far.grant(frame.organisation, frame.wanted)
+            granted, wait_ms = await self.far.grant_in_contact(
+                frame.organisation, frame.wanted
+            )
             return hop_frames.GrantFrame(1, granted, wait_ms)
         confirmed = self.far.confirm_limiter(
             frame.limiter, frame.organisations, frame.releases
