--- a/topazring/core/quotas.py
+++ b/topazring/core/quotas.py
@@ -50,7 +50,7 @@
 MAX_KEEPERS = len(RESERVE_SHARES)
 # Shares of the accepted overrun: what the bucket of the burst holds beyond it,
 # what the other one holds and gets in a window, and what both start with.
-BURST_SHARE = 0.05
+BURST_SHARE = 0.18
 STEADY_SHARE = 0.05
 STEADY_RATE_SHARE = 0.13
 INITIAL_SHARE = 0.1
