--- a/topazring/core/synchronous/forwarding.py
+++ b/topazring/core/synchronous/forwarding.py
@@ -63,7 +63,7 @@
 # Cost of an owner that is unlikely to have a connection for the organisation:
 # the new connection occupies a slot about as long as a statement, and more
 # than a hop to another data centre costs.
-DIAL_COST = 4.0
+DIAL_COST = 8.0
 # Half-life of the queue length that an owner reported.
 LOAD_HALF_LIFE_MS = 300
 # Retry delay for callers if no owner could be reached.
