--- a/topazring/core/quotas.py
+++ b/topazring/core/quotas.py
@@ -1,14 +1,14 @@
 """Limit the operations of an organisation over all proxies.
 
-For each organisation one proxy, its limiter, grants permits from a token
-bucket; a second one, its standby, takes over half of the rate if the two lose
-contact. Both follow from the list of proxies by rendezvous hashing. No proxy
-can tell whether the other one has ended or is partitioned from it, so neither
-uses more than its half until they are in contact again. What a proxy grants
-without ever having been in contact comes out of the overrun that operators
-accept, and so does the initial content of a bucket: a restart brings no new
-burst. A part of the overrun enlarges the buckets, so that operations of a
-small organisation that happen to come together are not refused.
+For each organisation one proxy, its limiter, grants permits from token
+buckets; a second one, its standby, takes over half of the rate if the two lose
+contact. Both are the first of its keepers, which follow from the list of
+proxies by rendezvous hashing. Neither can tell whether the other one has ended
+or is partitioned from it, so neither uses more than its half until they are in
+contact again. What keepers grant without contact comes out of the overrun that
+operators accept, and so does the initial content of a bucket: a restart brings
+no new burst. A part of the overrun enlarges the buckets, so that operations of
+a small organisation that happen to come together are not refused.
 
 Two token buckets together allow what the quota allows in any window, at once
 or evenly: the burst and then the rate, or all of a window's operations spread
@@ -155,6 +155,8 @@
     counter.used_ms = now_ms
     if held is Authority.NONE or rank is None:
         return 0, CONTACT_RETRY_MS
+    if quota.rate_per_s <= 0 and quota.burst <= 0:
+        return 0, NO_PERMIT_RETRY_MS
     buckets = _fill_buckets(counter, now_ms, quota, overrun, held, rank)
     granting = [(b, rate) for b, rate in buckets if b.grants_from_ms <= now_ms]
     granted = min(wanted, max(0, *(int(b.tokens) for b, _ in granting)))
@@ -180,6 +182,9 @@
     window_s = overrun.window_ms / 1000
     in_window = quota.rate_per_s * window_s + quota.burst
     accepted = in_window * overrun.share + overrun.operations
+    if held is not Authority.FULL:
+        # It does not count what other keepers grant meanwhile.
+        counter.steady = None
     if held is Authority.OVERRUN:
         part = accepted * RESERVE_SHARES[rank]
         counter.reserve = counter.reserve or Bucket(part, now_ms)
@@ -189,7 +194,6 @@
     counter.burst = counter.burst or Bucket(initial, now_ms)
     burst_size = quota.burst + accepted * BURST_SHARE
     if held is Authority.HALF:
-        counter.steady = None
         rate_per_s = quota.rate_per_s / 2
         _fill(counter.burst, now_ms, rate_per_s, burst_size / 2)
         return [(counter.burst, rate_per_s)]
--- a/topazring/core/tests/test_quotas.py
+++ b/topazring/core/tests/test_quotas.py
@@ -231,9 +231,11 @@
         counter = quotas.Counter(0)
         nothing = organisations.Quota(0, 0)
         none = quotas.Overrun(5000, 0.0, 0.0)
-        for held in quotas.Authority:
+        for overrun, held in itertools.product(
+            (none, OVERRUN), quotas.Authority
+        ):
             count, wait_ms = quotas.grant(
-                counter, 9000, nothing, none, held, 0
+                counter, 9000, nothing, overrun, held, 0
             )
             self.assertEqual(0, count)
             self.assertGreater(wait_ms, 0)
