Do not avoid a proxy for requests because it answered no permit in time

Suspected, not traced: the wait and a busy start together exceed the entry's 100 ms, and a limiter that was slow once was avoided for half a second and more, also as an owner.

--- a/topazring/pooler/quotas.py
+++ b/topazring/pooler/quotas.py
@@ -23,14 +23,17 @@
 Reason = outcomes.Reason
 
 # A keeper answers within a few ms; the caller's operation waits for it.
-PERMIT_TIMEOUT_S = 0.1
+PERMIT_TIMEOUT_S = 0.15
+# A keeper that did not answer in time is not asked for this long. It may only
+# be busy, so it still gets requests.
+SILENT_MS = 500
 # Permits are asked for as many operations as came in this time, and unused
 # ones are dropped after twice the time.
 BATCH_MS = 250
 PERMIT_LIFE_MS = 500
 # How long an operation waits for a limiter's first contact, within the time in
 # which a keeper is expected to answer.
-CONTACT_WAIT_MS = 60
+CONTACT_WAIT_MS = 40
 CONTACT_POLL_S = 0.01
 # Interval of queries to the standby: a third of the time that an answer lasts.
 CONTACT_INTERVAL_S = rules.CONTACT_MS / 3000
@@ -76,6 +79,8 @@
         self.configured: organisations.Organisations | None = None
         self.proxies: frozenset[str] = frozenset()
         self.keepers: dict[str, tuple[str, ...]] = {}
+        # Until when each keeper that did not answer is not asked.
+        self.silent_until_ms: dict[str, int] = {}
         self.counters: dict[str, rules.Counter] = {}
         self.entries: dict[str, _Entry] = {}
         self.started_ms = clock.boottime_ms()
@@ -103,6 +108,7 @@
         if proxies != self.proxies:
             self.proxies = proxies
             self.keepers.clear()
+            self.silent_until_ms.clear()
         limited = {} if configured is None else configured.quotas
         for table in (self.counters, self.entries):
             for organisation in table.keys() - limited.keys():
@@ -198,7 +204,8 @@
         if keeper == self.name:
             return await self.grant_in_contact(organisation, wanted)
         link = self.router.reachable_link(keeper)
-        if link is None:
+        is_silent = clock.boottime_ms() < self.silent_until_ms.get(keeper, 0)
+        if link is None or is_silent:
             return None
         try:
             async with asyncio.timeout(PERMIT_TIMEOUT_S):
@@ -208,7 +215,8 @@
                     )
                 )
         except TimeoutError:
-            answer = None
+            self.silent_until_ms[keeper] = clock.boottime_ms() + SILENT_MS
+            return None
         if not isinstance(answer, hop_frames.GrantFrame):
             self.router.record_silence(keeper)
             return None
