Treat a promotion lease that is granted again as a new one

A holder that did not hear of the loss of its lease, and holds it again, kept what it knew from before: another proxy may have promoted meanwhile. A higher block of tokens shows it; the attempt under way is dropped and earlier orders are fenced off.

--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -27,17 +27,20 @@
     """Record whether this proxy holds the promotion lease, and its tokens.
 
     A previous holder that died may have left replicas paused, so the new
-    holder resumes all members except the primary.
+    holder resumes all members except the primary. A higher block of tokens
+    shows that another proxy may have held the lease since the last grant.
     """
-    is_gained = message.holds and not state.holds_promotion_lease
+    is_gained = message.holds and (
+        not state.holds_promotion_lease or message.token > state.granted_token
+    )
     state.holds_promotion_lease = message.holds
     if is_gained or not message.holds:
         state.member_record.ordered = None
+        _drop_attempt(state, now_ms)
     if message.holds:
         state.token = max(state.token, message.token)
-    else:
-        _drop_attempt(state, now_ms)
     if is_gained:
+        state.granted_token = message.token
         state.fence_token = 0
         state.paused = set(state.upstreams) - {state.primary}
         state.needs_fencing = True
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -427,6 +427,8 @@
     replicas_checked_ms: int = 0
     holds_promotion_lease: bool = False
     token: int = 0
+    # First token of the block that came with the lease.
+    granted_token: int = 0
     # Orders of earlier lease holders may still take effect until the platform
     # has seen a higher token.
     needs_fencing: bool = False
--- a/topazring/core/synchronous/tests/test_promotion_lease.py
+++ b/topazring/core/synchronous/tests/test_promotion_lease.py
@@ -36,6 +36,15 @@
         self.assertEqual('u1', order.upstream)
         self.assertGreater(order.token, 200)
 
+    def test_lease_that_is_granted_again(self):
+        """Guards against a loss of the lease that this holder did not see."""
+        driver = failover_support.make_lease_holder()
+        self.assertFalse(driver.state.needs_fencing)
+        driver.post(messages.PromotionLeaseSeen(True, 100))
+        self.assertFalse(driver.state.needs_fencing)
+        driver.post(messages.PromotionLeaseSeen(True, 5000))
+        self.assertTrue(driver.state.needs_fencing)
+
     def test_old_proof_fences_nothing(self):
         """A leadership proof from before a pause may be outdated.
 
