--- a/topazring/core/quotas.py
+++ b/topazring/core/quotas.py
@@ -1,11 +1,11 @@
 """Limit the operations of an organisation over all proxies.
 
-For each organisation one proxy, its limiter, grants permits from token
-buckets; a second one, its standby, takes over half of the rate if the two lose
-contact. Both are the first of its keepers, which follow from the list of
-proxies by rendezvous hashing. Neither can tell whether the other one has ended
-or is partitioned from it, so neither uses more than its half until they are in
-contact again. What keepers grant without contact comes out of the overrun that
+Each organisation has a few keepers, which follow from the list of proxies by
+rendezvous hashing. Each keeper holds an equal share of the quota. The first of
+them, the limiter, uses the shares of all others that it is in contact with,
+and grants permits from token buckets. A keeper that has lost contact uses its
+own share, so each side of a partition has the shares of its own keepers. What
+a keeper grants before its first contact comes out of the overrun that
 operators accept, and so does the initial content of a bucket: a restart brings
 no new burst. A part of the overrun enlarges the buckets, so that operations of
 a small organisation that happen to come together are not refused.
@@ -15,51 +15,50 @@
 over it. Each permit is taken from both, and either may grant it, so the last
 permit of a window bounds all of them by the bucket that granted it.
 
-The limiter uses the full rate for a fixed time after it sent a query that the
-standby answered. The standby starts to use its half when that time has passed
-since it last answered. A limiter that shuts down releases its right, and the
-standby uses the full rate until the limiter's next process asks it.
+The limiter uses a keeper's share for a fixed time after it sent a query that
+the keeper answered. The keeper uses it again when that time has passed since
+it last answered, or once the limiter shuts down and releases it.
 """
 
 import collections.abc
 import dataclasses
-import enum
 import math
 
 from topazring.core import hashing
 from topazring.core import organisations
 
 __all__ = [
-    'Authority',
+    'ASK_ANOTHER_MS',
     'CONTACT_MS',
     'Counter',
+    'MAX_KEEPERS',
     'Overrun',
-    'authority',
     'grant',
+    'held_share',
     'keepers_of',
 ]
 
 NEVER_MS = -(10**9)
-# How long a limiter may use the full rate after a query that its standby
-# answered. A shorter time would halve the rate whenever a process is paused.
+# How long a limiter may use a keeper's share after a query that it answered. A
+# shorter time would lower the rate whenever a process is paused.
 CONTACT_MS = 600
 # Shares of the accepted overrun that the keeper of each rank may grant at once
-# without contact, and again per window. A side of a partition that reaches
-# neither limiter nor standby asks the first of the others that it reaches.
+# before its first contact, and again per window.
 RESERVE_SHARES = (0.05, 0.05, 0.09, 0.055, 0.035, 0.025)
 MAX_KEEPERS = len(RESERVE_SHARES)
 # Shares of the accepted overrun: what the bucket of the burst holds beyond it,
-# what the other one holds and gets in a window, and what both start with.
+# what the other one holds and gets in a window, and what the buckets of all
+# keepers together start with.
 BURST_SHARE = 0.18
 STEADY_SHARE = 0.05
 STEADY_RATE_SHARE = 0.13
-INITIAL_SHARE = 0.1
+INITIAL_SHARE = 0.3
 # A proxy that starts sees the others within this time.
 ALONE_AFTER_MS = 3000
 # Retry delay where no permit becomes due, as the quota is zero.
 NO_PERMIT_RETRY_MS = 1000
-# Longest retry delay of a keeper that may soon be in contact again.
-CONTACT_RETRY_MS = 100
+# In place of a retry delay.
+ASK_ANOTHER_MS = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,15 +71,6 @@
     operations: float = 20.0
 
 
-class Authority(enum.StrEnum):
-    """Name how much of a quota a proxy may grant."""
-
-    FULL = 'full'
-    HALF = 'half'
-    OVERRUN = 'overrun'
-    NONE = 'none'
-
-
 @dataclasses.dataclass(slots=True)
 class Bucket:
     """Hold the tokens of a token bucket."""
@@ -96,16 +86,16 @@
     """Hold what a proxy has granted to one organisation."""
 
     created_ms: int
-    # The burst and then the rate, or a window's operations spread over it.
+    # The rate and the burst, or a window's operations spread over it.
     burst: Bucket | None = None
     steady: Bucket | None = None
-    # What it grants without contact.
+    # What it grants before its first contact.
     reserve: Bucket | None = None
-    # As the limiter: when it sent the last query that the standby answered.
-    contact_ms: int = NEVER_MS
-    # As the standby: when it last answered the limiter.
+    # As the limiter: when it sent the last query that each keeper answered.
+    contact_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    # As another keeper: when it last answered the limiter.
     answered_ms: int = NEVER_MS
-    # Whether the limiter has ended for good what it may grant.
+    # Whether the limiter has given its share back.
     is_released: bool = False
     used_ms: int = NEVER_MS
 
@@ -117,25 +107,36 @@
     return hashing.first_by_score(organisation, proxies, MAX_KEEPERS)
 
 
-def authority(
-    counter: Counter, now_ms: int, rank: int | None, keepers: int
-) -> Authority:
-    """Return how much of the quota the keeper of a rank may grant."""
-    if rank is None:
-        return Authority.NONE
-    if keepers == 1:
+def held_share(
+    counter: Counter,
+    now_ms: int,
+    name: str,
+    keepers: collections.abc.Sequence[str],
+) -> float | None:
+    """Return which share of the quota a proxy may grant, None if not a keeper.
+
+    It is 0 before the first contact, and while the limiter uses the share.
+    """
+    if name not in keepers:
+        return None
+    if len(keepers) == 1:
         is_settled = now_ms - counter.created_ms >= ALONE_AFTER_MS
-        return Authority.FULL if is_settled else Authority.OVERRUN
-    if rank > 1:
-        return Authority.OVERRUN
-    if rank == 1 and counter.is_released:
-        return Authority.FULL
-    heard_ms = counter.contact_ms if rank == 0 else counter.answered_ms
-    if heard_ms == NEVER_MS:
-        return Authority.OVERRUN
-    if now_ms - heard_ms >= CONTACT_MS:
-        return Authority.HALF
-    return Authority.FULL if rank == 0 else Authority.OVERRUN
+        return float(is_settled)
+    own = 1 / len(keepers)
+    if name != keepers[0]:
+        if counter.is_released:
+            return own
+        if counter.answered_ms == NEVER_MS:
+            return 0.0
+        return own if now_ms - counter.answered_ms >= CONTACT_MS else 0.0
+    others = keepers[1:]
+    if not any(other in counter.contact_ms for other in others):
+        return 0.0
+    reached = sum(
+        now_ms - counter.contact_ms.get(other, NEVER_MS) < CONTACT_MS
+        for other in others
+    )
+    return (1 + reached) * own
 
 
 def grant(
@@ -143,31 +144,32 @@
     now_ms: int,
     quota: organisations.Quota,
     overrun: Overrun,
-    held: Authority,
-    rank: int | None,
+    share: float,
+    rank: int,
     wanted: int = 1,
 ) -> tuple[int, int]:
     """Take permits for up to `wanted` operations from the keeper of a rank.
 
     Return how many were granted, and if none was, after how many ms one is
-    due.
+    due; `ASK_ANOTHER_MS` if another keeper may have permits.
     """
     counter.used_ms = now_ms
-    if held is Authority.NONE or rank is None:
-        return 0, CONTACT_RETRY_MS
     if quota.rate_per_s <= 0 and quota.burst <= 0:
         return 0, NO_PERMIT_RETRY_MS
-    buckets = _fill_buckets(counter, now_ms, quota, overrun, held, rank)
+    buckets = _fill_buckets(counter, now_ms, quota, overrun, share, rank)
     granting = [(b, rate) for b, rate in buckets if b.grants_from_ms <= now_ms]
     granted = min(wanted, max(0, *(int(b.tokens) for b, _ in granting)))
     for bucket, _ in buckets:
         bucket.tokens -= granted
     if granted:
         return granted, 0
-    wait_ms = min(_wait_ms(bucket, rate) for bucket, rate in granting)
-    if held is not Authority.FULL:
-        wait_ms = min(wait_ms, CONTACT_RETRY_MS)
-    return 0, wait_ms
+    if not _is_whole(share):
+        return 0, ASK_ANOTHER_MS
+    return 0, min(_wait_ms(bucket, rate) for bucket, rate in granting)
+
+
+def _is_whole(share: float) -> bool:
+    return share > 1 - 1e-6
 
 
 def _fill_buckets(
@@ -175,36 +177,35 @@
     now_ms: int,
     quota: organisations.Quota,
     overrun: Overrun,
-    held: Authority,
+    share: float,
     rank: int,
 ) -> list[tuple[Bucket, float]]:
     """Return the buckets in use, with their rates per second."""
     window_s = overrun.window_ms / 1000
     in_window = quota.rate_per_s * window_s + quota.burst
     accepted = in_window * overrun.share + overrun.operations
-    if held is not Authority.FULL:
+    if not _is_whole(share):
         # It does not count what other keepers grant meanwhile.
         counter.steady = None
-    if held is Authority.OVERRUN:
+    if not share:
         part = accepted * RESERVE_SHARES[rank]
         counter.reserve = counter.reserve or Bucket(part, now_ms)
         _fill(counter.reserve, now_ms, part / window_s, part)
         return [(counter.reserve, part / window_s)]
-    initial = accepted * INITIAL_SHARE
+    initial = accepted * INITIAL_SHARE / MAX_KEEPERS
     counter.burst = counter.burst or Bucket(initial, now_ms)
-    burst_size = quota.burst + accepted * BURST_SHARE
-    if held is Authority.HALF:
-        rate_per_s = quota.rate_per_s / 2
-        _fill(counter.burst, now_ms, rate_per_s, burst_size / 2)
+    burst_size = (quota.burst + accepted * BURST_SHARE) * share
+    rate_per_s = quota.rate_per_s * share
+    _fill(counter.burst, now_ms, rate_per_s, burst_size)
+    if not _is_whole(share):
         return [(counter.burst, rate_per_s)]
     if counter.steady is None:
         # Earlier bursts, of this keeper or another one, are not counted in it.
         first_ms = now_ms + overrun.window_ms
         counter.steady = Bucket(0.0, now_ms, grants_from_ms=first_ms)
     steady_per_s = (in_window + accepted * STEADY_RATE_SHARE) / window_s
-    _fill(counter.burst, now_ms, quota.rate_per_s, burst_size)
     _fill(counter.steady, now_ms, steady_per_s, accepted * STEADY_SHARE)
-    return [(counter.burst, quota.rate_per_s), (counter.steady, steady_per_s)]
+    return [(counter.burst, rate_per_s), (counter.steady, steady_per_s)]
 
 
 def _fill(bucket: Bucket, now_ms: int, rate_per_s: float, size: float) -> None:
--- a/topazring/pooler/quotas.py
+++ b/topazring/pooler/quotas.py
@@ -35,16 +35,17 @@
 # which a keeper is expected to answer.
 CONTACT_WAIT_MS = 40
 CONTACT_POLL_S = 0.01
-# Interval of queries to the standby: a third of the time that an answer lasts.
+# Interval of queries to the other keepers: a third of the time that an answer
+# lasts.
 CONTACT_INTERVAL_S = rules.CONTACT_MS / 3000
 # Organisations without operations for this long need no contact.
-ACTIVE_MS = 5000
+ACTIVE_MS = 2000
 # Organisations that metrics name, and the name of all others together; no
 # organisation has a name with a blank.
 MAX_NAMED = 50
 OTHERS = 'all others'
-# In place of a retry delay: the keeper shuts down, the next one grants.
-ASK_ANOTHER_MS = 0
+# Retry delay if keepers that lost contact to each other have no permits.
+LOST_CONTACT_RETRY_MS = 100
 # Retry delay if no keeper answers: a process returns within about a second.
 NO_KEEPER_RETRY_MS = 300
 
@@ -90,7 +91,7 @@
         self.is_released = False
 
     def start(self) -> None:
-        """Start to keep in contact with standbys."""
+        """Start to keep in contact with other keepers."""
         self.task = asyncio.create_task(self._contact_forever())
 
     def close(self) -> None:
@@ -179,12 +180,17 @@
         if now_ms < entry.refused_until_ms:
             left_ms = entry.refused_until_ms - now_ms
             return outcomes.NotRun(Reason.QUOTA, left_ms)
+        is_answered = False
         wanted = sum(now_ms - came_ms < BATCH_MS for came_ms in entry.arrivals)
         for keeper in self._keepers(organisation):
             answer = await self._ask(keeper, organisation, wanted)
-            if answer is None or answer == (0, ASK_ANOTHER_MS):
+            if answer is None:
                 continue
-            return self._use(entry, *answer)
+            if answer != (0, rules.ASK_ANOTHER_MS):
+                return self._use(entry, *answer)
+            is_answered = True
+        if is_answered:
+            return self._use(entry, 0, LOST_CONTACT_RETRY_MS)
         return outcomes.NotRun(Reason.QUOTA_UNKNOWN, NO_KEEPER_RETRY_MS)
 
     def _use(
@@ -237,16 +243,25 @@
             # The asking proxy has an older or a newer configuration.
             return 0, rules.NO_PERMIT_RETRY_MS
         if self.is_released:
-            return 0, ASK_ANOTHER_MS
+            return 0, rules.ASK_ANOTHER_MS
         now_ms = clock.boottime_ms()
         counter = self._counter(organisation)
         keepers = self._keepers(organisation)
-        rank = keepers.index(self.name) if self.name in keepers else None
-        held = rules.authority(counter, now_ms, rank, len(keepers))
-        if rank == 0 and held is not rules.Authority.FULL:
+        share = rules.held_share(counter, now_ms, self.name, keepers)
+        if share is None:
+            return 0, rules.ASK_ANOTHER_MS
+        rank = keepers.index(self.name)
+        if rank == 0 and not self._is_in_contact(counter, now_ms):
             self.contact_needed.set()
         return rules.grant(
-            counter, now_ms, quota, self.overrun, held, rank, wanted
+            counter, now_ms, quota, self.overrun, share, rank, wanted
+        )
+
+    def _is_in_contact(self, counter: rules.Counter, now_ms: int) -> bool:
+        """Return whether any other keeper's share may be used."""
+        return any(
+            now_ms - sent_ms < rules.CONTACT_MS
+            for sent_ms in counter.contact_ms.values()
         )
 
     async def grant_in_contact(
@@ -261,10 +276,10 @@
         is_limiter = self._keepers(organisation)[:1] == (self.name,)
         if answer[0] or counter is None or not is_limiter:
             return answer
-        if counter.contact_ms != rules.NEVER_MS:
+        if counter.contact_ms:
             return answer
         until_ms = clock.boottime_ms() + CONTACT_WAIT_MS
-        while counter.contact_ms == rules.NEVER_MS:
+        while not counter.contact_ms:
             if clock.boottime_ms() >= until_ms:
                 return answer
             await asyncio.sleep(CONTACT_POLL_S)
@@ -280,16 +295,17 @@
     def confirm_limiter(
         self, limiter: str, names: list[str], releases: bool = False
     ) -> list[str]:
-        """Return the organisations whose limiter and standby are these two.
+        """Return the organisations whose limiter this is, and a keeper here.
 
-        After the answer the limiter may use the full rate for a while, or
-        grants nothing any more if it releases them.
+        After the answer the limiter may use this keeper's share for a while,
+        or grants nothing any more if it releases them.
         """
         confirmed = [
             name
             for name in names
             if self._quota(name) is not None
-            and self._keepers(name)[:2] == (limiter, self.name)
+            and self._keepers(name)[0] == limiter
+            and self.name in self._keepers(name)
         ]
         now_ms = clock.boottime_ms()
         for name in confirmed:
@@ -307,17 +323,17 @@
                 # The regular interval has passed.
                 pass
             self.contact_needed.clear()
-            waiting = self._awaited_standbys()
+            waiting = self._other_keepers()
             if waiting:
                 await asyncio.gather(
                     *(
-                        self._contact(standby, names)
-                        for standby, names in waiting.items()
+                        self._contact(keeper, names)
+                        for keeper, names in waiting.items()
                     )
                 )
 
-    def _awaited_standbys(self) -> dict[str, list[str]]:
-        """Return the organisations that this proxy limits, by standby."""
+    def _other_keepers(self) -> dict[str, list[str]]:
+        """Return the organisations that this proxy limits, by keeper."""
         now_ms = clock.boottime_ms()
         found: dict[str, list[str]] = collections.defaultdict(list)
         for name, counter in self.counters.items():
@@ -325,22 +341,23 @@
             if now_ms - counter.used_ms >= ACTIVE_MS or len(keepers) < 2:
                 continue
             if keepers[0] == self.name:
-                found[keepers[1]].append(name)
+                for keeper in keepers[1:]:
+                    found[keeper].append(name)
         return found
 
     async def release(self) -> None:
-        """Grant nothing any more, and let the standbys use the full rate."""
+        """Grant nothing any more, and let the keepers use their shares."""
         self.close()
         self.is_released = True
         await asyncio.gather(
             *(
-                self._contact(standby, names)
-                for standby, names in self._awaited_standbys().items()
+                self._contact(keeper, names)
+                for keeper, names in self._other_keepers().items()
             )
         )
 
-    async def _contact(self, standby: str, names: list[str]) -> None:
-        link = self.router.reachable_link(standby)
+    async def _contact(self, keeper: str, names: list[str]) -> None:
+        link = self.router.reachable_link(keeper)
         if link is None:
             return
         sent_ms = clock.boottime_ms()
@@ -358,7 +375,7 @@
         for name in answer.organisations:
             counter = self.counters.get(name)
             if counter is not None:
-                counter.contact_ms = sent_ms
+                counter.contact_ms[keeper] = sent_ms
 
 
 def _is_counted(request: messages.Request) -> bool:
