--- a/topazring/pooler/hop_frames.py
+++ b/topazring/pooler/hop_frames.py
@@ -74,7 +74,7 @@
 
 
 class ContactFrame(msgspec.Struct, array_like=True, tag='contact'):
-    """Name the organisations for which the receiver is the standby."""
+    """Name the organisations that the sender limits and the receiver keeps."""
 
     id: int
     limiter: str
--- a/topazring/pooler/hop_server.py
+++ b/topazring/pooler/hop_server.py
@@ -51,7 +51,7 @@
     def confirm_limiter(
         self, limiter: str, names: list[str], releases: bool
     ) -> list[str]:
-        """Return the organisations for which this proxy is the standby."""
+        """Return the organisations that this proxy keeps for the limiter."""
 
 
 class Server(tcpserver.TCPServer):
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -217,7 +217,7 @@
     def confirm_limiter(
         self, limiter: str, names: list[str], releases: bool
     ) -> list[str]:
-        """Return the organisations for which this proxy is the standby."""
+        """Return the organisations that this proxy keeps for the limiter."""
         return self.quotas.confirm_limiter(limiter, names, releases)
 
     def withdraw(self, service: str, transaction: int) -> None:
