Do not take a recreated replica's word for it that nobody promotes

Callers: a write was acknowledged and is missing after the promotion.

Cause: while the primary leaves, a proxy takes a member that is not paused for the successor if it was listed before the write was sent. In the trace p1 had paused all others and ordered u2 (4924 ms); u3 was recreated (5030, listed again at 5042, up at 5430) and so lost its pause; p2, whose list shows that u1 leaves, acknowledged 1.18 at 5844 on u3's word. u2, u4 and u5 had reported held_term 2 within 23 ms before, which a hand-over allows. The rule for a lost primary leaves out recreated members, this one did not.

Fix: a recreated member does not show that nobody promotes before it is established. It still has to hold the write.

RecreatedInHandOverTest: 1 of 2 fails before, none now.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -221,13 +221,26 @@
         if upstream.held_term <= term
     ]
     has_long_listed = any(
-        upstream.is_established
-        or _is_listed_everywhere(upstream, confirmation)
-        for upstream in unpaused
+        _would_be_paused(upstream, confirmation) for upstream in unpaused
     )
     return has_long_listed and all(_holds(u, confirmation) for u in unpaused)
 
 
+def _would_be_paused(
+    upstream: states.Upstream, confirmation: position_records.Confirmation
+) -> bool:
+    """Return whether a promotion that began earlier would have paused it.
+
+    A recreated member does not count before it is established: it may have
+    been paused, and a successor chosen from its report, before that.
+    """
+    if upstream.is_established:
+        return True
+    return not upstream.is_recreated and _is_listed_everywhere(
+        upstream, confirmation
+    )
+
+
 def _is_listed_everywhere(
     upstream: states.Upstream, confirmation: position_records.Confirmation
 ) -> bool:
