Acknowledge in a hand-over only what the own successor holds

A promoting proxy knows which member it is about to order, yet counted all members that are not paused and left its paused successor out.

Fix: the planned successor has to hold the write as well.

PausedSuccessorTest: test_successor_lacks_the_write fails before, passes now; its counterpart guards the hand-over without a gap in writes. HandOverTest and the tests of confirmations pass.

--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -205,7 +205,7 @@
 ) -> bool:
     """Return whether the successor of a leaving primary has a write.
 
-    Only the promoting proxy has a record of which member that is; the
+    Only the promoting proxy has a record of which member that is. The
     successor is not paused, so all members that are not paused must have the
     write. A member that restarted is not paused either, and the successor
     need not match its log. A silent member may be unreachable from this proxy
@@ -223,7 +223,19 @@
     has_long_listed = any(
         _would_be_paused(upstream, confirmation) for upstream in unpaused
     )
-    return has_long_listed and all(_holds(u, confirmation) for u in unpaused)
+    required = unpaused + _planned_successors(state)
+    return has_long_listed and all(_holds(u, confirmation) for u in required)
+
+
+def _planned_successors(state: states.GroupState) -> list[states.Upstream]:
+    """Return the successor that this proxy itself is about to order, if any.
+
+    It may be paused by an earlier attempt, whose order may be carried out.
+    """
+    attempt = state.promotion
+    if attempt is None or attempt.successor not in state.upstreams:
+        return []
+    return [state.upstreams[attempt.successor]]
 
 
 def _would_be_paused(
--- a/topazring/core/synchronous/tests/test_lost_pauses.py
+++ b/topazring/core/synchronous/tests/test_lost_pauses.py
@@ -7,6 +7,7 @@
 import testtools
 
 from topazring.core import outcomes
+from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import proof_support
 from topazring.core.synchronous.tests import support
 from topazring.core.synchronous.tests import test_confirmations
@@ -54,3 +55,31 @@
         """Guards against writes that wait while a recreated replica joins."""
         outcome = self.outcome(u2=UNPAUSED, u3=UNPAUSED)
         self.assertIsInstance(outcome, outcomes.Done)
+
+
+class PausedSuccessorTest(testtools.TestCase):
+    """The promoting proxy's own successor is paused by an earlier attempt."""
+
+    def outcome(self, is_paused: bool) -> outcomes.Outcome | None:
+        """Have the other member alone, which is not paused, hold a write."""
+        driver = failover_support.make_lease_holder()
+        driver.list_upstreams(leaving='u1', revision=2)
+        driver.tick(20)
+        successor = driver.state.promotion.successor
+        (other,) = {'u2', 'u3'} - {successor}
+        driver.answer_leadership_checks()
+        key, _ = driver.submit(verb=support.Verb.WRITE)
+        test_confirmations.confirm(driver, key)
+        driver.tick(20)
+        reported = PAUSED if is_paused else UNPAUSED
+        proof_support.answer_status_queries(driver, other, **UNPAUSED)
+        proof_support.answer_status_queries(driver, successor, **reported)
+        return support.answers(driver.outs).get(key)
+
+    def test_successor_lacks_the_write(self):
+        """Guards against a write that the earlier order's upstream lacks."""
+        self.assertNotIsInstance(self.outcome(is_paused=True), outcomes.Done)
+
+    def test_successor_holds_the_write(self):
+        """Guards against a hand-over that interrupts writes."""
+        self.assertIsInstance(self.outcome(is_paused=False), outcomes.Done)
