Resume paused replicas only right after the platform accepted an order

Callers: a write was acknowledged and is missing after the promotion.

It paused the same members at 10661 and 10675, ended its attempt at 10993 as the primary was back, and resumed them: u1 and u4 received up to 2.62. It acknowledged 2.62 at 11324; u3 led without it from 11452. The pause of a member does not show who needs it, and a resume has no token.

Fix: a holder resumes what it paused only within 500 ms of an order that the platform accepted from it; after an attempt in vain it sends the order that names the present primary, which changes nothing and is refused to a holder that was replaced (the pooler also asks the store or a peer before each order). Replicas that were listed later or followed a promotion are asked first whether they are paused; they mostly are not, and cost no order.

Not done: comparing held terms. Both holders pause for the same term, so a report does not tell them apart.

OvertakenHolderTest: 2 of 4 fail before, none now. Existing tests unchanged.

Price: an order more for each attempt that ends in vain.

--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -5,7 +5,9 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import promotion
+from topazring.core.synchronous import promotion_commands
 from topazring.core.synchronous import promotion_end
+from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -30,12 +32,13 @@
     if isinstance(command, statements.Resume) and reply.code is None:
         state.paused.discard(name)
         return []
-    if attempt is None or reply.report is None:
-        return []
-    if upstream is None:
-        # Its entry expired while the command was in flight, so it is no
-        # longer a member.
+    if upstream is None or reply.report is None:
+        # Its entry may have expired while the command was in flight, so it is
+        # no longer a member.
         return []
+    if attempt is None:
+        promotion_commands.note_pause_report(state, name)
+        return promotion_lease.fence_earlier_orders(state, now_ms)
     state.term = max(state.term, reply.report.term)
     if isinstance(command, statements.Pause):
         if command.term != attempt.term:
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -82,6 +82,7 @@
         is_recreated or _has_drained(state, now_ms, upstream),
     )
     state.paused.discard(name)
+    state.may_be_paused.pop(name, None)
     outs: list = [
         messages.LogDecision('upstream gone', inputs={'upstream': name})
     ]
@@ -118,7 +119,7 @@
     state.upstreams[entry.name] = upstream
     if state.holds_promotion_lease:
         # It may still be paused by an attempt that ended while it was away.
-        state.paused.add(entry.name)
+        state.may_be_paused[entry.name] = now_ms
     state.departed_members.remove(entry.name, entry.born_ms)
     state.departed_members.note_later_instance(
         now_ms, entry.name, entry.born_ms
--- a/topazring/core/synchronous/promotion_commands.py
+++ b/topazring/core/synchronous/promotion_commands.py
@@ -1,5 +1,7 @@
 """Send the commands of a promotion to a group's members."""
 
+import collections.abc
+
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import failure_detection
@@ -8,7 +10,7 @@
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
-__all__ = ['resume_paused', 'send_commands']
+__all__ = ['note_pause_report', 'resume_paused', 'send_commands']
 
 # A member that has not replied is sent the command again after this long, on
 # another connection.
@@ -48,6 +50,7 @@
         attempt.asked_ms[name] = now_ms
         if isinstance(command, statements.Pause):
             state.paused.add(name)
+            state.pause_sent_ms = now_ms
     return outs
 
 
@@ -76,19 +79,47 @@
 
 
 def resume_paused(state: states.GroupState, now_ms: int) -> list:
-    """Resume replication on every replica that an attempt had paused."""
-    outs: list = []
+    """Resume replication on every replica that an attempt had paused.
+
+    Replicas that may be paused are queried first.
+    """
     if not promotion_lease.may_resume(state):
-        return outs
-    for name in sorted(state.paused):
-        upstream = state.upstreams.get(name)
-        if upstream is None or name == state.primary:
-            state.paused.discard(name)
-            continue
+        return []
+    for name in list(state.may_be_paused):
+        note_pause_report(state, name)
+    queried = state.may_be_paused.keys()
+    outs = _send_to_all(state, now_ms, queried, statements.Status())
+    if promotion_lease.surely_held_recently(state, now_ms):
+        outs += _send_to_all(state, now_ms, state.paused, statements.Resume())
+    return outs
+
+
+def note_pause_report(state: states.GroupState, name: str) -> None:
+    """Record whether a replica that may be paused reports that it is."""
+    since_ms = state.may_be_paused.get(name)
+    upstream = state.upstreams[name]
+    if since_ms is None or upstream.answered_status_sent_ms < since_ms:
+        return
+    if upstream.held_term:
+        state.paused.add(name)
+    elif upstream.answered_status_sent_ms <= state.pause_sent_ms:
+        return
+    del state.may_be_paused[name]
+
+
+def _send_to_all(
+    state: states.GroupState,
+    now_ms: int,
+    names: collections.abc.Set[str],
+    command: statements.Command,
+) -> list:
+    """Send a command to replicas to which none is in flight."""
+    outs: list = []
+    for name in sorted(names - {state.primary}):
         is_in_flight = any(
             connection.purpose is states.Purpose.CONTROL
             for connection in states.connections_to(state, name)
         )
         if not is_in_flight:
-            outs += send_control(state, now_ms, name, statements.Resume())
+            outs += send_control(state, now_ms, name, command)
     return outs
--- a/topazring/core/synchronous/promotion_end.py
+++ b/topazring/core/synchronous/promotion_end.py
@@ -19,6 +19,10 @@
 ) -> list:
     """End an attempt with the given result; resume paused members."""
     state.promotion = None
+    if state.primary and state.primary == attempt.chosen:
+        # A promotion resumes all replicas that its upstream reaches.
+        state.may_be_paused |= dict.fromkeys(state.paused, now_ms)
+        state.paused.clear()
     if attempt.chosen and attempt.chosen != state.primary:
         # An order that was sent may still be carried out, even if accepted.
         state.needs_fencing = True
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -11,6 +11,7 @@
     'handle_lease_change',
     'is_another_promoting',
     'may_resume',
+    'surely_held_recently',
 ]
 
 # A leadership check is answered within a few ms and a promotion takes at least
@@ -19,6 +20,9 @@
 # How long a member's report that it is paused remains valid; a promotion takes
 # at least 300 ms.
 PAUSE_REPORT_MAX_AGE_MS = 300
+# Longer than an order takes. A proxy that gains the lease after it was sent
+# has hardly ordered another upstream by then.
+RESUME_AFTER_ORDER_MS = 500
 
 
 def handle_lease_change(
@@ -43,6 +47,7 @@
         state.granted_token = message.token
         state.fence_token = 0
         state.paused = set(state.upstreams) - {state.primary}
+        state.may_be_paused.clear()
         state.needs_fencing = True
         primary = state.upstreams.get(state.primary)
         if primary is not None:
@@ -71,7 +76,7 @@
         upstream.held_term > state.term
         and now_ms - upstream.answered_status_sent_ms
         <= PAUSE_REPORT_MAX_AGE_MS
-        and upstream.name not in state.paused
+        and upstream.name not in state.paused | state.may_be_paused.keys()
         for upstream in state.upstreams.values()
     )
 
@@ -92,6 +97,16 @@
     )
 
 
+def surely_held_recently(state: states.GroupState, now_ms: int) -> bool:
+    """Return whether the platform has just accepted an order of this proxy.
+
+    A holder that is cut off from the platform's store does not know that it
+    was replaced. If it resumed members that its successor has paused, they
+    would confirm writes that the ordered upstream lacks.
+    """
+    return now_ms - state.order_accepted_sent_ms <= RESUME_AFTER_ORDER_MS
+
+
 def fence_earlier_orders(state: states.GroupState, now_ms: int) -> list:
     """Fence off the orders of earlier lease holders.
 
@@ -102,13 +117,17 @@
     no other upstream leads, and as soon as that proof arrives. Based on an
     old proof, it would reinstate a replaced primary without the writes that
     its successor acknowledged.
+
+    The same order shows that this proxy still holds the lease, which it has to
+    before it resumes paused members.
     """
-    is_needed = (
-        state.holds_promotion_lease
-        and state.needs_fencing
-        and state.promotion is None
-    )
-    if not is_needed or state.fence_token:
+    if not state.holds_promotion_lease or state.promotion is not None:
+        return []
+    if state.fence_token:
+        return []
+    is_any_paused = bool(state.paused - {state.primary})
+    is_to_verify = is_any_paused and not surely_held_recently(state, now_ms)
+    if not state.needs_fencing and not is_to_verify:
         return []
     if now_ms - proofs.proven_until_ms(state) > PROOF_MAX_AGE_MS:
         return []
@@ -117,6 +136,7 @@
         return []
     state.token += 1
     state.fence_token = state.token
+    state.fence_sent_ms = now_ms
     return [messages.OrderPromotion(state.primary, state.token)]
 
 
@@ -127,6 +147,7 @@
     state.fence_token = 0
     if message.result is messages.OrderResult.ACCEPTED:
         state.needs_fencing = False
+        state.order_accepted_sent_ms = state.fence_sent_ms
     elif message.result is messages.OrderResult.REFUSED:
         state.holds_promotion_lease = False
     return []
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -114,6 +114,7 @@
     attempt.accepted = True
     # This order's token also fences off all earlier orders.
     state.needs_fencing = False
+    state.order_accepted_sent_ms = attempt.ordered_ms
     old_primary = state.upstreams.get(attempt.old_primary)
     if state.primary == attempt.old_primary:
         state.primary = ''
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -433,12 +433,21 @@
     # has seen a higher token.
     needs_fencing: bool = False
     fence_token: int = 0
+    # When the latest fencing order was sent, and the latest order of any kind
+    # that the platform accepted from this proxy.
+    fence_sent_ms: int = NEVER_MS
+    order_accepted_sent_ms: int = NEVER_MS
     promotion: object | None = None
     next_promotion_ms: int = 0
     # When it was last checked whether the replicas still receive the log.
     replication_checked_ms: int = -10_000
     # Replicas paused by a promotion; resumed once the group has a primary.
     paused: set[str] = dataclasses.field(default_factory=set)
+    # Replicas that are to be queried for whether they are paused, and since
+    # when.
+    may_be_paused: dict[str, int] = dataclasses.field(default_factory=dict)
+    # When the latest pause was sent.
+    pause_sent_ms: int = NEVER_MS
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/topazring/core/synchronous/tests/test_lost_pauses.py
+++ b/topazring/core/synchronous/tests/test_lost_pauses.py
@@ -7,6 +7,9 @@
 import testtools
 
 from topazring.core import outcomes
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import proof_support
 from topazring.core.synchronous.tests import support
@@ -83,3 +86,120 @@
     def test_successor_holds_the_write(self):
         """Guards against a hand-over that interrupts writes."""
         self.assertIsInstance(self.outcome(is_paused=False), outcomes.Done)
+
+
+class OvertakenHolderTest(testtools.TestCase):
+    """A lease holder does not know that another proxy has ordered."""
+
+    def run_for(self, driver: support.Driver, for_ms: int) -> list:
+        """Let time pass; all members answer, the replicas as paused."""
+        outs = []
+        for _ in range(for_ms // 20):
+            outs += driver.tick(20)
+            driver.open_all()
+            outs += driver.answer_leadership_checks()
+            outs += self.answer_control(driver)
+        return outs
+
+    def answer_control(self, driver: support.Driver) -> list:
+        """Answer control commands; only a resume ends a pause."""
+        outs = []
+        for connection in driver.busy():
+            if connection.purpose is not states.Purpose.CONTROL:
+                continue
+            command = connection.commands[0]
+            is_resume = isinstance(command, statements.Resume)
+            held_term = 0 if is_resume else 2
+            outs += driver.reply(
+                connection, support.report(held_term=held_term)
+            )
+        return outs
+
+    def resumed(self, outs: list) -> bool:
+        """Return whether a member is sent a resume."""
+        return any(
+            isinstance(command, statements.Resume)
+            for send in support.sends(outs)
+            for command in send.commands
+        )
+
+    def end_in_vain(self) -> support.Driver:
+        """End an attempt that has paused one replica: the primary is back."""
+        driver = failover_support.make_lease_holder()
+        self.run_for(driver, 100)
+        failover_support.lose_primary(driver)
+        for connection in driver.busy('u2'):
+            if connection.purpose is states.Purpose.CONTROL:
+                driver.reply(connection, support.report(held_term=2))
+        self.assertIn('u2', driver.state.paused)
+        driver.outs.clear()
+        for _ in range(7):
+            driver.tick(20)
+            driver.open_all()
+            driver.answer_leadership_checks()
+        (ended,) = support.decisions(driver.outs, 'promotion ended')
+        self.assertEqual('it is back', ended['how'])
+        return driver
+
+    def test_members_stay_paused_until_an_order_is_accepted(self):
+        """Guards against resuming what another proxy's order needs paused.
+
+        The resumed member confirms writes of the old primary that the ordered
+        one lacks.
+        """
+        driver = self.end_in_vain()
+        self.run_for(driver, 400)
+        outs = driver.outs
+        self.assertFalse(self.resumed(outs))
+        (order,) = support.orders(outs)
+        self.assertEqual('u1', order.upstream)
+        refused = messages.OrderResult.REFUSED
+        outs = driver.post(
+            messages.PromotionOrdered('u1', order.token, refused)
+        )
+        outs += self.run_for(driver, 400)
+        self.assertFalse(self.resumed(outs))
+
+    def test_members_are_resumed_once_an_order_is_accepted(self):
+        """Guards against a group in which nobody confirms writes."""
+        driver = self.end_in_vain()
+        self.run_for(driver, 400)
+        outs = driver.outs
+        (order,) = support.orders(outs)
+        accepted = messages.OrderResult.ACCEPTED
+        outs = driver.post(
+            messages.PromotionOrdered('u1', order.token, accepted)
+        )
+        outs += self.run_for(driver, 60)
+        self.assertTrue(self.resumed(outs))
+        self.assertEqual(set(), driver.state.paused)
+
+    def test_member_that_is_listed_later(self):
+        """Guards against resuming one that was paused before it was seen."""
+        driver = failover_support.make_lease_holder()
+        self.run_for(driver, 1000)
+        driver.outs.clear()
+        names = ('u1', 'u2', 'u3', 'u4')
+        driver.list_upstreams(names=names, revision=2)
+        self.run_for(driver, 400)
+        outs = driver.outs
+        self.assertFalse(self.resumed(outs))
+        (order,) = support.orders(outs)
+        self.assertEqual('u1', order.upstream)
+
+    def test_member_that_is_not_paused(self):
+        """Guards against an order for each member that is listed later."""
+        driver = failover_support.make_lease_holder()
+        self.run_for(driver, 1000)
+        driver.outs.clear()
+        names = ('u1', 'u2', 'u3', 'u4')
+        driver.list_upstreams(names=names, revision=2)
+        for _ in range(10):
+            driver.tick(20)
+            driver.open_all()
+            driver.answer_leadership_checks()
+            for connection in driver.busy():
+                if connection.purpose is states.Purpose.CONTROL:
+                    driver.reply(connection, support.report(held_term=0))
+        self.assertEqual([], support.orders(driver.outs))
+        self.assertEqual(set(), driver.state.paused)
