Demote a leaving primary while an unlisted replica may confirm its writes

Callers: writes were acknowledged and are missing after a hand-over.

Cause: in a hand-over, the position that the primary reports after a member's entry expired counted as the end of that member's log ("its primary is alive and in reach"). That the primary is alive is just what lets the member confirm more. The member's right to confirm ends when no proxy can have a list that names it (35 s), when its process ended, or when the primary is demoted; the last can be brought about by the promoter alone.

Fix: in a hand-over only the bound of a member that has ended, or was paused as it left the list, counts. Otherwise the hand-over is blocked, as by a silent replica: after 800 ms the primary is demoted, and the successor has to hold all that it reports.

test_member_whose_entry_expired_may_confirm_writes fails before.

Planned releases of replicas that drain to their end are not affected.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -293,12 +293,12 @@
 def is_blocked(
     state: states.GroupState, now_ms: int, attempt: Attempt
 ) -> bool:
-    """Return whether only silent members block the hand-over."""
+    """Return whether only silent or departed members block the hand-over."""
     if not has_fresh_report(attempt, now_ms, attempt.successor):
         return False
     position = attempt.reports[attempt.successor].received
     reporting, silent = _split_by_report(state, now_ms, attempt)
-    if not silent:
+    if not silent and _is_complete(state, attempt, position):
         return False
     return all(
         position >= attempt.reports[name].received for name in reporting
--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -13,8 +13,8 @@
 A member that is merely not listed may be alive behind a partition. It confirms
 writes for as long as the partition lasts, so a departure never expires, and
 proxies that cannot read the list acknowledge writes on its word. Only once no
-proxy can have a list that names it, a position of the primary is a bound. A
-planned hand-over does not wait for that: its primary is alive and in reach.
+proxy can have a list that names it, a position of the primary is a bound.
+A planned hand-over demotes its primary rather than wait for that.
 """
 
 import dataclasses
@@ -39,6 +39,8 @@
     departed_ms: int
     # It announced that it leaves.
     left: bool = False
+    # It was paused when it departed; a hand-over may rely on that.
+    was_paused: bool = False
     # Its process has ended: it drained for as long as it had to, or another
     # instance has its name now.
     ended: bool = False
@@ -85,7 +87,10 @@
 
         `paused_at` is the end of its log if it was paused until now.
         """
-        member = DepartedMember(name, now_ms, left, ended, paused_at)
+        was_paused = paused_at is not None
+        member = DepartedMember(
+            name, now_ms, left, was_paused, ended, paused_at
+        )
         self.known[(name, born_ms)] = member
 
     def record_first_place(
@@ -182,7 +187,9 @@
         """
         found = []
         for member in self.known.values():
-            bound = member.bound if is_hand_over else member.upper_bound
+            bound = member.upper_bound
+            if is_hand_over and member.was_paused:
+                bound = member.bound
             is_reached = bound is not None and bound <= place
             if member.name != primary and not is_reached:
                 found.append(member.name)
--- a/topazring/core/synchronous/tests/test_departures.py
+++ b/topazring/core/synchronous/tests/test_departures.py
@@ -48,10 +48,25 @@
         self.assertEqual(['u3'], departed.may_exceed(below, NO_PRIMARY))
 
     def test_hand_over_beside_an_unlisted_member(self):
-        """Guards against a primary that ends before it is replaced."""
+        """Guards against a successor without what others acknowledge."""
         departed = departed_members.DepartedMembers()
         departed.add(1000, 'u3')
         departed.record_primary_place(1001, LogPosition(1, 7))
+        high, enough = LogPosition(9, 9), LogPosition(1, 8)
+        self.assertEqual(
+            ['u3'], departed.may_exceed(high, 'u1', is_hand_over=True)
+        )
+        late_ms = 1000 + departed_members.OLD_LIST_MS
+        departed.record_primary_place(late_ms, enough)
+        self.assertEqual(
+            [], departed.may_exceed(enough, 'u1', is_hand_over=True)
+        )
+
+    def test_hand_over_after_a_member_ended(self):
+        """Guards against a gap in writes in each planned release."""
+        departed = departed_members.DepartedMembers()
+        departed.add(1000, 'u3', left=True, ended=True)
+        departed.record_primary_place(1001, LogPosition(1, 7))
         below, enough = LogPosition(1, 6), LogPosition(1, 7)
         self.assertEqual(
             ['u3'], departed.may_exceed(below, 'u1', is_hand_over=True)
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -14,6 +14,7 @@
 
 LogPosition = support.Place
 OrderResult = messages.OrderResult
+FOUR = ('u1', 'u2', 'u3', 'u4')
 
 
 class HandOverTest(testtools.TestCase):
@@ -285,6 +286,42 @@
         (order,) = support.orders(outs)
         self.assertEqual(successor, order.upstream)
 
+    def hand_over_without(self, name: str) -> list:
+        """Hand over right after a member's entry expired; all others reply.
+
+        Return the output until a successor is ordered.
+        """
+        driver = failover_support.make_lease_holder(names=FOUR)
+        for _ in range(5):
+            driver.tick(20)
+            driver.answer_leadership_checks()
+            failover_support.answer_control_commands(driver)
+        names = tuple(n for n in FOUR if n != name)
+        driver.list_upstreams(names=names, revision=2)
+        for _ in range(10):
+            driver.tick(20)
+            driver.answer_leadership_checks()
+        outs = driver.list_upstreams(names=names, leaving='u1', revision=3)
+        for _ in range(100):
+            outs += driver.tick(20)
+            outs += driver.answer_leadership_checks()
+            outs += failover_support.answer_control_commands(driver)
+            if support.orders(outs):
+                break
+        return outs
+
+    def test_member_whose_entry_expired_may_confirm_writes(self):
+        """Guards against a successor without what another proxy acknowledges.
+
+        A proxy whose list is older counts on the word of that member. A
+        demoted primary gets no write confirmed by it.
+        """
+        outs = self.hand_over_without('u3')
+        (order,) = support.orders(outs)
+        self.assertIn(order.upstream, ('u2', 'u4'))
+        (blocked,) = support.decisions(outs, 'hand-over blocked')
+        self.assertEqual('u1', blocked['old'])
+
     def test_demoted_primary_leads_again_if_its_successor_is_behind(self):
         """No other member is known to hold all acknowledged writes."""
         driver = self.block_hand_over()
