Do not take a primary of an ended term for the one of the newest

Callers: a write was acknowledged and is missing after the promotion.

Cause, from the trace: u1 led term 1 beside p2, behind a split. On the other side u2 led term 2 from 2693 ms, p1 acknowledged 2.1, u2 was recreated empty (2865) and u3, which held 2.1, ended (14680). p2 had read 2.1 from u3 (9642), so it knew of term 2; yet it took u1, the last primary that it had seen proved, for "the primary of the newest term", whose log holds all that was acknowledged, and ordered it at 1.4 (14996) without asking p1. u1 had left the list and come back between, so that nothing told that it does not lead.

Fix: the term that the last primary was proved to lead is kept, and the primary is exempt only while no newer term was seen.

LaterTermTest: test_last_primary_led_an_earlier_term fails before, passes now; its counterpart (no newer term) still promotes.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -128,9 +128,12 @@
         return ''
     if _is_deposed_by_another(state):
         return ''
-    if state.proven_primary in ('', state.last_primary):
+    if state.proven_primary == '':
         return state.last_primary
-    return ''
+    if state.proven_primary != state.last_primary:
+        return ''
+    # Another upstream may have led a newer term and ended.
+    return state.last_primary if state.proven_term >= state.term else ''
 
 
 def _is_deposed_by_another(state: states.GroupState) -> bool:
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -124,6 +124,7 @@
     if state.proven_primary != upstream.name:
         state.proven_primary = upstream.name
         state.proven_ms = now_ms
+    state.proven_term = proofs.own_term(upstream)
     if state.primary_start.upstream != upstream.name:
         state.primary_start = position_records.PrimaryStart(
             upstream.name, upstream.place
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -62,6 +62,7 @@
     'note_confirmed',
     'note_refusal',
     'note_report',
+    'own_term',
     'proven_until_ms',
     'request_proof',
     'required_proof_ms',
@@ -81,10 +82,10 @@
     state: states.GroupState, upstream: states.Upstream
 ) -> bool:
     """Return whether no term newer than an upstream's own has been seen."""
-    return _own_term(upstream) >= state.term
+    return own_term(upstream) >= state.term
 
 
-def _own_term(upstream: states.Upstream) -> int:
+def own_term(upstream: states.Upstream) -> int:
     """Return the newest term that an upstream led or has in its log."""
     return max(upstream.lead_term, upstream.place.log_term)
 
@@ -101,7 +102,7 @@
         return states.NEVER_MS
     others = states.other_members(state)
     unlisted = state.departed_members.count_living()
-    if not others and _own_term(primary) <= state.ended_term:
+    if not others and own_term(primary) <= state.ended_term:
         # The successor may lead although it is not listed.
         return states.NEVER_MS
     if not others and not unlisted:
@@ -130,7 +131,7 @@
     state: states.GroupState, primary: states.Upstream
 ) -> int:
     """Return the time up to which the lease holder excludes a promotion."""
-    if _own_term(primary) < state.no_promotion_term:
+    if own_term(primary) < state.no_promotion_term:
         return states.NEVER_MS
     return min(state.no_promotion_ms, primary.begin_accepted_sent_ms)
 
@@ -305,7 +306,7 @@
     primary = state.upstreams.get(state.primary)
     if primary is None or upstream is primary:
         return
-    if report.term <= _own_term(primary):
+    if report.term <= own_term(primary):
         upstream.witness_sent_ms = max(upstream.witness_sent_ms, sent_ms)
     # Before its first entry a new primary's log ends with the old term, which
     # a replica that still follows the old primary reports as well.
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -380,6 +380,8 @@
     # the case.
     proven_primary: str = ''
     proven_ms: int = 0
+    # The newest term that it was proved to lead.
+    proven_term: int = 0
     # The initial log position of the last primary for which it is known.
     primary_start: position_records.PrimaryStart = (
         position_records.PrimaryStart()
--- /dev/null
+++ b/topazring/core/synchronous/tests/test_unseen_terms.py
@@ -0,0 +1,101 @@
+"""Test conclusions of a proxy that was not told when a term began."""
+
+import testtools
+
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous.tests import proof_support
+from topazring.core.synchronous.tests import support
+
+LogPosition = support.Place
+OLD_END = LogPosition(1, 5)
+NEW_END = LogPosition(2, 1)
+
+
+class LaterTermTest(testtools.TestCase):
+    """The last primary was replaced out of sight of the lease holder.
+
+    `u2` led term 2, and `u3` holds its only write; both end. `u1`, which led
+    term 1, and `u4` are left.
+    """
+
+    def replace_unseen(self, end: LogPosition) -> support.Driver:
+        """Have `u3` report this end of its log, and leave.
+
+        The proxy gains the lease after that.
+        """
+        self.end = end
+        self.is_back = False
+        driver = support.Driver().ready()
+        self.run_for(driver, 400, u3=OLD_END)
+        self.assertEqual('', driver.state.primary)
+        driver.list_upstreams(primary='', names=('u3', 'u4'), revision=2)
+        self.run_for(driver, 100, u3=end)
+        names = ('u1', 'u4')
+        driver.list_upstreams(primary='', names=names, revision=3)
+        self.is_back = True
+        driver.post(messages.PromotionLeaseSeen(True, 100))
+        return driver
+
+    def run_for(
+        self, driver: support.Driver, for_ms: int, **ends: LogPosition
+    ) -> list:
+        """Let time pass; no member leads; proxies report what they did."""
+        outs = []
+        for _ in range(for_ms // 20):
+            outs += driver.tick(20)
+            for connection in list(driver.state.connections.values()):
+                end = ends.get(connection.upstream, OLD_END)
+                if connection.phase is states.Phase.OPENING:
+                    driver.post(messages.Opened(connection.number, end))
+            for connection in driver.busy():
+                outs += self.reply(driver, connection, ends)
+            outs += self.report_acknowledgements(driver, outs)
+        return outs
+
+    def reply(
+        self,
+        driver: support.Driver,
+        connection: states.Connection,
+        ends: dict[str, LogPosition],
+    ) -> list:
+        """Reply as a replica; once back, `u1` only replies to its pause."""
+        is_control = connection.purpose is states.Purpose.CONTROL
+        if self.is_back and connection.upstream == 'u1' and not is_control:
+            return []
+        end = ends.get(connection.upstream, OLD_END)
+        if connection.purpose is states.Purpose.LEADERSHIP_CHECK:
+            refused = proof_support.REFUSED
+            return driver.reply(connection, refused, support.ok(place=end))
+        held_term = getattr(connection.commands[0], 'term', 0)
+        report = support.report(
+            received=end, term=end.log_term, held_term=held_term
+        )
+        return driver.reply(connection, report)
+
+    def report_acknowledgements(
+        self, driver: support.Driver, outs: list
+    ) -> list:
+        """Report that all that `u3` held was acknowledged."""
+        replies, now_ms = [], driver.now_ms
+        for out in list(outs):
+            if isinstance(out, messages.QueryAcknowledgements):
+                outs.remove(out)
+                reported = messages.AcknowledgementsReported(
+                    out.token, True, self.end, 0, now_ms, out.term
+                )
+                replies += driver.post(reported)
+        return replies
+
+    def test_last_primary_led_an_earlier_term(self):
+        """Guards against an order of a member that lacks the later term."""
+        driver = self.replace_unseen(NEW_END)
+        outs = self.run_for(driver, 5000)
+        self.assertEqual([], support.orders(outs))
+
+    def test_last_primary_led_the_newest_term(self):
+        """Guards against a group without a primary for good."""
+        driver = self.replace_unseen(OLD_END)
+        outs = self.run_for(driver, 5000)
+        ordered = [order.upstream for order in support.orders(outs)]
+        self.assertNotEqual([], ordered)
