Do not await the report of a lost primary because a newer term was seen

The ended term matters in one place: that the last primary's own log shows a candidate to be complete.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -128,12 +128,9 @@
         return ''
     if _is_deposed_by_another(state):
         return ''
-    if state.proven_primary == '':
+    if state.proven_primary in ('', state.last_primary):
         return state.last_primary
-    if state.proven_primary != state.last_primary:
-        return ''
-    # Another upstream may have led a newer term and ended.
-    return state.last_primary if state.proven_term >= state.term else ''
+    return ''
 
 
 def _is_deposed_by_another(state: states.GroupState) -> bool:
@@ -401,15 +398,15 @@
 ) -> bool:
     """Return whether no departed member can have confirmed a later position.
 
-    The last primary's own log holds all acknowledged writes, so a log that
-    reaches its end is complete, whichever members departed. If no primary was
+    The log of the newest term's primary holds all acknowledged writes, so a
+    log that reaches its end is complete, whichever members departed. If no
+    primary was
     seen, all recorded members and all proxies have to be asked.
     """
     primary = exempt_primary(state)
     report = attempt.reports.get(primary)
-    if report is not None and not failure_detection.is_recreated(
-        state, primary
-    ):
+    is_same = not failure_detection.is_recreated(state, primary)
+    if report is not None and is_same and _led_newest_term(state):
         if position >= report.received:
             return True
     is_hand_over = bool(attempt.successor)
@@ -424,6 +421,14 @@
     return acknowledgement_fence.covers(state, reported, position)
 
 
+def _led_newest_term(state: states.GroupState) -> bool:
+    """Return whether no term after that of the last primary has been seen.
+
+    Another upstream may have led a newer term and ended.
+    """
+    return not state.proven_primary or state.proven_term >= state.term
+
+
 def awaits_acknowledgements(attempt: Attempt, now_ms: int) -> bool:
     """Return whether other proxies may still report, or have just done so.
 
