Do not prove leadership by the successor of an instance that may have led

Callers: a read lacked writes that were acknowledged before it.

Cause: "all members but one report no newer term" proves that nobody led, since each acknowledged write is stored by two members. In the trace u2 led term 2 on the other side of a split, was recreated empty (4710, 5360 ms), and u3 alone held 2.1 to 2.9. Once the split healed (6300), p1 asked u2, whose new instance reported term 0 at 6306, and u3 had not answered since 1022. So the proof held, u1's places became samples, and the read went to u2, which followed u1 by then. The member that had led was neither listed nor counted: its name was there.

Fix: a member that ended counts as one that never answered, until the leadership is proved for a time after that, by all listed members or the others ways. While it is alone unaccounted for, all listed ones have to report their terms; with two such, the lease holder is asked. A group whose other members have all ended is as before: nobody holds what they may have confirmed.

The ablation "prove_by_listed_members" leaves out the new count as well.

--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -348,8 +348,10 @@
 @_ablation
 def _prove_by_listed_members():
     """Leave members whose entries have expired out of a proof."""
-    return mock.patch.object(
-        departed_members.DepartedMembers, 'count_living', lambda self: 0
+    return mock.patch.multiple(
+        departed_members.DepartedMembers,
+        count_living=lambda self: 0,
+        count_leaders=lambda self: 0,
     )
 
 
--- a/topazring/core/synchronous/tests/test_unseen_terms.py
+++ b/topazring/core/synchronous/tests/test_unseen_terms.py
@@ -2,10 +2,12 @@
 
 import testtools
 
+from topazring.core import outcomes
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous.tests import proof_support
 from topazring.core.synchronous.tests import support
+from topazring.core.synchronous.tests import test_isolation
 
 LogPosition = support.Place
 OLD_END = LogPosition(1, 5)
@@ -99,3 +101,48 @@
         outs = self.run_for(driver, 5000)
         ordered = [order.upstream for order in support.orders(outs)]
         self.assertNotEqual([], ordered)
+
+
+class LeaderEndedTest(testtools.TestCase):
+    """Behind a split `u2` led a term; it was recreated, empty, before the end.
+
+    `u3` holds the writes of that term.
+    """
+
+    def read(self, **witness) -> outcomes.Outcome | None:
+        """Have an exact read answered beside `u2`; return its outcome."""
+        driver = support.Driver().ready()
+        test_isolation.run_for(driver, 100, 'u1', 'u2', 'u3')
+        driver.list_upstreams(revision=2, born_ms={'u2': 10_100})
+        driver.open_all()
+        key, _ = driver.submit(support.EXACT)
+        proof_support.answer_read(driver, key)
+        for _ in range(20):
+            driver.tick(20)
+            proof_support.answer_leadership_checks(driver, 'u1', support.ok())
+            proof_support.answer_leadership_checks(
+                driver, 'u2', proof_support.REFUSED
+            )
+            empty = {'received': LogPosition(0, 0), 'term': 0}
+            proof_support.answer_status_queries(
+                driver, 'u2', held_term=0, **empty
+            )
+            if witness:
+                proof_support.answer_status_queries(
+                    driver, 'u3', held_term=0, **witness
+                )
+        return support.answers(driver.outs).get(key)
+
+    def test_member_that_holds_its_writes_is_silent(self):
+        """Guards against a read without the writes of the ended leader."""
+        self.assertNotIsInstance(self.read(), outcomes.Done)
+
+    def test_member_that_holds_its_writes_answers(self):
+        """Guards against the same by the refusals of both."""
+        answer = self.read(received=NEW_END, term=2)
+        self.assertNotIsInstance(answer, outcomes.Done)
+
+    def test_replica_is_recreated_without_a_split(self):
+        """Guards against reads refused in a planned restart."""
+        answer = self.read(received=OLD_END, term=1)
+        self.assertIsInstance(answer, outcomes.Done)
