Prove no leadership by the listed members while an unlisted one may be ordered

Callers: a read lacked writes that were acknowledged before it.

Fix: from such a question on, until the lease holder releases the fence for the primary's own term or another leads, only the lease holder's word proves the leadership. It is asked at once when a read waits.

AskedProxyTest: 2 of 3 fail before, none now.

--- a/topazring/core/synchronous/acknowledgement_fence.py
+++ b/topazring/core/synchronous/acknowledgement_fence.py
@@ -76,6 +76,8 @@
     # A promoter that has missed a term must not end with a newer one.
     _set_fence(state, now_ms, max(message.term, state.term + 1))
     state.counters['acknowledgements_fenced'] += 1
+    if message.position > log_positions.ORIGIN:
+        state.acknowledgements_asked_ms = now_ms
     complete_ms = freshness.complete_until_ms(state, message.position)
     return [
         messages.AcknowledgementsFenced(
@@ -143,6 +145,8 @@
         return False
     if proofs.depends_on_lease_holder(state):
         return True
+    if proofs.may_unlisted_member_lead(state):
+        return True
     since_ms = state.oldest_unproven_ms
     return proofs.must_query_terms(state) and (
         since_ms is not None and now_ms - since_ms >= RELEASE_QUERY_AFTER_MS
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -59,6 +59,7 @@
     'is_superseded',
     'is_unreachable',
     'leads_newest_term',
+    'may_unlisted_member_lead',
     'must_query_terms',
     'needs_proof',
     'note_confirmed',
@@ -122,11 +123,27 @@
         same_term = [u.same_term_sent_ms for u in others]
         return max(refused_ms, _by_all_but_one(same_term + never_answered))
     witnesses = [u.witness_sent_ms for u in others]
-    return max(
+    by_members_ms = max(
         refused_ms,
         _by_all_but_one(witnesses + never_answered),
         primary.confirmed_sent_ms,
-        _by_lease_holder(state, primary),
+    )
+    if may_unlisted_member_lead(state):
+        by_members_ms = min(by_members_ms, state.acknowledgements_asked_ms)
+    return max(by_members_ms, _by_lease_holder(state, primary))
+
+
+def may_unlisted_member_lead(state: states.GroupState) -> bool:
+    """Return whether a promotion of a member unknown here may be under way.
+
+    A promoting proxy asks all others what they have acknowledged if it cannot
+    query all members. It may list members that this proxy does not.
+    """
+    primary = state.upstreams.get(state.primary)
+    return (
+        primary is not None
+        and state.acknowledgements_asked_ms != states.NEVER_MS
+        and state.fence_term > own_term(primary)
     )
 
 
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -355,6 +355,8 @@
     # Writes of terms before this one are not acknowledged, and since when.
     fence_term: int = 0
     fenced_ms: int = NEVER_MS
+    # When another proxy last asked what this one has acknowledged.
+    acknowledgements_asked_ms: int = NEVER_MS
     # Whether the lease holder has reported that no promotion was under way
     # after this process started.
     is_fence_checked: bool = False
--- a/topazring/core/synchronous/tests/test_unseen_terms.py
+++ b/topazring/core/synchronous/tests/test_unseen_terms.py
@@ -146,3 +146,46 @@
         """Guards against reads refused in a planned restart."""
         answer = self.read(received=OLD_END, term=1)
         self.assertIsInstance(answer, outcomes.Done)
+
+
+class AskedProxyTest(testtools.TestCase):
+    """A promoting proxy has asked this one what it has acknowledged.
+
+    Its list names members that are not listed here; one of them may lead.
+    """
+
+    def read(self, released_term: int | None) -> outcomes.Outcome | None:
+        """Have an exact read answered while all listed members refuse.
+
+        The lease holder releases the fence with a term, if there is one.
+        """
+        driver = support.Driver().ready()
+        driver.tick(20)
+        driver.answer_leadership_checks()
+        driver.post(messages.FenceAcknowledgements(7, 2, OLD_END))
+        driver.tick(20)
+        driver.answer_leadership_checks()
+        key, outs = driver.submit(support.EXACT)
+        proof_support.answer_read(driver, key)
+        for _ in range(10):
+            outs = driver.tick(20)
+            driver.answer_leadership_checks()
+            for out in outs:
+                is_query = isinstance(out, messages.QueryFence)
+                if is_query and released_term is not None:
+                    driver.post(
+                        messages.FenceReleased(driver.now_ms, released_term)
+                    )
+        return support.answers(driver.outs).get(key)
+
+    def test_promotion_is_under_way(self):
+        """Guards against a read without the writes of an unlisted primary."""
+        self.assertNotIsInstance(self.read(None), outcomes.Done)
+
+    def test_promotion_has_succeeded(self):
+        """Guards against the same after the release of the fence."""
+        self.assertNotIsInstance(self.read(2), outcomes.Done)
+
+    def test_promotion_has_ended_in_vain(self):
+        """Guards against reads that are refused for good."""
+        self.assertIsInstance(self.read(1), outcomes.Done)
