Simulation: let a yielded promotion lease be gained again

The pooler cannot end up there: a yielded lease is free in the store, the proxy that yielded it tries again after 3 s, and any other as soon as it reaches the store.

--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -32,6 +32,8 @@
 TICK_MS = 20
 # Time until another proxy gains a promotion lease that was yielded.
 GAIN_MS = 150
+# Time until the proxy that yielded it may gain it again.
+YIELD_PAUSE_MS = 3000
 # Lifetime of the entry of a proxy, and the interval of its renewals.
 REGISTRATION_MS = 28_000
 RENEW_MS = 10_000
@@ -180,7 +182,7 @@
             case messages.FenceChecked():
                 self.report_fence(out)
             case messages.YieldPromotionLease():
-                self.at(GAIN_MS, self.grant_lease_to_other, proxy)
+                self.at(GAIN_MS, self.grant_lease_after_yield, proxy)
             case messages.LogDecision():
                 self.note(f'{proxy} {out.what} {dict(out.inputs)}')
 
@@ -282,12 +284,25 @@
         self.holder = proxy
         self.post(proxy, messages.PromotionLeaseSeen(True, self.next_block))
 
-    def grant_lease_to_other(self, before: str) -> None:
-        """Grant the promotion lease to the other proxy after a yield."""
-        if self.holder == before:
-            (other,) = [name for name in PROXIES if name != before]
-            if other not in self.without_store:
-                self.grant_lease(other)
+    def grant_lease_after_yield(
+        self, before: str, waited_ms: int = GAIN_MS
+    ) -> None:
+        """Grant a yielded promotion lease to a proxy that reaches the store.
+
+        The one that yielded it tries again after a while.
+        """
+        if self.holder != before:
+            return
+        (other,) = [name for name in PROXIES if name != before]
+        candidates = [other]
+        if waited_ms >= YIELD_PAUSE_MS:
+            candidates.append(before)
+        for proxy in candidates:
+            if proxy not in self.without_store:
+                self.grant_lease(proxy)
+                return
+        waited_ms += GAIN_MS
+        self.at(GAIN_MS, self.grant_lease_after_yield, before, waited_ms)
 
     def confirm_lease(self, proxy: str) -> None:
         """Confirm the promotion lease if the proxy still holds it."""
