Count a member that is seen to have ended as one that may have led until then

A proof from before a later instance of a member was listed cleared the earlier one for good. Doc comments of the proofs tell what changed.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -400,8 +400,7 @@
 
     The log of the newest term's primary holds all acknowledged writes, so a
     log that reaches its end is complete, whichever members departed. If no
-    primary was
-    seen, all recorded members and all proxies have to be asked.
+    primary was seen, all recorded members and all proxies have to be asked.
     """
     primary = exempt_primary(state)
     report = attempt.reports.get(primary)
--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -51,7 +51,7 @@
     late_bound: log_positions.LogPosition | None = None
     # The primary reported a position that its log surely does not exceed.
     is_held: bool = False
-    # No proof since its departure excludes that it led a newer term.
+    # No proof since it departed, or ended, excludes that it led a newer term.
     may_have_led: bool = True
 
     @property
@@ -124,6 +124,7 @@
                 member.ended = True
                 member.departed_ms = now_ms
                 member.bound = None
+                member.may_have_led = True
 
     def record_leader(self, name: str) -> None:
         """Remove all records under the name of an upstream that leads.
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -29,9 +29,11 @@
 A member whose entry has expired may be alive, and may have been promoted by a
 proxy that lists it. It counts as a silent member: refusals of all listed
 members prove nothing, and the others are queried for their terms. If there are
-several, or no other member is listed, only the lease holder can tell. So does
-one that has ended, until the leadership is proved after that: it may have led
-a term whose writes only a silent member holds.
+several, or no other member is listed, only the lease holder can tell. One that
+has ended counts as well until the leadership is proved for a later time: it
+may have led a term whose writes only a silent member holds. And while another
+proxy asks this one what it has acknowledged, that proxy may promote a member
+that is not listed here, and only the lease holder can tell.
 
 A new replica may confirm a write that it should not: the promoting proxy may
 not have seen it in the list, and it may have joined on the wrong side of a
