Keep that acknowledgements were asked for when a group restarts

A group that is created again kept its fence, but not that the fence came from a question of a promoter, and proved leadership by the listed members again. From reading the diff; test_group_restarts_meanwhile fails before.

--- a/topazring/core/synchronous/restart.py
+++ b/topazring/core/synchronous/restart.py
@@ -58,6 +58,7 @@
     renewed.acknowledged_until = state.acknowledged_until
     renewed.fence_term = state.fence_term
     renewed.fenced_ms = state.fenced_ms
+    renewed.acknowledgements_asked_ms = state.acknowledgements_asked_ms
     renewed.is_fence_checked = state.is_fence_checked
     renewed.no_promotion_ms = state.no_promotion_ms
     renewed.no_promotion_term = state.no_promotion_term
--- a/topazring/core/synchronous/tests/test_unseen_terms.py
+++ b/topazring/core/synchronous/tests/test_unseen_terms.py
@@ -5,6 +5,7 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import departed_members
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import restart
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous.tests import proof_support
 from topazring.core.synchronous.tests import support
@@ -169,7 +170,9 @@
     Its list names members that are not listed here; one of them may lead.
     """
 
-    def read(self, released_term: int | None) -> outcomes.Outcome | None:
+    def read(
+        self, released_term: int | None, is_restarted: bool = False
+    ) -> outcomes.Outcome | None:
         """Have an exact read answered while all listed members refuse.
 
         The lease holder releases the fence with a term, if there is one.
@@ -178,6 +181,10 @@
         driver.tick(20)
         driver.answer_leadership_checks()
         driver.post(messages.FenceAcknowledgements(7, 2, OLD_END))
+        if is_restarted:
+            driver.state = restart.recreate_state(driver.state)
+            driver.list_upstreams()
+            driver.open_all()
         driver.tick(20)
         driver.answer_leadership_checks()
         key, outs = driver.submit(support.EXACT)
@@ -197,6 +204,11 @@
         """Guards against a read without the writes of an unlisted primary."""
         self.assertNotIsInstance(self.read(None), outcomes.Done)
 
+    def test_group_restarts_meanwhile(self):
+        """Guards against the same where a group is created again."""
+        answer = self.read(None, is_restarted=True)
+        self.assertNotIsInstance(answer, outcomes.Done)
+
     def test_promotion_has_succeeded(self):
         """Guards against the same after the release of the fence."""
         self.assertNotIsInstance(self.read(2), outcomes.Done)
