Demote no leaving primary before earlier orders are fenced off

Callers: writes were acknowledged and are missing after a hand-over.

Cause: a hand-over that a silent or departed member blocks demotes the primary and takes its log for complete.

Fix: such an attempt ends, and the fencing order comes first.

--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -409,11 +409,19 @@
     position. Demoting it blocks writes for the duration of a promotion;
     waiting would block them from the end of the primary's drain until it
     stops, which is seconds.
+
+    While an order of an earlier lease holder may have been carried out, the
+    silent member may lead, and the log of this primary shows nothing. The
+    attempt ends, so that earlier orders are fenced off first.
     """
     if attempt.demoting_since_ms is None:
         waited_ms = now_ms - attempt.began_ms
         is_blocked = attempts.is_blocked(state, now_ms, attempt)
         if waited_ms > CHOICE_TIMEOUT_MS and is_blocked:
+            if state.needs_fencing:
+                return promotion_end.finish(
+                    state, now_ms, attempt, 'not fenced'
+                )
             attempt.demoting_since_ms = now_ms
             attempts.forget_reports(attempt)
             inputs = {'old': attempt.old_primary, 'heir': attempt.successor}
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -249,9 +249,10 @@
         outs += failover_support.answer_control_commands(driver)
         self.assertEqual([], support.orders(outs))
 
-    def block_hand_over(self) -> support.Driver:
+    def block_hand_over(self, needs_fencing: bool = False) -> support.Driver:
         """Keep one member silent until the primary is demoted."""
         driver = self.make_leaving()
+        driver.state.needs_fencing = needs_fencing
         successor = driver.state.promotion.successor
         for _ in range(50):
             driver.tick(20)
@@ -322,6 +323,18 @@
         (blocked,) = support.decisions(outs, 'hand-over blocked')
         self.assertEqual('u1', blocked['old'])
 
+    def test_silent_member_may_lead_by_an_earlier_order(self):
+        """Guards against a successor that holds the log of a replaced primary.
+
+        A new lease holder has no proof that the primary still leads. The
+        member that was ordered before does not answer.
+        """
+        driver = self.block_hand_over(needs_fencing=True)
+        blocked = support.decisions(driver.outs, 'hand-over blocked')
+        self.assertEqual([], blocked)
+        fenced = {order.upstream for order in support.orders(driver.outs)}
+        self.assertEqual({'u1'}, fenced)
+
     def test_demoted_primary_leads_again_if_its_successor_is_behind(self):
         """No other member is known to hold all acknowledged writes."""
         driver = self.block_hand_over()
