Log requests that are overdue at their owner, and whether the core has them

By reading, two places are left where a request can wait for good: the sender of a hop waits for as long as the link answers pings, and an owner could lose a request or fail to expire it. The sender's log line tells which owner it waits for; now the owner's tells which of the two it is.

The existing test's host got the field that the report reads.

--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -60,6 +60,8 @@
         self.state = states.make_group(service, data_centre, limits)
         self.links: dict[int, upstream_link.UpstreamLink] = {}
         self.pending_answers: dict[int, asyncio.Future] = {}
+        # The requests that wait for these.
+        self.pending_requests: dict[int, messages.Request] = {}
         self.check_keys = itertools.count(1)
         # Checks for other proxies that the core has not answered.
         self.pending_checks: dict[int, asyncio.Future] = {}
@@ -116,9 +118,14 @@
         """Return the final outcome of a request."""
         answer = asyncio.get_running_loop().create_future()
         self.pending_answers[request.key] = answer
+        self.pending_requests[request.key] = request
         self.post(messages.Submit(request))
         return await answer
 
+    def is_known(self, key: int) -> bool:
+        """Return whether the core still holds a request."""
+        return key in self.state.work
+
     async def fence_acknowledgements(
         self, term: int, position: log_positions.LogPosition
     ) -> messages.AcknowledgementsFenced | None:
@@ -240,6 +247,7 @@
 
     def _answer(self, out: messages.Answer) -> None:
         answer = self.pending_answers.pop(out.key)
+        del self.pending_requests[out.key]
         if not answer.done():
             answer.set_result(out.outcome)
 
--- a/topazring/pooler/overdue_report.py
+++ b/topazring/pooler/overdue_report.py
@@ -7,9 +7,11 @@
 import asyncio
 import typing
 
+from topazring.core.synchronous import messages
 from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import caller_task
+from topazring.pooler import group_task
 from topazring.pooler import router
 
 __all__ = ['OverdueReport']
@@ -24,6 +26,7 @@
 
     log: events.EventLog
     callers: set[caller_task.CallerTask]
+    groups: dict[str, group_task.GroupTask]
     router: router.Router
 
 
@@ -49,23 +52,34 @@
             self.report()
 
     def report(self) -> None:
-        """Log each request that is overdue."""
+        """Log each request that is overdue, here and where it is served."""
         now_ms = clock.boottime_ms()
         for caller in self.host.callers:
-            request = caller.request
-            if request is None:
-                continue
-            late_ms = now_ms - request.arrived_ms - request.policy.timeout_ms
-            if late_ms < LATE_MS:
-                continue
-            self.host.log.emit(
-                'session',
-                'answer overdue',
-                request.statement.request_id,
-                request.policy.service,
-                {
-                    'late_ms': late_ms,
-                    'verb': str(request.statement.verb),
-                    **self.host.router.describe_wait(request.key),
-                },
-            )
+            if caller.request is not None:
+                wait = self.host.router.describe_wait(caller.request.key)
+                self._report(now_ms, 'answer overdue', caller.request, wait)
+        for group in self.host.groups.values():
+            for key, request in group.pending_requests.items():
+                # Without it, the core has lost the request.
+                inputs = {'is_known': group.is_known(key)}
+                self._report(now_ms, 'request overdue', request, inputs)
+
+    def _report(
+        self,
+        now_ms: int,
+        event: str,
+        request: messages.Request,
+        inputs: dict[str, object],
+    ) -> None:
+        """Log a request if it is overdue."""
+        late_ms = now_ms - request.arrived_ms - request.policy.timeout_ms
+        if late_ms < LATE_MS:
+            return
+        verb = str(request.statement.verb)
+        self.host.log.emit(
+            'session',
+            event,
+            request.statement.request_id,
+            request.policy.service,
+            {'late_ms': late_ms, 'verb': verb, **inputs},
+        )
--- a/topazring/pooler/tests/test_overdue_report.py
+++ b/topazring/pooler/tests/test_overdue_report.py
@@ -56,6 +56,7 @@
         caller = types.SimpleNamespace(request=request)
         host = types.SimpleNamespace(log=log, router=routing)
         host.callers = [caller, types.SimpleNamespace(request=None)]
+        host.groups = {}
         report = overdue_report.OverdueReport(host)
         running = asyncio.create_task(routing.run(request))
         await asyncio.sleep(0)
@@ -73,3 +74,35 @@
         local.released.set()
         await running
         self.assertEqual({}, routing.awaited_owners)
+
+
+class OwnerReportTest(testtools.TestCase):
+    """The owner of a group tells whether it has lost a request."""
+
+    def test_request_that_the_core_has_lost(self):
+        """Guards against an owner that answers pings, but not a request."""
+        for is_known in (False, True):
+            request = messages.Request(
+                7,
+                statements.Statement('r1', statements.Verb.READ, 'READ 1'),
+                POLICY,
+                False,
+                clock.boottime_ms(),
+            )
+            group = types.SimpleNamespace(
+                pending_requests={7: request}, is_known=lambda key: is_known
+            )
+            log = events.EventLog('p1')
+            host = types.SimpleNamespace(
+                log=log, router=None, callers=[], groups={'s': group}
+            )
+            late_ms = POLICY.timeout_ms + overdue_report.LATE_MS
+            at_ms = request.arrived_ms + late_ms
+            with (
+                mock.patch.object(log, 'emit', autospec=True) as emit,
+                mock.patch.object(clock, 'boottime_ms', lambda: at_ms),
+            ):
+                overdue_report.OverdueReport(host).report()
+            (called,) = emit.call_args_list
+            self.assertEqual(('request overdue', 'r1', 's'), called.args[1:4])
+            self.assertEqual(is_known, called.args[4]['is_known'])
