--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -145,7 +145,7 @@
         """
         return sum(member.may_live for member in self.known.values())
 
-    def count_leaders(self) -> int:
+    def count_possible_leaders(self) -> int:
         """Return how many members may lead a newer term, or have led one."""
         return sum(
             member.may_live or member.may_have_led
--- a/topazring/core/synchronous/proofs.py
+++ b/topazring/core/synchronous/proofs.py
@@ -106,7 +106,7 @@
     if primary is None or not leads_newest_term(state, primary):
         return states.NEVER_MS
     others = states.other_members(state)
-    unlisted = state.departed_members.count_leaders()
+    unlisted = state.departed_members.count_possible_leaders()
     if not others and own_term(primary) <= state.ended_term:
         # The successor may lead although it is not listed.
         return states.NEVER_MS
@@ -160,12 +160,12 @@
 
 def must_query_terms(state: states.GroupState) -> bool:
     """Return whether refusals prove nothing, as a member is not listed."""
-    return state.departed_members.count_leaders() > 0
+    return state.departed_members.count_possible_leaders() > 0
 
 
 def depends_on_lease_holder(state: states.GroupState) -> bool:
     """Return whether the listed members together cannot prove leadership."""
-    unlisted = state.departed_members.count_leaders()
+    unlisted = state.departed_members.count_possible_leaders()
     return unlisted > 1 or (unlisted == 1 and not states.other_members(state))
 
 
--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -351,7 +351,7 @@
     return mock.patch.multiple(
         departed_members.DepartedMembers,
         count_living=lambda self: 0,
-        count_leaders=lambda self: 0,
+        count_possible_leaders=lambda self: 0,
     )
 
 
--- a/topazring/core/synchronous/tests/test_unseen_terms.py
+++ b/topazring/core/synchronous/tests/test_unseen_terms.py
@@ -159,9 +159,9 @@
         departed.add(1000, 'u2')
         departed.note_proof(2000)
         departed.note_later_instance(5000, 'u2', 4000)
-        self.assertEqual(1, departed.count_leaders())
+        self.assertEqual(1, departed.count_possible_leaders())
         departed.note_proof(5000)
-        self.assertEqual(0, departed.count_leaders())
+        self.assertEqual(0, departed.count_possible_leaders())
 
 
 class AskedProxyTest(testtools.TestCase):
