--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -51,8 +51,6 @@
     late_bound: log_positions.LogPosition | None = None
     # The primary reported a position that its log surely does not exceed.
     is_held: bool = False
-    # No proof since it departed, or ended, excludes that it led a newer term.
-    may_have_led: bool = True
 
     @property
     def upper_bound(self) -> log_positions.LogPosition | None:
@@ -104,7 +102,7 @@
         everything up to it.
         """
         self.known[(BEFORE_START, 0)] = DepartedMember(
-            BEFORE_START, now_ms, ended=True, bound=place, may_have_led=False
+            BEFORE_START, now_ms, ended=True, bound=place
         )
 
     def remove(self, name: str, born_ms: int = 0) -> None:
@@ -124,7 +122,6 @@
                 member.ended = True
                 member.departed_ms = now_ms
                 member.bound = None
-                member.may_have_led = True
 
     def record_leader(self, name: str) -> None:
         """Remove all records under the name of an upstream that leads.
@@ -145,19 +142,6 @@
         """
         return sum(member.may_live for member in self.known.values())
 
-    def count_possible_leaders(self) -> int:
-        """Return how many members may lead a newer term, or have led one."""
-        return sum(
-            member.may_live or member.may_have_led
-            for member in self.known.values()
-        )
-
-    def note_proof(self, proven_ms: int) -> None:
-        """Record that the primary alone led at a time."""
-        for member in self.known.values():
-            if member.departed_ms <= proven_ms:
-                member.may_have_led = False
-
     def may_return(self) -> bool:
         """Return whether a member may be alive although it is not listed."""
         return self.count_living() > 0
