--- a/topazring/platform/tests/fake_store.py
+++ b/topazring/platform/tests/fake_store.py
@@ -3,16 +3,35 @@
 import asyncio
 import base64
 import contextlib
+import dataclasses
 import json
 
 from tornado import httpserver
 from tornado import web
 
+# What the operator and the upstreams write; they write it again when the
+# store has returned from an older copy.
+REWRITTEN_PREFIXES = ('op/', 'servers/')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """Hold what the store held at one moment."""
+
+    revision: int
+    items: dict[str, dict]
+    history: list[dict]
+    history_from: int
+    leases: dict[int, int]
+
 
 class FakeStore:
     """Hold items with a common revision, leases and received orders."""
 
     def __init__(self):
+        # Rises by one when the store returns from an older copy; an older
+        # build of the store, without an era, sends none.
+        self.era: int | None = 1
         self.revision = 0
         self.items: dict[str, dict] = {}
         self.history: list[dict] = []
@@ -103,6 +122,45 @@
         self.history.clear()
         self.history_from = self.revision
 
+    def copy(self) -> Copy:
+        """Return a copy of everything that a return may bring back."""
+        return Copy(
+            self.revision,
+            dict(self.items),
+            list(self.history),
+            self.history_from,
+            dict(self.leases),
+        )
+
+    async def restore(self, copy: Copy) -> None:
+        """Return from an older copy; the platform's writers write again.
+
+        Everything else that was written since is lost, leases too, and its
+        revisions are given out again.
+        """
+        lost = self.items
+        self.era = (self.era or 0) + 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.history_from = copy.history_from
+        self.leases = dict(copy.leases)
+        for lease in self.leases:
+            self.renew(lease)
+        for key in sorted(lost.keys() | self.items.keys()):
+            if key.startswith(REWRITTEN_PREFIXES):
+                await self._write_again(key, lost.get(key))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def _write_again(self, key: str, item: dict | None) -> None:
+        """Write an item as it was before the return, None if removed."""
+        if item is None:
+            await self.put(key, None)
+        elif self.items.get(key) != item:
+            value = base64.b64decode(item['value']).decode()
+            await self.put(key, value, item['lease'])
+
 
 class _Handler(web.RequestHandler):
     def initialize(self, store: FakeStore) -> None:
@@ -111,6 +169,8 @@
 
     async def prepare(self) -> None:
         """Record the call, and fail or delay it as configured."""
+        if self.store.era is not None:
+            self.set_header('Store-Era', str(self.store.era))
         self.store.calls.append(f'{self.request.method} {self.request.path}')
         if self.store.is_unresponsive:
             await asyncio.sleep(3600)
@@ -177,7 +237,8 @@
         prefix = self.get_argument('path-prefix')
         after = int(self.get_argument('after'))
         wait_s = int(self.get_argument('wait-ms')) / 1000
-        if after < store.history_from:
+        era = store.era
+        if after < store.history_from or after > store.revision:
             self.set_status(410)
             return
 
@@ -194,9 +255,15 @@
         # without the event would never receive the event.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s), store.changed:
-                await store.changed.wait_for(events)
+                await store.changed.wait_for(
+                    lambda: events() or store.era != era
+                )
             if store.is_unresponsive:
                 await asyncio.sleep(3600)
+        if store.era != era:
+            # The watch is cut.
+            self.request.connection.stream.close()
+            return
         self.write({'events': events(), 'current-rev': store.revision})
 
 
