--- a/topazring/key_value.py
+++ b/topazring/key_value.py
@@ -91,6 +91,10 @@
 class Store(typing.Protocol):
     """Define the methods of a key-value store with leases and watches."""
 
+    # Newest era that an answer has named. A new era begins when the store
+    # returns from an older copy.
+    era: int
+
     async def get(self, key: str) -> Found | Missing | Unavailable:
         """Return the value of a key."""
 
--- a/topazring/platform/store.py
+++ b/topazring/platform/store.py
@@ -19,6 +19,7 @@
 # A renewal is normally answered within milliseconds. Giving up early leaves
 # time for the next renewal if the store never answers this one.
 RENEWAL_TIMEOUT_S = 0.5
+_ERA_HEADER = 'Store-Era'
 
 
 class _Item(msgspec.Struct):
@@ -57,6 +58,7 @@
 
     def __init__(self, address: str):
         self.base = f'http://{address}'
+        self.era = 0
         self.calls: collections.Counter[str] = collections.Counter()
         self.client = http_calls.make_client()
 
@@ -203,11 +205,18 @@
         )
         if isinstance(reply, http_calls.NoResponse):
             return key_value.Unavailable(reply.detail)
+        self.era = max(self.era, _era(reply))
         if reply.code not in (200, 404, 410, 412):
             return key_value.Unavailable(f'HTTP {reply.code}')
         return reply
 
 
+def _era(reply: httpclient.HTTPResponse) -> int:
+    """Return the era that an answer names, 0 if it names none."""
+    text = reply.headers.get(_ERA_HEADER, '')
+    return int(text) if text.isdecimal() else 0
+
+
 def _decode_value(item: _Item) -> str:
     """Return an item's value, or an empty string if it is not text.
 
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -178,7 +178,10 @@
                 self.log.emit(
                     'directory',
                     'history lost',
-                    inputs={'revision': self.known.seen},
+                    inputs={
+                        'revision': self.known.seen,
+                        'era': self.adapter.store.era,
+                    },
                 )
                 self.history_lost = True
                 continue
@@ -240,6 +243,7 @@
                 inputs={
                     'entries': len(answer.changes),
                     'revision': answer.upto,
+                    'era': self.adapter.store.era,
                     'took_ms': clock.boottime_ms() - sent_ms,
                 },
             )
@@ -345,7 +349,12 @@
             for key in self.listing.missing_since_ms:
                 self.listing.missing_since_ms[key] = now_ms
             self.log.emit(
-                'directory', 'store regained', inputs={'away_ms': away_ms}
+                'directory',
+                'store regained',
+                inputs={
+                    'away_ms': away_ms,
+                    'era': self.adapter.store.era,
+                },
             )
         if isinstance(answer, follower_client.FollowerAnswer):
             now_ms = max(self.confirmed_ms, answer.confirmed_ms)
--- a/topazring/pooler/tests/fleet.py
+++ b/topazring/pooler/tests/fleet.py
@@ -55,6 +55,7 @@
 
     def __init__(self, service: Service):
         self.service = service
+        self.era = 0
         # The store refuses its calls.
         self.is_unavailable = False
         # Its calls get no answer.
--- a/topazring/pooler/tests/test_promotion_lease.py
+++ b/topazring/pooler/tests/test_promotion_lease.py
@@ -17,6 +17,7 @@
 
     def __init__(self, directory):
         self.directory = directory
+        self.era = 0
         self.leases: dict[int, float] = {}
         self.calls: list[str] = []
         self.is_unavailable = False
