Order revisions across the store's eras

Cause: a revision was taken for final. The store had returned from an older copy, so full reads at 30 to 32 were dropped beside the known 33, the watch from 33 got 410, and the full read was asked again at once. When the store had passed 33, watches were accepted again without what lay before. Evidence: the record's log lines, and tests before the real client.

The client of the store combines each revision with the Store-Era of its answer, so that a later era is newer whatever its numbers. Answers of an earlier era, and full reads of two, are not used; a watch or a condition from an earlier era is not sent. Nothing else changes: all comparisons hold as they are, and a store without eras has era 0.

--- a/topazring/core/revisions.py
+++ b/topazring/core/revisions.py
@@ -1,4 +1,9 @@
-"""Replicate revisioned values without ever reverting to an older state."""
+"""Replicate revisioned values without ever reverting to an older state.
+
+The service numbers its changes. If it returns from an older copy, it begins a
+new era and gives numbers out again. A revision therefore holds the era above
+the number, so that revisions are ordered across eras.
+"""
 
 import collections.abc
 import dataclasses
@@ -7,8 +12,11 @@
     'Change',
     'Revisions',
     'delta',
-    'missing_changes',
+    'era_of',
+    'in_era',
     'merge',
+    'missing_changes',
+    'number_of',
     'record_compaction',
 ]
 
@@ -16,6 +24,8 @@
 DELTA_BYTES = 48_000
 # Above this number the two oldest ranges are merged into one.
 MAX_COMPACTED_RANGES = 8
+# Bits of a revision that hold the service's number.
+NUMBER_BITS = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +50,25 @@
     )
 
 
+def in_era(era: int, number: int) -> int:
+    """Return the revision of a change that the service numbered in an era.
+
+    >>> in_era(2, 30) > in_era(1, 33)
+    True
+    """
+    return (era << NUMBER_BITS) | number
+
+
+def era_of(revision: int) -> int:
+    """Return the era of a revision."""
+    return revision >> NUMBER_BITS
+
+
+def number_of(revision: int) -> int:
+    """Return the service's own number of a revision."""
+    return revision & ((1 << NUMBER_BITS) - 1)
+
+
 def merge(
     revisions: Revisions,
     since: int,
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -1,5 +1,6 @@
 """Track a group's listed upstreams, and release those that leave."""
 
+from topazring.core import revisions
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import connections
@@ -132,7 +133,7 @@
             inputs={
                 'upstream': entry.name,
                 'role': str(entry.role),
-                'revision': entry.revision,
+                'revision': revisions.number_of(entry.revision),
                 'leaving': entry.leaving,
             },
         )
@@ -164,7 +165,7 @@
                 inputs={
                     'upstream': entry.name,
                     'role': str(entry.role),
-                    'revision': entry.revision,
+                    'revision': revisions.number_of(entry.revision),
                 },
             )
         )
--- a/topazring/key_value.py
+++ b/topazring/key_value.py
@@ -1,4 +1,8 @@
-"""Define the interface and the results of a key-value service."""
+"""Define the interface and the results of a key-value service.
+
+Revisions never decrease: see `topazring.core.revisions` for a service that
+returns from an older copy.
+"""
 
 import dataclasses
 import typing
@@ -53,7 +57,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryCompacted:
-    """Report that the requested changes have been compacted away."""
+    """Report that the requested changes are not in the service's history.
+
+    They have been compacted away, or were lost in a return from a copy.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/platform/store.py
+++ b/topazring/platform/store.py
@@ -1,4 +1,8 @@
-"""Access the platform's key-value store over HTTP."""
+"""Access the platform's key-value store over HTTP.
+
+The store names its era in each answer. Its own revisions start over in a new
+era, so they are combined with the era here.
+"""
 
 import base64
 import collections
@@ -77,7 +81,8 @@
         if reply.code == 404:
             return key_value.Missing()
         item = msgspec.json.decode(reply.body, type=_Item)
-        return key_value.Found(_decode_value(item), item.revision)
+        revision = revisions.in_era(self.era, item.revision)
+        return key_value.Found(_decode_value(item), revision)
 
     async def put_all(
         self, values: tuple[key_value.Value, ...]
@@ -87,10 +92,20 @@
         | key_value.Missing
         | key_value.Unavailable
     ):
-        """Write all values or none; return Missing if the lease has ended."""
+        """Write all values or none; return Missing if the lease has ended.
+
+        A revision of an earlier era may have been given out again, to a value
+        that the caller has not read.
+        """
+        expected_era = max(revisions.era_of(v.revision) for v in values)
+        if any(self._is_outdated(value.revision) for value in values):
+            return key_value.Conflict()
         body = {
             'expect': [
-                {'key': value.key, 'revision': value.revision}
+                {
+                    'key': value.key,
+                    'revision': revisions.number_of(value.revision),
+                }
                 for value in values
             ],
             'puts': [
@@ -103,7 +118,9 @@
             ],
             'remove': [],
         }
-        reply = await self._call('POST', '/-/kv-txn', body)
+        reply = await self._call(
+            'POST', '/-/kv-txn', body, least_era=expected_era
+        )
         if isinstance(reply, key_value.Unavailable):
             return reply
         if reply.code == 412:
@@ -111,7 +128,7 @@
         if reply.code == 404:
             return key_value.Missing()
         written = msgspec.json.decode(reply.body, type=_Revision)
-        return key_value.Written(written.revision)
+        return key_value.Written(revisions.in_era(self.era, written.revision))
 
     async def read_all(
         self, prefix: str
@@ -124,6 +141,7 @@
         """
         found: list[revisions.Change] = []
         first_revision: int | None = None
+        era = 0
         after = ''
         for _ in range(MAX_PAGES):
             query = {'path-prefix': prefix}
@@ -134,14 +152,17 @@
             if isinstance(reply, key_value.Unavailable):
                 return reply
             page = msgspec.json.decode(reply.body, type=_Page)
-            first_revision = (
-                page.current_rev if first_revision is None else first_revision
-            )
-            found += [_change(item) for item in page.items]
+            if first_revision is None:
+                first_revision = page.current_rev
+                era = self.era
+            elif self.era != era:
+                return key_value.Unavailable('a new era began between pages')
+            found += [_change(era, item) for item in page.items]
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
-        return key_value.Changes(0, first_revision or 0, found)
+        upto = revisions.in_era(era, first_revision or 0)
+        return key_value.Changes(0, upto, found)
 
     async def changes(
         self, prefix: str, since: int, wait_ms: int
@@ -149,20 +170,25 @@
         key_value.Changes | key_value.HistoryCompacted | key_value.Unavailable
     ):
         """Return the changes under a prefix, waiting for the first one."""
+        if self._is_outdated(since):
+            return key_value.HistoryCompacted()
+        era = revisions.era_of(since)
+        after = revisions.number_of(since)
         query = urllib.parse.urlencode(
-            {'path-prefix': prefix, 'after': since, 'wait-ms': wait_ms}
+            {'path-prefix': prefix, 'after': after, 'wait-ms': wait_ms}
         )
         timeout_s = wait_ms / 1000 + WATCH_SLACK_S
         reply = await self._call(
-            'GET', f'/-/kv-watch?{query}', timeout_s=timeout_s
+            'GET', f'/-/kv-watch?{query}', timeout_s=timeout_s, least_era=era
         )
         if isinstance(reply, key_value.Unavailable):
             return reply
-        if reply.code == 410:
+        if reply.code == 410 or self.era > era:
             return key_value.HistoryCompacted()
         page = msgspec.json.decode(reply.body, type=_Events)
-        found = [_change(item) for item in page.events]
-        return key_value.Changes(since, page.current_rev, found)
+        found = [_change(era, item) for item in page.events]
+        upto = revisions.in_era(era, page.current_rev)
+        return key_value.Changes(since, upto, found)
 
     async def lease(
         self, ttl_ms: int
@@ -198,18 +224,32 @@
         path: str,
         body: dict | None = None,
         timeout_s: float = http_calls.REQUEST_TIMEOUT_S,
+        least_era: int = 0,
     ) -> httpclient.HTTPResponse | key_value.Unavailable:
+        """Return an answer of the newest known era, which is `self.era` then.
+
+        An answer of an earlier one was sent before the store's return. An era
+        that other proxies have seen is given as `least_era`.
+        """
         self.calls[path.split('?')[0]] += 1
         reply = await http_calls.call(
             self.client, method, self.base + path, body, timeout_s=timeout_s
         )
         if isinstance(reply, http_calls.NoResponse):
             return key_value.Unavailable(reply.detail)
-        self.era = max(self.era, _era(reply))
+        era = _era(reply)
+        is_late = era < max(self.era, least_era)
+        self.era = max(self.era, era)
         if reply.code not in (200, 404, 410, 412):
             return key_value.Unavailable(f'HTTP {reply.code}')
+        if is_late:
+            return key_value.Unavailable(f'answer of the earlier era {era}')
         return reply
 
+    def _is_outdated(self, revision: int) -> bool:
+        """Return whether a revision is of an earlier era; 0 is of none."""
+        return bool(revision) and revisions.era_of(revision) < self.era
+
 
 def _era(reply: httpclient.HTTPResponse) -> int:
     """Return the era that an answer names, 0 if it names none."""
@@ -230,6 +270,7 @@
         return ''
 
 
-def _change(item: _Item) -> revisions.Change:
+def _change(era: int, item: _Item) -> revisions.Change:
     value = None if item.deleted else _decode_value(item)
-    return revisions.Change(item.key, item.revision, value)
+    revision = revisions.in_era(era, item.revision)
+    return revisions.Change(item.key, revision, value)
--- a/topazring/platform/tests/test_records.py
+++ b/topazring/platform/tests/test_records.py
@@ -81,7 +81,7 @@
         """
         value = base64.b64encode(data).decode()
         item = store._Item(KEY, 7, value)
-        change = store._change(item)
+        change = store._change(0, item)
         try:
             record = records.decode(change.key, change.value, 7)
         except ValueError:
--- a/topazring/platform/tests/test_store_returns.py
+++ b/topazring/platform/tests/test_store_returns.py
@@ -8,6 +8,9 @@
 
 import testtools
 
+from topazring.core import revisions
+from topazring import key_value
+from topazring.platform import store as stores
 from topazring.platform.tests import returning_store
 from topazring.pooler import directory as directories
 from topazring.pooler import promotion_lease as promotion_leases
@@ -123,6 +126,111 @@
         self.play(steps)
 
 
+class ClientTest(ReturnTest):
+    """Answers of two eras are never combined."""
+
+    def setUp(self):
+        """Use the key of a value that is not in the copy."""
+        super().setUp()
+        self.key = directories.OWN_PREFIX + 'block'
+
+    async def notice(self, client) -> None:
+        """Have a client learn of the newest era."""
+        await client.get('op/config')
+        self.assertEqual(self.store.era, client.era)
+
+    def test_late_answer(self):
+        """Guards against a lost value that replaces a newer one."""
+
+        async def steps():
+            client = self.fleet.proxies[0].client
+            copy = self.store.copy()
+            await self.store.put(self.key, '1')
+            self.store.slow_s = 0.3
+            late = asyncio.create_task(client.get(self.key))
+            await asyncio.sleep(0.1)
+            self.store.slow_s = 0.0
+            await self.store.restore(copy)
+            await self.notice(client)
+            self.assertIsInstance(await late, key_value.Unavailable)
+
+        self.play(steps, 1)
+
+    def test_pages_of_two_eras(self):
+        """Guards against a list that never was."""
+
+        async def steps():
+            client = self.fleet.proxies[0].client
+            for number in range(8):
+                await self.fleet.list_upstream(f'u{number}')
+            copy = self.store.copy()
+            call = client._call
+
+            async def restore_after_the_first(*arguments, **options):
+                reply = await call(*arguments, **options)
+                if self.store.era == 1:
+                    await self.store.restore(copy)
+                return reply
+
+            client._call = restore_after_the_first
+            answer = await client.read_all('servers/')
+            self.assertIsInstance(answer, key_value.Unavailable)
+
+        self.play(steps, 1)
+
+    def test_write_at_a_revision_given_out_again(self):
+        """Guards against replacing a value that was not read."""
+
+        async def steps():
+            client = self.fleet.proxies[0].client
+            copy = self.store.copy()
+            await self.store.put(self.key, 'read')
+            read = await client.get(self.key)
+            await self.store.restore(copy)
+            while self.store.revision < revisions.number_of(read.revision):
+                await self.store.put(self.key, 'not read')
+            await self.notice(client)
+            value = key_value.Value(self.key, 'mine', read.revision)
+            written = await client.put_all((value,))
+            self.assertIsInstance(written, key_value.Conflict)
+            self.assertEqual('not read', self.store.value(self.key))
+            read = await client.get(self.key)
+            value = key_value.Value(self.key, 'mine', read.revision)
+            written = await client.put_all((value,))
+            self.assertIsInstance(written, key_value.Written)
+            self.assertGreater(written.revision, read.revision)
+
+        self.play(steps, 1)
+
+    def test_watch_of_an_era_that_peers_have_seen(self):
+        """Guards against an answer sent before the store's return."""
+
+        async def steps():
+            client = self.fleet.proxies[0].client
+            since = revisions.in_era(2, 1)
+            answer = await client.changes('', since, 0)
+            self.assertIsInstance(answer, key_value.Unavailable)
+            await self.store.restore(self.store.copy())
+            answer = await client.changes('', since, 0)
+            self.assertIsInstance(answer, key_value.Changes)
+
+        self.play(steps, 1)
+
+    def test_store_without_an_era(self):
+        """It is followed as before."""
+
+        async def steps():
+            client = stores.StoreClient(
+                f'127.0.0.1:{self.fleet.proxies[0].store_port}'
+            )
+            self.addCleanup(client.close)
+            self.store.era = None
+            read = await client.read_all('')
+            self.assertEqual(self.store.revision, read.upto)
+
+        self.play(steps, 1)
+
+
 class ListingTest(ReturnTest):
     """Entries of upstreams and proxies are in the list after a return."""
 
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -178,10 +178,7 @@
                 self.log.emit(
                     'directory',
                     'history lost',
-                    inputs={
-                        'revision': self.known.seen,
-                        'era': self.adapter.store.era,
-                    },
+                    inputs=_describe(self.known.seen),
                 )
                 self.history_lost = True
                 continue
@@ -242,8 +239,7 @@
                 'read everything',
                 inputs={
                     'entries': len(answer.changes),
-                    'revision': answer.upto,
-                    'era': self.adapter.store.era,
+                    **_describe(answer.upto),
                     'took_ms': clock.boottime_ms() - sent_ms,
                 },
             )
@@ -318,8 +314,8 @@
             return
         if answer.changes:
             inputs = {
-                'revision': answer.revision,
-                'before': self.known.seen,
+                **_describe(answer.revision),
+                'before': revisions.number_of(self.known.seen),
                 'changes': len(answer.changes),
                 'complete': answer.complete,
             }
@@ -453,7 +449,7 @@
             'configuration',
             inputs={
                 'version': record.version,
-                'revision': change.revision,
+                **_describe(change.revision),
                 'databases': len(record.policies),
                 'in_force': self.listing.configuration.version,
             },
@@ -477,3 +473,11 @@
         for key in before - self.listing.proxies.keys():
             self.proxy_history.record_loss(now_ms, key)
         return services
+
+
+def _describe(revision: int) -> dict[str, int]:
+    """Return the parts of a revision, for log lines."""
+    return {
+        'revision': revisions.number_of(revision),
+        'era': revisions.era_of(revision),
+    }
