Keep tokens rising, and one holder, when the store returns older

What callers would see: after a return nobody is promoted, or two holders act with the same tokens; the platform refuses the later one for good, or where it checks nothing carries out the order of the earlier one.

Cause: the block of tokens in the store, and the store's word on who holds the lease, were taken for final.

The tokens of an era lie above those of all earlier ones. A holder that sees a new era, in any answer of the store or told by a peer, gives up, also right before an order. Nobody acquires the lease for the time of one lease after that, but for a holder whose lease has not ended meanwhile. A lease of its own that the copy kept is replaced; a token written into a later era is not used.

Price: without a surviving lease up to 2 s without a holder after a return.

--- a/topazring/platform/tests/test_store_returns.py
+++ b/topazring/platform/tests/test_store_returns.py
@@ -448,3 +448,52 @@
             self.assertFalse(await holder.promotion_lease.verify_holder())
 
         self.play(steps)
+
+    def test_order_of_a_holder_that_only_peers_can_tell(self):
+        """Guards against a holder cut off beside one of the new era."""
+
+        async def steps():
+            copy = self.store.copy()
+            holder = await self.acquire()
+            self.fleet.refuse(holder)
+            for task in holder.directory.tasks:
+                task.cancel()
+            holder.promotion_lease.task.cancel()
+            await self.fleet.return_from(copy)
+            others = [p for p in self.fleet.proxies if p is not holder]
+            await returning_store.until(
+                lambda: all(
+                    revisions.era_of(p.directory.known.seen) == 2
+                    for p in others
+                )
+            )
+            holder.directory.unavailable_since_ms = 1
+            self.assertFalse(await holder.promotion_lease.verify_holder())
+
+        self.play(steps, 8)
+
+    def test_token_of_an_earlier_era(self):
+        """Guards against a token that is written after the return."""
+
+        async def steps():
+            copy = self.store.copy()
+            proxy = self.fleet.proxies[0]
+            lease = proxy.promotion_lease
+            lease.jitter_s = 0.0
+            put_all = proxy.client.put_all
+
+            async def put_after_a_return(values):
+                # The lease that was just created is in the copy.
+                copy.leases.update(self.store.leases)
+                await self.store.restore(copy)
+                return await put_all(values)
+
+            proxy.client.put_all = put_after_a_return
+            await lease._try_acquire()
+            self.assertFalse(lease.holds)
+            self.assertEqual([], proxy.gains)
+            await returning_store.until(
+                lambda: self.fleet.stored(promotion_leases.LEASE_KEY) is None
+            )
+
+        self.play(steps, 1)
--- a/topazring/pooler/promotion_lease.py
+++ b/topazring/pooler/promotion_lease.py
@@ -5,6 +5,12 @@
 token, so that a newer order supersedes one that arrives late, and no call to
 the store is needed when a primary is lost. The last block is recorded in a
 value without a lease: the tokens of a later holder are always higher.
+
+The store may return from an older copy. It may then name a holder that has
+been replaced since, or none, and a block of tokens that has been used. So a
+holder gives up when a new era of the store begins, the tokens of an era are
+higher than those of earlier ones, and nobody acquires the lease while a holder
+of the earlier era may rely on its own.
 """
 
 import asyncio
@@ -26,6 +32,8 @@
 # Tokens that one holder can use. A promotion takes one, so a block is enough
 # for thousands of promotions.
 BLOCK_TOKENS = 10_000
+# Tokens of one era of the store.
+ERA_TOKENS = 1_000_000_000
 # Nobody can be promoted until the lease of a dead holder has ended. The lease
 # has to outlast one renewal that gets no answer: two renewal intervals and
 # the timeout of that call. In a replayed day a lost holder was replaced after
@@ -89,6 +97,10 @@
         self.token = 0
         self.lease = 0
         self.valid_until_ms = 0
+        # Newest era of the store that was noted; None before the first read.
+        self.era: int | None = None
+        # A holder of the era before may rely on its lease until then.
+        self.free_from_ms = 0
         self.recheck_requested = asyncio.Event()
         self.yielded_ms = -YIELD_PAUSE_MS
         self.jitter_s = STARTUP_JITTER_S
@@ -111,9 +123,35 @@
 
     def surely_holds(self) -> bool:
         """Return whether no other process can hold the lease now."""
+        return self._is_valid() and self._newest_era() == self.era
+
+    def _is_valid(self) -> bool:
         until_ms = self.valid_until_ms - CLOCK_DRIFT_MARGIN_MS
         return self.holds and clock.boottime_ms() < until_ms
 
+    def _newest_era(self) -> int:
+        read_era = revisions.era_of(self.directory.known.seen)
+        return max(self.store.era, read_era)
+
+    def _note_era(self) -> None:
+        """Stop holding if a new era of the store has begun.
+
+        Another proxy may have acquired the lease in what the store has lost,
+        but not while this one was surely the holder.
+        """
+        if not self.directory.known.seen:
+            return
+        era = self._newest_era()
+        if self.era is None:
+            self.era = era
+        if era == self.era:
+            return
+        self.free_from_ms = clock.boottime_ms()
+        if not self._is_valid():
+            self.free_from_ms += TTL_MS
+        self.era = era
+        self._give_up('the store has returned from an older copy')
+
     def request_recheck(self) -> None:
         """Request a check with the store, as after a refused order."""
         self.recheck_requested.set()
@@ -139,10 +177,12 @@
         answer, a peer has to confirm that it has seen no successor; a holder
         that reaches neither assumes that it is partitioned.
         """
+        self._note_era()
         if not self.holds:
             return False
         if self.directory.unavailable_since_ms is None:
             answer = await self._read_holder_in_time()
+            self._note_era()
             if isinstance(answer, _Holder):
                 return self._is_own_lease(answer)
             if isinstance(answer, key_value.Missing):
@@ -151,6 +191,7 @@
         if not await self.directory.ask_peers(ORDER_CHECK_TIMEOUT_S):
             self._give_up('neither store nor peers answer')
             return False
+        self._note_era()
         successor = self._find_successor()
         if successor:
             self._give_up(f'{successor} holds it')
@@ -193,6 +234,7 @@
 
     async def _run(self) -> None:
         while True:
+            self._note_era()
             if self.holds:
                 await self._renew()
             elif self._is_free():
@@ -201,10 +243,31 @@
                 await self._wait_for_change()
 
     def _is_free(self) -> bool:
-        if clock.boottime_ms() - self.yielded_ms < YIELD_PAUSE_MS:
+        self._note_era()
+        now_ms = clock.boottime_ms()
+        if now_ms - self.yielded_ms < YIELD_PAUSE_MS:
+            return False
+        if now_ms < self.free_from_ms:
             return False
-        has_read = self.directory.known.seen > 0
-        return has_read and self.directory.own_value(LEASE_KEY) is None
+        seen = self.directory.known.seen
+        if not seen or revisions.era_of(seen) < self._newest_era():
+            return False
+        is_listed = self.directory.own_value(LEASE_KEY) is not None
+        return not is_listed or self._own_of_earlier_era() is not None
+
+    def _own_of_earlier_era(self) -> revisions.Change | None:
+        """Return the lease that this process held before a return, if any.
+
+        The copy has kept it, with a token that may be lower than later ones.
+        """
+        listed = self.directory.own_value(LEASE_KEY)
+        if listed is None:
+            return None
+        found = self._decode(listed.value)
+        if found is None or found.holder != self.incarnation:
+            return None
+        least = revisions.era_of(listed.revision) * ERA_TOKENS
+        return listed if found.token < least else None
 
     async def _wait_for_change(self) -> None:
         self.directory.own_changed.clear()
@@ -228,33 +291,40 @@
         if not isinstance(leased, key_value.Leased):
             await asyncio.sleep(RETRY_S)
             return
+        if not self._is_free():
+            return
         # Use a new store lease: one from an earlier attempt would end before
         # its first renewal, and the promotion lease with it.
         self.lease = leased.lease
+        replaced = self._own_of_earlier_era()
         block = self.directory.own_value(TOKEN_BLOCK_KEY)
-        token = _next_block(block)
+        era = revisions.era_of(self.directory.known.seen)
+        token = _next_block(block, era)
         holder = _Holder(self.incarnation, token)
         text = msgspec.json.encode(holder).decode()
         answer = await self.store.put_all(
             (
-                key_value.Value(LEASE_KEY, text, 0, self.lease),
                 key_value.Value(
-                    TOKEN_BLOCK_KEY, str(token), block.revision if block else 0
+                    LEASE_KEY, text, _revision(replaced), self.lease
                 ),
+                key_value.Value(TOKEN_BLOCK_KEY, str(token), _revision(block)),
             )
         )
-        if isinstance(answer, key_value.Written):
+        is_written = isinstance(answer, key_value.Written)
+        if isinstance(answer, key_value.Unavailable):
+            is_written = await self._resolve_write(token)
+        if is_written and self._newest_era() == era:
             self._record_acquired(token, sent_ms)
             return
-        if isinstance(answer, key_value.Unavailable):
-            await self._resolve_write(sent_ms)
+        if is_written:
+            # The token is of an earlier era.
+            await self.store.end(self.lease)
         await asyncio.sleep(JITTER_S)
 
-    async def _resolve_write(self, sent_ms: int) -> None:
-        """Determine whether a write without an answer took effect."""
+    async def _resolve_write(self, token: int) -> bool:
+        """Return whether a write without an answer took effect."""
         found = await self._read_holder()
-        if isinstance(found, _Holder) and found.holder == self.incarnation:
-            self._record_acquired(found.token, sent_ms)
+        return found == _Holder(self.incarnation, token)
 
     def _record_acquired(self, token: int, sent_ms: int) -> None:
         self.holds = True
@@ -339,5 +409,10 @@
         return ''
 
 
-def _next_block(block: revisions.Change | None) -> int:
-    return BLOCK_TOKENS + (int(block.value) if block is not None else 0)
+def _next_block(block: revisions.Change | None, era: int) -> int:
+    last = 0 if block is None else int(block.value)
+    return max(last, era * ERA_TOKENS) + BLOCK_TOKENS
+
+
+def _revision(listed: revisions.Change | None) -> int:
+    return 0 if listed is None else listed.revision
