List a proxy again whose entry the returned store lacks

What callers would see: an owner that the others take for gone, up to 10 s for a lease that is gone and for good where the lease was in the copy and the entry was not; writes acknowledged by a proxy that a promotion does not ask.

Cause: the entry was taken to stand until its lease ends.

A proxy compares its entry with what it has read of a new era, and writes it again if the copy lacks it; until then it does not count as registered. The writes of a fleet are spread, 5 ms a proxy. A renewal also notices an entry that was removed while the lease lives. The tests' directories know no era and have read nothing, so they behave as before.

--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -130,6 +130,16 @@
             and not is_unavailable
         )
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store up to which changes were read."""
+        return revisions.era_of(self.known.seen)
+
+    async def wait_for_era_after(self, era: int) -> None:
+        """Wait until a later era of the store has been read."""
+        while self.era <= era:
+            await self.change_event.wait()
+
     async def changes_after(
         self, after: int, wait_ms: int = 0
     ) -> peers.PeerAnswer:
--- a/topazring/pooler/membership.py
+++ b/topazring/pooler/membership.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import collections.abc
+import random
 
 import msgspec
 
+from topazring.core import revisions
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.plumbing import events
@@ -18,6 +20,9 @@
 TTL_MS = proxy_history.ENTRY_TTL_MS
 RENEW_INTERVAL_S = 10.0
 RETRY_S = 1.0
+# After the store has lost entries, all proxies write theirs; the store takes
+# several hundred writes a second.
+RELIST_INTERVAL_S = 0.005
 # The directory's first read takes some ten milliseconds. After it a restarted
 # proxy has its predecessor's entry and needs two calls less to replace it.
 FIRST_READ_TIMEOUT_S = 0.3
@@ -46,6 +51,8 @@
         # may not be.
         self.on_change = on_change
         self.lease = 0
+        # Of the last write of the entry.
+        self.revision = 0
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -72,18 +79,54 @@
         while True:
             if not self.lease:
                 await self._register()
-            await asyncio.sleep(RENEW_INTERVAL_S if self.lease else RETRY_S)
+            if not self.lease:
+                await asyncio.sleep(RETRY_S)
+                continue
+            if await self._wait_for_new_era():
+                await self._check_entry()
             if self.lease:
                 await self._renew()
 
+    async def _wait_for_new_era(self) -> bool:
+        """Wait for the next renewal; return whether a new era has begun."""
+        era = revisions.era_of(self.revision)
+        try:
+            async with asyncio.timeout(RENEW_INTERVAL_S):
+                await self.directory.wait_for_era_after(era)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _check_entry(self) -> None:
+        """Give up an entry that the store's copy does not have.
+
+        The store may still have its lease, so renewals would not show it.
+        """
+        listed = self.directory.own_value(self.key)
+        if listed is not None and listed.value == self.value:
+            self.revision = listed.revision
+            return
+        self.log.emit('membership', 'entry lost by the store')
+        self._give_up()
+        proxies = len(self.directory.listing.proxies)
+        await asyncio.sleep(random.uniform(0, proxies * RELIST_INTERVAL_S))
+
+    def _give_up(self) -> None:
+        self.lease = 0
+        self.on_change(0)
+
     async def _renew(self) -> None:
         sent_ms = clock.boottime_ms()
         answer = await self.store.renew_lease(self.lease)
-        if isinstance(answer, key_value.Leased):
+        if isinstance(answer, key_value.Missing) or self._is_removed():
+            self._give_up()
+        elif isinstance(answer, key_value.Leased):
             self._report_validity(sent_ms, answer)
-        elif isinstance(answer, key_value.Missing):
-            self.lease = 0
-            self.on_change(0)
+
+    def _is_removed(self) -> bool:
+        """Return whether the entry has ended, as under an earlier lease."""
+        has_read = self.directory.known.seen >= self.revision
+        return has_read and self.directory.own_value(self.key) is None
 
     def _report_validity(self, sent_ms: int, leased: key_value.Leased) -> None:
         ttl_ms = min(leased.ttl_ms, TTL_MS)
@@ -108,6 +151,7 @@
                 written = await self._write(leased.lease, 0)
         if isinstance(written, key_value.Written):
             self.lease = leased.lease
+            self.revision = written.revision
             self._report_validity(sent_ms, leased)
             self.log.emit('membership', 'listed')
 
--- a/topazring/pooler/tests/test_membership.py
+++ b/topazring/pooler/tests/test_membership.py
@@ -67,6 +67,11 @@
         return key_value.Found('old', self.revision)
 
 
+async def never(era: int) -> None:
+    """Wait for an era that does not come."""
+    await asyncio.Event().wait()
+
+
 class MembershipTest(testtools.TestCase):
     """After a power loss each extra call is made by every proxy of a fleet."""
 
@@ -77,7 +82,10 @@
     async def _register(self, store: Store, known: int, read: bool) -> int:
         change = revisions.Change(KEY, known, 'old') if known else None
         directory = types.SimpleNamespace(
-            first_read=asyncio.Event(), own_value=lambda key: change
+            first_read=asyncio.Event(),
+            own_value=lambda key: change,
+            known=revisions.Revisions(),
+            wait_for_era_after=never,
         )
         if read:
             directory.first_read.set()
@@ -135,7 +143,9 @@
         directory = types.SimpleNamespace(
             first_read=asyncio.Event(),
             own_value=lambda key: None,
+            known=revisions.Revisions(),
             confirmed_ms=self.confirmed_ms,
+            wait_for_era_after=never,
         )
         directory.first_read.set()
         self.reported: list[int] = []
