Do not take a copy's entries for news of upstreams that leave

What callers would see: new work for an upstream that announced that it leaves, as the returned store has its entry from before, or lists it a moment later.

Cause: what a full read says, or lacks, was taken for the upstream's last word.

An entry with a lower count of writes of the same process is older and only shows that the upstream is listed. A leaving upstream that a new era lacks is missing, as others are, instead of removed. After a return a proxy whose entry is lost may acknowledge writes for as long as its registration lasted; until then reports of the listed ones do not count as complete. The log has 'store returned older'.

--- a/topazring/core/synchronous/listing.py
+++ b/topazring/core/synchronous/listing.py
@@ -3,6 +3,8 @@
 The configuration version never decreases. An upstream whose entry expires is
 kept for a grace period, because entries also expire while the service that
 holds them is unavailable. They reappear about two seconds after the service.
+The same holds for entries that the service has lost in a return from an older
+copy, also of upstreams that were leaving.
 """
 
 import collections.abc
@@ -57,6 +59,8 @@
 
     service: str
     upstream: messages.ListedUpstream
+    # Counts the writes of the upstream's process, if it says so.
+    sequence: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,6 +146,8 @@
         if record.upstream.revision < current.upstream.revision:
             return set()
     listing.missing_since_ms.pop(key, None)
+    if current is not None and _is_older_write(record, current):
+        return set()
     if not record.upstream.leaving:
         listing.leaving_since_ms.pop(key, None)
     elif key not in listing.leaving_since_ms:
@@ -150,14 +156,26 @@
     return {record.service}
 
 
-def record_removal(listing: Listing, now_ms: int, key: str) -> set[str]:
+def _is_older_write(record: UpstreamRecord, current: UpstreamRecord) -> bool:
+    """Return whether the service's copy had an earlier entry of a process."""
+    if record.upstream.born_ms != current.upstream.born_ms:
+        return False
+    if record.sequence is None or current.sequence is None:
+        return False
+    return record.sequence < current.sequence
+
+
+def record_removal(
+    listing: Listing, now_ms: int, key: str, is_return: bool = False
+) -> set[str]:
     """Record that an entry is missing; return the affected services.
 
-    An upstream that had announced that it was leaving is removed immediately.
+    An upstream that had announced that it was leaving is removed immediately,
+    unless the service has lost its entry in a return from an older copy.
     """
     if key not in listing.proxies and key not in listing.upstreams:
         return set()
-    if key in listing.leaving_since_ms:
+    if key in listing.leaving_since_ms and not is_return:
         return _remove(listing, key)
     listing.missing_since_ms.setdefault(key, now_ms)
     return set()
--- a/topazring/platform/records.py
+++ b/topazring/platform/records.py
@@ -85,6 +85,8 @@
     # Start of its process in Unix milliseconds. A recreated upstream keeps
     # its name, so this tells the two apart.
     born: int = 0
+    # Counts the writes of its process; ignored unless it is a number.
+    sequence: object = None
 
 
 _decode_configuration = msgspec.json.Decoder(_Configuration).decode
@@ -193,4 +195,5 @@
             raw.state == 'draining',
             born_ms=raw.born,
         ),
+        raw.sequence if isinstance(raw.sequence, int) else None,
     )
--- a/topazring/platform/tests/test_store_returns.py
+++ b/topazring/platform/tests/test_store_returns.py
@@ -304,6 +304,34 @@
 
         self.play(steps)
 
+    def test_leaving_upstream_that_the_copy_does_not_have(self):
+        """Guards against a longer drain of one that is listed again."""
+
+        async def steps():
+            copy = self.store.copy()
+            more = {'state': 'draining', 'sequence': 5}
+            await self.fleet.list_upstream('u1', **more)
+            await self.listed('u1')
+            listings = [p.directory.listing for p in self.fleet.proxies]
+            key = 'servers/u1'
+            since_ms = [each.leaving_since_ms[key] for each in listings]
+            with mock.patch.object(
+                returning_store.fake_store, 'REWRITTEN_PREFIXES', ('op/',)
+            ):
+                await self.fleet.return_from(copy)
+            await returning_store.until(
+                lambda: all(key in each.missing_since_ms for each in listings)
+            )
+            await self.fleet.list_upstream('u1', **more)
+            await returning_store.until(
+                lambda: not any(each.missing_since_ms for each in listings)
+            )
+            self.assertEqual(
+                since_ms, [each.leaving_since_ms[key] for each in listings]
+            )
+
+        self.play(steps)
+
     def test_proxy_that_the_copy_does_not_have(self):
         """Guards against an owner that the others take for gone."""
 
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -378,16 +378,33 @@
 
     def _apply(self, changes: list[revisions.Change], upto: int) -> None:
         changes = [self._redact(change) for change in changes]
+        is_return = self._note_era(revisions.era_of(upto))
         new = revisions.merge(self.known, self.known.seen, upto, changes)
         self.first_read.set()
         now_ms = clock.boottime_ms()
         services: set[str] = set()
         for change in new or ():
-            services |= self._apply_change(now_ms, change)
+            services |= self._apply_change(now_ms, change, is_return)
         if new:
             self._notify_waiters()
         self._notify_services(services)
 
+    def _note_era(self, era: int) -> bool:
+        """Return whether the store has returned from an older copy."""
+        if not self.known.seen or era <= self.era:
+            return False
+        self.log.emit(
+            'directory',
+            'store returned older',
+            inputs={
+                'era': era,
+                'era_before': self.era,
+                'revision_before': revisions.number_of(self.known.seen),
+            },
+        )
+        self.proxy_history.record_return(clock.boottime_ms())
+        return True
+
     def _redact(self, change: revisions.Change) -> revisions.Change:
         """Remove secrets, which must not be kept or sent to other proxies."""
         if change.value is None:
@@ -395,7 +412,9 @@
         value = self.adapter.redact(change.key, change.value)
         return dataclasses.replace(change, value=value)
 
-    def _apply_change(self, now_ms: int, change: revisions.Change) -> set[str]:
+    def _apply_change(
+        self, now_ms: int, change: revisions.Change, is_return: bool
+    ) -> set[str]:
         if change.key.startswith(OWN_PREFIX):
             self.own_changed.set()
             if not change.key.startswith(PROXY_PREFIX):
@@ -403,7 +422,7 @@
                     self.on_own_change(change.key)
                 return set()
         if change.value is None:
-            return self._record_removal(now_ms, change.key)
+            return self._record_removal(now_ms, change.key, is_return)
         try:
             record = self._decode(now_ms, change)
         except (ValueError, KeyError) as error:
@@ -427,10 +446,12 @@
             self._record_configuration(record, change)
         return services
 
-    def _record_removal(self, now_ms: int, key: str) -> set[str]:
+    def _record_removal(
+        self, now_ms: int, key: str, is_return: bool = False
+    ) -> set[str]:
         if key.startswith(PROXY_PREFIX):
             self.proxy_history.record_loss(now_ms, key)
-        return listings.record_removal(self.listing, now_ms, key)
+        return listings.record_removal(self.listing, now_ms, key, is_return)
 
     def _decode(
         self, now_ms: int, change: revisions.Change
--- a/topazring/pooler/proxy_history.py
+++ b/topazring/pooler/proxy_history.py
@@ -46,7 +46,7 @@
         self.incarnations[key] = incarnation
         is_new = known is None and not was_lost
         if not is_new and known != incarnation and key != self.own_key:
-            self.ended_ms = now_ms
+            self.ended_ms = max(self.ended_ms, now_ms)
 
     def record_loss(self, now_ms: int, key: str) -> None:
         """Record that an entry is missing or unreadable.
@@ -60,7 +60,15 @@
 
     def record_gap(self, now_ms: int) -> None:
         """Record that entries may have come and gone without being seen."""
-        self.ended_ms = now_ms
+        self.ended_ms = max(self.ended_ms, now_ms)
+
+    def record_return(self, now_ms: int) -> None:
+        """Record that the store has returned and may have lost entries.
+
+        A proxy whose entry it has lost acknowledges writes until it notices,
+        at most for as long as its registration lasts.
+        """
+        self.ended_ms = now_ms + ENTRY_TTL_MS
 
     def _forget_ended(self, now_ms: int) -> None:
         for key, lost_ms in list(self.lost_ms.items()):
