--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -173,13 +173,17 @@
 
     async def _follow_forever(self) -> None:
         failures = 0
+        lost_histories = 0
         started_ms = clock.boottime_ms()
         while True:
+            is_full_read = self.history_lost
             answer = await self._poll()
             if isinstance(
                 answer, key_value.Changes | follower_client.FollowerAnswer
             ):
                 failures = 0
+                if not is_full_read:
+                    lost_histories = 0
                 self._record_available(answer)
                 if clock.boottime_ms() - started_ms < STARTUP_S * 1000:
                     await asyncio.sleep(STARTUP_BATCH_S)
@@ -191,6 +195,10 @@
                     inputs=_describe(self.known.seen),
                 )
                 self.history_lost = True
+                lost_histories += 1
+                if lost_histories > 1:
+                    # A full read did not help; others need the store too.
+                    await asyncio.sleep(self._pause_s(lost_histories))
                 continue
             self._record_unavailable(answer)
             await self.ask_peers(peers.ASK_TIMEOUT_S, count=1)
--- a/topazring/pooler/tests/test_directory.py
+++ b/topazring/pooler/tests/test_directory.py
@@ -1,11 +1,13 @@
 """Record in the directory when other proxies have left."""
 
 import asyncio
+from unittest import mock
 
 import msgspec
 import testtools
 
 from topazring.core.synchronous import listing as listings
+from topazring import key_value
 from topazring.plumbing import clock
 from topazring.pooler import directory as directories
 from topazring.pooler import proxy_history
@@ -256,3 +258,32 @@
             proxy.directory.close()
 
         self.play(steps)
+
+
+class LostHistoryTest(testtools.TestCase):
+    """The store has lost its history."""
+
+    def test_full_reads_in_vain(self):
+        """Guards against full reads without a pause, refused for all.
+
+        Each watch is refused, whatever was read before it.
+        """
+
+        async def run():
+            fleet_ = fleet.Fleet(2)
+            await fleet_.start()
+            client = fleet_.proxies[0].client
+
+            async def changes(prefix, since, wait_ms):
+                await asyncio.sleep(0.001)
+                return key_value.HistoryCompacted()
+
+            with mock.patch.object(client, 'changes', changes):
+                before = client.reads
+                await asyncio.sleep(5.0)
+                reads = client.reads - before
+            fleet_.close()
+            return reads
+
+        with mock.patch.object(directories, 'STARTUP_S', 0.0):
+            self.assertLess(asyncio.run(run()), 20)
