Tell peers of an older build the store's own numbers

An older build sends and expects no era.

A request says that it knows eras; without that the revisions go out without them. A follower that has not seen the newest era, or knows none, is not followed: its reader asks another or the store.

--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -141,13 +141,17 @@
             await self.change_event.wait()
 
     async def changes_after(
-        self, after: int, wait_ms: int = 0
+        self, after: int, wait_ms: int = 0, knows_eras: bool = True
     ) -> peers.PeerAnswer:
         """Return the changes after a revision, for a peer.
 
         If there are none, wait up to `wait_ms` for the next, unless this
         proxy does not follow the store.
         """
+        if not knows_eras:
+            after = revisions.in_era(self.era, after) if after else 0
+            answer = await self.changes_after(after, wait_ms)
+            return peers.without_eras(answer)
         if wait_ms:
             await self._wait_for_change(after, wait_ms)
         seen = self.known.seen
--- a/topazring/pooler/follower_client.py
+++ b/topazring/pooler/follower_client.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from topazring.core import followers
+from topazring.core import revisions
 from topazring.core.synchronous import listing as listings
 from topazring.plumbing import clock
 from topazring.plumbing import events
@@ -75,7 +76,7 @@
             answer = await self.peer_client.fetch_changes(
                 addresses[source], after, wait_ms
             )
-            if answer is not None and self._is_current(answer):
+            if answer is not None and self._is_current(answer, after):
                 self._change_source(source)
                 return FollowerAnswer(answer, now_ms - answer.age_ms)
             self._reject(source, answer)
@@ -102,19 +103,26 @@
             if record.data_centre == self.data_centre and record.peer_address
         }
 
-    def _is_current(self, answer: peers.PeerAnswer) -> bool:
+    def _is_current(self, answer: peers.PeerAnswer, after: int) -> bool:
         """Return whether an answer comes from an up-to-date follower.
 
         A proxy that reads from another must not be used: two that read from
-        each other would receive no changes any more, undetected.
+        each other would receive no changes any more, undetected. Neither must
+        one that has not seen the store's return from an older copy.
         """
+        if revisions.era_of(answer.revision) < revisions.era_of(after):
+            return False
         return answer.follows and answer.age_ms <= self.wait_ms + AGE_SLACK_MS
 
     def _reject(self, source: str, answer: peers.PeerAnswer | None) -> None:
         followers.record_failure(self.backoff, clock.boottime_ms(), source)
         inputs = {'follower': source, 'answered': answer is not None}
         if answer is not None:
-            inputs |= {'follows': answer.follows, 'age_ms': answer.age_ms}
+            inputs |= {
+                'follows': answer.follows,
+                'age_ms': answer.age_ms,
+                'era': revisions.era_of(answer.revision),
+            }
         self.log.emit('directory', 'follower passed over', inputs=inputs)
 
     def _change_source(self, source: str) -> None:
--- a/topazring/pooler/peers.py
+++ b/topazring/pooler/peers.py
@@ -7,11 +7,16 @@
 
 The transport is plain HTTP: a peer is asked every second or two, and a
 messaging library would stay in memory all the time.
+
+An older build knows no eras of the store. It gets the store's own numbers, and
+its answers count as those of the first era.
 """
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
+import typing
 import zlib
 
 import msgspec
@@ -29,9 +34,11 @@
     'PeerClient',
     'Respond',
     'Server',
+    'without_eras',
 ]
 
 PATH = '/changes'
+_ERAS_ARGUMENT = 'eras'
 ASK_TIMEOUT_S = 0.4
 # A change has to be in force within some seconds; no wait has to be longer.
 MAX_WAIT_MS = 30_000
@@ -73,6 +80,19 @@
     return zlib.compress(msgspec.json.encode(changes), COMPRESSION_LEVEL)
 
 
+def without_eras(answer: PeerAnswer) -> PeerAnswer:
+    """Return an answer with the numbers that the store itself gave out."""
+    changes = [
+        dataclasses.replace(
+            change, revision=revisions.number_of(change.revision)
+        )
+        for change in answer.changes
+    ]
+    return msgspec.structs.replace(
+        answer, revision=revisions.number_of(answer.revision), changes=changes
+    )
+
+
 def _decode(body: bytes) -> PeerAnswer:
     """Return the decoded answer; raise MsgspecError or zlib.error if bad."""
     packed = msgspec.msgpack.decode(body, type=_EncodedAnswer)
@@ -88,9 +108,15 @@
     )
 
 
-ReadChanges = collections.abc.Callable[
-    [int, int], collections.abc.Awaitable[PeerAnswer]
-]
+class ReadChanges(typing.Protocol):
+    """Return the changes after a revision; wait up to so many ms for one."""
+
+    async def __call__(
+        self, after: int, wait_ms: int, knows_eras: bool = True
+    ) -> PeerAnswer:
+        """Return revisions without their era if the peer knows none."""
+
+
 # Returns the body of an answer to a request's arguments, None without one.
 Respond = collections.abc.Callable[
     [dict[str, str]], collections.abc.Awaitable[bytes | None]
@@ -105,7 +131,6 @@
         read_changes: ReadChanges,
         responders: collections.abc.Mapping[str, Respond] | None = None,
     ):
-        # Returns the changes after a revision; waits up to so many ms.
         self.read_changes = read_changes
         # By path; requests for changes are answered here.
         self.responders = dict(responders or {})
@@ -148,8 +173,9 @@
         wait_ms = arguments.get('wait_ms', '0')
         if not (after.isdecimal() and wait_ms.isdecimal()):
             return None
+        knows_eras = _ERAS_ARGUMENT in arguments
         answer = await self.read_changes(
-            int(after), min(int(wait_ms), MAX_WAIT_MS)
+            int(after), min(int(wait_ms), MAX_WAIT_MS), knows_eras
         )
         return self._encode(int(after), answer)
 
@@ -201,7 +227,10 @@
 
         A peer that has nothing newer waits up to `wait_ms` for it.
         """
-        url = f'http://{address}{PATH}?after={after}&wait_ms={wait_ms}'
+        url = (
+            f'http://{address}{PATH}?after={after}&wait_ms={wait_ms}'
+            f'&{_ERAS_ARGUMENT}=1'
+        )
         timeout_s = max(ASK_TIMEOUT_S, wait_ms / 1000 * (1 + WAIT_SLACK_SHARE))
         reply = await http_calls.call(
             self.client, 'GET', url, timeout_s=timeout_s
--- a/topazring/pooler/tests/fleet.py
+++ b/topazring/pooler/tests/fleet.py
@@ -121,10 +121,10 @@
         self.server = peers.Server(self.changes_after)
 
     async def changes_after(
-        self, after: int, wait_ms: int
+        self, after: int, wait_ms: int, knows_eras: bool = True
     ) -> peers.PeerAnswer:
         """Return changes to a peer, not before a pause has ended."""
-        answer = await self.directory.changes_after(after, wait_ms)
+        answer = await self.directory.changes_after(after, wait_ms, knows_eras)
         while self.is_paused:
             await asyncio.sleep(0.02)
         return answer
--- a/topazring/pooler/tests/test_rolling_upgrade.py
+++ b/topazring/pooler/tests/test_rolling_upgrade.py
@@ -1,7 +1,8 @@
-"""Test a fleet of an older build, which knows no organisations, and this one.
+"""Test a fleet of an older build and this one.
 
-The older build ignores the organisation of a request and runs it in the
-proxy's own name.
+One older build knows no organisations: it ignores the organisation of a
+request and runs it in the proxy's own name. Another knows no eras of the
+platform's store.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 import testtools
 
 from topazring.core import outcomes
+from topazring.core import revisions
 from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import listing as listings
 from topazring.core.synchronous import messages
@@ -20,8 +22,11 @@
 from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import directory
+from topazring.pooler import follower_client
+from topazring.pooler import peers
 from topazring.pooler import process
 from topazring.pooler import router as routers
+from topazring.pooler.tests import fleet as fleets
 
 Reason = outcomes.Reason
 POLICY = messages.Policy('d', 's', messages.Freshness.PRIMARY, anonymous=False)
@@ -122,3 +127,68 @@
         self.assertEqual(
             {'new', 'own'}, listings.organisation_proxies(listing, 'own')
         )
+
+
+class ErasTest(testtools.TestCase):
+    """A peer of an older build compares the store's own numbers.
+
+    The store has returned from an older copy and is in its second era.
+    """
+
+    def play(self, steps):
+        """Run `steps()` with a follower that has read the second era."""
+
+        async def run():
+            self.fleet = fleets.Fleet(1)
+            (self.proxy,) = self.fleet.proxies
+            self.directory = self.proxy.directory
+            self.directory.known = revisions.Revisions(
+                revisions.in_era(2, 30),
+                {
+                    name: revisions.Change(name, revisions.in_era(2, 29), 'x')
+                    for name in ('a', 'b')
+                },
+            )
+            self.proxy.server.start(self.proxy.address)
+            try:
+                await steps()
+            finally:
+                self.fleet.close()
+
+        asyncio.run(run())
+
+    async def ask_as_older_build(self, after: int) -> peers.PeerAnswer:
+        """Return the answer to a request that names no eras."""
+        asker = peers.PeerClient((), '')
+        self.addCleanup(asker.close)
+        with mock.patch.object(peers, '_ERAS_ARGUMENT', 'unknown'):
+            request = asker.fetch_changes(self.proxy.address, after)
+            task = asyncio.create_task(request)
+            await asyncio.sleep(0)
+        return await task
+
+    def test_older_build_asks(self):
+        """Guards against revisions from which the store has no history."""
+
+        async def steps():
+            answer = await self.ask_as_older_build(28)
+            self.assertEqual(30, answer.revision)
+            self.assertEqual([29, 29], [c.revision for c in answer.changes])
+            self.assertEqual([], (await self.ask_as_older_build(29)).changes)
+            self.assertTrue((await self.ask_as_older_build(0)).complete)
+
+        self.play(steps)
+
+    def test_older_build_follows(self):
+        """Guards against a follower whose changes all count as old."""
+
+        async def steps():
+            client = follower_client.FollowerClient(
+                'p9', 'cork', mock.Mock(), events.EventLog('p9'), 900
+            )
+            answer = peers.PeerAnswer(34, False, [], follows=True)
+            seen = revisions.in_era(2, 30)
+            self.assertFalse(client._is_current(answer, seen))
+            self.assertTrue(client._is_current(answer, 30))
+
+        self.play(steps)
