Do not trust a record of members that may have gone back

What callers could lose: acknowledged writes. A proxy that starts while nobody leads goes by the recorded members; in a store that has returned from a copy the record may be one that was replaced, without a member that has confirmed writes since. The holder compared with what it had ordered last and did not write it again.

A record names the era that it was written in. One of an earlier era counts as none, so that nobody is promoted on it, and the lease holder writes it again, one write a group and return. A record of an older build is one of the first era: a proxy of this build that has seen no primary waits for a holder of this build to write it.

--- a/topazring/core/synchronous/member_record.py
+++ b/topazring/core/synchronous/member_record.py
@@ -9,6 +9,9 @@
 A departed member is recorded until the primary has reported a position that
 its log surely does not exceed. The primary holds that position, and is itself
 recorded.
+
+If the store returns from an older copy, its record may name too few members.
+It counts for nothing until the lease holder has written it again.
 """
 
 from topazring.core.synchronous import departed_members
@@ -29,11 +32,11 @@
 ) -> list:
     """Process the record in the store."""
     known = state.member_record
-    known.stored = message.members
+    known.stored = message.members if message.is_current else None
     if message.is_own:
         return []
-    if message.members is None:
-        # It was removed or overwritten, and is written again.
+    if known.stored is None:
+        # It was removed, overwritten or lost, and is written again.
         known.ordered = None
         return record_members(state)
     departed = state.departed_members.known.keys()
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -264,6 +264,9 @@
     members: frozenset[tuple[str, int]] | None
     # This process wrote it, or has replaced it since.
     is_own: bool = False
+    # It was written since the store last returned from an older copy. Others
+    # may have been replaced by one that the store has lost.
+    is_current: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/core/synchronous/tests/test_start_without_primary.py
+++ b/topazring/core/synchronous/tests/test_start_without_primary.py
@@ -72,6 +72,20 @@
         self.assertEqual([], support.orders(outs))
         self.assertEqual([], records(outs))
 
+    def test_record_that_may_have_been_replaced(self):
+        """Guards against losing a write that unrecorded members hold.
+
+        The platform's store has returned from an older copy.
+        """
+        driver = self.start(recorded=None)
+        members = frozenset((name, 0) for name in ALL)
+        driver.post(messages.MembersRecorded(members, is_current=False))
+        outs = self.run_for(driver)
+        self.assertEqual([], support.orders(outs))
+        self.assertEqual([], records(outs))
+        driver.post(messages.MembersRecorded(members))
+        self.assertNotEqual([], support.orders(self.run_for(driver)))
+
     def test_entries_gone_before_the_start(self):
         """Guards against losing a write that only unlisted members hold."""
         driver = self.start(names=('u3',))
@@ -201,6 +215,13 @@
         self.driver.post(messages.MembersRecorded(late))
         self.assertEqual([first, late], records(self.driver.outs))
 
+    def test_record_that_went_back(self):
+        """Guards against a record that nobody trusts any more."""
+        (first,) = records(self.driver.outs)
+        earlier = frozenset({('u1', 0)})
+        self.driver.post(messages.MembersRecorded(earlier, is_current=False))
+        self.assertEqual([first, first], records(self.driver.outs))
+
     def test_late_echo_of_an_own_record(self):
         """Guards against writing a record again and again."""
         self.driver.list_upstreams(born_ms={'u2': 9})
--- a/topazring/pooler/member_records.py
+++ b/topazring/pooler/member_records.py
@@ -35,6 +35,8 @@
     members: typing.Annotated[
         list[tuple[_Name, _BornMs]], msgspec.Meta(min_length=1)
     ]
+    # The era of the store in which it was written.
+    era: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class MemberRecords:
@@ -71,6 +73,15 @@
 
     def read(self, service: str) -> Members | None:
         """Return the recorded members, None without a valid record."""
+        record = self._read(service)
+        return None if record is None else frozenset(record.members)
+
+    def is_current(self, service: str) -> bool:
+        """Return whether no newer record may have been lost by the store."""
+        record = self._read(service)
+        return record is not None and record.era >= self.directory.era
+
+    def _read(self, service: str) -> _Record | None:
         change = self.directory.own_value(KEY_PREFIX + service)
         if change is None:
             return None
@@ -83,7 +94,7 @@
                 inputs={'key': change.key, 'error': str(error)},
             )
             return None
-        return frozenset(record.members)
+        return record
 
     def is_own(self, service: str) -> bool:
         """Return whether this process wrote a record, or has replaced it.
@@ -92,7 +103,7 @@
         """
         key = KEY_PREFIX + service
         change = self.directory.own_value(key)
-        if change is None:
+        if change is None or not self.is_current(service):
             return False
         is_older = change.revision <= self.written.get(key, 0)
         return is_older or change.value == self.sent.get(key)
@@ -129,10 +140,10 @@
             return False
         key = KEY_PREFIX + service
         change = self.directory.own_value(key)
-        if change is not None and self.read(service) == members:
+        if self.is_current(service) and self.read(service) == members:
             if change.revision >= self.written.get(key, 0):
                 return True
-        record = _Record(sorted(members))
+        record = _Record(sorted(members), self.directory.era)
         text = msgspec.json.encode(record).decode()
         self.sent[key] = text
         answer = await self.store.put_all(
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -361,8 +361,12 @@
         group.record_members = self.member_records.write
         self.groups[service] = group
         group.start()
-        recorded = self.member_records.read(service)
-        group.post(messages.MembersRecorded(recorded))
+        group.post(
+            messages.MembersRecorded(
+                self.member_records.read(service),
+                is_current=self.member_records.is_current(service),
+            )
+        )
         if self.holds:
             group.post(messages.PromotionLeaseSeen(True, self.token))
         if self.registered_until_ms:
@@ -396,9 +400,13 @@
         service = key.removeprefix(member_records.KEY_PREFIX)
         group = self.groups.get(service)
         if group is not None and service != key:
-            recorded = self.member_records.read(service)
-            is_own = self.member_records.is_own(service)
-            group.post(messages.MembersRecorded(recorded, is_own))
+            group.post(
+                messages.MembersRecorded(
+                    self.member_records.read(service),
+                    self.member_records.is_own(service),
+                    self.member_records.is_current(service),
+                )
+            )
 
     def _handle_registration(self, valid_until_ms: int) -> None:
         self.registered_until_ms = valid_until_ms
--- a/topazring/pooler/promotion_lease.py
+++ b/topazring/pooler/promotion_lease.py
@@ -123,12 +123,15 @@
 
     def surely_holds(self) -> bool:
         """Return whether no other process can hold the lease now."""
-        return self._is_valid() and self._newest_era() == self.era
+        return self._is_valid() and not self._has_store_returned()
 
     def _is_valid(self) -> bool:
         until_ms = self.valid_until_ms - CLOCK_DRIFT_MARGIN_MS
         return self.holds and clock.boottime_ms() < until_ms
 
+    def _has_store_returned(self) -> bool:
+        return self.era is not None and self._newest_era() > self.era
+
     def _newest_era(self) -> int:
         read_era = revisions.era_of(self.directory.known.seen)
         return max(self.store.era, read_era)
@@ -141,15 +144,14 @@
         """
         if not self.directory.known.seen:
             return
-        era = self._newest_era()
         if self.era is None:
-            self.era = era
-        if era == self.era:
+            self.era = self._newest_era()
+        if not self._has_store_returned():
             return
         self.free_from_ms = clock.boottime_ms()
         if not self._is_valid():
             self.free_from_ms += TTL_MS
-        self.era = era
+        self.era = self._newest_era()
         self._give_up('the store has returned from an older copy')
 
     def request_recheck(self) -> None:
--- a/topazring/pooler/tests/test_member_records.py
+++ b/topazring/pooler/tests/test_member_records.py
@@ -158,3 +158,33 @@
             await self.written(TWO)
 
         self.play(steps)
+
+    def test_store_that_has_returned_from_an_older_copy(self):
+        """Guards against trusting a record that was replaced since."""
+
+        async def steps():
+            await self.written(TWO)
+            self.assertTrue(self.records.is_current('s'))
+            copied = self.directory.own_value(KEY).value
+            await self.written(THREE)
+            self.directory.era = 1
+            await self.store_value(copied)
+            self.assertFalse(self.records.is_current('s'))
+            self.assertFalse(self.records.is_own('s'))
+            await self.written(THREE)
+            self.assertTrue(self.records.is_current('s'))
+            self.assertTrue(self.records.is_own('s'))
+
+        self.play(steps)
+
+    def test_same_members_in_a_new_era(self):
+        """Guards against a record that nobody trusts any more."""
+
+        async def steps():
+            await self.written(TWO)
+            self.directory.era = 1
+            await self.written(TWO)
+            self.assertTrue(self.records.is_current('s'))
+            self.assertEqual(['put', 'put'], self.store.calls)
+
+        self.play(steps)
--- a/topazring/pooler/tests/test_promotion_lease.py
+++ b/topazring/pooler/tests/test_promotion_lease.py
@@ -83,6 +83,7 @@
 
     def __init__(self):
         self.known = revisions.Revisions(seen=1)
+        self.era = 0
         self.own_changed = asyncio.Event()
         self.unavailable_since_ms = None
         self.follows = True
