Soak: have the store return from an older copy

A family of its own, drawn only if asked for, so that each seed keeps its faults: once or twice, from a copy of up to 6 s, after up to 2.5 s away.

--- a/topazring/platform/tests/soak_stage.py
+++ b/topazring/platform/tests/soak_stage.py
@@ -1,6 +1,7 @@
 """Set up a soak test: real proxies with fakes of the platform."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import pathlib
@@ -27,6 +28,10 @@
 PROBE_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 2.0
 SLOW_DELAY_S = 0.25
+# The store may return from a copy of up to this age.
+MAX_COPY_AGE_S = 6.0
+COPY_INTERVAL_S = 0.2
+MAX_AWAY_S = 2.5
 _NOT_RUN_CODES = (
     'BUSY',
     'ABORTED',
@@ -53,6 +58,10 @@
         self.pauses_leases = False
         # Addresses that proxies register, and those that others are to use.
         self.translated: dict[str, str] = {}
+        # The newest last.
+        self.copies: collections.deque[fake_store.Copy] = collections.deque(
+            maxlen=int(MAX_COPY_AGE_S / COPY_INTERVAL_S)
+        )
 
     async def put(self, key: str, value: str | None, lease: int = 0) -> int:
         """Write a value with the addresses that others are to use."""
@@ -81,6 +90,23 @@
                 if now_s - self.renewed_s[lease] > ttl_ms / 1000:
                     await self.end_lease(lease)
 
+    async def keep_copies(self) -> None:
+        """Copy the store regularly, forever."""
+        while True:
+            if not self.is_away:
+                self.copies.append(self.copy())
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def return_older(self, choice: float, away_s: float) -> None:
+        """Be away for a moment and return from an older copy."""
+        copy = self.copies[int(choice * len(self.copies))]
+        self.failure_code = 503
+        await asyncio.sleep(away_s)
+        await self.restore(copy)
+        self.copies.clear()
+        self.copies.append(copy)
+        self.failure_code = 0
+
     def disturb(self, how: str, choice: float, ports: list[int]) -> None:
         """Inject a fault of the store; `well` ends it."""
         self.failure_code = 503 if how == 'down' else 0
@@ -201,6 +227,7 @@
         await self.upstreams.start()
         await asyncio.gather(*(each.start() for each in self.instances))
         work = [self.store.end_leases(), self._probe_forever()]
+        work.append(self.store.keep_copies())
         work.append(self._count_connections())
         work += [self._balance(proxy) for proxy in self.instances]
         self.tasks = [asyncio.create_task(each) for each in work]
@@ -380,9 +407,22 @@
             self.links.mend(name)
         elif part == 'splits':
             await self._split(how, choice, for_ms, gap_ms)
+        elif part == 'returns':
+            await self._return_older(how, choice, for_ms, gap_ms)
         else:
             await self.upstreams.disturb(how, choice, for_ms, gap_ms)
 
+    async def _return_older(
+        self, how: str, choice: float, for_ms: int, gap_ms: int
+    ) -> None:
+        """Have the store return from an older copy, once or twice."""
+        for number in range(1 + how.endswith('twice')):
+            if number:
+                await asyncio.sleep(gap_ms / 1000)
+            away_s = min(for_ms / 1000, MAX_AWAY_S)
+            await self.store.return_older(choice, away_s)
+            self._log('returned older', part='store', era=self.store.era)
+
     async def _split(
         self, how: str, choice: float, for_ms: int, gap_ms: int
     ) -> None:
--- a/topazring/soak/faults.py
+++ b/topazring/soak/faults.py
@@ -27,7 +27,7 @@
 SPLIT_MAX_MS = 10_000
 SPLIT_SCALE = 2.5
 # Drawn only if asked for, so that each seed keeps the families it draws.
-OPTIONAL_FAMILIES = ('splits',)
+OPTIONAL_FAMILIES = ('splits', 'returns')
 # The effects of a fault may last this long after its end.
 AFTEREFFECT_MS = 2000
 
@@ -293,6 +293,7 @@
         'turns away': 2,
     },
     'splits': {'split': 2, 'split primary and replica': 2},
+    'returns': {'return older': 3, 'return older twice': 1},
     'links': {
         'delayed': 2,
         'reset': 2,
--- a/topazring/soak/tests/test_soak.py
+++ b/topazring/soak/tests/test_soak.py
@@ -27,6 +27,9 @@
 SEED = 1
 SECONDS = 14.0
 FAMILIES = ('service', 'upstreams')
+# The store returns from older copies while upstreams fail.
+RETURNS_SEED = 2
+RETURNS_FAMILIES = ('returns', 'upstreams')
 PROXIES = 3
 START_TIMEOUT_S = 30.0
 EXIT_TIMEOUT_S = 20.0
@@ -54,14 +57,21 @@
     """A short soak finds no violation."""
 
     def test_seed(self):
-        schedule = schedules.draw(SEED, SECONDS, FAMILIES)
+        self.check(SEED, FAMILIES)
+
+    def test_store_that_returns_older(self):
+        """Guards against changes of the store that are taken for old."""
+        self.check(RETURNS_SEED, RETURNS_FAMILIES)
+
+    def check(self, seed: int, families: tuple[str, ...]):
+        """Run a schedule; expect that its checks had something to check."""
+        schedule = schedules.draw(seed, SECONDS, families)
         with tempfile.TemporaryDirectory() as folder:
             stage = soak_stage.Stage(schedule, PROXIES, folder)
             outcome = asyncio.run(soaks.run_schedule(stage, schedule))
             text = report.render(outcome, stage.logs())
             self.assertEqual([], outcome.violations, text)
             self.assertEqual([], outcome.failed, text)
-        # Otherwise the checks would have had nothing to check.
         for what in ('write done', 'commit done', 'read done'):
             self.assertGreater(outcome.counts.get(what, 0), 10, text)
         self.assertGreater(outcome.counts['led'], 1, text)
