Forget where a member was paused once a promotion has ended its pause

Class: a fact of one term used in the next.

Where paused members' logs ended is forgotten when an upstream begins to lead, and when the lease is gained again.

--- a/topazring/core/synchronous/departed_members.py
+++ b/topazring/core/synchronous/departed_members.py
@@ -39,7 +39,8 @@
     departed_ms: int
     # It announced that it leaves.
     left: bool = False
-    # It was paused when it departed; a hand-over may rely on that.
+    # It was paused when it departed, and no promotion has ended that pause
+    # since; a hand-over may rely on it.
     was_paused: bool = False
     # Its process has ended: it drained for as long as it had to, or another
     # instance has its name now.
@@ -130,6 +131,17 @@
         """
         for key in [key for key in self.known if key[0] == name]:
             del self.known[key]
+        self.forget_pauses()
+
+    def forget_pauses(self) -> None:
+        """Forget where paused members' logs ended: they receive again.
+
+        A promotion ends all pauses, and another lease holder may have.
+        """
+        for member in self.known.values():
+            if member.was_paused:
+                member.was_paused = False
+                member.bound = None
 
     def has_departed(self, name: str) -> bool:
         """Return whether a member of this name was listed before."""
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -48,6 +48,7 @@
         state.fence_token = 0
         state.paused = set(state.upstreams) - {state.primary}
         state.may_be_paused.clear()
+        state.departed_members.forget_pauses()
         state.needs_fencing = True
         primary = state.upstreams.get(state.primary)
         if primary is not None:
--- a/topazring/core/synchronous/tests/test_departures.py
+++ b/topazring/core/synchronous/tests/test_departures.py
@@ -131,6 +131,28 @@
         enough = LogPosition(1, 5)
         self.assertEqual(['u3'], departed.may_exceed(enough, 'u1'))
 
+    def test_pause_that_a_promotion_has_ended(self):
+        """Guards against a bound from an earlier term in a hand-over."""
+        departed = departed_members.DepartedMembers()
+        departed.add(1000, 'u3', paused_at=LogPosition(1, 7))
+        departed.record_leader('u2')
+        later = LogPosition(1, 11)
+        self.assertEqual(
+            ['u3'], departed.may_exceed(later, 'u2', is_hand_over=True)
+        )
+
+    def test_pause_that_another_holder_may_have_ended(self):
+        """Guards against a bound from before the lease was gained again."""
+        driver = failover_support.make_lease_holder()
+        departed = driver.state.departed_members
+        departed.add(driver.now_ms, 'u4', paused_at=LogPosition(1, 7))
+        driver.post(messages.PromotionLeaseSeen(False, 0))
+        driver.post(messages.PromotionLeaseSeen(True, 10**6))
+        later = LogPosition(1, 11)
+        self.assertEqual(
+            ['u4'], departed.may_exceed(later, 'u1', is_hand_over=True)
+        )
+
     def test_time_to_drain(self):
         """Guards against taking an expired entry for the end of its member."""
         for drained_ms, is_ended in ((6990, False), (7010, True)):
