--- a/topazring/platform/tests/test_store_returns.py
+++ b/topazring/platform/tests/test_store_returns.py
@@ -266,6 +266,26 @@
 
         self.play(steps)
 
+    def test_upstream_written_again_at_a_lower_revision(self):
+        """Guards against an upstream whose later role is ignored."""
+
+        async def steps():
+            await self.fleet.list_upstream('u1', sequence=1)
+            await self.listed('u1')
+            copy = await self.lose_versions()
+            more = {'db-role': 'primary', 'sequence': 2}
+            await self.fleet.list_upstream('u1', **more)
+            await returning_store.until(
+                lambda: self.roles('u1') == {'primary'}
+            )
+            await self.fleet.return_from(copy)
+            await self.fleet.list_upstream('u1', sequence=3)
+            await returning_store.until(
+                lambda: self.roles('u1') == {'replica'}
+            )
+
+        self.play(steps)
+
     def test_leaving_upstream_whose_older_entry_is_back(self):
         """Guards against new work for an upstream that is leaving.
 
