Adapt two tests to revisions with an era

The fake store's test counts changes by the revision, so its store has no era. SurelyHoldsTest called the method on a namespace, which has no store; it uses a promotion lease with the same values, and checks a new era too.

--- a/topazring/platform/tests/test_fake_store.py
+++ b/topazring/platform/tests/test_fake_store.py
@@ -31,6 +31,8 @@
 
     async def change_as_it_ends(self):
         fake = fake_store.FakeStore()
+        # Revisions count the changes.
+        fake.era = None
         (port,) = ports.find_free_ports(1)
         fake.start([port])
         client = stores.StoreClient(f'127.0.0.1:{port}')
--- a/topazring/pooler/tests/test_acknowledgement_reports.py
+++ b/topazring/pooler/tests/test_acknowledgement_reports.py
@@ -631,9 +631,17 @@
 
     def holder(self, valid_for_ms: int, holds: bool = True):
         """Return a holder whose lease is valid for some time."""
-        return types.SimpleNamespace(
-            holds=holds, valid_until_ms=clock.boottime_ms() + valid_for_ms
+        holder = promotion_leases.PromotionLease(
+            'p1-a',
+            mock.Mock(era=1),
+            mock.Mock(known=revisions.Revisions()),
+            mock.Mock(),
+            mock.Mock(),
         )
+        holder.holds = holds
+        holder.valid_until_ms = clock.boottime_ms() + valid_for_ms
+        holder.era = 1
+        return holder
 
     def test_lease_that_may_have_ended(self):
         """The store may be away for longer than the lease lasts."""
@@ -643,3 +651,9 @@
         margin_ms = promotion_leases.CLOCK_DRIFT_MARGIN_MS
         self.assertFalse(surely_holds(self.holder(margin_ms)))
         self.assertFalse(surely_holds(self.holder(-500)))
+
+    def test_store_that_has_returned_from_an_older_copy(self):
+        """Guards against vouching beside a holder that it has admitted."""
+        holder = self.holder(1500)
+        holder.store.era = 2
+        self.assertFalse(holder.surely_holds())
