--- a/topazring/pooler/tests/test_acknowledgement_reports.py
+++ b/topazring/pooler/tests/test_acknowledgement_reports.py
@@ -1,7 +1,6 @@
 """Ask proxies what they have acknowledged, and the holder for a fence."""
 
 import asyncio
-import types
 from unittest import mock
 
 import msgspec
