Do not confirm a holder by a lease of the lost history

A refused order has the holder read the lease again; from a store that has returned it got its own, and went on with tokens of the lost history until the next renewal. By reading; the test fails before.

--- a/topazring/platform/tests/test_store_returns.py
+++ b/topazring/platform/tests/test_store_returns.py
@@ -517,6 +517,22 @@
 
         self.play(steps)
 
+    def test_recheck_after_a_return(self):
+        """Guards against a holder confirmed by the lost history."""
+
+        async def steps():
+            holder = await self.acquire()
+            copy = self.store.copy()
+            for task in holder.directory.tasks:
+                task.cancel()
+            holder.promotion_lease.task.cancel()
+            await self.fleet.return_from(copy, 0.05)
+            await holder.promotion_lease._recheck()
+            self.assertFalse(holder.promotion_lease.holds)
+            self.assertEqual(1, len(holder.gains))
+
+        self.play(steps)
+
     def test_order_of_a_holder_that_only_peers_can_tell(self):
         """Guards against a holder cut off beside one of the new era."""
 
--- a/topazring/pooler/promotion_lease.py
+++ b/topazring/pooler/promotion_lease.py
@@ -253,8 +253,9 @@
         seen = self.directory.known.seen
         if not seen or revisions.era_of(seen) < self._newest_era():
             return False
-        is_listed = self.directory.own_value(LEASE_KEY) is not None
-        return not is_listed or self._own_of_earlier_era() is not None
+        if self.directory.own_value(LEASE_KEY) is None:
+            return True
+        return self._own_of_earlier_era() is not None
 
     def _own_of_earlier_era(self) -> revisions.Change | None:
         """Return the lease that this process held before a return, if any.
@@ -388,6 +389,9 @@
     async def _recheck(self) -> None:
         """Check that the lease is still held after an order was refused."""
         found = await self._read_holder()
+        self._note_era()
+        if not self.holds:
+            return
         if isinstance(found, _Holder) and found.holder == self.incarnation:
             self.on_change(True, self.token)
             return
