Pause a proxy that starts where nobody has held the lease in this era

A process that starts cannot know when the store returned. The token block shows whether anybody has acquired the lease in this era; where nobody has, it pauses too. An ordinary start waits for nothing: there is no block, or one of the present era.

--- a/topazring/platform/tests/test_store_returns.py
+++ b/topazring/platform/tests/test_store_returns.py
@@ -8,6 +8,7 @@
 
 import testtools
 
+from topazring.bench import ports
 from topazring.core import revisions
 from topazring import key_value
 from topazring.platform import store as stores
@@ -517,6 +518,30 @@
 
         self.play(steps)
 
+    def test_proxy_that_starts_after_the_return(self):
+        """Guards against a promotion on a list that lacks a member.
+
+        The proxy cannot know that the store has just returned.
+        """
+
+        async def steps():
+            holder = await self.acquire()
+            copy = self.store.copy()
+            del copy.items[promotion_leases.LEASE_KEY]
+            await holder.close()
+            await self.fleet.return_from(copy, 0.05)
+            begin_s = asyncio.get_running_loop().time()
+            (port,) = ports.find_free_ports(1)
+            late = returning_store.Proxy('late', port, holder.store_port, 3000)
+            late.start()
+            late.promotion_lease.start()
+            self.fleet.proxies.append(late)
+            await returning_store.until(lambda: late.gains, 6.0)
+            pause_s = promotion_leases.RETURN_PAUSE_MS / 1000
+            self.assertGreater(late.gains[0][0] - begin_s, pause_s)
+
+        self.play(steps, 1)
+
     def test_recheck_after_a_return(self):
         """Guards against a holder confirmed by the lost history."""
 
--- a/topazring/pooler/promotion_lease.py
+++ b/topazring/pooler/promotion_lease.py
@@ -147,11 +147,20 @@
             return
         if self.era is None:
             self.era = self._newest_era()
-        if not self._has_store_returned():
-            return
-        self.free_from_ms = clock.boottime_ms() + RETURN_PAUSE_MS
-        self.era = self._newest_era()
-        self._give_up('the store has returned from an older copy')
+            if self._may_have_just_begun(self.era):
+                self.free_from_ms = clock.boottime_ms() + RETURN_PAUSE_MS
+        if self._has_store_returned():
+            self.era = self._newest_era()
+            self.free_from_ms = clock.boottime_ms() + RETURN_PAUSE_MS
+            self._give_up('the store has returned from an older copy')
+
+    def _may_have_just_begun(self, era: int) -> bool:
+        """Return whether nobody has acquired the lease in an era yet.
+
+        A process that starts does not know when the store returned.
+        """
+        block = self.directory.own_value(TOKEN_BLOCK_KEY)
+        return block is not None and int(block.value) < era * ERA_TOKENS
 
     def request_recheck(self) -> None:
         """Request a check with the store, as after a refused order."""
