Fence earlier orders off with a leaving primary that is closed to work

Cause: a holder that gains the lease has to fence off earlier orders before it demotes the leaving primary, and needs that primary's word for it. Connections to one that is closed to work are closed and not opened again, so nobody could give it until the old primary stopped. Each return of the store has the lease change hands, which made a rare case common. Evidence: 'promotion ended' in the logs, and a core test that orders nothing in 4 s before the change, the present primary and then its successor after it.

One connection to it stays, or is opened, for as long as orders are not fenced off. It takes no work.

--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -193,10 +193,10 @@
         if state.serves_organisations:
             # The others are opened for the organisations that need them.
             wanted = min(wanted, 1)
-        if len(connections) >= wanted:
-            continue
         if states.is_closed_to_work(upstream, now_ms):
-            # Connections to it would only occupy connections at its successor.
+            # Others would only occupy connections at its successor.
+            wanted = states.is_awaited_for_fencing(state, upstream.name)
+        if len(connections) >= wanted:
             continue
         outs.append(_dial(state, now_ms, upstream))
     return outs
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -212,5 +212,7 @@
         if state.promotion is not None and upstream.name != state.primary:
             # The promotion may have to query its log.
             continue
+        if states.is_awaited_for_fencing(state, upstream.name):
+            continue
         outs += connections.close_idle(state, upstream.name)
     return outs
--- a/topazring/core/synchronous/reply_effects.py
+++ b/topazring/core/synchronous/reply_effects.py
@@ -28,8 +28,10 @@
     if upstream is None:
         return list(connections.close_connection(state, connection))
     # A promotion may still have to query the upstream.
-    is_closed = states.is_closed_to_work(upstream, now_ms)
-    if is_closed and state.promotion is None:
+    is_needed = state.promotion is not None or states.is_awaited_for_fencing(
+        state, upstream.name
+    )
+    if states.is_closed_to_work(upstream, now_ms) and not is_needed:
         return list(connections.close_connection(state, connection))
     return []
 
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -28,6 +28,7 @@
     'connections_to',
     'idle_connections',
     'idle_connections_of',
+    'is_awaited_for_fencing',
     'is_closed_to_work',
     'is_recently_lagging',
     'make_group',
@@ -502,6 +503,16 @@
     return closes_ms is not None and now_ms >= closes_ms
 
 
+def is_awaited_for_fencing(state: GroupState, upstream: str) -> bool:
+    """Return whether earlier orders wait for an upstream to be fenced off.
+
+    That needs its word that it leads, also once it is closed to work: it is
+    replaced only after that.
+    """
+    is_primary = upstream == state.primary
+    return is_primary and state.holds_promotion_lease and state.needs_fencing
+
+
 def is_recently_lagging(upstream: Upstream, now_ms: int) -> bool:
     """Return whether a replica that lacked a position is still avoided."""
     return now_ms - upstream.lagging_ms < upstream.lagging_pause_ms
--- a/topazring/core/synchronous/tests/test_hand_over.py
+++ b/topazring/core/synchronous/tests/test_hand_over.py
@@ -287,6 +287,41 @@
         (order,) = support.orders(outs)
         self.assertEqual(successor, order.upstream)
 
+    def test_lease_is_gained_once_the_primary_is_closed_to_work(self):
+        """Guards against a group without a primary until the old one stops.
+
+        Its connections are closed by then, and a replica that has left may
+        hold more than the successor.
+        """
+        driver = failover_support.make_lease_holder(names=FOUR)
+        driver.list_upstreams(names=FOUR, leaving='u1', revision=2)
+        driver.post(messages.PromotionLeaseSeen(False, 0))
+        driver.now_ms += driver.state.limits.drain_ms
+        driver.list_upstreams(names=FOUR[:3], leaving='u1', revision=2)
+        self.answer_for(driver, 400)
+        self.assertEqual([], states.connections_to(driver.state, 'u1'))
+        driver.post(messages.PromotionLeaseSeen(True, 10**6))
+        orders = support.orders(self.answer_for(driver, 4000))
+        self.assertEqual('u1', orders[0].upstream)
+        self.assertIn(orders[-1].upstream, ('u2', 'u3'))
+
+    def answer_for(self, driver: support.Driver, for_ms: int) -> list:
+        """Have all members and the platform answer for some time."""
+        outs = []
+        for _ in range(for_ms // 20):
+            step = driver.tick(20)
+            driver.open_all()
+            step += driver.answer_leadership_checks()
+            step += failover_support.answer_control_commands(driver)
+            for order in support.orders(step):
+                step += driver.post(
+                    messages.PromotionOrdered(
+                        order.upstream, order.token, OrderResult.ACCEPTED
+                    )
+                )
+            outs += step
+        return outs
+
     def hand_over_without(self, name: str) -> list:
         """Hand over right after a member's entry expired; all others reply.
 
