--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -195,7 +195,8 @@
             wanted = min(wanted, 1)
         if states.is_closed_to_work(upstream, now_ms):
             # Others would only occupy connections at its successor.
-            wanted = states.is_awaited_for_fencing(state, upstream.name)
+            is_awaited = states.is_awaited_for_fencing(state, upstream.name)
+            wanted = 1 if is_awaited else 0
         if len(connections) >= wanted:
             continue
         outs.append(_dial(state, now_ms, upstream))
