--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -112,6 +112,7 @@
         entry.role,
         entry.revision,
         entry.born_ms,
+        entry.slots,
     )
     upstream.first_listed_ms = now_ms
     # The first list names the upstreams that existed before this process.
@@ -147,6 +148,7 @@
     entry: messages.ListedUpstream,
 ) -> list:
     outs: list = []
+    upstream.slots = entry.slots
     if entry.address != upstream.address:
         upstream.address = entry.address
         outs += connections.close_idle(state, entry.name)
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -138,6 +138,8 @@
     # When its process started. A process recreated under the same name is a
     # different upstream: its log is empty.
     born_ms: int = 0
+    # Statements that it runs at a time; 0 if it does not say.
+    slots: int = 0
 
 
 # ---- into the core --------------------------------------------------------
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -126,6 +126,8 @@
     listed_revision: int
     # When its process started.
     born_ms: int = 0
+    # Statements that it runs at a time; 0 if it does not say.
+    slots: int = 0
     # New work is refused from this time on; None unless it is leaving.
     closed_to_work_ms: int | None = None
     leaving: bool = False
--- a/topazring/platform/records.py
+++ b/topazring/platform/records.py
@@ -87,6 +87,8 @@
     born: int = 0
     # Counts the writes of its process; ignored unless it is a number.
     sequence: object = None
+    # Statements that it runs at a time; ignored unless it is a number.
+    capacity: object = None
 
 
 _decode_configuration = msgspec.json.Decoder(_Configuration).decode
@@ -194,6 +196,14 @@
             revision,
             raw.state == 'draining',
             born_ms=raw.born,
+            slots=_to_slots(raw.capacity),
         ),
         raw.sequence if isinstance(raw.sequence, int) else None,
     )
+
+
+def _to_slots(capacity: object) -> int:
+    """Return the slots of an upstream, 0 if its entry does not say."""
+    if isinstance(capacity, bool) or not isinstance(capacity, int):
+        return 0
+    return max(0, capacity)
--- a/topazring/platform/tests/test_records.py
+++ b/topazring/platform/tests/test_records.py
@@ -46,6 +46,12 @@
         self.assertEqual(1_700_000_000_000, upstream.born_ms)
         self.assertFalse(upstream.leaving)
 
+    def test_slots(self):
+        """Slots are those that an entry states, unknown otherwise."""
+        self.assertEqual(5, decode(capacity=5).upstream.slots)
+        for capacity in ('none', 'five', -1, True, 2.5, None):
+            self.assertEqual(0, decode(capacity=capacity).upstream.slots)
+
     def test_invalid_entries(self):
         """Missing fields, wrong types and unknown values raise ValueError."""
         for changes in (
