Hand a group over whose primary serves alone and is saturated (trial)

Cause: while both replicas of a group apply late, every read goes to its primary, whose slots are too few. A replica that is promoted leads with what it received, and the replaced primary serves reads at once.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -66,6 +66,8 @@
     # The planned successor of a leaving primary; all other replicas are
     # paused. Empty if the primary is lost.
     successor: str = ''
+    # The old primary may go on leading: nothing is lost if this attempt ends.
+    is_optional: bool = False
     # Time since which the leaving primary is being demoted because a member
     # that may confirm its writes does not reply.
     demoting_since_ms: int | None = None
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -35,6 +35,7 @@
 from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import promotion_order
 from topazring.core.synchronous import proofs
+from topazring.core.synchronous.scheduling import lone_primary
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -121,6 +122,7 @@
     why: str,
     loss: failure_detection.Loss | None,
     successor: str = '',
+    is_optional: bool = False,
 ) -> list:
     state.token += 1
     attempt = attempts.Attempt(
@@ -131,6 +133,7 @@
     if loss is not None:
         attempt.unconfirmed = loss.unconfirmed or loss.replaced
         attempt.is_query_only = loss.unconfirmed
+    attempt.is_optional = is_optional
     attempt.since_ms = now_ms if loss is None else loss.since_ms
     state.promotion = attempt
     event = (
@@ -175,9 +178,10 @@
     if attempt.is_query_only and attempts.has_receiving_replica(
         state, now_ms, attempt
     ):
-        return outs + promotion_end.finish(
+        outs += promotion_end.finish(
             state, now_ms, attempt, 'replicas receive'
         )
+        return outs + _relieve_primary(state, now_ms, attempt)
     if attempt.is_query_only and chosen == attempt.old_primary:
         return outs + promotion_end.finish(
             state, now_ms, attempt, 'nobody may follow'
@@ -189,6 +193,27 @@
     )
 
 
+def _relieve_primary(
+    state: states.GroupState, now_ms: int, queried: attempts.Attempt
+) -> list:
+    """Hand the group over if its primary alone serves more than it can."""
+    successor, outs = lone_primary.choose_successor(
+        state, now_ms, queried.reports
+    )
+    if not successor:
+        return outs
+    lone_primary.note_begun(state, now_ms)
+    return outs + _begin_attempt(
+        state,
+        now_ms,
+        state.primary,
+        lone_primary.WHY,
+        None,
+        successor,
+        is_optional=True,
+    )
+
+
 def _fence_owners(state: states.GroupState, attempt: attempts.Attempt) -> list:
     """Fence the other owners once for each term that the attempt is to begin.
 
@@ -370,6 +395,8 @@
             return promotion_end.finish(
                 state, now_ms, attempt, 'lost meanwhile'
             )
+        if attempt.is_optional:
+            return _end_if_late(state, now_ms, attempt)
         return _unblock_hand_over(state, now_ms, attempt)
     if old_primary is None:
         if attempt.unconfirmed:
@@ -399,6 +426,15 @@
     return promotion_end.finish(state, now_ms, attempt, 'lost meanwhile')
 
 
+def _end_if_late(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list | None:
+    """End a hand-over that is not urgent if a member delays it."""
+    if now_ms - attempt.began_ms <= CHOICE_TIMEOUT_MS:
+        return None
+    return promotion_end.finish(state, now_ms, attempt, 'not ready')
+
+
 def _unblock_hand_over(
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list | None:
--- /dev/null
+++ b/topazring/core/synchronous/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about which request runs next, where, and which is refused."""
--- /dev/null
+++ b/topazring/core/synchronous/scheduling/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions under load."""
--- a/topazring/core/synchronous/tests/fake_group.py
+++ b/topazring/core/synchronous/tests/fake_group.py
@@ -71,6 +71,9 @@
     leaving: bool = False
     revision: int = 1
     born_ms: int = 1
+    # Statements that it runs at a time, and that it reports as running.
+    slots: int = 0
+    busy: int = 0
 
     def received(self) -> log_positions.LogPosition:
         """Return the log position of the last entry."""
@@ -95,7 +98,7 @@
         member.received(),
         member.held_term,
         0,
-        0,
+        member.busy,
         0,
     )
 
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -333,6 +333,7 @@
                 member.revision,
                 member.leaving,
                 born_ms=member.born_ms,
+                slots=member.slots,
             )
             for member in self.members.values()
             if member.listed
--- a/topazring/core/synchronous/tests/walks.py
+++ b/topazring/core/synchronous/tests/walks.py
@@ -62,6 +62,8 @@
     ('lose_answer', 1),
     ('reset', 1),
 )
+# The primary serves alone and is saturated at times.
+CROWDS = (*ACTIONS, ('crowd', 4), ('work', 8), ('disperse', 1))
 # The longest duration of a promotion at the users' upstreams.
 SLOW_PROMOTE_MS = 1000
 # A restart of a process takes longer than a promotion.
@@ -360,6 +362,23 @@
     )
 
 
+@_action
+def _crowd(simulation: simulations.Simulation, rng: random.Random) -> None:
+    """Saturate all members; replicas apply later than reads accept."""
+    for member in simulation.members.values():
+        member.slots = member.busy = 1
+        member.lag_ms = rng.choice((3000, 6000))
+    for proxy in simulations.PROXIES:
+        simulation.send_list(proxy)
+
+
+@_action
+def _disperse(simulation: simulations.Simulation, rng: random.Random) -> None:
+    for member in simulation.members.values():
+        member.busy = 0
+        member.lag_ms = 20
+
+
 @_action
 def _list(simulation: simulations.Simulation, rng: random.Random) -> None:
     simulation.send_list(rng.choice(simulations.PROXIES))
