--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -374,9 +374,13 @@
             # current primary will show whether it was.
             state.primary = ''
             state.primary_lost_ms = attempt.began_ms
-        return promotion_end.finish(
+        outs = promotion_end.finish(
             state, now_ms, attempt, 'nobody may follow'
         )
+        if attempt.is_query_only:
+            # A silent replica does not help the primary either.
+            outs += _relieve_primary(state, now_ms, attempt)
+        return outs
     old_primary = state.upstreams.get(attempt.old_primary)
     if attempt.is_query_only and old_primary is not None:
         if (
@@ -395,8 +399,6 @@
             return promotion_end.finish(
                 state, now_ms, attempt, 'lost meanwhile'
             )
-        if attempt.is_optional:
-            return _end_if_late(state, now_ms, attempt)
         return _unblock_hand_over(state, now_ms, attempt)
     if old_primary is None:
         if attempt.unconfirmed:
@@ -426,15 +428,6 @@
     return promotion_end.finish(state, now_ms, attempt, 'lost meanwhile')
 
 
-def _end_if_late(
-    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
-) -> list | None:
-    """End a hand-over that is not urgent if a member delays it."""
-    if now_ms - attempt.began_ms <= CHOICE_TIMEOUT_MS:
-        return None
-    return promotion_end.finish(state, now_ms, attempt, 'not ready')
-
-
 def _unblock_hand_over(
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list | None:
@@ -466,6 +459,8 @@
                 decided,
                 *promotion_commands.send_commands(state, now_ms, attempt),
             ]
+        if waited_ms > CHOICE_TIMEOUT_MS and attempt.is_optional:
+            return promotion_end.finish(state, now_ms, attempt, 'not ready')
         return None
     if now_ms - attempt.demoting_since_ms < CHOICE_TIMEOUT_MS:
         return None
