--- a/topazring/core/synchronous/confirmations.py
+++ b/topazring/core/synchronous/confirmations.py
@@ -396,6 +396,7 @@
         return
     upstream.answered_status_sent_ms = sent_ms
     upstream.held_term = report.held_term
+    upstream.reported_term = report.term
     if sent_ms >= upstream.log_end_sent_ms:
         upstream.log_end = report.received
         upstream.log_end_sent_ms = sent_ms
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -23,6 +23,7 @@
 from topazring.core.synchronous import promotion
 from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import promotion_order
+from topazring.core.synchronous import proof_report
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import queue_report
 from topazring.core.synchronous import results
@@ -230,6 +231,7 @@
         outs += _discard_stale_state(state, now_ms, message.paused_ms)
     outs += isolation.update(state, now_ms)
     outs += queue_report.report_long_waits(state, now_ms)
+    outs += proof_report.report_unproven(state, now_ms)
     outs += expiry.expire(state, now_ms)
     outs += expiry.expire_connections(state, now_ms)
     outs += completion.answer_proven(state, now_ms)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -182,8 +182,10 @@
     log_end: log_positions.LogPosition = log_positions.ORIGIN
     log_end_sent_ms: int = NEVER_MS
     # From its last status reply: the term it is paused for (0 if it is not
-    # paused), and when that query was sent; then when the latest was sent.
+    # paused) and its newest term, and when that query was sent; then when the
+    # latest was sent.
     held_term: int = 0
+    reported_term: int = 0
     answered_status_sent_ms: int = NEVER_MS
     status_asked_ms: int = NEVER_MS
     # The first dial, command or refusal since it last replied.
@@ -411,6 +413,8 @@
     # Keys of requests whose answers wait for a leadership proof or for
     # replication.
     awaiting_proof: set[int] = dataclasses.field(default_factory=set)
+    # Whether the present period without a leadership proof has been logged.
+    is_unproven_logged: bool = False
     # When a confirmed write was last given up because no established member
     # could prove leadership.
     unproven_write_ms: int = NEVER_MS
