--- a/topazring/core/synchronous/proof_report.py
+++ b/topazring/core/synchronous/proof_report.py
@@ -18,6 +18,9 @@
     )
     if is_unproven == state.is_unproven_logged:
         return []
+    if is_unproven and not state.work:
+        # No request is affected here; most proxies do not own the group.
+        return []
     state.is_unproven_logged = is_unproven
     if not is_unproven:
         return [messages.LogDecision('leadership proved again')]
