--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -460,6 +460,7 @@
                 *promotion_commands.send_commands(state, now_ms, attempt),
             ]
         if waited_ms > CHOICE_TIMEOUT_MS and attempt.is_optional:
+            lone_primary.note_not_ready(state, now_ms)
             return promotion_end.finish(state, now_ms, attempt, 'not ready')
         return None
     if now_ms - attempt.demoting_since_ms < CHOICE_TIMEOUT_MS:
--- a/topazring/core/synchronous/scheduling/lone_primary.py
+++ b/topazring/core/synchronous/scheduling/lone_primary.py
@@ -20,7 +20,7 @@
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
-__all__ = ['WHY', 'choose_successor', 'note_begun']
+__all__ = ['WHY', 'choose_successor', 'note_begun', 'note_not_ready']
 
 WHY = 'it serves alone'
 # Replicas count as late once they lack what was written this long ago. Reads
@@ -31,6 +31,9 @@
 CONFIRM_MS = 2500
 # Writes are interrupted for a moment by each hand-over.
 MIN_INTERVAL_MS = 10_000
+# A successor that did not catch up may have received nothing for a while;
+# another one is tried, or the same one later.
+RETRY_MS = 2000
 
 Reports = collections.abc.Mapping[str, statements.StatusReport]
 
@@ -48,7 +51,7 @@
     before_ms, state.saturated_alone_ms = state.saturated_alone_ms, now_ms
     if now_ms - before_ms > CONFIRM_MS:
         return '', []
-    if now_ms - state.relieved_ms < MIN_INTERVAL_MS:
+    if now_ms < state.next_relief_ms:
         return '', []
     candidates = _candidates(state, now_ms, reports)
     successor = max(
@@ -72,10 +75,15 @@
 
 def note_begun(state: states.GroupState, now_ms: int) -> None:
     """Record that a hand-over began; the next one has to wait."""
-    state.relieved_ms = now_ms
+    state.next_relief_ms = now_ms + MIN_INTERVAL_MS
     state.counters['hand_over_of_lone_primary'] += 1
 
 
+def note_not_ready(state: states.GroupState, now_ms: int) -> None:
+    """Record that a hand-over ended without effect."""
+    state.next_relief_ms = now_ms + RETRY_MS
+
+
 def _is_overloaded(
     state: states.GroupState, now_ms: int, reports: Reports
 ) -> bool:
--- a/topazring/core/synchronous/scheduling/tests/test_lone_primary.py
+++ b/topazring/core/synchronous/scheduling/tests/test_lone_primary.py
@@ -33,6 +33,7 @@
     def make_holder(self, slots: int = SLOTS) -> support.Driver:
         """Return a lease holder; the primary has slots and a long log."""
         driver = failover_support.make_lease_holder()
+        self.written = 5
         for upstream in driver.state.upstreams.values():
             upstream.slots = slots
         return driver
@@ -48,10 +49,9 @@
     ) -> list:
         """Let the primary write while replicas receive without applying."""
         outs = []
-        written = 5
         for _ in range(for_ms // 20):
-            written += 1
-            primary_place = Place(1, written)
+            self.written += 1
+            primary_place = Place(1, self.written)
             outs += driver.tick(20)
             for connection in driver.busy():
                 name = connection.upstream
@@ -175,6 +175,20 @@
         self.assertEqual('u1', driver.state.primary)
         self.assertEqual(1, driver.state.counters['promotion_not_ready'])
 
+    def test_hand_over_is_tried_again_soon(self):
+        """Guards against ten seconds alone after a successor was not ready."""
+        driver = self.make_holder()
+        self.serve_alone(driver)
+        attempt = driver.state.promotion
+        (other,) = {'u2', 'u3'} - {attempt.successor}
+        received = {attempt.successor: Place(1, 30)}
+        ahead = received | {other: Place(1, 40)}
+        self.serve_alone(
+            driver, for_ms=1000, received=ahead, until_begun=False
+        )
+        self.serve_alone(driver, for_ms=5000, received=received)
+        self.assertEqual(other, driver.state.promotion.successor)
+
     def test_next_hand_over_waits(self):
         """Guards against a lead that moves back and forth."""
         driver = self.make_holder()
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -327,9 +327,9 @@
     # When it was first assumed to lead.
     primary_since_ms: int = NEVER_MS
     # When the lease holder last found the primary saturated while no replica
-    # could help, and when it last began a hand-over for this.
+    # could help, and from when on it may begin a hand-over for this.
     saturated_alone_ms: int = NEVER_MS
-    relieved_ms: int = NEVER_MS
+    next_relief_ms: int = NEVER_MS
     # The chosen successor of the last primary is no longer listed.
     successor_gone: bool = False
     # It was seen to lead, or listed as the primary.
