--- a/topazring/core/hashing.py
+++ b/topazring/core/hashing.py
@@ -3,8 +3,17 @@
 import collections.abc
 import dataclasses
 import hashlib
+import math
 
-__all__ = ['Candidate', 'choose_owners', 'first_by_score', 'score']
+__all__ = [
+    'Candidate',
+    'choose_owners',
+    'first_by_score',
+    'score',
+    'weighted_score',
+]
+
+SCORE_BITS = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,6 +23,8 @@
     name: str
     region: str
     data_centre: str
+    # Its part of all databases, in relation to the other candidates.
+    weight: float = 1.0
 
 
 def score(database: str, name: str) -> int:
@@ -30,6 +41,24 @@
     return int.from_bytes(digest, 'big')
 
 
+def weighted_score(
+    database: str, name: str, weight: float
+) -> tuple[float, int]:
+    """Return the score of a proxy that owns in proportion to its weight.
+
+    A larger weight only raises a proxy's own scores, so a change of weight
+    moves databases from or to this proxy, and never between two others.
+    Proxies of equal weight have the order of `score`.
+    Schindelhauer and Schomaker, "Weighted Distributed Hash Tables" (2005).
+
+    >>> weighted_score('d', 'a', 2.0) > weighted_score('d', 'a', 1.0)
+    True
+    """
+    unweighted = score(database, name)
+    uniform = (unweighted + 0.5) / 2**SCORE_BITS
+    return math.log(uniform) / weight, unweighted
+
+
 def choose_owners(
     database: str,
     region: str,
@@ -40,11 +69,19 @@
 
     Proxies of the database's own region are preferred. A data centre is used
     again only after every other one with remaining proxies is used as often.
+    Within this limit a proxy is chosen in proportion to its weight. The owners
+    for a smaller count are the first of those for a larger one.
     """
     all_candidates = list(candidates)
     local = [c for c in all_candidates if c.region == region]
     pool = local or all_candidates
-    pool.sort(key=lambda c: score(database, c.name), reverse=True)
+    if len({candidate.weight for candidate in pool}) > 1:
+        pool.sort(
+            key=lambda c: weighted_score(database, c.name, c.weight),
+            reverse=True,
+        )
+    else:
+        pool.sort(key=lambda c: score(database, c.name), reverse=True)
     chosen: list[Candidate] = []
     while pool and len(chosen) < count:
         remaining: list[Candidate] = []
--- a/topazring/core/synchronous/forwarding.py
+++ b/topazring/core/synchronous/forwarding.py
@@ -32,6 +32,7 @@
     'is_final',
     'lost_link_outcome',
     'next_owner',
+    'no_owner_outcome',
     'unconfigured_outcome',
 ]
 
@@ -196,8 +197,13 @@
     return outcomes.NotRun(Reason.NO_CONFIGURATION, UNCONFIGURED_RETRY_MS)
 
 
+def no_owner_outcome() -> outcomes.NotRun:
+    """Return the refusal of a proxy that cannot serve a group."""
+    return outcomes.NotRun(Reason.NO_OWNER, NO_OWNER_RETRY_MS)
+
+
 def final_outcome(plan: Plan) -> outcomes.Outcome:
     """Return the answer once no owner is left to try."""
     if plan.last is not None:
         return plan.last
-    return outcomes.NotRun(Reason.NO_OWNER, NO_OWNER_RETRY_MS)
+    return no_owner_outcome()
--- a/topazring/core/synchronous/listing.py
+++ b/topazring/core/synchronous/listing.py
@@ -21,6 +21,7 @@
     'Record',
     'UpstreamRecord',
     'apply_record',
+    'are_owners_weighed',
     'hop_addresses',
     'old_proxies',
     'organisation_proxies',
@@ -73,6 +74,9 @@
     hop_address: str = ''
     # Whether it runs forwarded requests in the name of their organisation.
     carries_organisations: bool = False
+    # Whether it chooses owners by weights and slots, and its own weight.
+    weighs_owners: bool = False
+    weight: float = 1.0
 
 
 Record = Configuration | UpstreamRecord | ProxyRecord
@@ -240,13 +244,31 @@
     return tuple(found)
 
 
+def are_owners_weighed(listing: Listing) -> bool:
+    """Return whether all listed proxies know weights and slots.
+
+    A proxy of an older build knows neither. While there is one, all choose
+    owners as it does, because they would not agree otherwise.
+    """
+    return all(record.weighs_owners for record in listing.proxies.values())
+
+
 def proxies_of(
-    listing: Listing, name: str, data_centre: str
+    listing: Listing, name: str, data_centre: str, weight: float = 1.0
 ) -> list[ownership.Proxy]:
-    """Return the live proxies, including this one even if it is not listed."""
-    proxies = {name: ownership.Proxy(name, data_centre)}
+    """Return the live proxies, including this one even if it is not listed.
+
+    While owners are not weighed, all weights are equal.
+    """
+    is_weighed = are_owners_weighed(listing)
+    own_weight = weight if is_weighed else 1.0
+    proxies = {name: ownership.Proxy(name, data_centre, own_weight)}
     for record in listing.proxies.values():
-        proxies[record.name] = ownership.Proxy(record.name, record.data_centre)
+        proxies[record.name] = ownership.Proxy(
+            record.name,
+            record.data_centre,
+            record.weight if is_weighed else 1.0,
+        )
     return [proxies[each] for each in sorted(proxies)]
 
 
--- a/topazring/core/synchronous/ownership.py
+++ b/topazring/core/synchronous/ownership.py
@@ -9,14 +9,29 @@
 There is no agreement protocol for owners: each proxy computes them from its
 list of live proxies. Two differing views cost some additional connections,
 but do not break any guarantee.
+
+Larger proxies own more groups. More owners than an upstream has slots would
+only move requests from the owners' queues, which are ordered by priority, to
+the upstream's queue, which is not.
 """
 
 import collections.abc
 import dataclasses
+import math
 
 from topazring.core import hashing
-
-__all__ = ['Ownership', 'Proxy', 'select_owners']
+from topazring.core.synchronous import messages
+
+__all__ = [
+    'MAX_WEIGHT',
+    'MIN_WEIGHT',
+    'Ownership',
+    'Proxy',
+    'bounded_weight',
+    'select_owners',
+    'slots_of',
+    'weight_of',
+]
 
 # Connections that an owner needs to one upstream, including one in reserve for
 # when the whole fleet returns from a power loss. An open transaction holds a
@@ -29,6 +44,10 @@
 # In a load simulation with one upstream of two slots, 65% of the requests were
 # in time with 23 owners and 75% with 8; of the saves 59% and 84%.
 MAX_OWNERS = 8
+# The first owners of a group are in different data centres. With three, one
+# is left after the loss of a data centre and of another owner, and an owner
+# that leaves takes at most a third of the group's requests with it.
+MIN_OWNERS = 3
 # Up to this many proxies, each is an owner: an additional hop for most
 # requests costs more than shared queues gain, and a data centre may be lost
 # together with its owners.
@@ -37,6 +56,15 @@
 # connections linger. If each proxy can hold a connection, each is an owner as
 # long as the remaining connections suffice for this share.
 RESERVE_SHARE = 0.5
+# What an owner of weight 1 has: a request takes half a millisecond of a core
+# and two kilobytes of its link, and one core then keeps 25 Mbit/s busy.
+CORES = 1.0
+LINK_MBPS = 25.0
+MEMORY_MB = 128.0
+# A small proxy still owns some groups, and the loss of a large one may not
+# take a large part of all groups with it.
+MIN_WEIGHT = 0.25
+MAX_WEIGHT = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +73,7 @@
 
     name: str
     data_centre: str
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,13 +90,60 @@
         return None
 
 
+def bounded_weight(weight: float) -> float:
+    """Return a weight within the bounds.
+
+    >>> bounded_weight(0.01), bounded_weight(1.0), bounded_weight(64)
+    (0.25, 1.0, 2.0)
+    """
+    return min(max(weight, MIN_WEIGHT), MAX_WEIGHT)
+
+
+def weight_of(
+    cores: float | None, link_mbps: float | None, memory_mb: float | None
+) -> float:
+    """Return the weight of a proxy; what is unknown does not limit it.
+
+    It is a power of two, so that machines of about the same size are equal
+    and a small change of a machine moves no group.
+
+    >>> weight_of(None, None, None), weight_of(1.1, 1000.0, 300)
+    (1.0, 1.0)
+    >>> weight_of(2.15, 100.0, 300), weight_of(0.36, 5.0, 300)
+    (2.0, 0.25)
+    """
+    limits = [
+        available / needed
+        for available, needed in (
+            (cores, CORES),
+            (link_mbps, LINK_MBPS),
+            (memory_mb, MEMORY_MB),
+        )
+        if available
+    ]
+    if not limits:
+        return 1.0
+    return bounded_weight(2.0 ** round(math.log2(min(limits))))
+
+
+def slots_of(
+    upstreams: collections.abc.Iterable[messages.ListedUpstream],
+) -> int:
+    """Return the slots of the smallest upstream, 0 if any is unknown."""
+    return min((upstream.slots for upstream in upstreams), default=0)
+
+
 def select_owners(
     service: str,
     proxies: collections.abc.Collection[Proxy],
     max_connections: int,
+    slots: int = 0,
 ) -> Ownership:
     """Return the owners of a group, given the live proxies.
 
+    `slots` is the number of statements that an upstream runs at a time, 0 if
+    that is unknown.
+
     >>> few = [Proxy(f'p{n}', 'abc'[n % 3]) for n in range(9)]
     >>> len(select_owners('s', few, 16).owners)
     9
@@ -76,15 +152,19 @@
     5
     >>> len(select_owners('s', many, 94).owners)
     8
+    >>> [len(select_owners('s', many, 94, n).owners) for n in (1, 3, 5, 9)]
+    [3, 3, 5, 8]
     """
     count = len(proxies)
     reserve = max_connections - count
     if count > ALL_OWNERS_LIMIT or reserve < count * RESERVE_SHARE:
         affordable = max_connections // OWNER_CONNECTIONS
         count = max(1, min(affordable, MAX_OWNERS))
+        if slots:
+            count = min(count, max(slots, MIN_OWNERS))
     by_name = {proxy.name: proxy for proxy in proxies}
     candidates = [
-        hashing.Candidate(proxy.name, '', proxy.data_centre)
+        hashing.Candidate(proxy.name, '', proxy.data_centre, proxy.weight)
         for proxy in proxies
     ]
     chosen = hashing.choose_owners(service, '', candidates, count)
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -9,6 +9,7 @@
 
 from topazring.core import revisions
 from topazring.core.synchronous import listing as listings
+from topazring.core.synchronous import ownership
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.plumbing import events
@@ -54,6 +55,11 @@
     # Whether it runs forwarded requests in the name of their organisation;
     # an older build would run them in its own.
     carries_organisations: bool = False
+    # Whether it chooses owners by weights and slots; an older build would
+    # choose others.
+    weighs_owners: bool = False
+    # Its part of all groups, in relation to other proxies.
+    weight: float = 1.0
 
 
 class Directory:
@@ -480,6 +486,8 @@
                 value.peer_address,
                 value.hop_address,
                 value.carries_organisations,
+                value.weighs_owners,
+                ownership.bounded_weight(value.weight),
             )
         return self.adapter.decode(change.key, change.value, change.revision)
 
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -15,6 +15,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
 from topazring.core.synchronous import request_queues
+from topazring.core.synchronous.scheduling import owner_changes
 from topazring.core.synchronous import state as states
 from topazring.plumbing import clock
 from topazring.plumbing import early_signals
@@ -48,6 +49,8 @@
 # The store answers in milliseconds. What it does not end in this time ends
 # when its lease expires.
 CLOSE_S = 0.25
+# Owners that remain do no harm, so it is enough to check now and then.
+OWNER_CHECK_S = 1.0
 # Longer messages are refused; the upstreams have the same limit.
 MESSAGE_BYTES = 1 << 20
 
@@ -74,6 +77,11 @@
         self.holds = False
         self.token = 0
         self.registered_until_ms = 0
+        self.weight = config.weight()
+        # Owners that joined a group's others, as this proxy has seen it.
+        self.owners_moved = 0
+        self.owner_changes: dict[str, owner_changes.OwnerChanges] = {}
+        self.owner_checks: asyncio.Task | None = None
         peer_client = peers.PeerClient(config.peers, config.peer_address or '')
         self.directory = directories.Directory(
             adapter,
@@ -97,6 +105,8 @@
                 config.hop_address or '',
                 self.incarnation,
                 carries_organisations=True,
+                weighs_owners=True,
+                weight=self.weight,
             ),
             adapter.store,
             self.directory,
@@ -162,8 +172,10 @@
             inputs={
                 'incarnation': self.incarnation,
                 'data_centre': self.config.data_centre,
+                'weight': self.weight,
             },
         )
+        self.owner_checks = asyncio.create_task(self._check_owners_forever())
         self.directory.start()
         self.membership.start()
         self.promotion_lease.start()
@@ -239,6 +251,9 @@
         group = self.groups.get(request.policy.service)
         if group is None:
             return forwarding.unconfigured_outcome()
+        if not (request.continues_transaction or group.state.connection_share):
+            # It would wait until its deadline for a connection.
+            return forwarding.no_owner_outcome()
         return await group.submit(request)
 
     def _lacks_organisation(self, request: messages.Request) -> bool:
@@ -309,8 +324,9 @@
         if configuration is None:
             return
         proxies = listings.proxies_of(
-            listing, self.config.name, self.config.data_centre
+            listing, self.config.name, self.config.data_centre, self.weight
         )
+        is_weighed = listings.are_owners_weighed(listing)
         self.router.set_peers(listings.hop_addresses(listing))
         self.router.old_peers = listings.old_proxies(listing)
         self._close_revoked(configuration)
@@ -327,13 +343,60 @@
             if group is None:
                 group = self._make_group(service)
             upstreams = listings.upstreams_of(listing, now_ms, service)
-            owned = ownership.select_owners(service, proxies, limit)
+            slots = ownership.slots_of(upstreams) if is_weighed else 0
+            chosen = ownership.select_owners(service, proxies, limit, slots)
+            changes = self.owner_changes.setdefault(
+                service, owner_changes.OwnerChanges()
+            )
+            owned = owner_changes.update(changes, now_ms, chosen, proxies)
+            self._log_owners(service, owned, slots, is_weighed)
             self.router.ownerships[service] = owned
             rank = owned.rank_of(self.config.name)
             count = len(owned.owners)
             group.post(messages.InstancesSeen(count, limit, rank))
             group.post(messages.UpstreamsSeen(upstreams))
 
+    def _log_owners(
+        self,
+        service: str,
+        owned: ownership.Ownership,
+        slots: int,
+        is_weighed: bool,
+    ) -> None:
+        """Log the owners of a group if they have changed."""
+        before = self.router.ownerships.get(service)
+        names = [owner.name for owner in owned.owners]
+        names_before = (
+            [owner.name for owner in before.owners] if before else []
+        )
+        if names == names_before:
+            return
+        if before is None and owned.rank_of(self.config.name) is None:
+            # With thousands of groups only those that it owns matter here.
+            return
+        self.owners_moved += len(set(names) - set(names_before))
+        inputs = {
+            'owners': ' '.join(names),
+            'new': ' '.join(sorted(set(names) - set(names_before))),
+            'remaining': len(self.owner_changes[service].remaining),
+            'slots': slots,
+            'weighed': is_weighed,
+        }
+        self.log.emit('process', 'owners', service=service, inputs=inputs)
+
+    async def _check_owners_forever(self) -> None:
+        """Release owners that remained until others could serve."""
+        while True:
+            await asyncio.sleep(OWNER_CHECK_S)
+            now_ms = clock.boottime_ms()
+            services = {
+                service
+                for service, changes in self.owner_changes.items()
+                if owner_changes.is_due(changes, now_ms)
+            }
+            if services:
+                self._apply_listing_changes(services)
+
     def _close_revoked(self, configuration: listings.Configuration) -> None:
         """Close idle sessions whose keys a new configuration has revoked."""
         if configuration.version == self.checked_version:
@@ -392,6 +455,7 @@
     def _drop_group(self, service: str) -> None:
         group = self.groups.pop(service, None)
         self.router.ownerships.pop(service, None)
+        self.owner_changes.pop(service, None)
         if group is not None:
             group.close()
             self.fences.handle_group_dropped()
@@ -447,6 +511,8 @@
             {
                 'sessions': len(self.callers),
                 'holds_duty': int(self.holds),
+                'owner_weight': self.weight,
+                'owners_moved': self.owners_moved,
                 'forwarded': self.router.forwarded,
                 'fence_queries_unanswered': (
                     self.reports.unanswered_fence_queries
@@ -482,6 +548,8 @@
             shutdown.flush_answers(self), self.quotas.release()
         )
         self.hop_server.close()
+        if self.owner_checks is not None:
+            self.owner_checks.cancel()
         self.directory.close()
         self.reports.close()
         self.overdue_report.close()
--- a/topazring/pooler/settings.py
+++ b/topazring/pooler/settings.py
@@ -1,7 +1,11 @@
 """Read and check the settings of one pooling proxy."""
 
+import typing
+
 import msgspec
 
+from topazring.core.synchronous import ownership
+
 __all__ = ['PoolerSettings', 'SettingsError', 'read']
 
 
@@ -9,6 +13,10 @@
     """Error in a settings file: its name and the fault, in one line."""
 
 
+# Of a resource; 0 if it is not limited.
+Amount = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
 class Endpoint(msgspec.Struct, frozen=True):
     """Address of a listener."""
 
@@ -33,6 +41,11 @@
     peers: tuple[str, ...] = ()
     # Where other proxies send requests that this one can serve.
     hop_address: str | None = None
+    # The machine's share of a core, and how many times as fast that core is.
+    cpu_share: Amount | None = None
+    cpu_speed: Amount | None = None
+    link_mbps: Amount | None = None
+    memory_mb: Amount | None = None
     # Descriptors that this process may have open.
     max_descriptors: int = 1024
     # How long a leaving upstream may still be given work.
@@ -49,6 +62,13 @@
     # Time from the stop signal until the process is killed.
     grace_s: float = 6.0
 
+    def weight(self) -> float:
+        """Return this proxy's part of all groups, in relation to others."""
+        cores = None
+        if self.cpu_share:
+            cores = self.cpu_share * (self.cpu_speed or 1.0)
+        return ownership.weight_of(cores, self.link_mbps, self.memory_mb)
+
 
 def read(path: str) -> PoolerSettings:
     """Return checked settings; raise SettingsError on any fault."""
