--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import types
 from unittest import mock
 
@@ -10,9 +11,12 @@
 
 from topazring.bench import ports
 from topazring.core import log_positions
+from topazring.core import outcomes
 from topazring.core import revisions
+from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
+from topazring.core.synchronous import statements
 from topazring.plumbing import clock
 from topazring.pooler import directory as directories
 from topazring.pooler import group_task
@@ -113,6 +117,50 @@
 
         self.play(steps)
 
+    def test_listed_value_has_a_weight(self):
+        """Others compute the owners from it."""
+
+        async def steps():
+            pooler, _ = self.poolers
+            value = msgspec.json.decode(
+                pooler.membership.value, type=directories.ProxyValue
+            )
+            self.assertTrue(value.weighs_owners)
+            self.assertEqual(1.0, value.weight)
+            metrics = pooler._render_metrics().decode()
+            self.assertIn('topazring_owner_weight 1.0', metrics)
+
+        self.play(steps)
+
+    def test_proxy_without_a_share_refuses_at_once(self):
+        """Another owner can serve the request.
+
+        Guards against writes that wait until their deadline at a proxy which
+        has become an owner, and opens connections after fifteen seconds.
+        """
+
+        async def steps():
+            pooler, _ = self.poolers
+            group = self.groups[0]
+            group.submit = mock.AsyncMock(return_value=outcomes.Done([], None))
+            policy = messages.Policy('d', 's', messages.Freshness.PRIMARY)
+            text = statements.Statement('r', statements.Verb.READ, 'READ k')
+            request = messages.Request(
+                1, text, policy, False, clock.boottime_ms()
+            )
+            group.state.connection_share = 0
+            refusal = await pooler.serve_locally(request)
+            self.assertIsInstance(refusal, outcomes.NotRun)
+            self.assertFalse(forwarding.is_final(request, refusal))
+            later = dataclasses.replace(request, transaction=7)
+            self.assertTrue(later.continues_transaction)
+            for served in (later, request):
+                found = await pooler.serve_locally(served)
+                self.assertIsInstance(found, outcomes.Done)
+                group.state.connection_share = 1
+
+        self.play(steps)
+
     def test_record_of_the_members(self):
         """Guards against a core that misses a change of the record."""
 
--- a/topazring/pooler/tests/test_rolling_upgrade.py
+++ b/topazring/pooler/tests/test_rolling_upgrade.py
@@ -2,16 +2,18 @@
 
 One older build knows no organisations: it ignores the organisation of a
 request and runs it in the proxy's own name. Another knows no eras of the
-platform's store.
+platform's store. A third chooses owners by names alone.
 """
 
 import asyncio
 import dataclasses
+import json
 from unittest import mock
 
 import msgspec
 import testtools
 
+from topazring.core import hashing
 from topazring.core import outcomes
 from topazring.core import revisions
 from topazring.core.synchronous import forwarding
@@ -129,6 +131,94 @@
         )
 
 
+class OwnersTest(testtools.TestCase):
+    """An older build chooses owners by names alone, eight of each group."""
+
+    def setUp(self):
+        """List forty proxies of this build, and two of the older one."""
+        super().setUp()
+        self.listing = listings.Listing()
+        for number in range(42):
+            name = f'p{number}'
+            text = {'data_centre': 'abc'[number % 3]}
+            if number < 40:
+                weight = 2.0 if number < 3 else 0.25
+                text |= {'weighs_owners': True, 'weight': weight}
+            self.list_entry(name, json.dumps(text))
+
+    def list_entry(self, name: str, text: str) -> None:
+        """Read an entry as the directory does."""
+        key = directory.PROXY_PREFIX + name
+        reader = mock.Mock()
+        change = revisions.Change(key, 1, text)
+        record = directory.Directory._decode(reader, 0, change)
+        self.listing.proxies[key] = record
+
+    def owners(self, name: str) -> list[str]:
+        """Return the owners that a proxy of this build chooses."""
+        pooler = mock.Mock(spec=process.Pooler)
+        pooler.config = mock.Mock(data_centre='a')
+        pooler.config.name = name
+        pooler.weight = 0.25
+        pooler.owner_changes = {}
+        pooler.router = mock.Mock(ownerships={})
+        pooler.quotas = mock.Mock()
+        pooler.groups = {'s': mock.Mock()}
+        pooler.directory = mock.Mock(listing=self.listing)
+        self.listing.configuration = listings.Configuration(1, {}, {'s': 61})
+        for each in ('u1', 'u2', 'u3'):
+            self.listing.upstreams[each] = listings.UpstreamRecord(
+                's',
+                messages.ListedUpstream(
+                    each, '', 'a', statements.Role.REPLICA, 1, slots=5
+                ),
+            )
+        process.Pooler._apply_listing_changes(pooler, {'s'})
+        owned = pooler.router.ownerships['s']
+        return [owner.name for owner in owned.owners]
+
+    def test_beside_an_older_build(self):
+        """Guards against requests that two builds send to different owners.
+
+        The owners are those that the older build chooses: the first eight by
+        name, spread over data centres.
+        """
+        candidates = [
+            hashing.Candidate(f'p{n}', '', 'abc'[n % 3]) for n in range(42)
+        ]
+        expected = list(hashing.choose_owners('s', '', candidates, 8))
+        for name in ('p0', 'p39'):
+            self.assertEqual(expected, self.owners(name))
+
+    def test_after_the_last_of_an_older_build(self):
+        """All choose by weights and slots, and the same."""
+        for number in (40, 41):
+            text = {'data_centre': 'abc'[number % 3], 'weighs_owners': True}
+            self.list_entry(f'p{number}', json.dumps(text))
+        found = self.owners('p0')
+        self.assertEqual(5, len(found))
+        self.assertEqual(found, self.owners('p41'))
+
+    def test_older_build_reads_this_entry(self):
+        """It ignores the fields that it does not know."""
+        value = directory.ProxyValue('a', weighs_owners=True, weight=2.0)
+
+        class Older(msgspec.Struct):
+            data_centre: str
+            carries_organisations: bool = False
+
+        text = msgspec.json.encode(value)
+        found = msgspec.json.decode(text, type=Older)
+        self.assertEqual('a', found.data_centre)
+
+    def test_weight_beyond_the_bounds(self):
+        """All builds bound it in the same way, however it got there."""
+        text = '{"data_centre": "a", "weighs_owners": true, "weight": 1e9}'
+        self.list_entry('p0', text)
+        record = self.listing.proxies[directory.PROXY_PREFIX + 'p0']
+        self.assertEqual(ownership.MAX_WEIGHT, record.weight)
+
+
 class ErasTest(testtools.TestCase):
     """A peer of an older build compares the store's own numbers.
 
