Test handovers of owners while lists differ

A fleet of 30 with delays of 0 to 3 s: all weights change, a dozen join, slots become known, any changes (80 examples): at most 61 connections together, never fewer owners with connections than three.

--- /dev/null
+++ b/topazring/core/synchronous/scheduling/tests/test_owner_handover.py
@@ -0,0 +1,216 @@
+"""Test a fleet whose proxies see changes of their list at different times.
+
+Each proxy chooses owners and its share of connections with the production
+code; the test knows what all of them hold together.
+"""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import ownership
+from topazring.core.synchronous.scheduling import owner_changes
+from topazring.core.synchronous import state as states
+
+MAX_CONNECTIONS = 61
+STEP_MS = 500
+# By how much two proxies' lists differ.
+MAX_DELAY_MS = 3000
+
+
+@dataclasses.dataclass
+class View:
+    """What the list says at a moment."""
+
+    proxies: tuple[ownership.Proxy, ...]
+    slots: int
+
+
+class Member:
+    """One proxy: its own view, and its share of connections."""
+
+    def __init__(self, name: str, began_ms: int | None, delay_ms: int):
+        self.name = name
+        self.delay_ms = delay_ms
+        self.changes = owner_changes.OwnerChanges()
+        self.state = states.make_group('s', 'a', states.Limits())
+        self.state.connection_share = 0
+        self.state.began_ms = None
+        self.began_ms = began_ms
+        self.view: View | None = None
+        self.owned = ownership.Ownership(())
+
+    def step(self, now_ms: int, view: View) -> None:
+        """Apply a view if it is new, and what has become due."""
+        if view != self.view or owner_changes.is_due(self.changes, now_ms):
+            self.view = view
+            chosen = ownership.select_owners(
+                's', view.proxies, MAX_CONNECTIONS, view.slots
+            )
+            self.owned = owner_changes.update(
+                self.changes, now_ms, chosen, view.proxies
+            )
+            seen = messages.InstancesSeen(
+                len(self.owned.owners),
+                MAX_CONNECTIONS,
+                self.owned.rank_of(self.name),
+            )
+            connections.update_share(self.state, now_ms, seen)
+        if self.state.began_ms is None:
+            self.state.began_ms = self.began_ms
+        connections.apply_larger_share(self.state, now_ms)
+
+    def held(self, now_ms: int) -> int:
+        """Return how many connections it may hold."""
+        if now_ms - self.began_ms < connections.LINGER_MS:
+            return min(self.state.starting_share, self.state.connection_share)
+        return self.state.connection_share
+
+
+class Fleet:
+    """Proxies in three data centres, and the history of their list."""
+
+    def __init__(self, delays_ms: list[int]):
+        self.now_ms = 100_000
+        self.delays_ms = delays_ms
+        self.proxies = {
+            f'p{n}': ownership.Proxy(f'p{n}', 'abc'[n % 3]) for n in range(30)
+        }
+        self.slots = 5
+        self.history: list[tuple[int, View]] = []
+        self.members = [
+            Member(name, self.now_ms - 60_000, delays_ms[n % len(delays_ms)])
+            for n, name in enumerate(self.proxies)
+        ]
+        self.most = self.fewest = 0
+        self.publish()
+        self.history = [(0, self.history[0][1])]
+        self.run(STEP_MS)
+        self.most, self.fewest = 0, len(self.members)
+
+    def publish(self) -> None:
+        """Change the list; each proxy sees that after its own delay."""
+        view = View(tuple(self.proxies.values()), self.slots)
+        self.history.append((self.now_ms, view))
+
+    def weigh(self, weights: dict[str, float]) -> None:
+        """Change the weights of proxies that are listed."""
+        for name, weight in weights.items():
+            self.proxies[name] = dataclasses.replace(
+                self.proxies[name], weight=weight
+            )
+        self.publish()
+
+    def join(self, count: int) -> None:
+        """List new processes."""
+        for _ in range(count):
+            number = len(self.members)
+            name = f'p{number}'
+            self.proxies[name] = ownership.Proxy(name, 'abc'[number % 3])
+            self.members.append(Member(name, self.now_ms, 0))
+        self.publish()
+
+    def run(self, for_ms: int) -> None:
+        """Let time pass, and record what all hold."""
+        until_ms = self.now_ms + for_ms
+        while self.now_ms < until_ms:
+            self.now_ms += STEP_MS
+            for member in self.members:
+                seen = [
+                    view
+                    for since_ms, view in self.history
+                    if since_ms + member.delay_ms <= self.now_ms
+                ]
+                member.step(self.now_ms, seen[-1])
+            held = [member.held(self.now_ms) for member in self.members]
+            self.most = max(self.most, sum(held))
+            self.fewest = min(self.fewest, sum(each > 0 for each in held))
+
+
+class HandoverTest(testtools.TestCase):
+    """The owners of a group change while lists differ."""
+
+    delays_ms = [0, 900, 200, 2800, 1500, 400, 3000]
+
+    def test_all_weights_change(self):
+        """The last proxy of an older build has left: all begin to weigh.
+
+        Guards against a group that nobody serves for fifteen seconds, and
+        against upstreams that refuse connections as beyond their limit.
+        """
+        fleet = Fleet(self.delays_ms)
+        before = {owner.name for owner in fleet.members[0].owned.owners}
+        fleet.weigh(
+            {
+                name: 2.0 if n % 5 == 0 else 0.25
+                for n, name in enumerate(fleet.proxies)
+            }
+        )
+        fleet.run(60_000)
+        after = [member.owned.owners for member in fleet.members]
+        self.assertGreaterEqual(
+            len({owner.name for owner in after[0]} - before), 2
+        )
+        self.assertEqual(1, len(set(after)))
+        self.assertEqual(5, len(after[0]))
+        self.assertLessEqual(fleet.most, MAX_CONNECTIONS)
+        self.assertGreaterEqual(fleet.fewest, 5)
+
+    def test_a_dozen_join(self):
+        """New processes use their part of the reserve at first."""
+        fleet = Fleet(self.delays_ms)
+        fleet.join(12)
+        fleet.run(60_000)
+        self.assertEqual(1, len({m.owned.owners for m in fleet.members}))
+        self.assertLessEqual(fleet.most, MAX_CONNECTIONS)
+        self.assertGreaterEqual(fleet.fewest, 4)
+
+    def test_slots_become_known(self):
+        """Three of eight owners give up their connections."""
+        fleet = Fleet(self.delays_ms)
+        fleet.slots = 0
+        fleet.publish()
+        fleet.run(60_000)
+        self.assertEqual(8, len(fleet.members[0].owned.owners))
+        fleet.slots = 5
+        fleet.publish()
+        fleet.run(60_000)
+        self.assertLessEqual(fleet.most, MAX_CONNECTIONS)
+        self.assertGreaterEqual(fleet.fewest, 5)
+
+    @hypothesis.settings(derandomize=True, max_examples=80, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.integers(0, MAX_DELAY_MS // STEP_MS),
+            min_size=3,
+            max_size=7,
+        ),
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from((0, 1000, 5000, 16_000, 40_000)),
+                strategies.sampled_from((3, 5, 9, 0)),
+                strategies.dictionaries(
+                    strategies.integers(0, 29).map('p{}'.format),
+                    strategies.sampled_from((0.25, 1.0, 2.0)),
+                    max_size=30,
+                ),
+            ),
+            min_size=1,
+            max_size=4,
+        ),
+    )
+    def test_any_weights_and_slots(self, delays, steps):
+        """As many as the fewest owners serve, and all within the limit."""
+        fleet = Fleet([delay * STEP_MS for delay in delays])
+        for after_ms, slots, weights in steps:
+            fleet.run(after_ms)
+            fleet.slots = slots
+            fleet.weigh(weights)
+        fleet.run(60_000)
+        self.assertEqual(1, len({m.owned.owners for m in fleet.members}))
+        self.assertLessEqual(fleet.most, MAX_CONNECTIONS)
+        self.assertGreaterEqual(fleet.fewest, ownership.MIN_OWNERS)
--- a/topazring/core/synchronous/tests/owner_counts.py
+++ b/topazring/core/synchronous/tests/owner_counts.py
@@ -85,7 +85,12 @@
 
 
 def trial(
-    slots: int, owners: int, load: float, seed: int, kills: bool = False
+    slots: int,
+    owners: int,
+    load: float,
+    seed: int,
+    kills: bool = False,
+    organisations: int = 0,
 ) -> OwnerLossSimulation:
     """Simulate 8 s of a load, in multiples of what the slots can run."""
     most, queue = UPSTREAMS[slots]
@@ -96,6 +101,9 @@
         share=connections.share_of(most, owners, owners - 1),
         slots=slots,
         queue=queue,
+        organisations={
+            f'org{n}': 1 / (n + 1) ** 0.8 for n in range(organisations)
+        },
     )
     simulation.run(2000)
     simulation.reset_tallies()
@@ -142,10 +150,12 @@
 
 if __name__ == '__main__':
     load, kills = float(sys.argv[1]), 'kill' in sys.argv
+    organisations = 80 if 'organisations' in sys.argv else 0
     for slots in (5, 3, 2):
         for owners in (1, 2, 3, 5, 8):
             found = [
-                trial(slots, owners, load, seed, kills) for seed in (1, 2, 3)
+                trial(slots, owners, load, seed, kills, organisations)
+                for seed in (1, 2, 3)
             ]
             line = f'slots {slots} load {load} owners {owners}'
-            print(line, 'kill' if kills else '', describe(found), flush=True)
+            print(line, *sys.argv[2:], describe(found), flush=True)
