Choose owners without a full sort; share the list among groups

The listed proxies are one mapping for all groups: a set for each of 3,200 groups would be over the 64 MB.

--- a/topazring/core/hashing.py
+++ b/topazring/core/hashing.py
@@ -3,11 +3,14 @@
 import collections.abc
 import dataclasses
 import hashlib
+import heapq
 import math
+import typing
 
 __all__ = [
     'Candidate',
     'choose_owners',
+    'choose_spread',
     'first_by_score',
     'score',
     'weighted_score',
@@ -55,8 +58,11 @@
     True
     """
     unweighted = score(database, name)
-    uniform = (unweighted + 0.5) / 2**SCORE_BITS
-    return math.log(uniform) / weight, unweighted
+    return _weigh(unweighted, weight), unweighted
+
+
+def _weigh(unweighted: int, weight: float) -> float:
+    return math.log((unweighted + 0.5) / 2**SCORE_BITS) / weight
 
 
 def choose_owners(
@@ -74,26 +80,53 @@
     """
     all_candidates = list(candidates)
     local = [c for c in all_candidates if c.region == region]
-    pool = local or all_candidates
-    if len({candidate.weight for candidate in pool}) > 1:
-        pool.sort(
-            key=lambda c: weighted_score(database, c.name, c.weight),
-            reverse=True,
-        )
-    else:
-        pool.sort(key=lambda c: score(database, c.name), reverse=True)
-    chosen: list[Candidate] = []
-    while pool and len(chosen) < count:
-        remaining: list[Candidate] = []
-        centres: set[str] = set()
-        for candidate in pool:
-            if candidate.data_centre in centres:
-                remaining.append(candidate)
-            elif len(chosen) < count:
-                chosen.append(candidate)
-                centres.add(candidate.data_centre)
-        pool = remaining
-    return tuple(candidate.name for candidate in chosen)
+    return choose_spread(database, local or all_candidates, count)
+
+
+class Weighted(typing.Protocol):
+    """What of a candidate the choice depends on."""
+
+    name: str
+    data_centre: str
+    weight: float
+
+
+def choose_spread(
+    database: str,
+    candidates: collections.abc.Iterable[Weighted],
+    count: int,
+) -> tuple[str, ...]:
+    """Return the owners among candidates of one region."""
+    by_centre = _best_by_data_centre(database, candidates, count)
+    chosen: list[_Ranked] = []
+    for place in range(count):
+        best = [each[place] for each in by_centre if place < len(each)]
+        chosen += sorted(best, reverse=True)
+    return tuple(name for _, _, name in chosen[:count])
+
+
+# Weighted score, score and name.
+_Ranked = tuple[float, int, str]
+
+
+def _best_by_data_centre(
+    database: str, pool: collections.abc.Iterable[Weighted], count: int
+) -> list[list[_Ranked]]:
+    """Return the best proxies of each data centre, the best one first."""
+    scored: dict[tuple[str, float], list[tuple[int, str]]] = {}
+    for each in pool:
+        by_class = scored.setdefault((each.data_centre, each.weight), [])
+        by_class.append((score(database, each.name), each.name))
+    # Proxies of equal weight have the order of their scores, so logarithms
+    # are needed only for the best ones of each weight.
+    is_weighted = len({weight for _, weight in scored}) > 1
+    ranked: dict[str, list[_Ranked]] = {}
+    for (centre, weight), names in scored.items():
+        for unweighted, name in heapq.nlargest(count, names):
+            weighted = _weigh(unweighted, weight) if is_weighted else 0.0
+            by_centre = ranked.setdefault(centre, [])
+            by_centre.append((weighted, unweighted, name))
+    return [sorted(each, reverse=True)[:count] for each in ranked.values()]
 
 
 def first_by_score(
--- a/topazring/core/synchronous/ownership.py
+++ b/topazring/core/synchronous/ownership.py
@@ -163,9 +163,5 @@
         if slots:
             count = min(count, max(slots, MIN_OWNERS))
     by_name = {proxy.name: proxy for proxy in proxies}
-    candidates = [
-        hashing.Candidate(proxy.name, '', proxy.data_centre, proxy.weight)
-        for proxy in proxies
-    ]
-    chosen = hashing.choose_owners(service, '', candidates, count)
+    chosen = hashing.choose_spread(service, proxies, count)
     return Ownership(tuple(by_name[name] for name in chosen))
--- a/topazring/core/synchronous/scheduling/owner_changes.py
+++ b/topazring/core/synchronous/scheduling/owner_changes.py
@@ -22,6 +22,9 @@
 # its connections once its share has been available for long enough.
 HANDOVER_MS = connections.GROW_AFTER_MS + 3000
 
+# By name.
+Proxies = collections.abc.Mapping[str, ownership.Proxy]
+
 
 @dataclasses.dataclass(slots=True)
 class OwnerChanges:
@@ -33,18 +36,17 @@
     remaining: frozenset[str] = frozenset()
     # Until when they remain.
     until_ms: int = 0
-    # All proxies of the last list.
-    listed: frozenset[str] = frozenset()
+    # All proxies of the last list, which all groups share.
+    listed: Proxies = dataclasses.field(default_factory=dict)
 
 
 def update(
     changes: OwnerChanges,
     now_ms: int,
     chosen: ownership.Ownership,
-    proxies: collections.abc.Collection[ownership.Proxy],
+    proxies: Proxies,
 ) -> ownership.Ownership:
     """Return the owners in force after a change of the list."""
-    by_name = {proxy.name: proxy for proxy in proxies}
     since_ms = {
         owner.name: _began_ms(changes, now_ms, owner.name)
         for owner in chosen.owners
@@ -54,7 +56,7 @@
         name
         for name, began_ms in changes.since_ms.items()
         if name not in since_ms
-        and name in by_name
+        and name in proxies
         and _serves(began_ms, now_ms)
     ]
     remaining = replaced[: len(new)]
@@ -69,8 +71,8 @@
     changes.until_ms = HANDOVER_MS + max(
         (since_ms[name] for name in new), default=now_ms
     )
-    changes.listed = frozenset(by_name)
-    return ownership.Ownership(tuple(by_name[name] for name in in_force))
+    changes.listed = proxies
+    return ownership.Ownership(tuple(proxies[name] for name in in_force))
 
 
 def is_due(changes: OwnerChanges, now_ms: int) -> bool:
--- a/topazring/core/synchronous/scheduling/tests/test_owner_changes.py
+++ b/topazring/core/synchronous/scheduling/tests/test_owner_changes.py
@@ -12,6 +12,11 @@
 FLEET = [ownership.Proxy(f'p{n}', 'abc'[n % 3]) for n in range(30)]
 
 
+def by_name(fleet: list[ownership.Proxy]) -> dict[str, ownership.Proxy]:
+    """Return the proxies of a list by their names."""
+    return {proxy.name: proxy for proxy in fleet}
+
+
 class OwnerChangesTest(testtools.TestCase):
     """Replaced owners remain while new ones have no connections."""
 
@@ -25,7 +30,9 @@
     def update(self, chosen, fleet=FLEET) -> list[int]:
         """Choose owners by number; return those in force."""
         owned = ownership.Ownership(tuple(FLEET[n] for n in chosen))
-        found = owner_changes.update(self.changes, self.now_ms, owned, fleet)
+        found = owner_changes.update(
+            self.changes, self.now_ms, owned, by_name(fleet)
+        )
         return [int(owner.name[1:]) for owner in found.owners]
 
     def is_due(self) -> bool:
@@ -77,7 +84,7 @@
             fleet = FLEET[:count]
             owned = ownership.select_owners('s', fleet, 61, 5)
             found = owner_changes.update(
-                changes, self.now_ms + count, owned, fleet
+                changes, self.now_ms + count, owned, by_name(fleet)
             )
             self.assertEqual(owned, found)
 
@@ -131,7 +138,9 @@
         for after_ms, chosen in [(0, set(range(8))), *steps]:
             now_ms += after_ms
             owned = ownership.Ownership(tuple(FLEET[n] for n in chosen))
-            found = owner_changes.update(changes, now_ms, owned, FLEET)
+            found = owner_changes.update(
+                changes, now_ms, owned, by_name(FLEET)
+            )
             names = [owner.name for owner in found.owners]
             self.assertEqual(
                 [owner.name for owner in owned.owners], names[: len(chosen)]
--- a/topazring/core/synchronous/scheduling/tests/test_owner_handover.py
+++ b/topazring/core/synchronous/scheduling/tests/test_owner_handover.py
@@ -52,7 +52,10 @@
                 's', view.proxies, MAX_CONNECTIONS, view.slots
             )
             self.owned = owner_changes.update(
-                self.changes, now_ms, chosen, view.proxies
+                self.changes,
+                now_ms,
+                chosen,
+                {proxy.name: proxy for proxy in view.proxies},
             )
             seen = messages.InstancesSeen(
                 len(self.owned.owners),
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -80,6 +80,8 @@
         self.weight = config.weight()
         # Owners that joined a group's others, as this proxy has seen it.
         self.owners_moved = 0
+        # By name; one mapping for all groups, since there may be thousands.
+        self.listed_proxies: dict[str, ownership.Proxy] = {}
         self.owner_changes: dict[str, owner_changes.OwnerChanges] = {}
         self.owner_checks: asyncio.Task | None = None
         peer_client = peers.PeerClient(config.peers, config.peer_address or '')
@@ -326,6 +328,9 @@
         proxies = listings.proxies_of(
             listing, self.config.name, self.config.data_centre, self.weight
         )
+        by_name = {proxy.name: proxy for proxy in proxies}
+        if by_name != self.listed_proxies:
+            self.listed_proxies = by_name
         is_weighed = listings.are_owners_weighed(listing)
         self.router.set_peers(listings.hop_addresses(listing))
         self.router.old_peers = listings.old_proxies(listing)
@@ -348,7 +353,9 @@
             changes = self.owner_changes.setdefault(
                 service, owner_changes.OwnerChanges()
             )
-            owned = owner_changes.update(changes, now_ms, chosen, proxies)
+            owned = owner_changes.update(
+                changes, now_ms, chosen, self.listed_proxies
+            )
             self._log_owners(service, owned, slots, is_weighed)
             self.router.ownerships[service] = owned
             rank = owned.rank_of(self.config.name)
--- a/topazring/pooler/tests/test_rolling_upgrade.py
+++ b/topazring/pooler/tests/test_rolling_upgrade.py
@@ -161,6 +161,7 @@
         pooler.config.name = name
         pooler.weight = 0.25
         pooler.owner_changes = {}
+        pooler.listed_proxies = {}
         pooler.router = mock.Mock(ownerships={})
         pooler.quotas = mock.Mock()
         pooler.groups = {'s': mock.Mock()}
