--- a/topazring/admin/main.py
+++ b/topazring/admin/main.py
@@ -13,7 +13,9 @@
 from tornado import httpclient
 
 from topazring.admin import changes
+from topazring.admin import closure_commands
 from topazring.admin import exits
+from topazring.admin import load_command
 from topazring.admin import trace_command
 from topazring import catalogue
 from topazring.core import organisations
@@ -371,6 +373,11 @@
         | Status
         | Explain
         | HashKey
+        | load_command.Load
+        | closure_commands.CloseUpstream
+        | closure_commands.OpenUpstream
+        | closure_commands.CloseDatabase
+        | closure_commands.OpenDatabase
         | trace_command.Trace
     ]
 
--- a/topazring/core/outcomes.py
+++ b/topazring/core/outcomes.py
@@ -25,6 +25,7 @@
     CONFLICT = 'conflict'
     CONNECTION_LIMIT = 'connection_limit'
     CONNECTION_LOST = 'connection_lost'
+    DATABASE_CLOSED = 'database_closed'
     DEADLINE = 'deadline'
     DRAINING = 'draining'
     GROUP_RESTARTED = 'group_restarted'
--- a/topazring/core/synchronous/completion.py
+++ b/topazring/core/synchronous/completion.py
@@ -15,6 +15,7 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import reply_effects
 from topazring.core.synchronous import request_queues
+from topazring.core.synchronous.scheduling import service_counts as counts
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -65,6 +66,9 @@
     if work.is_queued:
         request_queues.remove(state, work)
     state.counters[_label(outcome)] += 1
+    counts.record(
+        state.service_counts, state.stepped_ms, work.request, outcome
+    )
     answered = messages.Answer(work.request.key, outcome)
     if not work.is_traced:
         return [answered]
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -95,6 +95,7 @@
     """Handle one message and return the resulting messages."""
     if not state.created_ms:
         state.created_ms = now_ms
+    state.stepped_ms = now_ms
     outs = _handle_late_message(state, now_ms, message)
     return outs + _handlers[type(message)](state, now_ms, message)
 
@@ -130,6 +131,14 @@
     return outs + dispatch.start_waiting(state, now_ms)
 
 
+@_handles(messages.UpstreamsClosed)
+def _upstreams_closed(
+    state: states.GroupState, now_ms: int, message: messages.UpstreamsClosed
+) -> list:
+    membership.handle_closures(state, message)
+    return dispatch.start_waiting(state, now_ms)
+
+
 def _continue_promotion(state: states.GroupState, now_ms: int) -> list:
     """Let a running promotion query a new or newly reached member at once.
 
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -10,7 +10,11 @@
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
-__all__ = ['close_leaving_connections', 'handle_upstream_list']
+__all__ = [
+    'close_leaving_connections',
+    'handle_closures',
+    'handle_upstream_list',
+]
 
 # Share of the time in which a leaving primary may still be given work that is
 # actually used; its replacement has to be completed by then. The rest covers a
@@ -205,6 +209,17 @@
         )
 
 
+def handle_closures(
+    state: states.GroupState, message: messages.UpstreamsClosed
+) -> None:
+    """Record which upstreams operators have closed.
+
+    They are not leaving: one that vanishes meanwhile has not drained, and may
+    be alive.
+    """
+    state.closed_until_ms = dict(message.until_ms)
+
+
 def close_leaving_connections(state: states.GroupState, now_ms: int) -> list:
     """Close idle connections to leaving upstreams closed to new work."""
     outs: list = []
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -44,6 +44,7 @@
     'Send',
     'Submit',
     'Tick',
+    'UpstreamsClosed',
     'UpstreamsSeen',
     'Withdraw',
     'YieldPromotionLease',
@@ -196,6 +197,13 @@
     upstreams: tuple[ListedUpstream, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsClosed:
+    """Report the upstreams that operators have closed, until when each."""
+
+    until_ms: collections.abc.Mapping[str, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstancesSeen:
     """Report how many owners share the connections to the upstreams.
--- a/topazring/core/synchronous/routing.py
+++ b/topazring/core/synchronous/routing.py
@@ -106,6 +106,8 @@
         return False
     if states.is_closed_to_work(upstream, now_ms):
         return False
+    if states.is_closed_by_operator(state, now_ms, upstream.name):
+        return False
     return connections.has_usable_connection(state, upstream.name)
 
 
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -12,6 +12,7 @@
 from topazring.core.synchronous import departed_members as departed
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import position_records
+from topazring.core.synchronous.scheduling import service_counts as counts
 from topazring.core.synchronous import statements
 
 __all__ = [
@@ -29,6 +30,7 @@
     'idle_connections',
     'idle_connections_of',
     'is_awaited_for_fencing',
+    'is_closed_by_operator',
     'is_closed_to_work',
     'is_recently_lagging',
     'make_group',
@@ -462,6 +464,14 @@
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    # When the message that is being handled arrived, and what was answered
+    # in the last seconds; for operators.
+    stepped_ms: int = 0
+    service_counts: counts.ServiceCounts = dataclasses.field(
+        default_factory=counts.ServiceCounts
+    )
+    # By upstream, until when an operator has closed it to new work.
+    closed_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def make_group(service: str, data_centre: str, limits: Limits) -> GroupState:
@@ -509,6 +519,18 @@
     return closes_ms is not None and now_ms >= closes_ms
 
 
+def is_closed_by_operator(
+    state: GroupState, now_ms: int, upstream: str
+) -> bool:
+    """Return whether an operator has taken an upstream out for a while.
+
+    That has no effect on the primary: nobody else can serve its requests.
+    """
+    if upstream == state.primary:
+        return False
+    return now_ms < state.closed_until_ms.get(upstream, now_ms)
+
+
 def is_awaited_for_fencing(state: GroupState, upstream: str) -> bool:
     """Return whether earlier orders wait for an upstream to be fenced off.
 
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -34,6 +34,7 @@
     messages.InstancesSeen,
     messages.MembersRecorded,
     messages.UpstreamsSeen,
+    messages.UpstreamsClosed,
     messages.PromotionLeaseSeen,
     messages.RegistrationSeen,
 )
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -15,6 +15,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
 from topazring.core.synchronous import request_queues
+from topazring.core.synchronous.scheduling import service_counts
 from topazring.core.synchronous import state as states
 from topazring.plumbing import clock
 from topazring.plumbing import early_signals
@@ -23,10 +24,12 @@
 from topazring.pooler import acknowledgement_reports
 from topazring.pooler import caller_server
 from topazring.pooler import caller_task
+from topazring.pooler import closures
 from topazring.pooler import directory as directories
 from topazring.pooler import follower_client
 from topazring.pooler import group_task
 from topazring.pooler import hop_server
+from topazring.pooler import load_page
 from topazring.pooler import member_records
 from topazring.pooler import membership
 from topazring.pooler import metrics as metric_sets
@@ -73,6 +76,8 @@
         self.checked_version: int | None = None
         self.holds = False
         self.token = 0
+        # Refused before they reached their group, by reason.
+        self.refusals: collections.Counter[str] = collections.Counter()
         self.registered_until_ms = 0
         peer_client = peers.PeerClient(config.peers, config.peer_address or '')
         self.directory = directories.Directory(
@@ -148,8 +153,29 @@
             self.log,
         )
         self.caller_server = caller_server.Server(self, config.max_descriptors)
+        self.closures = closures.Closures(
+            config.name,
+            adapter.store,
+            self.directory,
+            self.log,
+            lambda target: closures.find_fault(
+                self.directory.listing, self.groups, target
+            ),
+            self._handle_closure_change,
+        )
+        self.load_page = load_page.LoadPage(
+            config.name,
+            config.data_centre,
+            self.groups,
+            self.router,
+            self.closures.views,
+        )
         self.probe_server = probes.Server(
-            adapter.ready_path, self.ready, self._render_metrics
+            adapter.ready_path,
+            self.ready,
+            self._render_metrics,
+            {load_page.PATH: self.load_page.render},
+            {closures.PATH: self.closures.handle_request},
         )
         self.overdue_report = overdue_report.OverdueReport(self)
 
@@ -198,8 +224,11 @@
 
     async def run(self, request: messages.Request) -> outcomes.Outcome:
         """Serve a request here or at another proxy."""
-        refusal = await self.quotas.admit(request)
+        refusal = self._refuse_closed(request)
+        if refusal is None:
+            refusal = await self.quotas.admit(request)
         if refusal is not None:
+            self._count_refusal(request, refusal)
             return refusal
         outcome = await self.router.run(
             shutdown.limit_timeout(request, self.exit_deadline_ms)
@@ -208,6 +237,29 @@
             self.quotas.give_back(request)
         return outcome
 
+    def _refuse_closed(
+        self, request: messages.Request
+    ) -> outcomes.NotRun | None:
+        """Refuse a request for a closed database until it is opened."""
+        if request.continues_transaction:
+            return None
+        left_ms = self.closures.database_left_ms(request.policy.database)
+        if not left_ms:
+            return None
+        return outcomes.NotRun(outcomes.Reason.DATABASE_CLOSED, left_ms)
+
+    def _count_refusal(
+        self, request: messages.Request, refusal: outcomes.Outcome
+    ) -> None:
+        """Count a request that is refused before it reaches its group."""
+        reason = getattr(refusal, 'reason', '')
+        self.refusals[f'notrun_{reason}'] += 1
+        group = self.groups.get(request.policy.service)
+        if group is not None:
+            counts = group.state.service_counts
+            now_ms = clock.boottime_ms()
+            service_counts.record(counts, now_ms, request, refusal)
+
     async def grant_permits(
         self, organisation: str, wanted: int
     ) -> tuple[int, int]:
@@ -361,6 +413,7 @@
         group.record_members = self.member_records.write
         self.groups[service] = group
         group.start()
+        self._post_closures(service)
         group.post(
             messages.MembersRecorded(
                 self.member_records.read(service),
@@ -396,7 +449,19 @@
             group.close()
             self.fences.handle_group_dropped()
 
+    def _handle_closure_change(self, target: closures.Target) -> None:
+        if target.kind is closures.Kind.UPSTREAM:
+            self._post_closures(target.service)
+
+    def _post_closures(self, service: str) -> None:
+        group = self.groups.get(service)
+        until_ms = self.closures.upstreams_until_ms(service)
+        if group is not None:
+            group.post(messages.UpstreamsClosed(until_ms))
+
     def _handle_own_change(self, key: str) -> None:
+        if self.closures.handle_change(key):
+            return
         service = key.removeprefix(member_records.KEY_PREFIX)
         group = self.groups.get(service)
         if group is not None and service != key:
@@ -436,7 +501,8 @@
         return self.configured() and not self.is_shutting_down
 
     def _counters(self) -> collections.Counter[str]:
-        counters: collections.Counter[str] = collections.Counter()
+        counters = self.refusals + collections.Counter()
+        counters.update(self.closures.counters)
         for group in self.groups.values():
             counters.update(group.state.counters)
         return counters
@@ -446,6 +512,7 @@
             self._counters(),
             {
                 'sessions': len(self.callers),
+                'closures': len(self.closures.in_force),
                 'holds_duty': int(self.holds),
                 'forwarded': self.router.forwarded,
                 'fence_queries_unanswered': (
@@ -484,6 +551,7 @@
         self.hop_server.close()
         self.directory.close()
         self.reports.close()
+        self.closures.stop()
         self.overdue_report.close()
         self.member_records.close()
         try:
