--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -501,7 +501,7 @@
         return self.configured() and not self.is_shutting_down
 
     def _counters(self) -> collections.Counter[str]:
-        counters = self.refusals + collections.Counter()
+        counters = collections.Counter(self.refusals)
         counters.update(self.closures.counters)
         for group in self.groups.values():
             counters.update(group.state.counters)
