--- a/topazring/core/synchronous/scheduling/tests/test_closed_upstreams.py
+++ b/topazring/core/synchronous/scheduling/tests/test_closed_upstreams.py
@@ -4,7 +4,9 @@
 
 from topazring.core.synchronous import messages
 from topazring.core.synchronous.scheduling import load_report
+from topazring.core.synchronous.tests import load_simulation
 from topazring.core.synchronous.tests import support
+from topazring.core.synchronous.tests import test_load_simulation
 
 Place = support.Place
 
@@ -97,3 +99,43 @@
         self.assertEqual(
             [0, 700, 0], [each.closed_for_ms for each in load.upstreams]
         )
+
+
+class MaintenanceTest(testtools.TestCase):
+    """Pattern: a replica runs nothing for some seconds, as planned."""
+
+    WORK_MS = 4000
+
+    def simulate(self, seed: int, closes: bool) -> tuple[int, int]:
+        """Return how many operations begun, and done within their goal."""
+        kinds = test_load_simulation.kinds(158)
+        simulation = load_simulation.LoadSimulation(seed, kinds)
+        simulation.run(3000)
+        simulation.reset_tallies()
+        replica = simulation.replicas()[0]
+        if closes:
+            until_ms = int(simulation.now_ms) + self.WORK_MS + 400
+            for owner in simulation.states:
+                simulation.post(
+                    owner, messages.UpstreamsClosed({replica.name: until_ms})
+                )
+        simulation.run(200)
+        slots, replica.slots = replica.slots, 0
+        simulation.run(self.WORK_MS)
+        replica.slots = slots
+        simulation._start_queued(replica)
+        simulation.run(2000)
+        tallies = simulation.tallies.values()
+        return (
+            sum(tally.begun for tally in tallies),
+            sum(tally.in_goal for tally in tallies),
+        )
+
+    def test_closure_before_maintenance(self):
+        """Guards against a closure that helps callers no more than none."""
+        shares = {}
+        for closes in (False, True):
+            found = [self.simulate(seed, closes) for seed in (1, 2, 3)]
+            begun, in_goal = map(sum, zip(*found, strict=True))
+            shares[closes] = in_goal / begun
+        self.assertGreater(shares[True], shares[False])
