Prefer replicas that are not closed when a primary is replaced

A closed replica could be promoted, or be handed the group, in the midst of planned work while another was as good.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -356,7 +356,11 @@
     staying = [n for n in eligible if not state.upstreams[n].leaving]
     return min(
         staying or eligible,
-        key=lambda name: (name == attempt.old_primary, name),
+        key=lambda name: (
+            name == attempt.old_primary,
+            states.is_closed_by_operator(state, now_ms, name),
+            name,
+        ),
     )
 
 
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -95,7 +95,8 @@
     """Return the replica that is to succeed a leaving primary.
 
     Of the replicas that are not leaving, it is the one with the longest log
-    among those that can be reached, or among all if none can be reached.
+    among those that can be reached, or among all if none can be reached. One
+    that an operator has closed is chosen if there is no other.
     """
     staying = [
         upstream
@@ -110,7 +111,13 @@
         if not proofs.is_unreachable(state, now_ms, upstream)
     ]
     longest = max(
-        reachable or staying, key=lambda u: (u.place, u.is_established, u.name)
+        reachable or staying,
+        key=lambda u: (
+            not states.is_closed_by_operator(state, now_ms, u.name),
+            u.place,
+            u.is_established,
+            u.name,
+        ),
     )
     return longest.name
 
--- a/topazring/core/synchronous/scheduling/lone_primary.py
+++ b/topazring/core/synchronous/scheduling/lone_primary.py
@@ -114,6 +114,7 @@
         replica.name
         for replica in states.other_members(state)
         if not replica.leaving
+        and not states.is_closed_by_operator(state, now_ms, replica.name)
         and replica.is_established
         and not proofs.is_unreachable(state, now_ms, replica)
         and replica.name in reports
--- a/topazring/core/synchronous/scheduling/tests/test_closed_upstreams.py
+++ b/topazring/core/synchronous/scheduling/tests/test_closed_upstreams.py
@@ -4,6 +4,7 @@
 
 from topazring.core.synchronous import messages
 from topazring.core.synchronous.scheduling import load_report
+from topazring.core.synchronous.tests import failover_support
 from topazring.core.synchronous.tests import load_simulation
 from topazring.core.synchronous.tests import support
 from topazring.core.synchronous.tests import test_load_simulation
@@ -101,6 +102,48 @@
         )
 
 
+class SuccessorTest(testtools.TestCase):
+    """A closed replica is promoted only if there is no other."""
+
+    def make_holder(self, *closed: str) -> support.Driver:
+        """Return the holder of the lease; some upstreams are closed."""
+        driver = failover_support.make_lease_holder()
+        until_ms = driver.now_ms + 60_000
+        driver.post(messages.UpstreamsClosed(dict.fromkeys(closed, until_ms)))
+        return driver
+
+    def successor_of_lost(self, *closed: str) -> str:
+        """Return which replica is promoted after the primary was lost."""
+        driver = self.make_holder(*closed)
+        failover_support.lose_primary(driver)
+        outs = failover_support.answer_control_commands(driver)
+        (order,) = support.orders(outs)
+        return order.upstream
+
+    def successor_of_leaving(self, *closed: str) -> str:
+        """Return which replica is to succeed a leaving primary."""
+        driver = self.make_holder(*closed)
+        driver.list_upstreams(leaving='u1', revision=2)
+        driver.tick(20)
+        return driver.state.promotion.successor
+
+    def test_lost_primary(self):
+        """Guards against a primary in the midst of planned work."""
+        self.assertEqual('u2', self.successor_of_lost())
+        self.assertEqual('u3', self.successor_of_lost('u2'))
+        self.assertEqual('u2', self.successor_of_lost('u3'))
+
+    def test_leaving_primary(self):
+        """Guards against a hand-over to a replica that is taken out."""
+        self.assertEqual('u3', self.successor_of_leaving())
+        self.assertEqual('u2', self.successor_of_leaving('u3'))
+
+    def test_all_closed(self):
+        """Guards against a group without a primary."""
+        self.assertEqual('u2', self.successor_of_lost('u2', 'u3'))
+        self.assertEqual('u3', self.successor_of_leaving('u2', 'u3'))
+
+
 class MaintenanceTest(testtools.TestCase):
     """Pattern: a replica runs nothing for some seconds, as planned."""
 
