--- a/topazring/core/synchronous/scheduling/tests/test_owner_handover.py
+++ b/topazring/core/synchronous/scheduling/tests/test_owner_handover.py
@@ -20,6 +20,8 @@
 STEP_MS = 500
 # By how much two proxies' lists differ.
 MAX_DELAY_MS = 3000
+# An upstream drops the connections of an instance without power after this.
+LINGER_MS = 3000
 
 
 @dataclasses.dataclass
@@ -90,6 +92,9 @@
             for n, name in enumerate(self.proxies)
         ]
         self.most = self.fewest = 0
+        # Connections of processes that have ended, and until when.
+        self.lingering = 0
+        self.linger_until_ms = 0
         self.publish()
         self.history = [(0, self.history[0][1])]
         self.run(STEP_MS)
@@ -117,6 +122,15 @@
             self.members.append(Member(name, self.now_ms, 0))
         self.publish()
 
+    def restart(self) -> None:
+        """End all processes at once; upstreams hold what they held."""
+        self.lingering = sum(m.held(self.now_ms) for m in self.members)
+        self.linger_until_ms = self.now_ms + LINGER_MS
+        self.members = [
+            Member(member.name, self.now_ms, member.delay_ms)
+            for member in self.members
+        ]
+
     def run(self, for_ms: int) -> None:
         """Let time pass, and record what all hold."""
         until_ms = self.now_ms + for_ms
@@ -130,6 +144,8 @@
                 ]
                 member.step(self.now_ms, seen[-1])
             held = [member.held(self.now_ms) for member in self.members]
+            if self.now_ms < self.linger_until_ms:
+                held.append(self.lingering)
             self.most = max(self.most, sum(held))
             self.fewest = min(self.fewest, sum(each > 0 for each in held))
 
@@ -185,6 +201,22 @@
         self.assertLessEqual(fleet.most, MAX_CONNECTIONS)
         self.assertGreaterEqual(fleet.fewest, 5)
 
+    def test_all_restart(self):
+        """All lose power, also while owners change.
+
+        Guards against owners that are refused by upstreams which still hold
+        the connections of replaced owners that remained.
+        """
+        weights = {f'p{n}': 2.0 if n % 5 == 0 else 0.25 for n in range(30)}
+        for after_ms in (0, 2000, 14_000, 16_000, 20_000):
+            fleet = Fleet(self.delays_ms)
+            fleet.weigh(weights)
+            fleet.run(after_ms)
+            fleet.restart()
+            fleet.run(40_000)
+            self.assertLessEqual(fleet.most, MAX_CONNECTIONS)
+            self.assertEqual(1, len({m.owned.owners for m in fleet.members}))
+
     @hypothesis.settings(derandomize=True, max_examples=80, deadline=None)
     @hypothesis.given(
         strategies.lists(
