--- a/topazring/core/synchronous/scheduling/tests/test_owner_handover.py
+++ b/topazring/core/synchronous/scheduling/tests/test_owner_handover.py
@@ -30,13 +30,19 @@
 
     proxies: tuple[ownership.Proxy, ...]
     slots: int
+    # Whether no proxy of an older build is listed.
+    is_weighed: bool = True
 
 
 class Member:
     """One proxy: its own view, and its share of connections."""
 
-    def __init__(self, name: str, began_ms: int | None, delay_ms: int):
+    def __init__(
+        self, name: str, began_ms: int, delay_ms: int, is_old: bool = False
+    ):
         self.name = name
+        # An older build chooses by names, and has no replaced owners remain.
+        self.is_old = is_old
         self.delay_ms = delay_ms
         self.changes = owner_changes.OwnerChanges()
         self.state = states.make_group('s', 'a', states.Limits())
@@ -50,15 +56,23 @@
         """Apply a view if it is new, and what has become due."""
         if view != self.view or owner_changes.is_due(self.changes, now_ms):
             self.view = view
-            chosen = ownership.select_owners(
-                's', view.proxies, MAX_CONNECTIONS, view.slots
-            )
-            self.owned = owner_changes.update(
-                self.changes,
-                now_ms,
-                chosen,
-                {proxy.name: proxy for proxy in view.proxies},
+            proxies, slots = view.proxies, view.slots
+            if self.is_old or not view.is_weighed:
+                slots = 0
+                proxies = [
+                    ownership.Proxy(proxy.name, proxy.data_centre)
+                    for proxy in view.proxies
+                ]
+            self.owned = ownership.select_owners(
+                's', proxies, MAX_CONNECTIONS, slots
             )
+            if not self.is_old:
+                self.owned = owner_changes.update(
+                    self.changes,
+                    now_ms,
+                    self.owned,
+                    {proxy.name: proxy for proxy in proxies},
+                )
             seen = messages.InstancesSeen(
                 len(self.owned.owners),
                 MAX_CONNECTIONS,
@@ -102,7 +116,11 @@
 
     def publish(self) -> None:
         """Change the list; each proxy sees that after its own delay."""
-        view = View(tuple(self.proxies.values()), self.slots)
+        view = View(
+            tuple(self.proxies.values()),
+            self.slots,
+            not any(member.is_old for member in self.members),
+        )
         self.history.append((self.now_ms, view))
 
     def weigh(self, weights: dict[str, float]) -> None:
@@ -122,6 +140,14 @@
             self.members.append(Member(name, self.now_ms, 0))
         self.publish()
 
+    def replace(self, number: int, is_old: bool) -> None:
+        """Restart one proxy with another build."""
+        before = self.members[number]
+        self.members[number] = Member(
+            before.name, self.now_ms, before.delay_ms, is_old
+        )
+        self.publish()
+
     def restart(self) -> None:
         """End all processes at once; upstreams hold what they held."""
         self.lingering = sum(m.held(self.now_ms) for m in self.members)
@@ -201,6 +227,30 @@
         self.assertLessEqual(fleet.most, MAX_CONNECTIONS)
         self.assertGreaterEqual(fleet.fewest, 5)
 
+    def test_older_build_comes_and_goes(self):
+        """All choose as it does, and by weights again once it has gone.
+
+        Guards against the same two faults in a rolling upgrade, in both
+        directions. Each of the thirty is tried as the last of the older
+        build.
+        """
+        weights = {f'p{n}': 2.0 if n % 5 == 0 else 0.25 for n in range(30)}
+        for number in range(30):
+            fleet = Fleet(self.delays_ms)
+            fleet.weigh(weights)
+            fleet.run(40_000)
+            fleet.replace(number, is_old=True)
+            fleet.run(40_000)
+            self.assertEqual(
+                1, len({m.owned.owners for m in fleet.members}), number
+            )
+            self.assertEqual(8, len(fleet.members[0].owned.owners))
+            fleet.replace(number, is_old=False)
+            fleet.run(40_000)
+            self.assertEqual(5, len(fleet.members[0].owned.owners))
+            self.assertLessEqual(fleet.most, MAX_CONNECTIONS, number)
+            self.assertGreaterEqual(fleet.fewest, 4, number)
+
     def test_all_restart(self):
         """All lose power, also while owners change.
 
