--- a/topazring/platform/tests/test_operators.py
+++ b/topazring/platform/tests/test_operators.py
@@ -141,6 +141,8 @@
         code, text = await self.run_command(close)
         self.assertEqual(exits.EXIT_REFUSED, code, text)
         self.assertIn('it is the primary', text)
+        page = await self.proxies[0].get('/closures')
+        self.assertTrue(page.startswith('HTTP/1.1 405'), page)
         close = closure_commands.CloseUpstream(
             support.SERVICE, replica, 3, self.address()
         )
--- a/topazring/pooler/closures.py
+++ b/topazring/pooler/closures.py
@@ -310,9 +310,12 @@
             self.heard[value.closure] = until_ms
             if len(self.heard) > MAX_REMEMBERED:
                 self.heard.popitem(last=False)
-        self._end(key, 'replaced')
         if until_ms <= now_ms:
+            self._end(key, 'replaced')
             return
+        if key in self.in_force:
+            # What it closes stays closed without a gap.
+            self._remove(key, 'replaced')
         self.in_force[key] = _Closure(
             target, value.closure, until_ms, self.directory.era
         )
@@ -336,15 +339,18 @@
             self._end(key, 'time is over')
 
     def _end(self, key: str, why: str) -> None:
-        closure = self.in_force.pop(key, None)
-        if closure is None:
-            return
+        if key in self.in_force:
+            self.on_change(self._remove(key, why))
+
+    def _remove(self, key: str, why: str) -> Target:
+        """Forget a closure; return what it closed."""
+        closure = self.in_force.pop(key)
         self.timers.pop(key).cancel()
         self.counters['closure_ended'] += 1
         left_ms = max(0, closure.until_ms - clock.boottime_ms())
         inputs = {**_inputs(closure.target), 'why': why, 'left_ms': left_ms}
         self.log.emit('closures', 'closure ends', inputs=inputs)
-        self.on_change(closure.target)
+        return closure.target
 
     # ---- operators' requests ----
 
--- a/topazring/pooler/tests/test_closures.py
+++ b/topazring/pooler/tests/test_closures.py
@@ -234,6 +234,23 @@
 
         self.play(steps)
 
+    def test_longer_without_a_gap(self):
+        """Guards against work in the moment in which a closure is replaced."""
+
+        async def steps():
+            await self.close(30, UPSTREAM)
+            seen = []
+            for proxy in self.proxies:
+                proxy.on_change = lambda target, proxy=proxy: seen.append(
+                    'u2' in proxy.upstreams_until_ms('s')
+                )
+            await self.close(60, UPSTREAM)
+            self.assertEqual([True, True], seen)
+            events = ['closure begins', 'closure ends', 'closure begins']
+            self.assertEqual(events, self.proxies[1].log.events)
+
+        self.play(steps)
+
     def test_two_operators_race(self):
         """Guards against an operator who does not learn of the other.
 
