--- a/topazring/core/synchronous/ownership.py
+++ b/topazring/core/synchronous/ownership.py
@@ -56,8 +56,8 @@
 # connections linger. If each proxy can hold a connection, each is an owner as
 # long as the remaining connections suffice for this share.
 RESERVE_SHARE = 0.5
-# What a proxy of weight 1 has. Only the ratios matter: a core that is kept busy
-# by small requests fills a link of about this size.
+# What a proxy of weight 1 has. Only the ratios matter: a core that is busy
+# with small requests fills a link of about this size.
 CORES = 1.0
 LINK_MBPS = 25.0
 MEMORY_MB = 128.0
