--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -27,6 +27,7 @@
     'has_fresh_report',
     'has_receiving_replica',
     'is_blocked',
+    'is_demotion_due',
     'members_to_query',
     'paused_log_end',
     'position_to_verify',
@@ -66,8 +67,10 @@
     # The planned successor of a leaving primary; all other replicas are
     # paused. Empty if the primary is lost.
     successor: str = ''
-    # The old primary may go on leading: nothing is lost if this attempt ends.
+    # The old primary works. It is demoted only once all replicas are paused,
+    # and until then the attempt may end without effect.
     is_optional: bool = False
+    is_demotion_sent: bool = False
     # Time since which the leaving primary is being demoted because a member
     # that may confirm its writes does not reply.
     demoting_since_ms: int | None = None
@@ -181,6 +184,17 @@
     return exempt if exempt == attempt.old_primary else ''
 
 
+def is_demotion_due(
+    state: states.GroupState, now_ms: int, attempt: Attempt
+) -> bool:
+    """Return whether a working primary may be demoted: all others wait."""
+    return all(
+        has_fresh_report(attempt, now_ms, name)
+        for name in required_members(state, attempt)
+        if name != attempt.old_primary
+    )
+
+
 def members_to_query(state: states.GroupState, attempt: Attempt) -> list[str]:
     """Return the members to query.
 
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -69,6 +69,8 @@
     loss = failure_detection.detect_loss(state, now_ms)
     if loss is not None:
         return _begin_attempt(state, now_ms, loss.upstream, loss.why, loss)
+    if lone_primary.is_due(state, now_ms):
+        return _begin_relief(state, now_ms)
     primary = state.upstreams.get(state.primary)
     if primary is not None and primary.leaving:
         successor = _choose_successor(state, now_ms)
@@ -139,7 +141,7 @@
         state.counters['promotion_begins_without_primary'] += 1
     if loss is not None:
         attempt.unconfirmed = loss.unconfirmed or loss.replaced
-        attempt.is_query_only = loss.unconfirmed
+        attempt.is_query_only = loss.unconfirmed and not is_optional
     attempt.is_optional = is_optional
     attempt.since_ms = now_ms if loss is None else loss.since_ms
     state.promotion = attempt
@@ -171,6 +173,9 @@
     ended = _end_if_finished(state, now_ms, attempt)
     if ended is not None:
         return ended
+    if attempt.is_optional and attempt.list_read_ms is None:
+        # Nothing is paused that could not be replaced.
+        return promotion_order.request_list(now_ms, attempt)
     outs = _fence_owners(state, attempt)
     if attempt.chosen:
         return outs + _keep_paused(state, now_ms, attempt)
@@ -188,7 +193,7 @@
         outs += promotion_end.finish(
             state, now_ms, attempt, 'replicas receive'
         )
-        return outs + _relieve_primary(state, now_ms, attempt)
+        return outs + lone_primary.decide(state, now_ms, attempt.reports)
     if attempt.is_query_only and chosen == attempt.old_primary:
         return outs + promotion_end.finish(
             state, now_ms, attempt, 'nobody may follow'
@@ -200,24 +205,18 @@
     )
 
 
-def _relieve_primary(
-    state: states.GroupState, now_ms: int, queried: attempts.Attempt
-) -> list:
-    """Hand the group over if its primary alone serves more than it can."""
-    successor, outs = lone_primary.choose_successor(
-        state, now_ms, queried.reports
-    )
-    if not successor:
-        return outs
+def _begin_relief(state: states.GroupState, now_ms: int) -> list:
+    """Begin to replace a primary that serves alone, once that was decided.
+
+    Its log holds all acknowledged writes, so it leads again if no replica
+    provably holds them.
+    """
     lone_primary.note_begun(state, now_ms)
-    return outs + _begin_attempt(
-        state,
-        now_ms,
-        state.primary,
-        lone_primary.WHY,
-        None,
-        successor,
-        is_optional=True,
+    loss = failure_detection.Loss(
+        state.primary, lone_primary.WHY, now_ms, unconfirmed=True
+    )
+    return _begin_attempt(
+        state, now_ms, state.primary, lone_primary.WHY, loss, is_optional=True
     )
 
 
@@ -375,19 +374,17 @@
         return None
     is_late = now_ms - attempt.began_ms > CHOICE_TIMEOUT_MS
     is_waiting = attempts.awaits_acknowledgements(attempt, now_ms)
+    if is_late and attempt.is_optional and not attempt.is_demotion_sent:
+        return promotion_end.finish(state, now_ms, attempt, 'not ready')
     if is_late and not attempt.successor and not is_waiting:
         if attempt.unconfirmed and not attempt.is_query_only:
             # The old primary may have been demoted. The search for the
             # current primary will show whether it was.
             state.primary = ''
             state.primary_lost_ms = attempt.began_ms
-        outs = promotion_end.finish(
+        return promotion_end.finish(
             state, now_ms, attempt, 'nobody may follow'
         )
-        if attempt.is_query_only:
-            # A silent replica does not help the primary either.
-            outs += _relieve_primary(state, now_ms, attempt)
-        return outs
     old_primary = state.upstreams.get(attempt.old_primary)
     if attempt.is_query_only and old_primary is not None:
         if (
@@ -416,7 +413,7 @@
     is_alive = old_primary.last_received_ms > attempt.began_ms
     if attempt.unconfirmed:
         is_alive = old_primary.confirmed_ms > attempt.began_ms
-    if is_alive and primary == attempt.old_primary:
+    if is_alive and not attempt.is_optional and primary == attempt.old_primary:
         return promotion_end.finish(state, now_ms, attempt, 'it is back')
     return None
 
@@ -466,9 +463,6 @@
                 decided,
                 *promotion_commands.send_commands(state, now_ms, attempt),
             ]
-        if waited_ms > CHOICE_TIMEOUT_MS and attempt.is_optional:
-            lone_primary.note_not_ready(state, now_ms)
-            return promotion_end.finish(state, now_ms, attempt, 'not ready')
         return None
     if now_ms - attempt.demoting_since_ms < CHOICE_TIMEOUT_MS:
         return None
--- a/topazring/core/synchronous/promotion_commands.py
+++ b/topazring/core/synchronous/promotion_commands.py
@@ -37,6 +37,9 @@
             continue
         if asked_ms is not None and now_ms - asked_ms < again_ms:
             continue
+        is_working = attempt.is_optional and name == attempt.old_primary
+        if is_working and not attempts.is_demotion_due(state, now_ms, attempt):
+            continue
         command: statements.Command = statements.Pause(attempt.term)
         if name == attempt.successor or attempt.is_query_only:
             command = statements.Status()
@@ -48,6 +51,7 @@
             # Only a dial was started; the command is sent once it succeeds.
             continue
         attempt.asked_ms[name] = now_ms
+        attempt.is_demotion_sent |= is_working
         if isinstance(command, statements.Pause):
             state.paused.add(name)
             state.pause_sent_ms = now_ms
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -119,15 +119,19 @@
     old proof, it would reinstate a replaced primary without the writes that
     its successor acknowledged.
 
-    The same order shows that this proxy still holds the lease, which it has to
-    before it resumes paused members.
+    The same order shows that this proxy still holds the lease and that the
+    platform takes orders. Both are needed before it resumes paused members
+    and before it replaces a primary that works.
     """
     if not state.holds_promotion_lease or state.promotion is not None:
         return []
     if state.fence_token:
         return []
     is_any_paused = bool(state.paused - {state.primary})
-    is_to_verify = is_any_paused and not surely_held_recently(state, now_ms)
+    is_relief_due = now_ms < state.relief_until_ms
+    is_to_verify = (
+        is_any_paused or is_relief_due
+    ) and not surely_held_recently(state, now_ms)
     if not state.needs_fencing and not is_to_verify:
         return []
     if now_ms - proofs.proven_until_ms(state) > PROOF_MAX_AGE_MS:
--- a/topazring/core/synchronous/scheduling/lone_primary.py
+++ b/topazring/core/synchronous/scheduling/lone_primary.py
@@ -1,4 +1,4 @@
-"""Decide when a primary that serves alone hands its group over.
+"""Decide when a primary that serves alone is replaced.
 
 Replicas that apply late have received every acknowledged write, but cannot
 serve a read that needs what they have not applied, so all requests go to the
@@ -6,9 +6,9 @@
 the replaced primary, which has applied everything, serves reads as a replica
 at once. Two upstreams then share the load instead of one.
 
-The hand-over is that of a leaving primary: writes go on until the successor
-leads. It is optional, so it ends without effect if it cannot be completed
-within the time that any choice of a successor may take.
+Writes wait meanwhile, for about as long as after the loss of a primary. So the
+primary is replaced only if it has been saturated for a while, and if the
+platform has just accepted an order.
 """
 
 import collections.abc
@@ -20,68 +20,76 @@
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
-__all__ = ['WHY', 'choose_successor', 'note_begun', 'note_not_ready']
+__all__ = ['WHY', 'decide', 'is_due', 'note_begun']
 
 WHY = 'it serves alone'
 # Replicas count as late once they lack what was written this long ago. Reads
 # accept data of about this age, so hardly any can be sent to them.
 LATE_MS = 1500
-# The primary has to be saturated at two checks in a row; a single burst ends
-# sooner than a hand-over.
+# The primary has to be saturated at two checks in a row, which are a second
+# or two apart. A short burst ends sooner.
 CONFIRM_MS = 2500
-# Writes are interrupted for a moment by each hand-over.
+# How long the platform may take to accept an order that changes nothing.
+VERIFY_MS = 400
+# Writes wait about a second for each replacement. If the primary serves alone
+# again soon, replacing it does not help, and the interval is doubled.
 MIN_INTERVAL_MS = 10_000
-# A successor that did not catch up may have received nothing for a while;
-# another one is tried, or the same one later.
-RETRY_MS = 2000
+MAX_INTERVAL_MS = 320_000
 
 Reports = collections.abc.Mapping[str, statements.StatusReport]
 
 
-def choose_successor(
+def decide(
     state: states.GroupState, now_ms: int, reports: Reports
-) -> tuple[str, list]:
-    """Return the replica that should lead, or an empty name, and log events.
-
-    `reports` are recent status reports of the members.
-    """
+) -> list[messages.LogDecision]:
+    """Decide from recent status reports whether to replace the primary."""
     if not _is_overloaded(state, now_ms, reports):
         state.saturated_alone_ms = states.NEVER_MS
-        return '', []
+        return []
     before_ms, state.saturated_alone_ms = state.saturated_alone_ms, now_ms
-    if now_ms - before_ms > CONFIRM_MS:
-        return '', []
-    if now_ms < state.next_relief_ms:
-        return '', []
+    if now_ms - before_ms > CONFIRM_MS or now_ms < state.next_relief_ms:
+        return []
     candidates = _candidates(state, now_ms, reports)
-    successor = max(
-        candidates, key=lambda name: (reports[name].received, name), default=''
-    )
+    if not candidates:
+        return []
+    state.relief_decided_ms = now_ms
+    state.relief_until_ms = now_ms + VERIFY_MS
     inputs = {
         'primary': state.primary,
         'busy': reports[state.primary].busy,
         'slots': state.upstreams[state.primary].slots,
-        'successor': successor,
+        'candidates': candidates,
         'lag_ms': {
             name: report.lag_ms
             for name, report in reports.items()
             if name != state.primary
         },
     }
-    return successor, [
-        messages.LogDecision('primary serves alone', '', inputs)
-    ]
+    return [messages.LogDecision('primary serves alone', '', inputs)]
 
 
-def note_begun(state: states.GroupState, now_ms: int) -> None:
-    """Record that a hand-over began; the next one has to wait."""
-    state.next_relief_ms = now_ms + MIN_INTERVAL_MS
-    state.counters['hand_over_of_lone_primary'] += 1
+def is_due(state: states.GroupState, now_ms: int) -> bool:
+    """Return whether it was decided, and the platform accepted an order since.
+
+    The order names the present primary and changes nothing.
+    """
+    return (
+        now_ms < state.relief_until_ms
+        and state.order_accepted_sent_ms >= state.relief_decided_ms
+        and not state.needs_fencing
+        and state.proven_primary == state.primary
+    )
 
 
-def note_not_ready(state: states.GroupState, now_ms: int) -> None:
-    """Record that a hand-over ended without effect."""
-    state.next_relief_ms = now_ms + RETRY_MS
+def note_begun(state: states.GroupState, now_ms: int) -> None:
+    """Record that a replacement began; the next one has to wait."""
+    interval_ms = MIN_INTERVAL_MS
+    if now_ms - state.next_relief_ms < state.relief_interval_ms:
+        interval_ms = min(2 * state.relief_interval_ms, MAX_INTERVAL_MS)
+    state.relief_until_ms = states.NEVER_MS
+    state.relief_interval_ms = interval_ms
+    state.next_relief_ms = now_ms + interval_ms
+    state.counters['lone_primary_replaced'] += 1
 
 
 def _is_overloaded(
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -329,9 +329,13 @@
     # When it was first assumed to lead.
     primary_since_ms: int = NEVER_MS
     # When the lease holder last found the primary saturated while no replica
-    # could help, and from when on it may begin a hand-over for this.
+    # could help, and when it decided to replace it for this, until when it may
+    # begin, and the next time at which it may decide so.
     saturated_alone_ms: int = NEVER_MS
+    relief_decided_ms: int = NEVER_MS
+    relief_until_ms: int = NEVER_MS
     next_relief_ms: int = NEVER_MS
+    relief_interval_ms: int = 0
     # The chosen successor of the last primary is no longer listed.
     successor_gone: bool = False
     # It was seen to lead, or listed as the primary.
