Limit owners to their parts of an upstream's slots

Cause: each of up to eight owners limited its statements by itself, so the sum over five slots was known to nobody and the upstream's queue, which knows no priority, held what exceeded them. The wait was estimated from an owner's connections alone.

Where slots are known, an owner runs at most its part of slots and what is on its way (7 for 5 slots), by number and rank of the owners; no messages. Unknown slots: as before.

--- a/topazring/core/synchronous/concurrency_limit.py
+++ b/topazring/core/synchronous/concurrency_limit.py
@@ -6,10 +6,15 @@
 they lack a log position. If they were included, a queue that only the primary
 can serve would look short. The symptom would be requests that wait until
 their deadline, while hardly any are refused on arrival.
+
+Where upstreams state how many statements they run at a time, the limit is
+this owner's part of them, and the estimate follows the measured pace.
 """
 
 import collections.abc
 
+from topazring.core.synchronous.scheduling import queue_pace
+from topazring.core.synchronous.scheduling import upstream_room
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -39,6 +44,9 @@
 # 3% of the statements that reached an upstream were refused without this rule,
 # and 0.3% with it.
 REFUSED_DECREASE_FACTOR = 0.5
+# Where the slots are known, a full queue is due to others that exceed their
+# part. The limit is back after this many replies, which is within a second.
+REPLIES_TO_PART = 8
 # How fast the time without queueing is adjusted upwards if such short times
 # are no longer observed: by half within about 700 replies.
 BASELINE_WEIGHT = 0.001
@@ -62,13 +70,19 @@
 
 
 def end_hold(
-    state: states.GroupState, now_ms: int, connection: states.Connection
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    is_served: bool = True,
 ) -> None:
-    """Update the hold time estimate once a request releases a connection."""
+    """Update the estimates once a request releases a connection."""
     taken_ms, connection.checked_out_ms = connection.checked_out_ms, None
     upstream = state.upstreams.get(connection.upstream)
     if taken_ms is None or upstream is None:
         return
+    work = state.work.get(connection.work)
+    if upstream.slots and work is not None and is_served:
+        queue_pace.note_served(state, now_ms, work)
     hold_time_ms = now_ms - taken_ms
     upstream.hold_ms += (hold_time_ms - upstream.hold_ms) * HOLD_TIME_WEIGHT
 
@@ -77,16 +91,23 @@
     state: states.GroupState,
     ahead: int,
     able: collections.abc.Collection[states.Upstream],
+    work: states.Work | None = None,
+    now_ms: int = 0,
 ) -> float:
     """Estimate the wait for a connection behind `ahead` queued requests.
 
     It is 0 for the first in the queue: if no request were allowed to wait,
-    connections would be idle between two requests.
+    connections would be idle between two requests. With `work`, the request,
+    and `now_ms` the estimate follows the pace at which those of its kind are
+    served, if the upstreams state their slots.
     """
     if not ahead:
         return 0.0
     per_ms = sum(_per_ms(state, upstream) for upstream in able)
-    return (ahead + 1) / per_ms if per_ms else 0.0
+    wait_ms = (ahead + 1) / per_ms if per_ms else 0.0
+    if work is None or not any(upstream.slots for upstream in able):
+        return wait_ms
+    return queue_pace.estimate_wait_ms(state, now_ms, work, wait_ms)
 
 
 def _per_ms(state: states.GroupState, upstream: states.Upstream) -> float:
@@ -100,12 +121,20 @@
         connected = max(connected, state.connection_share)
     opening_ms = upstream.opening_per_request_ms
     by_hold_time = connected / max(1.0, upstream.hold_ms + opening_ms)
-    by_limit = min(connected, upstream.concurrency_limit) / max(
+    by_limit = min(connected, _limit(state, upstream)) / max(
         1.0, upstream.service_ms + opening_ms
     )
     return min(by_hold_time, by_limit)
 
 
+def _limit(state: states.GroupState, upstream: states.Upstream) -> float:
+    """Return how many statements may run at an upstream."""
+    part = upstream_room.part_of(state, upstream)
+    if part is None:
+        return upstream.concurrency_limit
+    return min(part, upstream.concurrency_limit)
+
+
 def adjust_limit(state: states.GroupState, upstream: states.Upstream) -> None:
     """Adjust an upstream's concurrency limit to its latest service time.
 
@@ -119,6 +148,13 @@
     else:
         slower_ms = upstream.service_ms - upstream.unqueued_service_ms
         upstream.unqueued_service_ms += slower_ms * BASELINE_WEIGHT
+    part = upstream_room.part_of(state, upstream)
+    if part is not None:
+        # It bounds what queues in the upstream, so slow statements are slow.
+        upstream.concurrency_limit = min(
+            float(part), upstream.concurrency_limit + part / REPLIES_TO_PART
+        )
+        return
     max_limit = float(max(1, state.connection_share))
     if upstream.service_ms > QUEUED_FACTOR * upstream.unqueued_service_ms:
         upstream.concurrency_limit = max(
@@ -132,7 +168,10 @@
 
 def reduce_limit(state: states.GroupState, upstream: states.Upstream) -> None:
     """Lower the concurrency limit of an upstream whose queue is full."""
-    max_limit = float(max(1, state.connection_share))
+    part = upstream_room.part_of(state, upstream)
+    if part is not None:
+        state.counters['refused_within_part'] += 1
+    max_limit = float(part or max(1, state.connection_share))
     upstream.concurrency_limit = max(
         1.0,
         min(max_limit, upstream.concurrency_limit) * REFUSED_DECREASE_FACTOR,
@@ -154,7 +193,7 @@
         and connection.sent_ms >= late_ms
         for connection in states.connections_to(state, upstream.name)
     )
-    return busy < round(upstream.concurrency_limit)
+    return busy < round(_limit(state, upstream))
 
 
 def late_after_ms(upstream: states.Upstream) -> float:
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -26,6 +26,7 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import queue_report
 from topazring.core.synchronous import results
+from topazring.core.synchronous.scheduling import upstream_room
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -101,7 +102,6 @@
 
 _handles(messages.Submit)(arrival.submit)
 _handles(messages.Withdraw)(arrival.withdraw)
-_handles(messages.InstancesSeen)(connections.update_share)
 _handles(messages.PromotionLeaseSeen)(promotion_lease.handle_lease_change)
 _handles(messages.RegistrationSeen)(acknowledgement_fence.record_registration)
 _handles(messages.MembersRecorded)(member_record.note_record)
@@ -110,6 +110,14 @@
 _handles(messages.AcknowledgementsReported)(promotion.handle_acknowledgements)
 
 
+@_handles(messages.InstancesSeen)
+def _instances_seen(
+    state: states.GroupState, now_ms: int, message: messages.InstancesSeen
+) -> list:
+    outs: list = upstream_room.note_owners(state, message)
+    return outs + connections.update_share(state, now_ms, message)
+
+
 @_handles(messages.FenceReleased)
 def _fence_released(
     state: states.GroupState, now_ms: int, message: messages.FenceReleased
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -16,10 +16,12 @@
 
 __all__ = [
     'Connection',
+    'Estimate',
     'Purpose',
     'GroupState',
     'Limits',
     'NEVER_MS',
+    'Pace',
     'Phase',
     'TYPICAL_SERVICE_MS',
     'Transaction',
@@ -211,6 +213,33 @@
     concurrency_limit: float = MAX_CONCURRENCY
 
 
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """Hold how fast the requests of one kind are served while some wait."""
+
+    # When the last one was served while others waited; None if none did.
+    awaited_ms: int | None = None
+    # Mean time until the next one was served, how many such times it is based
+    # on, and when the last one was measured.
+    interval_ms: float = 0.0
+    samples: int = 0
+    sampled_ms: int = NEVER_MS
+    # Mean wait estimated from it and mean wait seen, and how many were
+    # compared.
+    expected_ms: float = 1.0
+    seen_ms: float = 1.0
+    compared: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Estimate:
+    """Hold the wait that was estimated for a request, without correction."""
+
+    # Of the pace on which it is based.
+    kind: tuple[bool, int, str]
+    wait_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class Work:
     """Hold one request in progress."""
@@ -238,6 +267,8 @@
     # The confirmation of a write whose answer waits until it is durable.
     confirmation: position_records.Confirmation | None = None
     last_reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
+    # The estimate of its wait, until it is compared with the wait seen.
+    estimate: Estimate | None = None
 
     @property
     def is_moved_to_primary(self) -> bool:
@@ -320,6 +351,11 @@
     transactions: dict[int, Transaction] = dataclasses.field(
         default_factory=dict
     )
+    # How fast waiting requests are served, by whether they need the primary,
+    # by priority and by database.
+    paces: dict[tuple[bool, int, str], Pace] = dataclasses.field(
+        default_factory=dict
+    )
     # The assumed primary; empty while unknown.
     primary: str = ''
     # When it was first assumed to lead.
@@ -382,6 +418,10 @@
     )
     # Whether this proxy is the first of the group's owners.
     is_first_owner: bool = False
+    # How many proxies own the group (0 while unknown), and the index of this
+    # one among them; None if it is not an owner.
+    owner_count: int = 0
+    owner_rank: int | None = None
     member_record: MemberRecord = dataclasses.field(
         default_factory=MemberRecord
     )
--- a/topazring/core/synchronous/tests/load_simulation.py
+++ b/topazring/core/synchronous/tests/load_simulation.py
@@ -43,10 +43,13 @@
         pause_ms: float = 40.0,
         entries: int = 60,
         organisations: dict[str, float] | None = None,
+        knows_slots: bool = False,
     ):
         super().__init__(now_ms=10_000.0)
         self.rng = random.Random(seed)
         self.pause_ms = pause_ms
+        # Whether the listing names the slots of the upstreams.
+        self.knows_slots = knows_slots
         # The share of each organisation in all operations.
         self.organisations = organisations or {}
         self.rate = 1.0
@@ -79,22 +82,31 @@
             {name: forwarding.Load() for name in names} for _ in range(entries)
         ]
         self.states = {}
-        for name in names:
-            self._add_owner(name, share)
+        for rank, name in enumerate(names):
+            self._add_owner(name, share, rank)
         for kind in kinds:
             self.at(self.rng.random() * 20, self._start_operation, kind)
 
-    def _add_owner(self, name: str, share: int) -> None:
+    def _add_owner(self, name: str, share: int, rank: int) -> None:
         state = states.make_group('s', self.centre_of[name], states.Limits())
         state.connection_share = share
         state.began_ms = 0
+        state.owner_count = len(self.owned.owners)
+        state.owner_rank = rank
         self.states[name] = state
         self.post(name, messages.UpstreamsSeen(self._listed()))
         self.at(TICK_MS * self.rng.random(), self._tick, name)
 
     def _listed(self) -> tuple[messages.ListedUpstream, ...]:
         return tuple(
-            messages.ListedUpstream(u.name, u.name, u.data_centre, u.role, 1)
+            messages.ListedUpstream(
+                u.name,
+                u.name,
+                u.data_centre,
+                u.role,
+                1,
+                slots=u.slots if self.knows_slots else 0,
+            )
             for u in self.upstreams.values()
         )
 
