--- a/topazring/core/synchronous/scheduling/queue_pace.py
+++ b/topazring/core/synchronous/scheduling/queue_pace.py
@@ -21,7 +21,7 @@
 CORRECTION_WEIGHT = 0.05
 # Samples of the correction that count as exact at the start.
 INITIAL_SAMPLES = 4
-MIN_CORRECTION = 0.5
+MIN_CORRECTION = 0.2
 MAX_CORRECTION = 5.0
 MIN_SAMPLES = 4
 # Intervals that were measured before this time say nothing any more, and
