--- a/topazring/core/synchronous/scheduling/tests/test_upstream_room.py
+++ b/topazring/core/synchronous/scheduling/tests/test_upstream_room.py
@@ -76,6 +76,27 @@
             total += limit
         self.assertLessEqual(total, max(ROOM, owners))
 
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        slots=strategies.integers(1, 40),
+        counts=strategies.lists(
+            strategies.integers(1, 8), min_size=1, max_size=8
+        ),
+    )
+    def test_owners_with_different_lists(self, slots: int, counts: list):
+        """Guards against owners that each take the room of all.
+
+        Owners that see fewer of the others, as after a link was cut, take
+        what these would have, and no more than the whole room.
+        """
+        room = upstream_room.room_of(slots)
+        parts = [
+            upstream_room.part_of_room(room, count, min(rank, count - 1))
+            for rank, count in enumerate(counts)
+        ]
+        fewest = min(counts)
+        self.assertLessEqual(max(parts), max(1, -(-room // fewest)))
+
     def test_owners_run_only_their_parts(self):
         """Three owners have seven connections each but share seven places."""
         running = [submit_many(make_owner(3, rank), 8) for rank in range(3)]
