--- a/topazring/core/synchronous/arrival.py
+++ b/topazring/core/synchronous/arrival.py
@@ -9,6 +9,8 @@
 from topazring.core.synchronous import primary_availability
 from topazring.core.synchronous import request_queues
 from topazring.core.synchronous import routing
+from topazring.core.synchronous.scheduling import service_order
+from topazring.core.synchronous.scheduling import slot_admission
 from topazring.core.synchronous import state as states
 
 __all__ = ['submit', 'withdraw']
@@ -49,9 +51,22 @@
             state, now_ms, work, refusal.reason, refusal.retry_after_ms
         )
     outs = completion.enqueue(state, now_ms, work)
+    if state.primary and service_order.applies(state):
+        outs += _give_up_overdue(state, now_ms)
     return outs + dispatch.start_waiting(state, now_ms)
 
 
+def _give_up_overdue(state: states.GroupState, now_ms: int) -> list:
+    """Refuse waiting requests that were overtaken for too long."""
+    outs: list = []
+    for work in slot_admission.overdue(state, now_ms):
+        state.counters['overtaken_until_overdue'] += 1
+        outs += completion.give_up(
+            state, now_ms, work, Reason.OVERLOAD, MIN_RETRY_MS
+        )
+    return outs
+
+
 def _refusal(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> outcomes.NotRun | None:
@@ -60,6 +75,8 @@
         unavailable = primary_availability.early_refusal(state, now_ms, work)
         if unavailable is not None:
             return unavailable
+    if service_order.applies(state):
+        return slot_admission.refusal(state, now_ms, work)
     wait_ms = _expected_wait_ms(state, now_ms, work)
     wait_limit_ms = _wait_limit_ms(now_ms, work)
     if wait_ms <= wait_limit_ms:
--- a/topazring/core/synchronous/completion.py
+++ b/topazring/core/synchronous/completion.py
@@ -15,6 +15,8 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import reply_effects
 from topazring.core.synchronous import request_queues
+from topazring.core.synchronous.scheduling import return_schedule
+from topazring.core.synchronous.scheduling import service_order
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -379,7 +381,13 @@
         return []
     evicted = state.work[evicted_key]
     evicted.is_queued = False
-    return give_up(state, now_ms, evicted, Reason.BACKLOG, BACKLOG_RETRY_MS)
+    retry_ms = BACKLOG_RETRY_MS
+    if service_order.applies(state):
+        left_ms = evicted.deadline_ms - now_ms
+        retry_ms = return_schedule.spread(
+            state.returns, BACKLOG_RETRY_MS, BACKLOG_RETRY_MS, left_ms
+        )
+    return give_up(state, now_ms, evicted, Reason.BACKLOG, retry_ms)
 
 
 def requeue(
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -15,6 +15,7 @@
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import reply_effects
+from topazring.core.synchronous.scheduling import service_times
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous import transactions
@@ -224,6 +225,14 @@
     if upstream is None or last.code is not None:
         return
     took_ms = now_ms - connection.sent_ms
+    work = state.work.get(connection.work)
+    if work is not None:
+        service_times.record(
+            state.service_by_database,
+            work.request.policy.database,
+            took_ms,
+            bool(connection.transaction),
+        )
     upstream.service_ms += (took_ms - upstream.service_ms) * SERVICE_WEIGHT
     upstream.service_ms = max(MIN_SERVICE_MS, upstream.service_ms)
     upstream.service_updated_ms = now_ms
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -12,6 +12,10 @@
 from topazring.core.synchronous import departed_members as departed
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import position_records
+from topazring.core.synchronous.scheduling import customer_turns
+from topazring.core.synchronous.scheduling import demand as demands
+from topazring.core.synchronous.scheduling import return_schedule
+from topazring.core.synchronous.scheduling import service_times
 from topazring.core.synchronous import statements
 
 __all__ = [
@@ -317,6 +321,24 @@
     any_queues: dict[int, admission.FairQueue] = dataclasses.field(
         default_factory=dict
     )
+    # Measured service times by database, and the turns of the customers.
+    service_by_database: service_times.ServiceTimes = dataclasses.field(
+        default_factory=service_times.ServiceTimes
+    )
+    turns: customer_turns.Turns = dataclasses.field(
+        default_factory=customer_turns.Turns
+    )
+    demand: demands.Demand = dataclasses.field(default_factory=demands.Demand)
+    returns: return_schedule.ReturnSchedule = dataclasses.field(
+        default_factory=return_schedule.ReturnSchedule
+    )
+    # Requests started since the last one that was past its goal.
+    starts_since_late: int = 0
+    # Whether requests for the primary last gave way to others, and none of
+    # the others has been started since.
+    has_yielded: bool = False
+    # When a waiting request was last started.
+    ordered_ms: int = 0
     transactions: dict[int, Transaction] = dataclasses.field(
         default_factory=dict
     )
--- a/topazring/core/synchronous/tests/simulated_callers.py
+++ b/topazring/core/synchronous/tests/simulated_callers.py
@@ -47,6 +47,11 @@
     in_goal: int = 0
     refused_immediately: int = 0
     failed_after_waiting: int = 0
+    # Operations by how they ended: after the latency goal, or given up by
+    # their callers after an immediate refusal or a failure that took longer.
+    late: int = 0
+    ended_refused: int = 0
+    ended_failed: int = 0
     # How long the operations of each organisation took.
     by_organisation: dict[str, list[float]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
@@ -176,25 +181,32 @@
         tally = self.simulation.tallies[self.kind.policy.database]
         if not isinstance(outcome, outcomes.Done):
             waited_ms = self.simulation.now_ms - request.arrived_ms
-            if waited_ms < IMMEDIATE_MS:
+            is_immediate = waited_ms < IMMEDIATE_MS
+            if is_immediate:
                 tally.refused_immediately += 1
             else:
                 tally.failed_after_waiting += 1
-            if isinstance(outcome, outcomes.NotRun):
-                self._retry(outcome)
+            not_run = isinstance(outcome, outcomes.NotRun)
+            if not_run and self._retry(outcome):
+                return
+            if is_immediate:
+                tally.ended_refused += 1
+            else:
+                tally.ended_failed += 1
             return
         self._continue()
 
-    def _retry(self, refusal: outcomes.NotRun) -> None:
-        """Retry the whole operation after the given delay, if time is left."""
+    def _retry(self, refusal: outcomes.NotRun) -> bool:
+        """Retry the operation after the given delay, if time is left."""
         left_ms = self.kind.patience_ms - (
             self.simulation.now_ms - self.began_ms
         )
         pause_ms = max(MIN_BACKOFF_MS, refusal.retry_after_ms)
         if not self.tries_left or pause_ms >= left_ms:
-            return
+            return False
         self.session = self._new_session()
         self.simulation.at(pause_ms, self.start)
+        return True
 
     def _continue(self) -> None:
         simulation = self.simulation
@@ -210,5 +222,9 @@
         took_ms = simulation.now_ms - self.began_ms - self.paused_ms
         if took_ms <= self.kind.patience_ms:
             tally.done += 1
+        else:
+            tally.ended_failed += 1
+        if self.kind.policy.latency_goal_ms < took_ms <= self.kind.patience_ms:
+            tally.late += 1
         if took_ms <= self.kind.policy.latency_goal_ms:
             tally.in_goal += 1
