--- a/topazring/core/synchronous/scheduling/demand.py
+++ b/topazring/core/synchronous/scheduling/demand.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ['Demand', 'add', 'preceding']
+__all__ = ['Demand', 'add', 'by_priority', 'preceding']
 
 # Older demand counts half as much. Requests wait up to about a second, and a
 # shorter time would follow single transactions.
@@ -46,3 +46,12 @@
         )
         / WINDOW_MS
     )
+
+
+def by_priority(demand: Demand, now_ms: int) -> dict[int, float]:
+    """Return the slots that accepted requests use, by priority."""
+    _discount(demand, now_ms)
+    return {
+        priority: round(accepted_ms / WINDOW_MS, 2)
+        for priority, accepted_ms in sorted(demand.accepted_ms.items())
+    }
--- a/topazring/core/synchronous/scheduling/service_order.py
+++ b/topazring/core/synchronous/scheduling/service_order.py
@@ -120,6 +120,7 @@
     request = work.request
     if is_past_goal(state, now_ms, request):
         state.starts_since_late = 0
+        state.counters['started_past_goal'] += 1
     else:
         state.starts_since_late += 1
     customer_turns.note_started(
--- a/topazring/core/synchronous/scheduling/service_times.py
+++ b/topazring/core/synchronous/scheduling/service_times.py
@@ -7,7 +7,14 @@
 
 import dataclasses
 
-__all__ = ['ServiceTimes', 'expected_ms', 'mean_ms', 'record', 'record_start']
+__all__ = [
+    'ServiceTimes',
+    'by_database',
+    'expected_ms',
+    'mean_ms',
+    'record',
+    'record_start',
+]
 
 # With this weight an estimate follows a change within about ten requests.
 WEIGHT = 0.1
@@ -79,3 +86,11 @@
 def mean_ms(times: ServiceTimes) -> float:
     """Return the average service time of the requests that were started."""
     return max(1.0, times.mean_ms)
+
+
+def by_database(times: ServiceTimes) -> dict[str, float]:
+    """Return the service time of a statement of each database."""
+    return {
+        name: round(known.statement_ms, 1)
+        for name, known in sorted(times.databases.items())
+    }
--- a/topazring/core/synchronous/scheduling/slot_admission.py
+++ b/topazring/core/synchronous/scheduling/slot_admission.py
@@ -20,7 +20,7 @@
 from topazring.core.synchronous.scheduling import service_times
 from topazring.core.synchronous import state as states
 
-__all__ = ['overdue', 'refusal']
+__all__ = ['overdue', 'refusal', 'report']
 
 Reason = outcomes.Reason
 
@@ -31,6 +31,8 @@
 # Requests of higher priorities leave at least this share of the slots, as far
 # as the estimate goes; without a bound it would be infinite.
 MIN_SHARE_LEFT = 0.1
+# A log entry has some 400 bytes.
+REPORT_PERIOD_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +83,23 @@
     ]
 
 
+def report(state: states.GroupState, now_ms: int) -> list:
+    """Return a log event about refusals, at most one each period."""
+    if now_ms - state.refusals_reported_ms < REPORT_PERIOD_MS:
+        return []
+    state.refusals_reported_ms = now_ms
+    inputs = {
+        'waiting': request_queues.count(state),
+        'refused_out_of_goal': state.counters['refused_out_of_goal'],
+        'refused_as_displacing': state.counters['refused_as_displacing'],
+        'overtaken_until_overdue': state.counters['overtaken_until_overdue'],
+        'started_past_goal': state.counters['started_past_goal'],
+        'slots_by_priority': demand.by_priority(state.demand, now_ms),
+        'service_ms': service_times.by_database(state.service_by_database),
+    }
+    return [messages.LogDecision('requests refused', inputs=inputs)]
+
+
 def _statement_ms(
     state: states.GroupState, request: messages.Request
 ) -> float:
--- a/topazring/core/synchronous/scheduling/tests/crowd.py
+++ b/topazring/core/synchronous/scheduling/tests/crowd.py
@@ -20,7 +20,16 @@
 class Crowd(load_simulation.LoadSimulation):
     """Hold a load simulation whose upstreams state their slots."""
 
-    def __init__(self, seed: int, kinds: tuple[Kind, ...], owners: int = 8):
+    def __init__(
+        self,
+        seed: int,
+        kinds: tuple[Kind, ...],
+        owners: int = 8,
+        is_shared_exactly: bool = False,
+    ):
+        # Whether the owners run as many statements as there are slots; each
+        # adapts its own limit otherwise.
+        self.is_shared_exactly = is_shared_exactly
         super().__init__(
             seed,
             kinds,
@@ -36,6 +45,13 @@
             for listed in super()._listed()
         )
 
+    def post(self, owner: str, message: object) -> None:
+        """Pass a message to an owner's core, with its share of the slots."""
+        if self.is_shared_exactly:
+            for upstream in self.states[owner].upstreams.values():
+                upstream.concurrency_limit = SLOTS / len(self.states)
+        super().post(owner, message)
+
     def serve_alone(self, for_ms: int) -> None:
         """Run a while with both replicas late; count only this time."""
         self.run(3000)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -334,6 +334,8 @@
     )
     # Requests started since the last one that was past its goal.
     starts_since_late: int = 0
+    # When refusals were last logged.
+    refusals_reported_ms: int = NEVER_MS
     # Whether requests for the primary last gave way to others, and none of
     # the others has been started since.
     has_yielded: bool = False
