Bound what one organisation holds while others wait

Where callers name an organisation, turns went by count, the least recently used idle connection was closed whoever needed it, and a transaction at rest kept its connection for as long as an uncontended one.

While others wait, requests of an organisation above its max-min share of connections or running statements, or of recent slot time (dials included), go last. A connection that a waiting request needs is kept, one just opened is no longer the first to be closed, and transactions of an organisation above its share end after a rest of its own statement limit. Nothing changes where callers are anonymous.

--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -15,6 +15,7 @@
 from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
+from topazring.core.synchronous.scheduling import organisation_shares
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -250,7 +251,11 @@
     outs: list = []
     connections = states.connections_to(state, upstream.name)
     if len(connections) >= _limit(state, now_ms, connections):
-        replaced = _least_recently_used(state, upstream.name)
+        replaced = organisation_shares.choose_replaced(
+            state, now_ms, upstream.name, organisation
+        )
+        if replaced is None:
+            return []
         outs += close_connection(state, replaced)
         state.counters['connection_replaced'] += 1
     state.counters['dial_on_demand'] += 1
@@ -345,8 +350,14 @@
     if upstream is None:
         return close_connection(state, connection)
     upstream.opening_ms += opening_ms
+    organisation_shares.charge(
+        state, now_ms, connection.organisation, opening_ms
+    )
     upstream.dial_after_ms = 0
     upstream.is_full = False
+    if connection.organisation != organisations.ANONYMOUS:
+        # It is not the next one to be closed for another organisation.
+        connection.served_ms = now_ms
     if not upstream.is_unreachable:
         return []
     upstream.is_unreachable = False
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -15,6 +15,7 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import request_queues
 from topazring.core.synchronous import routing
+from topazring.core.synchronous.scheduling import organisation_shares
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -27,8 +28,6 @@
 
 Reason = outcomes.Reason
 
-# A request without a connection is passed over by others for this long.
-MAX_PASSED_OVER_MS = 100
 # Of the requests without unusual events, one in this many is logged.
 LOG_SAMPLE_INTERVAL = 256
 
@@ -92,25 +91,11 @@
 ) -> list[int]:
     """Return waiting requests in the order in which to look for connections.
 
-    Those whose organisation has an idle connection go first: it might be
-    closed for another organisation otherwise, and each new connection takes a
-    slot that statements need. Requests that have waited for long go ahead of
-    these, so that no organisation waits for the others' queues to end.
+    Where requests name no organisation, they go in the order of the queues.
     """
     if not state.serves_organisations or len(keys) < 2:
         return keys
-    connected = {
-        connection.organisation
-        for name in upstreams
-        for connection in states.idle_connections(state, name)
-    }
-
-    def rank(key: int) -> tuple[bool, bool]:
-        request = state.work[key].request
-        waits_long = now_ms - request.arrived_ms >= MAX_PASSED_OVER_MS
-        return not waits_long, request.organisation not in connected
-
-    return sorted(keys, key=rank)
+    return organisation_shares.order(state, now_ms, keys, list(upstreams))
 
 
 def _primary_accepts(state: states.GroupState, now_ms: int) -> bool:
@@ -304,6 +289,10 @@
     if upstream is not None:
         connection.place_before = upstream.place
     work.running.add(connection.number)
+    if upstream is not None:
+        organisation_shares.charge(
+            state, now_ms, connection.organisation, upstream.service_ms
+        )
     connection.work = work.request.key
     connection.served_ms = now_ms
     connection.is_writing = work.request.writes
--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -12,6 +12,7 @@
 from topazring.core.synchronous import primary_availability
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import results
+from topazring.core.synchronous.scheduling import organisation_shares
 from topazring.core.synchronous import state as states
 
 __all__ = ['expire', 'expire_connections']
@@ -73,21 +74,43 @@
     informed by the refusal of its next statement.
     """
     outs: list = []
-    for key, transaction in list(state.transactions.items()):
+    for transaction in list(state.transactions.values()):
         connection = state.connections[transaction.connection]
         if connection.phase is not states.Phase.IDLE:
             continue
         idle_ms = now_ms - connection.idle_since_ms
         if idle_ms < transaction.idle_limit_ms:
             continue
-        del state.transactions[key]
-        state.counters['transaction_idle'] += 1
-        inputs = {'upstream': connection.upstream, 'idle_ms': idle_ms}
-        outs.append(messages.LogDecision('transaction idle', inputs=inputs))
-        outs += dispatch.roll_back(state, now_ms, connection)
+        outs += _end_rest(state, now_ms, connection, {})
+    for connection in organisation_shares.end_long_rests(state, now_ms):
+        state.counters['transaction_idle_contended'] += 1
+        inputs = {'organisation': connection.organisation}
+        outs += _end_rest(state, now_ms, connection, inputs)
     return outs
 
 
+def _end_rest(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    inputs: dict[str, object],
+) -> list:
+    """Roll back the transaction of a connection whose caller rests.
+
+    It is forgotten at once, so that its caller's next statement is refused
+    whatever becomes of the rollback: what was not committed is not kept.
+    """
+    del state.transactions[connection.transaction]
+    state.counters['transaction_idle'] += 1
+    inputs = {
+        'upstream': connection.upstream,
+        'idle_ms': now_ms - connection.idle_since_ms,
+        **inputs,
+    }
+    ended = messages.LogDecision('transaction idle', inputs=inputs)
+    return [ended, *dispatch.roll_back(state, now_ms, connection)]
+
+
 def _expire_request(
     state: states.GroupState, now_ms: int, work: states.Work
 ) -> list:
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -257,6 +257,9 @@
     # answered; None if a log position bounds the age of its data.
     proof_needed_ms: int | None = None
     wrote: bool = False
+    # The same while its organisation holds more than its share of connections
+    # and others wait.
+    contended_limit_ms: int = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -320,6 +323,11 @@
     transactions: dict[int, Transaction] = dataclasses.field(
         default_factory=dict
     )
+    # The slot time that each organisation took recently, and up to when it
+    # has been discounted.
+    organisation_work: dict[str, tuple[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
     # The assumed primary; empty while unknown.
     primary: str = ''
     # When it was first assumed to lead.
--- a/topazring/core/synchronous/tests/load_simulation.py
+++ b/topazring/core/synchronous/tests/load_simulation.py
@@ -112,6 +112,36 @@
         for name in self.tallies:
             self.tallies[name] = simulated_callers.Tally()
 
+    def make_hot(self, organisation: str, factor: float) -> None:
+        """Multiply what one organisation sends; the others send as before."""
+        before = sum(self.organisations.values())
+        self.organisations[organisation] *= factor
+        self.rate *= sum(self.organisations.values()) / before
+
+    def rest_in_transactions(
+        self,
+        kind: simulated_callers.OperationKind,
+        count: int,
+        rest_ms: float,
+        organisation: str = '',
+    ) -> simulated_callers.Tally:
+        """Start transactions whose callers rest; return their own tally.
+
+        They are not among the other operations of the kind. Without an
+        organisation each caller draws one.
+        """
+        resting = simulated_callers.OperationKind(
+            kind.policy, 0.0, kind.work_ms, kind.writes, 1.0
+        )
+        tally = simulated_callers.Tally()
+        for _ in range(count):
+            operation = simulated_callers.Operation(self, resting, tally)
+            if organisation:
+                operation.set_organisation(organisation)
+            operation.rest_ms = rest_ms
+            self.at(self.rng.random() * 200, operation.start)
+        return tally
+
     def replicas(self) -> list[simulated_upstreams.Upstream]:
         """Return all upstreams but the primary."""
         return [
--- a/topazring/core/synchronous/tests/simulated_callers.py
+++ b/topazring/core/synchronous/tests/simulated_callers.py
@@ -47,6 +47,11 @@
     in_goal: int = 0
     refused_immediately: int = 0
     failed_after_waiting: int = 0
+    # How the operations ended, by organisation and one of `begun`, `in_goal`,
+    # `late`, `refused` and `failed`.
+    ends: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     # How long the operations of each organisation took.
     by_organisation: dict[str, list[float]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
@@ -56,9 +61,16 @@
 class Operation:
     """Hold one caller's operation: a statement, or a transaction."""
 
-    def __init__(self, simulation, kind: OperationKind):
+    def __init__(
+        self, simulation, kind: OperationKind, tally: Tally | None = None
+    ):
         self.simulation = simulation
         self.kind = kind
+        # Counted here instead of with the other operations of the kind.
+        self.own_tally = tally
+        # How long the caller rests before each statement of a transaction but
+        # the first; None if it pauses as others do.
+        self.rest_ms: float | None = None
         self.began_ms = simulation.now_ms
         self.entry = simulation.rng.randrange(len(simulation.loads))
         self.centre = CENTRES[self.entry % len(CENTRES)]
@@ -79,6 +91,20 @@
         else:
             self.body = [single]
         self.remaining: collections.deque[Verb] = collections.deque()
+        self._tally().ends[(self.organisation, 'begun')] += 1
+
+    def _tally(self) -> Tally:
+        """Return the tally of its kind, or its own."""
+        if self.own_tally is not None:
+            return self.own_tally
+        return self.simulation.tallies[self.kind.policy.database]
+
+    def set_organisation(self, name: str) -> None:
+        """Change the organisation before the operation starts."""
+        self._tally().ends[(self.organisation, 'begun')] -= 1
+        self._tally().ends[(name, 'begun')] += 1
+        self.organisation = name
+        self.session = self._new_session()
 
     def _new_session(self) -> sessions.Session:
         return sessions.Session(
@@ -173,37 +199,48 @@
 
     def _complete(self, request, outcome: outcomes.Outcome) -> None:
         sessions.record_outcome(self.session, request, outcome)
-        tally = self.simulation.tallies[self.kind.policy.database]
+        tally = self._tally()
         if not isinstance(outcome, outcomes.Done):
             waited_ms = self.simulation.now_ms - request.arrived_ms
-            if waited_ms < IMMEDIATE_MS:
+            is_immediate = waited_ms < IMMEDIATE_MS
+            if is_immediate:
                 tally.refused_immediately += 1
             else:
                 tally.failed_after_waiting += 1
-            if isinstance(outcome, outcomes.NotRun):
-                self._retry(outcome)
+            is_retried = isinstance(outcome, outcomes.NotRun) and self._retry(
+                outcome
+            )
+            if not is_retried:
+                end = 'refused' if is_immediate else 'failed'
+                tally.ends[(self.organisation, end)] += 1
             return
         self._continue()
 
-    def _retry(self, refusal: outcomes.NotRun) -> None:
-        """Retry the whole operation after the given delay, if time is left."""
+    def _retry(self, refusal: outcomes.NotRun) -> bool:
+        """Retry the whole operation after the given delay, if time is left.
+
+        Return whether it is retried.
+        """
         left_ms = self.kind.patience_ms - (
             self.simulation.now_ms - self.began_ms
         )
         pause_ms = max(MIN_BACKOFF_MS, refusal.retry_after_ms)
         if not self.tries_left or pause_ms >= left_ms:
-            return
+            return False
         self.session = self._new_session()
         self.simulation.at(pause_ms, self.start)
+        return True
 
     def _continue(self) -> None:
         simulation = self.simulation
         if self.remaining:
             pause_ms = simulation.rng.expovariate(1 / simulation.pause_ms)
+            if self.rest_ms is not None and not self._is_first():
+                pause_ms = self.rest_ms
             self.paused_ms += pause_ms
             simulation.at(pause_ms, self._send_next)
             return
-        tally = simulation.tallies[self.kind.policy.database]
+        tally = self._tally()
         tally.by_organisation[self.organisation].append(
             simulation.now_ms - self.began_ms - self.paused_ms
         )
@@ -212,3 +249,10 @@
             tally.done += 1
         if took_ms <= self.kind.policy.latency_goal_ms:
             tally.in_goal += 1
+        is_late = took_ms > self.kind.policy.latency_goal_ms
+        end = 'late' if is_late else 'in_goal'
+        tally.ends[(self.organisation, end)] += 1
+
+    def _is_first(self) -> bool:
+        """Return whether no statement of a transaction has been sent."""
+        return len(self.remaining) == len(self.body) - 1
--- a/topazring/core/synchronous/tests/test_organisations.py
+++ b/topazring/core/synchronous/tests/test_organisations.py
@@ -3,8 +3,8 @@
 import testtools
 
 from topazring.core.synchronous import connections
-from topazring.core.synchronous import dispatch
 from topazring.core.synchronous import messages
+from topazring.core.synchronous.scheduling import organisation_shares
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous.tests import ablations
 from topazring.core.synchronous.tests import fake_group
@@ -131,7 +131,7 @@
         """Guards against an organisation that waits for the others' queues."""
         first, _ = self.occupy()
         self.submit('cedar')
-        self.driver.tick(dispatch.MAX_PASSED_OVER_MS - 40)
+        self.driver.tick(organisation_shares.MAX_PASSED_OVER_MS - 40)
         self.submit('ash')
         self.driver.now_ms += 40
         outs = self.driver.reply(first, support.ok('sig'))
--- a/topazring/core/synchronous/transactions.py
+++ b/topazring/core/synchronous/transactions.py
@@ -8,6 +8,7 @@
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import reply_effects
+from topazring.core.synchronous.scheduling import organisation_shares
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -31,6 +32,7 @@
         request.read_only,
         request.policy.transaction_idle_ms,
         proofs.required_proof_ms(connection.commands, request),
+        contended_limit_ms=organisation_shares.rest_limit_ms(request.policy),
     )
     command = exchanges.statement_command(request)
     return [
