--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -9,7 +9,7 @@
 
 A connection serves one organisation for its whole life. Where requests name
 an organisation, connections are opened on demand; if the share is used up,
-the least recently used idle connection of another one is closed for it.
+an idle connection of another one is closed for it.
 """
 
 from topazring.core import organisations
@@ -231,7 +231,7 @@
         return False
     if len(connections) < _limit(state, now_ms, connections):
         return True
-    return _least_recently_used(state, upstream.name) is not None
+    return bool(states.idle_connections(state, upstream.name))
 
 
 def open_for(
@@ -273,13 +273,6 @@
     )
 
 
-def _least_recently_used(
-    state: states.GroupState, upstream: str
-) -> states.Connection | None:
-    idle = states.idle_connections(state, upstream)
-    return min(idle, key=lambda c: c.served_ms, default=None)
-
-
 def _is_opening(connections: list[states.Connection]) -> bool:
     return any(c.phase is states.Phase.OPENING for c in connections)
 
--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -41,6 +41,7 @@
 def expire(state: states.GroupState, now_ms: int) -> list:
     """Expire late requests, and hedge reads that take unusually long."""
     outs: list = _roll_back_idle(state, now_ms)
+    outs += organisation_shares.report(state, now_ms)
     for work in list(state.work.values()):
         if now_ms >= _expires_ms(work):
             outs += _expire_request(state, now_ms, work)
--- a/topazring/core/synchronous/scheduling/organisation_shares.py
+++ b/topazring/core/synchronous/scheduling/organisation_shares.py
@@ -28,11 +28,11 @@
     'end_long_rests',
     'fair_level',
     'held_by',
-    'is_above',
     'measure_connections',
     'measure_statements',
     'order',
     'recent_work_ms',
+    'report',
     'rest_limit_ms',
 ]
 
@@ -44,6 +44,9 @@
 # Work counts half after this time, which is that of the statements a caller
 # still waits for.
 WORK_HALF_LIFE_MS = 1000
+# A log entry has some 200 bytes, for a group whose organisations compete.
+REPORT_INTERVAL_MS = 1000
+MAX_REPORTED = 3
 # What organisations were given is looked through once so many are known.
 MAX_KNOWN = 256
 # Work below this is not worth keeping: less than a millisecond of a slot.
@@ -96,23 +99,21 @@
 class Shares:
     """Hold what the organisations hold and may hold of one upstream."""
 
-    # Connections in use, and requests that wait and could run here.
+    # What the organisations hold, and their requests that could run here.
     held: collections.Counter[str]
     waiting: collections.Counter[str]
     level: int
-
-    def is_contended_for(self, organisation: str) -> bool:
-        """Return whether another organisation waits below its share."""
-        return any(
-            self.held[name] < self.level
-            for name in self.waiting
-            if name != organisation
-        )
+    # Those that wait and are below their share.
+    contenders: frozenset[str]
 
     def is_above(self, organisation: str, more: int = 0) -> bool:
-        """Return whether an organisation is above its share with `more`."""
+        """Return whether an organisation is above its share with `more`.
+
+        None is while no other one waits below its own.
+        """
         held = self.held[organisation] + more
-        return held > self.level and self.is_contended_for(organisation)
+        others = len(self.contenders) - (organisation in self.contenders)
+        return held > self.level and others > 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,7 +152,9 @@
     demands = [
         held[name] + waiting[name] for name in held.keys() | waiting.keys()
     ]
-    return Shares(held, waiting, fair_level(room, demands))
+    level = fair_level(room, demands)
+    contenders = frozenset(name for name in waiting if held[name] < level)
+    return Shares(held, waiting, level, contenders)
 
 
 def measure_connections(
@@ -179,17 +182,6 @@
     return _shares(room, running, _waiting_at(state, upstream, waiting))
 
 
-def is_above(
-    state: states.GroupState, upstream: str, organisation: str, more: int = 0
-) -> bool:
-    """Return whether an organisation is above a share of an upstream."""
-    waiting = count_waiting(state)
-    return any(
-        measure(state, upstream, waiting).is_above(organisation, more)
-        for measure in (measure_connections, measure_statements)
-    )
-
-
 def charge(
     state: states.GroupState, now_ms: int, organisation: str, work_ms: float
 ) -> None:
@@ -260,12 +252,14 @@
     these, so that no organisation waits for the others' queues to end.
     Otherwise the order of the queues remains.
     """
+    waiting = {state.work[key].request.organisation for key in keys}
+    if len(waiting) < 2:
+        return keys
     connected = {
         connection.organisation
         for name in upstreams
         for connection in states.idle_connections(state, name)
     }
-    waiting = {state.work[key].request.organisation for key in keys}
     counted = count_waiting(state)
     shares = [
         (
@@ -282,6 +276,7 @@
             for by_connections, by_statements in shares
         )
     }
+    state.above_share |= above
     was_given_more = _above_work_share(state, now_ms, waiting)
 
     def rank(key: int) -> tuple[bool, bool, bool]:
@@ -297,6 +292,35 @@
     return sorted(keys, key=rank)
 
 
+def report(
+    state: states.GroupState, now_ms: int
+) -> list[messages.LogDecision]:
+    """Return a log event with the organisations that were held back.
+
+    There is at most one event each `REPORT_INTERVAL_MS`.
+    """
+    if now_ms - state.shares_reported_ms < REPORT_INTERVAL_MS:
+        return []
+    if not state.above_share:
+        return []
+    names = sorted(
+        state.above_share,
+        key=lambda name: -recent_work_ms(state, now_ms, name),
+    )
+    state.above_share.clear()
+    state.shares_reported_ms = now_ms
+    state.counters['organisation_above_share'] += len(names)
+    inputs = {
+        'organisations': {
+            name: round(recent_work_ms(state, now_ms, name))
+            for name in names[:MAX_REPORTED]
+        },
+        'count': len(names),
+        'share': state.connection_share,
+    }
+    return [messages.LogDecision('organisations above share', inputs=inputs)]
+
+
 def choose_replaced(
     state: states.GroupState,
     now_ms: int,
--- a/topazring/core/synchronous/scheduling/tests/test_organisation_shares.py
+++ b/topazring/core/synchronous/scheduling/tests/test_organisation_shares.py
@@ -274,6 +274,26 @@
         )
         self.assertAlmostEqual(12 + service_ms, work_ms, places=0)
 
+    def test_organisations_held_back_are_logged(self):
+        """Guards against a hot organisation that an operator cannot see."""
+        group = Group(share=2)
+        primary = group.state.upstreams['u1']
+        primary.concurrency_limit = 2.0
+        for name in ('large', 'large', 'large', 'small'):
+            group.submit(name)
+            group.open_all()
+        for _ in range(60):
+            group.submit('small')
+            outs = group.wait(20)
+            if support.decisions(outs, 'organisations above share'):
+                break
+        (why,) = support.decisions(outs, 'organisations above share')
+        self.assertEqual(['large'], list(why['organisations']))
+        outs = group.wait(organisation_shares.REPORT_INTERVAL_MS - 40)
+        self.assertEqual(
+            [], support.decisions(outs, 'organisations above share')
+        )
+
     def test_work_is_forgotten(self):
         """Guards against memory for each organisation that ever came."""
         state = Group().state
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -328,6 +328,9 @@
     organisation_work: dict[str, tuple[int, float]] = dataclasses.field(
         default_factory=dict
     )
+    # Those held back since this was last logged, and when that was.
+    above_share: set[str] = dataclasses.field(default_factory=set)
+    shares_reported_ms: int = NEVER_MS
     # The assumed primary; empty while unknown.
     primary: str = ''
     # When it was first assumed to lead.
