--- a/topazring/core/synchronous/scheduling/tests/test_organisation_shares.py
+++ b/topazring/core/synchronous/scheduling/tests/test_organisation_shares.py
@@ -15,11 +15,14 @@
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import support
+from topazring.core.synchronous.tests import walks
 
 IN_TRANSACTION = statements.SessionState.IN_TRANSACTION
 LONG_MS = organisation_shares.MAX_PASSED_OVER_MS
 REST_MS = organisation_shares.rest_limit_ms(support.EXACT)
 SEEDS = (1, 2)
+WALKS = 20
+STEPS_OF_WALK = 120
 
 
 class FairLevelTest(testtools.TestCase):
@@ -465,3 +468,29 @@
             self.assertGreater(others.in_goal, 0.98)
             name = 'transaction_idle_contended'
             self.assertGreater(competition.counter(simulation, name), 0)
+
+
+class WalkTest(testtools.TestCase):
+    """Transactions that end early keep every promise of a random walk.
+
+    Guards against a commit after the promise that nothing is kept, and against
+    a request that runs in another's transaction.
+    """
+
+    def test_walks_with_short_rests(self):
+        """Any rest ends after 5 ms, whether or not another waits."""
+        ended = 0
+        self.patch(
+            organisation_shares,
+            '_is_short_of_connections',
+            lambda *args: True,
+        )
+        self.patch(organisation_shares.Shares, 'is_above', lambda *args: True)
+        self.patch(organisation_shares, 'rest_limit_ms', lambda policy: 5)
+        for seed in range(WALKS):
+            world = walks.walk(seed, STEPS_OF_WALK, organisations=NAMES)
+            ended += sum(
+                state.counters['transaction_idle_contended']
+                for state in world.states.values()
+            )
+        self.assertGreater(ended, 0)
