Let turns by work apply within a priority

An organisation that was given more slot time went behind all others, so its urgent requests waited behind the patient ones of others.

--- a/topazring/core/synchronous/scheduling/organisation_shares.py
+++ b/topazring/core/synchronous/scheduling/organisation_shares.py
@@ -236,6 +236,18 @@
     return {name for name in waiting if given_ms[name] > level_ms}
 
 
+def _blocks(state: states.GroupState, keys: list[int]) -> dict[int, int]:
+    """Number the runs of requests of one priority in the queues' order."""
+    blocks: dict[int, int] = {}
+    block, last = 0, None
+    for key in keys:
+        priority = state.work[key].request.policy.priority
+        block += last is not None and priority != last
+        last = priority
+        blocks[key] = block
+    return blocks
+
+
 def order(
     state: states.GroupState,
     now_ms: int,
@@ -244,13 +256,14 @@
 ) -> list[int]:
     """Return waiting requests in the order in which to look for connections.
 
-    Those of organisations above their share go last: that hold more of each
-    upstream, or were given more slot time, than the others that wait. Of the
-    others, those whose organisation has an idle connection go first: it might
-    be closed for another organisation otherwise, and each new connection takes
-    a slot that statements need. Requests that have waited for long go ahead of
-    these, so that no organisation waits for the others' queues to end.
-    Otherwise the order of the queues remains.
+    Those of organisations that hold more of each upstream than their share go
+    last, whatever their priority. The others remain in the order of the queues
+    but for those of one priority that follow one another. Of these, the ones
+    whose organisation was given more slot time than others that wait go last.
+    Before them go those whose organisation has an idle connection, which might
+    be closed for another organisation otherwise, as each new connection takes
+    a slot that statements need; and those that have waited for long, so that
+    no organisation waits for the others' queues to end.
     """
     waiting = {state.work[key].request.organisation for key in keys}
     if len(waiting) < 2:
@@ -279,12 +292,15 @@
     state.above_share |= above
     was_given_more = _above_work_share(state, now_ms, waiting)
 
-    def rank(key: int) -> tuple[bool, bool, bool]:
+    blocks = _blocks(state, keys)
+
+    def rank(key: int) -> tuple[bool, int, bool, bool]:
         request = state.work[key].request
         name = request.organisation
         waits_long = now_ms - request.arrived_ms >= MAX_PASSED_OVER_MS
         return (
             name in above,
+            blocks[key],
             name in was_given_more,
             name not in connected and not waits_long,
         )
--- a/topazring/core/synchronous/scheduling/tests/test_organisation_shares.py
+++ b/topazring/core/synchronous/scheduling/tests/test_organisation_shares.py
@@ -9,6 +9,7 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import request_queues
 from topazring.core.synchronous import routing
 from topazring.core.synchronous.scheduling import organisation_shares
 from topazring.core.synchronous.scheduling.tests import competition
@@ -264,6 +265,42 @@
         self.assertEqual(1, len(self.replaced(outs)))
         self.assertIn(small.number, group.state.connections)
 
+    def test_priority_goes_before_work(self):
+        """Guards against urgent requests behind patient ones of others."""
+        group = Group()
+        primary = group.state.upstreams['u1']
+        primary.busy_until_ms = group.driver.now_ms + 40
+        patient = dataclasses.replace(
+            support.EXACT, database='patient', priority=2
+        )
+        keys = [
+            group.submit('ash', policy=patient)[0],
+            group.submit('birch')[0],
+            group.submit('ash')[0],
+        ]
+        now_ms = group.driver.now_ms
+        organisation_shares.charge(group.state, now_ms, 'ash', 50.0)
+        queued = request_queues.service_order(group.state, True)
+        ordered = organisation_shares.order(
+            group.state, now_ms, queued, ['u1']
+        )
+        self.assertEqual([keys[1], keys[2], keys[0]], ordered)
+
+    def test_turns_go_by_work(self):
+        """Guards against turns by count, which favour long statements."""
+        group = Group()
+        primary = group.state.upstreams['u1']
+        primary.busy_until_ms = group.driver.now_ms + 40
+        long_key, _ = group.submit('ash')
+        short_key, _ = group.submit('birch')
+        now_ms = group.driver.now_ms
+        for name, work_ms in (('ash', 120.0), ('birch', 30.0)):
+            organisation_shares.charge(group.state, now_ms, name, work_ms)
+        ordered = organisation_shares.order(
+            group.state, now_ms, [long_key, short_key], ['u1']
+        )
+        self.assertEqual([short_key, long_key], ordered)
+
     def test_dials_are_work(self):
         """Guards against dials that are counted as nobody's work."""
         group = Group()
