--- a/topazring/core/synchronous/concurrency_limit.py
+++ b/topazring/core/synchronous/concurrency_limit.py
@@ -105,7 +105,9 @@
         return 0.0
     per_ms = sum(_per_ms(state, upstream) for upstream in able)
     wait_ms = (ahead + 1) / per_ms if per_ms else 0.0
-    if work is None or not any(upstream.slots for upstream in able):
+    if work is None or not any(
+        upstream_room.part_of(state, upstream) for upstream in able
+    ):
         return wait_ms
     return queue_pace.estimate_wait_ms(state, now_ms, work, wait_ms)
 
--- a/topazring/core/synchronous/scheduling/tests/test_upstream_room.py
+++ b/topazring/core/synchronous/scheduling/tests/test_upstream_room.py
@@ -110,6 +110,18 @@
         )
         self.assertEqual(8, submit_many(driver, 8))
 
+    def test_more_owners_than_the_room_has_places_for(self):
+        """Guards against parts that exceed the slots four times."""
+        driver = make_owner(8, 7, slots=2)
+        self.assertIsNone(
+            upstream_room.part_of(driver.state, driver.state.upstreams['u1'])
+        )
+        driver = make_owner(8, 7, slots=4)
+        self.assertEqual(
+            1,
+            upstream_room.part_of(driver.state, driver.state.upstreams['u1']),
+        )
+
     def test_proxy_that_is_no_owner(self):
         """It has no part; the lease holder may still query the upstream."""
         driver = make_owner(8, None)
--- a/topazring/core/synchronous/scheduling/upstream_room.py
+++ b/topazring/core/synchronous/scheduling/upstream_room.py
@@ -27,6 +27,9 @@
 # slots. A reply and the next statement take 1 to 3 ms, the confirmation of a
 # write some 3 ms more, and a statement 7 to 35 ms.
 MAX_IN_TRANSIT_SHARE = 0.4
+# With more owners for each slot, parts of at least one statement would exceed
+# the room by far, and the limits have to adapt to what is measured.
+MAX_OWNERS_PER_SLOT = 2
 
 
 def note_owners(
@@ -56,9 +59,11 @@
 
 
 def part_of(state: states.GroupState, upstream: states.Upstream) -> int | None:
-    """Return how many statements may run at once; None if it is unknown."""
+    """Return how many statements may run at once; None if unlimited here."""
     if not upstream.slots or state.owner_rank is None:
         return None
+    if state.owner_count > MAX_OWNERS_PER_SLOT * upstream.slots:
+        return None
     return part_of_room(
         room_of(upstream.slots), state.owner_count, state.owner_rank
     )
