--- a/topazring/core/synchronous/arrival.py
+++ b/topazring/core/synchronous/arrival.py
@@ -46,20 +46,19 @@
     if request.organisation != organisations.ANONYMOUS:
         state.serves_organisations = True
     refusal = _refusal(state, now_ms, work)
-    outs: list = []
-    if refusal is not None:
-        outs += completion.give_up(
+    if refusal is None:
+        outs = completion.enqueue(state, now_ms, work)
+    else:
+        outs = completion.give_up(
             state, now_ms, work, refusal.reason, refusal.retry_after_ms
         )
-    else:
-        outs += completion.enqueue(state, now_ms, work)
     if state.primary and service_order.applies(state):
         outs += _give_up_overdue(state, now_ms)
-        if refusal is not None:
-            outs += slot_admission.report(state, now_ms)
-    if refusal is not None:
-        return outs
-    return outs + dispatch.start_waiting(state, now_ms)
+    if refusal is None:
+        return outs + dispatch.start_waiting(state, now_ms)
+    if service_order.applies(state):
+        outs += slot_admission.report(state, now_ms)
+    return outs
 
 
 def _give_up_overdue(state: states.GroupState, now_ms: int) -> list:
--- a/topazring/core/synchronous/completion.py
+++ b/topazring/core/synchronous/completion.py
@@ -385,7 +385,7 @@
     if service_order.applies(state):
         left_ms = evicted.deadline_ms - now_ms
         retry_ms = return_schedule.spread(
-            state.returns, BACKLOG_RETRY_MS, BACKLOG_RETRY_MS, left_ms
+            state.returns, BACKLOG_RETRY_MS, left_ms
         )
     return give_up(state, now_ms, evicted, Reason.BACKLOG, retry_ms)
 
--- a/topazring/core/synchronous/scheduling/return_schedule.py
+++ b/topazring/core/synchronous/scheduling/return_schedule.py
@@ -1,10 +1,13 @@
 """Tell refused callers when to return.
 
 Callers that are refused in one moment and return in one moment meet the same
-queue again. Their returns are spread evenly, from when there is room until a
-caller can no longer use its answer. Multiples of the golden ratio, modulo 1,
-are evenly spread at any count (Kronecker sequence), so no return depends on
-how many refusals will follow.
+queue again. Their returns are spread evenly, from when there is room.
+Multiples of the golden ratio, modulo 1, are evenly spread at any count
+(Kronecker sequence), so no return depends on how many refusals will follow.
+
+A caller that returns much later than there is room has lost its latency goal,
+and takes the place of one that can still meet its own. The returns are
+therefore spread over a time in proportion to that until there is room.
 """
 
 import dataclasses
@@ -14,9 +17,9 @@
 # A caller that retries sooner finds the queue unchanged.
 MIN_RETRY_MS = 20
 GOLDEN_RATIO = 0.618034
-# Without a useful time the returns are spread over as long again as it takes
-# until there is room.
-SPREAD_FACTOR = 2.0
+SPREAD_SHARE = 0.5
+# A few statements of 10 to 20 ms end in this time.
+MIN_SPREAD_MS = 50
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,22 +29,17 @@
     promised: int = 0
 
 
-def spread(
-    schedule: ReturnSchedule,
-    room_ms: float,
-    useful_ms: float,
-    latest_ms: float,
-) -> int:
+def spread(schedule: ReturnSchedule, room_ms: float, latest_ms: float) -> int:
     """Return after how many milliseconds a refused caller may return.
 
-    There is room from `room_ms` on. A caller that returns by `useful_ms` can
-    still be served within its goal, and by `latest_ms` within its timeout.
-    All are counted from now.
+    There is room from `room_ms` on, and a caller that returns by `latest_ms`
+    can still be served within its timeout. Both are counted from now.
     """
     schedule.promised += 1
     earliest_ms = max(MIN_RETRY_MS, room_ms)
-    end_ms = max(useful_ms, earliest_ms * SPREAD_FACTOR)
-    end_ms = min(end_ms, latest_ms)
-    earliest_ms = min(earliest_ms, end_ms / 2)
+    width_ms = max(MIN_SPREAD_MS, earliest_ms * SPREAD_SHARE)
+    end_ms = min(earliest_ms + width_ms, latest_ms)
+    if earliest_ms >= end_ms:
+        earliest_ms = end_ms / 2
     fraction = schedule.promised * GOLDEN_RATIO % 1.0
     return max(1, int(earliest_ms + fraction * (end_ms - earliest_ms)))
--- a/topazring/core/synchronous/scheduling/slot_admission.py
+++ b/topazring/core/synchronous/scheduling/slot_admission.py
@@ -62,13 +62,9 @@
     state.counters['refused_out_of_goal'] += 1
     if estimate.displaces:
         state.counters['refused_as_displacing'] += 1
-    # A request that returns later is not admitted in time for its first goal.
-    goal_ms = _goal_left_ms(now_ms, request) * (1 - GOAL_SHARE)
+    latest_ms = work.deadline_ms - now_ms - service_ms
     retry_ms = return_schedule.spread(
-        state.returns,
-        estimate.answer_ms - limit_ms,
-        goal_ms,
-        work.deadline_ms - now_ms - service_ms,
+        state.returns, estimate.answer_ms - limit_ms, latest_ms
     )
     return outcomes.NotRun(Reason.OVERLOAD, retry_ms)
 
