--- a/topazring/core/hashing.py
+++ b/topazring/core/hashing.py
@@ -3,8 +3,20 @@
 import collections.abc
 import dataclasses
 import hashlib
+import heapq
+import math
+import typing
 
-__all__ = ['Candidate', 'choose_owners', 'first_by_score', 'score']
+__all__ = [
+    'Candidate',
+    'choose_owners',
+    'choose_spread',
+    'first_by_score',
+    'score',
+    'weighted_score',
+]
+
+SCORE_BITS = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,6 +26,8 @@
     name: str
     region: str
     data_centre: str
+    # Its part of all databases, in relation to the other candidates.
+    weight: float = 1.0
 
 
 def score(database: str, name: str) -> int:
@@ -30,6 +44,27 @@
     return int.from_bytes(digest, 'big')
 
 
+def weighted_score(
+    database: str, name: str, weight: float
+) -> tuple[float, int]:
+    """Return the score of a proxy that owns in proportion to its weight.
+
+    A larger weight only raises a proxy's own scores, so a change of weight
+    moves databases from or to this proxy, and never between two others.
+    Proxies of equal weight have the order of `score`.
+    Schindelhauer and Schomaker, "Weighted Distributed Hash Tables" (2005).
+
+    >>> weighted_score('d', 'a', 2.0) > weighted_score('d', 'a', 1.0)
+    True
+    """
+    unweighted = score(database, name)
+    return _weigh(unweighted, weight), unweighted
+
+
+def _weigh(unweighted: int, weight: float) -> float:
+    return math.log((unweighted + 0.5) / 2**SCORE_BITS) / weight
+
+
 def choose_owners(
     database: str,
     region: str,
@@ -40,23 +75,58 @@
 
     Proxies of the database's own region are preferred. A data centre is used
     again only after every other one with remaining proxies is used as often.
+    Within this limit a proxy is chosen in proportion to its weight. The owners
+    for a smaller count are the first of those for a larger one.
     """
     all_candidates = list(candidates)
     local = [c for c in all_candidates if c.region == region]
-    pool = local or all_candidates
-    pool.sort(key=lambda c: score(database, c.name), reverse=True)
-    chosen: list[Candidate] = []
-    while pool and len(chosen) < count:
-        remaining: list[Candidate] = []
-        centres: set[str] = set()
-        for candidate in pool:
-            if candidate.data_centre in centres:
-                remaining.append(candidate)
-            elif len(chosen) < count:
-                chosen.append(candidate)
-                centres.add(candidate.data_centre)
-        pool = remaining
-    return tuple(candidate.name for candidate in chosen)
+    return choose_spread(database, local or all_candidates, count)
+
+
+class Weighted(typing.Protocol):
+    """What of a candidate the choice depends on."""
+
+    name: str
+    data_centre: str
+    weight: float
+
+
+def choose_spread(
+    database: str,
+    candidates: collections.abc.Iterable[Weighted],
+    count: int,
+) -> tuple[str, ...]:
+    """Return the owners among candidates of one region."""
+    by_centre = _best_by_data_centre(database, candidates, count)
+    chosen: list[_Ranked] = []
+    for place in range(count):
+        best = [each[place] for each in by_centre if place < len(each)]
+        chosen += sorted(best, reverse=True)
+    return tuple(name for _, _, name in chosen[:count])
+
+
+# Weighted score, score and name.
+_Ranked = tuple[float, int, str]
+
+
+def _best_by_data_centre(
+    database: str, pool: collections.abc.Iterable[Weighted], count: int
+) -> list[list[_Ranked]]:
+    """Return the best proxies of each data centre, the best one first."""
+    scored: dict[tuple[str, float], list[tuple[int, str]]] = {}
+    for each in pool:
+        by_class = scored.setdefault((each.data_centre, each.weight), [])
+        by_class.append((score(database, each.name), each.name))
+    # Proxies of equal weight have the order of their scores, so logarithms
+    # are needed only for the best ones of each weight.
+    is_weighted = len({weight for _, weight in scored}) > 1
+    ranked: dict[str, list[_Ranked]] = {}
+    for (centre, weight), names in scored.items():
+        for unweighted, name in heapq.nlargest(count, names):
+            weighted = _weigh(unweighted, weight) if is_weighted else 0.0
+            by_centre = ranked.setdefault(centre, [])
+            by_centre.append((weighted, unweighted, name))
+    return [sorted(each, reverse=True)[:count] for each in ranked.values()]
 
 
 def first_by_score(
--- a/topazring/core/synchronous/completion.py
+++ b/topazring/core/synchronous/completion.py
@@ -15,6 +15,9 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import reply_effects
 from topazring.core.synchronous import request_queues
+from topazring.core.synchronous.scheduling import return_schedule
+from topazring.core.synchronous.scheduling import service_counts as counts
+from topazring.core.synchronous.scheduling import service_order
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -65,6 +68,9 @@
     if work.is_queued:
         request_queues.remove(state, work)
     state.counters[_label(outcome)] += 1
+    counts.record(
+        state.service_counts, state.stepped_ms, work.request, outcome
+    )
     answered = messages.Answer(work.request.key, outcome)
     if not work.is_traced:
         return [answered]
@@ -379,7 +385,13 @@
         return []
     evicted = state.work[evicted_key]
     evicted.is_queued = False
-    return give_up(state, now_ms, evicted, Reason.BACKLOG, BACKLOG_RETRY_MS)
+    retry_ms = BACKLOG_RETRY_MS
+    if service_order.applies(state):
+        left_ms = evicted.deadline_ms - now_ms
+        retry_ms = return_schedule.spread(
+            state.returns, BACKLOG_RETRY_MS, left_ms
+        )
+    return give_up(state, now_ms, evicted, Reason.BACKLOG, retry_ms)
 
 
 def requeue(
--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -9,12 +9,13 @@
 
 A connection serves one organisation for its whole life. Where requests name
 an organisation, connections are opened on demand; if the share is used up,
-the least recently used idle connection of another one is closed for it.
+an idle connection of another one is closed for it.
 """
 
 from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
+from topazring.core.synchronous.scheduling import organisation_shares
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -230,7 +231,7 @@
         return False
     if len(connections) < _limit(state, now_ms, connections):
         return True
-    return _least_recently_used(state, upstream.name) is not None
+    return bool(states.idle_connections(state, upstream.name))
 
 
 def open_for(
@@ -250,7 +251,11 @@
     outs: list = []
     connections = states.connections_to(state, upstream.name)
     if len(connections) >= _limit(state, now_ms, connections):
-        replaced = _least_recently_used(state, upstream.name)
+        replaced = organisation_shares.choose_replaced(
+            state, now_ms, upstream.name, organisation
+        )
+        if replaced is None:
+            return []
         outs += close_connection(state, replaced)
         state.counters['connection_replaced'] += 1
     state.counters['dial_on_demand'] += 1
@@ -268,13 +273,6 @@
     )
 
 
-def _least_recently_used(
-    state: states.GroupState, upstream: str
-) -> states.Connection | None:
-    idle = states.idle_connections(state, upstream)
-    return min(idle, key=lambda c: c.served_ms, default=None)
-
-
 def _is_opening(connections: list[states.Connection]) -> bool:
     return any(c.phase is states.Phase.OPENING for c in connections)
 
@@ -345,8 +343,14 @@
     if upstream is None:
         return close_connection(state, connection)
     upstream.opening_ms += opening_ms
+    organisation_shares.charge(
+        state, now_ms, connection.organisation, opening_ms
+    )
     upstream.dial_after_ms = 0
     upstream.is_full = False
+    if connection.organisation != organisations.ANONYMOUS:
+        # It is not the next one to be closed for another organisation.
+        connection.served_ms = now_ms
     if not upstream.is_unreachable:
         return []
     upstream.is_unreachable = False
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -23,9 +23,11 @@
 from topazring.core.synchronous import promotion
 from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import promotion_order
+from topazring.core.synchronous import proof_report
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import queue_report
 from topazring.core.synchronous import results
+from topazring.core.synchronous.scheduling import upstream_room
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -95,13 +97,13 @@
     """Handle one message and return the resulting messages."""
     if not state.created_ms:
         state.created_ms = now_ms
+    state.stepped_ms = now_ms
     outs = _handle_late_message(state, now_ms, message)
     return outs + _handlers[type(message)](state, now_ms, message)
 
 
 _handles(messages.Submit)(arrival.submit)
 _handles(messages.Withdraw)(arrival.withdraw)
-_handles(messages.InstancesSeen)(connections.update_share)
 _handles(messages.PromotionLeaseSeen)(promotion_lease.handle_lease_change)
 _handles(messages.RegistrationSeen)(acknowledgement_fence.record_registration)
 _handles(messages.MembersRecorded)(member_record.note_record)
@@ -110,6 +112,14 @@
 _handles(messages.AcknowledgementsReported)(promotion.handle_acknowledgements)
 
 
+@_handles(messages.InstancesSeen)
+def _instances_seen(
+    state: states.GroupState, now_ms: int, message: messages.InstancesSeen
+) -> list:
+    outs: list = upstream_room.note_owners(state, message)
+    return outs + connections.update_share(state, now_ms, message)
+
+
 @_handles(messages.FenceReleased)
 def _fence_released(
     state: states.GroupState, now_ms: int, message: messages.FenceReleased
@@ -130,6 +140,14 @@
     return outs + dispatch.start_waiting(state, now_ms)
 
 
+@_handles(messages.UpstreamsClosed)
+def _upstreams_closed(
+    state: states.GroupState, now_ms: int, message: messages.UpstreamsClosed
+) -> list:
+    membership.handle_closures(state, message)
+    return dispatch.start_waiting(state, now_ms)
+
+
 def _continue_promotion(state: states.GroupState, now_ms: int) -> list:
     """Let a running promotion query a new or newly reached member at once.
 
@@ -230,6 +248,7 @@
         outs += _discard_stale_state(state, now_ms, message.paused_ms)
     outs += isolation.update(state, now_ms)
     outs += queue_report.report_long_waits(state, now_ms)
+    outs += proof_report.report_unproven(state, now_ms)
     outs += expiry.expire(state, now_ms)
     outs += expiry.expire_connections(state, now_ms)
     outs += completion.answer_proven(state, now_ms)
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -10,7 +10,11 @@
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
-__all__ = ['close_leaving_connections', 'handle_upstream_list']
+__all__ = [
+    'close_leaving_connections',
+    'handle_closures',
+    'handle_upstream_list',
+]
 
 # Share of the time in which a leaving primary may still be given work that is
 # actually used; its replacement has to be completed by then. The rest covers a
@@ -112,6 +116,7 @@
         entry.role,
         entry.revision,
         entry.born_ms,
+        entry.slots,
     )
     upstream.first_listed_ms = now_ms
     # The first list names the upstreams that existed before this process.
@@ -147,6 +152,7 @@
     entry: messages.ListedUpstream,
 ) -> list:
     outs: list = []
+    upstream.slots = entry.slots
     if entry.address != upstream.address:
         upstream.address = entry.address
         outs += connections.close_idle(state, entry.name)
@@ -203,6 +209,17 @@
         )
 
 
+def handle_closures(
+    state: states.GroupState, message: messages.UpstreamsClosed
+) -> None:
+    """Record which upstreams operators have closed.
+
+    They are not leaving: one that vanishes meanwhile has not drained, and may
+    be alive.
+    """
+    state.closed_until_ms = dict(message.until_ms)
+
+
 def close_leaving_connections(state: states.GroupState, now_ms: int) -> list:
     """Close idle connections to leaving upstreams closed to new work."""
     outs: list = []
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -44,6 +44,7 @@
     'Send',
     'Submit',
     'Tick',
+    'UpstreamsClosed',
     'UpstreamsSeen',
     'Withdraw',
     'YieldPromotionLease',
@@ -138,6 +139,8 @@
     # When its process started. A process recreated under the same name is a
     # different upstream: its log is empty.
     born_ms: int = 0
+    # Statements that it runs at a time; 0 if it does not say.
+    slots: int = 0
 
 
 # ---- into the core --------------------------------------------------------
@@ -194,6 +197,13 @@
     upstreams: tuple[ListedUpstream, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsClosed:
+    """Report the upstreams that operators have closed, until when each."""
+
+    until_ms: collections.abc.Mapping[str, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstancesSeen:
     """Report how many owners share the connections to the upstreams.
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -35,6 +35,7 @@
 from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import promotion_order
 from topazring.core.synchronous import proofs
+from topazring.core.synchronous.scheduling import lone_primary
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -68,6 +69,8 @@
     loss = failure_detection.detect_loss(state, now_ms)
     if loss is not None:
         return _begin_attempt(state, now_ms, loss.upstream, loss.why, loss)
+    if lone_primary.is_due(state, now_ms):
+        return _begin_relief(state, now_ms)
     primary = state.upstreams.get(state.primary)
     if primary is not None and primary.leaving:
         successor = _choose_successor(state, now_ms)
@@ -94,7 +97,8 @@
     """Return the replica that is to succeed a leaving primary.
 
     Of the replicas that are not leaving, it is the one with the longest log
-    among those that can be reached, or among all if none can be reached.
+    among those that can be reached, or among all if none can be reached. One
+    that an operator has closed is chosen if there is no other.
     """
     staying = [
         upstream
@@ -109,7 +113,13 @@
         if not proofs.is_unreachable(state, now_ms, upstream)
     ]
     longest = max(
-        reachable or staying, key=lambda u: (u.place, u.is_established, u.name)
+        reachable or staying,
+        key=lambda u: (
+            not states.is_closed_by_operator(state, now_ms, u.name),
+            u.place,
+            u.is_established,
+            u.name,
+        ),
     )
     return longest.name
 
@@ -121,6 +131,7 @@
     why: str,
     loss: failure_detection.Loss | None,
     successor: str = '',
+    is_optional: bool = False,
 ) -> list:
     state.token += 1
     attempt = attempts.Attempt(
@@ -130,7 +141,8 @@
         state.counters['promotion_begins_without_primary'] += 1
     if loss is not None:
         attempt.unconfirmed = loss.unconfirmed or loss.replaced
-        attempt.is_query_only = loss.unconfirmed
+        attempt.is_query_only = loss.unconfirmed and not is_optional
+    attempt.is_optional = is_optional
     attempt.since_ms = now_ms if loss is None else loss.since_ms
     state.promotion = attempt
     event = (
@@ -161,6 +173,9 @@
     ended = _end_if_finished(state, now_ms, attempt)
     if ended is not None:
         return ended
+    if attempt.is_optional and attempt.list_read_ms is None:
+        # Nothing is paused that could not be replaced.
+        return promotion_order.request_list(now_ms, attempt)
     outs = _fence_owners(state, attempt)
     if attempt.chosen:
         return outs + _keep_paused(state, now_ms, attempt)
@@ -175,9 +190,10 @@
     if attempt.is_query_only and attempts.has_receiving_replica(
         state, now_ms, attempt
     ):
-        return outs + promotion_end.finish(
+        outs += promotion_end.finish(
             state, now_ms, attempt, 'replicas receive'
         )
+        return outs + lone_primary.decide(state, now_ms, attempt.reports)
     if attempt.is_query_only and chosen == attempt.old_primary:
         return outs + promotion_end.finish(
             state, now_ms, attempt, 'nobody may follow'
@@ -189,6 +205,21 @@
     )
 
 
+def _begin_relief(state: states.GroupState, now_ms: int) -> list:
+    """Begin to replace a primary that serves alone, once that was decided.
+
+    Its log holds all acknowledged writes, so it leads again if no replica
+    provably holds them.
+    """
+    lone_primary.note_begun(state, now_ms)
+    loss = failure_detection.Loss(
+        state.primary, lone_primary.WHY, now_ms, unconfirmed=True
+    )
+    return _begin_attempt(
+        state, now_ms, state.primary, lone_primary.WHY, loss, is_optional=True
+    )
+
+
 def _fence_owners(state: states.GroupState, attempt: attempts.Attempt) -> list:
     """Fence the other owners once for each term that the attempt is to begin.
 
@@ -343,6 +374,8 @@
         return None
     is_late = now_ms - attempt.began_ms > CHOICE_TIMEOUT_MS
     is_waiting = attempts.awaits_acknowledgements(attempt, now_ms)
+    if is_late and attempt.is_optional and not attempt.is_demotion_sent:
+        return promotion_end.finish(state, now_ms, attempt, 'not ready')
     if is_late and not attempt.successor and not is_waiting:
         if attempt.unconfirmed and not attempt.is_query_only:
             # The old primary may have been demoted. The search for the
@@ -380,7 +413,7 @@
     is_alive = old_primary.last_received_ms > attempt.began_ms
     if attempt.unconfirmed:
         is_alive = old_primary.confirmed_ms > attempt.began_ms
-    if is_alive and primary == attempt.old_primary:
+    if is_alive and not attempt.is_optional and primary == attempt.old_primary:
         return promotion_end.finish(state, now_ms, attempt, 'it is back')
     return None
 
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -12,14 +12,21 @@
 from topazring.core.synchronous import departed_members as departed
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import position_records
+from topazring.core.synchronous.scheduling import customer_turns
+from topazring.core.synchronous.scheduling import demand as demands
+from topazring.core.synchronous.scheduling import return_schedule
+from topazring.core.synchronous.scheduling import service_counts as counts
+from topazring.core.synchronous.scheduling import service_times
 from topazring.core.synchronous import statements
 
 __all__ = [
     'Connection',
+    'Estimate',
     'Purpose',
     'GroupState',
     'Limits',
     'NEVER_MS',
+    'Pace',
     'Phase',
     'TYPICAL_SERVICE_MS',
     'Transaction',
@@ -29,6 +36,7 @@
     'idle_connections',
     'idle_connections_of',
     'is_awaited_for_fencing',
+    'is_closed_by_operator',
     'is_closed_to_work',
     'is_recently_lagging',
     'make_group',
@@ -126,6 +134,8 @@
     listed_revision: int
     # When its process started.
     born_ms: int = 0
+    # Statements that it runs at a time; 0 if it does not say.
+    slots: int = 0
     # New work is refused from this time on; None unless it is leaving.
     closed_to_work_ms: int | None = None
     leaving: bool = False
@@ -180,8 +190,10 @@
     log_end: log_positions.LogPosition = log_positions.ORIGIN
     log_end_sent_ms: int = NEVER_MS
     # From its last status reply: the term it is paused for (0 if it is not
-    # paused), and when that query was sent; then when the latest was sent.
+    # paused) and its newest term, and when that query was sent; then when the
+    # latest was sent.
     held_term: int = 0
+    reported_term: int = 0
     answered_status_sent_ms: int = NEVER_MS
     status_asked_ms: int = NEVER_MS
     # The first dial, command or refusal since it last replied.
@@ -209,6 +221,33 @@
     concurrency_limit: float = MAX_CONCURRENCY
 
 
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """Hold how fast the requests of one kind are served while some wait."""
+
+    # When the last one was served while others waited; None if none did.
+    awaited_ms: int | None = None
+    # Mean time until the next one was served, how many such times it is based
+    # on, and when the last one was measured.
+    interval_ms: float = 0.0
+    samples: int = 0
+    sampled_ms: int = NEVER_MS
+    # Mean wait estimated from it and mean wait seen, and how many were
+    # compared.
+    expected_ms: float = 1.0
+    seen_ms: float = 1.0
+    compared: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Estimate:
+    """Hold the wait that was estimated for a request, without correction."""
+
+    # Of the pace on which it is based.
+    kind: tuple[bool, int, str]
+    wait_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class Work:
     """Hold one request in progress."""
@@ -236,6 +275,8 @@
     # The confirmation of a write whose answer waits until it is durable.
     confirmation: position_records.Confirmation | None = None
     last_reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
+    # The estimate of its wait, until it is compared with the wait seen.
+    estimate: Estimate | None = None
 
     @property
     def is_moved_to_primary(self) -> bool:
@@ -255,6 +296,9 @@
     # answered; None if a log position bounds the age of its data.
     proof_needed_ms: int | None = None
     wrote: bool = False
+    # The same while its organisation holds more than its share of connections
+    # and others wait.
+    contended_limit_ms: int = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -315,13 +359,54 @@
     any_queues: dict[int, admission.FairQueue] = dataclasses.field(
         default_factory=dict
     )
+    # Measured service times by database, and the turns of the customers.
+    service_by_database: service_times.ServiceTimes = dataclasses.field(
+        default_factory=service_times.ServiceTimes
+    )
+    turns: customer_turns.Turns = dataclasses.field(
+        default_factory=customer_turns.Turns
+    )
+    demand: demands.Demand = dataclasses.field(default_factory=demands.Demand)
+    returns: return_schedule.ReturnSchedule = dataclasses.field(
+        default_factory=return_schedule.ReturnSchedule
+    )
+    # Requests started since the last one that was past its goal.
+    starts_since_late: int = 0
+    # When refusals were last logged.
+    refusals_reported_ms: int = NEVER_MS
+    # Whether requests for the primary last gave way to others, and none of
+    # the others has been started since.
+    has_yielded: bool = False
+    # When a waiting request was last started.
+    ordered_ms: int = 0
     transactions: dict[int, Transaction] = dataclasses.field(
         default_factory=dict
     )
+    # How fast waiting requests are served, by whether they need the primary,
+    # by priority and by database.
+    paces: dict[tuple[bool, int, str], Pace] = dataclasses.field(
+        default_factory=dict
+    )
+    # The slot time that each organisation took recently, and up to when it
+    # has been discounted.
+    organisation_work: dict[str, tuple[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    # Those held back since this was last logged, and when that was.
+    above_share: set[str] = dataclasses.field(default_factory=set)
+    shares_reported_ms: int = NEVER_MS
     # The assumed primary; empty while unknown.
     primary: str = ''
     # When it was first assumed to lead.
     primary_since_ms: int = NEVER_MS
+    # When the lease holder last found the primary saturated while no replica
+    # could help, and when it decided to replace it for this, until when it may
+    # begin, and the next time at which it may decide so.
+    saturated_alone_ms: int = NEVER_MS
+    relief_decided_ms: int = NEVER_MS
+    relief_until_ms: int = NEVER_MS
+    next_relief_ms: int = NEVER_MS
+    relief_interval_ms: int = 0
     # The chosen successor of the last primary is no longer listed.
     successor_gone: bool = False
     # It was seen to lead, or listed as the primary.
@@ -376,6 +461,10 @@
     )
     # Whether this proxy is the first of the group's owners.
     is_first_owner: bool = False
+    # How many proxies own the group (0 while unknown), and the index of this
+    # one among them; None if it is not an owner.
+    owner_count: int = 0
+    owner_rank: int | None = None
     member_record: MemberRecord = dataclasses.field(
         default_factory=MemberRecord
     )
@@ -405,6 +494,8 @@
     # Keys of requests whose answers wait for a leadership proof or for
     # replication.
     awaiting_proof: set[int] = dataclasses.field(default_factory=set)
+    # Whether the present period without a leadership proof has been logged.
+    is_unproven_logged: bool = False
     # When a confirmed write was last given up because no established member
     # could prove leadership.
     unproven_write_ms: int = NEVER_MS
@@ -456,6 +547,14 @@
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    # When the message that is being handled arrived, and what was answered
+    # in the last seconds; for operators.
+    stepped_ms: int = 0
+    service_counts: counts.ServiceCounts = dataclasses.field(
+        default_factory=counts.ServiceCounts
+    )
+    # By upstream, until when an operator has closed it to new work.
+    closed_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def make_group(service: str, data_centre: str, limits: Limits) -> GroupState:
@@ -503,6 +602,18 @@
     return closes_ms is not None and now_ms >= closes_ms
 
 
+def is_closed_by_operator(
+    state: GroupState, now_ms: int, upstream: str
+) -> bool:
+    """Return whether an operator has taken an upstream out for a while.
+
+    That has no effect on the primary: nobody else can serve its requests.
+    """
+    if upstream == state.primary:
+        return False
+    return now_ms < state.closed_until_ms.get(upstream, now_ms)
+
+
 def is_awaited_for_fencing(state: GroupState, upstream: str) -> bool:
     """Return whether earlier orders wait for an upstream to be fenced off.
 
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -15,6 +15,8 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
 from topazring.core.synchronous import request_queues
+from topazring.core.synchronous.scheduling import owner_changes
+from topazring.core.synchronous.scheduling import service_counts
 from topazring.core.synchronous import state as states
 from topazring.plumbing import clock
 from topazring.plumbing import early_signals
@@ -23,10 +25,12 @@
 from topazring.pooler import acknowledgement_reports
 from topazring.pooler import caller_server
 from topazring.pooler import caller_task
+from topazring.pooler import closures
 from topazring.pooler import directory as directories
 from topazring.pooler import follower_client
 from topazring.pooler import group_task
 from topazring.pooler import hop_server
+from topazring.pooler import load_page
 from topazring.pooler import member_records
 from topazring.pooler import membership
 from topazring.pooler import metrics as metric_sets
@@ -48,6 +52,8 @@
 # The store answers in milliseconds. What it does not end in this time ends
 # when its lease expires.
 CLOSE_S = 0.25
+# Owners that remain do no harm, so it is enough to check now and then.
+OWNER_CHECK_S = 1.0
 # Longer messages are refused; the upstreams have the same limit.
 MESSAGE_BYTES = 1 << 20
 
@@ -73,7 +79,16 @@
         self.checked_version: int | None = None
         self.holds = False
         self.token = 0
+        # Refused before they reached their group, by reason.
+        self.refusals: collections.Counter[str] = collections.Counter()
         self.registered_until_ms = 0
+        self.weight = config.weight()
+        # Owners that joined a group's others, as this proxy has seen it.
+        self.owners_moved = 0
+        # By name; one mapping for all groups, since there may be thousands.
+        self.listed_proxies: dict[str, ownership.Proxy] = {}
+        self.owner_changes: dict[str, owner_changes.OwnerChanges] = {}
+        self.owner_checks: asyncio.Task | None = None
         peer_client = peers.PeerClient(config.peers, config.peer_address or '')
         self.directory = directories.Directory(
             adapter,
@@ -97,6 +112,8 @@
                 config.hop_address or '',
                 self.incarnation,
                 carries_organisations=True,
+                weighs_owners=True,
+                weight=self.weight,
             ),
             adapter.store,
             self.directory,
@@ -148,8 +165,29 @@
             self.log,
         )
         self.caller_server = caller_server.Server(self, config.max_descriptors)
+        self.closures = closures.Closures(
+            config.name,
+            adapter.store,
+            self.directory,
+            self.log,
+            lambda target: closures.find_fault(
+                self.directory.listing, self.groups, target
+            ),
+            self._handle_closure_change,
+        )
+        self.load_page = load_page.LoadPage(
+            config.name,
+            config.data_centre,
+            self.groups,
+            self.router,
+            self.closures.views,
+        )
         self.probe_server = probes.Server(
-            adapter.ready_path, self.ready, self._render_metrics
+            adapter.ready_path,
+            self.ready,
+            self._render_metrics,
+            {load_page.PATH: self.load_page.render},
+            {closures.PATH: self.closures.handle_request},
         )
         self.overdue_report = overdue_report.OverdueReport(self)
 
@@ -162,8 +200,10 @@
             inputs={
                 'incarnation': self.incarnation,
                 'data_centre': self.config.data_centre,
+                'weight': self.weight,
             },
         )
+        self.owner_checks = asyncio.create_task(self._check_owners_forever())
         self.directory.start()
         self.membership.start()
         self.promotion_lease.start()
@@ -198,8 +238,11 @@
 
     async def run(self, request: messages.Request) -> outcomes.Outcome:
         """Serve a request here or at another proxy."""
-        refusal = await self.quotas.admit(request)
+        refusal = self._refuse_closed(request)
+        if refusal is None:
+            refusal = await self.quotas.admit(request)
         if refusal is not None:
+            self._count_refusal(request, refusal)
             return refusal
         outcome = await self.router.run(
             shutdown.limit_timeout(request, self.exit_deadline_ms)
@@ -208,6 +251,29 @@
             self.quotas.give_back(request)
         return outcome
 
+    def _refuse_closed(
+        self, request: messages.Request
+    ) -> outcomes.NotRun | None:
+        """Refuse a request for a closed database until it is opened."""
+        if request.continues_transaction:
+            return None
+        left_ms = self.closures.database_left_ms(request.policy.database)
+        if not left_ms:
+            return None
+        return outcomes.NotRun(outcomes.Reason.DATABASE_CLOSED, left_ms)
+
+    def _count_refusal(
+        self, request: messages.Request, refusal: outcomes.Outcome
+    ) -> None:
+        """Count a request that is refused before it reaches its group."""
+        reason = getattr(refusal, 'reason', '')
+        self.refusals[f'notrun_{reason}'] += 1
+        group = self.groups.get(request.policy.service)
+        if group is not None:
+            counts = group.state.service_counts
+            now_ms = clock.boottime_ms()
+            service_counts.record(counts, now_ms, request, refusal)
+
     async def grant_permits(
         self, organisation: str, wanted: int
     ) -> tuple[int, int]:
@@ -239,6 +305,9 @@
         group = self.groups.get(request.policy.service)
         if group is None:
             return forwarding.unconfigured_outcome()
+        if not (request.continues_transaction or group.state.connection_share):
+            # It would wait until its deadline for a connection.
+            return forwarding.no_owner_outcome()
         return await group.submit(request)
 
     def _lacks_organisation(self, request: messages.Request) -> bool:
@@ -309,8 +378,12 @@
         if configuration is None:
             return
         proxies = listings.proxies_of(
-            listing, self.config.name, self.config.data_centre
+            listing, self.config.name, self.config.data_centre, self.weight
         )
+        by_name = {proxy.name: proxy for proxy in proxies}
+        if by_name != self.listed_proxies:
+            self.listed_proxies = by_name
+        is_weighed = listings.are_owners_weighed(listing)
         self.router.set_peers(listings.hop_addresses(listing))
         self.router.old_peers = listings.old_proxies(listing)
         self._close_revoked(configuration)
@@ -327,13 +400,62 @@
             if group is None:
                 group = self._make_group(service)
             upstreams = listings.upstreams_of(listing, now_ms, service)
-            owned = ownership.select_owners(service, proxies, limit)
+            slots = ownership.slots_of(upstreams) if is_weighed else 0
+            chosen = ownership.select_owners(service, proxies, limit, slots)
+            changes = self.owner_changes.setdefault(
+                service, owner_changes.OwnerChanges()
+            )
+            owned = owner_changes.update(
+                changes, now_ms, chosen, self.listed_proxies
+            )
+            self._log_owners(service, owned, slots, is_weighed)
             self.router.ownerships[service] = owned
             rank = owned.rank_of(self.config.name)
             count = len(owned.owners)
             group.post(messages.InstancesSeen(count, limit, rank))
             group.post(messages.UpstreamsSeen(upstreams))
 
+    def _log_owners(
+        self,
+        service: str,
+        owned: ownership.Ownership,
+        slots: int,
+        is_weighed: bool,
+    ) -> None:
+        """Log the owners of a group if they have changed."""
+        before = self.router.ownerships.get(service)
+        names = [owner.name for owner in owned.owners]
+        names_before = (
+            [owner.name for owner in before.owners] if before else []
+        )
+        if names == names_before:
+            return
+        if before is None and owned.rank_of(self.config.name) is None:
+            # With thousands of groups only those that it owns matter here.
+            return
+        self.owners_moved += len(set(names) - set(names_before))
+        inputs = {
+            'owners': ' '.join(names),
+            'new': ' '.join(sorted(set(names) - set(names_before))),
+            'remaining': len(self.owner_changes[service].remaining),
+            'slots': slots,
+            'weighed': is_weighed,
+        }
+        self.log.emit('process', 'owners', service=service, inputs=inputs)
+
+    async def _check_owners_forever(self) -> None:
+        """Release owners that remained until others could serve."""
+        while True:
+            await asyncio.sleep(OWNER_CHECK_S)
+            now_ms = clock.boottime_ms()
+            services = {
+                service
+                for service, changes in self.owner_changes.items()
+                if owner_changes.is_due(changes, now_ms)
+            }
+            if services:
+                self._apply_listing_changes(services)
+
     def _close_revoked(self, configuration: listings.Configuration) -> None:
         """Close idle sessions whose keys a new configuration has revoked."""
         if configuration.version == self.checked_version:
@@ -361,6 +483,7 @@
         group.record_members = self.member_records.write
         self.groups[service] = group
         group.start()
+        self._post_closures(service)
         group.post(
             messages.MembersRecorded(
                 self.member_records.read(service),
@@ -392,11 +515,24 @@
     def _drop_group(self, service: str) -> None:
         group = self.groups.pop(service, None)
         self.router.ownerships.pop(service, None)
+        self.owner_changes.pop(service, None)
         if group is not None:
             group.close()
             self.fences.handle_group_dropped()
 
+    def _handle_closure_change(self, target: closures.Target) -> None:
+        if target.kind is closures.Kind.UPSTREAM:
+            self._post_closures(target.service)
+
+    def _post_closures(self, service: str) -> None:
+        group = self.groups.get(service)
+        until_ms = self.closures.upstreams_until_ms(service)
+        if group is not None:
+            group.post(messages.UpstreamsClosed(until_ms))
+
     def _handle_own_change(self, key: str) -> None:
+        if self.closures.handle_change(key):
+            return
         service = key.removeprefix(member_records.KEY_PREFIX)
         group = self.groups.get(service)
         if group is not None and service != key:
@@ -436,7 +572,8 @@
         return self.configured() and not self.is_shutting_down
 
     def _counters(self) -> collections.Counter[str]:
-        counters: collections.Counter[str] = collections.Counter()
+        counters = collections.Counter(self.refusals)
+        counters.update(self.closures.counters)
         for group in self.groups.values():
             counters.update(group.state.counters)
         return counters
@@ -446,7 +583,10 @@
             self._counters(),
             {
                 'sessions': len(self.callers),
+                'closures': len(self.closures.in_force),
                 'holds_duty': int(self.holds),
+                'owner_weight': self.weight,
+                'owners_moved': self.owners_moved,
                 'forwarded': self.router.forwarded,
                 'fence_queries_unanswered': (
                     self.reports.unanswered_fence_queries
@@ -482,8 +622,11 @@
             shutdown.flush_answers(self), self.quotas.release()
         )
         self.hop_server.close()
+        if self.owner_checks is not None:
+            self.owner_checks.cancel()
         self.directory.close()
         self.reports.close()
+        self.closures.stop()
         self.overdue_report.close()
         self.member_records.close()
         try:
