Take out the estimate from the measured pace

Admission counts the service times of what is ahead, so the pace was measured and used by nobody. Its test, test_estimate_is_within_a_quarter, tested the estimate that is gone; that the estimate of admission is within a quarter is not shown.

--- a/topazring/core/synchronous/concurrency_limit.py
+++ b/topazring/core/synchronous/concurrency_limit.py
@@ -8,12 +8,11 @@
 their deadline, while hardly any are refused on arrival.
 
 Where upstreams state how many statements they run at a time, the limit is
-this owner's part of them, and the estimate follows the measured pace.
+this owner's part of them.
 """
 
 import collections.abc
 
-from topazring.core.synchronous.scheduling import queue_pace
 from topazring.core.synchronous.scheduling import upstream_room
 from topazring.core.synchronous import state as states
 
@@ -73,16 +72,12 @@
     state: states.GroupState,
     now_ms: int,
     connection: states.Connection,
-    is_served: bool = True,
 ) -> None:
-    """Update the estimates once a request releases a connection."""
+    """Update the hold time estimate once a request releases a connection."""
     taken_ms, connection.checked_out_ms = connection.checked_out_ms, None
     upstream = state.upstreams.get(connection.upstream)
     if taken_ms is None or upstream is None:
         return
-    work = state.work.get(connection.work)
-    if upstream.slots and work is not None and is_served:
-        queue_pace.note_served(state, now_ms, work)
     hold_time_ms = now_ms - taken_ms
     upstream.hold_ms += (hold_time_ms - upstream.hold_ms) * HOLD_TIME_WEIGHT
 
@@ -91,25 +86,16 @@
     state: states.GroupState,
     ahead: int,
     able: collections.abc.Collection[states.Upstream],
-    work: states.Work | None = None,
-    now_ms: int = 0,
 ) -> float:
     """Estimate the wait for a connection behind `ahead` queued requests.
 
     It is 0 for the first in the queue: if no request were allowed to wait,
-    connections would be idle between two requests. With `work`, the request,
-    and `now_ms` the estimate follows the pace at which those of its kind are
-    served, if the upstreams state their slots.
+    connections would be idle between two requests.
     """
     if not ahead:
         return 0.0
     per_ms = sum(_per_ms(state, upstream) for upstream in able)
-    wait_ms = (ahead + 1) / per_ms if per_ms else 0.0
-    if work is None or not any(
-        upstream_room.part_of(state, upstream) for upstream in able
-    ):
-        return wait_ms
-    return queue_pace.estimate_wait_ms(state, now_ms, work, wait_ms)
+    return (ahead + 1) / per_ms if per_ms else 0.0
 
 
 def _per_ms(state: states.GroupState, upstream: states.Upstream) -> float:
--- a/topazring/core/synchronous/reply_effects.py
+++ b/topazring/core/synchronous/reply_effects.py
@@ -20,9 +20,7 @@
 ) -> list:
     """Release a connection outside any transaction, or close it otherwise."""
     connection.transaction = 0
-    concurrency_limit.end_hold(
-        state, now_ms, connection, is_served=last.code is None
-    )
+    concurrency_limit.end_hold(state, now_ms, connection)
     if last.state is not statements.SessionState.IDLE:
         return list(connections.close_connection(state, connection))
     connections.mark_idle(connection, now_ms)
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -21,12 +21,10 @@
 
 __all__ = [
     'Connection',
-    'Estimate',
     'Purpose',
     'GroupState',
     'Limits',
     'NEVER_MS',
-    'Pace',
     'Phase',
     'TYPICAL_SERVICE_MS',
     'Transaction',
@@ -221,33 +219,6 @@
     concurrency_limit: float = MAX_CONCURRENCY
 
 
-@dataclasses.dataclass(slots=True)
-class Pace:
-    """Hold how fast the requests of one kind are served while some wait."""
-
-    # When the last one was served while others waited; None if none did.
-    awaited_ms: int | None = None
-    # Mean time until the next one was served, how many such times it is based
-    # on, and when the last one was measured.
-    interval_ms: float = 0.0
-    samples: int = 0
-    sampled_ms: int = NEVER_MS
-    # Mean wait estimated from it and mean wait seen, and how many were
-    # compared.
-    expected_ms: float = 1.0
-    seen_ms: float = 1.0
-    compared: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Estimate:
-    """Hold the wait that was estimated for a request, without correction."""
-
-    # Of the pace on which it is based.
-    kind: tuple[bool, int, str]
-    wait_ms: float
-
-
 @dataclasses.dataclass(slots=True)
 class Work:
     """Hold one request in progress."""
@@ -275,8 +246,6 @@
     # The confirmation of a write whose answer waits until it is durable.
     confirmation: position_records.Confirmation | None = None
     last_reason: outcomes.Reason = outcomes.Reason.NO_PRIMARY
-    # The estimate of its wait, until it is compared with the wait seen.
-    estimate: Estimate | None = None
 
     @property
     def is_moved_to_primary(self) -> bool:
@@ -382,11 +351,6 @@
     transactions: dict[int, Transaction] = dataclasses.field(
         default_factory=dict
     )
-    # How fast waiting requests are served, by whether they need the primary,
-    # by priority and by database.
-    paces: dict[tuple[bool, int, str], Pace] = dataclasses.field(
-        default_factory=dict
-    )
     # The slot time that each organisation took recently, and up to when it
     # has been discounted.
     organisation_work: dict[str, tuple[int, float]] = dataclasses.field(
