--- a/topazring/core/synchronous/ownership.py
+++ b/topazring/core/synchronous/ownership.py
@@ -44,10 +44,10 @@
 # In a load simulation with one upstream of two slots, 65% of the requests were
 # in time with 23 owners and 75% with 8; of the saves 59% and 84%.
 MAX_OWNERS = 8
-# The first owners of a group are in different data centres. With three, one
-# is left after the loss of a data centre and of another owner, and an owner
-# that leaves takes at most a third of the group's requests with it.
-MIN_OWNERS = 3
+# A partition often separates a third of the proxies from the others. With five
+# owners, one group in eight has none on that side, and with three one in four,
+# so fewer slots do not lower the number.
+MIN_OWNERS = 5
 # Up to this many proxies, each is an owner: an additional hop for most
 # requests costs more than shared queues gain, and a data centre may be lost
 # together with its owners.
@@ -152,16 +152,16 @@
     5
     >>> len(select_owners('s', many, 94).owners)
     8
-    >>> [len(select_owners('s', many, 94, n).owners) for n in (1, 3, 5, 9)]
-    [3, 3, 5, 8]
+    >>> [len(select_owners('s', many, 94, n).owners) for n in (0, 3, 5, 9)]
+    [8, 8, 5, 8]
     """
     count = len(proxies)
     reserve = max_connections - count
     if count > ALL_OWNERS_LIMIT or reserve < count * RESERVE_SHARE:
         affordable = max_connections // OWNER_CONNECTIONS
         count = max(1, min(affordable, MAX_OWNERS))
-        if slots:
-            count = min(count, max(slots, MIN_OWNERS))
+        if slots >= MIN_OWNERS:
+            count = min(count, slots)
     by_name = {proxy.name: proxy for proxy in proxies}
     chosen = hashing.choose_spread(service, proxies, count)
     return Ownership(tuple(by_name[name] for name in chosen))
