Log why each promotion order is sent, and one that takes effect late

Cause: an order that is to change nothing wrote no line before it, 'order answered' had neither reason nor duration, and nothing was written when an upstream led by an order that its sender had given up.

Each order carries its reason; 'order sent' and 'order answered' state it. The core keeps the last 32 orders and logs 'leads by an earlier order' with the order's reason, age and answers. 'primary' states where the log of the new primary ends, 'promotion ended' where the chosen one's ended, so that a choice on a wrong premise shows as a difference. Counters: orders_sent, one for each answer, earlier_orders_carried_out.

Decides nothing: no message to an upstream or the platform changes.

--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -393,6 +393,8 @@
 
     upstream: str
     token: int
+    # Why it is sent, for the log.
+    why: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -17,6 +17,7 @@
 from topazring.core.synchronous import position_records
 from topazring.core.synchronous import primary_availability
 from topazring.core.synchronous import proofs
+from topazring.core.synchronous import sent_orders
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -302,7 +303,9 @@
                 'before': before,
                 'why': why,
                 'term': state.term,
+                'place': str(upstream.place),
                 'gap_ms': 0 if lost_ms is None else now_ms - lost_ms,
             },
-        )
+        ),
+        *sent_orders.log_earlier_order(state, now_ms, upstream.name),
     ]
--- a/topazring/core/synchronous/promotion_end.py
+++ b/topazring/core/synchronous/promotion_end.py
@@ -39,6 +39,7 @@
             'how': how,
             'old': attempt.old_primary,
             'chosen': attempt.chosen,
+            'chosen_place': str(attempt.chosen_position),
             'acknowledged': str(state.acknowledged),
             'silent': sorted(
                 set(attempts.required_members(state, attempt))
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -3,6 +3,7 @@
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import proofs
+from topazring.core.synchronous import sent_orders
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -23,6 +24,9 @@
 # Longer than an order takes. A proxy that gains the lease after it was sent
 # has hardly ordered another upstream by then.
 RESUME_AFTER_ORDER_MS = 500
+# Why an order is sent that changes nothing.
+FENCE_WHY = 'fence earlier orders'
+VERIFY_WHY = 'verify the lease'
 
 
 def handle_lease_change(
@@ -142,7 +146,8 @@
     state.token += 1
     state.fence_token = state.token
     state.fence_sent_ms = now_ms
-    return [messages.OrderPromotion(state.primary, state.token)]
+    why = FENCE_WHY if state.needs_fencing else VERIFY_WHY
+    return [sent_orders.send(state, now_ms, state.primary, state.token, why)]
 
 
 def handle_fence_result(
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -7,6 +7,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import promotion_end
 from topazring.core.synchronous import promotion_lease
+from topazring.core.synchronous import sent_orders
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -67,7 +68,8 @@
             'after_ms': now_ms - attempt.began_ms,
         },
     )
-    return [decided, messages.OrderPromotion(chosen, attempt.token)]
+    order = sent_orders.send(state, now_ms, chosen, attempt.token, attempt.why)
+    return [decided, order]
 
 
 def resend_order(
@@ -83,7 +85,11 @@
     if not attempts.has_fresh_list(attempt, now_ms):
         return request_list(now_ms, attempt)
     attempt.is_order_pending = True
-    return [messages.OrderPromotion(attempt.chosen, attempt.token)]
+    return [
+        sent_orders.send(
+            state, now_ms, attempt.chosen, attempt.token, attempt.why
+        )
+    ]
 
 
 def handle_order_result(
@@ -91,6 +97,7 @@
 ) -> list:
     """Process the platform's reply to an order."""
     attempt = state.promotion
+    sent_orders.note_result(state, message)
     if message.token == state.fence_token:
         return promotion_lease.handle_fence_result(state, message)
     if attempt is None or attempt.token != message.token:
--- /dev/null
+++ b/topazring/core/synchronous/sent_orders.py
@@ -0,0 +1,81 @@
+"""Record the promotion orders that this proxy has sent.
+
+An order without an answer may be carried out seconds later. The record names
+the order when an upstream leads that this proxy no longer wants to lead.
+"""
+
+import dataclasses
+
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+
+__all__ = ['SentOrder', 'log_earlier_order', 'note_result', 'send']
+
+# Orders that are kept for the log.
+MAX_SENT_ORDERS = 32
+
+
+@dataclasses.dataclass(slots=True)
+class SentOrder:
+    """Hold one order, and the platform's answer once there is one."""
+
+    upstream: str
+    token: int
+    why: str
+    sent_ms: int
+    result: messages.OrderResult | None = None
+
+
+def send(
+    state: states.GroupState, now_ms: int, upstream: str, token: int, why: str
+) -> messages.OrderPromotion:
+    """Record an order and return the message that sends it."""
+    state.sent_orders.append(SentOrder(upstream, token, why, now_ms))
+    while len(state.sent_orders) > MAX_SENT_ORDERS:
+        state.sent_orders.popleft()
+    state.counters['orders_sent'] += 1
+    return messages.OrderPromotion(upstream, token, why)
+
+
+def note_result(
+    state: states.GroupState, message: messages.PromotionOrdered
+) -> None:
+    """Record the answer to the oldest order that it can belong to."""
+    state.counters[f'orders_{message.result}'] += 1
+    for order in state.sent_orders:
+        is_same = (order.upstream, order.token) == (
+            message.upstream,
+            message.token,
+        )
+        if is_same and order.result is None:
+            order.result = message.result
+            return
+
+
+def log_earlier_order(
+    state: states.GroupState, now_ms: int, upstream: str
+) -> list:
+    """Log that an upstream leads that this proxy ordered earlier, if it did.
+
+    That is expected only of the upstream that an attempt now waits for.
+    """
+    attempt = state.promotion
+    if attempt is not None and attempt.chosen == upstream:
+        return []
+    earlier = [o for o in state.sent_orders if o.upstream == upstream]
+    if not earlier:
+        return []
+    state.counters['earlier_orders_carried_out'] += 1
+    order = earlier[-1]
+    inputs = {
+        'upstream': upstream,
+        'token': order.token,
+        'why': order.why,
+        'sent_ms_ago': now_ms - order.sent_ms,
+        'copies': len(earlier),
+        'unanswered': sum(
+            o.result in (None, messages.OrderResult.UNANSWERED)
+            for o in earlier
+        ),
+    }
+    return [messages.LogDecision('leads by an earlier order', inputs=inputs)]
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -497,6 +497,10 @@
     # that the platform accepted from this proxy.
     fence_sent_ms: int = NEVER_MS
     order_accepted_sent_ms: int = NEVER_MS
+    # Orders that this proxy sent, oldest first.
+    sent_orders: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
     promotion: object | None = None
     next_promotion_ms: int = 0
     # When it was last checked whether the replicas still receive the log.
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -275,20 +275,26 @@
 
     async def _order_promotion(self, out: messages.OrderPromotion) -> None:
         result = messages.OrderResult.REFUSED
-        if self.verify_holder is None or await self.verify_holder():
+        began_ms = clock.boottime_ms()
+        order = {
+            'upstream': out.upstream,
+            'token': out.token,
+            'why': out.why,
+        }
+        is_holder = self.verify_holder is None or await self.verify_holder()
+        if is_holder:
+            inputs = {**order, 'after_ms': clock.boottime_ms() - began_ms}
+            self.log.emit('group', 'order sent', '', self.service, inputs)
             result = await self.adapter.orders.promote(
                 self.service, out.upstream, self.name, out.token
             )
-        self.log.emit(
-            'group',
-            'order answered',
-            service=self.service,
-            inputs={
-                'upstream': out.upstream,
-                'token': out.token,
-                'result': str(result),
-            },
-        )
+        inputs = {
+            **order,
+            'sent': is_holder,
+            'result': str(result),
+            'took_ms': clock.boottime_ms() - began_ms,
+        }
+        self.log.emit('group', 'order answered', '', self.service, inputs)
         self.post(messages.PromotionOrdered(out.upstream, out.token, result))
         if (
             result is messages.OrderResult.REFUSED
--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -193,6 +193,28 @@
 
         self.play(steps)
 
+    def test_order_is_logged_with_its_reason(self):
+        """Guards against an order that nobody can tell the reason of."""
+
+        async def steps():
+            self.task.log = mock.Mock()
+            order = messages.OrderPromotion('u1', 7, 'it leaves')
+            self.task._execute(order)
+            for _ in range(5):
+                await asyncio.sleep(0)
+            logged = {
+                call.args[1]: call.args[4]
+                for call in self.task.log.emit.call_args_list
+                if call.args[1].startswith('order ')
+            }
+            self.assertEqual('it leaves', logged['order sent']['why'])
+            answered = logged['order answered']
+            self.assertEqual('it leaves', answered['why'])
+            self.assertEqual('unanswered', answered['result'])
+            self.assertTrue(answered['sent'])
+
+        self.play(steps)
+
     def test_repeated_restarts_end_the_process(self):
         """A restart does not repair every state; the platform restarts it."""
 
