--- a/topazring/core/synchronous/sent_orders.py
+++ b/topazring/core/synchronous/sent_orders.py
@@ -13,6 +13,7 @@
 
 # Orders that are kept for the log.
 MAX_SENT_ORDERS = 32
+_WITHOUT_ANSWER = (None, messages.OrderResult.UNANSWERED)
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +58,8 @@
 ) -> list:
     """Log that an upstream leads that this proxy ordered earlier, if it did.
 
-    That is expected only of the upstream that an attempt now waits for.
+    That is expected only of the upstream that an attempt now waits for. Of
+    several orders the first one without an answer is named.
     """
     attempt = state.promotion
     if attempt is not None and attempt.chosen == upstream:
@@ -66,16 +68,14 @@
     if not earlier:
         return []
     state.counters['earlier_orders_carried_out'] += 1
-    order = earlier[-1]
+    unanswered = [o for o in earlier if o.result in _WITHOUT_ANSWER]
+    order = unanswered[0] if unanswered else earlier[-1]
     inputs = {
         'upstream': upstream,
         'token': order.token,
         'why': order.why,
         'sent_ms_ago': now_ms - order.sent_ms,
         'copies': len(earlier),
-        'unanswered': sum(
-            o.result in (None, messages.OrderResult.UNANSWERED)
-            for o in earlier
-        ),
+        'unanswered': len(unanswered),
     }
     return [messages.LogDecision('leads by an earlier order', inputs=inputs)]
