Reproduce late orders on a platform that does not check tokens

What callers saw: 20 acknowledged writes gone. The stand-ins checked tokens on all platforms, so no test could lose one this way. The simulated platform now may leave tokens unchecked and more orders unanswered; an order of a proxy that no longer holds the lease is withheld there, as the check of the lease before each order does it.

--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -58,8 +58,10 @@
         seed: int,
         promote_ms: int = upstream_side.PROMOTE_MS,
         organisations: tuple[str, ...] = (),
+        platform: upstream_side.Platform = upstream_side.CHECKED,
     ):
         super().__init__(now_ms=1000)
+        self.platform = platform
         self.organisations = organisations
         self.promote_ms = promote_ms
         self.rng = random.Random(seed)
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -1,5 +1,7 @@
 """Simulate upstreams and the platform."""
 
+import dataclasses
+
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import fake_group
@@ -15,6 +17,25 @@
 STEP_DOWN_CHECK_MS = 100
 # Retry interval for the end of a leaving member that still leads.
 RETRY_END_MS = 500
+# When the sender of an order gives up waiting for the answer.
+ORDER_TIMEOUT_MS = 300
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """Hold how the platform handles promotion orders."""
+
+    # Whether it refuses an order with a lower token than one it has seen.
+    checks_tokens: bool = True
+    # The share of the orders that are not answered, and after what times
+    # these are carried out.
+    late_share: float = 0.1
+    late_ms: tuple[int, ...] = (50, 900, 3000)
+
+
+CHECKED = Platform()
+# Answers get lost, and what was asked is done seconds later.
+UNCHECKED_AND_LATE = Platform(False, 0.4, (900, 2000, 3000, 5000))
 
 
 class UpstreamSide:
@@ -299,22 +320,35 @@
         self, proxy: str, out: messages.OrderPromotion
     ) -> None:
         """Handle a promotion order; it may be late and unanswered."""
-        if proxy in self.without_store:
+        if proxy in self.without_store or self.is_order_withheld(proxy):
             # The proxy cannot verify that it holds the promotion lease.
             refused = messages.OrderResult.REFUSED
             self.at(self.delay(), self.ordered, proxy, out, refused)
             return
         how = self.rng.random()
-        if how < 0.1:
-            late_ms = self.rng.choice((50, 900, 3000))
-            member = self.members.get(out.upstream)
-            born_ms = 0 if member is None else member.born_ms
-            self.at(late_ms, self.promote, out, proxy, born_ms)
-            result = messages.OrderResult.UNANSWERED
-            self.at(300, self.ordered, proxy, out, result)
+        if how < self.platform.late_share:
+            late_ms = self.rng.choice(self.platform.late_ms)
+            self.leave_unanswered(proxy, out, late_ms)
             return
         self.at(self.delay(), self.answer_order, proxy, out)
 
+    def is_order_withheld(self, proxy: str) -> bool:
+        """Return whether a proxy finds out that it does not hold the lease.
+
+        A platform that checks tokens refuses its order in any case.
+        """
+        return not self.platform.checks_tokens and proxy != self.holder
+
+    def leave_unanswered(
+        self, proxy: str, out: messages.OrderPromotion, late_ms: float
+    ) -> None:
+        """Carry an order out late; its sender waits for the answer in vain."""
+        member = self.members.get(out.upstream)
+        born_ms = 0 if member is None else member.born_ms
+        self.at(late_ms, self.promote, out, proxy, born_ms)
+        result = messages.OrderResult.UNANSWERED
+        self.at(ORDER_TIMEOUT_MS, self.ordered, proxy, out, result)
+
     def answer_order(self, proxy: str, out: messages.OrderPromotion) -> None:
         """Execute a promotion order and answer it."""
         result = self.promote(out, proxy)
@@ -346,9 +380,9 @@
         member = self.members.get(out.upstream)
         if member is not None and born_ms not in (None, member.born_ms):
             return messages.OrderResult.REFUSED
-        if member is None or out.token < self.token_seen or member.is_down:
+        if member is None or self.is_fenced(out.token) or member.is_down:
             return messages.OrderResult.REFUSED
-        self.token_seen = out.token
+        self.token_seen = max(self.token_seen, out.token)
         if member.role is not Role.PRIMARY:
             born_ms = member.born_ms
             self.at(
@@ -361,6 +395,10 @@
             )
         return messages.OrderResult.ACCEPTED
 
+    def is_fenced(self, token: int) -> bool:
+        """Return whether the platform refuses a token."""
+        return self.platform.checks_tokens and token < self.token_seen
+
     def become_primary(
         self,
         member: fake_group.Member,
@@ -370,7 +408,7 @@
     ) -> None:
         """Make a member the primary of the next term."""
         ended = member.name not in self.members or member.born_ms != born_ms
-        if ended or token < self.token_seen or member.is_down:
+        if ended or self.is_fenced(token) or member.is_down:
             return
         if member.role is Role.PRIMARY:
             return
--- a/topazring/core/synchronous/tests/walks.py
+++ b/topazring/core/synchronous/tests/walks.py
@@ -82,10 +82,13 @@
     actions: tuple[tuple[str, int], ...] = ACTIONS,
     promote_ms: int = upstream_side.PROMOTE_MS,
     organisations: tuple[str, ...] = (),
+    platform: upstream_side.Platform = upstream_side.CHECKED,
 ) -> simulations.Simulation:
     """Run a random walk; raise Violation if a guarantee is violated."""
     rng = random.Random(seed)
-    simulation = simulations.Simulation(seed, promote_ms, organisations)
+    simulation = simulations.Simulation(
+        seed, promote_ms, organisations, platform
+    )
     simulation.run(300)
     for _ in range(6):
         simulation.open_session()
