Reproduce orders of a replaced holder on a platform that does not check tokens

A holder that a split cuts off from the store asks its peers, which know of no successor either; it verifies its lease and orders a relief with lower tokens than its successor used 2.4 s before, and both orders are carried out.

The simulation refused each order of a proxy without the store, which only holds if no peer is on its side. A platform that checks no tokens may now have such peers, and an order with a lower token than one received before violates a guarantee there.

--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -73,6 +73,8 @@
         self.members['u1'].role = Role.PRIMARY
         self.term = 1
         self.token_seen = 0
+        # The highest token of an order, whether it was answered or not.
+        self.token_received = 0
         self.next_block = 0
         self.holder = ''
         self.wires: dict[tuple[str, int], fake_group.Wire] = {}
--- a/topazring/core/synchronous/tests/test_late_orders.py
+++ b/topazring/core/synchronous/tests/test_late_orders.py
@@ -10,7 +10,9 @@
 from topazring.core.synchronous.tests import upstream_side
 from topazring.core.synchronous.tests import walks
 
-UNCHECKED = upstream_side.Platform(checks_tokens=False, late_share=0.0)
+UNCHECKED = upstream_side.Platform(
+    checks_tokens=False, late_share=0.0, has_far_peers=True
+)
 WALKS = 25
 STEPS = 400
 SHORT_WALKS = 20
@@ -195,6 +197,40 @@
         world.finish_calm()
 
 
+class ReplacedHolderTest(testtools.TestCase):
+    """A holder that cannot reach the store was replaced; its peers are too."""
+
+    def setUp(self):
+        """Replace the holder p1, which does not learn of it."""
+        super().setUp()
+        self.world = World()
+        self.world.run(50)
+        for _ in range(6):
+            self.world.open_session()
+        self.world.submit_work(3)
+        self.world.without_store.add('p1')
+        self.world.run(walks.LEASE_MS)
+        self.world.grant_lease('p2')
+        self.world.submit_work(2)
+
+    def test_primary_serves_alone(self):
+        """Guards against the orders of a relief by a replaced holder."""
+        world = self.world
+        walks.perform(world, world.draws, 'crowd')
+        world.submit_work(25)
+        world.finish_calm()
+
+    def test_primary_of_the_far_side_is_replaced(self):
+        """Guards against a replaced holder that orders its own successor."""
+        world = self.world
+        primary = world.primary()
+        world.stop(primary)
+        world.submit_work(8)
+        world.start(primary)
+        world.submit_work(8)
+        world.finish_calm()
+
+
 class LateOrderWalksTest(testtools.TestCase):
     """Four orders in ten are carried out seconds late, tokens unchecked."""
 
@@ -226,7 +262,12 @@
         self.walk(WALKS, STEPS, walks.RELEASES, walks.SLOW_PROMOTE_MS)
 
     def test_walks_through_splits(self):
-        """Guards against a late order beside partitions."""
+        """Guards against late orders, and replaced holders, in partitions."""
         self.walk(
             SHORT_WALKS, SHORT_STEPS, walks.SPLITS, walks.SLOW_PROMOTE_MS
         )
+
+    def test_walks_through_splits_with_crowds(self):
+        """Guards against reliefs by a holder that was replaced."""
+        actions = (*walks.SPLITS, ('crowd', 4), ('disperse', 1))
+        self.walk(SHORT_WALKS, SHORT_STEPS, actions, walks.SLOW_PROMOTE_MS)
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -31,11 +31,14 @@
     # these are carried out.
     late_share: float = 0.1
     late_ms: tuple[int, ...] = (50, 900, 3000)
+    # Whether a proxy that cannot reach the store has peers on its side, which
+    # know of no later holder of the lease than it.
+    has_far_peers: bool = False
 
 
 CHECKED = Platform()
 # Answers get lost, and what was asked is done seconds later.
-UNCHECKED_AND_LATE = Platform(False, 0.4, (900, 2000, 3000, 5000))
+UNCHECKED_AND_LATE = Platform(False, 0.4, (900, 2000, 3000, 5000), True)
 
 
 class UpstreamSide:
@@ -320,11 +323,12 @@
         self, proxy: str, out: messages.OrderPromotion
     ) -> None:
         """Handle a promotion order; it may be late and unanswered."""
-        if proxy in self.without_store or self.is_order_withheld(proxy):
+        if self.is_order_withheld(proxy):
             # The proxy cannot verify that it holds the promotion lease.
             refused = messages.OrderResult.REFUSED
             self.at(self.delay(), self.ordered, proxy, out, refused)
             return
+        self.receive_token(proxy, out)
         how = self.rng.random()
         if how < self.platform.late_share:
             late_ms = self.rng.choice(self.platform.late_ms)
@@ -337,8 +341,21 @@
 
         A platform that checks tokens refuses its order in any case.
         """
+        if proxy in self.without_store:
+            return not self.platform.has_far_peers
         return not self.platform.checks_tokens and proxy != self.holder
 
+    def receive_token(self, proxy: str, out: messages.OrderPromotion) -> None:
+        """Check that tokens only grow where the platform does not check it."""
+        if self.platform.checks_tokens:
+            return
+        if out.token < self.token_received:
+            raise fake_group.Violation(
+                f'{proxy} orders {out.upstream} with token {out.token} after '
+                f'{self.token_received}'
+            )
+        self.token_received = out.token
+
     def leave_unanswered(
         self, proxy: str, out: messages.OrderPromotion, late_ms: float
     ) -> None:
