--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -13,6 +13,7 @@
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import member_record
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -67,6 +68,9 @@
     # The planned successor of a leaving primary; all other replicas are
     # paused. Empty if the primary is lost.
     successor: str = ''
+    # The platform refuses orders of a replaced holder, or it was verified that
+    # this proxy still holds the lease.
+    is_lease_shown: bool = False
     # The old primary works. It is demoted only once all replicas are paused,
     # and until then the attempt may end without effect.
     is_optional: bool = False
@@ -112,6 +116,8 @@
     successor_gone: bool = False
     # An order was sent and has not been answered yet.
     is_order_pending: bool = False
+    # It was logged that an order for another upstream is outstanding.
+    is_wait_logged: bool = False
     accepted: bool = False
 
 
@@ -367,9 +373,14 @@
         holds_all = attempt.unconfirmed and not state.successor_gone
         return attempt.old_primary if holds_all else ''
     eligible = [name for name in others if others[name] == highest]
+    ordered = [
+        name
+        for name in eligible
+        if outstanding_orders.is_outstanding(state, now_ms, name)
+    ]
     staying = [n for n in eligible if not state.upstreams[n].leaving]
     return min(
-        staying or eligible,
+        ordered or staying or eligible,
         key=lambda name: (
             name == attempt.old_primary,
             states.is_closed_by_operator(state, now_ms, name),
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -18,6 +18,7 @@
 from topazring.core.synchronous import member_replies
 from topazring.core.synchronous import membership
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import primary_availability
 from topazring.core.synchronous import promotion
@@ -159,6 +160,14 @@
     return promotion.tick(state, now_ms)
 
 
+@_handles(messages.LeaseVerified)
+def _lease_verified(
+    state: states.GroupState, now_ms: int, message: messages.LeaseVerified
+) -> list:
+    outs = promotion_lease.handle_lease_verified(state, now_ms, message)
+    return outs + _continue_promotion(state, now_ms)
+
+
 @_handles(messages.PromotionOrdered)
 def _ordered(
     state: states.GroupState, now_ms: int, message: messages.PromotionOrdered
@@ -256,6 +265,7 @@
     outs += acknowledgement_fence.query_fence(state, now_ms)
     outs += member_record.record_members(state)
     outs += promotion.tick(state, now_ms)
+    outs += outstanding_orders.expire(state, now_ms)
     outs += _send_leadership_checks(state, now_ms)
     outs += primary.resolve_claims(state, now_ms)
     outs += connections.apply_larger_share(state, now_ms)
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -6,6 +6,7 @@
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import member_record
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -73,6 +74,9 @@
     elif name == state.primary != state.proven_primary:
         # Only the list has shown its term.
         confirmations.note_term_ended(state, now_ms, state.term)
+    has_drained = _has_drained(state, now_ms, upstream)
+    if has_drained:
+        outstanding_orders.forget(state, name)
     paused_log_end = None
     if state.promotion is not None:
         attempt = state.promotion
@@ -84,7 +88,7 @@
         upstream.leaving,
         paused_log_end,
         upstream.born_ms,
-        is_recreated or _has_drained(state, now_ms, upstream),
+        is_recreated or has_drained,
     )
     state.paused.discard(name)
     state.may_be_paused.pop(name, None)
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -25,6 +25,7 @@
     'Answer',
     'Close',
     'Closed',
+    'LeaseVerified',
     'LogDecision',
     'MembersRecorded',
     'PromotionLeaseSeen',
@@ -36,6 +37,7 @@
     'Opened',
     'OrderPromotion',
     'OrderResult',
+    'OrdersOutstanding',
     'PromotionOrdered',
     'Policy',
     'ReadUpstreamList',
@@ -46,6 +48,7 @@
     'Tick',
     'UpstreamsClosed',
     'UpstreamsSeen',
+    'VerifyLease',
     'Withdraw',
     'YieldPromotionLease',
 ]
@@ -221,11 +224,22 @@
 class PromotionLeaseSeen:
     """Report whether this proxy holds the promotion lease.
 
-    `token` is the lowest of the tokens that are reserved for it.
+    `token` is the lowest of the tokens that are reserved for it. Where the
+    platform checks no tokens, orders of earlier holders for the upstreams in
+    `ordered` may still be carried out, or for any if `is_any_ordered`.
     """
 
     holds: bool
     token: int = 0
+    ordered: frozenset[str] = frozenset()
+    is_any_ordered: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseVerified:
+    """Report whether the promotion lease was surely held when asked."""
+
+    holds: bool
 
 
 class OrderResult(enum.StrEnum):
@@ -236,6 +250,8 @@
     REFUSED = 'refused'
     # No answer: the order may still be carried out seconds later.
     UNANSWERED = 'unanswered'
+    # It was not sent: the store did not record it, or the lease was in doubt.
+    WITHHELD = 'withheld'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -397,6 +413,18 @@
     why: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrdersOutstanding:
+    """Record in the store which upstreams may still be promoted by orders."""
+
+    upstreams: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VerifyLease:
+    """Verify that nobody else holds the lease; `LeaseVerified` follows."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadUpstreamList:
     """Read the list of upstreams again.
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -29,6 +29,7 @@
 from topazring.core.synchronous import failure_detection
 from topazring.core.synchronous import member_record
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import position_records
 from topazring.core.synchronous import promotion_commands
 from topazring.core.synchronous import promotion_end
@@ -74,7 +75,9 @@
     primary = state.upstreams.get(state.primary)
     if primary is not None and primary.leaving:
         successor = _choose_successor(state, now_ms)
-        if successor:
+        if successor and not outstanding_orders.blocks(
+            state, now_ms, successor
+        ):
             why = 'it leaves'
             return _begin_attempt(
                 state, now_ms, primary.name, why, None, successor
@@ -115,6 +118,7 @@
     longest = max(
         reachable or staying,
         key=lambda u: (
+            outstanding_orders.is_outstanding(state, now_ms, u.name),
             not states.is_closed_by_operator(state, now_ms, u.name),
             u.place,
             u.is_established,
@@ -143,6 +147,10 @@
         attempt.unconfirmed = loss.unconfirmed or loss.replaced
         attempt.is_query_only = loss.unconfirmed and not is_optional
     attempt.is_optional = is_optional
+    attempt.is_lease_shown = (
+        state.limits.checks_tokens
+        or promotion_lease.surely_held_recently(state, now_ms)
+    )
     attempt.since_ms = now_ms if loss is None else loss.since_ms
     state.promotion = attempt
     event = (
@@ -173,6 +181,9 @@
     ended = _end_if_finished(state, now_ms, attempt)
     if ended is not None:
         return ended
+    if not attempt.is_lease_shown:
+        # Nothing is paused before, since no order could follow.
+        return promotion_lease.verify(state, now_ms)
     if attempt.is_optional and attempt.list_read_ms is None:
         # Nothing is paused that could not be replaced.
         return promotion_order.request_list(now_ms, attempt)
@@ -199,6 +210,10 @@
             state, now_ms, attempt, 'nobody may follow'
         )
     if attempt.is_query_only:
+        if outstanding_orders.blocks(state, now_ms, chosen):
+            return outs + promotion_end.finish(
+                state, now_ms, attempt, 'an order is outstanding'
+            )
         return outs + _start_pausing(state, now_ms, attempt)
     return outs + promotion_order.order_promotion(
         state, now_ms, attempt, chosen
@@ -359,6 +374,8 @@
             # list has shown that it leads.
             state.term = max(state.term, attempt.ordered_term)
         state.successor_gone = False
+        if primary == attempt.chosen:
+            outstanding_orders.note_leads(state, primary)
         return promotion_end.finish(state, now_ms, attempt, 'succeeded')
     if attempt.successor_gone:
         return _end_without_successor(state, now_ms, attempt)
@@ -373,6 +390,10 @@
             return promotion_end.finish(state, now_ms, attempt, 'nobody leads')
         return None
     is_late = now_ms - attempt.began_ms > CHOICE_TIMEOUT_MS
+    if is_late and not attempt.is_lease_shown:
+        return promotion_end.finish(
+            state, now_ms, attempt, 'lease not verified'
+        )
     is_waiting = attempts.awaits_acknowledgements(attempt, now_ms)
     if is_late and attempt.is_optional and not attempt.is_demotion_sent:
         return promotion_end.finish(state, now_ms, attempt, 'not ready')
@@ -382,9 +403,10 @@
             # current primary will show whether it was.
             state.primary = ''
             state.primary_lost_ms = attempt.began_ms
-        return promotion_end.finish(
-            state, now_ms, attempt, 'nobody may follow'
-        )
+        how = 'nobody may follow'
+        if attempt.is_wait_logged:
+            how = 'an order is outstanding'
+        return promotion_end.finish(state, now_ms, attempt, how)
     old_primary = state.upstreams.get(attempt.old_primary)
     if attempt.is_query_only and old_primary is not None:
         if (
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -2,6 +2,7 @@
 
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import sent_orders
 from topazring.core.synchronous import state as states
@@ -10,9 +11,11 @@
     'fence_earlier_orders',
     'handle_fence_result',
     'handle_lease_change',
+    'handle_lease_verified',
     'is_another_promoting',
     'may_resume',
     'surely_held_recently',
+    'verify',
 ]
 
 # A leadership check is answered within a few ms and a promotion takes at least
@@ -24,6 +27,8 @@
 # Longer than an order takes. A proxy that gains the lease after it was sent
 # has hardly ordered another upstream by then.
 RESUME_AFTER_ORDER_MS = 500
+# The store answers within a few ms, or is away for a while.
+VERIFY_INTERVAL_MS = 250
 # Why an order is sent that changes nothing.
 FENCE_WHY = 'fence earlier orders'
 VERIFY_WHY = 'verify the lease'
@@ -48,8 +53,11 @@
     if message.holds:
         state.token = max(state.token, message.token)
     if is_gained:
+        if message.token > state.granted_token:
+            outstanding_orders.note_earlier(state, now_ms, message)
         state.granted_token = message.token
         state.fence_token = 0
+        state.verification_sent_ms = states.NEVER_MS
         state.paused = set(state.upstreams) - {state.primary}
         state.may_be_paused.clear()
         state.departed_members.forget_pauses()
@@ -103,13 +111,14 @@
 
 
 def surely_held_recently(state: states.GroupState, now_ms: int) -> bool:
-    """Return whether the platform has just accepted an order of this proxy.
+    """Return whether this proxy has just been shown to hold the lease.
 
     A holder that is cut off from the platform's store does not know that it
     was replaced. If it resumed members that its successor has paused, they
     would confirm writes that the ordered upstream lacks.
     """
-    return now_ms - state.order_accepted_sent_ms <= RESUME_AFTER_ORDER_MS
+    shown_ms = max(state.order_accepted_sent_ms, state.lease_verified_ms)
+    return now_ms - shown_ms <= RESUME_AFTER_ORDER_MS
 
 
 def fence_earlier_orders(state: states.GroupState, now_ms: int) -> list:
@@ -126,16 +135,16 @@
     The same order shows that this proxy still holds the lease and that the
     platform takes orders. Both are needed before it resumes paused members
     and before it replaces a primary that works.
+
+    A platform that checks no tokens is sent no such order: it would fence
+    nothing off, and could itself be carried out late. Earlier orders are
+    waited for instead, and the lease is verified without an order.
     """
     if not state.holds_promotion_lease or state.promotion is not None:
         return []
     if state.fence_token:
         return []
-    is_any_paused = bool(state.paused - {state.primary})
-    is_relief_due = now_ms < state.relief_until_ms
-    is_to_verify = (
-        is_any_paused or is_relief_due
-    ) and not surely_held_recently(state, now_ms)
+    is_to_verify = _is_lease_to_verify(state, now_ms)
     if not state.needs_fencing and not is_to_verify:
         return []
     if now_ms - proofs.proven_until_ms(state) > PROOF_MAX_AGE_MS:
@@ -143,6 +152,8 @@
     primary = state.upstreams[state.primary]
     if now_ms - primary.begin_accepted_sent_ms > PROOF_MAX_AGE_MS:
         return []
+    if not state.limits.checks_tokens:
+        return _wait_for_earlier_orders(state, now_ms)
     state.token += 1
     state.fence_token = state.token
     state.fence_sent_ms = now_ms
@@ -150,6 +161,48 @@
     return [sent_orders.send(state, now_ms, state.primary, state.token, why)]
 
 
+def _is_lease_to_verify(state: states.GroupState, now_ms: int) -> bool:
+    """Return whether a step waits for proof that the lease is held."""
+    is_any_paused = bool(state.paused - {state.primary})
+    is_relief_due = now_ms < state.relief_until_ms
+    return (is_any_paused or is_relief_due) and not surely_held_recently(
+        state, now_ms
+    )
+
+
+def _wait_for_earlier_orders(state: states.GroupState, now_ms: int) -> list:
+    """Verify the lease once no order would replace the proven primary."""
+    if outstanding_orders.blocks(state, now_ms, state.primary):
+        return []
+    state.needs_fencing = False
+    if not _is_lease_to_verify(state, now_ms):
+        return []
+    return verify(state, now_ms)
+
+
+def verify(state: states.GroupState, now_ms: int) -> list:
+    """Verify that the lease is held, but not too often."""
+    if now_ms - state.verification_sent_ms < VERIFY_INTERVAL_MS:
+        return []
+    state.verification_sent_ms = now_ms
+    return [messages.VerifyLease()]
+
+
+def handle_lease_verified(
+    state: states.GroupState, now_ms: int, message: messages.LeaseVerified
+) -> list:
+    """Record that the lease was held when that was asked.
+
+    If it was lost, `PromotionLeaseSeen` reports so.
+    """
+    if not message.holds or not state.holds_promotion_lease:
+        return []
+    state.lease_verified_ms = state.verification_sent_ms
+    if state.promotion is not None:
+        state.promotion.is_lease_shown = True
+    return []
+
+
 def handle_fence_result(
     state: states.GroupState, message: messages.PromotionOrdered
 ) -> list:
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -5,6 +5,7 @@
 
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import promotion_end
 from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import sent_orders
@@ -40,8 +41,11 @@
 ) -> list:
     """Order a member's promotion if the list of upstreams is recent enough.
 
-    Otherwise request the list first.
+    Otherwise request the list first. While an order for another member may be
+    carried out, nothing is ordered.
     """
+    if outstanding_orders.blocks(state, now_ms, chosen):
+        return _wait_for_earlier_order(state, now_ms, attempt, chosen)
     if not attempts.has_fresh_list(attempt, now_ms):
         return request_list(now_ms, attempt)
     attempt.chosen = chosen
@@ -72,6 +76,25 @@
     return [decided, order]
 
 
+def _wait_for_earlier_order(
+    state: states.GroupState,
+    now_ms: int,
+    attempt: attempts.Attempt,
+    chosen: str,
+) -> list:
+    if attempt.is_wait_logged:
+        return []
+    attempt.is_wait_logged = True
+    state.counters['promotion_waits_for_order'] += 1
+    inputs = {
+        'chosen': chosen,
+        'outstanding': outstanding_orders.describe(state, now_ms),
+    }
+    return [
+        messages.LogDecision('promotion waits for an order', inputs=inputs)
+    ]
+
+
 def resend_order(
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
@@ -97,7 +120,7 @@
 ) -> list:
     """Process the platform's reply to an order."""
     attempt = state.promotion
-    sent_orders.note_result(state, message)
+    sent_orders.note_result(state, now_ms, message)
     if message.token == state.fence_token:
         return promotion_lease.handle_fence_result(state, message)
     if attempt is None or attempt.token != message.token:
@@ -108,6 +131,8 @@
         case messages.OrderResult.UNANSWERED:
             attempt.is_order_pending = False
             return resend_order(state, now_ms, attempt)
+        case messages.OrderResult.WITHHELD:
+            return _handle_withheld(state, now_ms, attempt)
         case messages.OrderResult.REFUSED:
             # Another proxy may hold the promotion lease until the platform's
             # service confirms it again.
@@ -115,6 +140,17 @@
             return promotion_end.finish(state, now_ms, attempt, 'refused')
 
 
+def _handle_withheld(
+    state: states.GroupState, now_ms: int, attempt: attempts.Attempt
+) -> list:
+    """End an attempt whose order was not sent; resend one that was before."""
+    attempt.is_order_pending = False
+    if outstanding_orders.is_outstanding(state, now_ms, attempt.chosen):
+        return []
+    attempt.chosen = ''
+    return promotion_end.finish(state, now_ms, attempt, 'order not recorded')
+
+
 def _record_accepted(
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
--- a/topazring/core/synchronous/restart.py
+++ b/topazring/core/synchronous/restart.py
@@ -49,6 +49,10 @@
     renewed.serves_organisations = state.serves_organisations
     renewed.began_ms = state.began_ms
     renewed.token = state.token
+    renewed.granted_token = state.granted_token
+    renewed.outstanding_orders = state.outstanding_orders
+    renewed.recorded_orders = state.recorded_orders
+    renewed.unknown_orders_until_ms = state.unknown_orders_until_ms
     renewed.term = state.term
     renewed.acknowledged = state.acknowledged
     renewed.departed_members = state.departed_members
--- a/topazring/core/synchronous/scheduling/lone_primary.py
+++ b/topazring/core/synchronous/scheduling/lone_primary.py
@@ -16,6 +16,7 @@
 from topazring.core.synchronous import failure_detection
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -69,14 +70,17 @@
 
 
 def is_due(state: states.GroupState, now_ms: int) -> bool:
-    """Return whether it was decided, and the platform accepted an order since.
+    """Return whether it was decided, and the lease was shown to be held since.
 
-    The order names the present primary and changes nothing.
+    The platform has accepted an order that names the present primary, or, if
+    it checks no tokens, the lease was verified and no order is outstanding.
     """
+    shown_ms = max(state.order_accepted_sent_ms, state.lease_verified_ms)
     return (
         now_ms < state.relief_until_ms
-        and state.order_accepted_sent_ms >= state.relief_decided_ms
+        and shown_ms >= state.relief_decided_ms
         and not state.needs_fencing
+        and not outstanding_orders.blocks(state, now_ms, '')
         and state.proven_primary == state.primary
     )
 
--- a/topazring/core/synchronous/sent_orders.py
+++ b/topazring/core/synchronous/sent_orders.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import state as states
 
 __all__ = ['SentOrder', 'log_earlier_order', 'note_result', 'send']
@@ -34,14 +35,16 @@
     state.sent_orders.append(SentOrder(upstream, token, why, now_ms))
     while len(state.sent_orders) > MAX_SENT_ORDERS:
         state.sent_orders.popleft()
+    outstanding_orders.note_sent(state, upstream)
     state.counters['orders_sent'] += 1
     return messages.OrderPromotion(upstream, token, why)
 
 
 def note_result(
-    state: states.GroupState, message: messages.PromotionOrdered
+    state: states.GroupState, now_ms: int, message: messages.PromotionOrdered
 ) -> None:
     """Record the answer to the oldest order that it can belong to."""
+    outstanding_orders.note_result(state, now_ms, message)
     state.counters[f'orders_{message.result}'] += 1
     for order in state.sent_orders:
         is_same = (order.upstream, order.token) == (
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -64,6 +64,11 @@
     queue: int = 400
     # How long a leaving upstream still receives new work.
     drain_ms: int = 7000
+    # Whether the platform refuses an order with a lower token than one that it
+    # has seen.
+    checks_tokens: bool = False
+    # How long after it was given up an order may still be carried out.
+    late_order_ms: int = 15_000
 
 
 class Phase(enum.StrEnum):
@@ -489,14 +494,25 @@
     token: int = 0
     # First token of the block that came with the lease.
     granted_token: int = 0
-    # Orders of earlier lease holders may still take effect until the platform
-    # has seen a higher token.
+    # Orders of earlier lease holders may still take effect: until the platform
+    # has seen a higher token, or, where it checks none, until they would
+    # change nothing.
     needs_fencing: bool = False
     fence_token: int = 0
     # When the latest fencing order was sent, and the latest order of any kind
     # that the platform accepted from this proxy.
     fence_sent_ms: int = NEVER_MS
     order_accepted_sent_ms: int = NEVER_MS
+    # Orders that may still be carried out, by upstream, where the platform
+    # checks no tokens; those that the store has a record of; and until when
+    # orders may be carried out that nobody has a record of.
+    outstanding_orders: dict = dataclasses.field(default_factory=dict)
+    recorded_orders: frozenset[str] = frozenset()
+    unknown_orders_until_ms: int = NEVER_MS
+    # When it was last asked whether the promotion lease is surely held, and
+    # when the last confirmation was asked for.
+    verification_sent_ms: int = NEVER_MS
+    lease_verified_ms: int = NEVER_MS
     # Orders that this proxy sent, oldest first.
     sent_orders: collections.deque = dataclasses.field(
         default_factory=collections.deque
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -43,6 +43,8 @@
 NO_KEY = 0
 # Time to read the list again, including the slowest answer.
 LIST_READ_MS = 10
+# A proxy that cannot record an order in the store gives up after this time.
+RECORD_TIMEOUT_MS = 250
 POLICIES = (
     messages.Policy('exact', 's', messages.Freshness.PRIMARY, 0, 600),
     messages.Policy('bounded', 's', messages.Freshness.BOUNDED, 500, 900),
@@ -77,6 +79,8 @@
         self.token_received = 0
         self.next_block = 0
         self.holder = ''
+        # What the store records of orders that may be carried out.
+        self.recorded_orders: set[str] = set()
         self.wires: dict[tuple[str, int], fake_group.Wire] = {}
         self.waiting_acks: list = []
         self.cut_pairs: set[frozenset[str]] = set()
@@ -99,7 +103,7 @@
         self.replaced_until_ms = 0.0
         self.trace: list[str] = []
         for proxy in PROXIES:
-            self.states[proxy] = states.make_group('s', 'dc', states.Limits())
+            self.states[proxy] = states.make_group('s', 'dc', self.limits())
             self.post(proxy, messages.InstancesSeen(2, 8))
             self.send_list(proxy)
             self.renew_registration(proxy)
@@ -108,6 +112,13 @@
             self.at(TICK_MS, self.tick, proxy, self.now_ms)
         self.grant_lease('p1')
 
+    def limits(self) -> states.Limits:
+        """Return the limits of a proxy on this platform."""
+        return states.Limits(
+            checks_tokens=self.platform.checks_tokens,
+            late_order_ms=self.platform.latest_ms,
+        )
+
     def note(self, text: str) -> None:
         """Add a line to the trace that is printed on a failure."""
         self.trace.append(f'{self.now_ms:.0f} {text}')
@@ -172,7 +183,12 @@
             case messages.Answer():
                 self.take_answer(proxy, out)
             case messages.OrderPromotion():
-                self.order_promotion(proxy, out)
+                self.send_order(proxy, out)
+            case messages.OrdersOutstanding():
+                if proxy == self.holder and proxy not in self.without_store:
+                    self.recorded_orders = set(out.upstreams)
+            case messages.VerifyLease():
+                self.verify_lease(proxy)
             case messages.ReadUpstreamList():
                 self.at(self.delay(), self.read_list, proxy, out)
             case messages.QueryAcknowledgements():
@@ -190,6 +206,20 @@
             case messages.LogDecision():
                 self.note(f'{proxy} {out.what} {dict(out.inputs)}')
 
+    def send_order(self, proxy: str, out: messages.OrderPromotion) -> None:
+        """Send an order, once the store has recorded it if that is needed."""
+        if self.platform.checks_tokens:
+            self.order_promotion(proxy, out)
+            return
+        if proxy not in self.without_store and proxy == self.holder:
+            self.recorded_orders.add(out.upstream)
+            self.order_promotion(proxy, out)
+            return
+        if proxy not in self.without_store:
+            self.post(proxy, messages.PromotionLeaseSeen(False))
+        withheld = messages.OrderResult.WITHHELD
+        self.at(RECORD_TIMEOUT_MS, self.ordered, proxy, out, withheld)
+
     def read_list(self, proxy: str, out: messages.ReadUpstreamList) -> None:
         """Send a proxy the current list, after a delay."""
         if proxy in self.without_store:
@@ -286,7 +316,11 @@
         """Grant the promotion lease; other proxies are not notified."""
         self.next_block += 1000
         self.holder = proxy
-        self.post(proxy, messages.PromotionLeaseSeen(True, self.next_block))
+        ordered = frozenset(self.recorded_orders)
+        self.post(
+            proxy,
+            messages.PromotionLeaseSeen(True, self.next_block, ordered),
+        )
 
     def grant_lease_after_yield(
         self, before: str, waited_ms: int = GAIN_MS
--- a/topazring/core/synchronous/tests/support.py
+++ b/topazring/core/synchronous/tests/support.py
@@ -26,7 +26,9 @@
 
     def __init__(self, share: int = 2):
         self.now_ms = 10_000
-        self.state = states.make_group('s', 'here', states.Limits())
+        self.state = states.make_group(
+            's', 'here', states.Limits(checks_tokens=True)
+        )
         self.state.connection_share = share
         self.state.began_ms = 0
         self.keys = itertools.count(1)
@@ -210,3 +212,8 @@
 def orders(outs: list) -> list[messages.OrderPromotion]:
     """Return the promotion orders in the output."""
     return [out for out in outs if isinstance(out, messages.OrderPromotion)]
+
+
+def verifications(outs: list) -> list[messages.VerifyLease]:
+    """Return the requests to verify the promotion lease in the output."""
+    return [out for out in outs if isinstance(out, messages.VerifyLease)]
--- a/topazring/core/synchronous/tests/test_late_orders.py
+++ b/topazring/core/synchronous/tests/test_late_orders.py
@@ -1,5 +1,6 @@
 """Test orders that a platform without a check of tokens carries out late."""
 
+import collections.abc
 import random
 
 import testtools
@@ -11,10 +12,14 @@
 from topazring.core.synchronous.tests import walks
 
 UNCHECKED = upstream_side.Platform(
-    checks_tokens=False, late_share=0.0, has_far_peers=True
+    checks_tokens=False,
+    late_share=0.0,
+    has_far_peers=True,
+    latest_ms=15_000,
 )
 WALKS = 25
 STEPS = 400
+OPEN_WALK = 4
 SHORT_WALKS = 20
 SHORT_STEPS = 100
 # How long a member that started again receives nothing.
@@ -234,10 +239,12 @@
 class LateOrderWalksTest(testtools.TestCase):
     """Four orders in ten are carried out seconds late, tokens unchecked."""
 
-    def walk(self, count: int, steps: int, *kind) -> None:
+    def walk(
+        self, seeds: collections.abc.Iterable[int], steps: int, *kind
+    ) -> None:
         """Run walks; none may violate a guarantee."""
         violations = []
-        for seed in range(count):
+        for seed in seeds:
             try:
                 walks.walk(
                     seed,
@@ -251,23 +258,32 @@
 
     def test_walks(self):
         """Guards against a late order among faults of all kinds."""
-        self.walk(WALKS, STEPS)
+        self.walk(set(range(WALKS)) - {OPEN_WALK}, STEPS)
+
+    def test_open_walk(self):
+        """The last member that holds all leaves while an order is late."""
+        self.walk([OPEN_WALK], STEPS)
 
     def test_walks_with_crowds(self):
         """Guards against a late order where a primary serves alone."""
-        self.walk(WALKS, STEPS, walks.CROWDS)
+        self.walk(range(WALKS), STEPS, walks.CROWDS)
 
     def test_walks_through_releases(self):
         """Guards against a late order while members are replaced."""
-        self.walk(WALKS, STEPS, walks.RELEASES, walks.SLOW_PROMOTE_MS)
+        self.walk(range(WALKS), STEPS, walks.RELEASES, walks.SLOW_PROMOTE_MS)
 
     def test_walks_through_splits(self):
         """Guards against late orders, and replaced holders, in partitions."""
         self.walk(
-            SHORT_WALKS, SHORT_STEPS, walks.SPLITS, walks.SLOW_PROMOTE_MS
+            range(SHORT_WALKS),
+            SHORT_STEPS,
+            walks.SPLITS,
+            walks.SLOW_PROMOTE_MS,
         )
 
     def test_walks_through_splits_with_crowds(self):
         """Guards against reliefs by a holder that was replaced."""
         actions = (*walks.SPLITS, ('crowd', 4), ('disperse', 1))
-        self.walk(SHORT_WALKS, SHORT_STEPS, actions, walks.SLOW_PROMOTE_MS)
+        self.walk(
+            range(SHORT_WALKS), SHORT_STEPS, actions, walks.SLOW_PROMOTE_MS
+        )
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -34,6 +34,9 @@
     # Whether a proxy that cannot reach the store has peers on its side, which
     # know of no later holder of the lease than it.
     has_far_peers: bool = False
+    # The latest time at which it carries out an order after its sender has
+    # given it up.
+    latest_ms: int = 6000
 
 
 CHECKED = Platform()
@@ -356,6 +359,15 @@
             )
         self.token_received = out.token
 
+    def verify_lease(self, proxy: str) -> None:
+        """Report whether a proxy holds the lease, as the store says."""
+        has_store = proxy not in self.without_store
+        if has_store and proxy != self.holder:
+            self.post(proxy, messages.PromotionLeaseSeen(False))
+        holds = has_store and proxy == self.holder
+        verified = messages.LeaseVerified(holds)
+        self.at(self.delay(), self.post, proxy, verified)
+
     def leave_unanswered(
         self, proxy: str, out: messages.OrderPromotion, late_ms: float
     ) -> None:
--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -115,6 +115,7 @@
             'peers': seeds,
             'hop_address': f'127.0.0.1:{self.hop_port}',
             'grace_s': 3.0,
+            'checks_tokens': True,
             'max_descriptors': 420,
             'not known yet': True,
         }
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -28,6 +28,10 @@
 RESTART_WINDOW_MS = 60_000
 # The core answers a check for another proxy at once, unless it fails.
 CHECK_TIMEOUT_S = 0.25
+# How long before an order the check of the lease may have begun, where the
+# platform does not refuse the order of a replaced holder. The check waits for
+# the store for a quarter of a second.
+MAX_CHECK_AGE_MS = 400
 # Messages that a group receives once and needs again after a restart, in the
 # order in which it needs them.
 _RETAINED_MESSAGES = (
@@ -77,8 +81,14 @@
         # Called when the promotion lease may be lost: an order was refused,
         # or this process resumed after a pause.
         self.request_lease_recheck = None
-        # Returns, right before an order, whether the lease is still held.
+        # Returns, right before an order, whether the lease is still held, or,
+        # where the platform checks no tokens, whether nobody else can hold it.
         self.verify_holder = None
+        # Records an order in the store, right before it is sent; None where
+        # the platform checks tokens.
+        self.record_order = None
+        # Names the upstreams of the group whose orders are to stay recorded.
+        self.keep_orders = None
         # Reads the listed upstreams again and posts what has changed.
         self.read_upstream_list = None
         # Called when another proxy should acquire the promotion lease.
@@ -224,6 +234,11 @@
                     link.close()
             case messages.OrderPromotion():
                 self._spawn(self._order_promotion(out))
+            case messages.OrdersOutstanding():
+                if self.keep_orders is not None:
+                    self.keep_orders(self.service, out.upstreams)
+            case messages.VerifyLease():
+                self._spawn(self._verify_lease())
             case messages.ReadUpstreamList():
                 self._spawn(self._read_list(out))
             case messages.YieldPromotionLease():
@@ -274,15 +289,15 @@
         self.post(message)
 
     async def _order_promotion(self, out: messages.OrderPromotion) -> None:
-        result = messages.OrderResult.REFUSED
         began_ms = clock.boottime_ms()
         order = {
             'upstream': out.upstream,
             'token': out.token,
             'why': out.why,
         }
-        is_holder = self.verify_holder is None or await self.verify_holder()
-        if is_holder:
+        refusal = await self._refuse_order(out)
+        result = refusal
+        if result is None:
             inputs = {**order, 'after_ms': clock.boottime_ms() - began_ms}
             self.log.emit('group', 'order sent', '', self.service, inputs)
             result = await self.adapter.orders.promote(
@@ -290,7 +305,7 @@
             )
         inputs = {
             **order,
-            'sent': is_holder,
+            'sent': refusal is None,
             'result': str(result),
             'took_ms': clock.boottime_ms() - began_ms,
         }
@@ -302,6 +317,33 @@
         ):
             self.request_lease_recheck()
 
+    async def _refuse_order(
+        self, out: messages.OrderPromotion
+    ) -> messages.OrderResult | None:
+        """Return why an order must not be sent, None if it may be."""
+        is_recorded = self.record_order is None or await self.record_order(
+            self.service, out.upstream
+        )
+        if not is_recorded:
+            return messages.OrderResult.WITHHELD
+        checked_ms = clock.boottime_ms()
+        is_held = await self._is_lease_held()
+        if self.record_order is None:
+            return None if is_held else messages.OrderResult.REFUSED
+        # After a pause of this process another may hold the lease.
+        age_ms = clock.boottime_ms() - checked_ms
+        is_recent = age_ms <= MAX_CHECK_AGE_MS
+        return None if is_held and is_recent else messages.OrderResult.WITHHELD
+
+    async def _is_lease_held(self) -> bool:
+        return self.verify_holder is None or await self.verify_holder()
+
+    async def _verify_lease(self) -> None:
+        holds = await self._is_lease_held()
+        if not holds:
+            self.log.emit('group', 'lease not verified', '', self.service)
+        self.post(messages.LeaseVerified(holds))
+
     async def _read_list(self, out: messages.ReadUpstreamList) -> None:
         is_read = (
             self.read_upstream_list is None or await self.read_upstream_list()
--- /dev/null
+++ b/topazring/pooler/order_records.py
@@ -0,0 +1,284 @@
+"""Record in the store which promotion orders may still be carried out.
+
+Used where the platform checks no tokens: an order that got no answer may then
+be carried out after any later one, so the next holder of the promotion lease
+has to know of it. One value names the holder's first token and, by service,
+the upstreams that its orders may still promote. It is written before an order
+is sent, and again once the order is settled.
+
+Acquiring the lease writes the value too, on condition of the revision that
+was read. A holder that was replaced therefore records no further order.
+"""
+
+import asyncio
+import collections.abc
+
+import msgspec
+
+from topazring.core import revisions
+from topazring import key_value
+from topazring.plumbing import clock
+from topazring.plumbing import events
+from topazring.pooler import directory as directories
+
+__all__ = ['KEY', 'OrderRecords']
+
+KEY = directories.OWN_PREFIX + 'orders'
+# A group without a primary waits for the record.
+RECORD_TIMEOUT_S = 0.5
+RETRY_S = 0.05
+# A settled order that is still recorded only makes the next holder wait.
+SETTLED_RETRY_S = 0.5
+
+
+class _Record(msgspec.Struct, omit_defaults=True):
+    """Value of the record."""
+
+    # First token of the holder that wrote it.
+    token: int
+    # By service, the upstreams that orders may still promote.
+    upstreams: dict[str, list[str]] = {}
+    # Orders for other upstreams may be carried out as well.
+    is_incomplete: bool = False
+
+
+class OrderRecords:
+    """Write the record while this process holds the promotion lease."""
+
+    def __init__(
+        self,
+        store: key_value.Store,
+        directory: directories.Directory,
+        log: events.EventLog,
+        late_order_ms: int,
+        handle_lost: collections.abc.Callable[[str], None],
+    ):
+        self.store = store
+        self.directory = directory
+        self.log = log
+        self.late_order_ms = late_order_ms
+        # Called when another process has acquired the lease.
+        self.handle_lost = handle_lost
+        # First token of this holder, 0 while the lease is not held.
+        self.token = 0
+        # What was recorded when the lease was acquired.
+        self.earlier: dict[str, frozenset[str]] = {}
+        self.is_earlier_incomplete = False
+        # Until when orders may be carried out that nobody has recorded.
+        self.incomplete_until_ms = 0
+        # What the record is to hold, and what the store surely holds; None
+        # from a write until its answer, or until the record was read.
+        self.wanted: dict[str, frozenset[str]] = {}
+        self.stored: dict[str, frozenset[str]] | None = {}
+        self.is_stored_incomplete = False
+        # Revision of the record, None while it is not known.
+        self.revision: int | None = None
+        self.lock = asyncio.Lock()
+        self.settled = asyncio.Event()
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start removing settled orders from the record."""
+        self.task = asyncio.create_task(self._write_settled_forever())
+
+    def close(self) -> None:
+        """Stop writing."""
+        if self.task is not None:
+            self.task.cancel()
+
+    # ---- the lease ----
+
+    def claim(
+        self, token: int, block: revisions.Change | None, least_token: int
+    ) -> key_value.Value:
+        """Return the write that belongs to acquiring the lease.
+
+        `block` is the last block of tokens that was reserved, and
+        `least_token` the first one of the present era of the store. The record
+        is complete if the holder of that block wrote it, in this era.
+        """
+        listed = self.directory.own_value(KEY)
+        record = None if listed is None else self._decode(listed.value)
+        self.is_earlier_incomplete = not _is_complete(
+            record, block, least_token
+        )
+        found = {} if record is None else record.upstreams
+        self.earlier = {name: frozenset(found[name]) for name in found}
+        text = self._encode(token, self.earlier, self.is_earlier_incomplete)
+        return key_value.Value(KEY, text, _revision(listed))
+
+    def begin(self, token: int) -> None:
+        """Begin to record orders: the lease was acquired with the claim."""
+        self.token = token
+        self.wanted = dict(self.earlier)
+        self.stored = dict(self.earlier)
+        self.revision = None
+        self.is_stored_incomplete = self.is_earlier_incomplete
+        if self.is_earlier_incomplete:
+            now_ms = clock.boottime_ms()
+            self.incomplete_until_ms = now_ms + self.late_order_ms
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_order_ms / 1000, self.settled.set)
+        inputs = {
+            'token': token,
+            'upstreams': {
+                name: sorted(self.earlier[name]) for name in self.earlier
+            },
+            'is_incomplete': self.is_earlier_incomplete,
+        }
+        self.log.emit('duty', 'earlier orders', inputs=inputs)
+        # Reads the revision now, so that an order need not wait for it.
+        self.settled.set()
+
+    def end(self) -> None:
+        """Record no further orders: the lease is not held any more."""
+        self.token = 0
+
+    # ---- orders ----
+
+    async def record(self, service: str, upstream: str) -> bool:
+        """Record an order; return whether the store holds the record."""
+        if not self.token:
+            return False
+        recorded = self.wanted.get(service, frozenset())
+        self.wanted[service] = recorded | {upstream}
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT_S):
+                while not self._is_stored(service, upstream):
+                    if not await self._write():
+                        await asyncio.sleep(RETRY_S)
+                    if not self.token:
+                        return False
+        except TimeoutError:
+            inputs = {'upstream': upstream}
+            self.log.emit('duty', 'order not recorded', '', service, inputs)
+            return False
+        return True
+
+    def keep_only(
+        self, service: str, upstreams: collections.abc.Set[str]
+    ) -> None:
+        """Remove the settled orders of a service from the record soon."""
+        if not self.token:
+            return
+        self.wanted[service] = frozenset(upstreams)
+        if not upstreams:
+            del self.wanted[service]
+        self.settled.set()
+
+    def outstanding(self, service: str) -> frozenset[str]:
+        """Return the upstreams that orders may promote, by this record."""
+        return self.wanted.get(service, frozenset())
+
+    def _is_stored(self, service: str, upstream: str) -> bool:
+        stored = self.stored or {}
+        return upstream in stored.get(service, frozenset())
+
+    def is_incomplete(self) -> bool:
+        """Return whether orders may be carried out that nobody recorded."""
+        return clock.boottime_ms() < self.incomplete_until_ms
+
+    def _is_up_to_date(self) -> bool:
+        return (
+            self.wanted == self.stored
+            and self.is_stored_incomplete == self.is_incomplete()
+        )
+
+    def _is_ready(self) -> bool:
+        return self.revision is not None and self._is_up_to_date()
+
+    async def _write_settled_forever(self) -> None:
+        while True:
+            await self.settled.wait()
+            self.settled.clear()
+            while self.token and not self._is_ready():
+                if not await self._write():
+                    await asyncio.sleep(SETTLED_RETRY_S)
+
+    async def _write(self) -> bool:
+        """Write the record once; return whether the store holds it."""
+        async with self.lock:
+            token = self.token
+            if not token:
+                return False
+            if self.revision is None and not await self._read(token):
+                return False
+            if self._is_up_to_date():
+                return True
+            wanted = dict(self.wanted)
+            is_incomplete = self.is_incomplete()
+            text = self._encode(token, wanted, is_incomplete)
+            revision, self.revision = self.revision, None
+            self.stored = None
+            answer = await self.store.put_all(
+                (key_value.Value(KEY, text, revision),)
+            )
+            if not isinstance(answer, key_value.Written):
+                # Whether it took effect shows when the record is read.
+                return False
+            if self.token == token:
+                self.revision = answer.revision
+                self.stored = wanted
+                self.is_stored_incomplete = is_incomplete
+            return True
+
+    async def _read(self, token: int) -> bool:
+        """Read the record; give the lease up if it is another's."""
+        answer = await self.store.get(KEY)
+        if isinstance(answer, key_value.Unavailable) or self.token != token:
+            return False
+        record = None
+        if isinstance(answer, key_value.Found):
+            record = self._decode(answer.value)
+        if record is None or record.token != token:
+            self.handle_lost('the record of orders is of another')
+            return False
+        self.revision = answer.revision
+        self.stored = {
+            name: frozenset(names) for name, names in record.upstreams.items()
+        }
+        self.is_stored_incomplete = record.is_incomplete
+        return True
+
+    def _encode(
+        self,
+        token: int,
+        upstreams: collections.abc.Mapping[str, frozenset[str]],
+        is_incomplete: bool,
+    ) -> str:
+        listed = {name: sorted(upstreams[name]) for name in sorted(upstreams)}
+        record = _Record(token, listed, is_incomplete)
+        return msgspec.json.encode(record).decode()
+
+    def _decode(self, text: str) -> _Record | None:
+        try:
+            return msgspec.json.decode(text, type=_Record)
+        except msgspec.MsgspecError as error:
+            inputs = {'key': KEY, 'error': str(error)}
+            self.log.emit('duty', 'bad entry', inputs=inputs)
+            return None
+
+
+def _is_complete(
+    record: _Record | None,
+    block: revisions.Change | None,
+    least_token: int,
+) -> bool:
+    """Return whether a record names all orders that earlier holders sent.
+
+    It does if the holder of the last block of tokens wrote it, in the present
+    era of the store. An older build, and a holder that took the platform to
+    check tokens, write none.
+    """
+    if block is None:
+        return True
+    last_token = int(block.value)
+    return (
+        record is not None
+        and record.token == last_token >= least_token
+        and not record.is_incomplete
+    )
+
+
+def _revision(listed: revisions.Change | None) -> int:
+    return 0 if listed is None else listed.revision
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -34,6 +34,7 @@
 from topazring.pooler import member_records
 from topazring.pooler import membership
 from topazring.pooler import metrics as metric_sets
+from topazring.pooler import order_records
 from topazring.pooler import overdue_report
 from topazring.pooler import peers
 from topazring.pooler import ports
@@ -120,12 +121,22 @@
             self.log,
             self._handle_registration,
         )
+        self.order_records = None
+        if not config.checks_tokens:
+            self.order_records = order_records.OrderRecords(
+                adapter.store,
+                self.directory,
+                self.log,
+                config.late_order_ms,
+                lambda why: self.promotion_lease.give_up(why),
+            )
         self.promotion_lease = promotion_leases.PromotionLease(
             self.incarnation,
             adapter.store,
             self.directory,
             self.log,
             self._handle_lease_change,
+            self.order_records,
         )
         self.member_records = member_records.MemberRecords(
             adapter.store,
@@ -207,6 +218,8 @@
         self.directory.start()
         self.membership.start()
         self.promotion_lease.start()
+        if self.order_records is not None:
+            self.order_records.start()
         self.member_records.start()
         if self.config.peer_address:
             self.peer_server.start(self.config.peer_address)
@@ -469,12 +482,20 @@
             service,
             self.config.data_centre,
             self.incarnation,
-            states.Limits(drain_ms=self.config.upstream_drain_ms),
+            states.Limits(
+                drain_ms=self.config.upstream_drain_ms,
+                checks_tokens=self.config.checks_tokens,
+                late_order_ms=self.config.late_order_ms,
+            ),
             self.adapter,
             self.log,
         )
         group.request_lease_recheck = self.promotion_lease.request_recheck
         group.verify_holder = self.promotion_lease.verify_holder
+        if self.order_records is not None:
+            group.verify_holder = self.promotion_lease.is_surely_held
+            group.record_order = self.order_records.record
+            group.keep_orders = self.order_records.keep_only
         group.read_upstream_list = self.directory.catch_up
         group.yield_lease = self.promotion_lease.yield_lease
         group.query_acknowledgements = self.reports.query_acknowledgements
@@ -491,7 +512,7 @@
             )
         )
         if self.holds:
-            group.post(messages.PromotionLeaseSeen(True, self.token))
+            group.post(self._lease_seen(service))
         if self.registered_until_ms:
             group.post(messages.RegistrationSeen(self.registered_until_ms))
         self.fences.handle_group_created(group)
@@ -552,8 +573,20 @@
     def _handle_lease_change(self, holds: bool, token: int) -> None:
         self.holds = holds
         self.token = token
-        for group in self.groups.values():
-            group.post(messages.PromotionLeaseSeen(holds, token))
+        for service, group in self.groups.items():
+            group.post(self._lease_seen(service))
+
+    def _lease_seen(self, service: str) -> messages.PromotionLeaseSeen:
+        """Return what a group is to know of the promotion lease."""
+        records = self.order_records
+        if not self.holds or records is None:
+            return messages.PromotionLeaseSeen(self.holds, self.token)
+        return messages.PromotionLeaseSeen(
+            True,
+            self.token,
+            records.outstanding(service),
+            records.is_incomplete(),
+        )
 
     # ---- load balancer and operators ----
 
@@ -585,6 +618,10 @@
                 'sessions': len(self.callers),
                 'closures': len(self.closures.in_force),
                 'holds_duty': int(self.holds),
+                'outstanding_orders': sum(
+                    len(group.state.outstanding_orders)
+                    for group in self.groups.values()
+                ),
                 'owner_weight': self.weight,
                 'owners_moved': self.owners_moved,
                 'forwarded': self.router.forwarded,
@@ -629,6 +666,8 @@
         self.closures.stop()
         self.overdue_report.close()
         self.member_records.close()
+        if self.order_records is not None:
+            self.order_records.close()
         try:
             async with asyncio.timeout(CLOSE_S):
                 await self.membership.close()
--- a/topazring/pooler/promotion_lease.py
+++ b/topazring/pooler/promotion_lease.py
@@ -2,9 +2,10 @@
 
 A value in the store, written under a store lease, names the holder. Acquiring
 it reserves a block of tokens. Each order with a new meaning takes the next
-token, so that a newer order supersedes one that arrives late, and no call to
-the store is needed when a primary is lost. The last block is recorded in a
-value without a lease: the tokens of a later holder are always higher.
+token, so that a newer order supersedes one that arrives late, if the platform
+checks tokens. No call to the store is then needed when a primary is lost;
+elsewhere see `order_records`. The last block is recorded in a value without a
+lease: the tokens of a later holder are always higher.
 
 The store may return from an older copy. It may then name a holder that has
 been replaced since, or none, and a block of tokens that has been used. So a
@@ -14,6 +15,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import random
 
 import msgspec
@@ -24,6 +26,7 @@
 from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import directory as directories
+from topazring.pooler import order_records
 
 __all__ = ['PromotionLease', 'listed_holder']
 
@@ -63,6 +66,9 @@
 # lease. The store and peers answer in milliseconds; each additional 100 ms
 # keeps a group without a primary for as long.
 ORDER_CHECK_TIMEOUT_S = 0.25
+# How long the lease has to last beyond a check where the platform would carry
+# out an order that a later holder has overtaken.
+MIN_VALID_MS = 1000
 # Pause after yielding. Partitions last for seconds; if all other proxies are
 # affected too, this one tries again after that.
 YIELD_PAUSE_MS = 3000
@@ -91,12 +97,15 @@
         directory: directories.Directory,
         log: events.EventLog,
         on_change: collections.abc.Callable[[bool, int], None],
+        records: order_records.OrderRecords | None = None,
     ):
         self.incarnation = incarnation
         self.store = store
         self.directory = directory
         self.log = log
         self.on_change = on_change
+        # None where the platform checks tokens.
+        self.records = records
         self.holds = False
         self.token = 0
         self.lease = 0
@@ -125,12 +134,27 @@
         if lease:
             await self.store.end(lease)
 
-    def surely_holds(self) -> bool:
-        """Return whether no other process can hold the lease now."""
-        until_ms = self.valid_until_ms - CLOCK_DRIFT_MARGIN_MS
+    def surely_holds(self, for_ms: int = 0) -> bool:
+        """Return whether no other process can hold the lease for a while."""
+        until_ms = self.valid_until_ms - CLOCK_DRIFT_MARGIN_MS - for_ms
         is_valid = self.holds and clock.boottime_ms() < until_ms
         return is_valid and not self._has_store_returned()
 
+    async def is_surely_held(self) -> bool:
+        """Return whether nobody can have acquired the lease in a second.
+
+        Called where the platform carries out any order, also one of a replaced
+        holder. Peers are not asked: behind a partition they know of no
+        successor either. The lease is renewed if it does not last for long.
+        """
+        self._note_era()
+        if self.holds and not self.surely_holds(MIN_VALID_MS):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ORDER_CHECK_TIMEOUT_S):
+                    await self._renew_once()
+            self._note_era()
+        return self.surely_holds(MIN_VALID_MS)
+
     def _has_store_returned(self) -> bool:
         return self.era is not None and self._newest_era() > self.era
 
@@ -152,7 +176,7 @@
         if self._has_store_returned():
             self.era = self._newest_era()
             self.free_from_ms = clock.boottime_ms() + RETURN_PAUSE_MS
-            self._give_up('the store has returned from an older copy')
+            self.give_up('the store has returned from an older copy')
 
     def _may_have_just_begun(self, era: int) -> bool:
         """Return whether nobody has acquired the lease in an era yet.
@@ -179,11 +203,9 @@
     async def verify_holder(self) -> bool:
         """Return whether this process still holds the lease.
 
-        Called right before an order, because the platform may carry out any
-        order, also one of a replaced holder: a process that was paused,
-        partitioned, or refused by the store while its lease went to another.
-        Such a holder would send an order with a lower token than an earlier
-        one, which reverts its successor's choice. While the store does not
+        Called right before an order, where the platform checks tokens: a
+        process that was paused, partitioned, or refused by the store while its
+        lease went to another is to find that out. While the store does not
         answer, a peer has to confirm that it has seen no successor; a holder
         that reaches neither assumes that it is partitioned.
         """
@@ -196,15 +218,15 @@
             if isinstance(answer, _Holder):
                 return self._is_own_lease(answer)
             if isinstance(answer, key_value.Missing):
-                self._give_up('the duty has no holder')
+                self.give_up('the duty has no holder')
                 return False
         if not await self.directory.ask_peers(ORDER_CHECK_TIMEOUT_S):
-            self._give_up('neither store nor peers answer')
+            self.give_up('neither store nor peers answer')
             return False
         self._note_era()
         successor = self._find_successor()
         if successor:
-            self._give_up(f'{successor} holds it')
+            self.give_up(f'{successor} holds it')
         return self.holds
 
     async def _read_holder_in_time(self) -> _HolderResult:
@@ -234,10 +256,11 @@
         """Return whether this process is the holder; if not, stop holding."""
         if found.holder == self.incarnation:
             return self.holds
-        self._give_up(f'{found.holder} holds it')
+        self.give_up(f'{found.holder} holds it')
         return False
 
-    def _give_up(self, why: str) -> None:
+    def give_up(self, why: str) -> None:
+        """Stop holding the lease: another process may have acquired it."""
         self.lease = 0
         if self.holds:
             self._record_lost(why)
@@ -313,14 +336,14 @@
         token = _next_block(block, era)
         holder = _Holder(self.incarnation, token)
         text = msgspec.json.encode(holder).decode()
-        answer = await self.store.put_all(
-            (
-                key_value.Value(
-                    LEASE_KEY, text, _revision(replaced), self.lease
-                ),
-                key_value.Value(TOKEN_BLOCK_KEY, str(token), _revision(block)),
-            )
-        )
+        values = [
+            key_value.Value(LEASE_KEY, text, _revision(replaced), self.lease),
+            key_value.Value(TOKEN_BLOCK_KEY, str(token), _revision(block)),
+        ]
+        if self.records is not None:
+            least_token = era * ERA_TOKENS
+            values.append(self.records.claim(token, block, least_token))
+        answer = await self.store.put_all(tuple(values))
         is_written = isinstance(answer, key_value.Written)
         if isinstance(answer, key_value.Unavailable):
             is_written = await self._resolve_write(token)
@@ -342,10 +365,14 @@
         self.token = token
         self.valid_until_ms = sent_ms + TTL_MS
         self.log.emit('duty', 'duty gained', inputs={'token': token})
+        if self.records is not None:
+            self.records.begin(token)
         self.on_change(True, token)
 
     def _record_lost(self, why: str) -> None:
         self.holds = False
+        if self.records is not None:
+            self.records.end()
         self.log.emit(
             'duty', 'duty lost', inputs={'why': why, 'token': self.token}
         )
@@ -358,19 +385,26 @@
             return
         successor = self._find_successor()
         if successor:
-            self._give_up(f'{successor} holds it')
+            self.give_up(f'{successor} holds it')
             return
+        await self._renew_once()
+
+    async def _renew_once(self) -> None:
         sent_ms = clock.boottime_ms()
-        answer = await self.store.renew_lease(self.lease)
+        lease = self.lease
+        answer = await self.store.renew_lease(lease)
+        if lease != self.lease:
+            # It was lost meanwhile, and perhaps acquired again.
+            return
         if isinstance(answer, key_value.Leased):
-            self.valid_until_ms = sent_ms + TTL_MS
+            self.valid_until_ms = max(self.valid_until_ms, sent_ms + TTL_MS)
         elif isinstance(answer, key_value.Missing):
-            self._give_up('the lease has ended')
+            self.give_up('the lease has ended')
         elif (
             clock.boottime_ms()
             > self.valid_until_ms + MAX_HOLD_BEYOND_LEASE_MS
         ):
-            self._give_up('the service has been away for too long')
+            self.give_up('the service has been away for too long')
 
     def _find_successor(self) -> str:
         """Return the proxy that has taken the lease over, empty if none has.
@@ -409,7 +443,7 @@
             self.log.emit(
                 'duty', 'duty in doubt', inputs={'detail': found.detail}
             )
-        self._give_up('an order was refused')
+        self.give_up('an order was refused')
 
 
 def listed_holder(directory: directories.Directory) -> str:
--- a/topazring/pooler/settings.py
+++ b/topazring/pooler/settings.py
@@ -50,6 +50,11 @@
     max_descriptors: int = 1024
     # How long a leaving upstream may still be given work.
     upstream_drain_ms: int = 7000
+    # Whether the platform refuses an order with a lower token than one that it
+    # has seen. If it does not, how long after its sender gave it up it may
+    # still carry an order out.
+    checks_tokens: bool = False
+    late_order_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 15_000
     # How long after its acceptance a configuration has to be in force. A watch
     # lasts as long: a watch without an answer is then detected in time, and a
     # shorter one would cost every proxy more calls.
--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -215,6 +215,83 @@
 
         self.play(steps)
 
+    def order(self, **hooks) -> tuple[object, int]:
+        """Send an order with these hooks; return its result and the calls."""
+        results = []
+
+        async def steps():
+            for name, hook in hooks.items():
+                setattr(self.task, name, hook)
+            post = self.task.post
+            self.task.post = lambda message: (
+                results.append(message.result)
+                if isinstance(message, messages.PromotionOrdered)
+                else post(message)
+            )
+            order = messages.OrderPromotion('u1', 7, 'it leaves')
+            await self.task._order_promotion(order)
+            results.append(self.task.adapter.orders.promote.await_count)
+
+        self.play(steps)
+        return tuple(results)
+
+    def test_order_without_a_record_is_withheld(self):
+        """Guards against an order that the next lease holder cannot know."""
+        record = mock.AsyncMock(return_value=False)
+        result, calls = self.order(record_order=record)
+        self.assertEqual(messages.OrderResult.WITHHELD, result)
+        self.assertEqual(0, calls)
+        record.assert_awaited_once_with('s', 'u1')
+
+    def test_order_is_withheld_after_a_pause(self):
+        """Guards against an order of a holder that slept since its check.
+
+        The platform would carry it out, with a lower token than that of the
+        next holder.
+        """
+
+        async def verify():
+            later = clock.boottime_ms() + group_task.MAX_CHECK_AGE_MS + 1
+            patch = mock.patch.object(
+                group_task.clock,
+                'boottime_ms',
+                autospec=True,
+                return_value=later,
+            )
+            self.addCleanup(patch.stop)
+            patch.start()
+            return True
+
+        result, calls = self.order(
+            record_order=mock.AsyncMock(return_value=True),
+            verify_holder=verify,
+        )
+        self.assertEqual(messages.OrderResult.WITHHELD, result)
+        self.assertEqual(0, calls)
+
+    def test_recorded_order_is_sent(self):
+        """The platform is asked once the store has recorded the order."""
+        result, calls = self.order(
+            record_order=mock.AsyncMock(return_value=True),
+            verify_holder=mock.AsyncMock(return_value=True),
+        )
+        self.assertEqual(messages.OrderResult.UNANSWERED, result)
+        self.assertEqual(1, calls)
+
+    def test_lease_is_verified_without_an_order(self):
+        """Guards against an order that is to change nothing."""
+
+        async def steps():
+            self.task.verify_holder = mock.AsyncMock(return_value=False)
+            posted = []
+            self.task.post = posted.append
+            await self.task._verify_lease()
+            self.assertEqual([messages.LeaseVerified(False)], posted)
+            self.task.adapter.orders.promote.assert_not_awaited()
+            del self.task.post
+
+        self.play(steps)
+
     def test_repeated_restarts_end_the_process(self):
         """A restart does not repair every state; the platform restarts it."""
 
--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -132,6 +132,51 @@
 
         self.play(steps)
 
+    def test_groups_learn_of_earlier_orders(self):
+        """Guards against a holder that replaces an upstream too early."""
+
+        async def steps():
+            pooler, _ = self.poolers
+            records = pooler.order_records
+            records.wanted = {'s': frozenset({'u1'})}
+            records.incomplete_until_ms = clock.boottime_ms() + 60_000
+            pooler._handle_lease_change(True, 10_000)
+            expected = messages.PromotionLeaseSeen(
+                True, 10_000, frozenset({'u1'}), True
+            )
+            self.assertEqual(
+                [expected], self.cores[0].of(messages.PromotionLeaseSeen)
+            )
+            later = pooler._make_group('t')
+            self.addCleanup(later.close)
+            (seen,) = self.cores[-1].of(messages.PromotionLeaseSeen)
+            self.assertEqual(frozenset(), seen.ordered)
+
+        self.play(steps)
+
+    def test_platform_that_checks_tokens_needs_no_record(self):
+        """Guards against calls for a record that nobody needs."""
+        config = settings.PoolerSettings(
+            name='p',
+            data_centre='cork',
+            caller_address='127.0.0.1:0',
+            ready_address='127.0.0.1:0',
+            store_address='127.0.0.1:0',
+            checks_tokens=True,
+        )
+
+        async def steps():
+            pooler = process.Pooler(config, self.poolers[0].adapter)
+            self.assertIsNone(pooler.order_records)
+            group = pooler._make_group('s')
+            self.addCleanup(group.close)
+            self.assertIsNone(group.record_order)
+            self.assertEqual(
+                pooler.promotion_lease.verify_holder, group.verify_holder
+            )
+
+        self.play(steps)
+
     def test_proxy_without_a_share_refuses_at_once(self):
         """Another owner can serve the request.
 
--- a/topazring/pooler/tests/test_promotion_lease.py
+++ b/topazring/pooler/tests/test_promotion_lease.py
@@ -6,6 +6,7 @@
 
 from topazring.core import revisions
 from topazring import key_value
+from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import promotion_lease as promotion_leases
 
@@ -330,6 +331,86 @@
 
         self.play(steps)
 
+    def expire_soon(self, left_ms: int) -> None:
+        """Have the lease last for only a little longer, as far as is known."""
+        margin_ms = promotion_leases.CLOCK_DRIFT_MARGIN_MS
+        self.promotion_lease.valid_until_ms = (
+            clock.boottime_ms() + margin_ms + left_ms
+        )
+
+    def test_peers_do_not_show_that_the_lease_is_held(self):
+        """Guards against orders of a replaced holder behind a partition.
+
+        Its peers there cannot reach the store either, and know of no other
+        holder.
+        """
+
+        async def steps():
+            self.promotion_lease.start()
+            await self.until(True)
+            self.store.is_unavailable = True
+            self.expire_soon(0)
+            self.assertTrue(await self.promotion_lease.verify_holder())
+            self.assertFalse(await self.promotion_lease.is_surely_held())
+            self.assertTrue(self.promotion_lease.holds)
+
+        self.play(steps)
+
+    def test_valid_lease_needs_no_call(self):
+        """Guards against a call to the store for each order and resume."""
+
+        async def steps():
+            self.promotion_lease.start()
+            await self.until(True)
+            before = list(self.store.calls)
+            self.assertTrue(await self.promotion_lease.is_surely_held())
+            self.assertEqual(before, self.store.calls)
+
+        self.play(steps)
+
+    def test_lease_that_ends_soon_is_renewed(self):
+        """Guards against an order that arrives after the next holder's."""
+
+        async def steps():
+            self.promotion_lease.start()
+            await self.until(True)
+            self.expire_soon(promotion_leases.MIN_VALID_MS - 1)
+            self.assertTrue(await self.promotion_lease.is_surely_held())
+            left_ms = promotion_leases.MIN_VALID_MS
+            self.assertTrue(self.promotion_lease.surely_holds(left_ms))
+
+        self.play(steps)
+
+    def test_lease_that_has_ended_is_not_renewed(self):
+        """Guards against relying on a lease that the store has ended."""
+
+        async def steps():
+            self.promotion_lease.start()
+            await self.until(True)
+            self.store.leases.clear()
+            self.expire_soon(0)
+            self.assertFalse(await self.promotion_lease.is_surely_held())
+            self.assertFalse(self.promotion_lease.holds)
+
+        self.play(steps)
+
+    def test_renewal_without_an_answer(self):
+        """Guards against an attempt that waits for the store."""
+
+        async def never(lease):
+            await asyncio.sleep(60)
+
+        async def steps():
+            self.promotion_lease.start()
+            await self.until(True)
+            self.store.renew_lease = never
+            self.expire_soon(0)
+            began_ms = clock.boottime_ms()
+            self.assertFalse(await self.promotion_lease.is_surely_held())
+            self.assertLess(clock.boottime_ms() - began_ms, 500)
+
+        self.play(steps)
+
     def test_lease_value_in_another_format(self):
         """Guards against a task that ends with an error, so nobody promotes.
 
