Send a recorded order only while its choice is recent

Found by reading: recording an order may take as long as the store, while the list that its upstream was chosen from has to be younger than it takes until a new member's word counts (300 ms). An order is withheld if more than 100 ms have passed since the choice, and the choice is made again at once; the record is kept meanwhile, so that the second order need not wait for it. An attempt that orders nobody says why: 'order withheld' or 'an order is outstanding'. The check of the lease is part of the same 100 ms.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -116,6 +116,8 @@
     successor_gone: bool = False
     # An order was sent and has not been answered yet.
     is_order_pending: bool = False
+    # An order of it was withheld.
+    is_withheld: bool = False
     # It was logged that an order for another upstream is outstanding.
     is_wait_logged: bool = False
     accepted: bool = False
--- a/topazring/core/synchronous/outstanding_orders.py
+++ b/topazring/core/synchronous/outstanding_orders.py
@@ -89,8 +89,11 @@
 
 
 def expire(state: states.GroupState, now_ms: int) -> list:
-    """Drop the orders that are settled; report a change to the record."""
-    if not state.holds_promotion_lease:
+    """Drop the orders that are settled; report a change to the record.
+
+    An attempt may order the same upstream again.
+    """
+    if not state.holds_promotion_lease or state.promotion is not None:
         return []
     left = {
         name: order
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -403,9 +403,7 @@
             # current primary will show whether it was.
             state.primary = ''
             state.primary_lost_ms = attempt.began_ms
-        how = 'nobody may follow'
-        if attempt.is_wait_logged:
-            how = 'an order is outstanding'
+        how = _name_late_end(attempt)
         return promotion_end.finish(state, now_ms, attempt, how)
     old_primary = state.upstreams.get(attempt.old_primary)
     if attempt.is_query_only and old_primary is not None:
@@ -440,6 +438,15 @@
     return None
 
 
+def _name_late_end(attempt: attempts.Attempt) -> str:
+    """Return how an attempt ends that orders nobody in time."""
+    if attempt.is_withheld:
+        return 'order withheld'
+    if attempt.is_wait_logged:
+        return 'an order is outstanding'
+    return 'nobody may follow'
+
+
 def _end_without_successor(
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -143,12 +143,15 @@
 def _handle_withheld(
     state: states.GroupState, now_ms: int, attempt: attempts.Attempt
 ) -> list:
-    """End an attempt whose order was not sent; resend one that was before."""
+    """Choose again unless a copy of the order was sent before.
+
+    What the choice rests on may be outdated by now.
+    """
     attempt.is_order_pending = False
-    if outstanding_orders.is_outstanding(state, now_ms, attempt.chosen):
-        return []
-    attempt.chosen = ''
-    return promotion_end.finish(state, now_ms, attempt, 'order not recorded')
+    if not outstanding_orders.is_outstanding(state, now_ms, attempt.chosen):
+        attempt.chosen = ''
+        attempt.is_withheld = True
+    return []
 
 
 def _record_accepted(
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -28,10 +28,11 @@
 RESTART_WINDOW_MS = 60_000
 # The core answers a check for another proxy at once, unless it fails.
 CHECK_TIMEOUT_S = 0.25
-# How long before an order the check of the lease may have begun, where the
-# platform does not refuse the order of a replaced holder. The check waits for
-# the store for a quarter of a second.
-MAX_CHECK_AGE_MS = 400
+# How long after its choice an order may be sent that first had to be recorded:
+# together with the age of the list that it was chosen from, this is less than
+# it takes until a new member's word counts. Later the holder may also have
+# been replaced, which the platform would not notice.
+MAX_ORDER_AGE_MS = 100
 # Messages that a group receives once and needs again after a restart, in the
 # order in which it needs them.
 _RETAINED_MESSAGES = (
@@ -295,7 +296,7 @@
             'token': out.token,
             'why': out.why,
         }
-        refusal = await self._refuse_order(out)
+        refusal = await self._refuse_order(out, began_ms)
         result = refusal
         if result is None:
             inputs = {**order, 'after_ms': clock.boottime_ms() - began_ms}
@@ -318,7 +319,7 @@
             self.request_lease_recheck()
 
     async def _refuse_order(
-        self, out: messages.OrderPromotion
+        self, out: messages.OrderPromotion, began_ms: int
     ) -> messages.OrderResult | None:
         """Return why an order must not be sent, None if it may be."""
         is_recorded = self.record_order is None or await self.record_order(
@@ -326,13 +327,10 @@
         )
         if not is_recorded:
             return messages.OrderResult.WITHHELD
-        checked_ms = clock.boottime_ms()
         is_held = await self._is_lease_held()
         if self.record_order is None:
             return None if is_held else messages.OrderResult.REFUSED
-        # After a pause of this process another may hold the lease.
-        age_ms = clock.boottime_ms() - checked_ms
-        is_recent = age_ms <= MAX_CHECK_AGE_MS
+        is_recent = clock.boottime_ms() - began_ms <= MAX_ORDER_AGE_MS
         return None if is_held and is_recent else messages.OrderResult.WITHHELD
 
     async def _is_lease_held(self) -> bool:
--- a/topazring/pooler/order_records.py
+++ b/topazring/pooler/order_records.py
@@ -25,7 +25,7 @@
 
 KEY = directories.OWN_PREFIX + 'orders'
 # A group without a primary waits for the record.
-RECORD_TIMEOUT_S = 0.5
+RECORD_TIMEOUT_S = 1.0
 RETRY_S = 0.05
 # A settled order that is still recorded only makes the next holder wait.
 SETTLED_RETRY_S = 0.5
--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -251,7 +251,7 @@
         """
 
         async def verify():
-            later = clock.boottime_ms() + group_task.MAX_CHECK_AGE_MS + 1
+            later = clock.boottime_ms() + group_task.MAX_ORDER_AGE_MS + 1
             patch = mock.patch.object(
                 group_task.clock,
                 'boottime_ms',
