Mend what the review of outstanding orders found

Rules: - The record was trusted while a write of it had no answer, so an order could be sent that the store did not hold.

Availability: - An order whose step failed was counted as in flight for good. - Members that were paused just before the store went away stayed paused: an attempt ends before the check of the lease that it began with expires, and may resume them. - An order accepted after its upstream leads, one for an upstream that has ended, and groups made long after an incomplete record no longer wait.

Open: the wait begins anew with each new holder.

--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -75,8 +75,8 @@
         # Only the list has shown its term.
         confirmations.note_term_ended(state, now_ms, state.term)
     has_drained = _has_drained(state, now_ms, upstream)
-    if has_drained:
-        outstanding_orders.forget(state, name)
+    if has_drained and not is_recreated:
+        outstanding_orders.note_ended(state, name)
     paused_log_end = None
     if state.promotion is not None:
         attempt = state.promotion
@@ -113,6 +113,7 @@
 def _add_upstream(
     state: states.GroupState, now_ms: int, entry: messages.ListedUpstream
 ) -> list:
+    outstanding_orders.note_listed(state, entry.name)
     upstream = states.Upstream(
         entry.name,
         entry.address,
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -237,7 +237,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseVerified:
-    """Report whether the promotion lease was surely held when asked."""
+    """Report whether nobody else can hold the lease for a second from now."""
 
     holds: bool
 
--- a/topazring/core/synchronous/outstanding_orders.py
+++ b/topazring/core/synchronous/outstanding_orders.py
@@ -16,10 +16,12 @@
     'blocks',
     'describe',
     'expire',
-    'forget',
+    'give_up_in_flight',
     'is_outstanding',
     'note_earlier',
+    'note_ended',
     'note_leads',
+    'note_listed',
     'note_result',
     'note_sent',
 ]
@@ -36,6 +38,8 @@
     unanswered_until_ms: int = states.NEVER_MS
     # After an accepted order, unless the upstream is seen to lead before.
     accepted_until_ms: int = states.NEVER_MS
+    # The upstream has ended, and cannot be promoted.
+    has_ended: bool = False
 
 
 def note_sent(state: states.GroupState, upstream: str) -> None:
@@ -83,9 +87,30 @@
         order.accepted_until_ms = states.NEVER_MS
 
 
-def forget(state: states.GroupState, upstream: str) -> None:
-    """Forget the orders for an upstream that has ended."""
-    state.outstanding_orders.pop(upstream, None)
+def note_ended(state: states.GroupState, upstream: str) -> None:
+    """Record that an upstream has ended and cannot be promoted."""
+    order = state.outstanding_orders.get(upstream)
+    if order is not None:
+        order.has_ended = True
+
+
+def note_listed(state: states.GroupState, upstream: str) -> None:
+    """Record that an upstream runs, perhaps a later one of this name."""
+    order = state.outstanding_orders.get(upstream)
+    if order is not None:
+        order.has_ended = False
+
+
+def give_up_in_flight(state: states.GroupState) -> None:
+    """Count the orders in flight as unanswered; some may not have been sent.
+
+    The answers that still arrive are counted as usual.
+    """
+    until_ms = state.stepped_ms + state.limits.late_order_ms
+    for order in state.outstanding_orders.values():
+        if order.in_flight:
+            order.in_flight = 0
+            order.unanswered_until_ms = until_ms
 
 
 def expire(state: states.GroupState, now_ms: int) -> list:
@@ -147,9 +172,10 @@
 
 
 def _may_be_carried_out(order: Outstanding, now_ms: int) -> bool:
-    return bool(order.in_flight) or now_ms < max(
-        order.unanswered_until_ms, order.accepted_until_ms
-    )
+    if order.in_flight:
+        return True
+    until_ms = max(order.unanswered_until_ms, order.accepted_until_ms)
+    return now_ms < until_ms and not order.has_ended
 
 
 def _outstanding(state: states.GroupState, upstream: str) -> Outstanding:
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -67,7 +67,7 @@
         return _yield_lease(state)
     if now_ms < state.next_promotion_ms:
         return []
-    loss = failure_detection.detect_loss(state, now_ms)
+    loss = _detect_loss(state, now_ms)
     if loss is not None:
         return _begin_attempt(state, now_ms, loss.upstream, loss.why, loss)
     if lone_primary.is_due(state, now_ms):
@@ -85,6 +85,23 @@
     return promotion_commands.resume_paused(state, now_ms)
 
 
+def _detect_loss(
+    state: states.GroupState, now_ms: int
+) -> failure_detection.Loss | None:
+    """Return the loss of the primary unless it works and has to stay.
+
+    While an order for another upstream may be carried out, a primary that
+    answers is needed: that upstream may still lack what it holds.
+    """
+    loss = failure_detection.detect_loss(state, now_ms)
+    is_kept = (
+        loss is not None
+        and loss.replaced
+        and outstanding_orders.blocks(state, now_ms, loss.upstream)
+    )
+    return None if is_kept else loss
+
+
 def _yield_lease(state: states.GroupState) -> list:
     """Yield the promotion lease to the proxy that paused the members."""
     state.holds_promotion_lease = False
@@ -147,10 +164,7 @@
         attempt.unconfirmed = loss.unconfirmed or loss.replaced
         attempt.is_query_only = loss.unconfirmed and not is_optional
     attempt.is_optional = is_optional
-    attempt.is_lease_shown = (
-        state.limits.checks_tokens
-        or promotion_lease.surely_held_recently(state, now_ms)
-    )
+    attempt.is_lease_shown = state.limits.checks_tokens
     attempt.since_ms = now_ms if loss is None else loss.since_ms
     state.promotion = attempt
     event = (
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -16,6 +16,7 @@
     'may_resume',
     'surely_held_recently',
     'verify',
+    'VERIFIED_FOR_MS',
 ]
 
 # A leadership check is answered within a few ms and a promotion takes at least
@@ -27,6 +28,11 @@
 # Longer than an order takes. A proxy that gains the lease after it was sent
 # has hardly ordered another upstream by then.
 RESUME_AFTER_ORDER_MS = 500
+# For how long a lease that was verified is held at least. An attempt that
+# orders nobody ends before that, so that it can resume what it has paused.
+VERIFIED_FOR_MS = 1000
+# Time for what is sent to arrive.
+RESUME_MARGIN_MS = 100
 # The store answers within a few ms, or is away for a while.
 VERIFY_INTERVAL_MS = 250
 # Why an order is sent that changes nothing.
@@ -117,8 +123,12 @@
     was replaced. If it resumed members that its successor has paused, they
     would confirm writes that the ordered upstream lacks.
     """
-    shown_ms = max(state.order_accepted_sent_ms, state.lease_verified_ms)
-    return now_ms - shown_ms <= RESUME_AFTER_ORDER_MS
+    since_order_ms = now_ms - state.order_accepted_sent_ms
+    since_check_ms = now_ms - state.lease_verified_ms
+    return (
+        since_order_ms <= RESUME_AFTER_ORDER_MS
+        or since_check_ms <= VERIFIED_FOR_MS - RESUME_MARGIN_MS
+    )
 
 
 def fence_earlier_orders(state: states.GroupState, now_ms: int) -> list:
--- a/topazring/core/synchronous/restart.py
+++ b/topazring/core/synchronous/restart.py
@@ -8,6 +8,7 @@
 
 from topazring.core import outcomes
 from topazring.core.synchronous import completion
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import state as states
 
 __all__ = ['outcome_after_restart', 'recreate_state']
@@ -50,6 +51,7 @@
     renewed.began_ms = state.began_ms
     renewed.token = state.token
     renewed.granted_token = state.granted_token
+    outstanding_orders.give_up_in_flight(state)
     renewed.outstanding_orders = state.outstanding_orders
     renewed.recorded_orders = state.recorded_orders
     renewed.unknown_orders_until_ms = state.unknown_orders_until_ms
--- a/topazring/core/synchronous/tests/test_outstanding_orders.py
+++ b/topazring/core/synchronous/tests/test_outstanding_orders.py
@@ -258,6 +258,8 @@
         self.assertTrue(self.is_outstanding())
         names = {'u1', 'u2', 'u3'} - {name}
         self.driver.list_upstreams(names=sorted(names), revision=3)
+        # The copy that was sent again.
+        answer(self.driver, self.sent, OrderResult.UNANSWERED)
         self.assertFalse(self.is_outstanding())
 
     def test_upstream_was_recreated(self):
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -85,6 +85,8 @@
         # Returns, right before an order, whether the lease is still held, or,
         # where the platform checks no tokens, whether nobody else can hold it.
         self.verify_holder = None
+        # The highest token of an order that the core has decided on.
+        self.newest_token = 0
         # Records an order in the store, right before it is sent; None where
         # the platform checks tokens.
         self.record_order = None
@@ -234,6 +236,7 @@
                 if link is not None:
                     link.close()
             case messages.OrderPromotion():
+                self.newest_token = max(self.newest_token, out.token)
                 self._spawn(self._order_promotion(out))
             case messages.OrdersOutstanding():
                 if self.keep_orders is not None:
@@ -331,7 +334,10 @@
         if self.record_order is None:
             return None if is_held else messages.OrderResult.REFUSED
         is_recent = clock.boottime_ms() - began_ms <= MAX_ORDER_AGE_MS
-        return None if is_held and is_recent else messages.OrderResult.WITHHELD
+        is_newest = out.token >= self.newest_token
+        if is_held and is_recent and is_newest:
+            return None
+        return messages.OrderResult.WITHHELD
 
     async def _is_lease_held(self) -> bool:
         return self.verify_holder is None or await self.verify_holder()
--- a/topazring/pooler/order_records.py
+++ b/topazring/pooler/order_records.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 
 import msgspec
 
@@ -73,6 +74,9 @@
         self.is_stored_incomplete = False
         # Revision of the record, None while it is not known.
         self.revision: int | None = None
+        # A write got no answer. It may be done later, as long as the record
+        # has the revision that it names.
+        self.is_unresolved = False
         self.lock = asyncio.Lock()
         self.settled = asyncio.Event()
         self.task: asyncio.Task | None = None
@@ -113,6 +117,8 @@
         self.wanted = dict(self.earlier)
         self.stored = dict(self.earlier)
         self.revision = None
+        # The write of the claim moved the revision.
+        self.is_unresolved = False
         self.is_stored_incomplete = self.is_earlier_incomplete
         if self.is_earlier_incomplete:
             now_ms = clock.boottime_ms()
@@ -140,20 +146,26 @@
         """Record an order; return whether the store holds the record."""
         if not self.token:
             return False
-        recorded = self.wanted.get(service, frozenset())
-        self.wanted[service] = recorded | {upstream}
-        try:
+        self.wanted[service] = self.outstanding(service) | {upstream}
+        is_recorded = False
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(RECORD_TIMEOUT_S):
-                while not self._is_stored(service, upstream):
-                    if not await self._write():
-                        await asyncio.sleep(RETRY_S)
-                    if not self.token:
-                        return False
-        except TimeoutError:
+                is_recorded = await self._record(service, upstream)
+        if not is_recorded:
             inputs = {'upstream': upstream}
             self.log.emit('duty', 'order not recorded', '', service, inputs)
-            return False
-        return True
+        return is_recorded
+
+    async def _record(self, service: str, upstream: str) -> bool:
+        """Write until the store holds an order, or it is not to any more."""
+        token = self.token
+        while not self._is_stored(service, upstream):
+            if not await self._write():
+                await asyncio.sleep(RETRY_S)
+            is_wanted = upstream in self.outstanding(service)
+            if self.token != token or not is_wanted:
+                return False
+        return self.token == token
 
     def keep_only(
         self, service: str, upstreams: collections.abc.Set[str]
@@ -171,8 +183,9 @@
         return self.wanted.get(service, frozenset())
 
     def _is_stored(self, service: str, upstream: str) -> bool:
-        stored = self.stored or {}
-        return upstream in stored.get(service, frozenset())
+        if self.stored is None or self.is_unresolved:
+            return False
+        return upstream in self.stored.get(service, frozenset())
 
     def is_incomplete(self) -> bool:
         """Return whether orders may be carried out that nobody recorded."""
@@ -182,6 +195,7 @@
         return (
             self.wanted == self.stored
             and self.is_stored_incomplete == self.is_incomplete()
+            and not self.is_unresolved
         )
 
     def _is_ready(self) -> bool:
@@ -210,6 +224,7 @@
             text = self._encode(token, wanted, is_incomplete)
             revision, self.revision = self.revision, None
             self.stored = None
+            self.is_unresolved = True
             answer = await self.store.put_all(
                 (key_value.Value(KEY, text, revision),)
             )
@@ -220,6 +235,7 @@
                 self.revision = answer.revision
                 self.stored = wanted
                 self.is_stored_incomplete = is_incomplete
+                self.is_unresolved = False
             return True
 
     async def _read(self, token: int) -> bool:
@@ -271,7 +287,8 @@
     check tokens, write none.
     """
     if block is None:
-        return True
+        # Nobody has held the lease, or an older copy of the store lacks it.
+        return not least_token
     last_token = int(block.value)
     return (
         record is not None
--- a/topazring/pooler/promotion_lease.py
+++ b/topazring/pooler/promotion_lease.py
@@ -22,6 +22,7 @@
 
 from topazring.core import revisions
 from topazring.core.synchronous import listing as listings
+from topazring.core.synchronous import promotion_lease as lease_rules
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.plumbing import events
@@ -68,7 +69,7 @@
 ORDER_CHECK_TIMEOUT_S = 0.25
 # How long the lease has to last beyond a check where the platform would carry
 # out an order that a later holder has overtaken.
-MIN_VALID_MS = 1000
+MIN_VALID_MS = lease_rules.VERIFIED_FOR_MS
 # Pause after yielding. Partitions last for seconds; if all other proxies are
 # affected too, this one tries again after that.
 YIELD_PAUSE_MS = 3000
