Soak proxies where orders are late and tokens are not checked

What callers saw: acknowledged writes were lost on a platform that checks no tokens. The stand-ins for the platform all check them and carry out each order at once, so no soak could show it.

The store of the tests can now accept any token, and leave orders without an answer and carry them out later. Where it checks no tokens it records an order with a lower token than one before, and the soak reports that as a violation. The soak has a family of faults, orders, that is drawn only if asked for: seeds keep their schedules. The stage notes an order as it arrives, not as it is carried out, so a test need not list one first (test_splits).

--- a/topazring/platform/tests/fake_store.py
+++ b/topazring/platform/tests/fake_store.py
@@ -12,6 +12,8 @@
 # What the operator and the upstreams write; they write it again when the
 # store has returned from an older copy.
 REWRITTEN_PREFIXES = ('op/', 'servers/')
+# Longer than any client waits for an answer.
+UNANSWERED_S = 30
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,9 +53,17 @@
         self.loses_responses = False
         self.calls: list[str] = []
         self.orders: list[dict] = []
+        # Called with each order that is not refused for its token.
+        self.note_order = lambda order: None
         # Called with the service and upstream of an accepted order.
         self.promote = lambda service, upstream: True
         self.highest_token = 0
+        # Whether an order with a lower token than one before is refused.
+        self.checks_tokens = True
+        # How late each of the next orders is carried out; it is not answered.
+        self.late_orders_s: list[float] = []
+        # What no platform should receive, whether or not it checks tokens.
+        self.violations: list[str] = []
         self.server: httpserver.HTTPServer | None = None
 
     def start(self, ports: list[int]) -> None:
@@ -103,6 +113,15 @@
         """Return the value of a key."""
         return base64.b64decode(self.items[key]['value']).decode()
 
+    def receive_unchecked(self, order: dict) -> None:
+        """Record an order where tokens are not checked, but only grow."""
+        token, holder = order['token'], order['holder']
+        if token < self.highest_token:
+            text = f'{holder} orders {order["id"]} with token {token}'
+            self.violations.append(f'{text} after {self.highest_token}')
+        self.highest_token = max(token, self.highest_token)
+        self.note_order(order)
+
     async def put_json(self, key: str, value: dict) -> int:
         """Write a value as JSON, as the operator and the upstreams do."""
         return await self.put(key, json.dumps(value))
@@ -191,7 +210,7 @@
     async def respond(self, body: dict) -> None:
         """Send the response, unless responses are to be lost."""
         if self.store.loses_responses:
-            await asyncio.sleep(30)
+            await asyncio.sleep(UNANSWERED_S)
         self.write(body)
 
 
@@ -326,16 +345,30 @@
 class Promote(_Handler):
     """Receive a promotion order."""
 
-    async def post(self) -> None:
-        """Check the fencing token, then promote the upstream."""
-        store = self.store
-        body = self.body()
+    async def prepare(self) -> None:
+        """Receive the order, then fail or delay it as configured."""
         token = int(self.request.headers['X-Topazring-Fencing-Token'])
         holder = self.request.headers['X-Topazring-Lease-Holder']
-        store.orders.append({**body, 'token': token, 'holder': holder})
-        if token < store.highest_token:
-            self.set_status(409)
-            return
-        store.highest_token = token
-        if not store.promote(body['service'], body['id']):
+        self.order = {**self.body(), 'token': token, 'holder': holder}
+        if not self.store.checks_tokens:
+            self.store.receive_unchecked(self.order)
+        await super().prepare()
+
+    async def post(self) -> None:
+        """Check the fencing token, then promote the upstream."""
+        store, order = self.store, self.order
+        store.orders.append(order)
+        if store.checks_tokens:
+            if order['token'] < store.highest_token:
+                self.set_status(409)
+                return
+            store.highest_token = order['token']
+            store.note_order(order)
+        target = (order['service'], order['id'])
+        if store.late_orders_s:
+            late_s = store.late_orders_s.pop(0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(late_s, store.promote, *target)
+            await asyncio.sleep(UNANSWERED_S)
+        elif not store.promote(*target):
             self.set_status(409)
--- a/topazring/platform/tests/soak_stage.py
+++ b/topazring/platform/tests/soak_stage.py
@@ -32,6 +32,12 @@
 MAX_COPY_AGE_S = 6.0
 COPY_INTERVAL_S = 0.2
 MAX_AWAY_S = 2.5
+# The platform carries no order out later than the processes are told.
+LATE_ORDER_MS = 6000
+LATE_ORDERS_S = (0.4, 1.0, 2.2, 4.5)
+MAX_LATE_ORDERS = 3
+# The loss of a primary is noticed, and replicas are paused, before an order.
+LATE_ORDERS_WAIT_S = 1.5
 _NOT_RUN_CODES = (
     'BUSY',
     'ABORTED',
@@ -199,7 +205,9 @@
         self.upstreams = soak_upstreams.Upstreams(
             self.store, self.links, self.oracle.note, schedule.promote_ms
         )
+        self.store.note_order = self.upstreams.note_order
         self.store.promote = self.upstreams.promote
+        self.store.checks_tokens = 'orders' not in schedule.families
         self.rotation: list[support.Proxy] = []
         self.instances: list[support.Proxy] = []
         self.proxies = proxies
@@ -218,6 +226,10 @@
             link_port = await self.links.open(f'{name}/service', port)
             own_ports = ports.find_free_ports(4)
             proxy = support.Proxy(name, link_port, self.folder, own_ports)
+            proxy.changed_settings = {
+                'checks_tokens': self.store.checks_tokens,
+                'late_order_ms': LATE_ORDER_MS,
+            }
             self.instances.append(proxy)
             if self.has_peer_links:
                 await self._open_peer_links(proxy)
@@ -409,6 +421,8 @@
             await self._split(how, choice, for_ms, gap_ms)
         elif part == 'returns':
             await self._return_older(how, choice, for_ms, gap_ms)
+        elif part == 'orders':
+            await self._delay_orders(how, choice, for_ms, gap_ms)
         else:
             await self.upstreams.disturb(how, choice, for_ms, gap_ms)
 
@@ -423,6 +437,23 @@
             await self.store.return_older(choice, away_s)
             self._log('returned older', part='store', era=self.store.era)
 
+    async def _delay_orders(
+        self, how: str, choice: float, for_ms: int, gap_ms: int
+    ) -> None:
+        """Leave the next orders without an answer, beside another fault."""
+        rng = random.Random(choice)
+        count = rng.randint(1, MAX_LATE_ORDERS)
+        late_s = [rng.choice(LATE_ORDERS_S) for _ in range(count)]
+        self.store.late_orders_s = late_s
+        self._log('late orders', part='orders', late_s=list(late_s))
+        other = how.removeprefix('late orders').removeprefix(' beside ')
+        if other in ('crash primary', 'isolate'):
+            await self.disturb('upstreams', other, choice, for_ms, gap_ms)
+        elif other:
+            await self.disturb('service', other, choice, for_ms, gap_ms)
+        await asyncio.sleep(LATE_ORDERS_WAIT_S)
+        late_s.clear()
+
     async def _split(
         self, how: str, choice: float, for_ms: int, gap_ms: int
     ) -> None:
--- a/topazring/platform/tests/soak_upstreams.py
+++ b/topazring/platform/tests/soak_upstreams.py
@@ -106,11 +106,13 @@
             }
         return counts
 
-    def promote(self, service: str, name: str) -> bool:
-        """Record and carry out an order that the store has accepted."""
-        order = self.store.orders[-1]
-        fields = (name, order['holder'], order['token'])
+    def note_order(self, order: dict) -> None:
+        """Record an order."""
+        fields = (order['id'], order['holder'], order['token'])
         self.note(observations.Ordered(environment.now_ms(), *fields))
+
+    def promote(self, service: str, name: str) -> bool:
+        """Carry out an order that the store has accepted."""
         if name in self.links.far:
             return False
         return self.group.promote(service, name)
--- a/topazring/platform/tests/support.py
+++ b/topazring/platform/tests/support.py
@@ -96,6 +96,8 @@
         self.caller_port, self.ready_port, self.peer_port = ports[:3]
         self.hop_port = ports[3]
         self.store_port = store_port
+        # Settings that differ from the usual ones.
+        self.changed_settings: dict[str, object] = {}
         self.path = pathlib.Path(folder) / f'{name}.json'
         self.log = pathlib.Path(folder) / f'{name}.log'
         self.process: asyncio.subprocess.Process | None = None
@@ -118,6 +120,7 @@
             'checks_tokens': True,
             'max_descriptors': 420,
             'not known yet': True,
+            **self.changed_settings,
         }
         self.path.write_text(json.dumps(settings))
 
--- a/topazring/soak/checks.py
+++ b/topazring/soak/checks.py
@@ -251,6 +251,16 @@
         yield f'{ordered.holder} and {holder} both used {ordered.token}'
 
 
+@check(observations.Ordered)
+def tokens_only_grow(facts: Facts, ordered: observations.Ordered) -> Failures:
+    """No order comes with a lower token than one before."""
+    if ordered.token < facts.highest_token:
+        yield (
+            f'{ordered.holder} orders {ordered.upstream} with token '
+            f'{ordered.token} after {facts.highest_token}'
+        )
+
+
 # ---- time limits ----
 
 
--- a/topazring/soak/facts.py
+++ b/topazring/soak/facts.py
@@ -63,6 +63,7 @@
     )
     # By token: the first holder that used it.
     token_holders: dict[int, str] = dataclasses.field(default_factory=dict)
+    highest_token: int = 0
     drain_start_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     versions: list[observations.InForce] = dataclasses.field(
         default_factory=list
@@ -119,6 +120,7 @@
             facts.token_holders.setdefault(
                 observation.token, observation.holder
             )
+            facts.highest_token = max(facts.highest_token, observation.token)
         case observations.Led():
             _record_leader(facts, observation)
         case observations.Leaves():
--- a/topazring/soak/faults.py
+++ b/topazring/soak/faults.py
@@ -27,9 +27,12 @@
 SPLIT_MAX_MS = 10_000
 SPLIT_SCALE = 2.5
 # Drawn only if asked for, so that each seed keeps the families it draws.
-OPTIONAL_FAMILIES = ('splits', 'returns')
+OPTIONAL_FAMILIES = ('splits', 'returns', 'orders')
 # The effects of a fault may last this long after its end.
 AFTEREFFECT_MS = 2000
+# For so long after an order without an answer, it may be that nobody else is
+# promoted.
+LATE_ORDERS_MS = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -294,6 +297,14 @@
     },
     'splits': {'split': 2, 'split primary and replica': 2},
     'returns': {'return older': 3, 'return older twice': 1},
+    'orders': {
+        'late orders': 3,
+        'late orders beside crash primary': 4,
+        'late orders beside isolate': 2,
+        'late orders beside down': 1,
+        'late orders beside loses answers': 1,
+        'late orders beside turns away': 1,
+    },
     'links': {
         'delayed': 2,
         'reset': 2,
@@ -311,7 +322,11 @@
     if family == 'splits':
         for_ms = min(SPLIT_MIN_MS + int(SPLIT_SCALE * for_ms), SPLIT_MAX_MS)
     if family != 'releases' or how == 'release beside deaf':
-        _note_disturbance(env, family, for_ms + gap_ms + AFTEREFFECT_MS)
+        # Orders are late beside faults of the platform's service.
+        where = 'service' if family == 'orders' else family
+        _note_disturbance(env, where, for_ms + gap_ms + AFTEREFFECT_MS)
+    if family == 'orders':
+        _note_disturbance(env, family, for_ms + LATE_ORDERS_MS)
     await env.disturb(family, how, choice, for_ms, gap_ms)
 
 
--- a/topazring/soak/tests/test_oracle.py
+++ b/topazring/soak/tests/test_oracle.py
@@ -43,8 +43,8 @@
         """Have an upstream lead with an empty log."""
         self.note(observations.Led, upstream, term, [])
 
-    def order(self, upstream, holder):
-        self.note(observations.Ordered, upstream, holder, 7)
+    def order(self, upstream, holder, token=7):
+        self.note(observations.Ordered, upstream, holder, int(token))
 
     def ask(self, request_id, verb=Verb.WRITE, age=2000, **more):
         ask = observations.Ask(request_id, verb, 'k', 'd')
@@ -172,6 +172,7 @@
         'ask q1; run q1; commit q1; lead u2 2; answer q1',
     ),
     ('one_holder', 'order u1 p1; order u2 p1; order u2 p2'),
+    ('tokens_only_grow', 'order u1 p1 8; order u2 p2 9; order u3 p1 7'),
     ('all_is_answered', 'ask q1; wait 12000; finish'),
     ('all_is_kept', 'write q1; finish empty'),
     ('all_is_kept', 'ask q1; refuse q1; find q1; finish'),
@@ -205,6 +206,7 @@
     # The request was in flight when the instance ended its session.
     'trouble p1 yes; ask q1; cut q1',
     'exit 0; exit -9; exit -15',
+    'order u1 p1 7; order u1 p1 7; order u2 p2 9',
 ]
 
 
--- a/topazring/soak/tests/test_schedules.py
+++ b/topazring/soak/tests/test_schedules.py
@@ -35,6 +35,7 @@
             families = schedules.draw(seed, 20).families
             self.assertNotIn('splits', families)
             self.assertNotIn('returns', families)
+            self.assertNotIn('orders', families)
         known = schedules.draw(1119, 20)
         self.assertEqual(('service',), known.families)
         self.assertEqual('forgets', known.steps[0].fault)
--- a/topazring/soak/tests/test_splits.py
+++ b/topazring/soak/tests/test_splits.py
@@ -211,7 +211,6 @@
         self.assertTrue(await self.group.append(primary, 'q1', [('k', 'd')]))
         await asyncio.sleep(soak_upstreams.ENTRY_TIMEOUT_S)
         self.assertEqual(everyone - far, self.listed())
-        self.stage.store.orders.append({'holder': 'p1', 'token': 1})
         ordered = self.stage.upstreams.promote(support.SERVICE, primary.name)
         self.assertFalse(ordered)
         self.assertEqual(far, self.holders('q1'))
