Lose a successor while the order for it is late, in the soak

The first form of the family orders crashed one primary at a time. Now some faults crash the primary and then its successor, which receives nothing once it is back, and the longest delay comes first.

--- a/topazring/platform/tests/soak_stage.py
+++ b/topazring/platform/tests/soak_stage.py
@@ -34,10 +34,13 @@
 MAX_AWAY_S = 2.5
 # The platform carries no order out later than the processes are told.
 LATE_ORDER_MS = 6000
-LATE_ORDERS_S = (0.4, 1.0, 2.2, 4.5)
+LATE_ORDERS_S = (1.0, 2.5, 4.5)
 MAX_LATE_ORDERS = 3
 # The loss of a primary is noticed, and replicas are paused, before an order.
 LATE_ORDERS_WAIT_S = 1.5
+# A successor leads before it is lost, and is back before its late order.
+CRASH_MIN_MS = 1200
+CRASH_MAX_MS = 2200
 _NOT_RUN_CODES = (
     'BUSY',
     'ABORTED',
@@ -444,16 +447,31 @@
         rng = random.Random(choice)
         count = rng.randint(1, MAX_LATE_ORDERS)
         late_s = [rng.choice(LATE_ORDERS_S) for _ in range(count)]
+        late_s.sort(reverse=True)
         self.store.late_orders_s = late_s
         self._log('late orders', part='orders', late_s=list(late_s))
         other = how.removeprefix('late orders').removeprefix(' beside ')
-        if other in ('crash primary', 'isolate'):
+        if other == 'crash in turn':
+            await self._crash_in_turn(choice, for_ms, gap_ms)
+        elif other in ('crash primary', 'isolate'):
             await self.disturb('upstreams', other, choice, for_ms, gap_ms)
         elif other:
             await self.disturb('service', other, choice, for_ms, gap_ms)
         await asyncio.sleep(LATE_ORDERS_WAIT_S)
         late_s.clear()
 
+    async def _crash_in_turn(
+        self, choice: float, for_ms: int, gap_ms: int
+    ) -> None:
+        """Crash the primary and its successor, which is deaf when back."""
+        for_ms = min(max(for_ms, CRASH_MIN_MS), CRASH_MAX_MS)
+        for _ in range(2):
+            lost = self.upstreams.group.primary()
+            fault = ('upstreams', 'crash primary', choice, for_ms, gap_ms)
+            await self.disturb(*fault)
+        late_ms = max(LATE_ORDERS_S) * 1000
+        lost.deaf_until_ms = environment.now_ms() + late_ms
+
     async def _split(
         self, how: str, choice: float, for_ms: int, gap_ms: int
     ) -> None:
--- a/topazring/soak/faults.py
+++ b/topazring/soak/faults.py
@@ -32,7 +32,7 @@
 AFTEREFFECT_MS = 2000
 # For so long after an order without an answer, it may be that nobody else is
 # promoted.
-LATE_ORDERS_MS = 10_000
+LATE_ORDERS_MS = 12_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -299,7 +299,8 @@
     'returns': {'return older': 3, 'return older twice': 1},
     'orders': {
         'late orders': 3,
-        'late orders beside crash primary': 4,
+        'late orders beside crash primary': 2,
+        'late orders beside crash in turn': 4,
         'late orders beside isolate': 2,
         'late orders beside down': 1,
         'late orders beside loses answers': 1,
