Replace a lone primary where tokens are unchecked without an order first

Found by reading: a relief waited for the lease to be verified after it was decided, but the check before the decision counted as recent, so that none was made. The replacement verifies the lease by itself before it pauses anybody.

test_lone_primary_is_replaced failed before.

--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -154,8 +154,10 @@
         return []
     if state.fence_token:
         return []
-    is_to_verify = _is_lease_to_verify(state, now_ms)
-    if not state.needs_fencing and not is_to_verify:
+    is_relief_due = now_ms < state.relief_until_ms
+    is_to_verify = _must_resume(state) or is_relief_due
+    is_shown = surely_held_recently(state, now_ms)
+    if not state.needs_fencing and (is_shown or not is_to_verify):
         return []
     if now_ms - proofs.proven_until_ms(state) > PROOF_MAX_AGE_MS:
         return []
@@ -171,13 +173,9 @@
     return [sent_orders.send(state, now_ms, state.primary, state.token, why)]
 
 
-def _is_lease_to_verify(state: states.GroupState, now_ms: int) -> bool:
-    """Return whether a step waits for proof that the lease is held."""
-    is_any_paused = bool(state.paused - {state.primary})
-    is_relief_due = now_ms < state.relief_until_ms
-    return (is_any_paused or is_relief_due) and not surely_held_recently(
-        state, now_ms
-    )
+def _must_resume(state: states.GroupState) -> bool:
+    """Return whether a member may be paused for an attempt that ended."""
+    return bool(state.paused - {state.primary})
 
 
 def _wait_for_earlier_orders(state: states.GroupState, now_ms: int) -> list:
@@ -185,7 +183,7 @@
     if outstanding_orders.blocks(state, now_ms, state.primary):
         return []
     state.needs_fencing = False
-    if not _is_lease_to_verify(state, now_ms):
+    if not _must_resume(state) or surely_held_recently(state, now_ms):
         return []
     return verify(state, now_ms)
 
--- a/topazring/core/synchronous/scheduling/lone_primary.py
+++ b/topazring/core/synchronous/scheduling/lone_primary.py
@@ -70,15 +70,16 @@
 
 
 def is_due(state: states.GroupState, now_ms: int) -> bool:
-    """Return whether it was decided, and the lease was shown to be held since.
+    """Return whether it was decided, and the platform accepted an order since.
 
-    The platform has accepted an order that names the present primary, or, if
-    it checks no tokens, the lease was verified and no order is outstanding.
+    The order names the present primary and changes nothing. A platform that
+    checks no tokens is sent none: the replacement itself verifies the lease,
+    and waits until no order is outstanding.
     """
-    shown_ms = max(state.order_accepted_sent_ms, state.lease_verified_ms)
+    is_accepted = state.order_accepted_sent_ms >= state.relief_decided_ms
     return (
         now_ms < state.relief_until_ms
-        and shown_ms >= state.relief_decided_ms
+        and (is_accepted or not state.limits.checks_tokens)
         and not state.needs_fencing
         and not outstanding_orders.blocks(state, now_ms, '')
         and state.proven_primary == state.primary
--- a/topazring/core/synchronous/tests/test_late_orders.py
+++ b/topazring/core/synchronous/tests/test_late_orders.py
@@ -20,6 +20,8 @@
 WALKS = 25
 STEPS = 400
 OPEN_WALK = 4
+RELIEF_WALKS = 8
+RELIEF_STEPS = 300
 SHORT_WALKS = 20
 SHORT_STEPS = 100
 # How long a member that started again receives nothing.
@@ -268,6 +270,17 @@
         """Guards against a late order where a primary serves alone."""
         self.walk(range(WALKS), STEPS, walks.CROWDS)
 
+    def test_lone_primary_is_replaced(self):
+        """Guards against a relief that waits for an order without effect."""
+        replaced = 0
+        for seed in range(RELIEF_WALKS):
+            world = walks.walk(
+                seed, RELIEF_STEPS, walks.CROWDS, platform=UNCHECKED
+            )
+            for state in world.states.values():
+                replaced += state.counters['lone_primary_replaced']
+        self.assertGreater(replaced, 0)
+
     def test_walks_through_releases(self):
         """Guards against a late order while members are replaced."""
         self.walk(range(WALKS), STEPS, walks.RELEASES, walks.SLOW_PROMOTE_MS)
