Wait for a lease holder before test_late_orders kills it

What was seen: one run of test_new_holder found no proxy that reported the lease, 0.5 s after the first acknowledged write (ValueError in kill_holder). The kept logs hold no line about the lease, so whether it was not acquired yet or not reported is not known. What the test demands of the new holder is unchanged.

Evidence: test_new_holder and test_holder_is_killed pass, one run each.

--- a/topazring/platform/tests/test_late_orders.py
+++ b/topazring/platform/tests/test_late_orders.py
@@ -136,6 +136,8 @@
 
     async def kill_holder(self) -> None:
         """Kill the lease holder; it restarts soon."""
+        # The lease may be acquired only after the first writes.
+        await support.wait_until(self.holders, WITHIN_S)
         (holder,) = await self.holders()
         choice = (self.stage.instances.index(holder) + 0.5) / PROXIES
         await faults.inject(self.stage, faults.Step(0, 'kill', choice, 0, 100))
