--- a/review/common/backends.py
+++ b/review/common/backends.py
@@ -52,6 +52,13 @@
         for backend in self.backends:
             await backend.start()
 
+    async def add_replica(self, zone):
+        """Start another replica; it holds what the primary holds."""
+        name = f'i-{self.name}-{len(self.backends)}'
+        replica = Backend(self, name, zone, False)
+        self.backends.append(replica)
+        await replica.start()
+
     def close(self):
         """Stop all backends."""
         for backend in self.backends:
@@ -71,7 +78,9 @@
         self.zone = zone
         self.leads = leads
         self.sequence = 0
+        self.state = 'ready'
         self.connections = 0
+        self.writers = set()
         self.held_term = 0
         # Called with the text of each statement; returns an error or None.
         self.fault = lambda text: None
@@ -94,25 +103,41 @@
         self.task.cancel()
         self.server.close()
 
+    def drain(self):
+        """Report that it leaves; it goes on serving until it exits."""
+        self.state = 'draining'
+        self._beat()
+
+    def exit(self):
+        """Leave: remove the entry and close all connections."""
+        self.close()
+        for writer in self.writers:
+            writer.close()
+        self.service.store.remove(f'servers/{self.name}')
+
     async def _beat_forever(self):
         while True:
-            self.sequence += 1
-            entry = {
-                'service': self.service.name,
-                'address': self.address,
-                'zone': self.zone,
-                'version': 'v1',
-                'capacity': 3,
-                'state': 'ready',
-                'cold-left-ms': 0,
-                'db-role': 'primary' if self.leads else 'replica',
-                'sequence': self.sequence,
-            }
-            self.service.store.put_json(f'servers/{self.name}', entry)
+            self._beat()
             await asyncio.sleep(1.2)
 
+    def _beat(self):
+        self.sequence += 1
+        entry = {
+            'service': self.service.name,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'capacity': 3,
+            'state': self.state,
+            'cold-left-ms': 0,
+            'db-role': 'primary' if self.leads else 'replica',
+            'sequence': self.sequence,
+        }
+        self.service.store.put_json(f'servers/{self.name}', entry)
+
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.writers.add(writer)
         try:
             line = (await reader.readline()).decode().rstrip('\r\n')
             fields = line.split(' ')
@@ -146,6 +171,7 @@
             pass
         finally:
             self.connections -= 1
+            self.writers.discard(writer)
             writer.close()
 
 
--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -205,6 +205,10 @@
         if self.orders is not None:
             self.orders.close()
         self.store.close()
+        if os.environ.get('KEEP'):
+            shutil.copytree(
+                self.folder, os.environ['KEEP'], dirs_exist_ok=True
+            )
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
