--- a/review/common/backends.py
+++ b/review/common/backends.py
@@ -64,6 +64,10 @@
         for backend in self.backends:
             backend.close()
 
+    def promote(self, name):
+        """Accept an order for the present primary; it changes nothing."""
+        return name == self.backends[0].name
+
     def place(self):
         """Return the position of the log."""
         return f'{self.term}.{self.number}'
--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -17,6 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ('cork-hall', 'galway-hall', 'sligo-hall')
 CONFIG_APPLY_S = 3.0
+PORTS = range(18000, 30000)
 COMMAND = ('python3', '-P', '-m', 'topazring.platform.main')
 BOUNDS = {
     'config_apply_ms': 3000,
@@ -50,14 +52,22 @@
 
 
 def free_ports(count):
-    """Return ports that nobody uses now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return ports that nobody uses now.
+
+    They lie below the range from which the kernel takes ports for outgoing
+    connections, so that none of these gets one before its process listens.
+    """
+    found = []
+    for port in random.sample(PORTS, len(PORTS)):
+        with socket.socket() as each:
+            try:
+                each.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        found.append(port)
+        if len(found) == count:
+            return found
+    raise CannotRun('too few free ports')
 
 
 class Stage:
@@ -78,7 +88,7 @@
         """Start all; return once each proxy is ready and knows its peers."""
         await self.store.start()
         self.orders = await asyncio.start_server(
-            self._answer_order, '127.0.0.1', 0
+            self.answer_order, '127.0.0.1', 0
         )
         for place in range(self.service_count):
             name = f's{place + 1}'
@@ -89,7 +99,9 @@
         ports = [free_ports(4) for _ in range(self.proxy_count)]
         seeds = [f'127.0.0.1:{each[2]}' for each in ports[:3]]
         for place, own in enumerate(ports):
-            path = self._write_settings(place, own, seeds)
+            path = self.write_settings(
+                place, ZONES[place % 3], own, seeds, self.store.address
+            )
             proxy = Proxy(path, own[0], own[1])
             await proxy.start()
             self.proxies.append(proxy)
@@ -136,8 +148,8 @@
             f'(revision {revision}): {sorted(r[0] for r in routes)}'
         )
 
-    async def _answer_order(self, reader, writer):
-        """Accept a promotion of the present primary; it changes nothing."""
+    async def answer_order(self, reader, writer):
+        """Answer orders to promote."""
         try:
             while await reader.readline():
                 length = 0
@@ -146,13 +158,13 @@
                     if name.lower() == 'content-length':
                         length = int(value)
                 body = json.loads(await reader.readexactly(length))
-                leads = any(
-                    backend.name == body['id'] and backend.leads
+                accepted = any(
+                    service.name == body['service']
+                    and service.promote(body['id'])
                     for service in self.services
-                    for backend in service.backends
                 )
-                self.record.add(f'order to promote {body}: {leads}')
-                code = 200 if leads else 409
+                self.record.add(f'order to promote {body}: {accepted}')
+                code = 200 if accepted else 409
                 writer.write(
                     f'HTTP/1.1 {code} -\r\n'
                     'Content-Type: application/json\r\n'
@@ -165,19 +177,19 @@
         finally:
             writer.close()
 
-    def _write_settings(self, place, ports, seeds):
+    def write_settings(self, place, zone, ports, seeds, store_address):
         """Write what `deploy/settings.json` becomes; return its path."""
         front, ready, peer, hop = ports
         orders_port = self.orders.sockets[0].getsockname()[1]
         settings = {
-            'name': f'front-{ZONES[place % 3]}-{place}',
-            'data_centre': ZONES[place % 3],
+            'name': f'front-{zone}-{place}',
+            'data_centre': zone,
             'caller_address': f'127.0.0.1:{front}',
             'ready_address': f'127.0.0.1:{ready}',
             'peer_address': f'127.0.0.1:{peer}',
             'peers': seeds,
             'hop_address': f'127.0.0.1:{hop}',
-            'store_address': self.store.address,
+            'store_address': store_address,
             'orders_address': f'127.0.0.1:{orders_port}',
             **BOUNDS,
         }
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -21,23 +21,37 @@
         self.leases = {}
         self.lease_numbers = itertools.count(7001)
         self.changed = asyncio.Event()
-        self.server = None
+        self.servers = []
         self.address = ''
         self.task = None
 
     async def start(self):
         """Listen on a free port."""
-        self.server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0, limit=1 << 22
-        )
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
+        self.address = await self.listen({})
         self.task = asyncio.create_task(self._expire_forever())
 
+    async def listen(self, translated):
+        """Listen on another port; return its address.
+
+        Its callers get some addresses instead of others, so that a link of
+        the test lies on their way.
+        """
+
+        async def serve(reader, writer):
+            await self._serve(reader, writer, translated)
+
+        server = await asyncio.start_server(
+            serve, '127.0.0.1', 0, limit=1 << 22
+        )
+        self.servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        return f'127.0.0.1:{port}'
+
     def close(self):
         """Stop listening."""
         self.task.cancel()
-        self.server.close()
+        for server in self.servers:
+            server.close()
 
     def put(self, key, value, lease=0):
         """Write a value and return its revision: the acknowledgement."""
@@ -87,7 +101,7 @@
 
     # ---- HTTP ----
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, translated):
         try:
             while True:
                 line = (await reader.readline()).decode().split()
@@ -103,6 +117,12 @@
                         length = int(value)
                 body = await reader.readexactly(length) if length else b''
                 code, answer = await self._answer(line[0], line[1], body)
+                for name in ('items', 'events') if translated else ():
+                    if name in answer:
+                        answer[name] = [
+                            _translate(item, translated)
+                            for item in answer[name]
+                        ]
                 text = json.dumps(answer).encode()
                 writer.write(
                     f'HTTP/1.1 {code} -\r\n'
@@ -196,3 +216,13 @@
         for key in body.get('remove', []):
             self.remove(key)
         return 200, {'revision': self.revision}
+
+
+def _translate(item, translated):
+    """Return an item with the addresses that a caller is to use."""
+    if 'value' not in item:
+        return item
+    value = base64.b64decode(item['value'])
+    for address, used in translated.items():
+        value = value.replace(f'"{address}"'.encode(), f'"{used}"'.encode())
+    return {**item, 'value': base64.b64encode(value).decode()}
