--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """CONFIG: an entry of another writer ends the reading of the store."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -98,4 +99,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(stages.run_case(FOLDER, case))
+    # TROUBLE=0 does the same without the disruption.
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(stages.run_case(FOLDER, case, is_troubled))
--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -316,10 +316,9 @@
             self.writer.close()
 
 
-def run_case(folder, case):
+def run_case(folder, case, trouble):
     """Run a case; return 1 if the rule was broken, 0 if not, 2 if unable."""
     record = Record(pathlib.Path(folder, 'record.txt'))
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     record.add(f'with the disruption: {trouble}')
     try:
         broken = asyncio.run(case(record, trouble))
