Go on after an entry that cannot be read, and after a task that fails

What callers saw: after another program had written one entry with deep nesting under the upstreams' keys, every proxy refused a database that the operator added later (NODB) and ran requests of one that he had dropped, for good and while ready. A proxy that started then had no configuration.

The task that follows the store ended, and nothing noticed: asyncio keeps the error until the task is collected, and the directory holds it. The logs end without `bad entry` or `store lost`.

Fix: an entry is decoded and applied on its own, and whatever it raises makes it a bad entry, whose writer counts as missing. The readers of our own keys, `redact`, peers' answers and the store's answers do the same. Long-lived tasks are supervised: line, counter, a pause with jitter, and on. An unexpected error of a read counts as a store that does not answer, and changes that could not be put in force are reported again. An unreadable block of tokens keeps everybody from acquiring the lease, as a lower token must not be used.

test_group_task: the fake connection takes the new argument.

--- a/topazring/platform/store.py
+++ b/topazring/platform/store.py
@@ -6,6 +6,7 @@
 
 import base64
 import collections
+import typing
 import urllib.parse
 
 import msgspec
@@ -57,6 +58,9 @@
     revision: int
 
 
+_Body = typing.TypeVar('_Body')
+
+
 class StoreClient:
     """Call the store over HTTP and count the calls by path."""
 
@@ -80,7 +84,9 @@
             return reply
         if reply.code == 404:
             return key_value.Missing()
-        item = msgspec.json.decode(reply.body, type=_Item)
+        item = _decode_body(reply, _Item)
+        if isinstance(item, key_value.Unavailable):
+            return item
         revision = revisions.in_era(self.era, item.revision)
         return key_value.Found(_decode_value(item), revision)
 
@@ -127,7 +133,9 @@
             return key_value.Conflict()
         if reply.code == 404:
             return key_value.Missing()
-        written = msgspec.json.decode(reply.body, type=_Revision)
+        written = _decode_body(reply, _Revision)
+        if isinstance(written, key_value.Unavailable):
+            return written
         return key_value.Written(revisions.in_era(self.era, written.revision))
 
     async def read_all(
@@ -151,7 +159,9 @@
             reply = await self._call('GET', path)
             if isinstance(reply, key_value.Unavailable):
                 return reply
-            page = msgspec.json.decode(reply.body, type=_Page)
+            page = _decode_body(reply, _Page)
+            if isinstance(page, key_value.Unavailable):
+                return page
             if first_revision is None:
                 first_revision = page.current_rev
                 era = self.era
@@ -185,7 +195,9 @@
             return reply
         if reply.code == 410 or self.era > era:
             return key_value.HistoryCompacted()
-        page = msgspec.json.decode(reply.body, type=_Events)
+        page = _decode_body(reply, _Events)
+        if isinstance(page, key_value.Unavailable):
+            return page
         found = [_change(era, item) for item in page.events]
         upto = revisions.in_era(era, page.current_rev)
         return key_value.Changes(since, upto, found)
@@ -197,7 +209,9 @@
         reply = await self._call('POST', '/-/kv-lease', {'ttl-ms': ttl_ms})
         if isinstance(reply, key_value.Unavailable):
             return reply
-        lease = msgspec.json.decode(reply.body, type=_Lease)
+        lease = _decode_body(reply, _Lease)
+        if isinstance(lease, key_value.Unavailable):
+            return lease
         return key_value.Leased(lease.lease, lease.ttl_ms)
 
     async def renew_lease(
@@ -210,7 +224,9 @@
             return reply
         if reply.code == 404:
             return key_value.Missing()
-        renewed = msgspec.json.decode(reply.body, type=_Lease)
+        renewed = _decode_body(reply, _Lease)
+        if isinstance(renewed, key_value.Unavailable):
+            return renewed
         return key_value.Leased(lease, renewed.ttl_ms)
 
     async def end(self, lease: int) -> bool:
@@ -257,6 +273,17 @@
     return int(text) if text.isdecimal() else 0
 
 
+def _decode_body(
+    reply: httpclient.HTTPResponse, kind: type[_Body]
+) -> _Body | key_value.Unavailable:
+    """Return the decoded body; an unreadable one counts as no answer."""
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except Exception as error:
+        detail = f'unreadable answer: {type(error).__name__}: {error}'
+        return key_value.Unavailable(detail)
+
+
 def _decode_value(item: _Item) -> str:
     """Return an item's value, or an empty string if it is not text.
 
--- /dev/null
+++ b/topazring/platform/tests/test_other_writers.py
@@ -0,0 +1,100 @@
+"""Other programs write to the store too; the proxies go on."""
+
+import asyncio
+import signal
+
+from topazring.platform.tests import support
+
+# Deeper than a decoder follows.
+NESTED = '{"a":' * 1200 + '0' + '}' * 1200
+KEY = 'servers/i-other'
+PAUSE_S = 0.3
+
+
+class OtherWritersTest(support.PlatformTestCase):
+    """Entries that no upstream wrote change nothing."""
+
+    async def wait_in_force(self, name: str) -> None:
+        """Wait until each proxy accepts sessions of a new database."""
+
+        async def is_in_force() -> bool:
+            greetings = []
+            for number in range(len(self.proxies)):
+                caller = await self.session(name, number)
+                greetings += caller.greeting
+                caller.close()
+            return all(line.startswith('READY') for line in greetings)
+
+        await support.wait_until(is_in_force)
+
+    async def replace_route(self, version: int, name: str) -> None:
+        """Replace all routes by one; wait until only that is in force."""
+        await self.configure(version, support.route(name, 'primary'))
+        await self.wait_in_force(name)
+        for number in range(len(self.proxies)):
+            caller = await self.session('exact', number)
+            self.assertEqual('ERROR NODB', caller.greeting[0][:10])
+            caller.close()
+
+    async def assert_served(self, name: str) -> None:
+        """Check that each proxy runs a statement."""
+        for number in range(len(self.proxies)):
+            caller = await self.session(name, number)
+            answer = await caller.query('WRITE k v')
+            self.assertTrue(answer[0].startswith('DONE'), answer)
+            caller.close()
+
+    def test_unreadable_entry(self):
+        """Guards against a configuration that no proxy follows any more."""
+        self.run_on_platform(self.unreadable_entry, proxies=2)
+
+    async def unreadable_entry(self):
+        await self.store.put(KEY, NESTED)
+        await asyncio.sleep(PAUSE_S)
+        await self.replace_route(2, 'added')
+        await self.assert_served('added')
+        metrics = await self.proxies[0].get('/metrics')
+        self.assertIn('{what="bad_entry"} 1\n', metrics)
+        self.assertIn('{what="task_failed_directory"} 0\n', metrics)
+        bad = [
+            event['inputs']
+            for event in self.proxies[0].events()
+            if event['event'] == 'bad entry'
+        ]
+        self.assertEqual(KEY, bad[0]['key'])
+        self.assertEqual('RecursionError', bad[0]['error'])
+
+    def test_start_beside_an_unreadable_entry(self):
+        """Guards against a proxy that never becomes ready."""
+        self.run_on_platform(self.start_beside, proxies=2)
+
+    async def start_beside(self):
+        await self.store.put(KEY, NESTED)
+        first, second = self.proxies
+        for proxy in self.proxies:
+            await proxy.stop(signal.SIGKILL)
+        await first.start()
+        # Reads the entry from the first proxy as well.
+        await second.start()
+        await self.assert_served('exact')
+        await self.replace_route(2, 'added')
+
+    def test_unreadable_entry_is_replaced(self):
+        """The upstream's own entry counts again, and is removed as others."""
+        self.run_on_platform(self.replaced)
+
+    async def replaced(self):
+        member = self.group.members[1]
+        key = f'servers/{member.name}'
+        await self.store.put(key, NESTED)
+        await asyncio.sleep(PAUSE_S)
+        await self.store.put_json(key, self.group.entry(member))
+        caller = await self.session('exact')
+        # Commits are confirmed by listed members only.
+        for _ in range(3):
+            answer = await caller.query('WRITE k v')
+            self.assertTrue(answer[0].startswith('DONE'), answer)
+        await self.store.put(key, NESTED)
+        await self.store.put(key, None)
+        await self.replace_route(2, 'added')
+        await self.assert_served('added')
--- a/topazring/plumbing/events.py
+++ b/topazring/plumbing/events.py
@@ -18,6 +18,7 @@
 are dropped and counted.
 """
 
+import collections
 import collections.abc
 import logging
 import os
@@ -26,6 +27,8 @@
 from absl import logging as absl_logging
 import msgspec
 
+from topazring.plumbing import supervision
+
 __all__ = ['BUFFER_BYTES', 'EventLog', 'MAX_LINES_PER_SECOND']
 
 # A line takes some 30 microseconds, so this rate uses less than one percent
@@ -90,6 +93,8 @@
         self.refilled_s = time.monotonic()
         self.dropped = 0
         self.lines = 0
+        # Failures of tasks by name, and bad entries of the store.
+        self.counters: collections.Counter[str] = collections.Counter()
 
     def start(self) -> None:
         """Send absl's log to the descriptor, as one JSON object per line."""
@@ -119,6 +124,20 @@
         self._report_dropped()
         self._write(part, event, request, service, inputs)
 
+    def count(self, what: str) -> None:
+        """Count one event."""
+        self.counters[what] += 1
+
+    def register(self, task: str) -> None:
+        """Begin to count the failures of a task."""
+        self.counters[f'task_failed_{task}'] += 0
+
+    def report_failure(self, task: str, error: BaseException) -> None:
+        """Count a failure of a task, and log its cause."""
+        self.count(f'task_failed_{task}')
+        inputs = {'task': task, **supervision.describe(error)}
+        self.emit('process', 'task failed', inputs=inputs)
+
     def _is_allowed(self) -> bool:
         now_s = time.monotonic()
         refill = (now_s - self.refilled_s) * MAX_LINES_PER_SECOND
--- a/topazring/pooler/acknowledgement_reports.py
+++ b/topazring/pooler/acknowledgement_reports.py
@@ -295,7 +295,7 @@
     async def _ask_holder(
         self, service: str
     ) -> messages.FenceChecked | FenceAnswer | None:
-        holder = promotion_leases.listed_holder(self.directory)
+        holder = promotion_leases.listed_holder(self.directory, self.log)
         if holder == self.incarnation:
             return await self.check_own_fence(service)
         name, _, _ = holder.rpartition('-')
@@ -337,6 +337,6 @@
         return None
     try:
         return msgspec.msgpack.decode(body, type=answer_type)
-    except msgspec.MsgspecError:
+    except Exception:
         # No proxy, or one of another version.
         return None
--- a/topazring/pooler/closures.py
+++ b/topazring/pooler/closures.py
@@ -36,6 +36,7 @@
 from topazring.pooler import group_task
 from topazring.pooler import load_page
 from topazring.pooler import probes
+from topazring.pooler import stored_values
 
 __all__ = [
     'Closures',
@@ -116,6 +117,9 @@
     by: str = ''
 
 
+_decode_value = msgspec.json.Decoder(_Value).decode
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
     """Name what is closed; `service` is empty for a database."""
@@ -272,10 +276,11 @@
             self._handle_removal(key)
             return True
         target = _target_of(key)
-        value = _decode(change.value)
+        value = self._decode(key, change.value)
+        if target is None:
+            error = ValueError('the key names nothing that can be closed')
+            stored_values.report_bad_entry(self.log, key, error)
         if target is None or value is None:
-            inputs = {'key': key, 'error': 'not a closure'}
-            self.log.emit('directory', 'bad entry', inputs=inputs)
             self._end(key, 'replaced by a bad entry')
             return True
         before = self.in_force.get(key)
@@ -287,6 +292,9 @@
         self._begin(key, target, value)
         return True
 
+    def _decode(self, key: str, text: str) -> _Value | None:
+        return stored_values.decode(self.log, key, text, _decode_value)
+
     def _handle_removal(self, key: str) -> None:
         """End a closure, unless the store lost it in a return from a copy.
 
@@ -403,7 +411,7 @@
             if isinstance(found, key_value.Unavailable):
                 error = f'not done, the store is away: {found.detail}'
                 return self._refuse(503, error, _Why.STORE_AWAY, target)
-            replaced = self._describe_replaced(found)
+            replaced = self._describe_replaced(key, found)
             if not for_ms and replaced is None and key not in self.in_force:
                 return _done(Result(0))
             revision = getattr(found, 'revision', 0)
@@ -421,11 +429,11 @@
         return self._refuse(504, error, _Why.UNANSWERED, target)
 
     def _describe_replaced(
-        self, found: key_value.Found | key_value.Missing
+        self, key: str, found: key_value.Found | key_value.Missing
     ) -> Replaced | None:
         if not isinstance(found, key_value.Found):
             return None
-        value = _decode(found.value)
+        value = self._decode(key, found.value)
         if value is None or not value.for_ms:
             return None
         until_ms = self.heard.get(value.closure)
@@ -443,13 +451,6 @@
     return dataclasses.asdict(target)
 
 
-def _decode(text: str) -> _Value | None:
-    try:
-        return msgspec.json.decode(text, type=_Value)
-    except msgspec.MsgspecError:
-        return None
-
-
 def _key_of(target: Target) -> str:
     """Return the key of a closure.
 
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -13,10 +13,12 @@
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.plumbing import supervision
 from topazring.pooler import follower_client
 from topazring.pooler import peers
 from topazring.pooler import ports
 from topazring.pooler import proxy_history
+from topazring.pooler import stored_values
 
 __all__ = ['Directory', 'OWN_PREFIX', 'PROXY_PREFIX', 'ProxyValue']
 
@@ -32,8 +34,6 @@
 RETRY_S = 0.15
 MAX_RETRY_S = 1.2
 EXPIRY_INTERVAL_S = 0.25
-# Error texts in log lines about a bad entry are cut to this length.
-MAX_ERROR_CHARS = 200
 # At worst the store refuses a third of a fleet; in one case of thirty all
 # three peers asked are among those.
 PEERS_TO_ASK = 3
@@ -78,6 +78,7 @@
         self.peer_client = peer_client
         self.follower_client = follower
         self.log = log
+        log.register('listing')
         self.on_change = on_change
         # Called with the key of each of the proxies' own values that changes.
         self.on_own_change = on_own_change
@@ -95,6 +96,10 @@
         self.confirmed_ms = -(10**9)
         self.unavailable_since_ms: int | None = None
         self.own_changed = asyncio.Event()
+        # Services whose changes are not in force yet, as reporting them
+        # failed, and when they are reported again.
+        self.unreported: set[str] = set()
+        self.report_again_ms = 0
         self.proxy_history = proxy_history.ProxyHistory(
             PROXY_PREFIX + follower.name, clock.boottime_ms()
         )
@@ -104,8 +109,8 @@
         """Start following the store."""
         self.proxy_history.record_gap(clock.boottime_ms())
         self.tasks = [
-            asyncio.create_task(self._follow_forever()),
-            asyncio.create_task(self._expire_forever()),
+            supervision.start('directory', self._follow_forever, self.log),
+            supervision.start('expiry', self._expire_forever, self.log),
         ]
 
     def close(self) -> None:
@@ -187,7 +192,7 @@
         started_ms = clock.boottime_ms()
         while True:
             is_full_read = self.history_lost
-            answer = await self._poll()
+            answer = await self._poll_safely()
             if isinstance(
                 answer, key_value.Changes | follower_client.FollowerAnswer
             ):
@@ -222,6 +227,17 @@
         pause_s = min(RETRY_S * 2 ** min(failures, 5), MAX_RETRY_S)
         return pause_s * random.uniform(0.5, 1.0)
 
+    async def _poll_safely(self):
+        """Read changes once; an unexpected error counts as no answer.
+
+        Then peers are asked, and none of them takes this proxy as its source.
+        """
+        try:
+            return await self._poll()
+        except Exception as error:
+            self.log.report_failure('directory', error)
+            return key_value.Unavailable(f'{type(error).__name__}: {error}')
+
     async def _poll(self):
         """Read changes once, from a follower or the store, and apply them."""
         if not self.known.seen:
@@ -402,7 +418,7 @@
         now_ms = clock.boottime_ms()
         services: set[str] = set()
         for change in new or ():
-            services |= self._apply_change(now_ms, change, is_return)
+            services |= self._apply_safely(now_ms, change, is_return)
         if new:
             self._notify_waiters()
         self._notify_services(services)
@@ -427,9 +443,27 @@
         """Remove secrets, which must not be kept or sent to other proxies."""
         if change.value is None:
             return change
-        value = self.adapter.redact(change.key, change.value)
+        try:
+            value = self.adapter.redact(change.key, change.value)
+        except Exception as error:
+            stored_values.report_bad_entry(self.log, change.key, error)
+            value = ''
         return dataclasses.replace(change, value=value)
 
+    def _apply_safely(
+        self, now_ms: int, change: revisions.Change, is_return: bool
+    ) -> set[str]:
+        """Apply a change; one that cannot be applied counts as a removal.
+
+        It must not block the changes that follow. The earlier value is not
+        valid any more: its writer counts as missing.
+        """
+        try:
+            return self._apply_change(now_ms, change, is_return)
+        except Exception as error:
+            stored_values.report_bad_entry(self.log, change.key, error)
+            return self._record_removal(now_ms, change.key)
+
     def _apply_change(
         self, now_ms: int, change: revisions.Change, is_return: bool
     ) -> set[str]:
@@ -441,20 +475,7 @@
                 return set()
         if change.value is None:
             return self._record_removal(now_ms, change.key, is_return)
-        try:
-            record = self._decode(now_ms, change)
-        except (ValueError, KeyError) as error:
-            # A bad entry must not block the entries that follow. Its earlier
-            # value is not valid any more: its writer counts as missing.
-            self.log.emit(
-                'directory',
-                'bad entry',
-                inputs={
-                    'key': change.key,
-                    'error': str(error)[:MAX_ERROR_CHARS],
-                },
-            )
-            return self._record_removal(now_ms, change.key)
+        record = self._decode(now_ms, change)
         if record is None:
             return set()
         services = listings.apply_record(
@@ -507,13 +528,25 @@
         )
 
     def _notify_services(self, services: set[str]) -> None:
-        if services:
-            self.on_change(services)
+        """Report changed services; those of a failed report go again."""
+        self.unreported |= services
+        if not self.unreported:
+            return
+        try:
+            self.on_change(set(self.unreported))
+        except Exception as error:
+            self.log.report_failure('listing', error)
+            pause_s = supervision.MAX_PAUSE_S * random.uniform(0.5, 1.0)
+            self.report_again_ms = clock.boottime_ms() + round(pause_s * 1000)
+        else:
+            self.unreported.clear()
 
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
-            self._notify_services(self._remove_expired())
+            services = self._remove_expired()
+            if services or clock.boottime_ms() >= self.report_again_ms:
+                self._notify_services(services)
 
     def _remove_expired(self) -> set[str]:
         now_ms = clock.boottime_ms()
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -62,6 +62,7 @@
         self.name = name
         self.adapter = adapter
         self.log = log
+        log.register('upstream_link')
         self.kind = groups.group_kind(kind)
         self.state = states.make_group(service, data_centre, limits)
         self.links: dict[int, upstream_link.UpstreamLink] = {}
@@ -281,7 +282,10 @@
 
     def _open_link(self, out: messages.Open) -> None:
         link = upstream_link.UpstreamLink(
-            out.connection, self.adapter.upstreams, self.handle_link_message
+            out.connection,
+            self.adapter.upstreams,
+            self.handle_link_message,
+            self.log,
         )
         self.links[out.connection] = link
         link.start(self.service, out)
--- a/topazring/pooler/member_records.py
+++ b/topazring/pooler/member_records.py
@@ -15,7 +15,9 @@
 from topazring.core import revisions
 from topazring import key_value
 from topazring.plumbing import events
+from topazring.plumbing import supervision
 from topazring.pooler import directory as directories
+from topazring.pooler import stored_values
 
 __all__ = ['KEY_PREFIX', 'MemberRecords']
 
@@ -39,6 +41,9 @@
     era: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
+_decode = msgspec.json.Decoder(_Record).decode
+
+
 class MemberRecords:
     """Read the records of all groups, and write those that change."""
 
@@ -64,7 +69,9 @@
 
     def start(self) -> None:
         """Start writing records."""
-        self.task = asyncio.create_task(self._write_forever())
+        self.task = supervision.start(
+            'member_records', self._write_forever, self.log
+        )
 
     def close(self) -> None:
         """Stop writing records."""
@@ -85,16 +92,9 @@
         change = self.directory.own_value(KEY_PREFIX + service)
         if change is None:
             return None
-        try:
-            record = msgspec.json.decode(change.value, type=_Record)
-        except msgspec.MsgspecError as error:
-            self.log.emit(
-                'directory',
-                'bad entry',
-                inputs={'key': change.key, 'error': str(error)},
-            )
-            return None
-        return record
+        return stored_values.decode(
+            self.log, change.key, change.value, _decode
+        )
 
     def is_own(self, service: str) -> bool:
         """Return whether this process wrote a record, or has replaced it.
--- a/topazring/pooler/membership.py
+++ b/topazring/pooler/membership.py
@@ -10,6 +10,7 @@
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.plumbing import supervision
 from topazring.pooler import directory as directories
 from topazring.pooler import proxy_history
 
@@ -57,7 +58,7 @@
 
     def start(self) -> None:
         """Start listing this proxy."""
-        self.task = asyncio.create_task(self._run())
+        self.task = supervision.start('membership', self._run, self.log)
 
     async def close(self) -> None:
         """Remove this proxy from the list."""
--- a/topazring/pooler/order_records.py
+++ b/topazring/pooler/order_records.py
@@ -20,7 +20,9 @@
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.plumbing import supervision
 from topazring.pooler import directory as directories
+from topazring.pooler import stored_values
 
 __all__ = ['KEY', 'OrderRecords']
 
@@ -43,6 +45,9 @@
     is_incomplete: bool = False
 
 
+_decode = msgspec.json.Decoder(_Record).decode
+
+
 class OrderRecords:
     """Write the record while this process holds the promotion lease."""
 
@@ -83,7 +88,9 @@
 
     def start(self) -> None:
         """Start removing settled orders from the record."""
-        self.task = asyncio.create_task(self._write_settled_forever())
+        self.task = supervision.start(
+            'order_records', self._write_settled_forever, self.log
+        )
 
     def close(self) -> None:
         """Stop writing."""
@@ -93,18 +100,19 @@
     # ---- the lease ----
 
     def claim(
-        self, token: int, block: revisions.Change | None, least_token: int
+        self, token: int, last_token: int | None, least_token: int
     ) -> key_value.Value:
         """Return the write that belongs to acquiring the lease.
 
-        `block` is the last block of tokens that was reserved, and
-        `least_token` the first one of the present era of the store. The record
-        is complete if the holder of that block wrote it, in this era.
+        `last_token` names the last block of tokens that was reserved, None
+        without one, and `least_token` the first one of the present era of the
+        store. The record is complete if the holder of that block wrote it, in
+        this era.
         """
         listed = self.directory.own_value(KEY)
         record = None if listed is None else self._decode(listed.value)
         self.is_earlier_incomplete = not _is_complete(
-            record, block, least_token
+            record, last_token, least_token
         )
         found = {} if record is None else record.upstreams
         self.earlier = {name: frozenset(found[name]) for name in found}
@@ -267,17 +275,12 @@
         return msgspec.json.encode(record).decode()
 
     def _decode(self, text: str) -> _Record | None:
-        try:
-            return msgspec.json.decode(text, type=_Record)
-        except msgspec.MsgspecError as error:
-            inputs = {'key': KEY, 'error': str(error)}
-            self.log.emit('duty', 'bad entry', inputs=inputs)
-            return None
+        return stored_values.decode(self.log, KEY, text, _decode)
 
 
 def _is_complete(
     record: _Record | None,
-    block: revisions.Change | None,
+    last_token: int | None,
     least_token: int,
 ) -> bool:
     """Return whether a record names all orders that earlier holders sent.
@@ -286,10 +289,9 @@
     era of the store. An older build, and a holder that took the platform to
     check tokens, write none.
     """
-    if block is None:
+    if last_token is None:
         # Nobody has held the lease, or an older copy of the store lacks it.
         return not least_token
-    last_token = int(block.value)
     return (
         record is not None
         and record.token == last_token >= least_token
--- a/topazring/pooler/overdue_report.py
+++ b/topazring/pooler/overdue_report.py
@@ -10,6 +10,7 @@
 from topazring.core.synchronous import messages
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.plumbing import supervision
 from topazring.pooler import caller_task
 from topazring.pooler import group_task
 from topazring.pooler import router
@@ -39,7 +40,9 @@
 
     def start(self) -> None:
         """Start the timer."""
-        self.task = asyncio.create_task(self._report_forever())
+        self.task = supervision.start(
+            'overdue_report', self._report_forever, self.host.log
+        )
 
     def close(self) -> None:
         """Stop the timer."""
--- a/topazring/pooler/peers.py
+++ b/topazring/pooler/peers.py
@@ -239,6 +239,6 @@
             return None
         try:
             return _decode(reply.body)
-        except (msgspec.MsgspecError, zlib.error):
+        except Exception:
             # Not a proxy: the address may belong to another process by now.
             return None
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -21,6 +21,7 @@
 from topazring.plumbing import clock
 from topazring.plumbing import early_signals
 from topazring.plumbing import events
+from topazring.plumbing import supervision
 from topazring.pooler import acknowledgement_fences
 from topazring.pooler import acknowledgement_reports
 from topazring.pooler import caller_server
@@ -44,6 +45,7 @@
 from topazring.pooler import router
 from topazring.pooler import settings
 from topazring.pooler import shutdown
+from topazring.pooler import stored_values
 
 __all__ = ['Pooler', 'serve']
 
@@ -214,7 +216,9 @@
                 'weight': self.weight,
             },
         )
-        self.owner_checks = asyncio.create_task(self._check_owners_forever())
+        self.owner_checks = supervision.start(
+            'owner_checks', self._check_owners_forever, self.log
+        )
         self.directory.start()
         self.membership.start()
         self.promotion_lease.start()
@@ -607,6 +611,7 @@
     def _counters(self) -> collections.Counter[str]:
         counters = collections.Counter(self.refusals)
         counters.update(self.closures.counters)
+        counters.update({stored_values.BAD_ENTRY: 0, **self.log.counters})
         for group in self.groups.values():
             counters.update(group.state.counters)
         return counters
@@ -695,6 +700,7 @@
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     pooler = Pooler(config, adapter)
+    supervision.report_unhandled(loop, pooler.log)
     with early_signals.handled(loop, stop_requested.set, pooler.reload):
         await pooler.start()
         # Imported objects stay for good; collecting them repeatedly costs
--- a/topazring/pooler/promotion_lease.py
+++ b/topazring/pooler/promotion_lease.py
@@ -17,6 +17,7 @@
 import collections.abc
 import contextlib
 import random
+import typing
 
 import msgspec
 
@@ -26,8 +27,10 @@
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.plumbing import supervision
 from topazring.pooler import directory as directories
 from topazring.pooler import order_records
+from topazring.pooler import stored_values
 
 __all__ = ['PromotionLease', 'listed_holder']
 
@@ -38,6 +41,8 @@
 BLOCK_TOKENS = 10_000
 # Tokens of one era of the store.
 ERA_TOKENS = 1_000_000_000
+# JSON numbers are exact up to here.
+MAX_TOKEN = 2**53
 # Nobody can be promoted until the lease of a dead holder has ended. The lease
 # has to outlast one renewal that gets no answer: two renewal intervals and
 # the timeout of that call. In a replayed day a lost holder was replaced after
@@ -81,9 +86,10 @@
     """Value of the lease key."""
 
     holder: str
-    token: int
+    token: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKEN)]
 
 
+_decode_holder = msgspec.json.Decoder(_Holder).decode
 # Result of reading the lease key; a value without a holder counts as missing.
 _HolderResult = _Holder | key_value.Missing | key_value.Unavailable
 
@@ -123,7 +129,7 @@
 
     def start(self) -> None:
         """Start trying to acquire the lease."""
-        self.task = asyncio.create_task(self._run())
+        self.task = supervision.start('promotion_lease', self._run, self.log)
 
     async def close(self) -> None:
         """Release the lease."""
@@ -184,8 +190,26 @@
 
         A process that starts does not know when the store returned.
         """
+        last_token = self._last_token()
+        return last_token is not None and last_token < era * ERA_TOKENS
+
+    def _last_token(self) -> int | None:
+        """Return the first token of the last block, None without one."""
+        block = self.directory.own_value(TOKEN_BLOCK_KEY)
+        if block is None:
+            return None
+        return stored_values.decode(
+            self.log, TOKEN_BLOCK_KEY, block.value, _parse_token
+        )
+
+    def _is_block_unreadable(self) -> bool:
+        """Return whether the tokens that were used are not known.
+
+        A token that is lower than an earlier one must not be used, so nobody
+        acquires the lease until an operator has mended the value.
+        """
         block = self.directory.own_value(TOKEN_BLOCK_KEY)
-        return block is not None and int(block.value) < era * ERA_TOKENS
+        return block is not None and self._last_token() is None
 
     def request_recheck(self) -> None:
         """Request a check with the store, as after a refused order."""
@@ -246,12 +270,8 @@
         return answer
 
     def _decode(self, text: str) -> _Holder | None:
-        """Return the holder, None if the value has another format."""
-        try:
-            return msgspec.json.decode(text, type=_Holder)
-        except msgspec.MsgspecError as error:
-            self.log.emit('duty', 'bad entry', inputs={'error': str(error)})
-            return None
+        """Return the holder, None if the value is unreadable."""
+        return stored_values.decode(self.log, LEASE_KEY, text, _decode_holder)
 
     def _is_own_lease(self, found: _Holder) -> bool:
         """Return whether this process is the holder; if not, stop holding."""
@@ -286,6 +306,8 @@
         seen = self.directory.known.seen
         if not seen or revisions.era_of(seen) < self._newest_era():
             return False
+        if self._is_block_unreadable():
+            return False
         if self.directory.own_value(LEASE_KEY) is None:
             return True
         return self._own_of_earlier_era() is not None
@@ -334,7 +356,8 @@
         replaced = self._own_of_earlier_era()
         block = self.directory.own_value(TOKEN_BLOCK_KEY)
         era = revisions.era_of(self.directory.known.seen)
-        token = _next_block(block, era)
+        last_token = self._last_token()
+        token = _next_block(last_token, era)
         holder = _Holder(self.incarnation, token)
         text = msgspec.json.encode(holder).decode()
         values = [
@@ -343,7 +366,7 @@
         ]
         if self.records is not None:
             least_token = era * ERA_TOKENS
-            values.append(self.records.claim(token, block, least_token))
+            values.append(self.records.claim(token, last_token, least_token))
         answer = await self.store.put_all(tuple(values))
         is_written = isinstance(answer, key_value.Written)
         if isinstance(answer, key_value.Unavailable):
@@ -447,20 +470,26 @@
         self.give_up('an order was refused')
 
 
-def listed_holder(directory: directories.Directory) -> str:
+def listed_holder(
+    directory: directories.Directory, log: events.EventLog
+) -> str:
     """Return the holder's incarnation, empty if none is known."""
     change = directory.own_value(LEASE_KEY)
     if change is None:
         return ''
-    try:
-        return msgspec.json.decode(change.value, type=_Holder).holder
-    except msgspec.MsgspecError:
-        return ''
+    found = stored_values.decode(log, LEASE_KEY, change.value, _decode_holder)
+    return '' if found is None else found.holder
+
+
+def _next_block(last_token: int | None, era: int) -> int:
+    return max(last_token or 0, era * ERA_TOKENS) + BLOCK_TOKENS
 
 
-def _next_block(block: revisions.Change | None, era: int) -> int:
-    last = 0 if block is None else int(block.value)
-    return max(last, era * ERA_TOKENS) + BLOCK_TOKENS
+def _parse_token(text: str) -> int:
+    token = int(text)
+    if not 0 <= token <= MAX_TOKEN:
+        raise ValueError('a token is out of range')
+    return token
 
 
 def _revision(listed: revisions.Change | None) -> int:
--- a/topazring/pooler/quotas.py
+++ b/topazring/pooler/quotas.py
@@ -15,6 +15,7 @@
 from topazring.core.synchronous import messages
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.plumbing import supervision
 from topazring.pooler import hop_frames
 from topazring.pooler import router as routers
 
@@ -92,7 +93,9 @@
 
     def start(self) -> None:
         """Start to keep in contact with other keepers."""
-        self.task = asyncio.create_task(self._contact_forever())
+        self.task = supervision.start(
+            'quotas', self._contact_forever, self.log
+        )
 
     def close(self) -> None:
         """Stop keeping in contact."""
--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -30,7 +30,7 @@
 class Link:
     """Fake connection to an upstream."""
 
-    def __init__(self, number, codec, post):
+    def __init__(self, number, codec, post, reporter):
         self.number = number
         self.post = post
         self.closed = False
--- a/topazring/pooler/upstream_link.py
+++ b/topazring/pooler/upstream_link.py
@@ -10,6 +10,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 from topazring.plumbing import dialling
+from topazring.plumbing import supervision
 from topazring.pooler import ports
 from topazring.pooler import settings
 
@@ -33,10 +34,12 @@
         number: int,
         codec: ports.UpstreamCodec,
         on_message: collections.abc.Callable[[object], None],
+        reporter: supervision.Reporter,
     ):
         self.number = number
         self.codec = codec
         self.on_message = on_message
+        self.reporter = reporter
         self.reader = codec.reader()
         self.stream: iostream.IOStream | None = None
         self.task: asyncio.Task | None = None
@@ -46,7 +49,7 @@
 
     def start(self, service: str, target: messages.Open) -> None:
         """Connect, and read until the connection ends."""
-        self.task = asyncio.create_task(self._run(service, target))
+        self.task = asyncio.create_task(self._run_safely(service, target))
 
     def close(self) -> None:
         """Close the connection without reporting it."""
@@ -67,6 +70,17 @@
                 self._report_closed, Reason.CONNECTION_LOST
             )
 
+    async def _run_safely(self, service: str, target: messages.Open) -> None:
+        """Report the end of the connection also after an unexpected error.
+
+        The group would wait for the replies of this connection for good.
+        """
+        try:
+            await self._run(service, target)
+        except Exception as error:
+            self.reporter.report_failure('upstream_link', error)
+            self._report_closed(Reason.CONNECTION_LOST)
+
     async def _run(self, service: str, target: messages.Open) -> None:
         try:
             answer = await self._connect(service, target)
