Check each field of an entry against its range

What callers saw: one entry like that of a replica, with a `capacity` of 400 digits, ended all proxies at the next heartbeats, and each one that started.

Cause: an entry counted as checked once its types fitted. OverflowError in room_of broke the group each time that it began anew; the fourth time within a minute its process ends. The restart reads the same entry. The same border let through names that end their line, host names (whose look-up blocks), negative numbers, and proxies' entries without usable addresses.

Fix: ranges for all fields, at the border where an entry is decoded; names and addresses that fit where they are sent. Outside of them it is a bad entry.

--- a/topazring/platform/records.py
+++ b/topazring/platform/records.py
@@ -4,6 +4,8 @@
 fields are ignored.
 """
 
+import functools
+import ipaddress
 import typing
 
 import msgspec
@@ -21,6 +23,19 @@
 _KEYS_FIELD = 'api-keys'
 _HASHES_FIELD = 'key-hashes'
 
+# JSON numbers are exact up to here, and so are floating point numbers.
+_MAX_COUNT = 2**53
+# No upstream runs as many statements at a time.
+_MAX_SLOTS = 10_000
+_MAX_PRIORITY = 1_000
+_MAX_ADDRESSES = 20_000
+
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+_Priority = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_PRIORITY)]
+_Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Text = typing.Annotated[str, msgspec.Meta(min_length=1)]
+
 _FRESHNESS = {
     'primary': messages.Freshness.PRIMARY,
     'bounded_staleness': messages.Freshness.BOUNDED,
@@ -38,10 +53,10 @@
     service: str
     # Freshness required of reads; named `type` on the wire.
     type: str
-    timeout_ms: int = 1000
-    latency_goal_ms: int = 250
-    priority: int = 1
-    max_staleness_ms: int = 0
+    timeout_ms: _Count = 1000
+    latency_goal_ms: _Count = 250
+    priority: _Priority = 1
+    max_staleness_ms: _Count = 0
     # Whether callers need no key.
     anonymous: bool = False
 
@@ -49,11 +64,11 @@
 class _Service(_Entry):
     name: str
     # Connections to each upstream of the service, over all proxies.
-    max_conns: int = 20
+    max_conns: _Count = 20
 
 
 class _Limits(_Entry):
-    tx_idle_ms: int = 10_000
+    tx_idle_ms: _Count = 10_000
 
 
 class _Tenant(_Entry):
@@ -61,13 +76,13 @@
     # Only `redact` reads keys; it replaces them by their hashes.
     key_hashes: list[str] = []
     # Operations per second; unlimited if missing.
-    rate_per_s: float | None = None
+    rate_per_s: _Rate | None = None
     # Operations beyond the rate that may come at once.
-    burst: float | None = None
+    burst: _Rate | None = None
 
 
 class _Configuration(_Entry):
-    version: int
+    version: _Count
     routes: list[_Route] = []
     services: list[_Service] = []
     # None where no database needs a key.
@@ -76,7 +91,7 @@
 
 
 class _Upstream(_Entry):
-    service: str
+    service: _Text
     address: str
     zone: str = ''
     state: typing.Literal['ready', 'draining'] = 'ready'
@@ -84,11 +99,11 @@
     db_role: typing.Literal['primary', 'replica'] = 'replica'
     # Start of its process in Unix milliseconds. A recreated upstream keeps
     # its name, so this tells the two apart.
-    born: int = 0
-    # Counts the writes of its process; ignored unless it is a number.
-    sequence: object = None
-    # Statements that it runs at a time; ignored unless it is a number.
-    capacity: object = None
+    born: _Count = 0
+    # Counts the writes of its process.
+    sequence: _Count | msgspec.UnsetType = msgspec.UNSET
+    # Statements that it runs at a time; 0 if it does not say.
+    capacity: _Slots = 0
 
 
 _decode_configuration = msgspec.json.Decoder(_Configuration).decode
@@ -98,9 +113,10 @@
 def decode(key: str, value: str, revision: int) -> listing.Record | None:
     """Return the decoded entry, or None for a key of another kind.
 
-    Raises ValueError on a malformed entry: other programs write to the store
-    too, so an entry that cannot be decoded completely must not be used as an
-    upstream.
+    Raises ValueError on a malformed entry, or another error of the decoder:
+    other programs write to the store too, so an entry that cannot be decoded
+    completely must not be used as an upstream. What is returned is within the
+    range that all parts of the proxy can use.
     """
     if key == CONFIGURATION_KEY:
         return _to_configuration(_decode_configuration(value))
@@ -157,10 +173,7 @@
     tenants: list[_Tenant],
 ) -> organisations.Organisations:
     for tenant in tenants:
-        if not tenant.name or not tenant.name.isprintable():
-            raise ValueError('an organisation has an invalid name')
-        if ' ' in tenant.name:
-            raise ValueError('the name of an organisation has a blank')
+        _check_name(tenant.name)
     return organisations.make_organisations(
         {tenant.name: tenant.key_hashes for tenant in tenants},
         {
@@ -173,16 +186,14 @@
 
 def _to_quota(tenant: _Tenant) -> organisations.Quota:
     burst = tenant.rate_per_s if tenant.burst is None else tenant.burst
-    if tenant.rate_per_s < 0 or burst < 0:
-        raise ValueError('a quota is negative')
     return organisations.Quota(tenant.rate_per_s, burst)
 
 
 def _to_upstream(
     name: str, raw: _Upstream, revision: int
 ) -> listing.UpstreamRecord:
-    if not settings.endpoint(raw.address).host:
-        raise ValueError('the address has no host')
+    _check_name(name)
+    _check_address(raw.address)
     role = statements.Role.REPLICA
     if raw.db_role == 'primary':
         role = statements.Role.PRIMARY
@@ -196,14 +207,22 @@
             revision,
             raw.state == 'draining',
             born_ms=raw.born,
-            slots=_to_slots(raw.capacity),
+            slots=raw.capacity,
         ),
-        raw.sequence if isinstance(raw.sequence, int) else None,
+        None if raw.sequence is msgspec.UNSET else raw.sequence,
     )
 
 
-def _to_slots(capacity: object) -> int:
-    """Return the slots of an upstream, 0 if its entry does not say."""
-    if isinstance(capacity, bool) or not isinstance(capacity, int):
-        return 0
-    return max(0, capacity)
+def _check_name(name: str) -> None:
+    """Raise ValueError if a name does not fit in a line of the protocol."""
+    if not name or not name.isprintable() or ' ' in name:
+        raise ValueError('a name is empty or has a blank or unprintable text')
+
+
+@functools.lru_cache(_MAX_ADDRESSES)
+def _check_address(address: str) -> None:
+    """Raise ValueError unless an address is an IP number and a port.
+
+    Looking up a host name would block the process.
+    """
+    ipaddress.IPv4Address(settings.endpoint(address).host)
--- a/topazring/platform/tests/test_other_writers.py
+++ b/topazring/platform/tests/test_other_writers.py
@@ -1,6 +1,7 @@
 """Other programs write to the store too; the proxies go on."""
 
 import asyncio
+import json
 import signal
 
 from topazring.platform.tests import support
@@ -9,6 +10,7 @@
 NESTED = '{"a":' * 1200 + '0' + '}' * 1200
 KEY = 'servers/i-other'
 PAUSE_S = 0.3
+HEARTBEATS = 8
 
 
 class OtherWritersTest(support.PlatformTestCase):
@@ -64,6 +66,25 @@
         self.assertEqual(KEY, bad[0]['key'])
         self.assertEqual('RecursionError', bad[0]['error'])
 
+    def test_entry_out_of_range(self):
+        """Guards against an entry that ends all processes for good."""
+        self.run_on_platform(self.out_of_range, proxies=2)
+
+    async def out_of_range(self):
+        member = self.group.members[1]
+        good = json.dumps(self.group.entry(member))
+        for field in ('capacity', 'sequence', 'born'):
+            value = json.dumps({**json.loads(good), field: 10**400})
+            await self.store.put(f'{KEY}-{field}', value)
+        # A group that breaks at each heartbeat ends its process by then.
+        for sequence in range(2, 2 + HEARTBEATS):
+            more = {m.name: {'sequence': sequence} for m in self.group.members}
+            await self.list_upstreams(**more)
+            await asyncio.sleep(PAUSE_S)
+        for proxy in self.proxies:
+            self.assertIsNone(proxy.process.returncode)
+        await self.assert_served('exact')
+
     def test_start_beside_an_unreadable_entry(self):
         """Guards against a proxy that never becomes ready."""
         self.run_on_platform(self.start_beside, proxies=2)
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -18,6 +18,7 @@
 from topazring.pooler import peers
 from topazring.pooler import ports
 from topazring.pooler import proxy_history
+from topazring.pooler import settings
 from topazring.pooler import stored_values
 
 __all__ = ['Directory', 'OWN_PREFIX', 'PROXY_PREFIX', 'ProxyValue']
@@ -498,6 +499,7 @@
         if change.key.startswith(PROXY_PREFIX):
             value = msgspec.json.decode(change.value, type=ProxyValue)
             name = change.key.removeprefix(PROXY_PREFIX)
+            _check_proxy(name, value)
             self.proxy_history.record_entry(
                 now_ms, change.key, value.incarnation
             )
@@ -559,6 +561,15 @@
         return services
 
 
+def _check_proxy(name: str, value: ProxyValue) -> None:
+    """Raise ValueError if the entry of a proxy cannot be used."""
+    if not name:
+        raise ValueError('a proxy has no name')
+    for address in (value.peer_address, value.hop_address):
+        if address:
+            settings.endpoint(address)
+
+
 def _describe(revision: int) -> dict[str, int]:
     """Return the parts of a revision, for log lines."""
     return {
