Require the fields that every upstream writes in its entry

What operators would see: an entry of another program with `service` and `address` alone counted as a replica in state ready.

Cause: defaults for `zone`, `state` and `db-role`, which the platform's page gives for each entry; it also says of an entry with fields missing that it names no upstream.

Fix: they are required. `born` is not (earlier deployments write none), nor `sequence` and `capacity`, without which the upstream can still be used.

Evidence: the three new cases of test_invalid_entries fail before. The tests' returning store writes whole entries now.

--- a/topazring/platform/records.py
+++ b/topazring/platform/records.py
@@ -93,10 +93,10 @@
 class _Upstream(_Entry):
     service: _Text
     address: str
-    zone: str = ''
-    state: typing.Literal['ready', 'draining'] = 'ready'
+    zone: str
+    state: typing.Literal['ready', 'draining']
     # Role that the upstream reports for itself.
-    db_role: typing.Literal['primary', 'replica'] = 'replica'
+    db_role: typing.Literal['primary', 'replica']
     # Start of its process in Unix milliseconds. A recreated upstream keeps
     # its name, so this tells the two apart.
     born: _Count = 0
--- a/topazring/platform/tests/returning_store.py
+++ b/topazring/platform/tests/returning_store.py
@@ -183,7 +183,14 @@
 
     async def list_upstream(self, name: str, **more) -> None:
         """Write an upstream's entry."""
-        entry = {'service': 's', 'address': '127.0.0.1:9', 'born': 1}
+        entry = {
+            'service': 's',
+            'address': '127.0.0.1:9',
+            'zone': 'here',
+            'state': 'ready',
+            'db-role': 'replica',
+            'born': 1,
+        }
         await self.store.put_json(f'servers/{name}', entry | more)
 
     async def return_from(
--- a/topazring/platform/tests/test_records.py
+++ b/topazring/platform/tests/test_records.py
@@ -67,6 +67,11 @@
         for changes in (
             {'service': 'none'},
             {'address': 'none'},
+            {'zone': 'none'},
+            # Would be a replica that never answers, without which no primary
+            # is replaced.
+            {'state': 'none'},
+            {'db-role': 'none'},
             {'service': 7},
             {'address': ['10.0.0.1', 5000]},
             {'address': '10.0.0.1'},
