Follow on after a bad entry in the product's own interface

What operators would see: a proxy of topazring-proxy that is ready and follows neither configuration nor instances any more, after another program wrote one value that is no JSON object, nests deeply or lacks a field; or a process that ends at a damaged record of grants.

The streams' tasks, the gossip and the timers were not supervised; instances were decoded without any guard, and configured values but for ValueError, not even for a key that cannot be split.

Fix: each change is decoded and applied on its own; the tasks are supervised; a change whose report failed is reported again. Damaged grants count as a store without an answer: no term is granted, as those in use are not known.

--- a/topazring/catalogue.py
+++ b/topazring/catalogue.py
@@ -194,27 +194,31 @@
     """
     errors = []
     for change in changes:
-        _, kind, name = change.key.split('/', 2)
-        if kind not in _kinds:
-            errors.append(f'{change.key}: unknown kind')
-            continue
-        if change.value is None:
-            _remove(catalogue, kind, name)
-            continue
         try:
-            model = _parse(kind, change.value)
-        except ValueError as error:
-            errors.append(f'{change.key}: {error}')
-            continue
-        if kind == 'database':
-            catalogue.database_cache.pop(name, None)
-            catalogue.database_texts[name] = change.value
-            catalogue.regions[name] = sys.intern(model.region)
-        else:
-            _table_of(catalogue, kind)[name] = _build(kind, name, model)
+            _apply_change(catalogue, change)
+        except Exception as error:
+            # Values of other programs make a decoder fail in any way. None of
+            # them may keep the changes behind it from being applied.
+            errors.append(f'{change.key}: {type(error).__name__}: {error}')
     return errors
 
 
+def _apply_change(catalogue: Catalogue, change: revisions.Change) -> None:
+    _, kind, name = change.key.split('/', 2)
+    if kind not in _kinds:
+        raise ValueError('unknown kind')
+    if change.value is None:
+        _remove(catalogue, kind, name)
+        return
+    model = _parse(kind, change.value)
+    if kind == 'database':
+        catalogue.database_cache.pop(name, None)
+        catalogue.database_texts[name] = change.value
+        catalogue.regions[name] = sys.intern(model.region)
+    else:
+        _table_of(catalogue, kind)[name] = _build(kind, name, model)
+
+
 def _parse(kind: str, text: str) -> pydantic.BaseModel:
     raw = json.loads(text)
     raw.pop('change_id', None)
--- a/topazring/platform_client.py
+++ b/topazring/platform_client.py
@@ -121,7 +121,11 @@
         reply = await self._call('GET', path, wait_ms=wait_ms)
         if isinstance(reply, key_value.Unavailable):
             return reply
-        page = _decode_page(reply.body)
+        try:
+            page = _decode_page(reply.body)
+        except Exception as error:
+            self.calls['unreadable'] += 1
+            return key_value.Unavailable(f'unreadable: {error}')
         return key_value.Changes(since, page.revision, page.changes, page.more)
 
     async def _call(
--- a/topazring/plumbing/logs.py
+++ b/topazring/plumbing/logs.py
@@ -1,12 +1,15 @@
 """Write text log lines prefixed with the name of the component."""
 
+import collections
 import logging
 import sys
 
 from absl import flags
 from absl import logging as absl_logging
 
-__all__ = ['PartLogger', 'configure', 'part_logger']
+from topazring.plumbing import supervision
+
+__all__ = ['FailureLog', 'PartLogger', 'configure', 'part_logger']
 
 
 class PartLogger(logging.LoggerAdapter):
@@ -22,6 +25,26 @@
     return PartLogger(absl_logging.get_absl_logger(), {'part': part})
 
 
+class FailureLog:
+    """Count the failures of tasks by name, and log them."""
+
+    def __init__(self):
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.logger = part_logger('process')
+
+    def register(self, task: str) -> None:
+        """Begin to count the failures of a task."""
+        self.counters[f'task_failed_{task}'] += 0
+
+    def report_failure(self, task: str, error: BaseException) -> None:
+        """Count a failure of a task, and log its cause."""
+        self.counters[f'task_failed_{task}'] += 1
+        found = supervision.describe(error)
+        self.logger.error(
+            'task %s failed: %s at %s', task, found['error'], found['where']
+        )
+
+
 def configure(verbose: bool = False) -> None:
     """Send absl's log to standard error."""
     # cappa parses the command line. Without this call absl would warn that
--- a/topazring/proxy/cluster_state.py
+++ b/topazring/proxy/cluster_state.py
@@ -9,8 +9,11 @@
 import collections.abc
 import contextlib
 import dataclasses
-import json
+import functools
 import random
+import typing
+
+import msgspec
 
 from topazring import catalogue
 from topazring.core import members as membership
@@ -19,6 +22,7 @@
 from topazring import platform_client
 from topazring.plumbing import clock
 from topazring.plumbing import logs
+from topazring.plumbing import supervision
 from topazring.proxy import gossip as gossips
 from topazring.proxy import settings
 
@@ -37,6 +41,34 @@
 MAX_RETRY_DELAY_S = 10.0
 
 
+_Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
+
+class _Instance(msgspec.Struct):
+    """Entry of any instance in the platform's list."""
+
+    kind: str = ''
+    state: str = ''
+
+
+class _ProxyInstance(msgspec.Struct):
+    """Entry of a proxy in the platform's list."""
+
+    name: str
+    incarnation: str
+    host: str
+    region: str
+    data_centre: str
+    hop_port: _Port
+    gossip_port: _Port
+    operator_port: _Port
+    state: str
+
+
+_decode_instance = msgspec.json.Decoder(_Instance).decode
+_decode_proxy = msgspec.json.Decoder(_ProxyInstance).decode
+
+
 @dataclasses.dataclass(slots=True)
 class Stream:
     """One stream of revisions and the time it was last confirmed."""
@@ -57,12 +89,18 @@
         platform: platform_client.PlatformClient,
         on_change: collections.abc.Callable[[set[str]], None],
         on_suspicion: collections.abc.Callable[[gossips.Suspicion], None],
+        failures: logs.FailureLog,
     ):
         self.config = config
         self.incarnation = incarnation
         self.platform = platform
         self.on_change = on_change
         self.on_suspicion = on_suspicion
+        self.failures = failures
+        failures.register('listing')
+        # Databases whose changes are not in force yet, as reporting them
+        # failed; None if all changes have been reported.
+        self.unreported: set[str] | None = None
         self.streams = {
             CONFIGURATION: Stream(revisions.Revisions()),
             INSTANCES: Stream(revisions.Revisions()),
@@ -72,7 +110,9 @@
         self.listed: dict[str, membership.Member] = {}
         self.leaving_upstreams: frozenset[str] = frozenset()
         self.gossip = gossips.Gossip(
-            f'tcp://{config.host}:{config.gossip_port}', self._handle_message
+            f'tcp://{config.host}:{config.gossip_port}',
+            self._handle_message,
+            failures,
         )
         self.rng = random.Random(incarnation)
         self.tasks: list[asyncio.Task] = []
@@ -81,10 +121,19 @@
         """Announce this instance and start the watches and the gossip."""
         self.gossip.start()
         self.tasks = [
-            asyncio.create_task(self._announce_self()),
-            asyncio.create_task(self._gossip_forever()),
-            asyncio.create_task(self._follow_stream(CONFIGURATION)),
-            asyncio.create_task(self._follow_stream(INSTANCES)),
+            supervision.start(name, run, self.failures)
+            for name, run in (
+                ('announcement', self._announce_self),
+                ('gossip', self._gossip_forever),
+                (
+                    CONFIGURATION,
+                    functools.partial(self._follow_stream, CONFIGURATION),
+                ),
+                (
+                    INSTANCES,
+                    functools.partial(self._follow_stream, INSTANCES),
+                ),
+            )
         ]
 
     async def close(self) -> None:
@@ -185,6 +234,8 @@
         while True:
             await asyncio.sleep(GOSSIP_INTERVAL_S * self.rng.uniform(0.8, 1.2))
             self._send_digest(1)
+            if self.unreported is not None:
+                self._report_changes(set())
 
     def _send_digest(self, count: int) -> None:
         digest = gossips.Digest(
@@ -290,10 +341,20 @@
             return
         if new:
             self._apply(name, new)
-            self.on_change(_databases_in(name, new))
+            self._report_changes(_databases_in(name, new))
         if new:
             self._send_digest(FANOUT)
 
+    def _report_changes(self, databases: set[str]) -> None:
+        """Report changes; those of a failed report go again with the next."""
+        self.unreported = (self.unreported or set()) | databases
+        try:
+            self.on_change(set(self.unreported))
+        except Exception as error:
+            self.failures.report_failure('listing', error)
+        else:
+            self.unreported = None
+
     def _apply(self, name: str, changes: list[revisions.Change]) -> None:
         if name == CONFIGURATION:
             faults = catalogue.apply_changes(self.catalogue, changes)
@@ -312,10 +373,20 @@
             leaving.discard(change.key)
             if change.value is None:
                 continue
-            raw = json.loads(change.value)
-            if raw.get('kind') == 'proxy':
-                self.listed[change.key] = _parse_member(raw)
-            elif raw.get('state') == 'leaving':
+            try:
+                member = _parse_member(change.value)
+            except Exception as error:
+                # It names nobody, and must not block the entries behind it.
+                self.failures.counters['bad_entry'] += 1
+                logger.error(
+                    'ignored an invalid instance %s: %s',
+                    change.key,
+                    type(error).__name__,
+                )
+                continue
+            if isinstance(member, membership.Member):
+                self.listed[change.key] = member
+            elif member.state == 'leaving':
                 leaving.add(change.key)
         membership.apply_list(self.members, self.listed.values())
         self.leaving_upstreams = frozenset(leaving)
@@ -337,15 +408,20 @@
     return f'tcp://{host}:{port}'
 
 
-def _parse_member(raw: dict) -> membership.Member:
+def _parse_member(text: str) -> membership.Member | _Instance:
+    """Return a proxy, or another instance; raise an error if malformed."""
+    instance = _decode_instance(text)
+    if instance.kind != 'proxy':
+        return instance
+    raw = _decode_proxy(text)
     return membership.Member(
-        raw['name'],
-        raw['incarnation'],
-        raw['host'],
-        raw['region'],
-        raw['data_centre'],
-        raw['hop_port'],
-        raw['gossip_port'],
-        raw['operator_port'],
-        raw['state'] == 'leaving',
+        raw.name,
+        raw.incarnation,
+        raw.host,
+        raw.region,
+        raw.data_centre,
+        raw.hop_port,
+        raw.gossip_port,
+        raw.operator_port,
+        raw.state == 'leaving',
     )
--- a/topazring/proxy/command_line.py
+++ b/topazring/proxy/command_line.py
@@ -10,6 +10,7 @@
 from topazring.plumbing import early_signals
 from topazring.plumbing import logs
 from topazring.plumbing import settings_file
+from topazring.plumbing import supervision
 from topazring.proxy import process
 from topazring.proxy import settings
 
@@ -68,6 +69,7 @@
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     proxy = process.Proxy(config)
+    supervision.report_unhandled(loop, proxy.failures)
     with early_signals.handled(loop, stop_requested.set, _log_reload):
         await proxy.start()
         await stop_requested.wait()
--- a/topazring/proxy/entry.py
+++ b/topazring/proxy/entry.py
@@ -12,6 +12,7 @@
 from topazring.core import requests
 from topazring.core import windows
 from topazring.plumbing import clock
+from topazring.plumbing import supervision
 from topazring.proxy import cluster_state as cluster_states
 from topazring.proxy import hop
 from topazring.proxy import ownership as ownerships
@@ -58,10 +59,12 @@
         name: str,
         cluster_state: cluster_states.ClusterState,
         ownership: ownerships.Ownership,
+        reporter: supervision.Reporter,
     ):
         self.name = name
         self.cluster_state = cluster_state
         self.ownership = ownership
+        self.reporter = reporter
         self.clients: dict[str, hop.HopClient] = {}
         # Limits on the requests in flight, by owner and database.
         self.windows: dict[tuple[str, str], windows.Window] = {}
@@ -72,7 +75,9 @@
 
     def start(self) -> None:
         """Start the periodic check of the streams."""
-        self.task = asyncio.create_task(self._tick_forever())
+        self.task = supervision.start(
+            'entry', self._tick_forever, self.reporter
+        )
 
     async def _tick_forever(self) -> None:
         # One timer serves all streams: with streams to 2,000 owners, one
--- a/topazring/proxy/gossip.py
+++ b/topazring/proxy/gossip.py
@@ -15,6 +15,7 @@
 
 from topazring.core import revisions
 from topazring.plumbing import logs
+from topazring.plumbing import supervision
 
 __all__ = ['Delta', 'Digest', 'Gossip', 'Leaving', 'Suspicion']
 
@@ -75,9 +76,11 @@
         self,
         address: str,
         receive: collections.abc.Callable[[Message], None],
+        reporter: supervision.Reporter,
     ):
         self.address = address
         self.receive = receive
+        self.reporter = reporter
         self.listener: pynng.Pull0 | None = None
         self.links: collections.OrderedDict[str, Link] = (
             collections.OrderedDict()
@@ -91,7 +94,9 @@
     def start(self) -> None:
         """Listen and start to receive."""
         self.listener = pynng.Pull0(listen=self.address)
-        self.task = asyncio.create_task(self._receive_forever())
+        self.task = supervision.start(
+            'gossip_receiver', self._receive_forever, self.reporter
+        )
 
     async def close(self) -> None:
         """Close every socket."""
@@ -112,8 +117,11 @@
             self.received_bytes += len(raw)
             try:
                 message = _decode(raw)
-            except msgspec.MsgspecError:
-                logger.warning('dropped a message that cannot be decoded')
+            except Exception as error:
+                logger.warning(
+                    'dropped a message that cannot be decoded: %s',
+                    type(error).__name__,
+                )
                 continue
             self.receive(message)
 
@@ -121,7 +129,11 @@
         """Send to a peer; the message is lost if the peer is unreachable."""
         link = self.links.get(address)
         if link is None:
-            link = Link(address)
+            try:
+                link = Link(address)
+            except (ValueError, pynng.exceptions.NNGException) as error:
+                logger.warning('no link to %s: %s', address, error)
+                return
             self.links[address] = link
             while len(self.links) > MAX_LINKS:
                 _, oldest = self.links.popitem(last=False)
--- a/topazring/proxy/owner_task.py
+++ b/topazring/proxy/owner_task.py
@@ -301,7 +301,17 @@
         response = await self.platform.get(self._record_key())
         match response:
             case key_value.Found(value=value, revision=revision):
-                return grants.parse(value), revision
+                try:
+                    return grants.parse(value), revision
+                except Exception as error:
+                    # Written by another program. Its terms may have been
+                    # used, so none is granted until it is mended.
+                    logger.error(
+                        'unreadable record of %s: %s',
+                        self.database.name,
+                        type(error).__name__,
+                    )
+                    return None
             case key_value.Missing():
                 return grants.GroupRecord(), None
         return None
--- a/topazring/proxy/process.py
+++ b/topazring/proxy/process.py
@@ -11,6 +11,7 @@
 from topazring import platform_client
 from topazring.plumbing import clock
 from topazring.plumbing import logs
+from topazring.plumbing import supervision
 from topazring.proxy import cluster_state as cluster_states
 from topazring.proxy import entry as entries
 from topazring.proxy import hop
@@ -53,18 +54,20 @@
         self.platform = platform_client.PlatformClient(
             config.platform.host, config.platform.port, config.name
         )
+        self.failures = logs.FailureLog()
         self.cluster_state = cluster_states.ClusterState(
             config,
             self.incarnation,
             self.platform,
             self._handle_change,
             self._handle_suspicion,
+            self.failures,
         )
         self.ownership = ownerships.Ownership(
             config, self.incarnation, self.platform, self.cluster_state
         )
         self.entry = entries.Entry(
-            config.name, self.cluster_state, self.ownership
+            config.name, self.cluster_state, self.ownership, self.failures
         )
         self.front = sessions.Frontend(
             config, self.cluster_state, self.entry, self.metrics
@@ -83,7 +86,9 @@
         self._listen([route], config.caller_port)
         self.entry.start()
         await self.cluster_state.start()
-        self.refresh_task = asyncio.create_task(self._refresh_forever())
+        self.refresh_task = supervision.start(
+            'refresh', self._refresh_forever, self.failures
+        )
         logger.info('%s runs as incarnation %s', config.name, self.incarnation)
 
     def _listen(self, routes, port: int) -> None:
@@ -109,6 +114,11 @@
             'Calls on the platform, waiting watches included',
             lambda: self.platform.calls,
         )
+        self.metrics.add_source(
+            'topazring_failures',
+            'Failures of tasks, and entries that cannot be read',
+            lambda: {'bad_entry': 0, **self.failures.counters},
+        )
         self.metrics.add_source(
             'topazring_entry_retries',
             'Requests sent to another owner by reason',
--- a/topazring/proxy/tests/test_gossip.py
+++ b/topazring/proxy/tests/test_gossip.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from topazring.plumbing import logs
 from topazring.proxy import gossip as gossips
 
 
@@ -46,7 +47,9 @@
         """
 
         async def close_gossip():
-            gossip = gossips.Gossip('unused', lambda message: None)
+            gossip = gossips.Gossip(
+                'unused', lambda message: None, logs.FailureLog()
+            )
             gossip.listener = CancellationSwallowingListener()
             gossip.task = asyncio.create_task(gossip._receive_forever())
             await asyncio.sleep(0)
