Refuse set-ups in the soak

The soak's callers set values and its checks compare them for each run, but no upstream ever failed SET, RESET, PREPARE, BEGIN or ROLLBACK. A family of its own, drawn only if asked for, so that each seed keeps its families.

--- a/topazring/platform/tests/soak_upstreams.py
+++ b/topazring/platform/tests/soak_upstreams.py
@@ -22,6 +22,9 @@
 RETRY_S = 0.3
 # Three heartbeat intervals of an upstream.
 ENTRY_TIMEOUT_S = 3.0
+# What a member that refuses set-ups fails of what comes around statements.
+REFUSED_SHARE = 0.45
+SETUP_VERBS = ('begin', 'prepare', 'reset', 'rollback', 'set')
 Member = synchronous_upstreams.Member
 
 
@@ -154,6 +157,19 @@
                 self._deafen(some if choice < 0.7 else replicas, for_ms)
             case 'isolate':
                 await self._isolate(for_ms)
+            case 'refuse setups':
+                await self._refuse_setups(member, for_ms)
+            case 'refuse setups at the primary':
+                await self._refuse_setups(primary, for_ms)
+
+    async def _refuse_setups(self, member: Member, for_ms: int) -> None:
+        """Fail a part of the commands around statements, not these."""
+        draw = self.group.rng.random
+        member.fails = lambda verb: (
+            verb in SETUP_VERBS and draw() < REFUSED_SHARE
+        )
+        await asyncio.sleep(for_ms / 1000)
+        member.fails = lambda verb: False
 
     async def _release(self, choice: float, unlisted_ms: float) -> None:
         """Start a replica, list it with a delay, and drain an old member."""
--- a/topazring/soak/faults.py
+++ b/topazring/soak/faults.py
@@ -27,7 +27,7 @@
 SPLIT_MAX_MS = 10_000
 SPLIT_SCALE = 2.5
 # Drawn only if asked for, so that each seed keeps the families it draws.
-OPTIONAL_FAMILIES = ('splits', 'returns', 'orders')
+OPTIONAL_FAMILIES = ('splits', 'returns', 'orders', 'refusals')
 # The effects of a fault may last this long after its end.
 AFTEREFFECT_MS = 2000
 # For so long after an order without an answer, it may be that nobody else is
@@ -306,6 +306,7 @@
         'late orders beside loses answers': 1,
         'late orders beside turns away': 1,
     },
+    'refusals': {'refuse setups': 2, 'refuse setups at the primary': 3},
     'links': {
         'delayed': 2,
         'reset': 2,
--- a/topazring/soak/tests/test_schedules.py
+++ b/topazring/soak/tests/test_schedules.py
@@ -36,6 +36,7 @@
             self.assertNotIn('splits', families)
             self.assertNotIn('returns', families)
             self.assertNotIn('orders', families)
+            self.assertNotIn('refusals', families)
         known = schedules.draw(1119, 20)
         self.assertEqual(('service',), known.families)
         self.assertEqual('forgets', known.steps[0].fault)
