Say not run for what waited for its set-up; keep the retries of a BEGIN

From reading the diff: a write given up at a primary that was replaced, or isolated with this proxy, was unknown although its connection was still being set up; closing the connection means that it is never sent. A refused BEGIN went through the retry budget of set-ups, which it had not before: it takes no slot, so it is tried again within the deadline as before, elsewhere if it can be.

--- a/topazring/core/synchronous/expiry.py
+++ b/topazring/core/synchronous/expiry.py
@@ -203,7 +203,10 @@
     reason: outcomes.Reason,
 ) -> list:
     """Give up a request and close the connections that run it."""
-    outs = completion.give_up(state, now_ms, work, reason, 0, maybe_ran=True)
+    maybe_ran = completion.may_have_run(state, work)
+    outs = completion.give_up(
+        state, now_ms, work, reason, 0, maybe_ran=maybe_ran
+    )
     for number in list(work.running):
         connection = state.connections.get(number)
         # The connection of a transaction was closed with the transaction.
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -51,6 +51,9 @@
 SERVICE_WEIGHT = 0.1
 MIN_SERVICE_MS = 1.0
 
+# Whether what was refused has had an effect is unknown.
+_FAILURES = (Code.FAILED, Code.TIMEOUT, Code.OTHER)
+
 Handler = collections.abc.Callable[
     [states.GroupState, int, states.Connection, messages.Replied], list
 ]
@@ -179,7 +182,9 @@
     if work is None:
         return outs
     work.running.discard(connection.number)
-    return outs + _requeue_unsent(
+    if refusal.code in _FAILURES:
+        work.passed_over.add(connection.upstream)
+    return outs + _requeue_not_run(
         state, now_ms, work, connection, refusal, commands
     )
 
@@ -278,7 +283,7 @@
         return outs + _succeeded(
             state, now_ms, work, connection, last, commands
         )
-    if last.code in (Code.FAILED, Code.TIMEOUT, Code.OTHER):
+    if last.code in _FAILURES:
         return outs + _failed(state, now_ms, work, connection, last)
     return outs + _requeue_not_run(
         state, now_ms, work, connection, last, commands
@@ -381,11 +386,11 @@
     reply: statements.Reply,
     commands: tuple[statements.Command, ...],
 ) -> list:
-    """Requeue a request for which a connection could not be prepared.
+    """Requeue a request for whose session no connection could be set up.
 
     Another upstream is tried if there is one, within the retry budget.
     """
-    if reply.code in (Code.FAILED, Code.TIMEOUT, Code.OTHER):
+    if reply.code in _FAILURES:
         state.counters['setup_refused'] += 1
         work.passed_over.add(connection.upstream)
         if not work.running and not retries.spend(state.budget):
