Give the set-up of sessions, and refusals, modules of their own

Their behaviour is the same, but for two details: the replies to BEGIN and set-ups alone are looked at for values, so that a statement without them pays nothing, and a request whose deadline passes during its set-up counts as late instead of replaced.

--- a/topazring/core/synchronous/connections.py
+++ b/topazring/core/synchronous/connections.py
@@ -36,8 +36,6 @@
     'open_missing',
     'reserve_of',
     'send',
-    'send_after_setup',
-    'send_following',
     'share_of',
     'update_share',
 ]
@@ -506,27 +504,3 @@
     connection.commands = commands
     connection.sent_ms = now_ms
     return messages.Send(connection.number, commands)
-
-
-def send_after_setup(
-    connection: states.Connection,
-    now_ms: int,
-    setup: tuple[statements.Command, ...],
-    commands: tuple[statements.Command, ...],
-) -> messages.Send:
-    """Send a statement's commands, or first what sets up its session."""
-    if not setup:
-        return send(connection, now_ms, states.Purpose.STATEMENT, commands)
-    connection.following = commands
-    return send(connection, now_ms, states.Purpose.SESSION_SETUP, setup)
-
-
-def send_following(
-    state: states.GroupState, now_ms: int, connection: states.Connection
-) -> messages.Send:
-    """Send the commands of a statement whose session has been set up."""
-    commands, connection.following = connection.following, ()
-    upstream = state.upstreams.get(connection.upstream)
-    if upstream is not None:
-        connection.place_before = upstream.place
-    return send(connection, now_ms, states.Purpose.STATEMENT, commands)
--- a/topazring/core/synchronous/dispatch.py
+++ b/topazring/core/synchronous/dispatch.py
@@ -16,6 +16,7 @@
 from topazring.core.synchronous import request_queues
 from topazring.core.synchronous import routing
 from topazring.core.synchronous.scheduling import organisation_shares
+from topazring.core.synchronous import session_setup
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -236,11 +237,9 @@
         purpose = states.Purpose.BEGIN_TRANSACTION
         sent = connections.send(connection, now_ms, purpose, commands)
     else:
-        setup = exchanges.setup_commands(connection, request)
+        setup = session_setup.setup_commands(connection, request)
         commands = exchanges.single_commands(request, after)
-        sent = connections.send_after_setup(
-            connection, now_ms, setup, commands
-        )
+        sent = session_setup.send(connection, now_ms, setup, commands)
     outs.append(sent)
     return outs + member_queries.send_queries(state, now_ms)
 
@@ -313,11 +312,11 @@
             state, now_ms, work, Reason.TRANSACTION_LOST, 0
         )
     connection = state.connections[transaction.connection]
-    setup = exchanges.setup_commands(connection, request)
+    setup = session_setup.setup_commands(connection, request)
     commands = (exchanges.statement_command(request),)
     work.first_sent_ms = now_ms
     _assign_connection(state, now_ms, work, connection)
-    return [connections.send_after_setup(connection, now_ms, setup, commands)]
+    return [session_setup.send(connection, now_ms, setup, commands)]
 
 
 def roll_back(
--- a/topazring/core/synchronous/exchanges.py
+++ b/topazring/core/synchronous/exchanges.py
@@ -10,6 +10,7 @@
 
 from topazring.core import log_positions
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import session_setup
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -19,10 +20,6 @@
     'begin_commands',
     'checks_leadership',
     'first_refusal',
-    'forget_session',
-    'note_setup',
-    'setup_commands',
-    'setup_cost',
     'single_commands',
     'statement_command',
 ]
@@ -38,79 +35,6 @@
 STATUS_QUERY = (statements.Demote(0),)
 
 
-def setup_commands(
-    connection: states.Connection, request: messages.Request
-) -> tuple[statements.Command, ...]:
-    """Return the commands that set up a connection for a session.
-
-    They set its values and prepare the shape that the request executes.
-    """
-    commands: list[statements.Command] = []
-    values, prepared_names = connection.values, connection.prepared
-    if values.keys() - request.values.keys():
-        commands.append(statements.Reset())
-        values, prepared_names = {}, set()
-    for name, value in request.values.items():
-        if values.get(name) != value:
-            commands.append(statements.SetValue(name, value))
-    prepared = request.prepared
-    if prepared is not None and prepared.name not in prepared_names:
-        commands.append(prepared)
-    return tuple(commands)
-
-
-def note_setup(
-    connection: states.Connection, replies: tuple[statements.Reply, ...]
-) -> None:
-    """Record what the commands in flight have changed of the session.
-
-    A refused one may have had its effect, or a part of it.
-    """
-    for command, reply in zip(connection.commands, replies, strict=False):
-        is_done = reply.code is None
-        match command:
-            case statements.Reset():
-                connection.prepared.clear()
-                if is_done:
-                    connection.values.clear()
-                else:
-                    forget_session(connection)
-            case statements.SetValue():
-                value = command.value if is_done else None
-                connection.values[command.name] = value
-            case statements.Prepare() if is_done:
-                connection.prepared.add(command.name)
-
-
-def forget_session(connection: states.Connection) -> None:
-    """Record that a connection may hold values and names, or not.
-
-    A name is prepared again without harm: it always stands for one shape.
-    """
-    connection.values = dict.fromkeys(connection.values)
-    connection.prepared.clear()
-
-
-def setup_cost(
-    connection: states.Connection, request: messages.Request
-) -> int:
-    """Return the number of commands that `setup_commands` would return."""
-    values = request.values
-    cost = 0
-    prepared = connection.prepared
-    if connection.values.keys() - values.keys():
-        cost = 1 + len(values)
-        prepared = set()
-    else:
-        cost = sum(
-            connection.values.get(name) != value
-            for name, value in values.items()
-        )
-    if request.prepared is not None:
-        cost += request.prepared.name not in prepared
-    return cost
-
-
 def statement_command(
     request: messages.Request, after: log_positions.LogPosition | None = None
 ) -> statements.Command:
@@ -151,7 +75,7 @@
     The first statement of the transaction is not included; it is sent once
     all of them have succeeded.
     """
-    commands = list(setup_commands(connection, request))
+    commands = list(session_setup.setup_commands(connection, request))
     if request.read_only and after is None:
         # BEGIN READ succeeds at any upstream, so it does not prove
         # leadership.
--- a/topazring/core/synchronous/results.py
+++ b/topazring/core/synchronous/results.py
@@ -14,14 +14,15 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import proofs
+from topazring.core.synchronous import refusals
 from topazring.core.synchronous import reply_effects
 from topazring.core.synchronous.scheduling import service_times
+from topazring.core.synchronous import session_setup
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous import transactions
 
 __all__ = [
-    'LAGGING_PAUSE_MS',
     'handle_closed',
     'handle_replies',
     'record_log_positions',
@@ -31,29 +32,12 @@
 Code = statements.Code
 SessionState = statements.SessionState
 
-# An upstream whose queue was full has capacity again after about one
-# statement.
-BUSY_PAUSE_MS = 15
-# Time allowed for finding the next primary before a request that was refused
-# as read-only is sent again.
-READ_ONLY_PAUSE_MS = 5
-# A caller that is refused as its session could not be set up reaches another
-# upstream, or the same one later.
-SETUP_REFUSED_RETRY_MS = 100
 # Set-up commands take no slot, and each attempt repeats only what is not
 # acknowledged yet.
 SETUP_ATTEMPTS = 3
-# A replica that lacked a log position gets no reads of it for this long; the
-# usual lag is 60 ms. The pause doubles each time: a replica whose lag was a
-# hundred times the usual refused a tenth of all commands sent.
-LAGGING_PAUSE_MS = 80
-MAX_LAGGING_PAUSE_MS = 1280
 SERVICE_WEIGHT = 0.1
 MIN_SERVICE_MS = 1.0
 
-# Whether what was refused has had an effect is unknown.
-_FAILURES = (Code.FAILED, Code.TIMEOUT, Code.OTHER)
-
 Handler = collections.abc.Callable[
     [states.GroupState, int, states.Connection, messages.Replied], list
 ]
@@ -78,7 +62,6 @@
 ) -> list:
     """Process the replies to the commands sent on a connection."""
     outs = record_log_positions(state, now_ms, connection, message.replies)
-    exchanges.note_setup(connection, message.replies)
     handler = _handlers[connection.purpose]
     return outs + handler(state, now_ms, connection, message)
 
@@ -163,6 +146,7 @@
     work = state.work.get(connection.work)
     last = message.replies[-1]
     commands = connection.commands
+    session_setup.note_replies(connection, message.replies)
     refusal = exchanges.first_refusal(commands, message.replies)
     if refusal is None and last.code is not None:
         refusal = last
@@ -182,9 +166,9 @@
     if work is None:
         return outs
     work.running.discard(connection.number)
-    if refusal.code in _FAILURES:
+    if refusal.code in refusals.FAILURES:
         work.passed_over.add(connection.upstream)
-    return outs + _requeue_not_run(
+    return outs + refusals.requeue_not_run(
         state, now_ms, work, connection, refusal, commands
     )
 
@@ -200,6 +184,7 @@
     work = state.work.get(connection.work)
     last = message.replies[-1]
     commands = connection.commands
+    session_setup.note_replies(connection, message.replies)
     refusal = next((r for r in message.replies if r.code is not None), None)
     if connection.transaction:
         return transactions.handle_setup(
@@ -209,13 +194,13 @@
         state, now_ms, work, connection
     ):
         if refusal is None:
-            return [connections.send_following(state, now_ms, connection)]
+            return [session_setup.send_following(state, now_ms, connection)]
         connection.refused_setups += 1
         if connection.refused_setups < SETUP_ATTEMPTS:
             state.counters['setup_repeated'] += 1
-            setup = exchanges.setup_commands(connection, work.request)
+            setup = session_setup.setup_commands(connection, work.request)
             return [
-                connections.send_after_setup(
+                session_setup.send(
                     connection, now_ms, setup, connection.following
                 )
             ]
@@ -226,8 +211,10 @@
     if work.unproven_answer is not None:
         return outs
     if refusal is None:
-        return outs + completion.requeue(state, now_ms, work, Reason.REPLACED)
-    return outs + _requeue_unsent(
+        is_late = now_ms >= work.deadline_ms
+        reason = Reason.DEADLINE if is_late else Reason.REPLACED
+        return outs + completion.requeue(state, now_ms, work, reason)
+    return outs + refusals.requeue_unsent(
         state, now_ms, work, connection, refusal, commands
     )
 
@@ -276,16 +263,16 @@
         # waits for a leadership proof.
         return outs
     if refusal is not None and not work.request.writes:
-        return outs + _requeue_not_run(
+        return outs + refusals.requeue_not_run(
             state, now_ms, work, connection, refusal, commands
         )
     if last.code is None:
         return outs + _succeeded(
             state, now_ms, work, connection, last, commands
         )
-    if last.code in _FAILURES:
+    if last.code in refusals.FAILURES:
         return outs + _failed(state, now_ms, work, connection, last)
-    return outs + _requeue_not_run(
+    return outs + refusals.requeue_not_run(
         state, now_ms, work, connection, last, commands
     )
 
@@ -338,89 +325,6 @@
     )
 
 
-def _requeue_not_run(
-    state: states.GroupState,
-    now_ms: int,
-    work: states.Work,
-    connection: states.Connection,
-    reply: statements.Reply,
-    commands: tuple[statements.Command, ...],
-) -> list:
-    """Requeue a request that certainly did not run.
-
-    `commands` are the commands that were sent; the connection no longer
-    holds them.
-    """
-    upstream = state.upstreams.get(connection.upstream)
-    if reply.code is Code.LAGGING:
-        if upstream is not None:
-            _record_lagging(now_ms, upstream, commands)
-        work.passed_over.add(connection.upstream)
-        return completion.requeue(state, now_ms, work, Reason.REPLICA_BEHIND)
-    if reply.code is Code.READ_ONLY:
-        outs = []
-        if upstream is not None:
-            outs = primary.note_not_leading(state, now_ms, upstream)
-        return outs + completion.requeue(
-            state, now_ms, work, Reason.REPLACED, READ_ONLY_PAUSE_MS
-        )
-    if reply.code is Code.NO_STATEMENT:
-        # The recorded set of prepared names does not match the connection.
-        exchanges.forget_session(connection)
-        return completion.requeue(state, now_ms, work, Reason.NO_STATEMENT)
-    if reply.code is Code.BUSY:
-        if upstream is not None:
-            upstream.busy_until_ms = now_ms + BUSY_PAUSE_MS
-            concurrency_limit.reduce_limit(state, upstream)
-        return completion.requeue(state, now_ms, work, Reason.SLOTS_BUSY)
-    return completion.requeue(
-        state, now_ms, work, Reason.UPSTREAM_FAILED, BUSY_PAUSE_MS
-    )
-
-
-def _requeue_unsent(
-    state: states.GroupState,
-    now_ms: int,
-    work: states.Work,
-    connection: states.Connection,
-    reply: statements.Reply,
-    commands: tuple[statements.Command, ...],
-) -> list:
-    """Requeue a request for whose session no connection could be set up.
-
-    Another upstream is tried if there is one, within the retry budget.
-    """
-    if reply.code in _FAILURES:
-        state.counters['setup_refused'] += 1
-        work.passed_over.add(connection.upstream)
-        if not work.running and not retries.spend(state.budget):
-            return completion.give_up(
-                state,
-                now_ms,
-                work,
-                Reason.UPSTREAM_FAILED,
-                SETUP_REFUSED_RETRY_MS,
-            )
-    return _requeue_not_run(state, now_ms, work, connection, reply, commands)
-
-
-def _record_lagging(
-    now_ms: int,
-    upstream: states.Upstream,
-    commands: tuple[statements.Command, ...],
-) -> None:
-    """Record the log position that a replica lacked, and extend its pause."""
-    for command in commands:
-        after = getattr(command, 'after', None)
-        if after is not None:
-            upstream.missing_place = after
-            upstream.lagging_ms = now_ms
-    upstream.lagging_pause_ms = min(
-        max(LAGGING_PAUSE_MS, upstream.lagging_pause_ms * 2),
-        MAX_LAGGING_PAUSE_MS,
-    )
-
-
 def _failed(
     state: states.GroupState,
     now_ms: int,
--- a/topazring/core/synchronous/routing.py
+++ b/topazring/core/synchronous/routing.py
@@ -5,9 +5,9 @@
 from topazring.core import log_positions
 from topazring.core.synchronous import concurrency_limit
 from topazring.core.synchronous import connections
-from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import freshness
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import session_setup
 from topazring.core.synchronous import state as states
 
 __all__ = [
@@ -255,4 +255,4 @@
     free = states.idle_connections_of(state, upstream, request.organisation)
     if not free:
         return None
-    return min(free, key=lambda c: exchanges.setup_cost(c, request))
+    return min(free, key=lambda c: session_setup.setup_cost(c, request))
--- /dev/null
+++ b/topazring/core/synchronous/session_setup.py
@@ -0,0 +1,123 @@
+"""Set up the session of a statement on the connection that is to run it.
+
+Connections are shared by sessions. Their values and prepared names count as
+set only once the upstream has acknowledged them, and a statement is sent
+after that.
+"""
+
+from topazring.core.synchronous import connections
+from topazring.core.synchronous import messages
+from topazring.core.synchronous import state as states
+from topazring.core.synchronous import statements
+
+__all__ = [
+    'forget',
+    'note_replies',
+    'send',
+    'send_following',
+    'setup_commands',
+    'setup_cost',
+]
+
+
+def setup_commands(
+    connection: states.Connection, request: messages.Request
+) -> tuple[statements.Command, ...]:
+    """Return the commands that set up a connection for a session.
+
+    They set its values and prepare the shape that the request executes.
+    """
+    commands: list[statements.Command] = []
+    values, prepared_names = connection.values, connection.prepared
+    if values.keys() - request.values.keys():
+        commands.append(statements.Reset())
+        values, prepared_names = {}, set()
+    for name, value in request.values.items():
+        if values.get(name) != value:
+            commands.append(statements.SetValue(name, value))
+    prepared = request.prepared
+    if prepared is not None and prepared.name not in prepared_names:
+        commands.append(prepared)
+    return tuple(commands)
+
+
+def note_replies(
+    connection: states.Connection, replies: tuple[statements.Reply, ...]
+) -> None:
+    """Record what the commands in flight have changed of a session.
+
+    A refused one may have had its effect, or a part of it.
+    """
+    for command, reply in zip(connection.commands, replies, strict=False):
+        is_done = reply.code is None
+        match command:
+            case statements.Reset():
+                connection.prepared.clear()
+                if is_done:
+                    connection.values.clear()
+                else:
+                    forget(connection)
+            case statements.SetValue():
+                value = command.value if is_done else None
+                connection.values[command.name] = value
+            case statements.Prepare() if is_done:
+                connection.prepared.add(command.name)
+
+
+def forget(connection: states.Connection) -> None:
+    """Record that a connection may hold values and names, or not.
+
+    A name is prepared again without harm: it always stands for one shape.
+    """
+    connection.values = dict.fromkeys(connection.values)
+    connection.prepared.clear()
+
+
+def setup_cost(
+    connection: states.Connection, request: messages.Request
+) -> int:
+    """Return the number of commands that `setup_commands` would return."""
+    values = request.values
+    cost = 0
+    prepared = connection.prepared
+    if connection.values.keys() - values.keys():
+        cost = 1 + len(values)
+        prepared = set()
+    else:
+        cost = sum(
+            connection.values.get(name) != value
+            for name, value in values.items()
+        )
+    if request.prepared is not None:
+        cost += request.prepared.name not in prepared
+    return cost
+
+
+def send(
+    connection: states.Connection,
+    now_ms: int,
+    setup: tuple[statements.Command, ...],
+    commands: tuple[statements.Command, ...],
+) -> messages.Send:
+    """Send a statement's commands, or first what sets up its session."""
+    if not setup:
+        return connections.send(
+            connection, now_ms, states.Purpose.STATEMENT, commands
+        )
+    connection.following = commands
+    return connections.send(
+        connection, now_ms, states.Purpose.SESSION_SETUP, setup
+    )
+
+
+def send_following(
+    state: states.GroupState, now_ms: int, connection: states.Connection
+) -> messages.Send:
+    """Send the commands of a statement whose session has been set up."""
+    commands, connection.following = connection.following, ()
+    upstream = state.upstreams.get(connection.upstream)
+    if upstream is not None:
+        connection.place_before = upstream.place
+    return connections.send(
+        connection, now_ms, states.Purpose.STATEMENT, commands
+    )
--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -20,6 +20,7 @@
 from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import reply_effects
+from topazring.core.synchronous import session_setup
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -310,7 +311,7 @@
     def setup_commands(connection, request):
         return () if request.prepared is None else (request.prepared,)
 
-    return mock.patch.object(exchanges, 'setup_commands', setup_commands)
+    return mock.patch.object(session_setup, 'setup_commands', setup_commands)
 
 
 @_ablation
@@ -326,7 +327,7 @@
             (*setup, *commands),
         )
 
-    return mock.patch.object(connections, 'send_after_setup', send_at_once)
+    return mock.patch.object(session_setup, 'send', send_at_once)
 
 
 @_ablation
@@ -336,10 +337,10 @@
 
     def note_as_done(connection, replies):
         done = [dataclasses.replace(r, code=None) for r in replies]
-        note_setup(connection, tuple(done))
+        note_replies(connection, tuple(done))
 
-    note_setup = exchanges.note_setup
-    return mock.patch.object(exchanges, 'note_setup', note_as_done)
+    note_replies = session_setup.note_replies
+    return mock.patch.object(session_setup, 'note_replies', note_as_done)
 
 
 @_ablation
@@ -355,11 +356,11 @@
         ]
         commands = connection.commands
         connection.commands = tuple(command for command, _ in done)
-        note_setup(connection, tuple(reply for _, reply in done))
+        note_replies(connection, tuple(reply for _, reply in done))
         connection.commands = commands
 
-    note_setup = exchanges.note_setup
-    return mock.patch.object(exchanges, 'note_setup', note_what_is_done)
+    note_replies = session_setup.note_replies
+    return mock.patch.object(session_setup, 'note_replies', note_what_is_done)
 
 
 @_ablation
--- a/topazring/core/synchronous/tests/fake_group.py
+++ b/topazring/core/synchronous/tests/fake_group.py
@@ -75,7 +75,7 @@
     slots: int = 0
     busy: int = 0
     # Until when it fails a part of all commands.
-    grey_until_ms: int = 0
+    failing_until_ms: int = 0
 
     def received(self) -> log_positions.LogPosition:
         """Return the log position of the last entry."""
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -584,7 +584,7 @@
         self.without_store.clear()
         for member in self.members.values():
             member.not_receiving_until_ms = 0
-            member.grey_until_ms = 0
+            member.failing_until_ms = 0
             member.is_down = False
             member.listed = True
         for wire in list(self.wires.values()):
--- a/topazring/core/synchronous/tests/test_reads.py
+++ b/topazring/core/synchronous/tests/test_reads.py
@@ -4,7 +4,7 @@
 
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
-from topazring.core.synchronous import results
+from topazring.core.synchronous import refusals
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import support
 
@@ -154,7 +154,7 @@
                 driver.reply(connection, behind)
             for connection in driver.busy():
                 driver.reply(connection, support.ok('s'))
-            driver.now_ms += results.LAGGING_PAUSE_MS + 1
+            driver.now_ms += refusals.LAGGING_PAUSE_MS + 1
         return driver
 
     def test_lagging_replica_gets_no_reads_for_a_while(self):
@@ -166,7 +166,7 @@
         was looked up in the sent commands after these had been cleared.
         """
         driver = self.lagging(1)
-        driver.now_ms -= results.LAGGING_PAUSE_MS
+        driver.now_ms -= refusals.LAGGING_PAUSE_MS
         _, outs = driver.submit(support.BOUNDED)
         self.assertNotIn('u2', sent_to(driver, outs))
 
--- a/topazring/core/synchronous/tests/test_refused_setups.py
+++ b/topazring/core/synchronous/tests/test_refused_setups.py
@@ -8,6 +8,7 @@
 
 from topazring.core import outcomes
 from topazring.core.synchronous import exchanges
+from topazring.core.synchronous import expiry
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import results
 from topazring.core.synchronous import state as states
@@ -115,7 +116,7 @@
         self.assertIsNone(self.answer(outs, key))
 
     def test_refusal_beyond_the_budget(self):
-        """Guards against retries that add to the load of a grey upstream."""
+        """Guards against retries that add load to a failing upstream."""
         self.driver.state.budget.balance = 0.0
         key, connection = self.submit()
         for _ in range(results.SETUP_ATTEMPTS):
@@ -127,7 +128,7 @@
         self.assertGreater(answer.retry_after_ms, 0)
 
     def test_refused_read_goes_elsewhere(self):
-        """Guards against a read that a grey upstream keeps."""
+        """Guards against a read that a failing upstream keeps."""
         sample = support.log_positions.Sample(
             self.driver.now_ms, support.Place(1, 5)
         )
@@ -181,6 +182,19 @@
         self.driver.tick(40)
         self.assertEqual((prepared,), self.driver.running(key).commands)
 
+    def test_isolated_meanwhile(self):
+        """Guards against "may have run" for what is never sent."""
+        key, connection = self.submit()
+        work = self.driver.state.work[key]
+        outs = expiry._abort(
+            self.driver.state,
+            self.driver.now_ms,
+            work,
+            outcomes.Reason.NOT_CONFIRMED,
+        )
+        self.assertIsInstance(self.answer(outs, key), outcomes.NotRun)
+        self.assertNotIn(connection.number, self.driver.state.connections)
+
 
 class TransactionTest(testtools.TestCase):
     """A transaction begins, and goes on, with acknowledged values."""
@@ -223,6 +237,17 @@
         again = self.driver.running(key)
         self.assertEqual((SET_ZONE, begin), again.commands)
 
+    def test_refused_begin(self):
+        """Guards against callers refused for what takes no slot."""
+        self.driver.state.budget.balance = 0.0
+        key, _ = self.submit(begins=True, values={})
+        for _ in range(3):
+            connection = self.driver.running(key)
+            outs = self.driver.reply(connection, support.refused(Code.FAILED))
+            self.assertEqual({}, support.answers(outs))
+            self.driver.tick(40)
+        self.assertIn(key, self.driver.state.work)
+
     def test_value_set_inside(self):
         """The next statement follows the acknowledged value."""
         connection = self.begin()
--- a/topazring/core/synchronous/tests/test_sessions.py
+++ b/topazring/core/synchronous/tests/test_sessions.py
@@ -4,8 +4,8 @@
 
 from topazring.core import log_positions
 from topazring.core import outcomes
-from topazring.core.synchronous import exchanges
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import session_setup
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -143,14 +143,14 @@
         *codes: statements.Code | None,
     ) -> tuple[statements.Command, ...]:
         """Set up a connection; replies succeed unless they have a code."""
-        connection.commands = exchanges.setup_commands(connection, request)
-        cost = exchanges.setup_cost(connection, request)
+        connection.commands = session_setup.setup_commands(connection, request)
+        cost = session_setup.setup_cost(connection, request)
         self.assertEqual(cost, len(connection.commands))
         replies = [
             statements.Reply(code=code, signature=None if code else '-')
             for code in codes or [None] * cost
         ]
-        exchanges.note_setup(connection, tuple(replies))
+        session_setup.note_replies(connection, tuple(replies))
         return connection.commands
 
     def test_refused_value(self):
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -21,8 +21,8 @@
 ORDER_TIMEOUT_MS = 300
 
 
-# The part of its commands that a member fails while it is grey.
-GREY_SHARE = 0.45
+# The part of its commands that a failing member fails.
+FAILING_SHARE = 0.45
 _FAILING = (
     statements.Begin,
     statements.Execute,
@@ -93,7 +93,7 @@
         command: object,
     ) -> statements.Reply | None:
         """Return the reply to a command, None if it is sent later."""
-        if self.now_ms < member.grey_until_ms:
+        if self.now_ms < member.failing_until_ms:
             refusal = self.refuse_at_random(wire, member, command)
             if refusal is not None:
                 return refusal
@@ -138,7 +138,10 @@
         What sets up a session may take effect although it times out. A
         failed statement has run, and has no effect.
         """
-        if not isinstance(command, _FAILING) or self.rng.random() > GREY_SHARE:
+        if (
+            not isinstance(command, _FAILING)
+            or self.rng.random() > FAILING_SHARE
+        ):
             return None
         if isinstance(command, statements.Run | statements.Execute):
             if not wire.failed:
--- a/topazring/core/synchronous/tests/walks.py
+++ b/topazring/core/synchronous/tests/walks.py
@@ -65,9 +65,9 @@
 # The primary serves alone and is saturated at times.
 CROWDS = (*ACTIONS, ('crowd', 4), ('work', 8), ('disperse', 1))
 # Members fail a part of all commands for a while, set-up included.
-REFUSALS = (*ACTIONS, ('grey', 3))
+REFUSALS = (*ACTIONS, ('fail_commands', 3))
 # How long a member fails commands.
-GREY_MS = 6500
+FAILING_MS = 6500
 # The longest duration of a promotion at the users' upstreams.
 SLOW_PROMOTE_MS = 1000
 # A restart of a process takes longer than a promotion.
@@ -370,9 +370,11 @@
 
 
 @_action
-def _grey(simulation: simulations.Simulation, rng: random.Random) -> None:
+def _fail_commands(
+    simulation: simulations.Simulation, rng: random.Random
+) -> None:
     member = rng.choice(list(simulation.members.values()))
-    member.grey_until_ms = int(simulation.now_ms) + GREY_MS
+    member.failing_until_ms = int(simulation.now_ms) + FAILING_MS
     simulation.note(f'{member.name} fails a part of its commands')
 
 
--- a/topazring/core/synchronous/transactions.py
+++ b/topazring/core/synchronous/transactions.py
@@ -9,6 +9,7 @@
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import reply_effects
 from topazring.core.synchronous.scheduling import organisation_shares
+from topazring.core.synchronous import session_setup
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -79,7 +80,7 @@
     if work is None or transaction is None:
         return _roll_back_unclaimed(state, now_ms, connection)
     if not is_refused and last.state is SessionState.IN_TRANSACTION:
-        return [connections.send_following(state, now_ms, connection)]
+        return [session_setup.send_following(state, now_ms, connection)]
     state.counters['setup_refused'] += 1
     work.running.discard(connection.number)
     outs = _end_failed(state, now_ms, connection, work, last)
