Forget the names of a connection that lacks one in a transaction

What callers saw: nothing yet, by reading. A statement in a transaction that names what the upstream does not know ends its transaction, and the name went on being recorded for the connection: each later transaction there met the same. Outside of transactions the names were forgotten.

Evidence: test_unknown_name_inside fails before (the name is still recorded).

--- a/topazring/core/synchronous/tests/test_refused_setups.py
+++ b/topazring/core/synchronous/tests/test_refused_setups.py
@@ -248,6 +248,21 @@
             self.driver.tick(40)
         self.assertIn(key, self.driver.state.work)
 
+    def test_unknown_name_inside(self):
+        """Guards against names that are recorded and not there."""
+        connection = self.begin()
+        connection.prepared.add('wq')
+        prepared = statements.Prepare('wq', statements.Access.WRITE, 'q')
+        self.driver.submit(
+            verb=Verb.EXECUTE,
+            transaction=TRANSACTION,
+            values=ZONE,
+            prepared=prepared,
+        )
+        refusal = support.refused(Code.NO_STATEMENT, state=FAILED)
+        self.driver.reply(connection, refusal)
+        self.assertEqual(set(), connection.prepared)
+
     def test_value_set_inside(self):
         """The next statement follows the acknowledged value."""
         connection = self.begin()
--- a/topazring/core/synchronous/transactions.py
+++ b/topazring/core/synchronous/transactions.py
@@ -166,6 +166,8 @@
         state.counters[f'retry_{Reason.SLOTS_BUSY}'] += 1
         connections.mark_idle(connection, now_ms)
         return dispatch.continue_transaction(state, now_ms, work)
+    if reply.code is Code.NO_STATEMENT:
+        session_setup.forget(connection)
     outs = _end_failed(state, now_ms, connection, work, reply)
     upstream = state.upstreams.get(connection.upstream)
     if reply.code is Code.READ_ONLY and upstream is not None:
