Run a task again if what it waits for is cancelled

What operators would see: the one of entry-ends-the-reading, a process that is ready and a task of it that has ended, here without a line or a counter.

Cause, by reading: a task that awaits another one, as a link that connects, is handed its CancelledError, which is no Exception. The supervisor took it for its own end. asyncio tells the two apart: nobody has cancelled this task.

Evidence: test_cancellation_of_what_it_waits_for fails before (cancelled, run once).

--- a/topazring/plumbing/supervision.py
+++ b/topazring/plumbing/supervision.py
@@ -56,6 +56,11 @@
         began_ms = clock.monotonic_ms()
         try:
             return await run()
+        except asyncio.CancelledError as error:
+            if asyncio.current_task().cancelling():
+                raise
+            # What it waited for was cancelled, not the task itself.
+            reporter.report_failure(name, error)
         except Exception as error:
             reporter.report_failure(name, error)
         if clock.monotonic_ms() - began_ms >= RECOVERED_MS:
--- a/topazring/plumbing/tests/test_supervision.py
+++ b/topazring/plumbing/tests/test_supervision.py
@@ -92,6 +92,27 @@
         self.assertTrue(asyncio.run(run()))
         self.assertEqual({'work': 0}, dict(self.reporter.counters))
 
+    def test_cancellation_of_what_it_waits_for(self):
+        """Guards against a task that ends as another one is cancelled."""
+
+        async def wait_for_another() -> None:
+            self.runs += 1
+            if self.runs == 1:
+                another = asyncio.create_task(asyncio.Event().wait())
+                another.cancel()
+                await another
+
+        async def run():
+            with mock.patch.object(asyncio, 'sleep', self.sleep):
+                task = supervision.start(
+                    'work', wait_for_another, self.reporter
+                )
+                await asyncio.wait([task])
+
+        asyncio.run(run())
+        self.assertEqual(2, self.runs)
+        self.assertEqual({'work': 1}, dict(self.reporter.counters))
+
     def test_task_that_nobody_awaits(self):
         """Guards against an error that leaves no trace."""
 
