Show operators what can be read beside what cannot

Cause: the one of entry-ends-the-reading on another way, the operator's commands; they decoded all entries without the check of the proxies.

Fix: instances are decoded in one place for proxies and commands, and one that is unreadable is named on standard error. An unreadable value has a revision and no value: `get` says so, and `set` replaces it.

Evidence: both tests of OperatorTest fail before (RecursionError).

--- a/topazring/admin/changes.py
+++ b/topazring/admin/changes.py
@@ -66,7 +66,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stored:
-    """Hold a value as stored in the service."""
+    """Hold a value as stored in the service.
+
+    Without a value it is absent, or unreadable if it has a revision.
+    """
 
     value: dict | None
     revision: int | None
@@ -88,8 +91,12 @@
             return Stored(None, None, '')
         case key_value.Unavailable(detail=detail):
             return NoResponse(detail)
-    value = json.loads(response.value)
-    change_id = value.pop(_CHANGE_ID, '')
+    try:
+        value = json.loads(response.value)
+        change_id = value.pop(_CHANGE_ID, '')
+    except Exception:
+        # Written by another program. An operator can replace it.
+        return Stored(None, response.revision, '')
     return Stored(value, response.revision, change_id)
 
 
--- a/topazring/admin/main.py
+++ b/topazring/admin/main.py
@@ -18,7 +18,10 @@
 from topazring.admin import load_command
 from topazring.admin import trace_command
 from topazring import catalogue
+from topazring.core import members as membership
 from topazring.core import organisations
+from topazring.core import revisions
+from topazring import instances
 from topazring import key_value
 from topazring import platform_client
 
@@ -100,9 +103,8 @@
         """Print the value with its revision."""
         stored = _read_stored(_client(self.platform), self.kind, self.name)
         if stored.value is None:
-            exits.fail(
-                exits.EXIT_REFUSED, f'{self.kind} {self.name}: not configured'
-            )
+            state = 'unreadable' if stored.revision else 'not configured'
+            exits.fail(exits.EXIT_REFUSED, f'{self.kind} {self.name}: {state}')
         print(f'// revision {stored.revision}')
         print(_format_json(stored.value))
 
@@ -327,11 +329,27 @@
         exits.fail(
             exits.EXIT_UNREACHABLE, f'the service is away: {found.detail}'
         )
-    listed = [json.loads(c.value) for c in found.changes if c.value]
-    proxies = [i for i in listed if i['kind'] == 'proxy']
+    proxies = []
+    for change in found.changes:
+        if change.value and _is_proxy(change):
+            proxies.append(json.loads(change.value))
     return sorted(proxies, key=lambda p: p['name'])
 
 
+def _is_proxy(change: revisions.Change) -> bool:
+    try:
+        instance = instances.decode(change.value)
+    except Exception as error:
+        # Written by another program; the others are shown.
+        print(
+            f'ignored an unreadable instance: {change.key} '
+            f'({type(error).__name__})',
+            file=sys.stderr,
+        )
+        return False
+    return isinstance(instance, membership.Member)
+
+
 async def fetch(proxy: dict, path: str) -> dict | None:
     """Return JSON from a proxy's operator port, or None on any failure."""
     url = f'http://{proxy["host"]}:{proxy["operator_port"]}{path}'
--- a/topazring/proxy/cluster_state.py
+++ b/topazring/proxy/cluster_state.py
@@ -11,13 +11,11 @@
 import dataclasses
 import functools
 import random
-import typing
-
-import msgspec
 
 from topazring import catalogue
 from topazring.core import members as membership
 from topazring.core import revisions
+from topazring import instances
 from topazring import key_value
 from topazring import platform_client
 from topazring.plumbing import clock
@@ -41,34 +39,6 @@
 MAX_RETRY_DELAY_S = 10.0
 
 
-_Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
-
-
-class _Instance(msgspec.Struct):
-    """Entry of any instance in the platform's list."""
-
-    kind: str = ''
-    state: str = ''
-
-
-class _ProxyInstance(msgspec.Struct):
-    """Entry of a proxy in the platform's list."""
-
-    name: str
-    incarnation: str
-    host: str
-    region: str
-    data_centre: str
-    hop_port: _Port
-    gossip_port: _Port
-    operator_port: _Port
-    state: str
-
-
-_decode_instance = msgspec.json.Decoder(_Instance).decode
-_decode_proxy = msgspec.json.Decoder(_ProxyInstance).decode
-
-
 @dataclasses.dataclass(slots=True)
 class Stream:
     """One stream of revisions and the time it was last confirmed."""
@@ -374,7 +344,7 @@
             if change.value is None:
                 continue
             try:
-                member = _parse_member(change.value)
+                member = instances.decode(change.value)
             except Exception as error:
                 # It names nobody, and must not block the entries behind it.
                 self.failures.counters['bad_entry'] += 1
@@ -406,22 +376,3 @@
 
 def _gossip_address(host: str, port: int) -> str:
     return f'tcp://{host}:{port}'
-
-
-def _parse_member(text: str) -> membership.Member | _Instance:
-    """Return a proxy, or another instance; raise an error if malformed."""
-    instance = _decode_instance(text)
-    if instance.kind != 'proxy':
-        return instance
-    raw = _decode_proxy(text)
-    return membership.Member(
-        raw.name,
-        raw.incarnation,
-        raw.host,
-        raw.region,
-        raw.data_centre,
-        raw.hop_port,
-        raw.gossip_port,
-        raw.operator_port,
-        raw.state == 'leaving',
-    )
--- a/topazring/proxy/tests/test_bad_entries.py
+++ b/topazring/proxy/tests/test_bad_entries.py
@@ -1,12 +1,16 @@
 """Values that cannot be read stop no part of a proxy."""
 
 import asyncio
+import contextlib
+import io
 import json
 import types
 from unittest import mock
 
 import testtools
 
+from topazring.admin import changes
+from topazring.admin import main as admin
 from topazring import catalogue
 from topazring.core import revisions
 from topazring import key_value
@@ -53,6 +57,35 @@
         return True
 
 
+class OperatorTest(testtools.TestCase):
+    """An operator's commands show what can be read."""
+
+    def test_instances(self):
+        """Guards against commands that end at one unreadable instance."""
+        good = revisions.Change('p2', 9, json.dumps(PROXY))
+        bad = [revisions.Change('b', 1, value) for value in BAD_VALUES]
+        platform = mock.Mock()
+        platform.all_instances = mock.AsyncMock(
+            return_value=key_value.Changes(0, 9, [*bad, good])
+        )
+        with contextlib.redirect_stderr(io.StringIO()) as errors:
+            found = asyncio.run(admin.list_proxies(platform))
+        self.assertEqual(['p2'], [proxy['name'] for proxy in found])
+        self.assertIn('unreadable instance: b', errors.getvalue())
+
+    def test_value_is_replaced(self):
+        """Guards against a damaged value that nobody can replace."""
+        for value in (NESTED, '[]', '7', ''):
+            platform = mock.Mock()
+            platform.get = mock.AsyncMock(
+                return_value=key_value.Found(value, 7)
+            )
+            stored = asyncio.run(
+                changes.read_value(platform, 'profile', 'bad')
+            )
+            self.assertEqual(changes.Stored(None, 7, ''), stored)
+
+
 class CatalogueTest(testtools.TestCase):
     """The values that follow a bad one are applied."""
 
@@ -118,8 +151,7 @@
 
         async def run():
             key = 'configuration/database/d'
-            changes = [revisions.Change(key, 1, '{}')]
-            state = self.make(changes)
+            state = self.make([revisions.Change(key, 1, '{}')])
             state.on_change = mock.Mock(side_effect=OverflowError)
             with mock.patch.object(gossip.pynng, 'Pull0', mock.Mock()):
                 with mock.patch.object(state.gossip, 'start', lambda: None):
