Count and log each answer that cannot be read

Fix: `bad answer` with the address and a counter for other proxies' answers, a counter for the store's, whose line is the caller's (`store lost` and others), for gossip, for configured values, and for records of grants.

--- a/topazring/key_value.py
+++ b/topazring/key_value.py
@@ -101,6 +101,8 @@
     # Newest era that an answer has named. A new era begins when the store
     # returns from an older copy.
     era: int
+    # Answers that could not be read; each counts as no answer.
+    bad_answers: int
 
     async def get(self, key: str) -> Found | Missing | Unavailable:
         """Return the value of a key."""
--- a/topazring/platform/store.py
+++ b/topazring/platform/store.py
@@ -67,6 +67,7 @@
     def __init__(self, address: str):
         self.base = f'http://{address}'
         self.era = 0
+        self.bad_answers = 0
         self.calls: collections.Counter[str] = collections.Counter()
         self.client = http_calls.make_client()
 
@@ -84,7 +85,7 @@
             return reply
         if reply.code == 404:
             return key_value.Missing()
-        item = _decode_body(reply, _Item)
+        item = self._decode_body(reply, _Item)
         if isinstance(item, key_value.Unavailable):
             return item
         revision = revisions.in_era(self.era, item.revision)
@@ -133,7 +134,7 @@
             return key_value.Conflict()
         if reply.code == 404:
             return key_value.Missing()
-        written = _decode_body(reply, _Revision)
+        written = self._decode_body(reply, _Revision)
         if isinstance(written, key_value.Unavailable):
             return written
         return key_value.Written(revisions.in_era(self.era, written.revision))
@@ -159,7 +160,7 @@
             reply = await self._call('GET', path)
             if isinstance(reply, key_value.Unavailable):
                 return reply
-            page = _decode_body(reply, _Page)
+            page = self._decode_body(reply, _Page)
             if isinstance(page, key_value.Unavailable):
                 return page
             if first_revision is None:
@@ -195,7 +196,7 @@
             return reply
         if reply.code == 410 or self.era > era:
             return key_value.HistoryCompacted()
-        page = _decode_body(reply, _Events)
+        page = self._decode_body(reply, _Events)
         if isinstance(page, key_value.Unavailable):
             return page
         found = [_change(era, item) for item in page.events]
@@ -209,7 +210,7 @@
         reply = await self._call('POST', '/-/kv-lease', {'ttl-ms': ttl_ms})
         if isinstance(reply, key_value.Unavailable):
             return reply
-        lease = _decode_body(reply, _Lease)
+        lease = self._decode_body(reply, _Lease)
         if isinstance(lease, key_value.Unavailable):
             return lease
         return key_value.Leased(lease.lease, lease.ttl_ms)
@@ -224,7 +225,7 @@
             return reply
         if reply.code == 404:
             return key_value.Missing()
-        renewed = _decode_body(reply, _Lease)
+        renewed = self._decode_body(reply, _Lease)
         if isinstance(renewed, key_value.Unavailable):
             return renewed
         return key_value.Leased(lease, renewed.ttl_ms)
@@ -262,6 +263,17 @@
             return key_value.Unavailable(f'answer of the earlier era {era}')
         return reply
 
+    def _decode_body(
+        self, reply: httpclient.HTTPResponse, kind: type[_Body]
+    ) -> _Body | key_value.Unavailable:
+        """Return the decoded body; an unreadable one counts as no answer."""
+        try:
+            return msgspec.json.decode(reply.body, type=kind)
+        except Exception as error:
+            self.bad_answers += 1
+            detail = f'unreadable answer: {type(error).__name__}: {error}'
+            return key_value.Unavailable(detail)
+
     def _is_outdated(self, revision: int) -> bool:
         """Return whether a revision is of an earlier era; 0 is of none."""
         return bool(revision) and revisions.era_of(revision) < self.era
@@ -273,17 +285,6 @@
     return int(text) if text.isdecimal() else 0
 
 
-def _decode_body(
-    reply: httpclient.HTTPResponse, kind: type[_Body]
-) -> _Body | key_value.Unavailable:
-    """Return the decoded body; an unreadable one counts as no answer."""
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except Exception as error:
-        detail = f'unreadable answer: {type(error).__name__}: {error}'
-        return key_value.Unavailable(detail)
-
-
 def _decode_value(item: _Item) -> str:
     """Return an item's value, or an empty string if it is not text.
 
--- a/topazring/platform/tests/returning_store.py
+++ b/topazring/platform/tests/returning_store.py
@@ -61,7 +61,7 @@
         self.store_port = store_port
         self.client = stores.StoreClient(f'127.0.0.1:{store_port}')
         self.log = events.EventLog(name)
-        asker = peers.PeerClient((), self.address)
+        asker = peers.PeerClient((), self.address, self.log)
         self.directory = directories.Directory(
             types.SimpleNamespace(
                 store=self.client,
--- a/topazring/platform/tests/test_store.py
+++ b/topazring/platform/tests/test_store.py
@@ -56,3 +56,31 @@
         with mock.patch.object(tcpclient.TCPClient, 'connect', dialled):
             answer = await client.changes('', 1, 0)
         self.assertIsInstance(answer, key_value.Unavailable)
+
+
+class UnreadableAnswerTest(testtools.TestCase):
+    """An answer that cannot be decoded counts as none."""
+
+    def test_calls(self):
+        """Guards against an answer that ends the task that asked."""
+        bodies = (b'', b'x', b'7', b'{"items":' + b'[' * 3000)
+
+        async def run():
+            client = store.StoreClient('127.0.0.1:1')
+            client._call = mock.AsyncMock()
+            values = (key_value.Value('k', 'v', 0),)
+            for body in bodies:
+                client._call.return_value = mock.Mock(code=200, body=body)
+                for answer in (
+                    await client.get('k'),
+                    await client.put_all(values),
+                    await client.read_all(''),
+                    await client.changes('', 1, 0),
+                    await client.lease(2000),
+                    await client.renew_lease(7),
+                ):
+                    self.assertIsInstance(answer, key_value.Unavailable)
+            client.close()
+            return client.bad_answers
+
+        self.assertEqual(6 * len(bodies), asyncio.run(run()))
--- a/topazring/plumbing/logs.py
+++ b/topazring/plumbing/logs.py
@@ -32,6 +32,10 @@
         self.counters: collections.Counter[str] = collections.Counter()
         self.logger = part_logger('process')
 
+    def count(self, what: str) -> None:
+        """Count one event."""
+        self.counters[what] += 1
+
     def register(self, task: str) -> None:
         """Begin to count the failures of a task."""
         self.counters[f'task_failed_{task}'] += 0
--- a/topazring/pooler/acknowledgement_reports.py
+++ b/topazring/pooler/acknowledgement_reports.py
@@ -20,6 +20,7 @@
 from topazring.plumbing import events
 from topazring.plumbing import http_calls
 from topazring.pooler import directory as directories
+from topazring.pooler import peers
 from topazring.pooler import promotion_lease as promotion_leases
 from topazring.pooler import settings
 
@@ -267,7 +268,9 @@
             msgspec.structs.asdict(query.arguments),
         )
         answered_ms = clock.boottime_ms()
-        answer = _decode(body, AcknowledgementsAnswer)
+        answer = self._decode(
+            record.peer_address, body, AcknowledgementsAnswer
+        )
         # Another proxy may have got the address.
         if answer is None or answer.name != record.name:
             return None
@@ -309,7 +312,7 @@
             body = await self._fetch(
                 record.peer_address, FENCE_PATH, {'service': service}
             )
-        answer = _decode(body, FenceAnswer)
+        answer = self._decode(record.peer_address, body, FenceAnswer)
         if answer is None or answer.incarnation != holder:
             return None
         return answer
@@ -330,13 +333,13 @@
             return None
         return reply.body
 
-
-def _decode(body: bytes | None, answer_type: type):
-    """Return the decoded answer, None if it is missing or malformed."""
-    if body is None:
-        return None
-    try:
-        return msgspec.msgpack.decode(body, type=answer_type)
-    except Exception:
-        # No proxy, or one of another version.
-        return None
+    def _decode(self, address: str, body: bytes | None, answer_type: type):
+        """Return the decoded answer, None if it is missing or malformed."""
+        if body is None:
+            return None
+        try:
+            return msgspec.msgpack.decode(body, type=answer_type)
+        except Exception as error:
+            # No proxy, or one of another version.
+            peers.report_bad_answer(self.log, address, error)
+            return None
--- a/topazring/pooler/peers.py
+++ b/topazring/pooler/peers.py
@@ -24,22 +24,28 @@
 from tornado import httputil
 
 from topazring.core import revisions
+from topazring.plumbing import events
 from topazring.plumbing import http_calls
+from topazring.plumbing import supervision
 from topazring.pooler import settings
 
 __all__ = [
     'ASK_TIMEOUT_S',
+    'BAD_ANSWER',
     'PATH',
     'PeerAnswer',
     'PeerClient',
     'Respond',
     'Server',
+    'report_bad_answer',
     'without_eras',
 ]
 
 PATH = '/changes'
 _ERAS_ARGUMENT = 'eras'
 ASK_TIMEOUT_S = 0.4
+# Counts answers of other proxies that could not be read.
+BAD_ANSWER = 'bad_answer'
 # A change has to be in force within some seconds; no wait has to be longer.
 MAX_WAIT_MS = 30_000
 # A follower's link carries each change once per reader. A configuration of
@@ -202,11 +208,23 @@
     }
 
 
+def report_bad_answer(
+    log: events.EventLog, address: str, error: Exception
+) -> None:
+    """Count an answer of another proxy that is unreadable, and log it."""
+    log.count(BAD_ANSWER)
+    inputs = {'address': address, **supervision.describe(error)}
+    log.emit('directory', 'bad answer', inputs=inputs)
+
+
 class PeerClient:
     """Request changes from peers."""
 
-    def __init__(self, seeds: tuple[str, ...], own_address: str):
+    def __init__(
+        self, seeds: tuple[str, ...], own_address: str, log: events.EventLog
+    ):
         self.seeds = seeds
+        self.log = log
         # Excluded: it may be among the seeds, and it is listed.
         self.own_address = own_address
         self.client = http_calls.make_client()
@@ -239,6 +257,7 @@
             return None
         try:
             return _decode(reply.body)
-        except Exception:
+        except Exception as error:
             # Not a proxy: the address may belong to another process by now.
+            report_bad_answer(self.log, address, error)
             return None
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -92,7 +92,9 @@
         self.listed_proxies: dict[str, ownership.Proxy] = {}
         self.owner_changes: dict[str, owner_changes.OwnerChanges] = {}
         self.owner_checks: asyncio.Task | None = None
-        peer_client = peers.PeerClient(config.peers, config.peer_address or '')
+        peer_client = peers.PeerClient(
+            config.peers, config.peer_address or '', self.log
+        )
         self.directory = directories.Directory(
             adapter,
             peer_client,
@@ -611,7 +613,14 @@
     def _counters(self) -> collections.Counter[str]:
         counters = collections.Counter(self.refusals)
         counters.update(self.closures.counters)
-        counters.update({stored_values.BAD_ENTRY: 0, **self.log.counters})
+        counters.update(
+            {
+                stored_values.BAD_ENTRY: 0,
+                peers.BAD_ANSWER: 0,
+                'bad_store_answer': self.adapter.store.bad_answers,
+                **self.log.counters,
+            }
+        )
         for group in self.groups.values():
             counters.update(group.state.counters)
         return counters
--- a/topazring/pooler/tests/fleet.py
+++ b/topazring/pooler/tests/fleet.py
@@ -56,6 +56,7 @@
     def __init__(self, service: Service):
         self.service = service
         self.era = 0
+        self.bad_answers = 0
         # The store refuses its calls.
         self.is_unavailable = False
         # Its calls get no answer.
@@ -104,7 +105,7 @@
         self.log = events.EventLog(name)
         self.versions: list[int] = []
         self.is_paused = False
-        asker = peers.PeerClient((), self.address)
+        asker = peers.PeerClient((), self.address, self.log)
         self.directory = directories.Directory(
             types.SimpleNamespace(
                 store=self.client,
--- a/topazring/pooler/tests/test_bad_entries.py
+++ b/topazring/pooler/tests/test_bad_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from unittest import mock
+import zlib
 
 import msgspec
 import testtools
@@ -10,10 +11,12 @@
 from topazring.core.synchronous import statements
 from topazring import key_value
 from topazring.plumbing import events
+from topazring.pooler import acknowledgement_reports
 from topazring.pooler import closures
 from topazring.pooler import directory as directories
 from topazring.pooler import member_records
 from topazring.pooler import order_records
+from topazring.pooler import peers
 from topazring.pooler import promotion_lease as promotion_leases
 from topazring.pooler import stored_values
 from topazring.pooler.tests import fleet
@@ -280,10 +283,44 @@
                 self.directory.set(key, value)
                 self.assertTrue(follower.handle_change(key))
                 self.assertEqual({}, follower.in_force)
+                page = await follower.handle_request(value.encode())
+                self.assertEqual(400, page.code)
 
         asyncio.run(run())
 
 
+class AnswerTest(testtools.TestCase):
+    """Answers of other proxies may come from another process."""
+
+    def test_unreadable_answers(self):
+        """Guards against an error that ends what asks, and leaves no line."""
+        bodies = (b'', b'x', b'\x91' * 2000, zlib.compress(b'[' * 3000))
+
+        async def run():
+            log = events.EventLog('p1')
+            client = peers.PeerClient((), '', log)
+            for body in bodies:
+                reply = mock.Mock(code=200, body=body)
+                call = mock.AsyncMock(return_value=reply)
+                with mock.patch.object(peers.http_calls, 'call', call):
+                    found = await client.fetch_changes('127.0.0.1:9', 0)
+                self.assertIsNone(found)
+            return log.counters[peers.BAD_ANSWER]
+
+        self.assertEqual(len(bodies), asyncio.run(run()))
+
+    def test_unreadable_reports(self):
+        """Guards against an error that ends the process of a promoter."""
+        log = events.EventLog('p1')
+        reports = acknowledgement_reports.Reports(
+            'p1', 'p1-a', mock.Mock(), log, mock.Mock()
+        )
+        kind = acknowledgement_reports.FenceAnswer
+        for body in (b'', b'x', b'\x91' * 2000):
+            self.assertIsNone(reports._decode('127.0.0.1:9', body, kind))
+        self.assertEqual(3, log.counters[peers.BAD_ANSWER])
+
+
 class UpstreamLinkTest(testtools.TestCase):
     """Replies that cannot be decoded end the connection."""
 
--- a/topazring/pooler/tests/test_rolling_upgrade.py
+++ b/topazring/pooler/tests/test_rolling_upgrade.py
@@ -250,7 +250,7 @@
 
     async def ask_as_older_build(self, after: int) -> peers.PeerAnswer:
         """Return the answer to a request that names no eras."""
-        asker = peers.PeerClient((), '')
+        asker = peers.PeerClient((), '', self.proxy.log)
         self.addCleanup(asker.close)
         with mock.patch.object(peers, '_ERAS_ARGUMENT', 'unknown'):
             request = asker.fetch_changes(self.proxy.address, after)
--- a/topazring/proxy/cluster_state.py
+++ b/topazring/proxy/cluster_state.py
@@ -24,7 +24,7 @@
 from topazring.proxy import gossip as gossips
 from topazring.proxy import settings
 
-__all__ = ['CONFIGURATION', 'INSTANCES', 'ClusterState']
+__all__ = ['BAD_ENTRY', 'CONFIGURATION', 'INSTANCES', 'ClusterState']
 
 logger = logs.part_logger('knowledge')
 
@@ -36,6 +36,8 @@
 WATCH_TIMEOUT_MS = 20_000
 POLL_INTERVAL_S = 60.0
 RETRY_DELAY_S = 0.5
+# Counts values that could not be read.
+BAD_ENTRY = 'bad_entry'
 MAX_RETRY_DELAY_S = 10.0
 
 
@@ -329,6 +331,7 @@
         if name == CONFIGURATION:
             faults = catalogue.apply_changes(self.catalogue, changes)
             for fault in faults:
+                self.failures.count(BAD_ENTRY)
                 logger.error(
                     'ignored an invalid configuration change: %s', fault
                 )
@@ -347,7 +350,7 @@
                 member = instances.decode(change.value)
             except Exception as error:
                 # It names nobody, and must not block the entries behind it.
-                self.failures.counters['bad_entry'] += 1
+                self.failures.count(BAD_ENTRY)
                 logger.error(
                     'ignored an invalid instance %s: %s',
                     change.key,
--- a/topazring/proxy/gossip.py
+++ b/topazring/proxy/gossip.py
@@ -81,6 +81,8 @@
         self.address = address
         self.receive = receive
         self.reporter = reporter
+        reporter.register('gossip_decoder')
+        reporter.register('gossip_link')
         self.listener: pynng.Pull0 | None = None
         self.links: collections.OrderedDict[str, Link] = (
             collections.OrderedDict()
@@ -118,10 +120,7 @@
             try:
                 message = _decode(raw)
             except Exception as error:
-                logger.warning(
-                    'dropped a message that cannot be decoded: %s',
-                    type(error).__name__,
-                )
+                self.reporter.report_failure('gossip_decoder', error)
                 continue
             self.receive(message)
 
@@ -132,7 +131,7 @@
             try:
                 link = Link(address)
             except (ValueError, pynng.exceptions.NNGException) as error:
-                logger.warning('no link to %s: %s', address, error)
+                self.reporter.report_failure('gossip_link', error)
                 return
             self.links[address] = link
             while len(self.links) > MAX_LINKS:
--- a/topazring/proxy/owner_task.py
+++ b/topazring/proxy/owner_task.py
@@ -306,6 +306,7 @@
                 except Exception as error:
                     # Written by another program. Its terms may have been
                     # used, so none is granted until it is mended.
+                    self.state.counters['bad_entry'] += 1
                     logger.error(
                         'unreadable record of %s: %s',
                         self.database.name,
--- a/topazring/proxy/process.py
+++ b/topazring/proxy/process.py
@@ -117,7 +117,10 @@
         self.metrics.add_source(
             'topazring_failures',
             'Failures of tasks, and entries that cannot be read',
-            lambda: {'bad_entry': 0, **self.failures.counters},
+            lambda: {
+                cluster_states.BAD_ENTRY: 0,
+                **self.failures.counters,
+            },
         )
         self.metrics.add_source(
             'topazring_entry_retries',
--- a/topazring/proxy/tests/test_bad_entries.py
+++ b/topazring/proxy/tests/test_bad_entries.py
@@ -1,6 +1,7 @@
 """Values that cannot be read stop no part of a proxy."""
 
 import asyncio
+import collections
 import contextlib
 import io
 import json
@@ -14,9 +15,11 @@
 from topazring import catalogue
 from topazring.core import revisions
 from topazring import key_value
+from topazring import platform_client
 from topazring.plumbing import logs
 from topazring.proxy import cluster_state
 from topazring.proxy import gossip
+from topazring.proxy import owner_task
 
 # Deeper than a decoder follows.
 NESTED = '{"a":' * 200_000 + '0' + '}' * 200_000
@@ -57,6 +60,60 @@
         return True
 
 
+class AnswerTest(testtools.TestCase):
+    """Answers that cannot be read count as none."""
+
+    def test_unreadable_page(self):
+        """Guards against an answer that ends what follows the service."""
+
+        async def run():
+            client = platform_client.PlatformClient('127.0.0.1', 9, 'p1')
+            for body in (b'', b'x', b'[]', NESTED.encode()):
+                client._call = mock.AsyncMock(
+                    return_value=mock.Mock(body=body)
+                )
+                found = await client.changes('configuration/', 0)
+                self.assertIsInstance(found, key_value.Unavailable)
+            client.close()
+            return client.calls['unreadable']
+
+        self.assertEqual(4, asyncio.run(run()))
+
+    def test_unreadable_record(self):
+        """Guards against a damaged record of grants that ends processes."""
+
+        async def run():
+            owner = mock.Mock()
+            owner.state.counters = collections.Counter()
+            for value in BAD_VALUES:
+                owner.platform.get = mock.AsyncMock(
+                    return_value=key_value.Found(value, 7)
+                )
+                found = await owner_task.OwnerTask._read_record(owner)
+                self.assertIsNone(found)
+            return owner.state.counters['bad_entry']
+
+        self.assertEqual(len(BAD_VALUES), asyncio.run(run()))
+
+    def test_unreadable_message(self):
+        """Guards against gossip that ends at one message or address."""
+        failures = logs.FailureLog()
+        receiver = gossip.Gossip('unused', lambda message: None, failures)
+        receiver.send('nowhere', gossip.Leaving('p', 'p-1'))
+        self.assertEqual({}, dict(receiver.links))
+        self.assertEqual(1, failures.counters['task_failed_gossip_link'])
+
+        async def receive():
+            receiver.listener = mock.Mock()
+            receiver.listener.arecv = mock.AsyncMock(
+                side_effect=[b'x', b'\x91' * 3000, asyncio.CancelledError]
+            )
+            await receiver._receive_forever()
+
+        self.assertRaises(asyncio.CancelledError, asyncio.run, receive())
+        self.assertEqual(2, failures.counters['task_failed_gossip_decoder'])
+
+
 class OperatorTest(testtools.TestCase):
     """An operator's commands show what can be read."""
 
