Keep failure counts, pending reports and proxies' entries in one place each

No change in behaviour, but that the cluster state pauses before it reports again, as the directory does.

--- a/topazring/platform/tests/returning_store.py
+++ b/topazring/platform/tests/returning_store.py
@@ -16,6 +16,7 @@
 from topazring.pooler import membership as memberships
 from topazring.pooler import peers
 from topazring.pooler import promotion_lease as promotion_leases
+from topazring.pooler import proxy_entries
 
 CENTRE = 'cork'
 CONFIGURATION_KEY = 'op/config'
@@ -78,7 +79,7 @@
         self.server = peers.Server(self.directory.changes_after)
         self.membership = memberships.Membership(
             name,
-            directories.ProxyValue(
+            proxy_entries.ProxyValue(
                 CENTRE, self.address, incarnation=f'{name}-a'
             ),
             self.client,
--- a/topazring/plumbing/events.py
+++ b/topazring/plumbing/events.py
@@ -18,7 +18,6 @@
 are dropped and counted.
 """
 
-import collections
 import collections.abc
 import logging
 import os
@@ -80,10 +79,11 @@
         super().close()
 
 
-class EventLog:
+class EventLog(supervision.Counts):
     """Write the structured log of one process."""
 
     def __init__(self, process: str, descriptor: int = 1):
+        super().__init__()
         self.process = process
         self.descriptor = descriptor
         self.sink: _Sink | None = None
@@ -93,8 +93,6 @@
         self.refilled_s = time.monotonic()
         self.dropped = 0
         self.lines = 0
-        # Failures of tasks by name, and bad entries of the store.
-        self.counters: collections.Counter[str] = collections.Counter()
 
     def start(self) -> None:
         """Send absl's log to the descriptor, as one JSON object per line."""
@@ -124,17 +122,9 @@
         self._report_dropped()
         self._write(part, event, request, service, inputs)
 
-    def count(self, what: str) -> None:
-        """Count one event."""
-        self.counters[what] += 1
-
-    def register(self, task: str) -> None:
-        """Begin to count the failures of a task."""
-        self.counters[f'task_failed_{task}'] += 0
-
     def report_failure(self, task: str, error: BaseException) -> None:
         """Count a failure of a task, and log its cause."""
-        self.count(f'task_failed_{task}')
+        self.count_failure(task)
         inputs = {'task': task, **supervision.describe(error)}
         self.emit('process', 'task failed', inputs=inputs)
 
--- a/topazring/plumbing/logs.py
+++ b/topazring/plumbing/logs.py
@@ -1,6 +1,5 @@
 """Write text log lines prefixed with the name of the component."""
 
-import collections
 import logging
 import sys
 
@@ -25,24 +24,16 @@
     return PartLogger(absl_logging.get_absl_logger(), {'part': part})
 
 
-class FailureLog:
+class FailureLog(supervision.Counts):
     """Count the failures of tasks by name, and log them."""
 
     def __init__(self):
-        self.counters: collections.Counter[str] = collections.Counter()
+        super().__init__()
         self.logger = part_logger('process')
 
-    def count(self, what: str) -> None:
-        """Count one event."""
-        self.counters[what] += 1
-
-    def register(self, task: str) -> None:
-        """Begin to count the failures of a task."""
-        self.counters[f'task_failed_{task}'] += 0
-
     def report_failure(self, task: str, error: BaseException) -> None:
         """Count a failure of a task, and log its cause."""
-        self.counters[f'task_failed_{task}'] += 1
+        self.count_failure(task)
         found = supervision.describe(error)
         self.logger.error(
             'task %s failed: %s at %s', task, found['error'], found['where']
--- a/topazring/plumbing/supervision.py
+++ b/topazring/plumbing/supervision.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import random
 import traceback
@@ -13,6 +14,7 @@
 from topazring.plumbing import clock
 
 __all__ = [
+    'Counts',
     'MAX_PAUSE_S',
     'Reporter',
     'UNHANDLED',
@@ -44,6 +46,25 @@
         """Count a failure and log its cause."""
 
 
+class Counts:
+    """Count failures of tasks, and other faults, by name."""
+
+    def __init__(self):
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    def count(self, what: str) -> None:
+        """Count one event."""
+        self.counters[what] += 1
+
+    def register(self, task: str) -> None:
+        """Begin to count the failures of a task."""
+        self.counters[f'task_failed_{task}'] += 0
+
+    def count_failure(self, task: str) -> None:
+        """Count a failure of a task."""
+        self.count(f'task_failed_{task}')
+
+
 def start(name: str, run: Run, reporter: Reporter) -> asyncio.Task:
     """Start a task that runs until it is cancelled, whatever it meets."""
     reporter.register(name)
--- a/topazring/pooler/directory.py
+++ b/topazring/pooler/directory.py
@@ -5,23 +5,21 @@
 import dataclasses
 import random
 
-import msgspec
-
 from topazring.core import revisions
 from topazring.core.synchronous import listing as listings
-from topazring.core.synchronous import ownership
 from topazring import key_value
+from topazring.plumbing import change_reports
 from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.plumbing import supervision
 from topazring.pooler import follower_client
 from topazring.pooler import peers
 from topazring.pooler import ports
+from topazring.pooler import proxy_entries
 from topazring.pooler import proxy_history
-from topazring.pooler import settings
 from topazring.pooler import stored_values
 
-__all__ = ['Directory', 'OWN_PREFIX', 'PROXY_PREFIX', 'ProxyValue']
+__all__ = ['Directory', 'OWN_PREFIX', 'PROXY_PREFIX']
 
 OWN_PREFIX = 'topazring/'
 PROXY_PREFIX = 'topazring/proxies/'
@@ -43,26 +41,6 @@
 CATCH_UP_TIMEOUT_S = 0.1
 
 
-class ProxyValue(msgspec.Struct):
-    """Value under which a proxy lists itself in the store."""
-
-    data_centre: str
-    # Where other proxies ask it for changes; empty if they cannot.
-    peer_address: str = ''
-    # Where other proxies send it requests; empty if it accepts none.
-    hop_address: str = ''
-    # The process that wrote the entry; empty if an older build did.
-    incarnation: str = ''
-    # Whether it runs forwarded requests in the name of their organisation;
-    # an older build would run them in its own.
-    carries_organisations: bool = False
-    # Whether it chooses owners by weights and slots; an older build would
-    # choose others.
-    weighs_owners: bool = False
-    # Its part of all groups, in relation to other proxies.
-    weight: float = 1.0
-
-
 class Directory:
     """Keep a listing up to date and report which services a change affects."""
 
@@ -79,7 +57,6 @@
         self.peer_client = peer_client
         self.follower_client = follower
         self.log = log
-        log.register('listing')
         self.on_change = on_change
         # Called with the key of each of the proxies' own values that changes.
         self.on_own_change = on_own_change
@@ -97,10 +74,9 @@
         self.confirmed_ms = -(10**9)
         self.unavailable_since_ms: int | None = None
         self.own_changed = asyncio.Event()
-        # Services whose changes are not in force yet, as reporting them
-        # failed, and when they are reported again.
-        self.unreported: set[str] = set()
-        self.report_again_ms = 0
+        self.change_reports = change_reports.ChangeReports(
+            'listing', lambda services: self.on_change(services), log
+        )
         self.proxy_history = proxy_history.ProxyHistory(
             PROXY_PREFIX + follower.name, clock.boottime_ms()
         )
@@ -497,21 +473,12 @@
         self, now_ms: int, change: revisions.Change
     ) -> listings.Record | None:
         if change.key.startswith(PROXY_PREFIX):
-            value = msgspec.json.decode(change.value, type=ProxyValue)
             name = change.key.removeprefix(PROXY_PREFIX)
-            _check_proxy(name, value)
+            entry = proxy_entries.decode(name, change.value)
             self.proxy_history.record_entry(
-                now_ms, change.key, value.incarnation
-            )
-            return listings.ProxyRecord(
-                name,
-                value.data_centre,
-                value.peer_address,
-                value.hop_address,
-                value.carries_organisations,
-                value.weighs_owners,
-                ownership.bounded_weight(value.weight),
+                now_ms, change.key, entry.incarnation
             )
+            return entry.record
         return self.adapter.decode(change.key, change.value, change.revision)
 
     def _record_configuration(
@@ -530,25 +497,14 @@
         )
 
     def _notify_services(self, services: set[str]) -> None:
-        """Report changed services; those of a failed report go again."""
-        self.unreported |= services
-        if not self.unreported:
-            return
-        try:
-            self.on_change(set(self.unreported))
-        except Exception as error:
-            self.log.report_failure('listing', error)
-            pause_s = supervision.MAX_PAUSE_S * random.uniform(0.5, 1.0)
-            self.report_again_ms = clock.boottime_ms() + round(pause_s * 1000)
-        else:
-            self.unreported.clear()
+        if services:
+            self.change_reports.add(services)
 
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
-            services = self._remove_expired()
-            if services or clock.boottime_ms() >= self.report_again_ms:
-                self._notify_services(services)
+            self._notify_services(self._remove_expired())
+            self.change_reports.retry()
 
     def _remove_expired(self) -> set[str]:
         now_ms = clock.boottime_ms()
@@ -561,15 +517,6 @@
         return services
 
 
-def _check_proxy(name: str, value: ProxyValue) -> None:
-    """Raise ValueError if the entry of a proxy cannot be used."""
-    if not name:
-        raise ValueError('a proxy has no name')
-    for address in (value.peer_address, value.hop_address):
-        if address:
-            settings.endpoint(address)
-
-
 def _describe(revision: int) -> dict[str, int]:
     """Return the parts of a revision, for log lines."""
     return {
--- a/topazring/pooler/membership.py
+++ b/topazring/pooler/membership.py
@@ -12,6 +12,7 @@
 from topazring.plumbing import events
 from topazring.plumbing import supervision
 from topazring.pooler import directory as directories
+from topazring.pooler import proxy_entries
 from topazring.pooler import proxy_history
 
 __all__ = ['Membership']
@@ -37,7 +38,7 @@
     def __init__(
         self,
         name: str,
-        value: directories.ProxyValue,
+        value: proxy_entries.ProxyValue,
         store: key_value.Store,
         directory: directories.Directory,
         log: events.EventLog,
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -41,6 +41,7 @@
 from topazring.pooler import ports
 from topazring.pooler import probes
 from topazring.pooler import promotion_lease as promotion_leases
+from topazring.pooler import proxy_entries
 from topazring.pooler import quotas
 from topazring.pooler import router
 from topazring.pooler import settings
@@ -111,7 +112,7 @@
         )
         self.membership = membership.Membership(
             config.name,
-            directories.ProxyValue(
+            proxy_entries.ProxyValue(
                 config.data_centre,
                 config.peer_address or '',
                 config.hop_address or '',
--- a/topazring/pooler/tests/fleet.py
+++ b/topazring/pooler/tests/fleet.py
@@ -14,6 +14,7 @@
 from topazring.pooler import directory as directories
 from topazring.pooler import follower_client
 from topazring.pooler import peers
+from topazring.pooler import proxy_entries
 
 CENTRE = 'cork'
 CONFIGURATION = 'configuration'
@@ -178,7 +179,7 @@
     async def start(self) -> None:
         """List all proxies; wait until each has a source and the version."""
         for proxy in self.proxies:
-            value = directories.ProxyValue(CENTRE, proxy.address)
+            value = proxy_entries.ProxyValue(CENTRE, proxy.address)
             key = directories.PROXY_PREFIX + proxy.name
             await self.service.put(key, msgspec.json.encode(value).decode())
         await self.configure()
--- a/topazring/pooler/tests/test_directory.py
+++ b/topazring/pooler/tests/test_directory.py
@@ -10,6 +10,7 @@
 from topazring import key_value
 from topazring.plumbing import clock
 from topazring.pooler import directory as directories
+from topazring.pooler import proxy_entries
 from topazring.pooler import proxy_history
 from topazring.pooler.tests import fleet
 
@@ -109,7 +110,7 @@
 
     async def list_proxy(self, name: str, life: str = 'a') -> None:
         """Write a proxy's entry."""
-        value = directories.ProxyValue('cork', incarnation=f'{name}-{life}')
+        value = proxy_entries.ProxyValue('cork', incarnation=f'{name}-{life}')
         key = directories.PROXY_PREFIX + name
         await self.service.put(key, msgspec.json.encode(value).decode())
 
--- a/topazring/pooler/tests/test_membership.py
+++ b/topazring/pooler/tests/test_membership.py
@@ -12,6 +12,7 @@
 from topazring.plumbing import events
 from topazring.pooler import directory as directories
 from topazring.pooler import membership
+from topazring.pooler import proxy_entries
 
 KEY = directories.PROXY_PREFIX + 'p1'
 
@@ -89,7 +90,7 @@
         )
         if read:
             directory.first_read.set()
-        value = directories.ProxyValue('cork')
+        value = proxy_entries.ProxyValue('cork')
         log = events.EventLog('p1')
         reported: list[int] = []
         registration = membership.Membership(
@@ -151,7 +152,7 @@
         self.reported: list[int] = []
         self.registration = membership.Membership(
             'p1',
-            directories.ProxyValue('cork'),
+            proxy_entries.ProxyValue('cork'),
             self.store,
             directory,
             events.EventLog('p1'),
--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -18,11 +18,11 @@
 from topazring.core.synchronous import ownership
 from topazring.core.synchronous import statements
 from topazring.plumbing import clock
-from topazring.pooler import directory as directories
 from topazring.pooler import group_task
 from topazring.pooler import member_records
 from topazring.pooler import process
 from topazring.pooler import promotion_lease as promotion_leases
+from topazring.pooler import proxy_entries
 from topazring.pooler import settings
 from topazring.pooler.tests import fake_core
 from topazring.pooler.tests import fleet
@@ -111,7 +111,7 @@
         async def steps():
             pooler, _ = self.poolers
             value = msgspec.json.decode(
-                pooler.membership.value, type=directories.ProxyValue
+                pooler.membership.value, type=proxy_entries.ProxyValue
             )
             self.assertEqual(pooler.incarnation, value.incarnation)
 
@@ -123,7 +123,7 @@
         async def steps():
             pooler, _ = self.poolers
             value = msgspec.json.decode(
-                pooler.membership.value, type=directories.ProxyValue
+                pooler.membership.value, type=proxy_entries.ProxyValue
             )
             self.assertTrue(value.weighs_owners)
             self.assertEqual(1.0, value.weight)
--- a/topazring/pooler/tests/test_rolling_upgrade.py
+++ b/topazring/pooler/tests/test_rolling_upgrade.py
@@ -27,6 +27,7 @@
 from topazring.pooler import follower_client
 from topazring.pooler import peers
 from topazring.pooler import process
+from topazring.pooler import proxy_entries
 from topazring.pooler import router as routers
 from topazring.pooler.tests import fleet as fleets
 
@@ -117,7 +118,7 @@
     def test_entries(self):
         """The entry of an older build lacks the field."""
         older = msgspec.json.decode(
-            b'{"data_centre": "a"}', type=directory.ProxyValue
+            b'{"data_centre": "a"}', type=proxy_entries.ProxyValue
         )
         self.assertFalse(older.carries_organisations)
         listing = listings.Listing()
@@ -202,7 +203,7 @@
 
     def test_older_build_reads_this_entry(self):
         """It ignores the fields that it does not know."""
-        value = directory.ProxyValue('a', weighs_owners=True, weight=2.0)
+        value = proxy_entries.ProxyValue('a', weighs_owners=True, weight=2.0)
 
         class Older(msgspec.Struct):
             data_centre: str
--- a/topazring/proxy/cluster_state.py
+++ b/topazring/proxy/cluster_state.py
@@ -18,6 +18,7 @@
 from topazring import instances
 from topazring import key_value
 from topazring import platform_client
+from topazring.plumbing import change_reports
 from topazring.plumbing import clock
 from topazring.plumbing import logs
 from topazring.plumbing import supervision
@@ -69,10 +70,9 @@
         self.on_change = on_change
         self.on_suspicion = on_suspicion
         self.failures = failures
-        failures.register('listing')
-        # Databases whose changes are not in force yet, as reporting them
-        # failed; None if all changes have been reported.
-        self.unreported: set[str] | None = None
+        self.change_reports = change_reports.ChangeReports(
+            'listing', lambda databases: self.on_change(databases), failures
+        )
         self.streams = {
             CONFIGURATION: Stream(revisions.Revisions()),
             INSTANCES: Stream(revisions.Revisions()),
@@ -206,8 +206,7 @@
         while True:
             await asyncio.sleep(GOSSIP_INTERVAL_S * self.rng.uniform(0.8, 1.2))
             self._send_digest(1)
-            if self.unreported is not None:
-                self._report_changes(set())
+            self.change_reports.retry()
 
     def _send_digest(self, count: int) -> None:
         digest = gossips.Digest(
@@ -313,20 +312,10 @@
             return
         if new:
             self._apply(name, new)
-            self._report_changes(_databases_in(name, new))
+            self.change_reports.add(_databases_in(name, new))
         if new:
             self._send_digest(FANOUT)
 
-    def _report_changes(self, databases: set[str]) -> None:
-        """Report changes; those of a failed report go again with the next."""
-        self.unreported = (self.unreported or set()) | databases
-        try:
-            self.on_change(set(self.unreported))
-        except Exception as error:
-            self.failures.report_failure('listing', error)
-        else:
-            self.unreported = None
-
     def _apply(self, name: str, changes: list[revisions.Change]) -> None:
         if name == CONFIGURATION:
             faults = catalogue.apply_changes(self.catalogue, changes)
