Count and log ambiguous lines and unreadable replies of upstreams

What operators lacked: a statement that leaves in another shape or text moved no counter, and a reply that cannot be read, or that nobody waits for, looked like any lost connection, so that the incident's hypotheses could not be told apart. The encoders return the fields of a line, which are checked as a receiver parses them. Nothing is sent otherwise than before.

The lines of commands whose fields are words are the same bytes (test_line_protocol).

--- a/topazring/platform/line_protocol.py
+++ b/topazring/platform/line_protocol.py
@@ -10,12 +10,15 @@
     'LineError',
     'LineSplitter',
     'MAX_LINE_BYTES',
+    'check_fields',
     'parse_line',
     'format_line',
 ]
 
 MAX_LINE_BYTES = 1 << 20
 _END = b'\r\n'
+_SEPARATOR = ' '
+_CONTROL = ('\r', '\n', '\0')
 
 
 class LineError(ValueError):
@@ -65,6 +68,16 @@
     return word, rest
 
 
+def check_fields(fields: tuple[str, ...]) -> None:
+    """Raise LineError unless their line is parsed into these fields."""
+    for number, field in enumerate(fields[:-1]):
+        if not field or _SEPARATOR in field:
+            raise LineError(f'field {number} is empty or holds a blank')
+    for number, field in enumerate(fields):
+        if any(each in field for each in _CONTROL):
+            raise LineError(f'field {number} holds a control character')
+
+
 def format_line(*fields: str) -> bytes:
     """Return an encoded line; only the last field may contain spaces."""
     return ' '.join(fields).encode() + _END
--- a/topazring/platform/upstream_codec.py
+++ b/topazring/platform/upstream_codec.py
@@ -32,12 +32,14 @@
 _OWN_NAME = 'topazring'
 _STATUS_FIELDS = 7
 
-Encoder = collections.abc.Callable[[object], tuple[str, str]]
+# The request id and the words of a statement; only the last may hold blanks.
+Fields = tuple[str, ...]
+Encoder = collections.abc.Callable[[object], Fields]
 _encoders: dict[type, Encoder] = {}
 
 
 def _encodes(kind: type) -> collections.abc.Callable[[Encoder], Encoder]:
-    """Register the encoder of a command as request id and text."""
+    """Register the encoder of a command as the fields of its line."""
 
     def register(encoder: Encoder) -> Encoder:
         _encoders[kind] = encoder
@@ -46,74 +48,75 @@
     return register
 
 
-def _add_wait(position: log_positions.LogPosition | None, text: str) -> str:
-    """Return the text with the log position that it must wait for."""
+def _wait(position: log_positions.LogPosition | None) -> Fields:
+    """Return the fields for the log position that a statement waits for."""
     if position is None:
-        return text
-    return f'AFTER {position.log_term}.{position.position} {text}'
+        return ()
+    return 'AFTER', f'{position.log_term}.{position.position}'
 
 
 @_encodes(statements.Begin)
-def _begin(command: statements.Begin) -> tuple[str, str]:
+def _begin(command: statements.Begin) -> Fields:
     text = 'BEGIN READ' if command.read_only else 'BEGIN'
-    return _PROXY_ID, _add_wait(command.after, text)
+    return _PROXY_ID, *_wait(command.after), text
 
 
 @_encodes(statements.Rollback)
-def _rollback(command: statements.Rollback) -> tuple[str, str]:
+def _rollback(command: statements.Rollback) -> Fields:
     return _PROXY_ID, 'ROLLBACK'
 
 
 @_encodes(statements.Commit)
-def _commit(command: statements.Commit) -> tuple[str, str]:
+def _commit(command: statements.Commit) -> Fields:
     return command.request_id, 'COMMIT'
 
 
 @_encodes(statements.Run)
-def _run(command: statements.Run) -> tuple[str, str]:
-    return command.request_id, _add_wait(command.after, command.text)
+def _run(command: statements.Run) -> Fields:
+    return command.request_id, *_wait(command.after), command.text
 
 
 @_encodes(statements.Execute)
-def _execute(command: statements.Execute) -> tuple[str, str]:
-    text = f'EXECUTE {command.name} {command.arguments}'
-    return command.request_id, _add_wait(command.after, text)
+def _execute(command: statements.Execute) -> Fields:
+    wait = _wait(command.after)
+    statement = 'EXECUTE', command.name, command.arguments
+    return command.request_id, *wait, *statement
 
 
 @_encodes(statements.SetValue)
-def _set(command: statements.SetValue) -> tuple[str, str]:
-    return _PROXY_ID, f'SET {command.name} {command.value}'
+def _set(command: statements.SetValue) -> Fields:
+    return _PROXY_ID, 'SET', command.name, command.value
 
 
 @_encodes(statements.Prepare)
-def _prepare(command: statements.Prepare) -> tuple[str, str]:
+def _prepare(command: statements.Prepare) -> Fields:
     access = command.access.upper()
-    return _PROXY_ID, f'PREPARE {command.name} {access} {command.shape}'
+    return _PROXY_ID, 'PREPARE', command.name, access, command.shape
 
 
 @_encodes(statements.Reset)
-def _reset(command: statements.Reset) -> tuple[str, str]:
+def _reset(command: statements.Reset) -> Fields:
     return _PROXY_ID, 'RESET'
 
 
 @_encodes(statements.Status)
-def _status(command: statements.Status) -> tuple[str, str]:
+def _status(command: statements.Status) -> Fields:
     return _PROXY_ID, 'STATUS'
 
 
 @_encodes(statements.Pause)
-def _pause(command: statements.Pause) -> tuple[str, str]:
-    return _PROXY_ID, f'PAUSE {command.term}'
+def _pause(command: statements.Pause) -> Fields:
+    return _PROXY_ID, 'PAUSE', str(command.term)
 
 
 @_encodes(statements.Resume)
-def _resume(command: statements.Resume) -> tuple[str, str]:
+def _resume(command: statements.Resume) -> Fields:
     return _PROXY_ID, 'RESUME'
 
 
 @_encodes(statements.Demote)
-def _demote(command: statements.Demote) -> tuple[str, str]:
-    return _PROXY_ID, f'DEMOTE {command.term}'
+def _demote(command: statements.Demote) -> Fields:
+    return _PROXY_ID, 'DEMOTE', str(command.term)
 
 
 def parse_log_position(text: str) -> log_positions.LogPosition | None:
@@ -221,6 +224,10 @@
     )
 
 
+def _line_fields(command: statements.Command) -> Fields:
+    return 'QUERY', *_encoders[type(command)](command)
+
+
 class UpstreamCodec:
     """Encode and decode the line protocol of upstreams."""
 
@@ -233,12 +240,22 @@
     def encode(self, commands: tuple[statements.Command, ...]) -> bytes:
         """Return the encoded commands, to be sent in a single write."""
         return b''.join(
-            line_protocol.format_line(
-                'QUERY', *_encoders[type(command)](command)
-            )
+            line_protocol.format_line(*_line_fields(command))
             for command in commands
         )
 
+    def find_faults(
+        self, commands: tuple[statements.Command, ...]
+    ) -> list[str]:
+        """Return why lines will be parsed as other fields than they have."""
+        faults = []
+        for command in commands:
+            try:
+                line_protocol.check_fields(_line_fields(command))
+            except line_protocol.LineError as error:
+                faults.append(f'{type(command).__name__}: {error}')
+        return faults
+
     def reader(self) -> _Reader:
         """Return a reader for the replies of one connection."""
         return _Reader()
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -62,7 +62,7 @@
         self.name = name
         self.adapter = adapter
         self.log = log
-        log.register('upstream_link')
+        upstream_link.register(log)
         self.kind = groups.group_kind(kind)
         self.state = states.make_group(service, data_centre, limits)
         self.links: dict[int, upstream_link.UpstreamLink] = {}
--- a/topazring/pooler/ports.py
+++ b/topazring/pooler/ports.py
@@ -93,6 +93,11 @@
     def encode(self, commands: tuple[statements.Command, ...]) -> bytes:
         """Return encoded commands; one reply for each follows."""
 
+    def find_faults(
+        self, commands: tuple[statements.Command, ...]
+    ) -> list[str]:
+        """Return why an upstream will not get what commands say, if so."""
+
     def reader(self) -> ReplyReader:
         """Return a reader for the replies of one connection."""
 
--- a/topazring/pooler/upstream_link.py
+++ b/topazring/pooler/upstream_link.py
@@ -10,15 +10,20 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 from topazring.plumbing import dialling
+from topazring.plumbing import events
 from topazring.plumbing import supervision
 from topazring.pooler import ports
 from topazring.pooler import settings
 
-__all__ = ['UpstreamLink']
+__all__ = ['AMBIGUOUS_LINE', 'BAD_REPLY', 'UpstreamLink', 'register']
 
 Reason = outcomes.Reason
 
 READ_BYTES = 65536
+# Counts lines that an upstream parses as other fields than they are made of.
+AMBIGUOUS_LINE = 'ambiguous_line'
+# Counts replies that cannot be decoded or that no command is waiting for.
+BAD_REPLY = 'bad_reply'
 
 _DIAL_REASONS = {
     statements.Code.CONNECTION_LIMIT: Reason.CONNECTION_LIMIT,
@@ -26,6 +31,12 @@
 }
 
 
+def register(log: events.EventLog) -> None:
+    """Begin to count the faults of connections at 0."""
+    log.register('upstream_link')
+    log.counters.update({AMBIGUOUS_LINE: 0, BAD_REPLY: 0})
+
+
 class UpstreamLink:
     """Send commands and receive replies; report events to the group."""
 
@@ -34,12 +45,15 @@
         number: int,
         codec: ports.UpstreamCodec,
         on_message: collections.abc.Callable[[object], None],
-        reporter: supervision.Reporter,
+        log: events.EventLog,
     ):
         self.number = number
+        # What it is connected to, for log lines.
+        self.service = ''
+        self.upstream = ''
         self.codec = codec
         self.on_message = on_message
-        self.reporter = reporter
+        self.log = log
         self.reader = codec.reader()
         self.stream: iostream.IOStream | None = None
         self.task: asyncio.Task | None = None
@@ -49,6 +63,7 @@
 
     def start(self, service: str, target: messages.Open) -> None:
         """Connect, and read until the connection ends."""
+        self.service, self.upstream = service, target.upstream
         self.task = asyncio.create_task(self._run_safely(service, target))
 
     def close(self) -> None:
@@ -62,6 +77,9 @@
         """Send commands in one write."""
         self.expected_replies = len(commands)
         self.replies = []
+        for fault in self.codec.find_faults(commands):
+            self.log.count(AMBIGUOUS_LINE)
+            self._log('ambiguous line', {'fault': fault})
         try:
             # The reader detects later failures, as it ends with the stream.
             self.stream.write(self.codec.encode(commands))
@@ -78,13 +96,17 @@
         try:
             await self._run(service, target)
         except Exception as error:
-            self.reporter.report_failure('upstream_link', error)
+            self.log.report_failure('upstream_link', error)
             self._report_closed(Reason.CONNECTION_LOST)
 
     async def _run(self, service: str, target: messages.Open) -> None:
         try:
             answer = await self._connect(service, target)
-        except (OSError, iostream.StreamClosedError, ValueError):
+        except (OSError, iostream.StreamClosedError):
+            self._report_closed(Reason.CONNECTION_LOST)
+            return
+        except ValueError as error:
+            self._report_bad_reply(error)
             self._report_closed(Reason.CONNECTION_LOST)
             return
         if isinstance(answer, statements.Reply):
@@ -119,7 +141,10 @@
                 data = await self.stream.read_bytes(READ_BYTES, partial=True)
                 for reply in self.reader.feed(data):
                     self._handle_reply(reply)
-        except (OSError, iostream.StreamClosedError, ValueError):
+        except (OSError, iostream.StreamClosedError):
+            self._report_closed(Reason.CONNECTION_LOST)
+        except ValueError as error:
+            self._report_bad_reply(error)
             self._report_closed(Reason.CONNECTION_LOST)
 
     def _handle_reply(self, reply: statements.Reply) -> None:
@@ -130,6 +155,14 @@
         if self.expected_replies == 0:
             self.on_message(messages.Replied(self.number, tuple(self.replies)))
 
+    def _report_bad_reply(self, error: ValueError) -> None:
+        self.log.count(BAD_REPLY)
+        self._log('bad reply', supervision.describe(error))
+
+    def _log(self, event: str, inputs: dict[str, object]) -> None:
+        inputs = {'upstream': self.upstream, **inputs}
+        self.log.emit('upstream', event, service=self.service, inputs=inputs)
+
     def _report_closed(self, reason: outcomes.Reason) -> None:
         if self.stream is not None:
             self.stream.close()
