--- a/topazring/platform/tests/fake_upstreams.py
+++ b/topazring/platform/tests/fake_upstreams.py
@@ -9,6 +9,8 @@
 from tornado import iostream
 from tornado import tcpserver
 
+from topazring.platform.tests import line_oracle
+
 MAX_CONNECTIONS = 23
 
 
@@ -40,6 +42,7 @@
     def __init__(self, client: str):
         # Whom the connection serves.
         self.client = client
+        self.wire = line_oracle.Wire()
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
         # Whether the transaction is read-only; None outside a transaction.
@@ -63,6 +66,8 @@
         self.ran: list[tuple[str, str, dict]] = []
         # The client and the text of every statement that ran.
         self.ran_for: list[tuple[str, str]] = []
+        # Judges the lines as they arrive, if set.
+        self.line_oracle: line_oracle.LineOracle | None = None
 
     def start(self) -> None:
         """Start every upstream."""
@@ -160,8 +165,10 @@
         session = Session(start[2])
         await stream.write(f'READY I {self._position()}\r\n'.encode())
         while True:
-            line = (await stream.read_until(b'\r\n')).decode().rstrip('\r\n')
-            word, request_id, text = line.split(' ', 2)
+            raw = (await stream.read_until(b'\r\n')).removesuffix(b'\r\n')
+            if self.group.line_oracle is not None:
+                self.group.line_oracle.check(session.wire, raw)
+            word, request_id, text = raw.decode().split(' ', 2)
             answer = await self._answer(session, request_id, text)
             is_read = text.startswith('READ')
             await asyncio.sleep(self.member.reads_take_s if is_read else 0)
@@ -252,9 +259,9 @@
             return self._refuse(session, 'READONLY')
         done = self._run_signed(session, request_id, ['WRITE', *rest])
         if session.read_only is not None:
-            session.writes.append((rest[0], rest[1]))
+            session.writes.append((rest[0], ' '.join(rest[1:])))
             return [done]
-        self._append([(rest[0], rest[1])])
+        self._append([(rest[0], ' '.join(rest[1:]))])
         return None if self.member.loses_answers else [done]
 
     def _set(self, session, request_id, rest):
@@ -267,6 +274,8 @@
         return ['DONE -']
 
     def _prepare(self, session, request_id, rest):
+        if rest[1] not in ('READ', 'WRITE') or not rest[2:]:
+            return self._refuse(session, 'MALFORMED')
         session.prepared[rest[0]] = rest[1]
         return ['DONE -']
 
