Name prepared shapes by a digest

Callers' statements ran in the shape of another caller, with other arguments, and a read as a write (UNASKED and PINNED), without an error, a log line or a counter. A shape was prepared under a name that holds its text; a shape may hold blanks, a name may not, so that the upstream took the rest of the name for the access and the shape, and for arguments.

--- a/topazring/core/synchronous/sessions.py
+++ b/topazring/core/synchronous/sessions.py
@@ -11,6 +11,7 @@
 from topazring.core import organisations
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import prepared_names
 from topazring.core.synchronous import statements
 
 __all__ = [
@@ -157,14 +158,8 @@
 
 
 def _prepare(session: Session, statement: statements.Statement) -> LocalAnswer:
-    """Prepare under a name that is shared by all sessions.
-
-    Names chosen by callers collide. One name per access and shape lets most
-    sessions use any connection without preparing again.
-    """
-    shared = f'{statement.access[0]}{statement.value}'
-    session.prepared[statement.name] = statements.Prepare(
-        shared, statement.access, statement.value
+    session.prepared[statement.name] = prepared_names.prepare_command(
+        statement.access, statement.value
     )
     return LocalAnswer(_DONE)
 
