Refuse to format a line that is parsed as other fields

The cause of the incident is of a class: a text of a caller in a place of a line where it can end the field, or the line. format_line said that only the last field may hold spaces, and checked nothing; the encoders joined fields themselves. Now the encoders return fields, and a line that is not parsed into exactly these, or is longer than a receiver accepts, cannot be formatted. What cannot be formatted is not sent: its connection is given up, with a log line and the counter refused_line, which takes the place of ambiguous_line.

--- a/topazring/platform/line_protocol.py
+++ b/topazring/platform/line_protocol.py
@@ -3,14 +3,14 @@
 A line is a word and fields separated by single spaces, terminated by CR LF;
 the last field extends to the end of the line. Lines that contain a bare CR
 or LF are rejected: a receiver that splits lines differently would run the
-remainder as a separate statement (statement injection).
+remainder as a separate statement (statement injection). A line that would be
+parsed as other fields than it is made of cannot be formatted.
 """
 
 __all__ = [
     'LineError',
     'LineSplitter',
     'MAX_LINE_BYTES',
-    'check_fields',
     'parse_line',
     'format_line',
 ]
@@ -18,7 +18,6 @@
 MAX_LINE_BYTES = 1 << 20
 _END = b'\r\n'
 _SEPARATOR = ' '
-_CONTROL = ('\r', '\n', '\0')
 
 
 class LineError(ValueError):
@@ -56,28 +55,34 @@
     line: bytes, max_line_bytes: int = MAX_LINE_BYTES
 ) -> tuple[str, str]:
     """Return the first word and the rest; raise LineError if invalid."""
-    if len(line) > max_line_bytes:
-        raise LineError('the message is too long')
-    if b'\r' in line or b'\n' in line or b'\0' in line:
-        raise LineError('a control character inside a line')
+    _check_bytes(line, max_line_bytes)
     try:
         text = line.decode('utf-8')
     except UnicodeDecodeError:
         raise LineError('not UTF-8') from None
-    word, _, rest = text.partition(' ')
+    word, _, rest = text.partition(_SEPARATOR)
     return word, rest
 
 
-def check_fields(fields: tuple[str, ...]) -> None:
-    """Raise LineError unless their line is parsed into these fields."""
-    for number, field in enumerate(fields[:-1]):
-        if not field or _SEPARATOR in field:
-            raise LineError(f'field {number} is empty or holds a blank')
-    for number, field in enumerate(fields):
-        if any(each in field for each in _CONTROL):
-            raise LineError(f'field {number} holds a control character')
+def _check_bytes(line: bytes, max_line_bytes: int = MAX_LINE_BYTES) -> None:
+    if len(line) > max_line_bytes:
+        raise LineError('the message is too long')
+    if b'\r' in line or b'\n' in line or b'\0' in line:
+        raise LineError('a control character inside a line')
 
 
 def format_line(*fields: str) -> bytes:
-    """Return an encoded line; only the last field may contain spaces."""
-    return ' '.join(fields).encode() + _END
+    """Return an encoded line that is parsed into exactly these fields.
+
+    Only the last field may be empty or hold spaces. Raises LineError if there
+    is no such line.
+    """
+    words = fields[:-1]
+    if '' in words or any(_SEPARATOR in word for word in words):
+        raise LineError('a field before the last is empty or holds a space')
+    try:
+        line = _SEPARATOR.join(fields).encode()
+    except UnicodeEncodeError:
+        raise LineError('not valid Unicode') from None
+    _check_bytes(line)
+    return line + _END
--- a/topazring/platform/tests/test_line_protocol.py
+++ b/topazring/platform/tests/test_line_protocol.py
@@ -26,6 +26,13 @@
     b'QUIT\r\n'
 )
 
+# All that UTF-8 can hold, most of it apt to be taken for something else.
+FIELDS = strategies.lists(
+    strategies.text(strategies.sampled_from(' \t\r\n\0\x85\u2028ab')),
+    min_size=1,
+    max_size=4,
+)
+
 
 def split_at(data: bytes, cuts: list[int]) -> list[bytes]:
     """Split bytes at the given offsets."""
@@ -33,6 +40,47 @@
     return [data[a:b] for a, b in zip(at, at[1:], strict=False)]
 
 
+def is_refused(formatter, *arguments) -> bool:
+    """Return whether a formatter raises LineError, without long output."""
+    try:
+        formatter(*arguments)
+    except line_protocol.LineError:
+        return True
+    return False
+
+
+class FormatTest(testtools.TestCase):
+    """A line is parsed into the fields that it is made of."""
+
+    @hypothesis.settings(derandomize=True, max_examples=400)
+    @hypothesis.given(FIELDS)
+    def test_any_fields(self, fields):
+        """Guards against a field that ends early, or ends the line."""
+        try:
+            line = line_protocol.format_line(*fields)
+        except line_protocol.LineError:
+            words = fields[:-1]
+            is_line = all(words) and not any(' ' in each for each in words)
+            bad = any(each in ''.join(fields) for each in '\r\n\0')
+            self.assertFalse(is_line and not bad)
+            return
+        self.assertEqual(1, line.count(b'\n'))
+        text = line.decode().removesuffix('\r\n')
+        self.assertEqual(fields, text.split(' ', len(fields) - 1))
+
+    def test_what_is_no_line(self):
+        """Guards against lines that a receiver refuses or splits otherwise."""
+        longest = 'x' * (line_protocol.MAX_LINE_BYTES - 4)
+        line_protocol.format_line('ROW', longest)
+        for fields in (
+            ('ROW', longest + 'x'),
+            ('ROW', '\ud800'),
+            ('START', 'calc db', '', 'i-1'),
+            ('QUERY', '-', 'SET', 'zone', 'a\r\nQUERY - RESET'),
+        ):
+            self.assertTrue(is_refused(line_protocol.format_line, *fields))
+
+
 class CallerLinesTest(testtools.TestCase):
     """Callers' messages are parsed into statements or clear errors."""
 
@@ -164,6 +212,20 @@
             written,
         )
 
+    def test_command_that_is_another(self):
+        """Guards against a command that an upstream takes for another."""
+        encode = upstream_codec.UpstreamCodec().encode
+        read = statements.Access.READ
+        for command in (
+            statements.Prepare('rq1 READ zj', read, 'q1 READ zj'),
+            statements.Execute('a2', 'rq1 READ zj', 'k'),
+            statements.Execute('a 2', 'q', 'k'),
+            statements.SetValue('', 'a'),
+            statements.Run('a1', 'READ k\r\nQUERY a2 COMMIT'),
+            statements.Run('a1', 'x' * line_protocol.MAX_LINE_BYTES),
+        ):
+            self.assertTrue(is_refused(encode, (statements.Begin(), command)))
+
     def test_every_command_has_an_encoder(self):
         """Every type of command has a registered encoder."""
         encoded = set(upstream_codec._encoders)
--- a/topazring/platform/upstream_codec.py
+++ b/topazring/platform/upstream_codec.py
@@ -224,8 +224,14 @@
     )
 
 
-def _line_fields(command: statements.Command) -> Fields:
-    return 'QUERY', *_encoders[type(command)](command)
+def _encode(command: statements.Command) -> bytes:
+    try:
+        return line_protocol.format_line(
+            'QUERY', *_encoders[type(command)](command)
+        )
+    except line_protocol.LineError as error:
+        detail = f'{type(command).__name__}: {error}'
+        raise line_protocol.LineError(detail) from None
 
 
 class UpstreamCodec:
@@ -238,23 +244,11 @@
         )
 
     def encode(self, commands: tuple[statements.Command, ...]) -> bytes:
-        """Return the encoded commands, to be sent in a single write."""
-        return b''.join(
-            line_protocol.format_line(*_line_fields(command))
-            for command in commands
-        )
+        """Return the encoded commands, to be sent in a single write.
 
-    def find_faults(
-        self, commands: tuple[statements.Command, ...]
-    ) -> list[str]:
-        """Return why lines will be parsed as other fields than they have."""
-        faults = []
-        for command in commands:
-            try:
-                line_protocol.check_fields(_line_fields(command))
-            except line_protocol.LineError as error:
-                faults.append(f'{type(command).__name__}: {error}')
-        return faults
+        Raises LineError if an upstream would parse one as another command.
+        """
+        return b''.join(map(_encode, commands))
 
     def reader(self) -> _Reader:
         """Return a reader for the replies of one connection."""
--- a/topazring/pooler/ports.py
+++ b/topazring/pooler/ports.py
@@ -88,15 +88,16 @@
     """Encode and decode the upstreams' protocol."""
 
     def hello(self, service: str, organisation: str, upstream: str) -> bytes:
-        """Return the bytes that open a connection; one reply follows."""
+        """Return the bytes that open a connection; one reply follows.
+
+        Raises ValueError if a name cannot be sent as it is.
+        """
 
     def encode(self, commands: tuple[statements.Command, ...]) -> bytes:
-        """Return encoded commands; one reply for each follows."""
+        """Return encoded commands; one reply for each follows.
 
-    def find_faults(
-        self, commands: tuple[statements.Command, ...]
-    ) -> list[str]:
-        """Return why an upstream will not get what commands say, if so."""
+        Raises ValueError if a command cannot be sent as it is.
+        """
 
     def reader(self) -> ReplyReader:
         """Return a reader for the replies of one connection."""
--- a/topazring/pooler/upstream_link.py
+++ b/topazring/pooler/upstream_link.py
@@ -15,15 +15,15 @@
 from topazring.pooler import ports
 from topazring.pooler import settings
 
-__all__ = ['AMBIGUOUS_LINE', 'BAD_REPLY', 'UpstreamLink', 'register']
+__all__ = ['BAD_REPLY', 'REFUSED_LINE', 'UpstreamLink', 'register']
 
 Reason = outcomes.Reason
 
 READ_BYTES = 65536
-# Counts lines that an upstream parses as other fields than they are made of.
-AMBIGUOUS_LINE = 'ambiguous_line'
 # Counts replies that cannot be decoded or that no command is waiting for.
 BAD_REPLY = 'bad_reply'
+# Counts what is not sent, as an upstream would take it for something else.
+REFUSED_LINE = 'refused_line'
 
 _DIAL_REASONS = {
     statements.Code.CONNECTION_LIMIT: Reason.CONNECTION_LIMIT,
@@ -34,7 +34,7 @@
 def register(log: events.EventLog) -> None:
     """Begin to count the faults of connections at 0."""
     log.register('upstream_link')
-    log.counters.update({AMBIGUOUS_LINE: 0, BAD_REPLY: 0})
+    log.counters.update({BAD_REPLY: 0, REFUSED_LINE: 0})
 
 
 class UpstreamLink:
@@ -77,13 +77,12 @@
         """Send commands in one write."""
         self.expected_replies = len(commands)
         self.replies = []
-        for fault in self.codec.find_faults(commands):
-            self.log.count(AMBIGUOUS_LINE)
-            self._log('ambiguous line', {'fault': fault})
         try:
             # The reader detects later failures, as it ends with the stream.
             self.stream.write(self.codec.encode(commands))
-        except iostream.StreamClosedError:
+        except (iostream.StreamClosedError, ValueError) as error:
+            if isinstance(error, ValueError):
+                self._report_refused_line(error)
             asyncio.get_running_loop().call_soon(
                 self._report_closed, Reason.CONNECTION_LOST
             )
@@ -101,7 +100,15 @@
 
     async def _run(self, service: str, target: messages.Open) -> None:
         try:
-            answer = await self._connect(service, target)
+            hello = self.codec.hello(
+                service, target.organisation, target.upstream
+            )
+        except ValueError as error:
+            self._report_refused_line(error)
+            self._report_closed(Reason.CONNECTION_LOST)
+            return
+        try:
+            answer = await self._connect(target, hello)
         except (OSError, iostream.StreamClosedError):
             self._report_closed(Reason.CONNECTION_LOST)
             return
@@ -115,16 +122,14 @@
         self.on_message(messages.Opened(self.number, answer))
         await self._read_forever()
 
-    async def _connect(self, service: str, target: messages.Open):
+    async def _connect(self, target: messages.Open, hello: bytes):
         """Return the upstream's log position, or the reply that refuses."""
         endpoint = settings.endpoint(target.address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         dialling.enable_keepalive(sock)
         self.stream = iostream.IOStream(sock)
         await self.stream.connect((endpoint.host, endpoint.port))
-        await self.stream.write(
-            self.codec.hello(service, target.organisation, target.upstream)
-        )
+        await self.stream.write(hello)
         while True:
             data = await self.stream.read_bytes(READ_BYTES, partial=True)
             for reply in self.reader.feed(data):
@@ -155,6 +160,10 @@
         if self.expected_replies == 0:
             self.on_message(messages.Replied(self.number, tuple(self.replies)))
 
+    def _report_refused_line(self, error: ValueError) -> None:
+        self.log.count(REFUSED_LINE)
+        self._log('line refused', {'fault': str(error)})
+
     def _report_bad_reply(self, error: ValueError) -> None:
         self.log.count(BAD_REPLY)
         self._log('bad reply', supervision.describe(error))
