Name the shapes of forwarded requests at the owner

An owner prepared shapes under the name that the request brought: from an entry of the build before, a name that holds the shape, so that statements run in the shape of another caller as long as a rolling upgrade lasts. The owner now derives the name from the access and the shape. Requests still bring a name, as an owner of the older build uses it, and it is one word there too.

Failed before: test_names_of_an_older_entry, test_name_that_another_shape_has. test_hop's request has the name of its shape now, as a made-up one no longer arrives; its check is the same.

--- a/topazring/pooler/hop_server.py
+++ b/topazring/pooler/hop_server.py
@@ -10,6 +10,7 @@
 
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import prepared_names
 from topazring.plumbing import clock
 from topazring.plumbing import dialling
 from topazring.plumbing import events
@@ -189,12 +190,19 @@
         policy = dataclasses.replace(
             frame.request.policy, timeout_ms=max(0, frame.left_ms)
         )
+        prepared = frame.request.prepared
+        if prepared is not None:
+            # Another build may choose names that stand for several shapes.
+            prepared = prepared_names.prepare_command(
+                prepared.access, prepared.shape
+            )
         return dataclasses.replace(
             frame.request,
             key=self.host.next_key(),
             policy=policy,
             arrived_ms=clock.boottime_ms(),
             transaction=transaction,
+            prepared=prepared,
         )
 
     def _withdraw(self, peer_transaction: int) -> None:
--- a/topazring/pooler/tests/test_hop.py
+++ b/topazring/pooler/tests/test_hop.py
@@ -15,6 +15,7 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import prepared_names
 from topazring.core.synchronous import statements
 from topazring.plumbing import clock
 from topazring.plumbing import events
@@ -35,7 +36,7 @@
         clock.boottime_ms(),
         session_place=log_positions.LogPosition(3, 12),
         values={'zone': 'cork'},
-        prepared=statements.Prepare('rq', statements.Access.READ, 'q'),
+        prepared=prepared_names.prepare_command(statements.Access.READ, 'q'),
         **more,
     )
 
--- a/topazring/pooler/tests/test_rolling_upgrade.py
+++ b/topazring/pooler/tests/test_rolling_upgrade.py
@@ -2,7 +2,8 @@
 
 One older build knows no organisations: it ignores the organisation of a
 request and runs it in the proxy's own name. Another knows no eras of the
-platform's store. A third chooses owners by names alone.
+platform's store. A third chooses owners by names alone. A fourth names a
+prepared shape by its text.
 """
 
 import asyncio
@@ -20,11 +21,14 @@
 from topazring.core.synchronous import listing as listings
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
+from topazring.core.synchronous import prepared_names
 from topazring.core.synchronous import statements
 from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import directory
 from topazring.pooler import follower_client
+from topazring.pooler import hop_frames
+from topazring.pooler import hop_server
 from topazring.pooler import peers
 from topazring.pooler import process
 from topazring.pooler import proxy_entries
@@ -112,6 +116,44 @@
         self.assertIsInstance(outcome, outcomes.Done)
 
 
+class PreparedNamesTest(testtools.TestCase):
+    """An older build names a shape by its text, which may hold blanks."""
+
+    def localise(self, prepared: statements.Prepare) -> statements.Prepare:
+        """Return what an owner of this build is to prepare."""
+        asked = dataclasses.replace(request(''), prepared=prepared)
+        stream = hop_server._PeerStream(mock.Mock(), mock.Mock())
+        frame = hop_frames.RequestFrame(1, 500, asked)
+        return stream._localise(frame).prepared
+
+    def test_names_of_an_older_entry(self):
+        """Guards against a name that runs the shape of another caller."""
+        read = statements.Access.READ
+        for shape in ('q1', 'q1 READ zj'):
+            older = statements.Prepare(f'r{shape}', read, shape)
+            own = prepared_names.prepare_command(read, shape)
+            self.assertEqual(own, self.localise(older))
+
+    def test_name_that_another_shape_has(self):
+        """Guards against an entry that decides which shape a name is."""
+        read = statements.Access.READ
+        taken = prepared_names.prepare_command(read, 'q1')
+        other = dataclasses.replace(taken, shape='q2')
+        self.assertNotEqual(taken.name, self.localise(other).name)
+
+    def test_older_owner(self):
+        """It uses the name that a request has, so this one is sent."""
+        asked = request('')
+        prepared = prepared_names.prepare_command(
+            statements.Access.READ, 'q1 READ zj'
+        )
+        asked = dataclasses.replace(asked, prepared=prepared)
+        frame = hop_frames.RequestFrame(1, 500, asked)
+        text = msgspec.msgpack.encode(frame)
+        found = msgspec.msgpack.decode(text, type=hop_frames.RequestFrame)
+        self.assertEqual(prepared, found.request.prepared)
+
+
 class ListingTest(testtools.TestCase):
     """A proxy's entry in the store says whether it knows organisations."""
 
