Bound the shapes that stay prepared on a connection

A connection kept each shape that any session had ever prepared, at the upstream and, by name, here: an organisation whose shapes differ each time took the memory of both until the connection ended. Beyond 1,000 names, or shapes of 4 MiB, the connection is reset before the next one is prepared, in the round trip that prepares it; never inside a transaction.

--- a/topazring/core/synchronous/session_setup.py
+++ b/topazring/core/synchronous/session_setup.py
@@ -19,6 +19,11 @@
     'setup_cost',
 ]
 
+# What an upstream keeps prepared on one connection. Sessions of any number
+# prepare shapes over its life, and it is cleared only by a RESET.
+MAX_PREPARED_NAMES = 1000
+MAX_PREPARED_CHARS = 4 << 20
+
 
 def setup_commands(
     connection: states.Connection, request: messages.Request
@@ -29,7 +34,7 @@
     """
     commands: list[statements.Command] = []
     values, prepared_names = connection.values, connection.prepared
-    if values.keys() - request.values.keys():
+    if _needs_reset(connection, request):
         commands.append(statements.Reset())
         values, prepared_names = {}, set()
     for name, value in request.values.items():
@@ -41,6 +46,22 @@
     return tuple(commands)
 
 
+def _needs_reset(
+    connection: states.Connection, request: messages.Request
+) -> bool:
+    """Return whether values or too many names of other sessions are set."""
+    if connection.values.keys() - request.values.keys():
+        return True
+    prepared = request.prepared
+    if prepared is None or prepared.name in connection.prepared:
+        return False
+    if request.continues_transaction or not connection.prepared:
+        return False
+    chars = connection.prepared_chars + len(prepared.shape)
+    is_full = len(connection.prepared) >= MAX_PREPARED_NAMES
+    return is_full or chars > MAX_PREPARED_CHARS
+
+
 def note_replies(
     connection: states.Connection, replies: tuple[statements.Reply, ...]
 ) -> None:
@@ -52,7 +73,7 @@
         is_done = reply.code is None
         match command:
             case statements.Reset():
-                connection.prepared.clear()
+                _clear_names(connection)
                 if is_done:
                     connection.values.clear()
                 else:
@@ -62,6 +83,7 @@
                 connection.values[command.name] = value
             case statements.Prepare() if is_done:
                 connection.prepared.add(command.name)
+                connection.prepared_chars += len(command.shape)
 
 
 def forget(connection: states.Connection) -> None:
@@ -70,7 +92,12 @@
     A name is prepared again without harm: it always stands for one shape.
     """
     connection.values = dict.fromkeys(connection.values)
+    _clear_names(connection)
+
+
+def _clear_names(connection: states.Connection) -> None:
     connection.prepared.clear()
+    connection.prepared_chars = 0
 
 
 def setup_cost(
@@ -80,7 +107,7 @@
     values = request.values
     cost = 0
     prepared = connection.prepared
-    if connection.values.keys() - values.keys():
+    if _needs_reset(connection, request):
         cost = 1 + len(values)
         prepared = set()
     else:
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -129,6 +129,8 @@
     # command may or may not have changed.
     values: dict[str, str | None] = dataclasses.field(default_factory=dict)
     prepared: set[str] = dataclasses.field(default_factory=set)
+    # Length of the shapes of these names.
+    prepared_chars: int = 0
     # How often the set-up of the present statement was refused.
     refused_setups: int = 0
     # Sent once the commands in flight have succeeded.
--- a/topazring/core/synchronous/tests/test_sessions.py
+++ b/topazring/core/synchronous/tests/test_sessions.py
@@ -1,10 +1,13 @@
 """Test session state and the statements answered without an upstream."""
 
+import dataclasses
+
 import testtools
 
 from topazring.core import log_positions
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import prepared_names
 from topazring.core.synchronous import session_setup
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import state as states
@@ -226,6 +229,45 @@
         shapes = [command.shape for command in sent]
         self.assertEqual(['q1', 'q2'], shapes)
 
+    def prepare_all(
+        self, shapes: list[str], **more
+    ) -> tuple[states.Connection, list[statements.Command]]:
+        """Prepare shapes on one connection; return it and what was sent."""
+        connection = states.Connection(1, 'u1')
+        sent: list[statements.Command] = []
+        for shape in shapes:
+            prepared = prepared_names.prepare_command(Access.READ, shape)
+            request = self.request({'zone': 'cork'}, prepared)
+            request = dataclasses.replace(request, **more)
+            sent += self.set_up(connection, request)
+        return connection, sent
+
+    def test_many_shapes(self):
+        """Guards against upstreams that keep each shape ever prepared."""
+        most = session_setup.MAX_PREPARED_NAMES
+        shapes = [f'q{number}' for number in range(most + 1)]
+        connection, sent = self.prepare_all(shapes + shapes[-1:])
+        self.assertEqual(1, sent.count(statements.Reset()))
+        self.assertEqual(1, len(connection.prepared))
+        self.assertEqual({'zone': 'cork'}, connection.values)
+
+    def test_long_shapes(self):
+        """Guards against the memory that a few long shapes take."""
+        chars = session_setup.MAX_PREPARED_CHARS // 4
+        shapes = [f'{number}' * chars for number in range(6)]
+        connection, sent = self.prepare_all(shapes)
+        self.assertEqual(1, sent.count(statements.Reset()))
+        self.assertEqual(2 * chars, connection.prepared_chars)
+        session_setup.forget(connection)
+        self.assertEqual(0, connection.prepared_chars)
+
+    def test_many_shapes_inside_a_transaction(self):
+        """A transaction keeps its connection as it is."""
+        most = session_setup.MAX_PREPARED_NAMES
+        shapes = [f'q{number}' for number in range(most + 2)]
+        _, sent = self.prepare_all(shapes, transaction=9)
+        self.assertNotIn(statements.Reset(), sent)
+
     def test_access_is_part_of_the_shared_name(self):
         """One shape may be a read in one session and a write in another."""
         first, second = new_session(), new_session()
