Refuse a statement that is too long for what is sent with it

A statement within a few bytes of the largest message was accepted, and sent with the log position that it waits for or with a longer name than its caller's: longer than upstreams accept. A PREPARE was even acknowledged, and could never be executed. READ, PREPARE and EXECUTE are refused within 128 bytes of the limit (TOOLARGE; the session goes on); WRITE and SET leave as they came and are not.

--- a/topazring/platform/caller_codec.py
+++ b/topazring/platform/caller_codec.py
@@ -41,6 +41,9 @@
     Reason.TOO_LARGE: 'TOOLARGE',
 }
 
+# Statements that an upstream may be sent with more than their text.
+_EXTENDED = (Verb.READ, Verb.PREPARE, Verb.EXECUTE)
+
 Parser = collections.abc.Callable[[str, str, str], statements.Statement]
 _parsers: dict[str, Parser] = {}
 
@@ -166,9 +169,22 @@
             word, rest = line_protocol.parse_line(
                 line, self.splitter.max_line_bytes
             )
-            return _parse_message(word, rest)
+            message = _parse_message(word, rest)
         except line_protocol.LineError as error:
             return ports.Fault(Reason.BAD_STATEMENT, str(error))
+        if _is_too_long_to_send(message, len(line)):
+            detail = 'the statement is too long for what is sent with it'
+            return ports.Fault(Reason.TOO_LARGE, detail)
+        return message
+
+
+def _is_too_long_to_send(message: ports.CallerItem, line_bytes: int) -> bool:
+    return (
+        isinstance(message, statements.Statement)
+        and message.verb in _EXTENDED
+        and line_bytes + line_protocol.MAX_ADDED_BYTES
+        > line_protocol.MAX_LINE_BYTES
+    )
 
 
 def _parse_message(word: str, rest: str) -> ports.CallerItem:
--- a/topazring/platform/line_protocol.py
+++ b/topazring/platform/line_protocol.py
@@ -10,12 +10,16 @@
 __all__ = [
     'LineError',
     'LineSplitter',
+    'MAX_ADDED_BYTES',
     'MAX_LINE_BYTES',
     'parse_line',
     'format_line',
 ]
 
 MAX_LINE_BYTES = 1 << 20
+# What an upstream is sent beside a caller's text: the log position that the
+# statement waits for, and the name of a shape instead of the caller's.
+MAX_ADDED_BYTES = 128
 _END = b'\r\n'
 _SEPARATOR = ' '
 
--- a/topazring/platform/tests/test_line_protocol.py
+++ b/topazring/platform/tests/test_line_protocol.py
@@ -6,6 +6,7 @@
 
 from topazring.core import log_positions
 from topazring.core import outcomes
+from topazring.core.synchronous import prepared_names
 from topazring.core.synchronous import statements
 from topazring.platform import caller_codec
 from topazring.platform import line_protocol
@@ -14,6 +15,7 @@
 
 Code = statements.Code
 Reason = outcomes.Reason
+MAX_LINE_BYTES = line_protocol.MAX_LINE_BYTES
 SessionState = statements.SessionState
 Verb = statements.Verb
 
@@ -186,6 +188,61 @@
             self.assertNotIn(unknown.split()[1], not_run_codes)
 
 
+class LongStatementsTest(testtools.TestCase):
+    """What a caller sends is within the limit, and so is what leaves."""
+
+    def read(self, start: str, length: int) -> ports.CallerItem:
+        """Return what a line of a length is parsed into."""
+        reader = caller_codec.CallerCodec().reader(MAX_LINE_BYTES)
+        (item,) = reader.feed(start.encode().ljust(length, b'x') + b'\r\n')
+        return item
+
+    def encode(self, statement: statements.Statement) -> bytes:
+        """Return the longest line that an upstream may be sent for it."""
+        after = log_positions.LogPosition(2**53, 2**53)
+        prepare = prepared_names.prepare_command
+        match statement.verb:
+            case Verb.PREPARE:
+                command = prepare(statement.access, statement.value)
+            case Verb.EXECUTE:
+                name = prepare(statement.access, 'q').name
+                command = statements.Execute(
+                    statement.request_id, name, statement.arguments, after
+                )
+            case Verb.SET:
+                command = statements.SetValue(statement.name, statement.value)
+            case _:
+                is_read = statement.verb is Verb.READ
+                command = statements.Run(
+                    statement.request_id,
+                    statement.text,
+                    after if is_read else None,
+                )
+        return upstream_codec.UpstreamCodec().encode((command,))
+
+    def test_longest_statements(self):
+        """Guards against a statement that is accepted and cannot be sent."""
+        shortest = MAX_LINE_BYTES - line_protocol.MAX_ADDED_BYTES
+        for text in ('READ ', 'PREPARE s READ ', 'EXECUTE s '):
+            accepted = self.read(f'QUERY a {text}', shortest)
+            self.assertLessEqual(
+                len(self.encode(accepted)) - 2, MAX_LINE_BYTES
+            )
+            for length in (shortest + 1, MAX_LINE_BYTES):
+                refused = self.read(f'QUERY a {text}', length)
+                self.assertIsInstance(refused, ports.Fault)
+                self.assertEqual(Reason.TOO_LARGE, refused.reason)
+                self.assertFalse(refused.fatal)
+
+    def test_what_leaves_as_it_came(self):
+        """Guards against a refusal of what can be sent."""
+        for text in ('WRITE k ', 'SET n '):
+            accepted = self.read(f'QUERY a {text}', MAX_LINE_BYTES)
+            self.assertLessEqual(
+                len(self.encode(accepted)) - 2, MAX_LINE_BYTES
+            )
+
+
 class UpstreamLinesTest(testtools.TestCase):
     """Commands are encoded and replies decoded."""
 
