Refuse a COMMIT with a space at its end

It was taken for a COMMIT and sent without the space, so that the upstream committed under a changed text (UNASKED): the command carries the id alone. COMMIT takes nothing, so the caller gets MALFORMED and may send it right.

--- a/topazring/platform/caller_codec.py
+++ b/topazring/platform/caller_codec.py
@@ -77,7 +77,8 @@
 
 @_parses('COMMIT')
 def _commit(request_id: str, text: str, rest: str) -> statements.Statement:
-    if rest:
+    # It is sent without its text, which must not hold a space at its end.
+    if text != 'COMMIT':
         raise line_protocol.LineError('COMMIT takes nothing')
     return statements.Statement(request_id, Verb.COMMIT, text)
 
--- a/topazring/platform/tests/test_line_protocol.py
+++ b/topazring/platform/tests/test_line_protocol.py
@@ -187,6 +187,13 @@
             unknown = self.answer(outcomes.Unknown(reason))
             self.assertNotIn(unknown.split()[1], not_run_codes)
 
+    def test_statement_that_would_leave_as_another(self):
+        """Guards against a COMMIT that is sent without a space at its end."""
+        (item,) = self.read(b'QUERY a1 COMMIT \r\n')
+        self.assertIsInstance(item, ports.Fault)
+        (item,) = self.read(b'QUERY a1 COMMIT\r\n')
+        self.assertEqual('COMMIT', item.text)
+
 
 class LongStatementsTest(testtools.TestCase):
     """What a caller sends is within the limit, and so is what leaves."""
