Fail the transaction of a statement that is refused

A statement that cannot be parsed, or is too long, was refused without its transaction: a caller that had sent a COMMIT behind it, without waiting, got a part of its transaction committed. Rejected statements of other kinds failed the transaction already; so do these now, and it is rolled back at its upstream.

--- a/topazring/core/synchronous/sessions.py
+++ b/topazring/core/synchronous/sessions.py
@@ -21,6 +21,7 @@
     'record_outcome',
     'fail_transaction',
     'handle_statement',
+    'reject',
 ]
 
 Reason = outcomes.Reason
@@ -101,7 +102,7 @@
             return _make_request(session, now_ms, key, statement, policy)
 
 
-def _reject(session: Session, reason: Reason, detail: str) -> LocalAnswer:
+def reject(session: Session, reason: Reason, detail: str) -> LocalAnswer:
     """Reject an invalid statement and fail the open transaction."""
     ends = 0
     if session.transaction is not None:
@@ -135,7 +136,7 @@
 ) -> LocalAnswer:
     if session.transaction is not None:
         detail = 'a transaction is open already'
-        return _reject(session, Reason.BAD_STATEMENT, detail)
+        return reject(session, Reason.BAD_STATEMENT, detail)
     if policy is None:
         return LocalAnswer(_unknown_database(session))
     session.transaction = OpenTransaction(key, policy, statement.read_only)
@@ -151,7 +152,7 @@
     transaction = session.transaction
     if transaction is None:
         detail = 'no transaction is open'
-        return _reject(session, Reason.NO_TRANSACTION, detail)
+        return reject(session, Reason.NO_TRANSACTION, detail)
     session.transaction = None
     session.state = SessionState.IDLE
     return LocalAnswer(_DONE, transaction.key if transaction.begun else 0)
@@ -168,7 +169,7 @@
     session: Session, statement: statements.Statement
 ) -> LocalAnswer:
     if session.prepared.pop(statement.name, None) is None:
-        return _reject(session, Reason.NO_STATEMENT, statement.name)
+        return reject(session, Reason.NO_STATEMENT, statement.name)
     return LocalAnswer(_DONE)
 
 
@@ -184,7 +185,7 @@
         policy = transaction.policy
     elif statement.verb is Verb.COMMIT:
         detail = 'no transaction is open'
-        return _reject(session, Reason.NO_TRANSACTION, detail)
+        return reject(session, Reason.NO_TRANSACTION, detail)
     if policy is None:
         return LocalAnswer(_unknown_database(session))
     prepared = None
@@ -192,11 +193,11 @@
     if statement.verb is Verb.EXECUTE:
         prepared = session.prepared.get(statement.name)
         if prepared is None:
-            return _reject(session, Reason.NO_STATEMENT, statement.name)
+            return reject(session, Reason.NO_STATEMENT, statement.name)
         writes = prepared.access is statements.Access.WRITE
     if writes and transaction is not None and transaction.read_only:
         detail = 'the transaction only reads'
-        return _reject(session, Reason.BAD_STATEMENT, detail)
+        return reject(session, Reason.BAD_STATEMENT, detail)
     return messages.Request(
         key,
         statement,
--- a/topazring/platform/tests/test_caller.py
+++ b/topazring/platform/tests/test_caller.py
@@ -34,12 +34,14 @@
         self.keys = 0
         self.release = asyncio.Event()
         self.submitted = 0
+        self.withdrawn: list[tuple[str, int]] = []
 
     def policy(self, database):
         return POLICY
 
     def withdraw(self, service, transaction):
-        """Ignore the withdrawal."""
+        """Record an aborted transaction."""
+        self.withdrawn.append((service, transaction))
 
     def organisation(self, database, key_hash):
         return ''
@@ -63,8 +65,8 @@
         return outcomes.Done(['row'], log_positions.ORIGIN, signature='sig')
 
 
-class LastRequestsTest(testtools.TestCase):
-    """A process that shuts down answers every request it has accepted."""
+class CallerTestCase(testtools.TestCase):
+    """Provide each test with a started session."""
 
     def run_steps(self, steps) -> None:
         """Run `steps(host, task, caller)` with a started session."""
@@ -84,6 +86,56 @@
 
         asyncio.run(run())
 
+
+class RefusedStatementTest(CallerTestCase):
+    """A statement that is refused fails the transaction that it is part of."""
+
+    def test_pipelined_commit(self):
+        """Guards against a COMMIT that keeps a part of a transaction."""
+        for text in (
+            b'WRITE q',
+            b'SELECT 1',
+            b'COMMIT ',
+            b'ROLLBACK x',
+            b'READ '.ljust((1 << 20) - 20, b'x'),
+            b'READ \xff',
+        ):
+            self.run_steps(lambda *args, text=text: self.pipeline(*args, text))
+
+    async def pipeline(self, host, task, caller, text):
+        """Send a transaction with a refused statement before its COMMIT."""
+        host.release.set()
+        lines = (b'BEGIN', b'WRITE p 1', text, b'COMMIT', b'READ k')
+        for line in lines:
+            await caller.write(b'QUERY q1 ' + line + b'\r\n')
+        for start, state in (
+            (b'DONE -', b'T'),
+            (b'ROW row', b'T'),
+            (b'ERROR ', b'E'),
+            (b'ERROR ABORTED', b'I'),
+            (b'ROW row', b'I'),
+        ):
+            answer = await caller.read_until_regex(b'READY . -\r\n')
+            self.assertTrue(answer.startswith(start), answer)
+            self.assertTrue(answer.endswith(b'READY %s -\r\n' % state))
+        self.assertEqual(2, host.submitted)
+        self.assertEqual(1, len(host.withdrawn))
+
+    def test_outside_a_transaction(self):
+        """The session goes on."""
+
+        async def steps(host, task, caller):
+            await caller.write(b'QUERY q1 SELECT 1\r\n')
+            answer = await caller.read_until(b'READY I -\r\n')
+            self.assertTrue(answer.startswith(b'ERROR MALFORMED'))
+            self.assertEqual([], host.withdrawn)
+
+        self.run_steps(steps)
+
+
+class LastRequestsTest(CallerTestCase):
+    """A process that shuts down answers every request it has accepted."""
+
     def test_late_operation_is_refused(self):
         """Operations that arrive late in a shutdown are refused.
 
--- a/topazring/pooler/caller_task.py
+++ b/topazring/pooler/caller_task.py
@@ -252,7 +252,13 @@
             await self.stream.write(self.host.codec.refusal(rejected))
             await self._discard()
             return False
-        await self._send_answer(rejected)
+        # The caller may have sent a COMMIT already, which must not keep the
+        # other statements of the transaction.
+        transaction = self.session.transaction
+        result = sessions.reject(self.session, fault.reason, fault.detail)
+        if transaction is not None:
+            self._withdraw(transaction.policy, result.ends)
+        await self._send_answer(result.outcome)
         return True
 
     async def _discard(self) -> None:
