Take no reply for that of the next statement

Replies that came in one chunk with the expected one were handled after the next commands had been sent, as a connection's group sends them at once: a surplus reply was taken for that of the next caller's statement, with its rows and signature, and counted nowhere. The replies of a chunk are counted before any is reported, and a part of a further one ends the connection as well. A line after DONE or ERROR that is not READY is no reply: ERROR, DONE and READY were read as a refusal of a statement that succeeded, which would have been sent again.

--- a/topazring/platform/tests/test_line_protocol.py
+++ b/topazring/platform/tests/test_line_protocol.py
@@ -338,6 +338,17 @@
             line_protocol.LineError, reader.feed, b'READY I 1.1\r\n'
         )
 
+    def test_second_end_of_a_reply(self):
+        """Guards against a success that is read as a refusal."""
+        for lines in (
+            b'ERROR BUSY u1\r\nDONE 7.1f\r\n',
+            b'DONE 7.1f\r\nROW late\r\n',
+            b'DONE 7.1f\r\nDONE 7.2a\r\n',
+        ):
+            reader = upstream_codec.UpstreamCodec().reader()
+            reader.feed(b'READY I 1.1\r\n')
+            self.assertRaises(line_protocol.LineError, reader.feed, lines)
+
     def test_invalid_replies(self):
         """Invalid replies raise ValueError, which closes the connection."""
         for data in (b'HELLO\r\n', b'READY X 1.1\r\n', b'READY I x.y\r\n'):
--- a/topazring/platform/upstream_codec.py
+++ b/topazring/platform/upstream_codec.py
@@ -158,8 +158,18 @@
             raise line_protocol.LineError('the message is too long')
         return replies
 
+    def is_inside_reply(self) -> bool:
+        """Return whether a part of the next reply has been fed."""
+        return bool(self.splitter.buffer or self.rows) or self._has_ended()
+
+    def _has_ended(self) -> bool:
+        """Return whether only the READY line of a reply is missing."""
+        return self.signature is not None or self.code is not None
+
     def _add_line(self, word: str, rest: str) -> bool:
         """Add a line; return whether it completes a reply."""
+        if self._has_ended() and word != 'READY':
+            raise line_protocol.LineError('a line after DONE or ERROR')
         match word:
             case 'ROW':
                 self.rows.append(rest)
--- a/topazring/pooler/ports.py
+++ b/topazring/pooler/ports.py
@@ -83,6 +83,9 @@
     def feed(self, data: bytes) -> list[statements.Reply]:
         """Return complete replies; raise ValueError on malformed input."""
 
+    def is_inside_reply(self) -> bool:
+        """Return whether a part of the next reply has been fed."""
+
 
 class UpstreamCodec(typing.Protocol):
     """Encode and decode the upstreams' protocol."""
--- a/topazring/pooler/tests/test_upstream_link.py
+++ b/topazring/pooler/tests/test_upstream_link.py
@@ -38,8 +38,9 @@
         self.log = events.EventLog('p1')
         upstream_link.register(self.log)
         self.received = []
+        self.on_reply = None
         self.link = upstream_link.UpstreamLink(
-            1, upstream_codec.UpstreamCodec(), self.received.append, self.log
+            1, upstream_codec.UpstreamCodec(), self.receive, self.log
         )
         target = messages.Open(1, 'u', f'127.0.0.1:{port}')
         self.link.start(service, target)
@@ -50,6 +51,12 @@
             self.link.close()
             server.close()
 
+    def receive(self, message: object) -> None:
+        """Record a message; send the next commands as a group does."""
+        self.received.append(message)
+        if self.on_reply and isinstance(message, messages.Replied):
+            self.on_reply()
+
     def counted(self) -> dict[str, int]:
         """Return what was counted."""
         return {what: n for what, n in self.log.counters.items() if n}
@@ -115,3 +122,21 @@
             self.assertEqual({'bad_reply': 1}, self.counted())
 
         self.play(steps, (GREETING, DONE + DONE))
+
+    def test_reply_beside_an_expected_one(self):
+        """Guards against a statement that gets the reply of another."""
+
+        async def steps():
+            self.on_reply = lambda: self.link.send((statements.Status(),))
+            self.link.send((statements.Rollback(),))
+            await self.wait_closed()
+            self.assertEqual({'bad_reply': 1}, self.counted())
+            replied = [
+                message
+                for message in self.received
+                if isinstance(message, messages.Replied)
+            ]
+            self.assertEqual([], replied)
+
+        for surplus in (DONE, b'ROW stray\r\n', b'DONE s\r\n', b'RO'):
+            self.play(steps, (GREETING, DONE + surplus))
--- a/topazring/pooler/upstream_link.py
+++ b/topazring/pooler/upstream_link.py
@@ -144,20 +144,22 @@
         try:
             while True:
                 data = await self.stream.read_bytes(READ_BYTES, partial=True)
-                for reply in self.reader.feed(data):
-                    self._handle_reply(reply)
+                self._handle_replies(self.reader.feed(data))
         except (OSError, iostream.StreamClosedError):
             self._report_closed(Reason.CONNECTION_LOST)
         except ValueError as error:
             self._report_bad_reply(error)
             self._report_closed(Reason.CONNECTION_LOST)
 
-    def _handle_reply(self, reply: statements.Reply) -> None:
-        if self.expected_replies == 0:
+    def _handle_replies(self, replies: list[statements.Reply]) -> None:
+        # Once the last expected reply is reported, the next commands are sent,
+        # and a reply beyond it would be taken for theirs.
+        surplus = len(replies) - self.expected_replies
+        if surplus > 0 or (surplus == 0 and self.reader.is_inside_reply()):
             raise ValueError('a reply to nothing')
-        self.replies.append(reply)
-        self.expected_replies -= 1
-        if self.expected_replies == 0:
+        self.replies += replies
+        self.expected_replies -= len(replies)
+        if replies and self.expected_replies == 0:
             self.on_message(messages.Replied(self.number, tuple(self.replies)))
 
     def _report_refused_line(self, error: ValueError) -> None:
