Count the shapes that an upstream may still hold, in bytes

The bound on shapes that stay prepared failed where an upstream refused the RESET: the count began anew, so that 5,000 shapes were held and 1,000 counted. Shapes that were forgotten here, or whose PREPARE failed and may have had its effect, were not counted, and characters were taken for bytes. What may be held is counted apart from what is known to be prepared, and begins anew once a RESET has succeeded.

Found by the review. test_long_shapes (of wider characters), test_shapes_beside_a_refused_reset and test_shapes_that_are_forgotten failed before, the latter two as the count is new. A name's bits are tested too: a digest of five bytes passed.

--- a/topazring/core/synchronous/prepared_names.py
+++ b/topazring/core/synchronous/prepared_names.py
@@ -13,8 +13,7 @@
 
 __all__ = ['prepare_command']
 
-# 160 bits, so that nobody finds two shapes of one name; a multiple of the
-# five bytes that are encoded without padding.
+# Too long for a caller to find two shapes of one name.
 _DIGEST_BYTES = 20
 
 
--- a/topazring/core/synchronous/session_setup.py
+++ b/topazring/core/synchronous/session_setup.py
@@ -19,10 +19,10 @@
     'setup_cost',
 ]
 
-# What an upstream keeps prepared on one connection. Sessions of any number
-# prepare shapes over its life, and it is cleared only by a RESET.
+# What an upstream keeps prepared on one connection. Many sessions prepare
+# shapes on it, and only a RESET that succeeds clears them.
 MAX_PREPARED_NAMES = 1000
-MAX_PREPARED_CHARS = 4 << 20
+MAX_PREPARED_BYTES = 4 << 20
 
 
 def setup_commands(
@@ -55,11 +55,11 @@
     prepared = request.prepared
     if prepared is None or prepared.name in connection.prepared:
         return False
-    if request.continues_transaction or not connection.prepared:
+    if request.continues_transaction or not connection.prepared_count:
         return False
-    chars = connection.prepared_chars + len(prepared.shape)
-    is_full = len(connection.prepared) >= MAX_PREPARED_NAMES
-    return is_full or chars > MAX_PREPARED_CHARS
+    size_bytes = connection.prepared_bytes + len(prepared.shape.encode())
+    is_full = connection.prepared_count >= MAX_PREPARED_NAMES
+    return is_full or size_bytes > MAX_PREPARED_BYTES
 
 
 def note_replies(
@@ -72,18 +72,20 @@
     for command, reply in zip(connection.commands, replies, strict=False):
         is_done = reply.code is None
         match command:
+            case statements.Reset() if is_done:
+                connection.values.clear()
+                connection.prepared.clear()
+                connection.prepared_count = connection.prepared_bytes = 0
             case statements.Reset():
-                _clear_names(connection)
-                if is_done:
-                    connection.values.clear()
-                else:
-                    forget(connection)
+                forget(connection)
             case statements.SetValue():
                 value = command.value if is_done else None
                 connection.values[command.name] = value
-            case statements.Prepare() if is_done:
-                connection.prepared.add(command.name)
-                connection.prepared_chars += len(command.shape)
+            case statements.Prepare():
+                connection.prepared_count += 1
+                connection.prepared_bytes += len(command.shape.encode())
+                if is_done:
+                    connection.prepared.add(command.name)
 
 
 def forget(connection: states.Connection) -> None:
@@ -92,12 +94,7 @@
     A name is prepared again without harm: it always stands for one shape.
     """
     connection.values = dict.fromkeys(connection.values)
-    _clear_names(connection)
-
-
-def _clear_names(connection: states.Connection) -> None:
     connection.prepared.clear()
-    connection.prepared_chars = 0
 
 
 def setup_cost(
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -129,8 +129,10 @@
     # command may or may not have changed.
     values: dict[str, str | None] = dataclasses.field(default_factory=dict)
     prepared: set[str] = dataclasses.field(default_factory=set)
-    # Length of the shapes of these names.
-    prepared_chars: int = 0
+    # How many shapes the upstream may hold, also under names that are not
+    # known to be prepared, and their size.
+    prepared_count: int = 0
+    prepared_bytes: int = 0
     # How often the set-up of the present statement was refused.
     refused_setups: int = 0
     # Sent once the commands in flight have succeeded.
--- a/topazring/core/synchronous/tests/test_prepared_names.py
+++ b/topazring/core/synchronous/tests/test_prepared_names.py
@@ -12,6 +12,7 @@
 Verb = statements.Verb
 # Callers may send a megabyte; a name goes with every EXECUTE.
 MAX_NAME_CHARS = 64
+MIN_NAME_BITS = 160
 SHAPES = strategies.text(min_size=1) | strategies.sampled_from(
     ('q1', 'q1 ', ' q1', 'q1  READ', 'q1 READ zj', 'q1 WRITE zj', 'q' * 70_000)
 )
@@ -47,7 +48,10 @@
     @hypothesis.given(PREPARED)
     def test_name_is_short(self, wanted):
         """Guards against lines that are longer than what callers sent."""
-        self.assertLessEqual(len(prepare(*wanted).name), MAX_NAME_CHARS)
+        length = len(prepare(*wanted).name)
+        self.assertLessEqual(length, MAX_NAME_CHARS)
+        # Five bits a character, which nobody finds a second shape for.
+        self.assertGreaterEqual(5 * length, MIN_NAME_BITS)
 
     @hypothesis.settings(derandomize=True, max_examples=200)
     @hypothesis.given(PREPARED, PREPARED)
--- a/topazring/core/synchronous/tests/test_sessions.py
+++ b/topazring/core/synchronous/tests/test_sessions.py
@@ -253,13 +253,38 @@
 
     def test_long_shapes(self):
         """Guards against the memory that a few long shapes take."""
-        chars = session_setup.MAX_PREPARED_CHARS // 4
-        shapes = [f'{number}' * chars for number in range(6)]
-        connection, sent = self.prepare_all(shapes)
-        self.assertEqual(1, sent.count(statements.Reset()))
-        self.assertEqual(2 * chars, connection.prepared_chars)
+        for character in ('x', '\u20ac', '\U0001f4a0'):
+            length = session_setup.MAX_PREPARED_BYTES // 4
+            length //= len(character.encode())
+            shapes = [
+                character * length + f'-{number}-' for number in range(6)
+            ]
+            connection, sent = self.prepare_all(shapes)
+            # Each is a little more than a quarter.
+            self.assertEqual(1, sent.count(statements.Reset()))
+            self.assertEqual(3, connection.prepared_count)
+
+    def test_shapes_beside_a_refused_reset(self):
+        """Guards against an upstream that keeps what it was asked to clear."""
+        most = session_setup.MAX_PREPARED_NAMES
+        shapes = [f'q{number}' for number in range(most)]
+        connection, _ = self.prepare_all(shapes)
+        prepared = prepared_names.prepare_command(Access.READ, 'q')
+        request = self.request({'zone': 'cork'}, prepared)
+        for _ in range(3):
+            failed = statements.Code.FAILED
+            commands = self.set_up(connection, request, failed, None, None)
+            self.assertEqual(statements.Reset(), commands[0])
+            connection.prepared.clear()
+        self.set_up(connection, request)
+        self.assertEqual(1, connection.prepared_count)
+
+    def test_shapes_that_are_forgotten(self):
+        """Guards against shapes that are prepared and not counted."""
+        shapes = [f'q{number}' for number in range(9)]
+        connection, _ = self.prepare_all(shapes)
         session_setup.forget(connection)
-        self.assertEqual(0, connection.prepared_chars)
+        self.assertEqual(9, connection.prepared_count)
 
     def test_many_shapes_inside_a_transaction(self):
         """A transaction keeps its connection as it is."""
