Bound what a session may hold

A session could SET any number of values of up to 1 MiB each, and all of them go with each request that is forwarded. Once they were longer than the frames between proxies (8,000,000 bytes), the owner closed the stream, and the requests and transactions of all other callers on it were lost; the request went on to the next owner, and harmed that one's callers. Any caller could do so, again and again. PREPARE had no bound either, and took memory alone.

A session holds 5,000,000 bytes of values and shapes with their names, and 1,024 more an entry, as each takes a command when a connection is set up. With the longest statement, which a frame has as its text and in parts, that leaves 0.9 MB for the policy. A SET or PREPARE beyond it is rejected at once (TOOLARGE) and changes nothing; what is shorter than what it replaces is taken. In an open transaction it fails the transaction, as each rejected statement does: a caller may have sent a WRITE and a COMMIT behind it, which would run without what was set for them.

--- a/topazring/core/synchronous/sessions.py
+++ b/topazring/core/synchronous/sessions.py
@@ -27,6 +27,13 @@
 SessionState = statements.SessionState
 Verb = statements.Verb
 
+# Values, shapes and their names. All values and one shape are forwarded with
+# each statement, in one frame between proxies.
+MAX_HELD_BYTES = 5_000_000
+# Part of a value or shape beside its texts. Each takes a command when a
+# connection is set up, so that short ones cost more than their texts.
+ENTRY_BYTES = 1024
+
 _DONE = outcomes.Done([], log_positions.ORIGIN)
 
 
@@ -55,6 +62,8 @@
     prepared: dict[str, statements.Prepare] = dataclasses.field(
         default_factory=dict
     )
+    # Size of its values and shapes.
+    held_bytes: int = 0
     transaction: OpenTransaction | None = None
     # Log position of its last commit.
     place: log_positions.LogPosition = log_positions.ORIGIN
@@ -91,8 +100,7 @@
         case Verb.ROLLBACK:
             return _rollback(session)
         case Verb.SET:
-            session.values[statement.name] = statement.value
-            return LocalAnswer(_DONE)
+            return _set(session, statement)
         case Verb.PREPARE:
             return _prepare(session, statement)
         case Verb.DEALLOCATE:
@@ -157,7 +165,47 @@
     return LocalAnswer(_DONE, transaction.key if transaction.begun else 0)
 
 
+def _set(session: Session, statement: statements.Statement) -> LocalAnswer:
+    before = session.values.get(statement.name)
+    if not _hold(session, statement.name, before, statement.value):
+        return _reject_size(session)
+    session.values[statement.name] = statement.value
+    return LocalAnswer(_DONE)
+
+
+def _hold(
+    session: Session, name: str, before: str | None, text: str | None
+) -> bool:
+    """Count a text that replaces another; return False if it is too much."""
+    held_bytes = session.held_bytes
+    held_bytes += _entry_bytes(name, text) - _entry_bytes(name, before)
+    if held_bytes > MAX_HELD_BYTES and held_bytes > session.held_bytes:
+        return False
+    session.held_bytes = held_bytes
+    return True
+
+
+def _entry_bytes(name: str, text: str | None) -> int:
+    if text is None:
+        return 0
+    return len(name.encode()) + len(text.encode()) + ENTRY_BYTES
+
+
+def _reject_size(session: Session) -> LocalAnswer:
+    """Reject what the session cannot hold.
+
+    An open transaction fails: its caller may have sent statements already
+    that rely on what is not set.
+    """
+    detail = 'the session holds too many values and prepared statements'
+    return _reject(session, Reason.TOO_LARGE, detail)
+
+
 def _prepare(session: Session, statement: statements.Statement) -> LocalAnswer:
+    old = session.prepared.get(statement.name)
+    before = None if old is None else old.shape
+    if not _hold(session, statement.name, before, statement.value):
+        return _reject_size(session)
     session.prepared[statement.name] = prepared_names.prepare_command(
         statement.access, statement.value
     )
@@ -167,8 +215,10 @@
 def _deallocate(
     session: Session, statement: statements.Statement
 ) -> LocalAnswer:
-    if session.prepared.pop(statement.name, None) is None:
+    old = session.prepared.pop(statement.name, None)
+    if old is None:
         return _reject(session, Reason.NO_STATEMENT, statement.name)
+    _hold(session, statement.name, old.shape, None)
     return LocalAnswer(_DONE)
 
 
--- a/topazring/core/synchronous/tests/test_sessions.py
+++ b/topazring/core/synchronous/tests/test_sessions.py
@@ -128,6 +128,99 @@
         )
 
 
+LONGEST = (1 << 20) - 100
+
+
+class HeldSizeTest(testtools.TestCase):
+    """Test how much a session may hold."""
+
+    def assert_too_large(self, result: sessions.LocalAnswer):
+        """Check that a statement was rejected for the session's size."""
+        self.assertIsInstance(result.outcome, outcomes.Rejected)
+        self.assertEqual(outcomes.Reason.TOO_LARGE, result.outcome.reason)
+
+    def test_many_long_values(self):
+        """Guards against requests that are too long to be forwarded.
+
+        The proxy that received one closed the stream, and the requests and
+        transactions of all other callers on it were lost.
+        """
+        session = new_session()
+        for number in range(4):
+            result = submit(
+                session, Verb.SET, name=f'v{number}', value='x' * LONGEST
+            )
+            self.assertIsInstance(result.outcome, outcomes.Done)
+        before = dict(session.values)
+        self.assert_too_large(
+            submit(session, Verb.SET, name='v4', value='x' * LONGEST)
+        )
+        self.assert_too_large(
+            submit(session, Verb.SET, name='v4', value='\u20ac' * 300_000)
+        )
+        self.assertEqual(before, submit(session, Verb.READ).values)
+        self.assertEqual(SessionState.IDLE, session.state)
+
+    def test_many_long_shapes(self):
+        """Guards against a session that takes the memory of all others."""
+        session = new_session()
+        shape = {'access': Access.READ, 'value': 'x' * LONGEST}
+        for number in range(4):
+            submit(session, Verb.PREPARE, name=f's{number}', **shape)
+        self.assert_too_large(
+            submit(session, Verb.PREPARE, name='s4', **shape)
+        )
+        result = submit(session, Verb.EXECUTE, name='s4', arguments='k')
+        self.assertEqual(outcomes.Reason.NO_STATEMENT, result.outcome.reason)
+        result = submit(session, Verb.EXECUTE, name='s3', arguments='k')
+        self.assertIsInstance(result, messages.Request)
+
+    def test_many_short_values(self):
+        """Guards against entries that are counted as almost nothing."""
+        session = new_session()
+        for number in range(sessions.MAX_HELD_BYTES // sessions.ENTRY_BYTES):
+            submit(session, Verb.SET, name=f'v{number}', value='x')
+        self.assert_too_large(submit(session, Verb.SET, name='v', value='x'))
+
+    def test_replaced_values_and_shapes(self):
+        """Guards against a session that is full of what it has replaced."""
+        session = new_session()
+        for number in range(20):
+            shape = f'{number}' + 'x' * LONGEST
+            for result in (
+                submit(session, Verb.SET, name='v', value=shape),
+                submit(
+                    session,
+                    Verb.PREPARE,
+                    name='s',
+                    access=Access.READ,
+                    value=shape,
+                ),
+                submit(session, Verb.DEALLOCATE, name='s'),
+                submit(session, Verb.SET, name='v', value='short'),
+            ):
+                self.assertIsInstance(result.outcome, outcomes.Done)
+
+    def test_value_in_an_open_transaction(self):
+        """Guards against statements that run without what was set for them.
+
+        A caller may send a SET, a WRITE and a COMMIT without waiting. If the
+        SET is rejected, the transaction is rolled back at its upstream.
+        """
+        session = new_session()
+        for number in range(4):
+            submit(session, Verb.SET, name=f'v{number}', value='x' * LONGEST)
+        submit(session, Verb.BEGIN)
+        request = submit(session, Verb.READ)
+        sessions.record_outcome(session, request, outcomes.Done([], None))
+        result = submit(session, Verb.SET, name='v', value='x' * LONGEST)
+        self.assert_too_large(result)
+        self.assertEqual(request.transaction, result.ends)
+        self.assertEqual(SessionState.FAILED, session.state)
+        result = submit(session, Verb.COMMIT)
+        self.assertIsInstance(result.outcome, outcomes.NotRun)
+
+
 class SetupTest(testtools.TestCase):
     """Test that a shared connection is adapted to its session."""
 
