Send no frame that another proxy refuses

A request or an answer longer than 8,000,000 bytes was sent to the other proxy, which closed the stream: the requests and transactions of all other callers on it were lost, and the proxy was avoided. An upstream may answer with any number of rows, so that a single large read did so, and as the entry then tried the next owner, at each owner in turn.

Whoever writes such a frame keeps it now, and the link stays. A request gets TOO_LARGE, which is true as nothing was sent; an open transaction is rolled back at its owner, which would otherwise hold it for nobody. An answer is replaced: a read, and a statement of a transaction, which is rolled back, get TOO_LARGE; a write of its own or a commit is unknown, as it has run. The line 'frame too long' and the counter frame_too_long show both.

The six tests of LongFrameTest failed before.

--- a/topazring/core/synchronous/forwarding.py
+++ b/topazring/core/synchronous/forwarding.py
@@ -34,6 +34,8 @@
     'next_owner',
     'no_owner_outcome',
     'unconfigured_outcome',
+    'unreturned_outcome',
+    'unsent_outcome',
 ]
 
 Reason = outcomes.Reason
@@ -192,6 +194,26 @@
     return None
 
 
+def unsent_outcome() -> outcomes.Rejected:
+    """Return the refusal of a request that is too long for a link."""
+    detail = 'the request is too long to be forwarded'
+    return outcomes.Rejected(Reason.TOO_LARGE, detail)
+
+
+def unreturned_outcome(
+    request: messages.Request,
+) -> outcomes.Rejected | outcomes.Unknown:
+    """Return the outcome of a request whose answer is too long for a link.
+
+    A transaction whose statement has it is rolled back.
+    """
+    if request.statement.verb.ends_transaction or (
+        request.writes and not request.transaction
+    ):
+        return outcomes.Unknown(Reason.TOO_LARGE)
+    return outcomes.Rejected(Reason.TOO_LARGE, 'the answer is too long')
+
+
 def unconfigured_outcome() -> outcomes.NotRun:
     """Return the refusal for a service without configuration."""
     return outcomes.NotRun(Reason.NO_CONFIGURATION, UNCONFIGURED_RETRY_MS)
--- a/topazring/plumbing/framing.py
+++ b/topazring/plumbing/framing.py
@@ -5,7 +5,15 @@
 import msgspec
 from tornado import iostream
 
-__all__ = ['Ping', 'Pong', 'FrameReader', 'read_frame', 'write_frame']
+__all__ = [
+    'FrameReader',
+    'FrameTooLongError',
+    'Ping',
+    'Pong',
+    'check_length',
+    'read_frame',
+    'write_frame',
+]
 
 _LENGTH = struct.Struct('>I')
 # Several times the size of a caller's largest message plus the values that
@@ -14,6 +22,10 @@
 READ_CHUNK_BYTES = 65536
 
 
+class FrameTooLongError(ValueError):
+    """A frame that is to be sent is longer than a receiver accepts."""
+
+
 class Ping(msgspec.Struct, array_like=True, tag='p'):
     """Request a Pong to check that the peer is alive."""
 
@@ -22,6 +34,15 @@
     """Answer a Ping."""
 
 
+def check_length(length_bytes: int) -> None:
+    """Raise FrameTooLongError if a body is longer than a receiver accepts.
+
+    A receiver closes the stream, and all that is pending on it is lost.
+    """
+    if length_bytes > MAX_FRAME_BYTES:
+        raise FrameTooLongError('the frame is too long')
+
+
 async def read_frame(stream: iostream.IOStream) -> bytes:
     """Return the next frame's body; raise ValueError if it is too long."""
     (length,) = _LENGTH.unpack(await stream.read_bytes(_LENGTH.size))
--- a/topazring/pooler/hop.py
+++ b/topazring/pooler/hop.py
@@ -72,7 +72,8 @@
     ) -> outcomes.Outcome | forwarding.LinkLost:
         """Return the outcome, or LinkLost if the link ended before it came.
 
-        `load` is updated with the queue length that the owner reports.
+        `load` is updated with the queue length that the owner reports. Raises
+        FrameTooLongError if the request was not sent for its length.
         """
         load.in_flight += 1
         try:
@@ -101,7 +102,10 @@
         self,
         make_frame: collections.abc.Callable[[int], hop_frames.Frame],
     ) -> object:
-        """Send a frame with a new number; return its answer or LinkLost."""
+        """Send a frame with a new number; return its answer or LinkLost.
+
+        Raises FrameTooLongError if it was not sent for its length.
+        """
         stream = await self._connected_stream()
         if stream is None or stream is not self.stream:
             # The stream has ended meanwhile, and nothing reads it any more.
@@ -113,8 +117,8 @@
             self.last_received_ms = clock.boottime_ms()
         self.pending[number] = answer
         self.has_pending.set()
-        hop_frames.write(stream, make_frame(number))
         try:
+            hop_frames.write(stream, make_frame(number))
             return await answer
         finally:
             self.pending.pop(number, None)
--- a/topazring/pooler/hop_frames.py
+++ b/topazring/pooler/hop_frames.py
@@ -8,9 +8,11 @@
 from topazring.core import log_positions
 from topazring.core import outcomes
 from topazring.core.synchronous import messages
+from topazring.plumbing import events
 from topazring.plumbing import framing
 
 __all__ = [
+    'FRAME_TOO_LONG',
     'RequestFrame',
     'Frame',
     'AnswerFrame',
@@ -20,12 +22,19 @@
     'PermitFrame',
     'WithdrawFrame',
     'read',
+    'register',
+    'report_too_long',
     'to_outcome',
     'to_answer_frame',
     'write',
 ]
 
 
+# Counts requests and answers that are not sent, as the receiver would refuse
+# them.
+FRAME_TOO_LONG = 'frame_too_long'
+
+
 class RequestFrame(msgspec.Struct, array_like=True, tag='q'):
     """Request; `left_ms` is the time that is left for it."""
 
@@ -161,5 +170,30 @@
 
 
 def write(stream: iostream.IOStream, frame: Frame) -> None:
-    """Send a frame; the reader detects a stream that has ended."""
-    framing.write_frame(stream, _encode(frame))
+    """Send a frame; the reader detects a stream that has ended.
+
+    Raises FrameTooLongError, and sends nothing, if the receiver would refuse
+    the frame.
+    """
+    body = _encode(frame)
+    framing.check_length(len(body))
+    framing.write_frame(stream, body)
+
+
+def register(log: events.EventLog) -> None:
+    """Begin to count the frames that are not sent at 0."""
+    log.counters[FRAME_TOO_LONG] += 0
+
+
+def report_too_long(
+    log: events.EventLog, what: str, request: messages.Request
+) -> None:
+    """Count and log a request, or an answer to one, that is not sent."""
+    log.count(FRAME_TOO_LONG)
+    log.emit(
+        'hop',
+        'frame too long',
+        request.statement.request_id,
+        request.policy.service,
+        {'frame': what, 'verb': str(request.statement.verb)},
+    )
--- a/topazring/pooler/hop_server.py
+++ b/topazring/pooler/hop_server.py
@@ -9,6 +9,7 @@
 from tornado import tcpserver
 
 from topazring.core import outcomes
+from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import prepared_names
 from topazring.plumbing import clock
@@ -169,6 +170,21 @@
                 service = request.policy.service
                 self.host.withdraw_locally(service, request.transaction)
             return
+        try:
+            self._answer(frame, request, outcome)
+        except framing.FrameTooLongError:
+            hop_frames.report_too_long(self.host.log, 'answer', request)
+            if peer_transaction and not ends:
+                self._withdraw(peer_transaction)
+            outcome = forwarding.unreturned_outcome(request)
+            self._answer(frame, request, outcome)
+
+    def _answer(
+        self,
+        frame: hop_frames.RequestFrame,
+        request: messages.Request,
+        outcome: outcomes.Outcome,
+    ) -> None:
         answer = hop_frames.to_answer_frame(frame.id, outcome)
         answer.waiting = self.host.queued_locally(request.policy.service)
         hop_frames.write(self.stream, answer)
--- a/topazring/pooler/router.py
+++ b/topazring/pooler/router.py
@@ -11,7 +11,9 @@
 from topazring.core.synchronous import ownership
 from topazring.plumbing import clock
 from topazring.plumbing import events
+from topazring.plumbing import framing
 from topazring.pooler import hop
+from topazring.pooler import hop_frames
 
 __all__ = ['Router']
 
@@ -72,6 +74,7 @@
         self.data_centre = data_centre
         self.local = local
         self.log = log
+        hop_frames.register(log)
         self.peers: dict[str, _Peer] = {}
         # Peers that would run a request in their own name.
         self.old_peers: frozenset[str] = frozenset()
@@ -199,7 +202,13 @@
         self.forwarded += 1
         deadline_ms = request.arrived_ms + request.policy.timeout_ms
         load = peer.load(request.policy.service)
-        answer = await peer.link.send_request(request, deadline_ms, load)
+        try:
+            answer = await peer.link.send_request(request, deadline_ms, load)
+        except framing.FrameTooLongError:
+            hop_frames.report_too_long(self.log, 'request', request)
+            if request.continues_transaction:
+                peer.link.withdraw(request.policy.service, request.transaction)
+            return forwarding.unsent_outcome()
         self._record_link_result(owner, peer, answer)
         return answer
 
--- a/topazring/pooler/tests/test_hop.py
+++ b/topazring/pooler/tests/test_hop.py
@@ -1,6 +1,7 @@
 """Forward requests between two proxies over a real stream."""
 
 import asyncio
+import dataclasses
 import itertools
 import selectors
 import socket
@@ -15,13 +16,16 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import forwarding
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import ownership
 from topazring.core.synchronous import prepared_names
 from topazring.core.synchronous import statements
 from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import hop
 from topazring.pooler import hop_server
+from topazring.pooler import router
 
+Reason = outcomes.Reason
 Verb = statements.Verb
 POLICY = messages.Policy('d', 's', messages.Freshness.SESSION, 500, 600)
 
@@ -51,6 +55,8 @@
         self.outcome = outcomes.Done(
             ['row'], log_positions.LogPosition(3, 13), 'u1', signature='sig'
         )
+        # By the id of the request, in place of `outcome`.
+        self.outcomes: dict[str, outcomes.Outcome] = {}
         self.answers = True
         self.pause_s = 0.0
         self.log = events.EventLog('owner')
@@ -61,7 +67,7 @@
         await asyncio.sleep(self.pause_s)
         if not self.answers:
             await asyncio.Event().wait()
-        return self.outcome
+        return self.outcomes.get(asked.statement.request_id, self.outcome)
 
     def withdraw_locally(self, service, transaction):
         """Record an aborted transaction."""
@@ -346,3 +352,141 @@
             writer.close()
 
         self.play(steps)
+
+
+LONG_ROWS = ['x' * 900_000] * 9
+
+
+class LongFrameTest(testtools.TestCase):
+    """A frame that no receiver accepts harms only its own request."""
+
+    def play(self, steps):
+        """Run `steps()` with a router and an owner of service s."""
+        asyncio.run(self._play(steps))
+
+    async def _play(self, steps):
+        address = f'127.0.0.1:{ports.find_free_port()}'
+        self.owner = Owner()
+        self.server = hop_server.Server(self.owner)
+        self.server.start_at(address)
+        self.log = events.EventLog('entry')
+        self.router = router.Router('entry', 'a', mock.Mock(), self.log)
+        owners = (ownership.Proxy('owner', 'a'),)
+        self.router.ownerships['s'] = ownership.Ownership(owners)
+        self.router.set_peers({'owner': address})
+        await steps()
+        self.router.close()
+        self.server.close()
+
+    async def begin_transaction(self) -> int:
+        """Begin transaction 9; return its number at the owner."""
+        done = await self.router.run(request(transaction=9, begins=True))
+        self.assertEqual(self.owner.outcome, done)
+        return self.owner.asked[-1].transaction
+
+    def long_request(self, **more) -> messages.Request:
+        """Return a request that is too long for a frame."""
+        values = {f'v{n}': 'x' * 900_000 for n in range(9)}
+        return dataclasses.replace(request(**more), key=9, values=values)
+
+    def test_long_request(self):
+        """Guards against one caller's request that ends the link of all."""
+
+        async def steps():
+            transaction = await self.begin_transaction()
+            waiting = asyncio.create_task(self.router.run(request()))
+            outcome = await self.router.run(self.long_request(verb=Verb.WRITE))
+            self.assertIsInstance(outcome, outcomes.Rejected)
+            self.assertEqual(Reason.TOO_LARGE, outcome.reason)
+            self.assertEqual(self.owner.outcome, await waiting)
+            self.assertEqual(1, len(self.server.peer_streams))
+            # Neither the owner nor another transaction is given up.
+            await self.router.run(request(transaction=9))
+            self.assertEqual(transaction, self.owner.asked[-1].transaction)
+            self.assertEqual(3, len(self.owner.asked))
+            self.assertEqual({'frame_too_long': 1}, self.log.counters)
+            self.assertEqual(1, self.log.lines)
+
+        self.play(steps)
+
+    def test_long_request_in_a_transaction(self):
+        """Guards against a transaction that stays open for nobody."""
+
+        async def steps():
+            transaction = await self.begin_transaction()
+            outcome = await self.router.run(self.long_request(transaction=9))
+            self.assertEqual(Reason.TOO_LARGE, outcome.reason)
+            await self.router.run(request())
+            self.assertEqual([('s', transaction)], self.owner.withdrawn)
+            self.assertFalse(self.server.is_busy())
+            self.assertEqual({}, self.router.transaction_owners)
+
+        self.play(steps)
+
+    def answer_at_length(self, asked: messages.Request):
+        """Return the outcome of a request whose answer is too long.
+
+        Another request is in flight on the same link.
+        """
+        found = []
+
+        async def steps():
+            if asked.continues_transaction:
+                await self.begin_transaction()
+            usual = self.owner.outcome
+            long_done = dataclasses.replace(usual, rows=LONG_ROWS)
+            self.owner.outcomes['r9'] = long_done
+            self.owner.pause_s = 0.1
+            waiting = asyncio.create_task(self.router.run(request()))
+            found.append(await self.router.run(asked))
+            self.assertEqual(usual, await waiting)
+            self.owner.pause_s = 0.0
+            self.assertEqual(usual, await self.router.run(request()))
+            self.assertEqual(1, len(self.server.peer_streams))
+            self.assertFalse(self.server.is_busy())
+            self.assertEqual({'frame_too_long': 1}, self.owner.log.counters)
+            self.assertEqual(1, self.owner.log.lines)
+
+        self.play(steps)
+        (outcome,) = found
+        self.assertEqual(Reason.TOO_LARGE, outcome.reason)
+        return outcome
+
+    def asked(self, verb=Verb.READ, **more) -> messages.Request:
+        """Return the request that gets the long answer."""
+        usual = request(verb, **more)
+        statement = dataclasses.replace(usual.statement, request_id='r9')
+        return dataclasses.replace(usual, key=9, statement=statement)
+
+    def test_long_answer_to_a_read(self):
+        """Guards against an answer that ends the link of all callers."""
+        outcome = self.answer_at_length(self.asked())
+        self.assertIsInstance(outcome, outcomes.Rejected)
+
+    def test_long_answer_to_a_write(self):
+        """Guards against a write that ran and is called not run."""
+        outcome = self.answer_at_length(self.asked(Verb.WRITE))
+        self.assertIsInstance(outcome, outcomes.Unknown)
+
+    def test_long_answer_to_a_commit(self):
+        """Guards against a commit that ran and is called not run."""
+        asked = self.asked(Verb.COMMIT, transaction=9)
+        outcome = self.answer_at_length(asked)
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertEqual([], self.owner.withdrawn)
+
+    def test_long_answer_in_a_transaction(self):
+        """Guards against a transaction that stays open for nobody.
+
+        Nothing of it is kept, so that its write did not run either.
+        """
+        for begins in (True, False):
+            asked = self.asked(Verb.WRITE, transaction=9, begins=begins)
+            outcome = self.answer_at_length(asked)
+            self.assertIsInstance(outcome, outcomes.Rejected)
+            (came,) = [
+                came
+                for came in self.owner.asked
+                if came.statement.request_id == 'r9'
+            ]
+            self.assertEqual([('s', came.transaction)], self.owner.withdrawn)
