Bound the length of a log line

A line names the request that it is about by its caller's id, which may be as long as a message, 1 MiB. A line longer than the buffer of 256 KiB was dropped with what it says, and shorter ones took the buffer, and the disk, from the lines of all others: one organisation's refused requests hid what happened to another's. The id is cut to 128 characters, by `trace` as well, and the inputs of a line that would be longer than 64 KiB are left out, with their size in their place; only requests of operators and the configuration make them so.

test_long_request_id and test_long_inputs failed before.

--- a/topazring/admin/tests/test_trace.py
+++ b/topazring/admin/tests/test_trace.py
@@ -7,6 +7,7 @@
 import testtools
 
 from topazring.admin import trace
+from topazring.plumbing import events
 
 
 def line(time_ms, event, request='', process='p1', service='s', **inputs):
@@ -60,6 +61,14 @@
             [(each.process, each.event) for each in lines],
         )
 
+    def test_long_request_id(self):
+        """Guards against a request whose log lines are not found."""
+        request = 'r' * (events.MAX_REQUEST_CHARS + 10)
+        written = line(1400, 'gave up', request[: events.MAX_REQUEST_CHARS])
+        trace.read([written], self.logs)
+        lines = trace.trace_request(self.logs, request)
+        self.assertIn('gave up', [each.event for each in lines])
+
     def test_bad_lines_are_counted(self):
         """Lines that cannot be parsed are counted and are not fatal."""
         self.assertEqual(2, self.logs.skipped_count)
--- a/topazring/admin/trace.py
+++ b/topazring/admin/trace.py
@@ -8,6 +8,8 @@
 import dataclasses
 import json
 
+from topazring.plumbing import events
+
 __all__ = ['Line', 'Logs', 'trace_group', 'read', 'render', 'trace_request']
 
 # Decisions about a group this long before and after a request's lines belong
@@ -79,6 +81,7 @@
     Empty if no line names the request: it was served in the normal way,
     or its lines were dropped.
     """
+    request = request[: events.MAX_REQUEST_CHARS]
     request_lines = [line for line in logs.lines if line.request == request]
     if not request_lines:
         return []
--- a/topazring/plumbing/events.py
+++ b/topazring/plumbing/events.py
@@ -6,12 +6,14 @@
 process     the name of the process
 part        the component that made the decision
 event       the decision, in a few words
-request     the caller's id of the request, if there is one
+request     the caller's id of the request, if there is one, cut to
+            `MAX_REQUEST_CHARS`
 service     the group, if there is one
 inputs      the values behind the decision: names, log positions, ages,
             versions, outcomes
 
-Lines never contain callers' data, keys or values. Ordinary successes are not
+Lines never contain callers' data, keys or values. The inputs of a line that
+would be longer than `MAX_LINE_BYTES` are left out. Ordinary successes are not
 logged. Lines beyond `MAX_LINES_PER_SECOND` are dropped and counted, so that a
 burst of refusals uses a bounded share of a core. While the reader of the log
 is stuck, lines are held in a buffer of `BUFFER_BYTES`; those that don't fit
@@ -28,13 +30,22 @@
 
 from topazring.plumbing import supervision
 
-__all__ = ['BUFFER_BYTES', 'EventLog', 'MAX_LINES_PER_SECOND']
+__all__ = [
+    'BUFFER_BYTES',
+    'EventLog',
+    'MAX_LINES_PER_SECOND',
+    'MAX_LINE_BYTES',
+    'MAX_REQUEST_CHARS',
+]
 
 # A line takes some 30 microseconds, so this rate uses less than one percent
 # of a core. An incident of a whole day produces far fewer lines.
 MAX_LINES_PER_SECOND = 200
 BURST_LINES = 400
 BUFFER_BYTES = 256 * 1024
+MAX_LINE_BYTES = 64 * 1024
+# Callers choose ids of any length.
+MAX_REQUEST_CHARS = 128
 
 
 class _Sink(logging.Handler):
@@ -163,10 +174,14 @@
             'event': event,
         }
         if request:
-            line['request'] = request
+            line['request'] = request[:MAX_REQUEST_CHARS]
         if service:
             line['service'] = service
         if inputs:
             line['inputs'] = inputs
         self.lines += 1
-        self.logger.info('%s', self.encode(line).decode())
+        encoded = self.encode(line)
+        if len(encoded) > MAX_LINE_BYTES:
+            line['inputs'] = {'omitted_bytes': len(encoded)}
+            encoded = self.encode(line)
+        self.logger.info('%s', encoded.decode())
--- a/topazring/plumbing/tests/test_events.py
+++ b/topazring/plumbing/tests/test_events.py
@@ -61,6 +61,27 @@
         size = len(self.log.sink.buffer)
         self.assertLessEqual(size, events.BUFFER_BYTES)
 
+    def test_long_request_id(self):
+        """Guards against a log that is full of one caller's ids.
+
+        An id may be as long as a message. A longer line than the buffer was
+        dropped, and shorter ones took the place of all others.
+        """
+        for length in (events.MAX_REQUEST_CHARS, 200_000, 1 << 20):
+            self.log.emit('group', 'gave up', 'r' * length, 's')
+        self.assertEqual(0, self.log.sink.dropped)
+        lines = self.lines()
+        self.assertEqual(3, len(lines))
+        for line in lines:
+            self.assertEqual('r' * events.MAX_REQUEST_CHARS, line['request'])
+
+    def test_long_inputs(self):
+        """Guards against a line that is dropped, or drops others."""
+        self.log.emit('closures', 'closure refused', inputs={'n': 'x' * 10**6})
+        (line,) = self.lines()
+        self.assertEqual('closure refused', line['event'])
+        self.assertGreater(line['inputs']['omitted_bytes'], 10**6)
+
     def test_volume_is_bounded(self):
         """A burst of events is rate-limited; dropped lines are counted."""
         for _ in range(3000):
