Send no frame that an owner or an entry refuses

The product's own proxies share the frames of the pooling ones, and the fault: an answer of more than 8,000,000 bytes, or a request where the operator allows callers' messages of such a size, ended the stream and with it the requests and transactions of all other callers on it. Upstreams answer with up to 10 MiB.

Such a frame is not written. A request is rejected (TOO_LARGE), or unknown if an earlier copy may have run. A read whose answer is too long is rejected; a write or a commit is unknown, as it has run; a statement of a transaction loses it, and the owner rolls it back. Counter frame_too_long. The entry of a request that was not written no longer stays pending, which kept its stream for good and pinged it.

--- a/topazring/proxy/entry.py
+++ b/topazring/proxy/entry.py
@@ -12,6 +12,7 @@
 from topazring.core import requests
 from topazring.core import windows
 from topazring.plumbing import clock
+from topazring.plumbing import framing
 from topazring.plumbing import supervision
 from topazring.proxy import cluster_state as cluster_states
 from topazring.proxy import hop
@@ -59,7 +60,7 @@
         name: str,
         cluster_state: cluster_states.ClusterState,
         ownership: ownerships.Ownership,
-        reporter: supervision.Reporter,
+        reporter: supervision.Counts,
     ):
         self.name = name
         self.cluster_state = cluster_state
@@ -246,7 +247,16 @@
                 job.repeat,
             )
 
-        return await client.call(make_frame)
+        try:
+            return await client.call(make_frame)
+        except framing.FrameTooLongError:
+            hop.report_too_long(
+                self.reporter, 'request', str(kind), job.database.name
+            )
+            if job.repeat or step.settle:
+                return outcomes.Unknown(Reason.TOO_LARGE), 0
+            detail = 'the request is too long to be forwarded'
+            return outcomes.Rejected(Reason.TOO_LARGE, detail), 0
 
     async def _submit_locally(
         self,
--- a/topazring/proxy/hop.py
+++ b/topazring/proxy/hop.py
@@ -21,11 +21,23 @@
 from topazring.plumbing import clock
 from topazring.plumbing import framing
 from topazring.plumbing import logs
-
-__all__ = ['HopAnswer', 'HopClient', 'HopRequest', 'HopServer', 'Withdraw']
+from topazring.plumbing import supervision
+
+__all__ = [
+    'FRAME_TOO_LONG',
+    'HopAnswer',
+    'HopClient',
+    'HopRequest',
+    'HopServer',
+    'Withdraw',
+    'report_too_long',
+]
 
 logger = logs.part_logger('hop')
 
+# Counts requests and answers that are not sent, as the receiver would refuse
+# them.
+FRAME_TOO_LONG = 'frame_too_long'
 CONNECT_TIMEOUT_S = 1.0
 PING_AFTER_MS = 500
 PONG_TIMEOUT_MS = 1500
@@ -131,17 +143,41 @@
 
 
 def _write_frame(stream: iostream.IOStream, frame: Frame) -> bool:
-    """Write a frame; return False if the stream is closed."""
-    return framing.write_frame(stream, _encode(frame))
+    """Write a frame; return False if the stream is closed.
+
+    Raises FrameTooLongError, and writes nothing, if the receiver would refuse
+    the frame.
+    """
+    body = _encode(frame)
+    framing.check_length(len(body))
+    return framing.write_frame(stream, body)
+
+
+def _unreturned_outcome(
+    kind: str,
+) -> outcomes.Rejected | outcomes.Unknown | outcomes.NotRun:
+    """Return the outcome of a request whose answer is too long.
+
+    A transaction whose statement has it is rolled back.
+    """
+    reason = outcomes.Reason.TOO_LARGE
+    if kind in requests.RECORDED_KINDS:
+        return outcomes.Unknown(reason)
+    if kind == requests.Kind.EXECUTE:
+        return outcomes.NotRun(outcomes.Reason.TRANSACTION_LOST, 0)
+    return outcomes.Rejected(reason, 'the answer is too long')
 
 
 class HopServer(tcpserver.TCPServer):
     """Receive requests from entries and send the answers as they complete."""
 
-    def __init__(self, serve: collections.abc.Callable):
+    def __init__(
+        self, serve: collections.abc.Callable, counts: supervision.Counts
+    ):
         """Call `serve(frame, answer)` or `serve(withdraw, None)` per frame."""
         super().__init__()
         self.serve = serve
+        self.counts = counts
 
     async def handle_stream(
         self, stream: iostream.IOStream, address: tuple
@@ -176,7 +212,11 @@
                         transaction = key
                         open_transactions[(frame.database, key)] = None
                     reply = to_answer(frame.id, outcome, transaction)
-                    is_written = _write_frame(stream, reply)
+                    try:
+                        is_written = _write_frame(stream, reply)
+                    except framing.FrameTooLongError:
+                        self._refuse_answer(stream, frame, open_transactions)
+                        return
                     if not is_written and transaction:
                         withdrawal = Withdraw(frame.database, transaction)
                         self.serve(withdrawal, None)
@@ -194,6 +234,29 @@
             case framing.Ping():
                 _write_frame(stream, framing.Pong())
 
+    def _refuse_answer(
+        self,
+        stream: iostream.IOStream,
+        frame: HopRequest,
+        open_transactions: dict[tuple[str, int], None],
+    ) -> None:
+        """Answer a request whose answer is too long, and roll back."""
+        report_too_long(self.counts, 'answer', frame.kind, frame.database)
+        if frame.kind == requests.Kind.EXECUTE:
+            key = (frame.database, frame.transaction)
+            open_transactions.pop(key, None)
+            self.serve(Withdraw(*key), None)
+        outcome = _unreturned_outcome(frame.kind)
+        _write_frame(stream, to_answer(frame.id, outcome, 0))
+
+
+def report_too_long(
+    counts: supervision.Counts, what: str, kind: str, database: str
+) -> None:
+    """Count and log a request, or an answer to one, that is not sent."""
+    counts.count(FRAME_TOO_LONG)
+    logger.warning('%s of a %s for %s is too long', what, kind, database)
+
 
 class HopClient:
     """Manage the stream to one owner and match answers to requests."""
@@ -219,7 +282,8 @@
         """Send a request; return its outcome and the transaction it opened.
 
         The transaction is 0 if none was opened. Return `ConnectionLost` if
-        the stream fails before the answer.
+        the stream fails before the answer. Raises FrameTooLongError if the
+        request was not sent for its length.
         """
         if self.stream is None and not await self._connect():
             return messages.ConnectionLost(outcomes.Reason.OWNER_LOST, False)
@@ -227,12 +291,20 @@
         self.next_id += 1
         future = asyncio.get_running_loop().create_future()
         self.pending[frame_id] = future
+        try:
+            return await self._exchange(make_frame(frame_id), future)
+        finally:
+            self.pending.pop(frame_id, None)
+
+    async def _exchange(
+        self, frame: HopRequest, future: asyncio.Future
+    ) -> tuple[outcomes.Outcome, int] | messages.ConnectionLost:
         if not self.pending or len(self.pending) == 1:
             self.last_received_ms = max(
                 self.last_received_ms, clock.monotonic_ms()
             )
-        if not _write_frame(self.stream, make_frame(frame_id)):
-            self.pending.pop(frame_id, None)
+        if not _write_frame(self.stream, frame):
+            self.pending.pop(frame.id, None)
             self._fail_pending()
             return messages.ConnectionLost(outcomes.Reason.OWNER_LOST, True)
         return await future
--- a/topazring/proxy/process.py
+++ b/topazring/proxy/process.py
@@ -72,7 +72,7 @@
         self.front = sessions.Frontend(
             config, self.cluster_state, self.entry, self.metrics
         )
-        self.hop_server = hop.HopServer(self.entry.serve_hop)
+        self.hop_server = hop.HopServer(self.entry.serve_hop, self.failures)
         self.servers: list[httpserver.HTTPServer] = []
         self.refresh_task: asyncio.Task | None = None
 
@@ -119,6 +119,7 @@
             'Failures of tasks, and entries that cannot be read',
             lambda: {
                 cluster_states.BAD_ENTRY: 0,
+                hop.FRAME_TOO_LONG: 0,
                 **self.failures.counters,
             },
         )
