Refuse numbers that cannot reach an upstream as they are

A parameter of more than 64 bits fits in no frame between an entry and an owner: the error was raised where the request is forwarded, and its caller got no answer at all. Which integers were taken depended on the entry, as one that owns the database forwards nothing. NaN and infinity, which the parser reads, reached the upstream as null: another statement than was sent.

Both are answered with bad_frame. read_id reads what the parser reads, so that a frame with NaN is answered under its id.

--- a/topazring/proxy/frames.py
+++ b/topazring/proxy/frames.py
@@ -1,5 +1,6 @@
 """Validate frames from callers and encode answers; see docs/PROTOCOL.md."""
 
+import math
 import typing
 
 import msgspec
@@ -16,7 +17,25 @@
     'parse',
 ]
 
-Value = str | int | float | bool | None
+_MIN_INTEGER, _MAX_INTEGER = -(2**63), 2**63 - 1
+
+
+def _check_number(value: typing.Any) -> typing.Any:
+    """Raise ValueError for a number that cannot reach an upstream as it is.
+
+    A larger integer fits in no frame, and an infinite number becomes null.
+    """
+    match value:
+        case float() if not math.isfinite(value):
+            raise ValueError('the number is not finite')
+        case int() if not _MIN_INTEGER <= value <= _MAX_INTEGER:
+            raise ValueError('the integer has more than 64 bits')
+    return value
+
+
+Value = typing.Annotated[
+    str | int | float | bool | None, pydantic.AfterValidator(_check_number)
+]
 Sql = typing.Annotated[str, pydantic.Field(min_length=1)]
 FrameId = typing.Annotated[int, pydantic.Field(ge=0)]
 
@@ -123,15 +142,16 @@
         raise FrameError(read_id(raw), detail) from None
 
 
-class _Id(msgspec.Struct):
+class _Id(pydantic.BaseModel):
     id: int | None = None
 
 
 def read_id(raw: str | bytes) -> int | None:
     """Return the id of a frame, or None if it cannot be decoded."""
     try:
-        return msgspec.json.decode(raw, type=_Id).id
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        # As lenient as `parse`, which reads NaN and Infinity.
+        return _Id.model_validate_json(raw, strict=True).id
+    except pydantic.ValidationError:
         return None
 
 
