Write no member record under a key that the store refuses

Keys of the store hold at most 200 bytes, and a service's name is a part of the record's key. With a name of more than 182 bytes each write was refused and repeated twice a second for good, out of the calls that all proxies share, with no line that says why. Such a record is not written; the line 'name too long for a record' and a counter show it once. Its group starts as one that was never recorded.

test_long_service_name failed before: the write was sent. That the store refuses it and that it is repeated is by reading.

--- a/topazring/pooler/member_records.py
+++ b/topazring/pooler/member_records.py
@@ -24,6 +24,10 @@
 KEY_PREFIX = directories.OWN_PREFIX + 'members/'
 # An older record only makes a later start wait longer for a member.
 RETRY_S = 0.5
+MAX_KEY_BYTES = 200
+
+# Counts services whose names are too long for a key of the store.
+UNWRITABLE = 'member_record_unwritable'
 
 Members = frozenset[tuple[str, int]]
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
@@ -64,6 +68,9 @@
         self.written: dict[str, int] = {}
         # By key, the value of the last write.
         self.sent: dict[str, str] = {}
+        # Services whose names are too long for a key.
+        self.unwritable: set[str] = set()
+        log.counters[UNWRITABLE] += 0
         self.requested = asyncio.Event()
         self.task: asyncio.Task | None = None
 
@@ -109,10 +116,23 @@
         return is_older or change.value == self.sent.get(key)
 
     def write(self, service: str, members: Members) -> None:
-        """Write a record soon, instead of any that is not yet written."""
+        """Write a record soon, instead of any that is not yet written.
+
+        A group whose name is too long for a key of the store has no record.
+        """
+        if len((KEY_PREFIX + service).encode()) > MAX_KEY_BYTES:
+            self._report_unwritable(service)
+            return
         self.pending[service] = members
         self.requested.set()
 
+    def _report_unwritable(self, service: str) -> None:
+        if service in self.unwritable:
+            return
+        self.unwritable.add(service)
+        self.log.count(UNWRITABLE)
+        self.log.emit('members', 'name too long for a record', '', service)
+
     async def _write_forever(self) -> None:
         while True:
             await self.requested.wait()
--- a/topazring/pooler/tests/test_member_records.py
+++ b/topazring/pooler/tests/test_member_records.py
@@ -68,6 +68,28 @@
 
         self.play(steps)
 
+    def test_long_service_name(self):
+        """Guards against writes that the store refuses, twice a second.
+
+        All proxies share the store's limit on calls.
+        """
+        longest = 200 - len(member_records.KEY_PREFIX)
+        name = 's' * (longest + 1)
+
+        async def steps():
+            for service in (name, '\u20ac' * (longest // 3 + 1), name):
+                self.records.write(service, TWO)
+            await asyncio.sleep(0.1)
+            self.assertEqual([], self.store.calls)
+            self.assertEqual({}, self.records.pending)
+            counter = 'member_record_unwritable'
+            self.assertEqual(2, self.log.counters[counter])
+            self.records.write('s' * longest, TWO)
+            await fleet.until(lambda: not self.records.pending, 2.0)
+            self.assertEqual(TWO, self.records.read('s' * longest))
+
+        self.play(steps)
+
     def test_lost_answer(self):
         """Guards against writing again what took effect."""
 
