Quote the names in paths of the platform's service

Keys went into the path of a call as they are. An operator's value named 'calc1?old' was read and written under the key of 'calc1', another value, and one with '%' or '#' under other keys again; `explain` asked for another database. The path is quoted; watches and listings, which send keys in a query or a body, were right.

The path of `explain` is changed by reading, without a test.

--- a/topazring/admin/main.py
+++ b/topazring/admin/main.py
@@ -6,6 +6,7 @@
 import json
 import sys
 import typing
+import urllib.parse
 
 import cappa
 import json5
@@ -299,9 +300,8 @@
 
     async def _explain(self) -> None:
         proxies = await list_proxies(_client(self.platform))
-        found = await asyncio.gather(
-            *(fetch(p, f'/explain/{self.database}') for p in proxies)
-        )
+        path = f'/explain/{urllib.parse.quote(self.database)}'
+        found = await asyncio.gather(*(fetch(p, path) for p in proxies))
         replies = [each for each in found if each and 'state' in each]
         if not replies:
             exits.fail(
--- a/topazring/platform_client.py
+++ b/topazring/platform_client.py
@@ -43,7 +43,7 @@
         self, key: str
     ) -> key_value.Found | key_value.Missing | key_value.Unavailable:
         """Return the value of a key."""
-        reply = await self._call('GET', f'/kv/{key}')
+        reply = await self._call('GET', _path('kv', key))
         if isinstance(reply, key_value.Unavailable):
             return reply
         if reply.code == 404:
@@ -56,7 +56,7 @@
         """Write a value if it is at `revision`, or absent if that is None."""
         reply = await self._call(
             'PUT',
-            f'/kv/{key}',
+            _path('kv', key),
             body=value,
             headers=_precondition_headers(revision),
         )
@@ -67,7 +67,7 @@
     ) -> key_value.Written | key_value.Conflict | key_value.Unavailable:
         """Delete a value if it is at `revision`."""
         reply = await self._call(
-            'DELETE', f'/kv/{key}', headers=_precondition_headers(revision)
+            'DELETE', _path('kv', key), headers=_precondition_headers(revision)
         )
         return _write_result(reply)
 
@@ -103,7 +103,7 @@
     async def announce(self, name: str, instance: dict) -> bool:
         """List this instance; return whether the service answered."""
         reply = await self._call(
-            'PUT', f'/instances/{name}', body=json.dumps(instance)
+            'PUT', _path('instances', name), body=json.dumps(instance)
         )
         return not isinstance(reply, key_value.Unavailable)
 
@@ -112,7 +112,7 @@
 
         Returns whether the service answered.
         """
-        reply = await self._call('DELETE', f'/instances/{name}')
+        reply = await self._call('DELETE', _path('instances', name))
         return not isinstance(reply, key_value.Unavailable)
 
     async def _read_changes(
@@ -169,6 +169,11 @@
             return key_value.Changes(0, since, found)
 
 
+def _path(collection: str, key: str) -> str:
+    """Return the path of a value, whatever its key holds."""
+    return f'/{collection}/{urllib.parse.quote(key)}'
+
+
 def _precondition_headers(revision: int | None) -> dict[str, str]:
     if revision is None:
         return {'If-None-Match': '*'}
