Print names of a configuration on one line

The names of services and databases are an operator's, and those of proxies whoever's lists them; none need be printable. A name with a line end or with characters that steer a terminal broke the tables of `load` and the rows of `trace`, where a part of it looked like a row of its own. Both escape what is not printable; cells are escaped before their columns are aligned.

test_name_with_line_ends and test_names_with_line_ends failed before.

--- a/topazring/admin/load_table.py
+++ b/topazring/admin/load_table.py
@@ -1,6 +1,7 @@
 """Print the merged load as text."""
 
 from topazring.admin import load_merge
+from topazring.admin import plain_text
 from topazring.core.synchronous.scheduling import load_report
 
 __all__ = ['render']
@@ -38,7 +39,7 @@
     omitted = len(load.groups) - len(shown)
     if omitted:
         lines += ['', f'({omitted} more groups; --top 0 shows all)']
-    return lines
+    return [plain_text.escape(line) for line in lines]
 
 
 def _render_proxies(load: load_merge.Load) -> list[str]:
@@ -159,6 +160,7 @@
 
 def _align(rows: list[tuple[str, ...]]) -> list[str]:
     """Return rows as lines with aligned columns."""
+    rows = [tuple(plain_text.escape(cell) for cell in row) for row in rows]
     widths = [
         max(len(cell) for cell in column) for column in zip(*rows, strict=True)
     ]
--- a/topazring/admin/tests/test_load.py
+++ b/topazring/admin/tests/test_load.py
@@ -132,6 +132,18 @@
             load_table.render(load, 0),
         )
 
+    def test_names_with_line_ends(self):
+        """Guards against a name that looks like a row of its own."""
+        name = 'a\n  b\x1b[2J'
+        callers = [CallerLoad(name, name, 1), CallerLoad('c', 'd', 1)]
+        closure = load_page.ClosureView('database', '', name, 2500)
+        load = _merge(_page('p1', _group(name, callers), closures=[closure]))
+        lines = load_table.render(load, 0)
+        self.assertTrue(all(line.isprintable() for line in lines), lines)
+        heading, first, second = lines[-3:]
+        column = heading.index('waiting')
+        self.assertEqual(['1', '1'], [first[column], second[column]])
+
 
 class _Answer(web.RequestHandler):
     def initialize(self, code: int, body: bytes) -> None:
--- a/topazring/admin/tests/test_trace.py
+++ b/topazring/admin/tests/test_trace.py
@@ -69,6 +69,15 @@
         lines = trace.trace_request(self.logs, request)
         self.assertIn('gave up', [each.event for each in lines])
 
+    def test_name_with_line_ends(self):
+        """Guards against a name that looks like a line of its own."""
+        name = 's\n      0 ms   p1 s: promoted\x1b[2J'
+        trace.read([line(1400, 'begins', service=name, to=name)], self.logs)
+        lines = trace.trace_group(self.logs, name, 1400, 1400)
+        (row,) = trace.render(lines)
+        self.assertTrue(row.isprintable())
+        self.assertIn('\\n      0 ms   p1 s: promoted\\x1b[2J', row)
+
     def test_bad_lines_are_counted(self):
         """Lines that cannot be parsed are counted and are not fatal."""
         self.assertEqual(2, self.logs.skipped_count)
--- a/topazring/admin/trace.py
+++ b/topazring/admin/trace.py
@@ -8,6 +8,7 @@
 import dataclasses
 import json
 
+from topazring.admin import plain_text
 from topazring.plumbing import events
 
 __all__ = ['Line', 'Logs', 'trace_group', 'read', 'render', 'trace_request']
@@ -134,4 +135,4 @@
             f'{line.time_ms - start_ms:>7} ms {mark} {line.process} '
             f'{line.service or line.part}: {line.event} {inputs}'.rstrip()
         )
-    return rows
+    return [plain_text.escape(row) for row in rows]
