Send orders in the name of a proxy that no header can carry

A header holds Latin-1 and no line ends. The order of a proxy whose name has other characters was never sent, and counted as one without an answer, which may still be carried out: nobody was promoted in any group for as long as that proxy held the promotion lease. Such a name is quoted in the header; printable ASCII goes as it is. Nothing could be added to the headers before, as the client refuses line ends.

--- a/topazring/platform/orders.py
+++ b/topazring/platform/orders.py
@@ -1,5 +1,7 @@
 """Send promotion orders to the platform."""
 
+import urllib.parse
+
 from topazring.core.synchronous import messages
 from topazring.plumbing import http_calls
 
@@ -32,7 +34,7 @@
             'POST',
             f'{self.base}/promote',
             {'service': service, 'id': upstream},
-            {_HOLDER_HEADER: holder, _TOKEN_HEADER: str(token)},
+            {_HOLDER_HEADER: _header_value(holder), _TOKEN_HEADER: str(token)},
             ORDER_TIMEOUT_S,
         )
         if isinstance(reply, http_calls.NoResponse):
@@ -42,3 +44,14 @@
         if reply.code == 200:
             return messages.OrderResult.ACCEPTED
         return messages.OrderResult.UNANSWERED
+
+
+def _header_value(name: str) -> str:
+    """Return a name as a header can carry it.
+
+    >>> _header_value('p1'), _header_value('p€')
+    ('p1', 'p%E2%82%AC')
+    """
+    if name.isascii() and name.isprintable() and name == name.strip():
+        return name
+    return urllib.parse.quote(name)
