Check that all that a session may hold fits a frame

The longest statement of a session that is full, with the longest shape, goes from a router to an owner over a real stream. It passes; the bound, the frames and what is forwarded are in three places, and a later change of one may break it.

--- a/topazring/pooler/tests/test_hop.py
+++ b/topazring/pooler/tests/test_hop.py
@@ -18,6 +18,7 @@
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
 from topazring.core.synchronous import prepared_names
+from topazring.core.synchronous import sessions
 from topazring.core.synchronous import statements
 from topazring.plumbing import clock
 from topazring.plumbing import events
@@ -409,6 +410,42 @@
 
         self.play(steps)
 
+    def test_longest_request_of_a_session(self):
+        """Guards against a session that may hold more than is forwarded."""
+        longest = (1 << 20) - 200
+        session = sessions.Session(1, 'd')
+
+        def submit(verb, **more):
+            statement = statements.Statement('r', verb, **more)
+            return sessions.handle_statement(session, 0, 9, statement, POLICY)
+
+        done = outcomes.Done([], log_positions.ORIGIN)
+        shape = {'access': statements.Access.READ, 'value': 'x' * longest}
+        answer = submit(Verb.PREPARE, text='PREPARE', name='s', **shape)
+        self.assertEqual(done, answer.outcome)
+        for size in (longest, longest, longest, 801_000):
+            name = f'v{len(session.values)}'
+            answer = submit(Verb.SET, text='SET', name=name, value='x' * size)
+            self.assertEqual(done, answer.outcome)
+        left_bytes = sessions.MAX_HELD_BYTES - session.held_bytes
+        self.assertLess(left_bytes, sessions.ENTRY_BYTES)
+        arguments = 'k' * longest
+        asked = submit(
+            Verb.EXECUTE,
+            text=f'EXECUTE s {arguments}',
+            name='s',
+            arguments=arguments,
+        )
+        asked = dataclasses.replace(asked, arrived_ms=clock.boottime_ms())
+
+        async def steps():
+            outcome = await self.router.run(asked)
+            self.assertEqual(self.owner.outcome, outcome)
+            self.assertEqual(asked.values, self.owner.asked[0].values)
+            self.assertEqual({'frame_too_long': 0}, self.log.counters)
+
+        self.play(steps)
+
     def test_long_request_in_a_transaction(self):
         """Guards against a transaction that stays open for nobody."""
 
