--- a/topazring/admin/tests/test_trace.py
+++ b/topazring/admin/tests/test_trace.py
@@ -7,6 +7,7 @@
 import testtools
 
 from topazring.admin import trace
+from topazring.plumbing import events
 
 
 def line(time_ms, event, request='', process='p1', service='s', **inputs):
@@ -60,6 +61,23 @@
             [(each.process, each.event) for each in lines],
         )
 
+    def test_long_request_id(self):
+        """Guards against a request whose log lines are not found."""
+        request = 'r' * (events.MAX_REQUEST_CHARS + 10)
+        written = line(1400, 'gave up', request[: events.MAX_REQUEST_CHARS])
+        trace.read([written], self.logs)
+        lines = trace.trace_request(self.logs, request)
+        self.assertIn('gave up', [each.event for each in lines])
+
+    def test_name_with_line_ends(self):
+        """Guards against a name that looks like a line of its own."""
+        name = 's\n      0 ms   p1 s: promoted\x1b[2J'
+        trace.read([line(1400, 'begins', service=name, to=name)], self.logs)
+        lines = trace.trace_group(self.logs, name, 1400, 1400)
+        (row,) = trace.render(lines)
+        self.assertTrue(row.isprintable())
+        self.assertIn('\\n      0 ms   p1 s: promoted\\x1b[2J', row)
+
     def test_bad_lines_are_counted(self):
         """Lines that cannot be parsed are counted and are not fatal."""
         self.assertEqual(2, self.logs.skipped_count)
--- a/topazring/admin/trace.py
+++ b/topazring/admin/trace.py
@@ -8,6 +8,9 @@
 import dataclasses
 import json
 
+from topazring.admin import plain_text
+from topazring.plumbing import events
+
 __all__ = ['Line', 'Logs', 'trace_group', 'read', 'render', 'trace_request']
 
 # Decisions about a group this long before and after a request's lines belong
@@ -79,6 +82,7 @@
     Empty if no line names the request: it was served in the normal way,
     or its lines were dropped.
     """
+    request = request[: events.MAX_REQUEST_CHARS]
     request_lines = [line for line in logs.lines if line.request == request]
     if not request_lines:
         return []
@@ -131,4 +135,4 @@
             f'{line.time_ms - start_ms:>7} ms {mark} {line.process} '
             f'{line.service or line.part}: {line.event} {inputs}'.rstrip()
         )
-    return rows
+    return [plain_text.escape(row) for row in rows]
