Take a port for one to five ASCII digits

An entry with the port of another script's digits, or with thousands of leading zeros, named an upstream (or a proxy), as `isdecimal` and `int` take both; other programs that read the list take such an address for none. A port of more than 4,300 digits raised another error than the one that the operator's commands report, so `--proxy` ended with a traceback.

--- a/topazring/platform/tests/fake_store.py
+++ b/topazring/platform/tests/fake_store.py
@@ -14,6 +14,7 @@
 REWRITTEN_PREFIXES = ('op/', 'servers/')
 # Longer than any client waits for an answer.
 UNANSWERED_S = 30
+PAGE_ITEMS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -227,7 +228,7 @@
 
 
 class Range(_Handler):
-    """Return items by prefix, three per page."""
+    """Return items by prefix, `PAGE_ITEMS` per page."""
 
     def get(self) -> None:
         """Return one page of items."""
@@ -240,8 +241,8 @@
         )
         self.write(
             {
-                'items': [self.store.items[key] for key in keys[:3]],
-                'has-more': len(keys) > 3,
+                'items': [self.store.items[key] for key in keys[:PAGE_ITEMS]],
+                'has-more': len(keys) > PAGE_ITEMS,
                 'current-rev': self.store.revision,
             }
         )
--- a/topazring/pooler/settings.py
+++ b/topazring/pooler/settings.py
@@ -1,5 +1,6 @@
 """Read and check the settings of one pooling proxy."""
 
+import re
 import typing
 
 import msgspec
@@ -13,6 +14,9 @@
     """Error in a settings file: its name and the fault, in one line."""
 
 
+# `isdecimal` accepts the digits of all scripts, any number of them.
+_PORT = re.compile('[0-9]{1,5}')
+
 # Of a resource; 0 if it is not limited.
 Amount = typing.Annotated[float, msgspec.Meta(ge=0)]
 
@@ -90,6 +94,6 @@
 def endpoint(address: str) -> Endpoint:
     """Split `host:port`; raise SettingsError if it is malformed."""
     host, colon, port = address.rpartition(':')
-    if not colon or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not colon or not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
         raise SettingsError(f'{address!r} is not host:port')
     return Endpoint(host, int(port))
