Keep the fields beside the keys of a configuration as they are

A configuration with keys and, in a field that nobody reads, a number of thousands of digits or 1e999 was a bad entry and not put in force; without keys the same number changes nothing. To replace the keys, `redact` decoded all fields and encoded them again. It now decodes only the tenants and their keys, and copies the rest.

test_numbers_beside_keys failed before.

--- a/topazring/platform/records.py
+++ b/topazring/platform/records.py
@@ -108,6 +108,11 @@
 
 _decode_configuration = msgspec.json.Decoder(_Configuration).decode
 _decode_upstream = msgspec.json.Decoder(_Upstream).decode
+# For `redact`, which leaves what it does not know as it is.
+_Fields = dict[str, msgspec.Raw]
+_decode_fields = msgspec.json.Decoder(_Fields).decode
+_decode_tenants = msgspec.json.Decoder(list[_Fields] | None).decode
+_decode_keys = msgspec.json.Decoder(list[str | None]).decode
 
 
 def decode(key: str, value: str, revision: int) -> listing.Record | None:
@@ -134,14 +139,17 @@
     if key != CONFIGURATION_KEY or f'"{_KEYS_FIELD}"' not in value:
         return value
     try:
-        raw = msgspec.json.decode(value)
-        for tenant in raw.get('tenants') or ():
-            keys = tenant.pop(_KEYS_FIELD, [])
+        raw = _decode_fields(value)
+        tenants = _decode_tenants(raw.get('tenants', b'null')) or []
+        for tenant in tenants:
+            keys = _decode_keys(tenant.pop(_KEYS_FIELD, b'[]'))
             tenant[_HASHES_FIELD] = [
                 organisations.hash_key(each) for each in keys if each
             ]
     except (ValueError, KeyError, TypeError, AttributeError):
         return ''
+    if tenants:
+        raw['tenants'] = tenants
     return msgspec.json.encode(raw).decode()
 
 
--- a/topazring/platform/tests/test_odd_entries.py
+++ b/topazring/platform/tests/test_odd_entries.py
@@ -378,6 +378,17 @@
             # Of a field that nobody reads.
             self.assertEqual(3, self.decode('unknown', raw).version)
 
+    def test_numbers_beside_keys(self):
+        """Guards against keys that hide a configuration from all proxies."""
+        tenants = '[{"name": "t", "api-keys": ["k"], "odd": 1}]'
+        for raw in odd_entries.NUMBERS.values():
+            text = f'{{"version": 3, "x": {raw}, "tenants": {tenants}}}'
+            kept = records.redact('op/config', text)
+            self.assertNotIn('api-keys', kept)
+            found = records.decode('op/config', kept, 7)
+            self.assertEqual(3, found.version)
+            self.assertIsNotNone(found.known_organisations)
+
     def decode(self, field: str, raw: str) -> listings.Configuration:
         """Decode a configuration with one odd field."""
         fields = {'version': '3', field: raw}
