Refuse numbers of the store that are out of range

A revision from 2^40 on reached into the bits of the era. After a single answer with such a `current-rev` the client took every ordinary answer for one of an earlier era, and the proxy stopped following the list for good; the same after a single Store-Era that is too large. A Store-Era of thousands of digits raised an error out of each call. A negative revision, or one beyond 64 bits, was passed on, too large for an answer to a peer.

Each number has a range now, and an answer outside counts as none and in `bad_store_answer`, so peers are asked and the next good answer counts. Eras go to 2^23 - 1, so that all revisions fit into 63 bits; the tokens of an era end at about nine million eras as well.

test_numbers, test_eras and test_watch_after_an_odd_revision failed before. No such answer has been seen.

--- a/topazring/platform/store.py
+++ b/topazring/platform/store.py
@@ -25,13 +25,21 @@
 # time for the next renewal if the store never answers this one.
 RENEWAL_TIMEOUT_S = 0.5
 _ERA_HEADER = 'Store-Era'
+# Revisions are encoded as signed integers.
+REVISION_BITS = 63
+MAX_NUMBER = 2**revisions.NUMBER_BITS - 1
+MAX_ERA = 2 ** (REVISION_BITS - revisions.NUMBER_BITS) - 1
+
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_LeaseId = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
 class _Item(msgspec.Struct):
     """Hold one item, or its deletion if `deleted` is set."""
 
     key: str
-    revision: int
+    revision: _Number
     # Encoded as Base64.
     value: str | None = None
     deleted: bool = False
@@ -41,21 +49,21 @@
     items: list[_Item] = []
     has_more: bool = False
     # Revision of the whole store, from which a watch continues.
-    current_rev: int = 0
+    current_rev: _Number = 0
 
 
 class _Events(msgspec.Struct, rename='kebab'):
     events: list[_Item] = []
-    current_rev: int = 0
+    current_rev: _Number = 0
 
 
 class _Lease(msgspec.Struct, rename='kebab'):
-    ttl_ms: int
-    lease: int = 0
+    ttl_ms: _Milliseconds
+    lease: _LeaseId = 0
 
 
 class _Revision(msgspec.Struct):
-    revision: int
+    revision: _Number
 
 
 _Body = typing.TypeVar('_Body')
@@ -255,6 +263,9 @@
         if isinstance(reply, http_calls.NoResponse):
             return key_value.Unavailable(reply.detail)
         era = _era(reply)
+        if era is None:
+            self.bad_answers += 1
+            return key_value.Unavailable('unreadable era')
         is_late = era < max(self.era, least_era)
         self.era = max(self.era, era)
         if reply.code not in (200, 404, 410, 412):
@@ -279,10 +290,19 @@
         return bool(revision) and revisions.era_of(revision) < self.era
 
 
-def _era(reply: httpclient.HTTPResponse) -> int:
-    """Return the era that an answer names, 0 if it names none."""
+def _era(reply: httpclient.HTTPResponse) -> int | None:
+    """Return the era that an answer names, 0 if it names none.
+
+    Return None if it cannot be read: no later answer would be believed after
+    an era that is out of range.
+    """
     text = reply.headers.get(_ERA_HEADER, '')
-    return int(text) if text.isdecimal() else 0
+    if not text:
+        return 0
+    if not text.isdecimal() or len(text) > len(str(MAX_ERA)):
+        return None
+    era = int(text)
+    return era if era <= MAX_ERA else None
 
 
 def _decode_value(item: _Item) -> str:
