Follow an upstream again after an odd sequence

Another program's entry under an upstream's key with a `sequence` of 2^53, in range and well formed, was taken for the newest write of the upstream's process. Each later entry of the upstream counts less and was ignored as an older write: its draining and its role were not seen until its process started again.

An entry can be an older write only if the store has returned from an older copy, that is, in another era. Within an era the later revision is the later write, so `sequence` is compared across eras only.

Left: if the store returns while such an entry is the last one, it still hides later ones.

--- a/topazring/core/synchronous/listing.py
+++ b/topazring/core/synchronous/listing.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from topazring.core import organisations
+from topazring.core import revisions
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import ownership
 
@@ -161,7 +162,12 @@
 
 
 def _is_older_write(record: UpstreamRecord, current: UpstreamRecord) -> bool:
-    """Return whether the service's copy had an earlier entry of a process."""
+    """Return whether the service's copy had an earlier entry of a process.
+
+    Within an era the later revision is the later write, whatever it counts.
+    """
+    if _era_of(record) == _era_of(current):
+        return False
     if record.upstream.born_ms != current.upstream.born_ms:
         return False
     if record.sequence is None or current.sequence is None:
@@ -169,6 +175,10 @@
     return record.sequence < current.sequence
 
 
+def _era_of(record: UpstreamRecord) -> int:
+    return revisions.era_of(record.upstream.revision)
+
+
 def record_removal(
     listing: Listing, now_ms: int, key: str, is_return: bool = False
 ) -> set[str]:
--- a/topazring/platform/tests/test_odd_entries.py
+++ b/topazring/platform/tests/test_odd_entries.py
@@ -316,6 +316,24 @@
 
         self.play(steps)
 
+    def test_largest_sequence(self):
+        """Guards against an upstream whose later entries are all ignored."""
+
+        async def steps():
+            proxy = self.proxies[0]
+            proxy.start()
+            await self.until(lambda: proxy.version)
+            await self.put('good', odd_entries.good(sequence=2**53))
+            await self.put(
+                'good', odd_entries.good(sequence=6, state='draining')
+            )
+            key = 'servers/good'
+            upstreams = proxy.listing.upstreams
+            await self.until(lambda: upstreams[key].sequence == 6)
+            self.assertTrue(upstreams[key].upstream.leaving)
+
+        self.play(steps)
+
     def test_removed(self):
         """An odd entry that is removed again leaves nothing behind."""
 
