Refuse numbers out of range between peers

A request for changes after a number of thousands of digits ended in an error at the proxy that was asked, and got no answer at all. An answer with a negative revision, or one beyond 63 bits, was applied and could not be passed on to others; an age far below zero would have confirmed the list for times to come. Such a request gets 404, such an answer counts in `bad_answer`.

test_request_out_of_range and test_numbers_out_of_range failed before.

--- a/topazring/pooler/peers.py
+++ b/topazring/pooler/peers.py
@@ -53,10 +53,15 @@
 # the five seconds within which it has to be in force, and other traffic of the
 # follower is queued behind them. Compressed it is a seventh of that, 0.7 s.
 COMPRESSION_LEVEL = 1
+# Revisions and times are encoded as signed integers.
+MAX_NUMBER = 2**63 - 1
 # A long answer may arrive later than its wait by this share of the wait.
 WAIT_SLACK_SHARE = 0.5
 
 
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
 class PeerAnswer(msgspec.Struct):
     """Changes that a peer has read."""
 
@@ -73,10 +78,10 @@
 class _EncodedAnswer(msgspec.Struct, array_like=True):
     """Encoded form of a PeerAnswer."""
 
-    revision: int
+    revision: _Number
     complete: bool
     follows: bool
-    age_ms: int
+    age_ms: _Number
     # The changes as JSON, compressed.
     changes: bytes
 
@@ -100,11 +105,14 @@
 
 
 def _decode(body: bytes) -> PeerAnswer:
-    """Return the decoded answer; raise MsgspecError or zlib.error if bad."""
+    """Return the decoded answer; raise an error if it cannot be used."""
     packed = msgspec.msgpack.decode(body, type=_EncodedAnswer)
     changes = msgspec.json.decode(
         zlib.decompress(packed.changes), type=list[revisions.Change]
     )
+    # It may be later than the answer: pages of the store are no snapshot.
+    if not all(0 <= change.revision <= MAX_NUMBER for change in changes):
+        raise ValueError('the revision of a change is out of range')
     return PeerAnswer(
         packed.revision,
         packed.complete,
@@ -175,15 +183,15 @@
     async def _respond_with_changes(
         self, arguments: dict[str, str]
     ) -> bytes | None:
-        after = arguments.get('after', '0')
-        wait_ms = arguments.get('wait_ms', '0')
-        if not (after.isdecimal() and wait_ms.isdecimal()):
+        after = _to_number(arguments.get('after', '0'))
+        wait_ms = _to_number(arguments.get('wait_ms', '0'))
+        if after is None or wait_ms is None:
             return None
         knows_eras = _ERAS_ARGUMENT in arguments
         answer = await self.read_changes(
-            int(after), min(int(wait_ms), MAX_WAIT_MS), knows_eras
+            after, min(wait_ms, MAX_WAIT_MS), knows_eras
         )
-        return self._encode(int(after), answer)
+        return self._encode(after, answer)
 
     def _encode(self, after: int, answer: PeerAnswer) -> bytes:
         cache_key = (after, answer.revision)
@@ -208,6 +216,15 @@
     }
 
 
+def _to_number(text: str) -> int | None:
+    """Return the number that an argument holds, None if it is out of range."""
+    if not text.isascii() or not text.isdecimal():
+        return None
+    if len(text) > len(str(MAX_NUMBER)) or int(text) > MAX_NUMBER:
+        return None
+    return int(text)
+
+
 def report_bad_answer(
     log: events.EventLog, address: str, error: Exception
 ) -> None:
--- a/topazring/pooler/tests/test_bad_entries.py
+++ b/topazring/pooler/tests/test_bad_entries.py
@@ -7,6 +7,7 @@
 import msgspec
 import testtools
 
+from topazring.core import revisions
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
 from topazring import key_value
@@ -309,6 +310,53 @@
 
         self.assertEqual(len(bodies), asyncio.run(run()))
 
+    def test_numbers_out_of_range(self):
+        """Guards against an answer that cannot be passed on to others."""
+        big = 2**63
+        parts = (
+            (big, True, True, 0, []),
+            (-1, True, True, 0, []),
+            (7, True, True, -big, []),
+            (7, True, True, big, []),
+            *(
+                (7, True, True, 0, [revisions.Change('k', number, 'v')])
+                for number in (-1, big, 2**64, 10**400)
+            ),
+        )
+
+        async def run():
+            log = events.EventLog('p1')
+            client = peers.PeerClient((), '', log)
+            for *numbers, changes in parts:
+                rows = ','.join(
+                    f'{{"key":"k","revision":{each.revision},"value":"v"}}'
+                    for each in changes
+                )
+                packed = zlib.compress(f'[{rows}]'.encode())
+                body = msgspec.msgpack.encode([*numbers, packed])
+                reply = mock.Mock(code=200, body=body)
+                call = mock.AsyncMock(return_value=reply)
+                with mock.patch.object(peers.http_calls, 'call', call):
+                    found = await client.fetch_changes('127.0.0.1:9', 0)
+                self.assertIsNone(found)
+            client.close()
+            return log.counters[peers.BAD_ANSWER]
+
+        self.assertEqual(len(parts), asyncio.run(run()))
+
+    def test_request_out_of_range(self):
+        """Guards against a request that ends in an error, unanswered."""
+
+        async def run():
+            server = peers.Server(mock.AsyncMock(side_effect=AssertionError))
+            odd = ('', '-1', '9' * 5000, str(2**63), '\u0663', '1e999', '1.5')
+            for number in odd:
+                for name in ('after', 'wait_ms'):
+                    body = await server._respond_with_changes({name: number})
+                    self.assertIsNone(body)
+
+        asyncio.run(run())
+
     def test_unreadable_reports(self):
         """Guards against an error that ends the process of a promoter."""
         log = events.EventLog('p1')
