Refuse revisions of the platform's service that are out of range

The product's own interface applied a negative revision or one beyond 63 bits, of the service or of gossip: no other is later than such a one, and the largest cannot be encoded for peers. A write whose answer named no readable revision, or one of thousands of digits, ended in an error instead of an unknown result. Each counts as no answer now, or as unreadable gossip, and bytes that are no text count as an unreadable value.

test_revisions_out_of_range and test_gossip_out_of_range failed before. The tables for the list of instances (deep nesting, numbers and ports in each field, one among 200, good again after) and for configured values passed before as well.

--- a/topazring/platform_client.py
+++ b/topazring/platform_client.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import typing
 import urllib.parse
 
 import msgspec
@@ -13,14 +14,22 @@
 __all__ = ['PlatformClient']
 
 REQUEST_TIMEOUT_S = 2.0
+# Proxies send revisions to each other as signed integers.
+MAX_REVISION = 2**63 - 1
 
 
 class _Page(msgspec.Struct):
-    revision: int
+    revision: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
     changes: list[revisions.Change]
     more: bool = False
 
+    def __post_init__(self):
+        for change in self.changes:
+            if not 0 <= change.revision <= MAX_REVISION:
+                raise ValueError('the revision of a change is out of range')
 
+
+_UNREADABLE = key_value.Unavailable('the answer names no revision')
 _decode_page = msgspec.json.Decoder(_Page).decode
 
 
@@ -48,7 +57,12 @@
             return reply
         if reply.code == 404:
             return key_value.Missing()
-        return key_value.Found(reply.body.decode(), _revision(reply))
+        revision = _revision(reply)
+        if revision is None:
+            return _UNREADABLE
+        # Text that no reader can use, if another program wrote bytes.
+        text = reply.body.decode(errors='replace')
+        return key_value.Found(text, revision)
 
     async def put(
         self, key: str, value: str, revision: int | None
@@ -175,8 +189,14 @@
     return {'If-Match': f'"{revision}"'}
 
 
-def _revision(reply: httpclient.HTTPResponse) -> int:
-    return int(reply.headers['ETag'].strip('"'))
+def _revision(reply: httpclient.HTTPResponse) -> int | None:
+    """Return the revision that an answer names, None if it is unreadable."""
+    text = reply.headers.get('ETag', '').strip('"')
+    if not text.isascii() or not text.isdecimal():
+        return None
+    if len(text) > len(str(MAX_REVISION)) or int(text) > MAX_REVISION:
+        return None
+    return int(text)
 
 
 def _write_result(
@@ -188,4 +208,5 @@
         return key_value.Conflict()
     if reply.code == 413:
         return key_value.Unavailable('the value is too large for the service')
-    return key_value.Written(_revision(reply))
+    revision = _revision(reply)
+    return _UNREADABLE if revision is None else key_value.Written(revision)
--- a/topazring/proxy/gossip.py
+++ b/topazring/proxy/gossip.py
@@ -9,6 +9,7 @@
 import collections.abc
 import contextlib
 import random
+import typing
 
 import msgspec
 import pynng
@@ -27,12 +28,18 @@
 SEND_BUFFER_MESSAGES = 16
 
 
+# Revisions are sent as signed integers.
+MAX_REVISION = 2**63 - 1
+
+_Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+
 class Digest(msgspec.Struct, array_like=True, tag='d'):
     """The last revision that the sender has seen, by stream."""
 
     name: str
     address: str
-    seen: dict[str, int]
+    seen: dict[str, _Revision]
 
 
 class Delta(msgspec.Struct, array_like=True, tag='e'):
@@ -40,10 +47,15 @@
 
     name: str
     stream: str
-    since: int
-    upto: int
+    since: _Revision
+    upto: _Revision
     changes: list[revisions.Change]
 
+    def __post_init__(self):
+        for change in self.changes:
+            if not 0 <= change.revision <= MAX_REVISION:
+                raise ValueError('the revision of a change is out of range')
+
 
 class Suspicion(msgspec.Struct, array_like=True, tag='s'):
     """Whether an owner suspects the primary of a term to have failed."""
--- a/topazring/proxy/tests/test_bad_entries.py
+++ b/topazring/proxy/tests/test_bad_entries.py
@@ -8,6 +8,7 @@
 import types
 from unittest import mock
 
+import msgspec
 import testtools
 
 from topazring.admin import changes
@@ -37,6 +38,27 @@
     'operator_port': 3,
     'state': 'live',
 }
+PORT_FIELDS = ('hop_port', 'gossip_port', 'operator_port')
+# As JSON; each is no port.
+BAD_PORTS = (
+    *('0', '65536', '99999', '-1', '""', '"1"', 'null', '1.5', '[1]'),
+    *('1e999', '-1e999', str(2**53 + 1), str(2**63), str(2**64)),
+    *('9' * 400, '9' * 5000, '-' + '9' * 5000, '\u0663', '[' * 1_040_000),
+    *('[' * depth + ']' * depth for depth in (1200, 100_000)),
+)
+# No number of changes.
+BAD_REVISIONS = (
+    *('-1', '1.5', '1e999', '-1e999', str(2**63), str(2**64), '""'),
+    *('9' * 400, '9' * 5000, '-' + '9' * 400),
+)
+
+
+def instance_with(field: str, raw: str) -> str:
+    """Return an instance with a field that holds any JSON."""
+    fields = {name: json.dumps(PROXY[name]) for name in PROXY}
+    fields[field] = raw
+    inner = ', '.join(f'"{name}": {fields[name]}' for name in fields)
+    return f'{{{inner}}}'
 
 
 class Platform:
@@ -79,6 +101,73 @@
 
         self.assertEqual(4, asyncio.run(run()))
 
+    def test_revisions_out_of_range(self):
+        """Guards against a revision that no proxy can pass on."""
+        change = '{"key": "k", "value": "v", "revision": %s}'
+        pages = [
+            body
+            for raw in BAD_REVISIONS
+            for body in (
+                f'{{"revision": {raw}, "changes": []}}',
+                f'{{"revision": 7, "changes": [{change % raw}]}}',
+            )
+        ]
+
+        async def run():
+            client = platform_client.PlatformClient('127.0.0.1', 9, 'p1')
+            for body in pages:
+                client._call = mock.AsyncMock(
+                    return_value=mock.Mock(body=body.encode())
+                )
+                found = await client.changes('configuration/', 0)
+                self.assertIsInstance(found, key_value.Unavailable)
+            self.assertEqual(len(pages), client.calls['unreadable'])
+            for headers in ({}, *({'ETag': f'"{r}"'} for r in BAD_REVISIONS)):
+                client._call = mock.AsyncMock(
+                    return_value=mock.Mock(
+                        body=b'\xff', code=200, headers=headers
+                    )
+                )
+                for found in (
+                    await client.get('k'),
+                    await client.put('k', 'v', None),
+                    await client.delete('k', 7),
+                ):
+                    self.assertIsInstance(found, key_value.Unavailable)
+            client.close()
+
+        asyncio.run(run())
+
+    def test_gossip_out_of_range(self):
+        """Guards against gossip about a revision that nobody can pass on."""
+        failures = logs.FailureLog()
+        received = []
+        receiver = gossip.Gossip('unused', received.append, failures)
+        raws = []
+        for number in (-1, 2**63, 2**64 - 1):
+            row = {'key': 'k', 'revision': number, 'value': 'v'}
+            raws += [
+                msgspec.msgpack.encode(each)
+                for each in (
+                    ['d', 'p', 'tcp://a:1', {'instances': number}],
+                    ['e', 'p', 'instances', number, 7, []],
+                    ['e', 'p', 'instances', 0, number, []],
+                    ['e', 'p', 'instances', 0, 7, [row]],
+                )
+            ]
+
+        async def receive():
+            receiver.listener = mock.Mock()
+            receiver.listener.arecv = mock.AsyncMock(
+                side_effect=[*raws, asyncio.CancelledError]
+            )
+            await receiver._receive_forever()
+
+        self.assertRaises(asyncio.CancelledError, asyncio.run, receive())
+        self.assertEqual([], received)
+        counted = failures.counters['task_failed_gossip_decoder']
+        self.assertEqual(len(raws), counted)
+
     def test_unreadable_record(self):
         """Guards against a damaged record of grants that ends processes."""
 
@@ -146,6 +235,22 @@
 class CatalogueTest(testtools.TestCase):
     """The values that follow a bad one are applied."""
 
+    def test_odd_numbers(self):
+        """A number out of range leaves the value before it in force."""
+        key = 'configuration/profile/p'
+        for raw in BAD_REVISIONS:
+            found = catalogue.Catalogue()
+            odd = f'{{"max_staleness_ms": {raw}}}'
+            faults = catalogue.apply_changes(
+                found,
+                [
+                    revisions.Change(key, 1, PROFILE),
+                    revisions.Change(key, 2, odd),
+                ],
+            )
+            self.assertEqual(1, len(faults), raw[:20])
+            self.assertEqual(7, found.profiles['p'].max_staleness_ms)
+
     def test_bad_values(self):
         """Guards against a configuration that is never in force."""
         keys = ('configuration/profile/bad', 'configuration/bad')
@@ -203,6 +308,57 @@
             )
             self.assertEqual(['p2'], list(state.listed))
 
+    def test_odd_fields_of_instances(self):
+        """Guards against a list that is not followed past one odd number."""
+        bad = [
+            instance_with(field, raw)
+            for raw in BAD_PORTS
+            for field in PORT_FIELDS
+        ]
+        state = self.make([])
+        state.gossip.send = mock.Mock()
+        good = json.dumps(PROXY)
+        revision = 0
+        for value in bad:
+            for key, each in (('p3', good), ('p3', value), ('p2', good)):
+                state._merge(
+                    cluster_state.INSTANCES,
+                    revision,
+                    revision + 1,
+                    [revisions.Change(key, revision + 1, each)],
+                )
+                revision += 1
+            self.assertEqual(['p2'], list(state.listed))
+        self.assertEqual(
+            len(bad), self.failures.counters[cluster_state.BAD_ENTRY]
+        )
+
+    def test_odd_instance_among_many(self):
+        """Guards against a page that is lost for one of its instances."""
+        good = [f'p{number}' for number in range(200)]
+        names = [*good]
+        for place in (0, 100, 202):
+            names.insert(place, f'odd{place}')
+        for raw in BAD_PORTS:
+            state = self.make([])
+            state.gossip.send = mock.Mock()
+            odd = instance_with('gossip_port', raw)
+            page = [
+                revisions.Change(
+                    name,
+                    number,
+                    odd
+                    if name.startswith('odd')
+                    else json.dumps({**PROXY, 'name': name}),
+                )
+                for number, name in enumerate(names, start=1)
+            ]
+            state._merge(cluster_state.INSTANCES, 0, len(page), page)
+            self.assertEqual(set(good), set(state.listed))
+            self.assertEqual(
+                3, self.failures.counters[cluster_state.BAD_ENTRY]
+            )
+
     def test_error_that_nobody_foresaw(self):
         """Guards against a change that is read and never in force."""
 
