--- a/topazring/admin/main.py
+++ b/topazring/admin/main.py
@@ -331,12 +331,13 @@
         )
     proxies = []
     for change in found.changes:
-        if change.value and _is_proxy(change):
-            proxies.append(json.loads(change.value))
+        member = _decode_proxy(change) if change.value else None
+        if member is not None:
+            proxies.append(dataclasses.asdict(member))
     return sorted(proxies, key=lambda p: p['name'])
 
 
-def _is_proxy(change: revisions.Change) -> bool:
+def _decode_proxy(change: revisions.Change) -> membership.Member | None:
     try:
         instance = instances.decode(change.value)
     except Exception as error:
@@ -346,8 +347,8 @@
             f'({type(error).__name__})',
             file=sys.stderr,
         )
-        return False
-    return isinstance(instance, membership.Member)
+        return None
+    return instance if isinstance(instance, membership.Member) else None
 
 
 async def fetch(proxy: dict, path: str) -> dict | None:
--- a/topazring/proxy/tests/test_bad_entries.py
+++ b/topazring/proxy/tests/test_bad_entries.py
@@ -15,6 +15,7 @@
 from topazring.admin import main as admin
 from topazring import catalogue
 from topazring.core import revisions
+from topazring import instances
 from topazring import key_value
 from topazring import platform_client
 from topazring.plumbing import logs
@@ -219,6 +220,25 @@
         self.assertEqual(['p2'], [proxy['name'] for proxy in found])
         self.assertIn('unreadable instance: b', errors.getvalue())
 
+    def test_instances_with_odd_fields(self):
+        """Guards against commands that end at one odd number."""
+        changes = [revisions.Change('p2', 9, json.dumps(PROXY))]
+        for raw in BAD_PORTS:
+            for field in (*PORT_FIELDS, 'unknown', 'health_port'):
+                value = instance_with(field, raw)
+                changes.append(revisions.Change(f'b{field}', 9, value))
+        expected = 0
+        for change in changes:
+            with contextlib.suppress(Exception):
+                expected += bool(instances.decode(change.value))
+        platform = mock.Mock()
+        platform.all_instances = mock.AsyncMock(
+            return_value=key_value.Changes(0, 9, changes)
+        )
+        with contextlib.redirect_stderr(io.StringIO()):
+            found = asyncio.run(admin.list_proxies(platform))
+        self.assertEqual(expected, len(found))
+
     def test_value_is_replaced(self):
         """Guards against a damaged value that nobody can replace."""
         for value in (NESTED, '[]', '7', ''):
