Probe the other instances beside an odd one

The stand-in's task that probes instances ended at the first entry that is no object, names no host, or has a port out of range (OverflowError of the connection): nothing that failed or left was removed from the list any more. Each instance is probed on its own, and an error is logged.

test_odd_instances failed before.

--- a/topazring/standin/platform.py
+++ b/topazring/standin/platform.py
@@ -125,7 +125,14 @@
                 for key, value in self.instances.values.items()
                 if value.value is not None
             ]
-            await asyncio.gather(*(self._probe(name) for name in names))
+            await asyncio.gather(*(self._probe_safely(name) for name in names))
+
+    async def _probe_safely(self, name: str) -> None:
+        """Probe an instance; any error is that of its entry alone."""
+        try:
+            await self._probe(name)
+        except Exception as error:
+            logger.error('cannot probe %s: %s', name, type(error).__name__)
 
     async def _probe(self, name: str) -> None:
         """Request an instance's health and update the list.
