Run proxies as processes beside all odd entries

No process ends, no task fails, an added route is in force and within a second nobody uses half a core.

--- a/topazring/platform/tests/test_other_writers.py
+++ b/topazring/platform/tests/test_other_writers.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import json
+import os
+import pathlib
 import signal
 
+from topazring.platform.tests import odd_entries
 from topazring.platform.tests import support
 
 # Deeper than a decoder follows.
@@ -11,6 +14,8 @@
 KEY = 'servers/i-other'
 PAUSE_S = 0.3
 HEARTBEATS = 8
+# Processor time within a second beside bad entries that have been read.
+MAX_BUSY_S = 0.5
 
 
 class OtherWritersTest(support.PlatformTestCase):
@@ -119,3 +124,53 @@
         await self.store.put(key, None)
         await self.replace_route(2, 'added')
         await self.assert_served('added')
+
+    def test_odd_entries(self):
+        """Guards against any odd entry that ends or stops a process."""
+        self.run_on_platform(self.odd, proxies=2)
+
+    async def odd(self):
+        first, second = self.proxies
+        for name, value in odd_entries.BAD.items():
+            await self.store.put(f'servers/i-{name}', value)
+        await self.replace_route(2, 'added')
+        counted = f'{{what="bad_entry"}} {len(odd_entries.BAD)}\n'
+        for proxy in self.proxies:
+            self.assertIn(counted, await proxy.get('/metrics'))
+        # Starts beside all of them.
+        await first.stop(signal.SIGKILL)
+        await first.start()
+        # One of the group's own is odd for a while, in each of three ways.
+        member = self.group.members[1]
+        key = f'servers/{member.name}'
+        for form in ('deep-100000', 'capacity-exponent', 'port-99999'):
+            await self.store.put(key, odd_entries.BAD[form])
+            await asyncio.sleep(PAUSE_S)
+            await self.store.put_json(key, self.group.entry(member))
+        await self.replace_route(3, 'again')
+        await self.assert_served('again')
+        before = [self.busy_s(proxy) for proxy in self.proxies]
+        await asyncio.sleep(1)
+        for proxy, busy_s in zip(self.proxies, before, strict=True):
+            self.assertLess(self.busy_s(proxy) - busy_s, MAX_BUSY_S)
+            self.assertIsNone(proxy.process.returncode)
+            metrics = await proxy.get('/metrics')
+            for task in ('directory', 'expiry', 'membership', 'listing'):
+                self.assertIn(f'{{what="task_failed_{task}"}} 0\n', metrics)
+            self.assertIn('{what="task_failed_unhandled"} 0\n', metrics)
+            bad = {
+                event['inputs']['key']
+                for event in proxy.events()
+                if event['event'] == 'bad entry'
+            }
+            self.assertIn('servers/i-deep-100000', bad)
+        self.assertEqual([first.process], first.started[1:])
+        self.assertEqual([second.process], second.started)
+
+    def busy_s(self, proxy: support.Proxy) -> float:
+        """Return the processor time that a process has used."""
+        path = pathlib.Path(f'/proc/{proxy.process.pid}/stat')
+        # The name of the process, in parentheses, may contain blanks.
+        fields = path.read_text().rpartition(')')[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf('SC_CLK_TCK')
