Judge lines by the set-up that has taken effect

The line oracle took what a connection has set from the lines it had received, so a SET, RESET, PREPARE, BEGIN or ROLLBACK that its upstream refused counted as carried out, and the next statement would be judged by a wrong state. It judges each line as it arrives, as before, and now records its effect once the upstream has answered it with DONE. A refused COMMIT leaves the transaction open, as at the upstream.

Stricter: a log position may precede reads and BEGIN only, and a line that is not UTF-8 is judged instead of ending the connection with an error.

--- a/topazring/platform/tests/fake_upstreams.py
+++ b/topazring/platform/tests/fake_upstreams.py
@@ -44,7 +44,8 @@
         self.client = client
         self.wire = line_oracle.Wire()
         self.values: dict[str, str] = {}
-        self.prepared: dict[str, str] = {}
+        # Access and shape by name.
+        self.prepared: dict[str, tuple[str, str]] = {}
         # Whether the transaction is read-only; None outside a transaction.
         self.read_only: bool | None = None
         self.failed = False
@@ -170,6 +171,12 @@
                 self.group.line_oracle.check(session.wire, raw)
             word, request_id, text = raw.decode().split(' ', 2)
             answer = await self._answer(session, request_id, text)
+            if (
+                self.group.line_oracle is not None
+                and answer is not None
+                and answer[-1].startswith('DONE')
+            ):
+                self.group.line_oracle.follow(session.wire, raw)
             is_read = text.startswith('READ')
             await asyncio.sleep(self.member.reads_take_s if is_read else 0)
             if answer is None:
@@ -276,13 +283,13 @@
     def _prepare(self, session, request_id, rest):
         if rest[1] not in ('READ', 'WRITE') or not rest[2:]:
             return self._refuse(session, 'MALFORMED')
-        session.prepared[rest[0]] = rest[1]
+        session.prepared[rest[0]] = (rest[1], ' '.join(rest[2:]))
         return ['DONE -']
 
     def _execute(self, session, request_id, rest):
         if rest[0] not in session.prepared:
             return self._refuse(session, 'NOSTMT')
-        if session.prepared[rest[0]] == 'READ':
+        if session.prepared[rest[0]][0] == 'READ':
             return self._read(session, request_id, rest[1:])
         return self._write(session, request_id, rest[1:])
 
--- a/topazring/platform/tests/line_oracle.py
+++ b/topazring/platform/tests/line_oracle.py
@@ -50,31 +50,45 @@
         """Record a statement before its caller sends it."""
         self.sent[request_id] = sent
 
+    def find_sent(self, request_id: str) -> Sent | None:
+        """Return what a caller has sent under a request id."""
+        return self.sent.get(request_id)
+
     def check(self, wire: Wire, line: bytes) -> None:
         """Judge one line without its CR LF."""
         if len(line) > MAX_MESSAGE_BYTES:
             self._add('SIZE', f'{len(line)} bytes')
-        word, _, rest = line.decode().partition(' ')
-        request_id, _, text = rest.partition(' ')
+        word, request_id, text = _split(line)
         if word != 'QUERY' or not request_id or not text:
             self._add('FORM', repr(line[:80]))
         elif request_id == PROXY_ID:
-            self._check_own(wire, text)
+            self._check_own(text)
         else:
             self._check_callers(wire, request_id, text)
 
     def _add(self, rule: str, detail: str) -> None:
         self.faults.append((rule, detail))
 
-    def _check_own(self, wire: Wire, text: str) -> None:
-        """Follow a statement that the proxy issued for itself."""
-        text = _without_wait(text)
+    def _check_own(self, text: str) -> None:
+        """Judge a statement that the proxy issued for itself."""
+        waits, text = text.startswith('AFTER '), _without_wait(text)
         verb, _, rest = text.partition(' ')
+        if waits and verb != 'BEGIN':
+            self._add('FORM', f'waits for a position: {text[:80]!r}')
         if text not in _PROXY_TEXTS and verb not in _PROXY_VERBS:
             self._add('UNASKED', f'own statement {text[:80]!r}')
-        elif verb == 'BEGIN':
+        elif verb == 'PREPARE':
+            _, access, shape = _split_words(rest)
+            if access not in ('READ', 'WRITE') or not shape:
+                self._add('FORM', f'{text[:80]!r}')
+
+    def follow(self, wire: Wire, line: bytes) -> None:
+        """Record the effect of a line that the upstream has not refused."""
+        text = _without_wait(_split(line)[2])
+        verb, _, rest = text.partition(' ')
+        if verb == 'BEGIN':
             wire.is_open = True
-        elif verb == 'ROLLBACK':
+        elif verb in ('COMMIT', 'ROLLBACK'):
             wire.is_open = False
         elif verb == 'RESET':
             wire.values.clear()
@@ -83,25 +97,24 @@
             name, _, value = rest.partition(' ')
             wire.values[name] = value
         elif verb == 'PREPARE':
-            name, _, rest = rest.partition(' ')
-            access, _, shape = rest.partition(' ')
+            name, access, shape = _split_words(rest)
             wire.prepared[name] = (access, shape)
-            if access not in ('READ', 'WRITE') or not shape:
-                self._add('FORM', f'{text[:80]!r}')
         elif verb == 'DEALLOC':
             wire.prepared.pop(rest, None)
 
     def _check_callers(self, wire: Wire, request_id: str, text: str) -> None:
         """Compare a caller's statement with what its caller sent."""
-        sent = self.sent.get(request_id)
+        sent = self.find_sent(request_id)
         if sent is None:
             self._add('UNASKED', f'unknown id {request_id!r}: {text[:80]!r}')
             return
-        text = _without_wait(text)
+        waits, text = text.startswith('AFTER '), _without_wait(text)
         verb, _, rest = text.partition(' ')
         if verb not in _CALLERS_VERBS:
             self._add('UNASKED', f'{sent.text[:60]!r} as {text[:80]!r}')
             return
+        if waits and 'READ' not in (verb, *(sent.prepared or ())[:1]):
+            self._add('FORM', f'waits for a position: {text[:80]!r}')
         self.ran[verb] += 1
         if verb == 'EXECUTE':
             name, _, rest = rest.partition(' ')
@@ -112,8 +125,6 @@
             self._add('PINNED', f'{wire.values}, set {sent.values}')
         if wire.is_open != sent.in_transaction:
             self._add('PINNED', f'in a transaction: {wire.is_open}')
-        if verb == 'COMMIT':
-            wire.is_open = False
 
     def _check_execute(
         self, wire: Wire, sent: Sent, name: str, arguments: str
@@ -127,8 +138,19 @@
             self._add('PINNED', f'prepared {sent.prepared}, ran {found}')
 
 
+def _split(line: bytes) -> tuple[str, str, str]:
+    return _split_words(line.decode(errors='backslashreplace'))
+
+
+def _split_words(text: str) -> tuple[str, str, str]:
+    """Return two words and what follows them, empty where they are missing."""
+    first, _, rest = text.partition(' ')
+    second, _, rest = rest.partition(' ')
+    return first, second, rest
+
+
 def _without_wait(text: str) -> str:
     """Return a text without the log position that it waits for."""
     if text.startswith('AFTER '):
-        return text.split(' ', 2)[2]
+        return _split_words(text)[2]
     return text
