Have the soak execute shapes and judge every line

Callers of the soak sent words only and never PREPARE or EXECUTE, so a statement that ran in another shape or text could not be seen beside faults.

An execution counts as a read or write of its shape: only_what_was_asked compares the shape as well, and freshness, durability and at-most-once apply to it unchanged. Each line that an upstream receives is judged by the line oracle against the text, values, shape and transaction of its request (lines_as_asked); the report says how many lines that were.

Schedules and their families are as they were.

--- a/topazring/platform/tests/soak_stage.py
+++ b/topazring/platform/tests/soak_stage.py
@@ -11,6 +11,7 @@
 from topazring.bench import ports
 from topazring.core.synchronous import messages
 from topazring.platform.tests import fake_store
+from topazring.platform.tests import line_oracle
 from topazring.platform.tests import soak_links
 from topazring.platform.tests import soak_upstreams
 from topazring.platform.tests import support
@@ -164,14 +165,13 @@
         self.is_waiting = False
         return received
 
-    async def execute(self, ask: observations.Ask) -> observations.Answer:
+    async def execute(self, request_id: str, text: str) -> observations.Answer:
         """Send a statement and return the answer.
 
         Raises SessionEnded if the connection ends first.
         """
-        text = f'{ask.verb.upper()} {ask.item} {ask.data}'.rstrip()
         received = await self.send_request(
-            f'QUERY {ask.request_id} {text}', 'READY'
+            f'QUERY {request_id} {text}', 'READY'
         )
         rows = tuple(line[4:] for line in received if line.startswith('ROW '))
         word, _, rest = received[-2].partition(' ')
@@ -191,6 +191,39 @@
         super().close()
 
 
+class SoakLines(line_oracle.LineOracle):
+    """Judge the lines at upstreams by what the soak's callers have asked."""
+
+    def __init__(self, oracle: checks.Oracle):
+        super().__init__()
+        self.oracle = oracle
+
+    def find_sent(self, request_id: str) -> line_oracle.Sent | None:
+        """Return the statement of a request."""
+        request = self.oracle.facts.requests.get(request_id)
+        if request is None:
+            return None
+        asked = request.asked
+        ask = asked.ask
+        return line_oracle.Sent(
+            asked.text,
+            asked.values,
+            (ask.verb.upper(), ask.shape) if ask.shape else None,
+            bool(asked.transaction),
+        )
+
+    def check(self, wire: line_oracle.Wire, line: bytes) -> None:
+        """Judge one line and report it to the soak's oracle."""
+        super().check(wire, line)
+        faults = tuple(f'{rule}: {detail}' for rule, detail in self.faults)
+        self.faults.clear()
+        request_id = line.decode(errors='replace').split(' ')[1:2]
+        received = observations.Received(
+            environment.now_ms(), ''.join(request_id), faults
+        )
+        self.oracle.note(received)
+
+
 class Stage:
     """Run everything that a soak test needs."""
 
@@ -208,6 +241,7 @@
         self.upstreams = soak_upstreams.Upstreams(
             self.store, self.links, self.oracle.note, schedule.promote_ms
         )
+        self.upstreams.group.line_oracle = SoakLines(self.oracle)
         self.store.note_order = self.upstreams.note_order
         self.store.promote = self.upstreams.promote
         self.store.checks_tokens = 'orders' not in schedule.families
--- a/topazring/platform/tests/synchronous_upstreams.py
+++ b/topazring/platform/tests/synchronous_upstreams.py
@@ -412,22 +412,30 @@
         session.term = self.member.term
         return super()._begin(session, request_id, rest)
 
-    def _read(self, session, request_id, rest):
+    def _execute(self, session, request_id, rest):
+        if rest[0] not in session.prepared:
+            return self._refuse(session, 'NOSTMT')
+        access, shape = session.prepared[rest[0]]
+        run = self._read if access == 'READ' else self._write
+        return run(session, request_id, rest[1:], shape)
+
+    def _read(self, session, request_id, rest, shape=''):
         if session.failed:
             return ['ERROR MALFORMED the transaction failed']
         if self.group.rng.random() < BUSY_SHARE:
             return self._refuse(session, 'BUSY')
         if session.read_only is False and self._has_lost_leadership(session):
             return self._refuse(session, 'READONLY')
-        data = self.group.read(self.member, rest[0])
-        written = [d for i, d in session.writes if i == rest[0]]
+        item = ' '.join(rest)
+        data = self.group.read(self.member, item)
+        written = [d for i, d in session.writes if i == item]
         data = written[-1] if written else data
         rows = () if data is None else (data,)
-        ask = observations.Ask(request_id, Verb.READ, rest[0])
+        ask = observations.Ask(request_id, Verb.READ, item, shape=shape)
         done = self._record_run(session, ask, rows)
         return [*(f'ROW {row}' for row in rows), done]
 
-    async def _write(self, session, request_id, rest):
+    async def _write(self, session, request_id, rest, shape=''):
         if session.failed:
             return ['ERROR MALFORMED the transaction failed']
         if self.group.rng.random() < BUSY_SHARE:
@@ -437,8 +445,8 @@
             inside and self._has_lost_leadership(session)
         ):
             return self._refuse(session, 'READONLY')
-        write = (rest[0], rest[1])
-        ask = observations.Ask(request_id, Verb.WRITE, *write)
+        write = (rest[0], ' '.join(rest[1:]))
+        ask = observations.Ask(request_id, Verb.WRITE, *write, shape)
         done = self._record_run(session, ask)
         if inside:
             session.writes.append(write)
--- a/topazring/platform/tests/test_statement_texts.py
+++ b/topazring/platform/tests/test_statement_texts.py
@@ -5,7 +5,7 @@
 
 from topazring.platform.tests import line_oracle
 from topazring.platform.tests import support
-from topazring.platform.tests import texts
+from topazring.soak import texts
 
 SEED = 67
 CALLERS = 12
--- a/topazring/soak/checks.py
+++ b/topazring/soak/checks.py
@@ -109,6 +109,12 @@
         yield f'{ran.upstream} ran {ran.ask}, which no caller sent'
 
 
+@check(observations.Received)
+def lines_as_asked(facts: Facts, received: observations.Received) -> Failures:
+    """A line is what its caller asked for, on a connection set up for it."""
+    yield from received.faults
+
+
 @check(observations.Ran)
 def session_holds_together(facts: Facts, ran: observations.Ran) -> Failures:
     """A statement runs with its session's values and in its transaction."""
--- a/topazring/soak/environment.py
+++ b/topazring/soak/environment.py
@@ -33,9 +33,9 @@
     """Own the processes, upstreams, platform service and links of a soak.
 
     An instance has a `name`, a `process`, and `restart`, which starts it
-    unless it runs. A session has `execute`, which returns an answer or raises
-    SessionEnded, `unasked`, which holds the lines received while no request
-    was pending, and `close`.
+    unless it runs. A session has `execute`, which takes a request id and a
+    text and returns an answer or raises SessionEnded, `unasked`, which holds
+    the lines received while no request was pending, and `close`.
     """
 
     oracle: checks.Oracle
--- a/topazring/soak/facts.py
+++ b/topazring/soak/facts.py
@@ -187,7 +187,8 @@
         return
     request.answer = answered.answer
     kind = answered.answer.kind
-    label = f'{request.asked.ask.verb} {kind}'
+    ask = request.asked.ask
+    label = f'{"execute " if ask.shape else ""}{ask.verb} {kind}'
     facts.counts[label] = facts.counts.get(label, 0) + 1
     if kind is observations.Kind.NOT_RUN:
         facts.not_run_ids.add(answered.request_id)
--- a/topazring/soak/observations.py
+++ b/topazring/soak/observations.py
@@ -40,12 +40,17 @@
 
 
 class Ask(msgspec.Struct, frozen=True):
-    """Hold a statement as sent by its caller."""
+    """Hold a statement of a caller.
+
+    An execution of a prepared shape has the access of the shape as its verb.
+    """
 
     request_id: str
     verb: Verb
     item: str = ''
     data: str = ''
+    # The prepared shape that is executed; empty for other statements.
+    shape: str = ''
 
 
 class Entry(msgspec.Struct, eq=False):
@@ -79,6 +84,16 @@
     # The name of the caller's transaction; empty outside a transaction.
     transaction: str = ''
     values: tuple[tuple[str, str], ...] = ()
+    # The statement as it is sent.
+    text: str = ''
+
+
+class Received(Observation):
+    """An upstream has received a line."""
+
+    request_id: str
+    # How it differs from what its caller asked for.
+    faults: tuple[str, ...] = ()
 
 
 class Ran(Observation):
--- a/topazring/soak/report.py
+++ b/topazring/soak/report.py
@@ -24,7 +24,8 @@
         f'seed {schedule.seed}: {len(outcome.violations)} violations, '
         f'{len(schedule.steps)} faults of {", ".join(schedule.families)}; '
         f'{promotions} promotions of {schedule.promote_ms} ms, '
-        f'{schedule.callers} callers, pauses times {schedule.rest_scale:g}',
+        f'{schedule.callers} callers, pauses times {schedule.rest_scale:g}, '
+        f'{counts.get("received", 0)} lines at upstreams',
         '  '
         + ', '.join(
             f'{name} {counts[name]}' for name in sorted(outcome_names)
--- a/topazring/soak/tests/test_oracle.py
+++ b/topazring/soak/tests/test_oracle.py
@@ -4,6 +4,8 @@
 
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
+from topazring.platform.tests import line_oracle
+from topazring.platform.tests import soak_stage
 from topazring.soak import checks
 from topazring.soak import observations
 
@@ -19,6 +21,8 @@
         self.oracle = checks.Oracle()
         self.now_ms = 100_000.0
         self.log: list[observations.Entry] = []
+        self.lines = soak_stage.SoakLines(self.oracle)
+        self.wire = line_oracle.Wire()
         self.note(observations.Led, 'u1', 1, self.log)
 
     def play(self, text: str) -> list[str]:
@@ -46,14 +50,24 @@
     def order(self, upstream, holder, token=7):
         self.note(observations.Ordered, upstream, holder, int(token))
 
-    def ask(self, request_id, verb=Verb.WRITE, age=2000, **more):
-        ask = observations.Ask(request_id, verb, 'k', 'd')
+    def ask(self, request_id, verb=Verb.WRITE, age=2000, shape='', **more):
+        ask = observations.Ask(request_id, verb, 'k', 'd', shape)
         more['max_staleness_ms'] = age
+        more['text'] = 'EXECUTE s k d' if shape else f'{verb.upper()} k d'
         self.note(observations.Asked, ask, 's1', 'p1', **more)
 
-    def run(self, request_id, verb=Verb.WRITE, data='d', **more):
+    def receive(self, request_id, *words):
+        """Have `u1` receive a line on one connection, and carry it out."""
+        text = ' '.join(
+            word.upper() if isinstance(word, Verb) else word for word in words
+        )
+        line = f'QUERY {request_id} {text}'.encode()
+        self.lines.check(self.wire, line)
+        self.lines.follow(self.wire, line)
+
+    def run(self, request_id, verb=Verb.WRITE, data='d', shape='', **more):
         """Have `u1` run a statement."""
-        ask = observations.Ask(request_id, verb, 'k', data)
+        ask = observations.Ask(request_id, verb, 'k', data, shape)
         applied = more.pop('applied', len(self.log))
         fields = (ask, f'{request_id}.1', (), self.log, applied)
         self.note(observations.Ran, 'u1', *fields, **more)
@@ -146,6 +160,29 @@
 VIOLATING = [
     ('only_what_was_asked', 'run q9'),
     ('only_what_was_asked', 'ask q1; run q1 data=other'),
+    ('only_what_was_asked', 'ask q1 shape=f1; run q1 shape=f2'),
+    ('only_what_was_asked', 'ask q1 shape=f1; run q1'),
+    ('lines_as_asked', 'receive q9 WRITE k d'),
+    ('lines_as_asked', 'receive - WRITE k d'),
+    ('lines_as_asked', 'ask q1; receive q1 WRITE k other'),
+    ('lines_as_asked', 'ask q1; receive q1 COMMIT'),
+    ('lines_as_asked', 'ask q1 values=values; receive q1 WRITE k d'),
+    ('lines_as_asked', 'ask q1 transaction=t; receive q1 WRITE k d'),
+    ('lines_as_asked', 'receive - BEGIN; ask q1; receive q1 WRITE k d'),
+    # The name stands for another shape, or for none.
+    (
+        'lines_as_asked',
+        'receive - PREPARE n WRITE f2; ask q1 shape=f1; '
+        'receive q1 EXECUTE n k d',
+    ),
+    ('lines_as_asked', 'ask q1 shape=f1; receive q1 EXECUTE n k d'),
+    # A name that holds a shape takes the name of another.
+    (
+        'lines_as_asked',
+        'receive - PREPARE wf1 WRITE f1; '
+        'receive - PREPARE wf1 WRITE zj WRITE f1 WRITE zj; '
+        'ask q1 shape=f1; receive q1 EXECUTE wf1 k d',
+    ),
     ('session_holds_together', 'ask q1 values=values; run q1'),
     ('session_holds_together', 'ask q1 transaction=t; run q1'),
     ('session_holds_together', 'ask q1; run q1 inside=yes'),
@@ -193,6 +230,10 @@
     'write q1; read q2 1; ask q3; run q3; refuse q3; finish',
     # An entry that a promotion discarded may be committed again.
     'ask q1; commit q1; lead u2 2; commit q1',
+    'receive - SET a x; ask q1 values=values; receive q1 WRITE k d',
+    'receive - RESET; receive - BEGIN; ask q1 transaction=t; '
+    'receive q1 WRITE k d',
+    'receive - PREPARE n WRITE f1; ask q1 shape=f1; receive q1 EXECUTE n k d',
     'drain; trouble p2; ask q1; run q1',
     'write q1; read q2 0 freshness=bounded',
     # A transaction has to see what its BEGIN had to see.
--- a/topazring/platform/tests/texts.py
+++ b/topazring/soak/texts.py
@@ -2,6 +2,8 @@
 
 import random
 
+__all__ = ['shape', 'text', 'word']
+
 # Everything but the blank and what ends a line may stand in a word.
 _ODD_BLANKS = (
     '\t\v\f\x1c\x1d\x1e\x1f\x7f\x85\xa0\u1680\u2000\u2003\u2028\u2029\u202f'
