Pass commands through lines in the walks of the core

The walks handed commands to the simulated upstreams as objects, so a name or text that a receiver takes for several fields was noticed by nobody. Commands now pass through an encoder that escapes nothing and a parser of its own. The oracle checks that a statement arrives with the text, arguments and verb that its caller sent, so also that a COMMIT is one that was asked for, and compares the access of a prepared name beside its shape.

--- a/topazring/core/synchronous/tests/ablations.py
+++ b/topazring/core/synchronous/tests/ablations.py
@@ -377,6 +377,21 @@
     return mock.patch.object(sessions, '_prepare', prepare)
 
 
+@_ablation
+@_soon
+def _names_that_hold_shapes():
+    """Prepare shapes under names that are built from their texts."""
+
+    def prepare(session, statement):
+        name = f'{statement.access[0]}{statement.value}'
+        session.prepared[statement.name] = statements.Prepare(
+            name, statement.access, statement.value
+        )
+        return sessions.LocalAnswer(sessions._DONE)
+
+    return mock.patch.object(sessions, '_prepare', prepare)
+
+
 @_ablation
 def _release_the_fence_for_all_terms():
     """Take a fence away once a promotion has ended, whatever its term."""
--- a/topazring/core/synchronous/tests/fake_group.py
+++ b/topazring/core/synchronous/tests/fake_group.py
@@ -34,7 +34,9 @@
     upstream: str
     organisation: str = ''
     values: dict[str, str] = dataclasses.field(default_factory=dict)
-    prepared: dict[str, str] = dataclasses.field(default_factory=dict)
+    prepared: dict[str, statements.Prepare] = dataclasses.field(
+        default_factory=dict
+    )
     # None outside a transaction.
     read_only: bool | None = None
     failed: bool = False
--- a/topazring/core/synchronous/tests/oracle.py
+++ b/topazring/core/synchronous/tests/oracle.py
@@ -80,6 +80,26 @@
             seen |= self.own_writes.get(session.number, set())
         return frozenset(seen)
 
+    def received(
+        self,
+        command: statements.Run | statements.Execute | statements.Commit,
+    ) -> None:
+        """Check that a statement is the one that its caller has sent."""
+        asked = self.asked.get(command.request_id)
+        if asked is None:
+            raise Violation(f'{command.request_id}: nobody sent it')
+        statement = asked.request.statement
+        match command:
+            case statements.Run():
+                unchanged = command.text == statement.text
+            case statements.Execute():
+                unchanged = statement.verb is Verb.EXECUTE
+                unchanged &= command.arguments == statement.arguments
+            case statements.Commit():
+                unchanged = statement.verb is Verb.COMMIT
+        if not unchanged:
+            raise Violation(f'{command.request_id}: {command}')
+
     def ran(
         self,
         wire: fake_group.Wire,
@@ -110,7 +130,11 @@
     ) -> None:
         """Check that a name runs the shape prepared by its caller."""
         prepared = self.asked[request_id].request.prepared
-        if prepared is None or wire.prepared[name] != prepared.shape:
+        found = wire.prepared[name]
+        if prepared is None or (found.access, found.shape) != (
+            prepared.access,
+            prepared.shape,
+        ):
             raise Violation(f'{request_id}: another shape')
 
     def commits(self, entry: fake_group.Entry) -> None:
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -17,6 +17,7 @@
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
+from topazring.core.synchronous.tests import command_lines
 from topazring.core.synchronous.tests import fake_group
 from topazring.core.synchronous.tests import invariants
 from topazring.core.synchronous.tests import oracle as oracles
@@ -442,7 +443,7 @@
             wire.silent = True
             return
         wire.replies = []
-        wire.inbox.extend(commands)
+        wire.inbox.extend(command_lines.carry(each) for each in commands)
         if not wire.busy:
             self.work(wire)
 
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -107,7 +107,7 @@
                 wire.values[command.name] = command.value
                 return self.ok(wire)
             case statements.Prepare():
-                wire.prepared[command.name] = command.shape
+                wire.prepared[command.name] = command
                 return self.ok(wire)
             case statements.Reset():
                 wire.values.clear()
@@ -153,7 +153,7 @@
             case statements.SetValue():
                 wire.values[command.name] = command.value
             case statements.Prepare():
-                wire.prepared[command.name] = command.shape
+                wire.prepared[command.name] = command
             case statements.Reset():
                 wire.values.clear()
                 wire.prepared.clear()
@@ -204,6 +204,7 @@
         command: statements.Run | statements.Execute,
     ) -> statements.Reply | None:
         """Run a read or write of a caller."""
+        self.oracle.received(command)
         if wire.failed:
             return self.refuse(wire, Code.OTHER)
         if self.rng.random() < 0.02:
@@ -234,6 +235,7 @@
         command: statements.Commit,
     ) -> statements.Reply | None:
         """Commit; a transaction with writes waits for a replica."""
+        self.oracle.received(command)
         signature = f'{command.request_id}/{next(self.signatures)}'
         if wire.failed or wire.read_only is None:
             return self.refuse(wire, Code.OTHER)
--- a/topazring/core/synchronous/tests/walks.py
+++ b/topazring/core/synchronous/tests/walks.py
@@ -173,15 +173,23 @@
     )
 
 
+# Names that hold these shapes collide once they are parsed.
+_SHAPES = {'x': 'x', 'y': 'x READ x', 'z': 'x WRITE x'}
+
+
 def _statement(rng, request_id: str, session) -> statements.Statement:
     verb = rng.choice(_choices(session))
     name = rng.choice('ab')
+    value = rng.choice('xyz')
+    if verb is Verb.PREPARE:
+        value = _SHAPES[value]
     return statements.Statement(
         request_id,
         verb,
-        str(verb),
+        f'{verb.upper()} {request_id}',
         name=name,
-        value=rng.choice('xyz'),
+        value=value,
+        arguments=f'{request_id} {name}',
         access=rng.choice((Access.READ, Access.WRITE)),
         read_only=rng.random() < 0.3,
     )
