Let the judge of lines fail tests, and refusals too

Errors of the judge are faults now, and the test demands that nothing is refused, that no line or reply was, and that shapes with spaces were executed.

--- a/topazring/platform/tests/line_oracle.py
+++ b/topazring/platform/tests/line_oracle.py
@@ -56,6 +56,13 @@
 
     def check(self, wire: Wire, line: bytes) -> None:
         """Judge one line without its CR LF."""
+        try:
+            self._judge(wire, line)
+        except Exception as error:
+            # Its connection would end, and the test pass.
+            self._add('ORACLE', repr(error))
+
+    def _judge(self, wire: Wire, line: bytes) -> None:
         if len(line) > MAX_MESSAGE_BYTES:
             self._add('SIZE', f'{len(line)} bytes')
         word, request_id, text = _split(line)
--- a/topazring/platform/tests/test_statement_texts.py
+++ b/topazring/platform/tests/test_statement_texts.py
@@ -91,7 +91,10 @@
         prepared = self.prepared[name]
         if prepared[0] == 'WRITE':
             text += f' {data}'
-        return await self._send(text, prepared)
+        answer = await self._send(text, prepared)
+        if any(line.startswith('DONE') for line in answer):
+            self.case.executed += ' ' in prepared[1]
+        return answer
 
     async def _send(
         self, text: str, prepared: tuple[str, str] | None = None
@@ -114,21 +117,35 @@
     """An upstream gets each statement as its caller sent it."""
 
     def count(self, answer: list[str]) -> None:
-        """Count answers by their first word."""
-        word = answer[0].split(' ')[0] if answer else 'closed'
+        """Count answers by their first word, or the code of an error."""
+        words = answer[0].split(' ') if answer else ['closed']
+        word = words[1] if words[0] == 'ERROR' else words[0]
         self.answers[word] = self.answers.get(word, 0) + 1
 
+    async def assert_nothing_refused(self) -> None:
+        """Check that each text that the page allows was passed on."""
+        for code in ('MALFORMED', 'TOOLARGE', 'NOSTMT', 'closed'):
+            self.assertNotIn(code, self.answers)
+        for proxy in self.proxies:
+            metrics = await proxy.get('/metrics')
+            for counter in ('refused_line', 'bad_reply'):
+                self.assertIn(f'{{what="{counter}"}} 0\n', metrics)
+
     def test_any_text(self):
         """Guards against statements that run in another shape or text."""
         self.run_on_platform(self.any_text, proxies=2)
 
     async def any_text(self):
         self.answers = {}
+        self.executed = 0
         self.oracle = line_oracle.LineOracle()
         self.group.line_oracle = self.oracle
         callers = [TextCaller(self, number) for number in range(CALLERS)]
         await asyncio.gather(*(caller.run() for caller in callers))
         self.assertEqual([], self.oracle.faults[:SHOWN_FAULTS])
+        await self.assert_nothing_refused()
+        # Shapes that hold spaces.
+        self.assertGreater(self.executed, CALLERS)
         self.assertGreater(self.answers['DONE'], CALLERS * TURNS / 2)
         for verb in ('READ', 'WRITE', 'EXECUTE', 'COMMIT'):
             self.assertGreater(self.oracle.ran[verb], 0, verb)
