Take nothing beside a greeting for the next reply

A reply that came in one chunk with an upstream's greeting was dropped, and a part of one was joined to the reply of the first statement. Such a connection is given up, as one with a surplus reply is. No upstream is known to do so. test_reply_beside_the_greeting failed before.

--- a/topazring/pooler/tests/test_upstream_link.py
+++ b/topazring/pooler/tests/test_upstream_link.py
@@ -140,3 +140,14 @@
 
         for surplus in (DONE, b'ROW stray\r\n', b'DONE s\r\n', b'RO'):
             self.play(steps, (GREETING, DONE + surplus))
+
+    def test_reply_beside_the_greeting(self):
+        """Guards against a first statement that gets the reply of another."""
+
+        async def steps():
+            await self.wait_closed()
+            self.assertEqual({'bad_reply': 1}, self.counted())
+            self.assertEqual(1, len(self.received))
+
+        for surplus in (DONE, b'ROW stray\r\n', b'RO'):
+            self.play(steps, (GREETING + surplus,))
--- a/topazring/pooler/upstream_link.py
+++ b/topazring/pooler/upstream_link.py
@@ -132,8 +132,13 @@
         await self.stream.write(hello)
         while True:
             data = await self.stream.read_bytes(READ_BYTES, partial=True)
-            for reply in self.reader.feed(data):
-                return reply if reply.code is not None else reply.place
+            replies = self.reader.feed(data)
+            if not replies:
+                continue
+            if len(replies) > 1 or self.reader.is_inside_reply():
+                raise ValueError('a reply to nothing')
+            (reply,) = replies
+            return reply if reply.code is not None else reply.place
 
     def _report_refused(self, reply: statements.Reply) -> None:
         self.stream.close()
