--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -154,7 +155,7 @@
                     headers[name.lower()] = value.strip()
                 length = int(headers.get('content-length', 0))
                 body = await reader.readexactly(length)
-                if now_s() < self.down_until_s:
+                if now_s() < self.down_until_s and target != '/promote':
                     # It answers nothing on this connection.
                     await asyncio.sleep(30)
                     return
@@ -278,7 +279,14 @@
         self.is_running = True
         # It receives nothing.
         self.is_deaf = False
+        # Time from a statement to its answer on the network.
+        self.round_trip_s = 0.0
+        # Cleared while it answers nothing.
+        self.is_awake = asyncio.Event()
+        self.is_awake.set()
         self.writers: set[asyncio.StreamWriter] = set()
+        # Length of the log and waiter of each commit nobody has received.
+        self.waiting: list[tuple[int, asyncio.Future]] = []
         self.server: asyncio.Server | None = None
 
     def receives(self) -> bool:
@@ -317,7 +325,18 @@
         self.signatures = itertools.count(1)
         # When each read, write and commit ran: its client, id and text.
         self.runs: list[tuple[float, str, str, str]] = []
+        # How many of them had run as each promotion took effect.
+        self.led_runs: list[int] = []
         self.max_connections = 23
+        self.promote_s = PROMOTE_S
+        # Least and greatest time of a commit on its way to a replica, one way;
+        # without them it arrives at once.
+        self.delay_s: tuple[float, float] | None = None
+        self.rng = random.Random()
+        # Members whose next RESUME gets no answer and is carried out late;
+        # and those that have got it.
+        self.late_resumes: set[str] = set()
+        self.resumes_due: list[Upstream] = []
         # Called with each upstream that begins to lead.
         self.has_led = lambda member: None
 
@@ -375,7 +394,7 @@
             return False
         if member.role != 'primary':
             loop = asyncio.get_running_loop()
-            loop.call_later(PROMOTE_S, self._lead, member)
+            loop.call_later(self.promote_s, self._lead, member)
         return True
 
     def _lead(self, member: Upstream) -> None:
@@ -383,9 +402,14 @@
             return
         self.term += 1
         self.record.note(f'{member.name} leads term {self.term}')
+        self.led_runs.append(len(self.runs))
         self.has_led(member)
         for other in self.members:
             other.role = 'replica'
+            for _, is_kept in other.waiting:
+                if not is_kept.done():
+                    is_kept.set_result(False)
+            other.waiting = []
             other.paused_for = 0
             other.term = self.term
             if other.is_running:
@@ -399,6 +423,7 @@
         member.writers.add(writer)
         try:
             words = (await reader.readline()).decode().split()
+            await member.is_awake.wait()
             if words[1] != self.service or words[3:] != [member.name]:
                 writer.write(b'ERROR MISROUTED no\r\n')
                 return
@@ -411,15 +436,22 @@
                 line = (await reader.readline()).decode().rstrip('\r\n')
                 if not line or line == 'QUIT':
                     return
+                await member.is_awake.wait()
                 _, request_id, text = line.split(' ', 2)
                 answer = self._answer(member, session, request_id, text)
+                if isinstance(answer, asyncio.Future):
+                    answer = await answer
+                    if answer is None:
+                        return
                 state = 'I'
                 if session.transaction:
                     state = 'E' if session.failed else 'T'
                 answer.append(f'READY {state} {member.position()}')
+                if member.round_trip_s:
+                    await asyncio.sleep(member.round_trip_s)
                 writer.write(''.join(f'{a}\r\n' for a in answer).encode())
                 await writer.drain()
-        except OSError:
+        except (OSError, IndexError):
             return
         finally:
             member.writers.discard(writer)
@@ -456,6 +488,11 @@
             case 'PREPARE':
                 session.prepared[rest[0]] = (rest[1], ' '.join(rest[2:]))
                 return ['DONE -']
+            case 'RESUME' if member.name in self.late_resumes:
+                self.record.note(f'the RESUME of {member.name} is late')
+                self.late_resumes.discard(member.name)
+                self.resumes_due.append(member)
+                return asyncio.get_running_loop().create_future()
             case 'STATUS' | 'PAUSE' | 'RESUME' | 'DEMOTE':
                 return self._control(member, verb, rest)
             case 'EXECUTE':
@@ -488,12 +525,23 @@
         )
         return [f'ROW {status}', 'DONE -']
 
+    def carry_out_resumes(self) -> None:
+        """Carry out each RESUME that is late."""
+        for member in self.resumes_due:
+            self.record.note(f'the late RESUME of {member.name} comes')
+            self._control(member, 'RESUME', [])
+        self.resumes_due = []
+
     def catch_up(self, member: Upstream) -> None:
         """Have a replica receive what it lacks, if the primary runs."""
         for leader in self.members:
             if leader.role == 'primary' and leader.is_running:
-                if member.receives():
+                if not member.receives():
+                    return
+                if self.delay_s is None:
                     member.log = list(leader.log)
+                else:
+                    self._send_log(leader, member, len(leader.log))
 
     def _run(self, member, session, request_id, verb, rest) -> list[str]:
         has_lost = member.role != 'primary' or session.term != member.term
@@ -506,25 +554,69 @@
         text = ' '.join([verb, *rest])
         self.runs.append((now_s(), session.client, request_id, text))
         self.record.note(f'run {member.name} {session.client} {request_id}')
-        rows = []
+        rows, is_kept = [], None
         if verb == 'READ':
             found = [d for _, i, d in member.log if i == ' '.join(rest)]
             rows = [f'ROW {found[-1]}'] if found else []
         elif verb == 'WRITE':
             session.writes.append((rest[0], ' '.join(rest[1:])))
         if verb == 'COMMIT' or verb == 'WRITE' and not session.transaction:
-            self._append(member, session.writes)
+            is_kept = self._append(member, session.writes)
             self._end(session)
-        return [*rows, f'DONE {member.name}.{next(self.signatures)}']
+        answer = [*rows, f'DONE {member.name}.{next(self.signatures)}']
+        if is_kept is None:
+            return answer
+        return asyncio.ensure_future(self._confirm(is_kept, answer))
+
+    async def _confirm(self, is_kept: asyncio.Future, answer: list[str]):
+        return answer if await is_kept else None
 
-    def _append(self, member: Upstream, writes: list) -> None:
+    def _append(self, member: Upstream, writes: list) -> asyncio.Future | None:
+        """Commit; return what is set once a replica has received it."""
         if not writes:
-            return
+            return None
         for item, data in writes:
-            entry = (member.term, item, data)
+            member.log.append((member.term, item, data))
+        if self.delay_s is None:
             for each in self.members:
-                if each is member or each.receives():
-                    each.log.append(entry)
+                if each is not member and each.receives():
+                    each.log = list(member.log)
+            return None
+        loop = asyncio.get_running_loop()
+        is_kept = loop.create_future()
+        upto = len(member.log)
+        member.waiting.append((upto, is_kept))
+        for each in self.members:
+            if each is not member:
+                self._send_log(member, each, upto)
+        return is_kept
+
+    def _send_log(
+        self, leader: Upstream, replica: Upstream, upto: int
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        delay_s = self.rng.uniform(*self.delay_s)
+        loop.call_later(delay_s, self._receive, leader, replica, upto)
+
+    def _receive(self, leader: Upstream, replica: Upstream, upto: int) -> None:
+        if leader.role != 'primary' or not replica.receives():
+            return
+        if len(replica.log) < upto <= len(leader.log):
+            replica.log.extend(leader.log[len(replica.log) : upto])
+        received = len(replica.log)
+        loop = asyncio.get_running_loop()
+        delay_s = self.rng.uniform(*self.delay_s)
+        loop.call_later(delay_s, self._note_received, leader, received)
+
+    def _note_received(self, leader: Upstream, received: int) -> None:
+        if leader.role != 'primary':
+            return
+        waiting, leader.waiting = leader.waiting, []
+        for upto, is_kept in waiting:
+            if upto > received:
+                leader.waiting.append((upto, is_kept))
+            elif not is_kept.done():
+                is_kept.set_result(True)
 
 
 class Proxy:
