--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """Start all proxies anew while the only copy of a write isn't listed."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -116,4 +117,5 @@
     return 1 if lost else 0
 
 
-stages.play(case, HERE / 'record.txt', 3)
+is_troubled = os.environ.get('TROUBLE') != '0'
+stages.play(case, HERE / 'record.txt', 3, is_troubled)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -190,4 +191,5 @@
     holder.send(signal.SIGTERM)
 
 
-stages.play(case, HERE / 'record.txt', 3)
+is_troubled = os.environ.get('TROUBLE') != '0'
+stages.play(case, HERE / 'record.txt', 3, is_troubled)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """Carry a RESUME out late, while the store is down and a replica is ordered."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -176,4 +177,5 @@
     await replace_primary(stage)
 
 
-stages.play(case, HERE / 'record.txt', 8)
+is_troubled = os.environ.get('TROUBLE') != '0'
+stages.play(case, HERE / 'record.txt', 8, is_troubled)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """Kill the limiter of a tenant right after the tenant has used its burst."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -106,4 +107,5 @@
     return 1 if most > ALLOWED else 0
 
 
-stages.play(case, HERE / 'record.txt', 3)
+is_troubled = os.environ.get('TROUBLE') != '0'
+stages.play(case, HERE / 'record.txt', 3, is_troubled)
--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -779,14 +779,16 @@
         self.folder.cleanup()
 
 
-def play(case, record_path: pathlib.Path, proxies: int) -> None:
+def play(
+    case, record_path: pathlib.Path, proxies: int, is_troubled: bool
+) -> None:
     """Run a case and exit with its verdict; 2 if it could not run."""
 
     async def run() -> int:
         stage = Stage(record_path, proxies)
         try:
             async with asyncio.timeout(110):
-                return await case(stage, os.environ.get('TROUBLE') != '0')
+                return await case(stage, is_troubled)
         finally:
             await stage.close()
 
