Wait for an accepted order of an earlier lease holder

Cause: a holder whose order was accepted ends its lease before the order takes effect. The next one orders the present primary with a higher token. The platform accepts that, but it takes nothing back that was accepted before. The holder took it for the end of all earlier orders, resumed the replicas and told the other proxies that no promotion is under way. Evidence: in the record of the case the fence is accepted 0.6 s before the ordered replica leads, and the proxies' logs name no earlier order; the record of orders in the store, which tells the next holder, was kept only where tokens are not checked.

Fix: orders that promote are recorded on each platform before they are sent (without waiting for a store that is away where tokens are checked). The next holder orders the same upstream, or waits until it leads, is gone, or the time for an accepted order has passed since the fence. So whatever was accepted is over, or is the order that members are paused for, before a member confirms writes again. The same holds for a holder's own order without an answer, and, if members are found paused, for one that nobody has recorded.

The simulation now carries out what was accepted in each test; it used to drop it at a higher token.

Tests changed: resuming members after a fence now waits for the effect of an order without an answer or of an accepted one (UnansweredOrderTest, LostPrimaryTest), test_all_others_report counts orders that promote, the play of OvertakenOrderTest has its order go unrecorded, and test_platform_that_checks_tokens_needs_no_record becomes its opposite.

--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -75,7 +75,9 @@
         # Only the list has shown its term.
         confirmations.note_term_ended(state, now_ms, state.term)
     has_drained = _has_drained(state, now_ms, upstream)
-    if has_drained and not is_recreated:
+    if is_recreated:
+        outstanding_orders.note_recreated(state, name)
+    elif has_drained:
         outstanding_orders.note_ended(state, name)
     paused_log_end = None
     if state.promotion is not None:
--- a/topazring/core/synchronous/primary.py
+++ b/topazring/core/synchronous/primary.py
@@ -14,6 +14,7 @@
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import failure_detection
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import position_records
 from topazring.core.synchronous import primary_availability
 from topazring.core.synchronous import proofs
@@ -32,6 +33,8 @@
 
 # A replaced primary is sent the next DEMOTE no earlier than this.
 DEMOTE_RETRY_MS = 200
+# Why an upstream counts as the primary that no reply has shown to lead.
+LISTED = 'the list says so'
 # Minimum interval between term queries to an upstream that claims to lead.
 TERM_QUERY_INTERVAL_MS = 100
 
@@ -272,7 +275,7 @@
             # may be outdated.
             proofs.request_proof(state, now_ms)
             return []
-    return _set_primary(state, now_ms, newest, 'the list says so')
+    return _set_primary(state, now_ms, newest, LISTED)
 
 
 def _set_primary(
@@ -290,6 +293,8 @@
     state.departed_members.record_leader(upstream.name)
     if upstream.name != state.last_primary:
         state.successor_gone = False
+    if why != LISTED and state.limits.checks_tokens:
+        outstanding_orders.note_leads(state, upstream.name)
     state.last_primary = upstream.name
     state.last_primary_born_ms = upstream.born_ms
     state.primary_lost_ms = None
--- a/topazring/core/synchronous/promotion_end.py
+++ b/topazring/core/synchronous/promotion_end.py
@@ -26,6 +26,7 @@
     if attempt.chosen and attempt.chosen != state.primary:
         # An order that was sent may still be carried out, even if accepted.
         state.needs_fencing = True
+        state.is_fence_accepted = False
         acknowledgement_fence.fence_own(state, now_ms)
     state.next_promotion_ms = now_ms
     if attempt.is_query_only:
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -10,6 +10,7 @@
 __all__ = [
     'FENCE_WHY',
     'VERIFY_WHY',
+    'WITHOUT_EFFECT',
     'fence_earlier_orders',
     'handle_fence_result',
     'handle_lease_change',
@@ -40,6 +41,7 @@
 # Why an order is sent that changes nothing.
 FENCE_WHY = 'fence earlier orders'
 VERIFY_WHY = 'verify the lease'
+WITHOUT_EFFECT = (FENCE_WHY, VERIFY_WHY)
 
 
 def handle_lease_change(
@@ -66,6 +68,7 @@
         if message.token > state.granted_token:
             outstanding_orders.note_earlier(state, now_ms, message)
         state.granted_token = message.token
+        state.lease_gained_ms = now_ms
         state.fence_token = 0
         state.verification_sent_ms = states.NEVER_MS
         others = state.upstreams.keys() - {state.primary}
@@ -73,6 +76,7 @@
         state.may_be_paused = dict.fromkeys(others, now_ms)
         state.departed_members.forget_pauses()
         state.needs_fencing = True
+        state.is_fence_accepted = False
         primary = state.upstreams.get(state.primary)
         if primary is not None:
             # Its term may be newer than any seen here.
@@ -159,6 +163,8 @@
         return []
     if state.fence_token:
         return []
+    if state.needs_fencing and state.is_fence_accepted:
+        return _wait_for_effects(state, now_ms)
     is_relief_due = now_ms < state.relief_until_ms
     is_to_verify = _must_resume(state) or is_relief_due
     is_shown = surely_held_recently(state, now_ms)
@@ -175,7 +181,11 @@
     state.fence_token = state.token
     state.fence_sent_ms = now_ms
     why = FENCE_WHY if state.needs_fencing else VERIFY_WHY
-    return [sent_orders.send(state, now_ms, state.primary, state.token, why)]
+    return [
+        sent_orders.send(
+            state, now_ms, state.primary, state.token, why, is_fence=True
+        )
+    ]
 
 
 def _must_resume(state: states.GroupState) -> bool:
@@ -183,9 +193,27 @@
     return bool(state.paused - {state.primary})
 
 
+def _wait_for_effects(state: states.GroupState, now_ms: int) -> list:
+    """Wait until no order that was accepted before the fence has effect."""
+    if _has_found_pause(state):
+        # An earlier holder may have ordered without the store.
+        outstanding_orders.note_unknown(state, state.lease_gained_ms)
+    if not outstanding_orders.may_replace(state, now_ms, state.primary):
+        state.needs_fencing = False
+    return []
+
+
+def _has_found_pause(state: states.GroupState) -> bool:
+    """Return whether an earlier holder has paused a member for an attempt."""
+    return any(
+        upstream.held_term > state.term and upstream.name not in state.paused
+        for upstream in states.other_members(state)
+    )
+
+
 def _wait_for_earlier_orders(state: states.GroupState, now_ms: int) -> list:
     """Verify the lease once no order would replace the proven primary."""
-    if outstanding_orders.blocks(state, now_ms, state.primary):
+    if outstanding_orders.may_replace(state, now_ms, state.primary):
         return []
     state.needs_fencing = False
     if not _must_resume(state) or surely_held_recently(state, now_ms):
@@ -217,13 +245,15 @@
 
 
 def handle_fence_result(
-    state: states.GroupState, message: messages.PromotionOrdered
+    state: states.GroupState, now_ms: int, message: messages.PromotionOrdered
 ) -> list:
     """Process the reply to a fencing order."""
     state.fence_token = 0
     if message.result is messages.OrderResult.ACCEPTED:
-        state.needs_fencing = False
+        outstanding_orders.note_fenced(state, now_ms)
+        state.is_fence_accepted = True
         state.order_accepted_sent_ms = state.fence_sent_ms
-    elif message.result is messages.OrderResult.REFUSED:
+        return _wait_for_effects(state, now_ms)
+    if message.result is messages.OrderResult.REFUSED:
         state.holds_promotion_lease = False
     return []
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -128,7 +128,7 @@
     attempt = state.promotion
     sent_orders.note_result(state, now_ms, message)
     if message.token == state.fence_token:
-        return promotion_lease.handle_fence_result(state, message)
+        return promotion_lease.handle_fence_result(state, now_ms, message)
     if attempt is None or attempt.token != message.token:
         return []
     match message.result:
--- a/topazring/core/synchronous/sent_orders.py
+++ b/topazring/core/synchronous/sent_orders.py
@@ -25,17 +25,26 @@
     token: int
     why: str
     sent_ms: int
+    # It only fences earlier orders, and promotes nobody.
+    is_fence: bool = False
     result: messages.OrderResult | None = None
 
 
 def send(
-    state: states.GroupState, now_ms: int, upstream: str, token: int, why: str
+    state: states.GroupState,
+    now_ms: int,
+    upstream: str,
+    token: int,
+    why: str,
+    is_fence: bool = False,
 ) -> messages.OrderPromotion:
     """Record an order and return the message that sends it."""
-    state.sent_orders.append(SentOrder(upstream, token, why, now_ms))
+    order = SentOrder(upstream, token, why, now_ms, is_fence)
+    state.sent_orders.append(order)
     while len(state.sent_orders) > MAX_SENT_ORDERS:
         state.sent_orders.popleft()
-    outstanding_orders.note_sent(state, upstream)
+    if not is_fence:
+        outstanding_orders.note_sent(state, upstream)
     state.counters['orders_sent'] += 1
     return messages.OrderPromotion(upstream, token, why)
 
@@ -44,16 +53,17 @@
     state: states.GroupState, now_ms: int, message: messages.PromotionOrdered
 ) -> None:
     """Record the answer to the oldest order that it can belong to."""
-    outstanding_orders.note_result(state, now_ms, message)
     state.counters[f'orders_{message.result}'] += 1
-    for order in state.sent_orders:
-        is_same = (order.upstream, order.token) == (
-            message.upstream,
-            message.token,
-        )
-        if is_same and order.result is None:
-            order.result = message.result
-            return
+    unanswered = [
+        order
+        for order in state.sent_orders
+        if (order.upstream, order.token) == (message.upstream, message.token)
+        and order.result is None
+    ]
+    if unanswered:
+        unanswered[0].result = message.result
+    if not any(order.is_fence for order in unanswered):
+        outstanding_orders.note_result(state, now_ms, message)
 
 
 def log_earlier_order(
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -521,20 +521,23 @@
     replicas_checked_ms: int = 0
     holds_promotion_lease: bool = False
     token: int = 0
-    # First token of the block that came with the lease.
+    # First token of the block that came with the lease, and when it came.
     granted_token: int = 0
+    lease_gained_ms: int = NEVER_MS
     # Orders of earlier lease holders may still take effect: until the platform
-    # has seen a higher token, or, where it checks none, until they would
-    # change nothing.
+    # has accepted a higher token, and those accepted before have had effect
+    # or, where it checks none, until they would change nothing.
     needs_fencing: bool = False
+    # The platform has accepted a higher token since.
+    is_fence_accepted: bool = False
     fence_token: int = 0
     # When the latest fencing order was sent, and the latest order of any kind
     # that the platform accepted from this proxy.
     fence_sent_ms: int = NEVER_MS
     order_accepted_sent_ms: int = NEVER_MS
-    # Orders that may still be carried out, by upstream, where the platform
-    # checks no tokens; those that the store has a record of; and until when
-    # orders may be carried out that nobody has a record of.
+    # Orders that may still be carried out, by upstream; those that the store
+    # has a record of; and until when orders may be carried out that nobody
+    # has a record of.
     outstanding_orders: dict = dataclasses.field(default_factory=dict)
     recorded_orders: frozenset[str] = frozenset()
     unknown_orders_until_ms: int = NEVER_MS
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -14,6 +14,7 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import group
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -209,11 +210,11 @@
 
     def send_order(self, proxy: str, out: messages.OrderPromotion) -> None:
         """Send an order, once the store has recorded it if that is needed."""
-        if self.platform.checks_tokens:
-            self.order_promotion(proxy, out)
-            return
-        if proxy not in self.without_store and proxy == self.holder:
+        is_recorded = proxy not in self.without_store and proxy == self.holder
+        is_fence = out.why in promotion_lease.WITHOUT_EFFECT
+        if is_recorded and not is_fence:
             self.recorded_orders.add(out.upstream)
+        if is_recorded or self.platform.checks_tokens:
             self.order_promotion(proxy, out)
             return
         if proxy not in self.without_store:
--- a/topazring/core/synchronous/tests/test_absences.py
+++ b/topazring/core/synchronous/tests/test_absences.py
@@ -9,6 +9,7 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import group
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import sessions
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -456,22 +457,42 @@
         driver.tick(40)
         self.assertFalse(self.resumed(driver))
 
-    def test_members_are_resumed_after_the_fence(self):
-        """Guards against members that stay paused."""
-        driver = self.refused()
-        driver.post(messages.PromotionLeaseSeen(True, 5000))
-        self.answer_all(driver)
+    def accept_fence(self, driver: support.Driver) -> None:
+        """Accept the last order, which is to change nothing."""
         fence = support.orders(driver.outs)[-1]
         self.assertEqual('u1', fence.upstream)
         accepted = messages.OrderResult.ACCEPTED
         driver.post(
             messages.PromotionOrdered(fence.upstream, fence.token, accepted)
         )
-        driver.tick(40)
-        for connection in driver.busy():
-            if connection.purpose is states.Purpose.CONTROL:
-                driver.reply(connection, support.report(held_term=2))
-        driver.tick(40)
+
+    def answer_paused(self, driver: support.Driver, for_ms: int) -> None:
+        """Let time pass in which the replicas report that they are paused."""
+        for _ in range(for_ms // 20):
+            driver.tick(20)
+            driver.open_all()
+            driver.answer_leadership_checks()
+            for connection in driver.busy():
+                if connection.purpose is states.Purpose.CONTROL:
+                    driver.reply(connection, support.report(held_term=2))
+
+    def test_members_are_resumed_after_the_fence(self):
+        """Guards against members that stay paused.
+
+        The order may have been accepted just before the fence, so that its
+        upstream leads soon after.
+        """
+        driver = self.refused()
+        driver.post(messages.PromotionLeaseSeen(True, 5000))
+        self.answer_all(driver)
+        self.accept_fence(driver)
+        effect_ms = outstanding_orders.EFFECT_TIMEOUT_MS
+        self.answer_paused(driver, effect_ms - 100)
+        self.assertFalse(self.resumed(driver))
+        self.answer_paused(driver, 200)
+        # Shows that the lease is still held.
+        self.accept_fence(driver)
+        self.answer_paused(driver, 100)
         self.assertTrue(self.resumed(driver))
 
 
--- a/topazring/core/synchronous/tests/test_outstanding_orders.py
+++ b/topazring/core/synchronous/tests/test_outstanding_orders.py
@@ -282,14 +282,37 @@
 
 
 class CheckedPlatformTest(testtools.TestCase):
-    """Where tokens are checked a later order is enough."""
+    """Where tokens are checked, only what was accepted takes effect."""
 
-    def test_nothing_is_outstanding(self):
-        """Guards against waiting where the platform needs none."""
+    def is_blocked(self, driver: support.Driver) -> bool:
+        """Return whether nobody but the ordered upstream may be ordered."""
+        return outstanding_orders.blocks(
+            driver.state, driver.now_ms, 'another'
+        )
+
+    def test_order_without_an_answer(self):
+        """Guards against waiting where a later order fences it."""
         driver = failover_support.make_lease_holder()
         answer(driver, order(driver), OrderResult.UNANSWERED)
-        state = driver.state
-        self.assertEqual({}, state.outstanding_orders)
+        self.assertFalse(self.is_blocked(driver))
+
+    def test_accepted_order(self):
+        """Guards against a second promotion before the first has effect."""
+        driver = failover_support.make_lease_holder()
+        answer(driver, order(driver), OrderResult.ACCEPTED)
+        self.assertTrue(self.is_blocked(driver))
+        driver.now_ms += outstanding_orders.EFFECT_TIMEOUT_MS
+        self.assertFalse(self.is_blocked(driver))
+
+    def test_order_of_an_earlier_holder(self):
+        """Guards against a second promotion before the first has effect.
+
+        The earlier holder may have had its order accepted.
+        """
+        driver = failover_support.make_lease_holder()
+        ordered = frozenset({'u2'})
+        driver.post(messages.PromotionLeaseSeen(True, 5000, ordered))
+        self.assertTrue(self.is_blocked(driver))
         self.assertFalse(
-            outstanding_orders.blocks(state, driver.now_ms, 'another')
+            outstanding_orders.blocks(driver.state, driver.now_ms, 'u2')
         )
--- a/topazring/core/synchronous/tests/test_promotion.py
+++ b/topazring/core/synchronous/tests/test_promotion.py
@@ -5,6 +5,7 @@
 from topazring.core import outcomes
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_orders
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
@@ -299,11 +300,11 @@
         self.assertIsNone(driver.state.promotion)
         return driver
 
-    def prove(self, driver: support.Driver) -> list:
+    def prove(self, driver: support.Driver, for_ms: int = 400) -> list:
         """Have `u3` answer that it leads term 2, and all others that not."""
         driver.state.upstreams['u3'].lead_term = 2
         outs = []
-        for _ in range(20):
+        for _ in range(for_ms // 20):
             driver.open_all()
             outs += driver.tick(20)
             outs += driver.answer_leadership_checks(primary='u3')
@@ -311,6 +312,21 @@
         self.assertEqual('u3', driver.state.proven_primary)
         return outs
 
+    def wait_for_effect(self, driver: support.Driver) -> list:
+        """Let the time pass within which an accepted order has effect."""
+        outs = []
+        for _ in range(outstanding_orders.EFFECT_TIMEOUT_MS // 20):
+            seen = self.prove(driver, 20)
+            outs += seen
+            for order in support.orders(seen):
+                driver.post(
+                    messages.PromotionOrdered(
+                        order.upstream, order.token, OrderResult.ACCEPTED
+                    )
+                )
+        self.assertFalse(driver.state.needs_fencing)
+        return outs
+
     def is_any_resumed(self, outs: list) -> bool:
         """Return whether a member is sent a resume."""
         return any(
@@ -330,7 +346,8 @@
         self.assertGreater(fencing.token, token)
         accepted = OrderResult.ACCEPTED
         driver.post(messages.PromotionOrdered('u3', fencing.token, accepted))
-        self.assertTrue(self.is_any_resumed(self.prove(driver)))
+        self.assertFalse(self.is_any_resumed(self.prove(driver)))
+        self.assertTrue(self.is_any_resumed(self.wait_for_effect(driver)))
 
     def write(self, driver: support.Driver) -> None:
         """Confirm a write of `u3`, which `u1` holds."""
@@ -353,7 +370,7 @@
         (fencing,) = support.orders(self.prove(driver))
         accepted = OrderResult.ACCEPTED
         driver.post(messages.PromotionOrdered('u3', fencing.token, accepted))
-        driver.tick(20)
+        self.wait_for_effect(driver)
         self.write(driver)
         outs = []
         for _ in range(20):
--- a/topazring/core/synchronous/tests/test_quick_restarts.py
+++ b/topazring/core/synchronous/tests/test_quick_restarts.py
@@ -81,6 +81,8 @@
     successor = play.choice(is_accepted=True)
     if not successor:
         return ''
+    # The order was sent while the store was away.
+    play.world.recorded_orders.clear()
     play.world.grant_lease('p2')
     chosen = play.choice_of('p2', 800)
     if chosen in ('', successor):
--- a/topazring/core/synchronous/tests/test_successor_gone.py
+++ b/topazring/core/synchronous/tests/test_successor_gone.py
@@ -4,6 +4,7 @@
 
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 from topazring.core.synchronous.tests import failover_support
@@ -121,7 +122,12 @@
                             out.token, True, LOG_END, 0, 10**6, out.term
                         )
                     )
-        self.assertEqual(['u3'], [o.upstream for o in support.orders(outs)])
+        promoted = [
+            order.upstream
+            for order in support.orders(outs)
+            if order.why not in promotion_lease.WITHOUT_EFFECT
+        ]
+        self.assertEqual(['u3'], promoted)
 
 
 class DeposedPrimaryTest(testtools.TestCase):
--- a/topazring/core/synchronous/tests/test_uninterrupted_runs.py
+++ b/topazring/core/synchronous/tests/test_uninterrupted_runs.py
@@ -216,10 +216,6 @@
     play = test_quick_restarts.Play(seed, 0, 6)
     world = play.world
     world.promote_ms = SOME_HUNDRED_MS
-    become_primary = world.become_primary
-    world.become_primary = lambda member, token, proxy, born_ms: (
-        become_primary(member, max(token, world.token_seen), proxy, born_ms)
-    )
     chosen = play.order()
     if not chosen:
         return ''
@@ -232,10 +228,7 @@
 
 
 class AcceptedOrderTest(testtools.TestCase):
-    """A holder that leaves has an accepted order that takes effect later.
-
-    PROTOCOL.md has the fence checked late only for a call without an answer.
-    """
+    """A holder that leaves has an accepted order that takes effect later."""
 
     def test_next_holder_excludes_a_promotion(self):
         """Guards against "nobody is promoted" before an order has effect."""
--- a/topazring/core/synchronous/tests/upstream_side.py
+++ b/topazring/core/synchronous/tests/upstream_side.py
@@ -486,9 +486,12 @@
         proxy: str,
         born_ms: int,
     ) -> None:
-        """Make a member the primary of the next term."""
+        """Make a member the primary of the next term.
+
+        Its order was accepted; nothing that was called since takes it back.
+        """
         ended = member.name not in self.members or member.born_ms != born_ms
-        if ended or self.is_fenced(token) or member.is_down:
+        if ended or member.is_down:
             return
         if member.role is Role.PRIMARY:
             return
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -38,7 +38,6 @@
 # The check of the lease takes 500 ms at most. Later the primary that it names
 # may have been replaced, and would lead again without what was acknowledged.
 MAX_FENCE_AGE_MS = 600
-_WITHOUT_EFFECT = (promotion_lease.FENCE_WHY, promotion_lease.VERIFY_WHY)
 # Messages that a group receives once and needs again after a restart, in the
 # order in which it needs them.
 _RETAINED_MESSAGES = (
@@ -94,8 +93,8 @@
         self.verify_holder = None
         # The highest token of an order that the core has decided on.
         self.newest_token = 0
-        # Records an order in the store, right before it is sent; None where
-        # the platform checks tokens.
+        # Records an order in the store, right before it is sent. Where the
+        # platform checks tokens, it is also sent if the store is away.
         self.record_order = None
         # Names the upstreams of the group whose orders are to stay recorded.
         self.keep_orders = None
@@ -335,17 +334,17 @@
         self, out: messages.OrderPromotion, began_ms: int
     ) -> messages.OrderResult | None:
         """Return why an order must not be sent, None if it may be."""
-        is_recorded = self.record_order is None or await self.record_order(
-            self.service, out.upstream
-        )
-        if not is_recorded:
+        checks_tokens = self.state.limits.checks_tokens
+        is_fence = out.why in promotion_lease.WITHOUT_EFFECT
+        is_recorded = is_fence or await self._record_order(out)
+        if not is_recorded and not checks_tokens:
             return messages.OrderResult.WITHHELD
         is_held = await self._is_lease_held()
         age_ms = clock.boottime_ms() - began_ms
-        if self.record_order is None and not is_held:
+        if checks_tokens and not is_held:
             return messages.OrderResult.REFUSED
-        if self.record_order is None:
-            is_old = out.why in _WITHOUT_EFFECT and age_ms > MAX_FENCE_AGE_MS
+        if checks_tokens:
+            is_old = is_fence and age_ms > MAX_FENCE_AGE_MS
             return messages.OrderResult.WITHHELD if is_old else None
         is_recent = age_ms <= MAX_ORDER_AGE_MS
         is_newest = out.token >= self.newest_token
@@ -353,6 +352,11 @@
             return None
         return messages.OrderResult.WITHHELD
 
+    async def _record_order(self, out: messages.OrderPromotion) -> bool:
+        return self.record_order is None or await self.record_order(
+            self.service, out.upstream
+        )
+
     async def _is_lease_held(self) -> bool:
         return self.verify_holder is None or await self.verify_holder()
 
--- a/topazring/pooler/order_records.py
+++ b/topazring/pooler/order_records.py
@@ -1,10 +1,15 @@
 """Record in the store which promotion orders may still be carried out.
 
-Used where the platform checks no tokens: an order that got no answer may then
-be carried out after any later one, so the next holder of the promotion lease
-has to know of it. One value names the holder's first token and, by service,
-the upstreams that its orders may still promote. It is written before an order
-is sent, and again once the order is settled.
+An order that was accepted takes effect some hundred ms later and, where the
+platform checks no tokens, one that got no answer may be carried out after any
+later one. So the next holder of the promotion lease has to know of it. One
+value names the holder's first token and, by service, the upstreams that its
+orders may still promote. It is written before an order is sent, and again once
+the order is settled.
+
+A platform that checks tokens is sent the order also if the store does not
+answer at once: a primary that is lost while the store is away has to be
+replaced. The next holder then does not know of the order until it is recorded.
 
 Acquiring the lease writes the value too, on condition of the revision that
 was read. A holder that was replaced therefore records no further order.
@@ -29,6 +34,8 @@
 KEY = directories.OWN_PREFIX + 'orders'
 # A group without a primary waits for the record.
 RECORD_TIMEOUT_S = 1.0
+# The same where an order is sent without a record as well.
+OPTIONAL_RECORD_TIMEOUT_S = 0.1
 RETRY_S = 0.05
 # A settled order that is still recorded only makes the next holder wait.
 SETTLED_RETRY_S = 0.5
@@ -58,6 +65,7 @@
         log: events.EventLog,
         late_order_ms: int,
         handle_lost: collections.abc.Callable[[str], None],
+        is_optional: bool = False,
     ):
         self.store = store
         self.directory = directory
@@ -65,6 +73,8 @@
         self.late_order_ms = late_order_ms
         # Called when another process has acquired the lease.
         self.handle_lost = handle_lost
+        # Whether an order is also sent if it cannot be recorded.
+        self.is_optional = is_optional
         # First token of this holder, 0 while the lease is not held.
         self.token = 0
         # What was recorded when the lease was acquired.
@@ -156,14 +166,24 @@
             return False
         self.wanted[service] = self.outstanding(service) | {upstream}
         is_recorded = False
+        timeout_s = RECORD_TIMEOUT_S
+        if self.is_optional:
+            timeout_s = OPTIONAL_RECORD_TIMEOUT_S
+        if self.is_optional and self._is_store_away():
+            # Recorded as soon as the store is back.
+            timeout_s = 0.0
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(RECORD_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 is_recorded = await self._record(service, upstream)
         if not is_recorded:
             inputs = {'upstream': upstream}
             self.log.emit('duty', 'order not recorded', '', service, inputs)
+            self.settled.set()
         return is_recorded
 
+    def _is_store_away(self) -> bool:
+        return self.directory.unavailable_since_ms is not None
+
     async def _record(self, service: str, upstream: str) -> bool:
         """Write until the store holds an order, or it is not to any more."""
         token = self.token
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -126,15 +126,14 @@
             self.log,
             self._handle_registration,
         )
-        self.order_records = None
-        if not config.checks_tokens:
-            self.order_records = order_records.OrderRecords(
-                adapter.store,
-                self.directory,
-                self.log,
-                config.late_order_ms,
-                lambda why: self.promotion_lease.give_up(why),
-            )
+        self.order_records = order_records.OrderRecords(
+            adapter.store,
+            self.directory,
+            self.log,
+            config.late_order_ms,
+            lambda why: self.promotion_lease.give_up(why),
+            config.checks_tokens,
+        )
         self.promotion_lease = promotion_leases.PromotionLease(
             self.incarnation,
             adapter.store,
@@ -225,8 +224,7 @@
         self.directory.start()
         self.membership.start()
         self.promotion_lease.start()
-        if self.order_records is not None:
-            self.order_records.start()
+        self.order_records.start()
         self.member_records.start()
         if self.config.peer_address:
             self.peer_server.start(self.config.peer_address)
@@ -499,10 +497,10 @@
         )
         group.request_lease_recheck = self.promotion_lease.request_recheck
         group.verify_holder = self.promotion_lease.verify_holder
-        if self.order_records is not None:
+        if not self.config.checks_tokens:
             group.verify_holder = self.promotion_lease.is_surely_held
-            group.record_order = self.order_records.record
-            group.keep_orders = self.order_records.keep_only
+        group.record_order = self.order_records.record
+        group.keep_orders = self.order_records.keep_only
         group.read_upstream_list = self.directory.catch_up
         group.yield_lease = self.promotion_lease.yield_lease
         group.query_acknowledgements = self.reports.query_acknowledgements
@@ -586,7 +584,7 @@
     def _lease_seen(self, service: str) -> messages.PromotionLeaseSeen:
         """Return what a group is to know of the promotion lease."""
         records = self.order_records
-        if not self.holds or records is None:
+        if not self.holds:
             return messages.PromotionLeaseSeen(self.holds, self.token)
         return messages.PromotionLeaseSeen(
             True,
@@ -685,8 +683,7 @@
         self.closures.stop()
         self.overdue_report.close()
         self.member_records.close()
-        if self.order_records is not None:
-            self.order_records.close()
+        self.order_records.close()
         try:
             async with asyncio.timeout(CLOSE_S):
                 await self.membership.close()
--- a/topazring/pooler/promotion_lease.py
+++ b/topazring/pooler/promotion_lease.py
@@ -111,7 +111,7 @@
         self.directory = directory
         self.log = log
         self.on_change = on_change
-        # None where the platform checks tokens.
+        # None in tests that need no record of orders.
         self.records = records
         self.holds = False
         self.token = 0
--- a/topazring/pooler/tests/test_group_task.py
+++ b/topazring/pooler/tests/test_group_task.py
@@ -225,6 +225,9 @@
         async def steps():
             for name, hook in hooks.items():
                 setattr(self.task, name, hook)
+            self.task.state.limits = states.Limits(
+                checks_tokens='record_order' not in hooks
+            )
             post = self.task.post
             self.task.post = lambda message: (
                 results.append(message.result)
--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -154,8 +154,11 @@
 
         self.play(steps)
 
-    def test_platform_that_checks_tokens_needs_no_record(self):
-        """Guards against calls for a record that nobody needs."""
+    def test_platform_that_checks_tokens_has_a_record_too(self):
+        """Guards against an accepted order that the next holder misses.
+
+        It does not wait for the store, which may be away.
+        """
         config = settings.PoolerSettings(
             name='p',
             data_centre='cork',
@@ -167,10 +170,10 @@
 
         async def steps():
             pooler = process.Pooler(config, self.poolers[0].adapter)
-            self.assertIsNone(pooler.order_records)
+            self.assertTrue(pooler.order_records.is_optional)
             group = pooler._make_group('s')
             self.addCleanup(group.close)
-            self.assertIsNone(group.record_order)
+            self.assertEqual(pooler.order_records.record, group.record_order)
             self.assertEqual(
                 pooler.promotion_lease.verify_holder, group.verify_holder
             )
