Do not pause members for a term that nobody was ordered for

Cause: when an accepted order has taken effect, the pauses of the members have ended and they report the new term. The holder, which had not yet seen who leads it, raised the term of its attempt, paused a member for the term after, and fenced the other owners for it. It had to resume that member once the attempt ended, and a RESUME without an answer may end a later pause.

Fix: the leader is searched for at once, and the member is not paused again for the time that takes. What is not sent can't be late. If the ordered upstream is not found, the term is raised as before.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -20,6 +20,7 @@
 __all__ = [
     'Attempt',
     'awaits_acknowledgements',
+    'awaits_leader',
     'choose_primary',
     'exempt_primary',
     'forget_member',
@@ -53,6 +54,9 @@
 ACKNOWLEDGEMENTS_TIMEOUT_MS = 3000
 # Time to query the members again after that.
 CONCLUSION_MS = 300
+# How long the chosen upstream is searched for once the term has begun that its
+# order begins. After that another one may lead it.
+LEADER_SEARCH_MS = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,6 +125,8 @@
     # It was logged that an order for another upstream is outstanding.
     is_wait_logged: bool = False
     accepted: bool = False
+    # When a member first reported the term that the accepted order begins.
+    term_begun_ms: int | None = None
 
 
 def exempt_primary(state: states.GroupState) -> str:
@@ -260,6 +266,20 @@
     attempt.acknowledgements = None
 
 
+def awaits_leader(attempt: Attempt, now_ms: int, term: int) -> bool:
+    """Return whether the chosen upstream probably leads a term that began.
+
+    It is searched for, which takes a few ms if it can be reached. Pausing a
+    member for a later term, which nobody was ordered for, would only be undone
+    by a resume.
+    """
+    if not attempt.accepted or term < attempt.ordered_term:
+        return False
+    if attempt.term_begun_ms is None:
+        attempt.term_begun_ms = now_ms
+    return now_ms - attempt.term_begun_ms < LEADER_SEARCH_MS
+
+
 def has_fresh_report(attempt: Attempt, now_ms: int, name: str) -> bool:
     """Return whether a member's report is recent enough to count."""
     reported_ms = attempt.reported_ms.get(name)
--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -97,6 +97,10 @@
             state, now_ms, attempt, 'another leads'
         )
     if report.held_term < attempt.term:
+        if attempts.awaits_leader(attempt, now_ms, report.term):
+            # Search for it at the next tick.
+            state.leadership_checked_ms = states.NEVER_MS
+            return []
         # The member has seen a newer term than any seen here, so it is not
         # paused.
         attempts.raise_term(state, attempt)
