Do not rely on a pause that a late resume may end

Cause: a resume carries no term, so one that was sent without an answer may end any later pause of its member, also after another was answered. Neither the holder nor the next one kept it in mind: the member counted as paused, the other one was ordered, and an owner that no fence reached acknowledged what the first one confirmed.

Fix: a member with such a resume is ordered itself if its log is among the longest, as nothing is lost by what it receives before it leads. Otherwise nobody is ordered before all listed proxies have stopped acknowledging. The holder records members in the store before it resumes them, with the orders, so the next holder knows of them. A report on a pause that was sent before a resume was answered does not count. This holds whatever the delay of the resume within late_order_ms, and needs no shorter one.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -14,6 +14,7 @@
 from topazring.core.synchronous import member_record
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import outstanding_orders
+from topazring.core.synchronous import outstanding_resumes
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
 
@@ -24,12 +25,14 @@
     'choose_primary',
     'exempt_primary',
     'forget_member',
+    'forget_report',
     'forget_reports',
     'has_fresh_list',
     'has_fresh_report',
     'has_receiving_replica',
     'is_blocked',
     'is_demotion_due',
+    'may_lose_pause',
     'members_to_query',
     'paused_log_end',
     'position_to_verify',
@@ -122,6 +125,8 @@
     is_order_pending: bool = False
     # An order of it was withheld.
     is_withheld: bool = False
+    # The chosen upstream may receive more before it leads.
+    is_choice_receiving: bool = False
     # It was logged that an order for another upstream is outstanding.
     is_wait_logged: bool = False
     accepted: bool = False
@@ -238,11 +243,16 @@
         attempt.asked_ms.pop(name, None)
 
 
+def forget_report(attempt: Attempt, name: str) -> None:
+    """Discard the report of a member, so that it is queried again."""
+    attempt.reported_ms.pop(name, None)
+    attempt.asked_ms.pop(name, None)
+
+
 def forget_member(attempt: Attempt, name: str) -> None:
     """Discard the reports of a member that was removed or recreated."""
     attempt.reports.pop(name, None)
-    attempt.reported_ms.pop(name, None)
-    attempt.asked_ms.pop(name, None)
+    forget_report(attempt, name)
     attempt.stale_primaries.discard(name)
     if name in (attempt.successor, attempt.chosen):
         attempt.successor_gone = True
@@ -342,7 +352,9 @@
         return False
     position = attempt.reports[attempt.successor].received
     reporting, silent = _split_by_report(state, now_ms, attempt)
-    if not silent and _is_complete(state, attempt, position):
+    is_doubtful = may_lose_pause(state, now_ms, attempt, attempt.successor)
+    is_complete = _is_complete(state, attempt, position)
+    if not silent and is_complete and not is_doubtful:
         return False
     return all(
         position >= attempt.reports[name].received for name in reporting
@@ -386,7 +398,9 @@
         is_caught_up = position >= max(
             positions.values()
         ) and _holds_known_writes(state, position)
-        is_complete = _is_complete(state, attempt, position)
+        is_complete = _is_complete(
+            state, attempt, position
+        ) and not may_lose_pause(state, now_ms, attempt, attempt.successor)
         return attempt.successor if is_caught_up and is_complete else ''
     others = {name: positions[name] for name in reporting if name != lost}
     highest = max(others.values(), default=log_positions.ORIGIN)
@@ -395,15 +409,33 @@
         holds_all = attempt.unconfirmed and not state.successor_gone
         return attempt.old_primary if holds_all else ''
     eligible = [name for name in others if others[name] == highest]
-    ordered = [
-        name
-        for name in eligible
-        if outstanding_orders.is_outstanding(state, now_ms, name)
-    ]
-    staying = [n for n in eligible if not state.upstreams[n].leaving]
+    chosen = _prefer(state, now_ms, attempt, eligible)
+    is_excluded = not may_lose_pause(state, now_ms, attempt, chosen) or (
+        acknowledgement_fence.holds_reported(
+            state, attempt.acknowledgements, highest
+        )
+    )
+    return chosen if is_excluded else ''
+
+
+def _prefer(
+    state: states.GroupState,
+    now_ms: int,
+    attempt: Attempt,
+    eligible: list[str],
+) -> str:
+    """Return which of the members with the longest log is to lead.
+
+    One that may receive again at any time is chosen before others: nothing is
+    lost by what it receives itself.
+    """
+    doubtful = outstanding_resumes.doubtful_members(state, now_ms)
     return min(
-        ordered or staying or eligible,
+        eligible,
         key=lambda name: (
+            not outstanding_orders.is_outstanding(state, now_ms, name),
+            name not in doubtful,
+            state.upstreams[name].leaving,
             name == attempt.old_primary,
             states.is_closed_by_operator(state, now_ms, name),
             name,
@@ -411,6 +443,23 @@
     )
 
 
+def may_lose_pause(
+    state: states.GroupState, now_ms: int, attempt: Attempt, chosen: str
+) -> bool:
+    """Return whether a late resume may have a member confirm writes.
+
+    A primary that was demoted in the attempt gets none confirmed.
+    """
+    if attempt.unconfirmed and attempt.old_primary in attempt.reports:
+        return False
+    doubtful = outstanding_resumes.doubtful_members(state, now_ms)
+    lost = _exempt_old_primary(state, attempt)
+    return any(
+        name in doubtful and name not in (chosen, lost)
+        for name in required_members(state, attempt)
+    )
+
+
 def _holds_acknowledged(
     state: states.GroupState,
     attempt: Attempt,
@@ -511,8 +560,18 @@
         (attempt.reports[n].received for n in reporting if n != lost),
         default=log_positions.ORIGIN,
     )
-    is_known = _holds_acknowledged(state, attempt, longest)
-    return None if is_known else longest
+    if not _holds_acknowledged(state, attempt, longest):
+        return longest
+    eligible = [
+        name
+        for name in reporting
+        if name != lost and attempt.reports[name].received == longest
+    ]
+    if not eligible:
+        return None
+    chosen = _prefer(state, now_ms, attempt, eligible)
+    is_excluded = not may_lose_pause(state, now_ms, attempt, chosen)
+    return None if is_excluded else longest
 
 
 def _may_hold_exclusively(
--- a/topazring/core/synchronous/group.py
+++ b/topazring/core/synchronous/group.py
@@ -19,9 +19,11 @@
 from topazring.core.synchronous import membership
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import outstanding_orders
+from topazring.core.synchronous import outstanding_resumes
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import primary_availability
 from topazring.core.synchronous import promotion
+from topazring.core.synchronous import promotion_commands
 from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import promotion_order
 from topazring.core.synchronous import proof_report
@@ -183,6 +185,16 @@
     return promotion_order.handle_order_result(state, now_ms, message)
 
 
+@_handles(messages.ResumesRecorded)
+def _resumes_recorded(
+    state: states.GroupState, now_ms: int, message: messages.ResumesRecorded
+) -> list:
+    outstanding_resumes.handle_recorded(state, message)
+    if not state.holds_promotion_lease or state.promotion is not None:
+        return []
+    return promotion_commands.resume_paused(state, now_ms)
+
+
 @_handles(messages.UpstreamListRead)
 def _list_read(
     state: states.GroupState, now_ms: int, message: messages.UpstreamListRead
@@ -274,6 +286,7 @@
     outs += member_record.record_members(state)
     outs += promotion.tick(state, now_ms)
     outs += outstanding_orders.expire(state, now_ms)
+    outs += outstanding_resumes.expire(state, now_ms)
     outs += _send_leadership_checks(state, now_ms)
     outs += primary.resolve_claims(state, now_ms)
     outs += connections.apply_larger_share(state, now_ms)
--- a/topazring/core/synchronous/member_replies.py
+++ b/topazring/core/synchronous/member_replies.py
@@ -3,6 +3,7 @@
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_resumes
 from topazring.core.synchronous import primary
 from topazring.core.synchronous import promotion
 from topazring.core.synchronous import promotion_commands
@@ -34,9 +35,8 @@
             reply.report,
             connection.running_since_ms,
         )
-    if isinstance(command, statements.Resume) and reply.code is None:
-        state.paused.discard(name)
-        return []
+    if isinstance(command, statements.Resume):
+        return _handle_resume_reply(state, now_ms, connection, reply)
     if upstream is None or reply.report is None:
         # Its entry may have expired while the command was in flight, so it is
         # no longer a member.
@@ -45,8 +45,10 @@
         promotion_commands.note_pause_report(state, name)
         return promotion_lease.fence_earlier_orders(state, now_ms)
     state.term = max(state.term, reply.report.term)
-    if connection.sent_ms < state.resumed_ms:
-        # It may have been unread for as long as this process stood still.
+    is_old = connection.sent_ms < state.resumed_ms
+    if is_old or connection.sent_ms <= upstream.resume_answered_ms:
+        # It may have been unread for as long as this process stood still, or a
+        # resume that was sent before has ended the pause.
         attempt.asked_ms.pop(name, None)
         return promotion.advance(state, now_ms, attempt)
     if isinstance(command, statements.Pause):
@@ -64,6 +66,27 @@
     return promotion.advance(state, now_ms, attempt)
 
 
+def _handle_resume_reply(
+    state: states.GroupState,
+    now_ms: int,
+    connection: states.Connection,
+    reply: statements.Reply,
+) -> list:
+    name = connection.upstream
+    outstanding_resumes.note_answered(state, connection)
+    if reply.code is None:
+        state.paused.discard(name)
+    upstream = states.upstream_of(state, connection)
+    attempt = state.promotion
+    if upstream is None or attempt is None:
+        return []
+    # What the member has reported since may be of before the resume.
+    upstream.resume_answered_ms = now_ms
+    state.paused.add(name)
+    attempts.forget_report(attempt, name)
+    return promotion.advance(state, now_ms, attempt)
+
+
 def _handle_pause_reply(
     state: states.GroupState,
     now_ms: int,
--- a/topazring/core/synchronous/membership.py
+++ b/topazring/core/synchronous/membership.py
@@ -7,6 +7,7 @@
 from topazring.core.synchronous import member_record
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import outstanding_orders
+from topazring.core.synchronous import outstanding_resumes
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -77,6 +78,7 @@
     has_drained = _has_drained(state, now_ms, upstream)
     if is_recreated:
         outstanding_orders.note_recreated(state, name)
+        outstanding_resumes.note_ended(state, name)
     elif has_drained:
         outstanding_orders.note_ended(state, name)
     paused_log_end = None
--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -21,6 +21,7 @@
     'QueryAcknowledgements',
     'QueryFence',
     'RecordMembers',
+    'RecordResumes',
     'RegistrationSeen',
     'Shutdown',
     'Answer',
@@ -44,6 +45,7 @@
     'ReadUpstreamList',
     'Replied',
     'Request',
+    'ResumesRecorded',
     'Send',
     'Submit',
     'Tick',
@@ -225,15 +227,17 @@
 class PromotionLeaseSeen:
     """Report whether this proxy holds the promotion lease.
 
-    `token` is the lowest of the tokens that are reserved for it. Where the
-    platform checks no tokens, orders of earlier holders for the upstreams in
-    `ordered` may still be carried out, or for any if `is_any_ordered`.
+    `token` is the lowest of the tokens that are reserved for it. Orders of
+    earlier holders for the upstreams in `ordered` may still take effect, or
+    for any if `is_any_ordered`. Members in `resumed` may still obey a resume
+    of one.
     """
 
     holds: bool
     token: int = 0
     ordered: frozenset[str] = frozenset()
     is_any_ordered: bool = False
+    resumed: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -243,6 +247,13 @@
     holds: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumesRecorded:
+    """Report that these members may be resumed."""
+
+    upstreams: frozenset[str]
+
+
 class OrderResult(enum.StrEnum):
     """Name the answer of the platform to a promotion order."""
 
@@ -434,6 +445,17 @@
     upstreams: frozenset[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordResumes:
+    """Record in the store which members may still obey a resume.
+
+    `ResumesRecorded` with the same members follows, also if the store does not
+    answer in time.
+    """
+
+    upstreams: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VerifyLease:
     """Verify that nobody else holds the lease; `LeaseVerified` follows."""
--- a/topazring/core/synchronous/promotion.py
+++ b/topazring/core/synchronous/promotion.py
@@ -30,6 +30,7 @@
 from topazring.core.synchronous import member_record
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import outstanding_orders
+from topazring.core.synchronous import outstanding_resumes
 from topazring.core.synchronous import position_records
 from topazring.core.synchronous import promotion_commands
 from topazring.core.synchronous import promotion_end
@@ -127,6 +128,7 @@
     ]
     if not staying:
         return ''
+    doubtful = outstanding_resumes.doubtful_members(state, now_ms)
     reachable = [
         upstream
         for upstream in staying
@@ -136,6 +138,7 @@
         reachable or staying,
         key=lambda u: (
             outstanding_orders.is_outstanding(state, now_ms, u.name),
+            u.name in doubtful,
             not states.is_closed_by_operator(state, now_ms, u.name),
             u.place,
             u.is_established,
@@ -337,8 +340,8 @@
     The comparison is with what the chosen one had received when the order
     was first sent.
     """
-    if attempt.chosen in (attempt.old_primary, attempt.successor):
-        # The successor keeps receiving, so its recorded log position is older
+    if attempt.chosen == attempt.old_primary or attempt.is_choice_receiving:
+        # One that keeps receiving has a recorded log position that is older
         # than the positions of the others.
         return False
     # Entries that only the demoted primary holds were never confirmed.
@@ -377,9 +380,9 @@
     primary = state.primary
     is_renewed = attempt.chosen == attempt.old_primary and attempt.accepted
     if primary and (primary != attempt.old_primary or is_renewed):
-        if primary == attempt.chosen != attempt.successor:
-            # A successor received more entries after it was chosen, so the
-            # chosen position is not where its term started.
+        if primary == attempt.chosen and not attempt.is_choice_receiving:
+            # Otherwise it may have received more entries after it was chosen,
+            # so the chosen position is not where its term started.
             state.primary_start = position_records.PrimaryStart(
                 primary, attempt.chosen_position
             )
--- a/topazring/core/synchronous/promotion_commands.py
+++ b/topazring/core/synchronous/promotion_commands.py
@@ -6,6 +6,7 @@
 from topazring.core.synchronous import connections
 from topazring.core.synchronous import failure_detection
 from topazring.core.synchronous import messages
+from topazring.core.synchronous import outstanding_resumes
 from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import state as states
 from topazring.core.synchronous import statements
@@ -78,6 +79,8 @@
     free = states.idle_connections(state, upstream)
     if free:
         purpose = states.Purpose.CONTROL
+        if isinstance(command, statements.Resume):
+            outstanding_resumes.note_sent(state, now_ms, free[0])
         return [connections.send(free[0], now_ms, purpose, (command,))]
     return connections.dial_beyond_share(state, now_ms, upstream)
 
@@ -85,7 +88,8 @@
 def resume_paused(state: states.GroupState, now_ms: int) -> list:
     """Resume replication on every replica that an attempt had paused.
 
-    Replicas that may be paused are queried first.
+    Replicas that may be paused are queried first, and those that are to be
+    resumed are recorded.
     """
     if not promotion_lease.may_resume(state):
         return []
@@ -94,7 +98,9 @@
     queried = state.may_be_paused.keys()
     outs = _send_to_all(state, now_ms, queried, statements.Status())
     if promotion_lease.surely_held_recently(state, now_ms):
-        outs += _send_to_all(state, now_ms, state.paused, statements.Resume())
+        outs += outstanding_resumes.record(state, now_ms)
+        names = outstanding_resumes.may_be_resumed(state)
+        outs += _send_to_all(state, now_ms, names, statements.Resume())
     return outs
 
 
--- a/topazring/core/synchronous/promotion_lease.py
+++ b/topazring/core/synchronous/promotion_lease.py
@@ -3,6 +3,7 @@
 from topazring.core.synchronous import confirmations
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import outstanding_orders
+from topazring.core.synchronous import outstanding_resumes
 from topazring.core.synchronous import proofs
 from topazring.core.synchronous import sent_orders
 from topazring.core.synchronous import state as states
@@ -67,6 +68,7 @@
     if is_gained:
         if message.token > state.granted_token:
             outstanding_orders.note_earlier(state, now_ms, message)
+            outstanding_resumes.note_earlier(state, now_ms, message)
         state.granted_token = message.token
         state.lease_gained_ms = now_ms
         state.fence_token = 0
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -6,6 +6,7 @@
 from topazring.core.synchronous import attempts
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import outstanding_orders
+from topazring.core.synchronous import outstanding_resumes
 from topazring.core.synchronous import promotion_end
 from topazring.core.synchronous import promotion_lease
 from topazring.core.synchronous import sent_orders
@@ -50,6 +51,10 @@
         return request_list(now_ms, attempt)
     attempt.chosen = chosen
     attempt.chosen_position = attempt.reports[chosen].received
+    doubtful = outstanding_resumes.doubtful_members(state, now_ms)
+    attempt.is_choice_receiving = (
+        chosen in doubtful or chosen == attempt.successor
+    )
     attempt.ordered_ms = now_ms
     attempt.ordered_term = attempt.term
     attempt.is_order_pending = True
@@ -75,6 +80,7 @@
             },
             'departed': state.departed_members.describe(now_ms),
             'acknowledged': str(state.acknowledged),
+            'may_be_resumed': sorted(doubtful),
             'after_ms': now_ms - attempt.began_ms,
         },
     )
--- a/topazring/core/synchronous/restart.py
+++ b/topazring/core/synchronous/restart.py
@@ -54,6 +54,9 @@
     outstanding_orders.give_up_in_flight(state)
     renewed.outstanding_orders = state.outstanding_orders
     renewed.recorded_orders = state.recorded_orders
+    renewed.outstanding_resumes = state.outstanding_resumes
+    renewed.recorded_resumes = state.recorded_resumes
+    renewed.wanted_resumes = state.wanted_resumes
     renewed.unknown_orders_until_ms = state.unknown_orders_until_ms
     renewed.term = state.term
     renewed.acknowledged = state.acknowledged
--- a/topazring/core/synchronous/state.py
+++ b/topazring/core/synchronous/state.py
@@ -193,6 +193,9 @@
     is_established: bool = False
     # A different instance was listed under this name before.
     is_recreated: bool = False
+    # When it last answered a resume during an attempt; a pause that was sent
+    # before may have ended.
+    resume_answered_ms: int = NEVER_MS
     # When it was last sent a leadership check, and a query for its term.
     asked_ms: int = NEVER_MS
     witness_asked_ms: int = NEVER_MS
@@ -541,6 +544,15 @@
     outstanding_orders: dict = dataclasses.field(default_factory=dict)
     recorded_orders: frozenset[str] = frozenset()
     unknown_orders_until_ms: int = NEVER_MS
+    # Until when members may obey a resume, by name and connection; those that
+    # the store has a record of, and those that it is to have; and when that
+    # was last requested.
+    outstanding_resumes: dict[tuple[str, int], int] = dataclasses.field(
+        default_factory=dict
+    )
+    recorded_resumes: frozenset[str] = frozenset()
+    wanted_resumes: frozenset[str] = frozenset()
+    resumes_record_sent_ms: int = NEVER_MS
     # When it was last asked whether the promotion lease is surely held, and
     # when the last confirmation was asked for.
     verification_sent_ms: int = NEVER_MS
--- a/topazring/core/synchronous/tests/simulation.py
+++ b/topazring/core/synchronous/tests/simulation.py
@@ -83,6 +83,8 @@
         self.holder = ''
         # What the store records of orders that may be carried out.
         self.recorded_orders: set[str] = set()
+        # Members that it names as resumed without an answer.
+        self.recorded_resumes: set[str] = set()
         self.wires: dict[tuple[str, int], fake_group.Wire] = {}
         self.waiting_acks: list = []
         self.cut_pairs: set[frozenset[str]] = set()
@@ -189,6 +191,11 @@
             case messages.OrdersOutstanding():
                 if proxy == self.holder and proxy not in self.without_store:
                     self.recorded_orders = set(out.upstreams)
+            case messages.RecordResumes():
+                if proxy == self.holder and proxy not in self.without_store:
+                    self.recorded_resumes = set(out.upstreams)
+                recorded = messages.ResumesRecorded(out.upstreams)
+                self.at(self.delay(), self.post, proxy, recorded)
             case messages.VerifyLease():
                 self.verify_lease(proxy)
             case messages.ReadUpstreamList():
@@ -326,7 +333,12 @@
         ordered = frozenset(self.recorded_orders)
         self.post(
             proxy,
-            messages.PromotionLeaseSeen(True, self.next_block, ordered),
+            messages.PromotionLeaseSeen(
+                True,
+                self.next_block,
+                ordered,
+                resumed=frozenset(self.recorded_resumes),
+            ),
         )
 
     def grant_lease_after_yield(
--- a/topazring/core/synchronous/tests/support.py
+++ b/topazring/core/synchronous/tests/support.py
@@ -44,6 +44,9 @@
             raise AssertionError(f'after {message}: {broken}')
         self.outs += outs
         for out in outs:
+            if isinstance(out, messages.RecordResumes):
+                recorded = messages.ResumesRecorded(out.upstreams)
+                outs = outs + self.post(recorded)
             if isinstance(out, messages.ReadUpstreamList) and self.reads_list:
                 return outs + self.post(messages.UpstreamListRead(out.token))
         return outs
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -98,6 +98,8 @@
         self.record_order = None
         # Names the upstreams of the group whose orders are to stay recorded.
         self.keep_orders = None
+        # Records in the store which members may still obey a resume.
+        self.record_resumes = None
         # Reads the listed upstreams again and posts what has changed.
         self.read_upstream_list = None
         # Called when another proxy should acquire the promotion lease.
@@ -247,6 +249,8 @@
             case messages.OrdersOutstanding():
                 if self.keep_orders is not None:
                     self.keep_orders(self.service, out.upstreams)
+            case messages.RecordResumes():
+                self._spawn(self._record_resumes(out))
             case messages.VerifyLease():
                 self._spawn(self._verify_lease())
             case messages.ReadUpstreamList():
@@ -357,6 +361,11 @@
             self.service, out.upstream
         )
 
+    async def _record_resumes(self, out: messages.RecordResumes) -> None:
+        if self.record_resumes is not None:
+            await self.record_resumes(self.service, out.upstreams)
+        self.post(messages.ResumesRecorded(out.upstreams))
+
     async def _is_lease_held(self) -> bool:
         return self.verify_holder is None or await self.verify_holder()
 
--- a/topazring/pooler/order_records.py
+++ b/topazring/pooler/order_records.py
@@ -11,6 +11,9 @@
 answer at once: a primary that is lost while the store is away has to be
 replaced. The next holder then does not know of the order until it is recorded.
 
+The value also names the members that may still obey a resume of a holder: it
+is written before they are resumed, and again once all have answered.
+
 Acquiring the lease writes the value too, on condition of the revision that
 was read. A holder that was replaced therefore records no further order.
 """
@@ -50,6 +53,8 @@
     upstreams: dict[str, list[str]] = {}
     # Orders for other upstreams may be carried out as well.
     is_incomplete: bool = False
+    # By service, the members that may still obey a resume.
+    resumed: dict[str, list[str]] = {}
 
 
 _decode = msgspec.json.Decoder(_Record).decode
@@ -79,6 +84,7 @@
         self.token = 0
         # What was recorded when the lease was acquired.
         self.earlier: dict[str, frozenset[str]] = {}
+        self.earlier_resumed: dict[str, frozenset[str]] = {}
         self.is_earlier_incomplete = False
         # Until when orders may be carried out that nobody has recorded.
         self.incomplete_until_ms = 0
@@ -86,6 +92,8 @@
         # from a write until its answer, or until the record was read.
         self.wanted: dict[str, frozenset[str]] = {}
         self.stored: dict[str, frozenset[str]] | None = {}
+        self.wanted_resumed: dict[str, frozenset[str]] = {}
+        self.stored_resumed: dict[str, frozenset[str]] = {}
         self.is_stored_incomplete = False
         # Revision of the record, None while it is not known.
         self.revision: int | None = None
@@ -124,9 +132,16 @@
         self.is_earlier_incomplete = not _is_complete(
             record, last_token, least_token
         )
-        found = {} if record is None else record.upstreams
-        self.earlier = {name: frozenset(found[name]) for name in found}
-        text = self._encode(token, self.earlier, self.is_earlier_incomplete)
+        self.earlier, self.earlier_resumed = {}, {}
+        if record is not None:
+            self.earlier = _as_sets(record.upstreams)
+            self.earlier_resumed = _as_sets(record.resumed)
+        text = _encode(
+            token,
+            self.earlier,
+            self.is_earlier_incomplete,
+            self.earlier_resumed,
+        )
         return key_value.Value(KEY, text, _revision(listed))
 
     def begin(self, token: int) -> None:
@@ -134,6 +149,8 @@
         self.token = token
         self.wanted = dict(self.earlier)
         self.stored = dict(self.earlier)
+        self.wanted_resumed = dict(self.earlier_resumed)
+        self.stored_resumed = dict(self.earlier_resumed)
         self.revision = None
         # The write of the claim moved the revision.
         self.is_unresolved = False
@@ -149,6 +166,10 @@
                 name: sorted(self.earlier[name]) for name in self.earlier
             },
             'is_incomplete': self.is_earlier_incomplete,
+            'resumed': {
+                name: sorted(self.earlier_resumed[name])
+                for name in self.earlier_resumed
+            },
         }
         self.log.emit('duty', 'earlier orders', inputs=inputs)
         # Reads the revision now, so that an order need not wait for it.
@@ -166,14 +187,8 @@
             return False
         self.wanted[service] = self.outstanding(service) | {upstream}
         is_recorded = False
-        timeout_s = RECORD_TIMEOUT_S
-        if self.is_optional:
-            timeout_s = OPTIONAL_RECORD_TIMEOUT_S
-        if self.is_optional and self._is_store_away():
-            # Recorded as soon as the store is back.
-            timeout_s = 0.0
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(self._timeout_s(self.is_optional)):
                 is_recorded = await self._record(service, upstream)
         if not is_recorded:
             inputs = {'upstream': upstream}
@@ -181,8 +196,14 @@
             self.settled.set()
         return is_recorded
 
-    def _is_store_away(self) -> bool:
-        return self.directory.unavailable_since_ms is not None
+    def _timeout_s(self, is_optional: bool) -> float:
+        """Return how long to wait for a record."""
+        if not is_optional:
+            return RECORD_TIMEOUT_S
+        if self.directory.unavailable_since_ms is not None:
+            # It is written as soon as the store is back.
+            return 0.0
+        return OPTIONAL_RECORD_TIMEOUT_S
 
     async def _record(self, service: str, upstream: str) -> bool:
         """Write until the store holds an order, or it is not to any more."""
@@ -206,6 +227,42 @@
             del self.wanted[service]
         self.settled.set()
 
+    async def record_resumes(
+        self, service: str, members: frozenset[str]
+    ) -> None:
+        """Record which members may still obey a resume, if that is possible.
+
+        A group whose members stay paused serves no writes, so they are not
+        left paused while the store is away.
+        """
+        if not self.token:
+            return
+        self.wanted_resumed[service] = members
+        if not members:
+            del self.wanted_resumed[service]
+        self.settled.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._timeout_s(is_optional=True)):
+                await self._store_resumes(service, members)
+                return
+        inputs = {'members': sorted(members)}
+        self.log.emit('duty', 'resumes not recorded', '', service, inputs)
+
+    async def _store_resumes(
+        self, service: str, members: frozenset[str]
+    ) -> None:
+        """Write until the store holds these members, or others are wanted."""
+        token = self.token
+        while self.token == token and not self._is_up_to_date():
+            if self.resumed(service) != members:
+                return
+            if not await self._write():
+                await asyncio.sleep(RETRY_S)
+
+    def resumed(self, service: str) -> frozenset[str]:
+        """Return the members that may still obey a resume, by this record."""
+        return self.wanted_resumed.get(service, frozenset())
+
     def outstanding(self, service: str) -> frozenset[str]:
         """Return the upstreams that orders may promote, by this record."""
         return self.wanted.get(service, frozenset())
@@ -222,6 +279,7 @@
     def _is_up_to_date(self) -> bool:
         return (
             self.wanted == self.stored
+            and self.wanted_resumed == self.stored_resumed
             and self.is_stored_incomplete == self.is_incomplete()
             and not self.is_unresolved
         )
@@ -248,8 +306,9 @@
             if self._is_up_to_date():
                 return True
             wanted = dict(self.wanted)
+            resumed = dict(self.wanted_resumed)
             is_incomplete = self.is_incomplete()
-            text = self._encode(token, wanted, is_incomplete)
+            text = _encode(token, wanted, is_incomplete, resumed)
             revision, self.revision = self.revision, None
             self.stored = None
             self.is_unresolved = True
@@ -262,6 +321,7 @@
             if self.token == token:
                 self.revision = answer.revision
                 self.stored = wanted
+                self.stored_resumed = resumed
                 self.is_stored_incomplete = is_incomplete
                 self.is_unresolved = False
             return True
@@ -278,26 +338,39 @@
             self.handle_lost('the record of orders is of another')
             return False
         self.revision = answer.revision
-        self.stored = {
-            name: frozenset(names) for name, names in record.upstreams.items()
-        }
+        self.stored = _as_sets(record.upstreams)
+        self.stored_resumed = _as_sets(record.resumed)
         self.is_stored_incomplete = record.is_incomplete
         return True
 
-    def _encode(
-        self,
-        token: int,
-        upstreams: collections.abc.Mapping[str, frozenset[str]],
-        is_incomplete: bool,
-    ) -> str:
-        listed = {name: sorted(upstreams[name]) for name in sorted(upstreams)}
-        record = _Record(token, listed, is_incomplete)
-        return msgspec.json.encode(record).decode()
-
     def _decode(self, text: str) -> _Record | None:
         return stored_values.decode(self.log, KEY, text, _decode)
 
 
+def _encode(
+    token: int,
+    upstreams: collections.abc.Mapping[str, frozenset[str]],
+    is_incomplete: bool,
+    resumed: collections.abc.Mapping[str, frozenset[str]],
+) -> str:
+    record = _Record(
+        token, _as_lists(upstreams), is_incomplete, _as_lists(resumed)
+    )
+    return msgspec.json.encode(record).decode()
+
+
+def _as_lists(
+    names: collections.abc.Mapping[str, frozenset[str]],
+) -> dict[str, list[str]]:
+    return {service: sorted(names[service]) for service in sorted(names)}
+
+
+def _as_sets(
+    names: collections.abc.Mapping[str, list[str]],
+) -> dict[str, frozenset[str]]:
+    return {service: frozenset(names[service]) for service in names}
+
+
 def _is_complete(
     record: _Record | None,
     last_token: int | None,
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -501,6 +501,7 @@
             group.verify_holder = self.promotion_lease.is_surely_held
         group.record_order = self.order_records.record
         group.keep_orders = self.order_records.keep_only
+        group.record_resumes = self.order_records.record_resumes
         group.read_upstream_list = self.directory.catch_up
         group.yield_lease = self.promotion_lease.yield_lease
         group.query_acknowledgements = self.reports.query_acknowledgements
@@ -591,6 +592,7 @@
             self.token,
             records.outstanding(service),
             records.is_incomplete(),
+            records.resumed(service),
         )
 
     # ---- load balancer and operators ----
--- a/topazring/pooler/tests/test_order_records.py
+++ b/topazring/pooler/tests/test_order_records.py
@@ -149,6 +149,38 @@
 
         self.play(steps)
 
+    def test_next_holder_knows_the_resumes(self):
+        """Guards against a pause that a late resume ends."""
+
+        async def steps():
+            records = await self.acquire(self.holder)
+            await records.record_resumes('s', frozenset({'u2', 'u3'}))
+            await records.record_resumes('s', frozenset({'u3'}))
+            later = await self.acquire(self.add_holder('p2-b'))
+            self.assertEqual(frozenset({'u3'}), later.resumed('s'))
+            await later.record_resumes('s', frozenset())
+            last = await self.acquire(self.add_holder('p3-c'))
+            self.assertEqual(frozenset(), last.resumed('s'))
+
+        self.play(steps)
+
+    def test_members_are_not_left_paused_without_the_store(self):
+        """Guards against a group whose writes wait for the store.
+
+        The record is written once the store is back.
+        """
+
+        async def steps():
+            records = await self.acquire(self.holder)
+            self.store.is_unavailable = True
+            await records.record_resumes('s', frozenset({'u3'}))
+            self.store.is_unavailable = False
+            await asyncio.sleep(2 * order_records.SETTLED_RETRY_S)
+            later = await self.acquire(self.add_holder('p2-b'))
+            self.assertEqual(frozenset({'u3'}), later.resumed('s'))
+
+        self.play(steps)
+
     def test_replaced_holder_records_no_order(self):
         """Guards against an order with a lower token than a later holder's."""
 
