Fence owners with the order while the lease may have ended

Cause: a fence is released by a holder that surely holds the lease, so no owner was fenced while that could not be shown, though an order was sent.

Fix: they are fenced as the order is sent. Its term is about to begin, which ends the fence without a release, so owners don't wait for the store. As before an attempt that sends no order fences nobody then.

test_owners_are_fenced_with_an_order: before, no fence was sent at all in this state (test_fence_that_could_not_be_released shows that, and still holds for an attempt that begins); the message that it posts is new.

--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -17,6 +17,7 @@
     'FenceChecked',
     'FenceOwners',
     'FenceReleased',
+    'FenceUnfencedOwners',
     'HandOverReported',
     'QueryAcknowledgements',
     'QueryFence',
@@ -509,6 +510,16 @@
     term: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceUnfencedOwners:
+    """Fence the other owners if `FenceOwners` could not.
+
+    An order is about to be sent, so the term will soon begin.
+    """
+
+    term: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueryFence:
     """Query the lease holder for a fence.
--- a/topazring/core/synchronous/promotion_order.py
+++ b/topazring/core/synchronous/promotion_order.py
@@ -85,7 +85,9 @@
         },
     )
     order = sent_orders.send(state, now_ms, chosen, attempt.token, attempt.why)
-    return [decided, order]
+    if attempt.successor:
+        return [decided, order]
+    return [decided, messages.FenceUnfencedOwners(attempt.term), order]
 
 
 def _wait_for_earlier_order(
--- a/topazring/core/synchronous/tests/test_acknowledgement_fence.py
+++ b/topazring/core/synchronous/tests/test_acknowledgement_fence.py
@@ -281,6 +281,15 @@
         outs = failover_support.lose_primary(driver)
         self.assertEqual([2], self.fenced(outs))
 
+    def test_order_is_sent(self):
+        """Guards against an order beside owners that were not fenced."""
+        driver = failover_support.make_lease_holder()
+        failover_support.lose_primary(driver)
+        outs = failover_support.answer_control_commands(driver)
+        kinds = [type(out) for out in outs]
+        fenced = kinds.index(messages.FenceUnfencedOwners)
+        self.assertLess(fenced, kinds.index(messages.OrderPromotion))
+
     def test_newer_term_is_seen_meanwhile(self):
         """Guards against owners that acknowledge writes of that term."""
         driver = failover_support.make_lease_holder()
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -108,6 +108,8 @@
         self.query_acknowledgements = None
         # Fences the other owners; does not return what they acknowledged.
         self.fence_owners = None
+        # Fences them if that could not be done before.
+        self.fence_unfenced_owners = None
         # Writes the record of the members to the store.
         self.record_members = None
         # Returns the release of the fence, if the lease holder needs none.
@@ -263,6 +265,11 @@
             case messages.FenceOwners():
                 if self.fence_owners is not None:
                     self._spawn(self.fence_owners(self.service, out.term))
+            case messages.FenceUnfencedOwners():
+                if self.fence_unfenced_owners is not None:
+                    self._spawn(
+                        self.fence_unfenced_owners(self.service, out.term)
+                    )
             case messages.RecordMembers():
                 if self.record_members:
                     self.record_members(self.service, out.members)
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -155,6 +155,8 @@
             self.promotion_lease.surely_holds,
             self.log,
         )
+        # Groups whose owners were not fenced as an attempt began.
+        self.unfenced_services: set[str] = set()
         self.reports = acknowledgement_reports.Reports(
             config.name,
             self.incarnation,
@@ -506,6 +508,7 @@
         group.yield_lease = self.promotion_lease.yield_lease
         group.query_acknowledgements = self.reports.query_acknowledgements
         group.fence_owners = self._fence_owners
+        group.fence_unfenced_owners = self._fence_unfenced_owners
         group.query_fence = self.reports.query_fence
         group.record_members = self.member_records.write
         self.groups[service] = group
@@ -528,13 +531,33 @@
         """Fence the other owners while this process could release them.
 
         Only a holder whose lease has not ended may release a fence. Without
-        the store it goes on promoting, and writes would wait for the store.
+        the store it goes on promoting, and after an attempt in vain writes
+        would wait for the store.
         """
+        if self.promotion_lease.surely_holds():
+            self.unfenced_services.discard(service)
+            await self._fence_all_owners(service, term)
+            return
+        self.unfenced_services.add(service)
+        self._log_not_fenced(service, term, 'lease may have ended')
+
+    async def _fence_unfenced_owners(self, service: str, term: int) -> None:
+        """Fence the other owners with an order: the term is about to begin.
+
+        Once it does, they acknowledge writes again without a release.
+        """
+        if service in self.unfenced_services:
+            self.unfenced_services.discard(service)
+            await self._fence_all_owners(service, term)
+
+    def _log_not_fenced(self, service: str, term: int, why: str) -> None:
+        inputs = {'service': service, 'term': term, 'why': why}
+        self.log.emit('duty', 'owners not fenced', inputs=inputs)
+
+    async def _fence_all_owners(self, service: str, term: int) -> None:
         owned = self.router.ownerships.get(service)
-        if owned is None or not self.promotion_lease.surely_holds():
-            why = 'owners unknown' if owned is None else 'lease may have ended'
-            inputs = {'service': service, 'term': term, 'why': why}
-            self.log.emit('duty', 'owners not fenced', inputs=inputs)
+        if owned is None:
+            self._log_not_fenced(service, term, 'owners unknown')
             return
         names = {owner.name for owner in owned.owners}
         await self.reports.fence_owners(service, term, names)
--- a/topazring/pooler/tests/test_process.py
+++ b/topazring/pooler/tests/test_process.py
@@ -323,6 +323,28 @@
 
         self.play(steps)
 
+    def test_owners_are_fenced_with_an_order(self):
+        """Guards against owners that go on while the store is away.
+
+        A member that loses its pause confirms their writes, and the upstream
+        that was ordered leads without them.
+        """
+
+        async def steps():
+            holder = self.poolers[0]
+            await self.own_jointly()
+            self.set_holder(holder)
+            holder.promotion_lease.valid_until_ms = 0
+            self.groups[0].post(fake_core.Emit(messages.FenceOwners(7)))
+            ordered = fake_core.Emit(messages.FenceUnfencedOwners(7))
+            self.groups[0].post(ordered)
+            self.groups[0].post(ordered)
+            await asyncio.sleep(0.1)
+            fences = self.cores[1].of(messages.FenceAcknowledgements)
+            self.assertEqual([7], [fence.term for fence in fences])
+
+        self.play(steps)
+
     def test_release_by_the_other_process(self):
         """Its group is asked, and it must still hold the lease."""
 
