Ask for recorded members until a primary has answered

Cause: a proxy that starts after all proxies have ended knows neither what was acknowledged nor which members departed. The record in the store names the members, but was looked at only if no primary was known, and an entry of the list that says "primary" ended that, also of a dead one. So any log seemed complete. Evidence: `promotion ordered` shows no departed member and an acknowledged position of 0.0 half a second after the start.

Fix: it is the first answer of a primary that tells both, so until then each recorded member has to be asked, or other proxies have to tell that its log isn't needed. Where other proxies run that takes some ms.

ListedPrimaryTest.test_member_that_is_not_listed failed before; the two others guard the starts that must not wait.

--- a/topazring/core/synchronous/attempts.py
+++ b/topazring/core/synchronous/attempts.py
@@ -502,7 +502,8 @@
 
     The log of the newest term's primary holds all acknowledged writes, so a
     log that reaches its end is complete, whichever members departed. If no
-    primary was seen, all recorded members and all proxies have to be asked.
+    primary was heard, all recorded members have to be asked, and if none was
+    seen, all proxies too.
     """
     primary = exempt_primary(state)
     report = attempt.reports.get(primary)
@@ -512,14 +513,15 @@
             return True
     is_hand_over = bool(attempt.successor)
     reported = attempt.acknowledgements
-    if not state.departed_members.may_exceed(position, primary, is_hand_over):
-        if not member_record.has_seen_no_primary(state):
-            return True
-        if not member_record.is_any_missing(state):
-            return acknowledgement_fence.holds_reported(
-                state, reported, position
-            )
-    return acknowledgement_fence.covers(state, reported, position)
+    if state.departed_members.may_exceed(position, primary, is_hand_over):
+        return acknowledgement_fence.covers(state, reported, position)
+    if not member_record.has_heard_no_primary(state):
+        return True
+    if member_record.is_any_missing(state):
+        return acknowledgement_fence.covers(state, reported, position)
+    if member_record.has_seen_no_primary(state):
+        return acknowledgement_fence.holds_reported(state, reported, position)
+    return True
 
 
 def _led_newest_term(state: states.GroupState) -> bool:
--- a/topazring/core/synchronous/member_record.py
+++ b/topazring/core/synchronous/member_record.py
@@ -1,10 +1,11 @@
 """Keep a record of the members that may hold acknowledged writes.
 
-A proxy that starts while no upstream leads knows of the listed members only.
-Another one may be the only one that holds an acknowledged write, so the
-holder of the promotion lease keeps the names of all that may hold one in the
-platform's store. A proxy that has seen no primary promotes a member only once
-each recorded one is listed, or other proxies prove that its log is not needed.
+A proxy that starts while no upstream leads, or whose primary is lost before it
+has answered, knows of the listed members only. Another one may be the only one
+that holds an acknowledged write, so the holder of the promotion lease keeps the
+names of all that may hold one in the platform's store. A proxy that has heard
+no primary promotes a member only once each recorded one is listed, or other
+proxies prove that its log is not needed.
 
 A departed member is recorded until the primary has reported a position that
 its log surely does not exceed. The primary holds that position, and is itself
@@ -19,6 +20,7 @@
 from topazring.core.synchronous import state as states
 
 __all__ = [
+    'has_heard_no_primary',
     'has_seen_no_primary',
     'is_any_missing',
     'note_listed',
@@ -66,6 +68,15 @@
     return not state.last_primary and state.member_record.stored is not None
 
 
+def has_heard_no_primary(state: states.GroupState) -> bool:
+    """Return whether no primary has told this process its log position.
+
+    An entry that says who leads tells nothing of what was acknowledged, nor
+    of the members that departed before this process started.
+    """
+    return not state.proven_primary and not state.position_history
+
+
 def is_any_missing(state: states.GroupState) -> bool:
     """Return whether a recorded member has not been listed here."""
     return bool(state.member_record.unlisted.known)
--- a/topazring/core/synchronous/tests/test_start_without_primary.py
+++ b/topazring/core/synchronous/tests/test_start_without_primary.py
@@ -145,6 +145,78 @@
         self.assertEqual([], support.orders(self.run_for(driver)))
 
 
+class ListedPrimaryTest(testtools.TestCase):
+    """The list names a primary that is lost before it has answered.
+
+    All proxies have started anew. `u2` has received nothing for a while, and
+    `u3`, which has, is recorded but not listed.
+    """
+
+    def start(self) -> support.Driver:
+        """Return a core that has started, with the lease and a record."""
+        driver = support.Driver()
+        driver.post(messages.RegistrationSeen(driver.now_ms + 10**9))
+        driver.list_upstreams(primary='u1', names=('u1', 'u2'))
+        members = frozenset((name, 0) for name in ALL)
+        driver.post(messages.MembersRecorded(members))
+        driver.post(messages.PromotionLeaseSeen(True, 100))
+        return driver
+
+    def run_for(
+        self, driver: support.Driver, known_ms: int | None, **received
+    ) -> list:
+        """Answer all but `u1` for 4 s.
+
+        Other proxies say until when they know what was acknowledged.
+        """
+        outs = []
+        for _ in range(200):
+            step = driver.tick(20)
+            for connection in list(driver.state.connections.values()):
+                if connection.upstream == 'u1':
+                    step += driver.close(connection)
+            driver.open_all()
+            step += driver.answer_leadership_checks(primary='')
+            step += failover_support.answer_control_commands(
+                driver, **received
+            )
+            for query in step:
+                if isinstance(query, messages.QueryAcknowledgements):
+                    step += driver.post(
+                        messages.AcknowledgementsReported(
+                            query.token,
+                            True,
+                            log_positions.ORIGIN,
+                            10_000,
+                            known_ms,
+                            query.term,
+                        )
+                    )
+            outs += step
+        return outs
+
+    def test_member_that_is_not_listed(self):
+        """Guards against losing a write that only this member holds."""
+        driver = self.start()
+        outs = self.run_for(driver, None)
+        self.assertEqual([], support.orders(outs))
+        driver.list_upstreams(primary='u1', revision=1)
+        outs = self.run_for(driver, None, u3=support.Place(1, 7))
+        self.assertEqual('u3', support.orders(outs)[0].upstream)
+
+    def test_other_proxies_know_more(self):
+        """Guards against waiting where others tell that all is there."""
+        outs = self.run_for(self.start(), known_ms=10_000)
+        self.assertEqual('u2', support.orders(outs)[0].upstream)
+
+    def test_all_members_are_listed(self):
+        """Guards against waiting for other proxies in each start."""
+        driver = self.start()
+        driver.list_upstreams(primary='u1')
+        outs = self.run_for(driver, None)
+        self.assertNotEqual([], support.orders(outs))
+
+
 class RecordTest(testtools.TestCase):
     """The lease holder has the members of a group recorded."""
 
