Move tokens with the shares of a quota

Cause: a share moves between keepers, but the tokens of its bucket did not. A keeper's bucket of an earlier time was credited with all the time in which the limiter had used its share.

Fix: the tokens of all buckets together never exceed the quota's burst. A keeper's answer brings its tokens to the limiter and empties its bucket; a limiter that shuts down, or whose organisation is idle, divides its tokens; where a share returns without a message, its bucket starts empty; a limiter that was without contact keeps only the tokens of its own part. Whatever is lost on the way is lost, and never counted twice.

--- a/topazring/core/quotas.py
+++ b/topazring/core/quotas.py
@@ -17,7 +17,15 @@
 
 The limiter uses a keeper's share for a fixed time after it sent a query that
 the keeper answered. The keeper uses it again when that time has passed since
-it last answered, or once the limiter shuts down and releases it.
+it last answered, or once the limiter releases it: as it shuts down, or when
+the organisation has been idle for a while.
+
+Tokens move with the shares, so all buckets together never hold more than the
+quota's burst. A keeper answers a query with the tokens of its bucket, which
+is empty then. A limiter that releases shares divides its tokens. When a share
+returns without a message, its bucket starts empty at that time: the limiter
+may have granted its tokens. A bucket is filled only for the time in which its
+keeper has used the share.
 """
 
 import collections.abc
@@ -32,10 +40,15 @@
     'CONTACT_MS',
     'Counter',
     'MAX_KEEPERS',
+    'NEVER_MS',
     'Overrun',
+    'collect_share',
     'grant',
     'held_share',
     'keepers_of',
+    'receive_share',
+    'surrender_share',
+    'take_tokens',
 ]
 
 NEVER_MS = -(10**9)
@@ -88,6 +101,10 @@
     created_ms: int
     # The rate and the burst, or a window's operations spread over it.
     burst: Bucket | None = None
+    # The share for which that bucket was last filled, and tokens of other
+    # keepers that are not in it yet.
+    share: float = 0.0
+    received_tokens: float = 0.0
     steady: Bucket | None = None
     # What it grants before its first contact.
     reserve: Bucket | None = None
@@ -168,6 +185,81 @@
     return 0, min(_wait_ms(bucket, rate) for bucket, rate in granting)
 
 
+def surrender_share(
+    counter: Counter,
+    now_ms: int,
+    quota: organisations.Quota,
+    overrun: Overrun,
+    share: float,
+) -> float:
+    """Let the limiter use a keeper's share; return the tokens that it gets.
+
+    `share` is the part of the quota that the keeper has used until now, 0 if
+    the limiter has used it already.
+    """
+    tokens = take_tokens(counter, now_ms, quota, overrun, share, 1.0)
+    if counter.burst is not None:
+        # The limiter uses the share until then, unless it asks again.
+        counter.burst = Bucket(0.0, now_ms + CONTACT_MS)
+    counter.answered_ms = now_ms
+    counter.is_released = False
+    return tokens
+
+
+def receive_share(counter: Counter, now_ms: int, tokens: float) -> None:
+    """Use a keeper's share that the limiter releases, with some tokens."""
+    if counter.burst is not None:
+        counter.burst.updated_ms = min(counter.burst.updated_ms, now_ms)
+    counter.answered_ms = now_ms
+    counter.is_released = True
+    _add_tokens(counter, tokens)
+
+
+def collect_share(
+    counter: Counter,
+    now_ms: int,
+    quota: organisations.Quota,
+    overrun: Overrun,
+    share: float,
+    keeper: str,
+    sent_ms: int,
+    tokens: float,
+) -> None:
+    """Use the share of a keeper that has answered a query, and its tokens.
+
+    `share` is the part of the quota that the limiter has used until now: it
+    may have been without contact, and more tokens than belong to that part
+    are other keepers'.
+    """
+    if share and counter.burst is not None:
+        _fill_burst(counter, now_ms, quota, overrun, share)
+    _add_tokens(counter, tokens)
+    counter.contact_ms[keeper] = sent_ms
+
+
+def _add_tokens(counter: Counter, tokens: float) -> None:
+    counter.received_tokens += max(0.0, tokens)
+
+
+def take_tokens(
+    counter: Counter,
+    now_ms: int,
+    quota: organisations.Quota,
+    overrun: Overrun,
+    share: float,
+    part: float,
+) -> float:
+    """Take a part of the tokens of a bucket for another keeper."""
+    is_empty = counter.burst is None and not counter.received_tokens
+    if share and not is_empty:
+        _fill_burst(counter, now_ms, quota, overrun, share)
+    if counter.burst is None:
+        return 0.0
+    tokens = max(0.0, counter.burst.tokens) * part
+    counter.burst.tokens -= tokens
+    return tokens
+
+
 def _is_whole(share: float) -> bool:
     return share > 1 - 1e-6
 
@@ -183,7 +275,7 @@
     """Return the buckets in use, with their rates per second."""
     window_s = overrun.window_ms / 1000
     in_window = quota.rate_per_s * window_s + quota.burst
-    accepted = in_window * overrun.share + overrun.operations
+    accepted = _accepted_overrun(quota, overrun)
     if not _is_whole(share):
         # It does not count what other keepers grant meanwhile.
         counter.steady = None
@@ -192,11 +284,8 @@
         counter.reserve = counter.reserve or Bucket(part, now_ms)
         _fill(counter.reserve, now_ms, part / window_s, part)
         return [(counter.reserve, part / window_s)]
-    initial = accepted * INITIAL_SHARE / MAX_KEEPERS
-    counter.burst = counter.burst or Bucket(initial, now_ms)
-    burst_size = (quota.burst + accepted * BURST_SHARE) * share
+    _fill_burst(counter, now_ms, quota, overrun, share)
     rate_per_s = quota.rate_per_s * share
-    _fill(counter.burst, now_ms, rate_per_s, burst_size)
     if not _is_whole(share):
         return [(counter.burst, rate_per_s)]
     if counter.steady is None:
@@ -208,6 +297,35 @@
     return [(counter.burst, rate_per_s), (counter.steady, steady_per_s)]
 
 
+def _accepted_overrun(quota: organisations.Quota, overrun: Overrun) -> float:
+    window_s = overrun.window_ms / 1000
+    in_window = quota.rate_per_s * window_s + quota.burst
+    return in_window * overrun.share + overrun.operations
+
+
+def _fill_burst(
+    counter: Counter,
+    now_ms: int,
+    quota: organisations.Quota,
+    overrun: Overrun,
+    share: float,
+) -> None:
+    """Fill the bucket of the burst for the time since it was last filled.
+
+    If the share has changed since, the smaller one counts for all that time.
+    """
+    accepted = _accepted_overrun(quota, overrun)
+    if counter.burst is None:
+        initial = accepted * INITIAL_SHARE / MAX_KEEPERS
+        counter.burst = Bucket(initial, now_ms)
+    counter.burst.tokens += counter.received_tokens
+    counter.received_tokens = 0.0
+    size = (quota.burst + accepted * BURST_SHARE) * share
+    rate_per_s = quota.rate_per_s * min(share, counter.share or share)
+    _fill(counter.burst, now_ms, rate_per_s, size)
+    counter.share = share
+
+
 def _fill(bucket: Bucket, now_ms: int, rate_per_s: float, size: float) -> None:
     # A bucket that holds less than one token would never grant a permit.
     size = max(1.0, size) if rate_per_s > 0 else size
--- a/topazring/core/synchronous/member_record.py
+++ b/topazring/core/synchronous/member_record.py
@@ -2,10 +2,10 @@
 
 A proxy that starts while no upstream leads, or whose primary is lost before it
 has answered, knows of the listed members only. Another one may be the only one
-that holds an acknowledged write, so the holder of the promotion lease keeps the
-names of all that may hold one in the platform's store. A proxy that has heard
-no primary promotes a member only once each recorded one is listed, or other
-proxies prove that its log is not needed.
+that holds an acknowledged write, so the holder of the promotion lease keeps
+the names of all that may hold one in the platform's store. A proxy that has
+heard no primary promotes a member only once each recorded one is listed, or
+other proxies prove that its log is not needed.
 
 A departed member is recorded until the primary has reported a position that
 its log surely does not exceed. The primary holds that position, and is itself
--- a/topazring/core/tests/test_quotas.py
+++ b/topazring/core/tests/test_quotas.py
@@ -14,6 +14,7 @@
 
 SMALL = organisations.Quota(2, 2)
 LARGE = organisations.Quota(100, 100)
+BURSTY = organisations.Quota(20, 200)
 OVERRUN = quotas.Overrun()
 NAMES = ('p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7', 'p8')
 STEP_MS = 20
@@ -43,6 +44,10 @@
     return largest
 
 
+# Seeds of walks that once exceeded the quota, beyond the first ones.
+EXCEEDED = (130, 177)
+
+
 class Fleet:
     """Play the keepers of one organisation, and entries that ask them."""
 
@@ -71,11 +76,32 @@
     def release(self, name: str) -> None:
         """Shut a proxy down; its next process begins with an empty memory."""
         if name == self.keepers[0]:
-            for keeper in self.keepers[1:]:
+            for place, keeper in enumerate(self.keepers[1:]):
+                # The message may be lost, but not the tokens be used twice.
+                tokens = self.take(name, 1 / (len(self.keepers) - place))
                 if self.can_reach(name, keeper):
-                    self.counters[keeper].is_released = True
+                    quotas.receive_share(
+                        self.counters[keeper], self.now_ms, tokens
+                    )
         self.restart(name)
 
+    def share(self, name: str) -> float:
+        """Return which share of the quota a keeper uses now."""
+        return quotas.held_share(
+            self.counters[name], self.now_ms, name, self.keepers
+        )
+
+    def take(self, name: str, part: float) -> float:
+        """Take a part of the tokens of a keeper."""
+        return quotas.take_tokens(
+            self.counters[name],
+            self.now_ms,
+            self.quota,
+            OVERRUN,
+            self.share(name),
+            part,
+        )
+
     def can_reach(self, one: str, other: str) -> bool:
         """Return whether two proxies hear each other now."""
         is_split = self.side[one] != self.side[other]
@@ -86,9 +112,23 @@
         limiter = self.keepers[0]
         for keeper in self.keepers[1:]:
             if self.can_reach(limiter, keeper):
-                self.counters[keeper].answered_ms = self.now_ms
-                self.counters[keeper].is_released = False
-                self.counters[limiter].contact_ms[keeper] = self.now_ms
+                tokens = quotas.surrender_share(
+                    self.counters[keeper],
+                    self.now_ms,
+                    self.quota,
+                    OVERRUN,
+                    self.share(keeper),
+                )
+                quotas.collect_share(
+                    self.counters[limiter],
+                    self.now_ms,
+                    self.quota,
+                    OVERRUN,
+                    self.share(limiter),
+                    keeper,
+                    self.now_ms,
+                    tokens,
+                )
 
     def ask(self, entry: str, retries: int = RETRIES) -> None:
         """Ask for one permit, of the keepers in reach one after the other."""
@@ -97,9 +137,7 @@
             if keeper != entry and not self.can_reach(entry, keeper):
                 continue
             counter = self.counters[keeper]
-            share = quotas.held_share(
-                counter, self.now_ms, keeper, self.keepers
-            )
+            share = self.share(keeper)
             count, wait_ms = quotas.grant(
                 counter, self.now_ms, self.quota, OVERRUN, share, rank
             )
@@ -220,6 +258,44 @@
                 largest_window(fleet.granted), accepted(quota)
             )
 
+    def test_limiter_is_killed_in_a_burst(self):
+        """Guards against a burst that the other keepers grant once more.
+
+        They have used their shares before, and have buckets of that time.
+        """
+        fleet = Fleet(BURSTY, NAMES[:3])
+        rng = random.Random(8)
+        fleet.run(5000, 10, rng)
+        fleet.release(fleet.keepers[0])
+        fleet.paused = {fleet.keepers[0]}
+        fleet.run(1000, 10, rng)
+        fleet.paused = set()
+        fleet.run(25_000, 2, rng)
+        fleet.granted.clear()
+        fleet.run(1000, 400, rng)
+        fleet.restart(fleet.keepers[0])
+        fleet.paused = {fleet.keepers[0]}
+        fleet.run(1000, 400, rng)
+        fleet.paused = set()
+        fleet.run(5000, 400, rng)
+        self.assertLessEqual(largest_window(fleet.granted), accepted(BURSTY))
+
+    def test_split_in_a_burst(self):
+        """Guards against a burst on each side, also after the split."""
+        for seed in range(20):
+            fleet = Fleet(BURSTY)
+            rng = random.Random(seed)
+            fleet.run(10_000, 20, rng)
+            for _ in range(3):
+                side = set(rng.sample(fleet.names, 4))
+                fleet.side = {n: int(n in side) for n in fleet.names}
+                fleet.run(rng.choice((500, 2000, 6000)), 200, rng)
+                fleet.side = dict.fromkeys(fleet.names, 0)
+                fleet.run(rng.choice((500, 2000, 6000)), 200, rng)
+            self.assertLessEqual(
+                largest_window(fleet.granted), accepted(BURSTY)
+            )
+
     def test_limiter_that_was_paused(self):
         """Guards against a limiter that does not know that it was paused."""
         fleet = Fleet(LARGE)
@@ -271,6 +347,43 @@
         self.assertEqual(1, count)
 
 
+class BurstsTest(testtools.TestCase):
+    """Shares move between keepers while an organisation comes in bursts."""
+
+    def test_walks(self):
+        """Guards against tokens that two keepers count on."""
+        exceeded = [
+            seed
+            for seed in (*range(100), *EXCEEDED)
+            if largest_window(self.walk(seed)) > accepted(BURSTY)
+        ]
+        self.assertEqual([], exceeded)
+
+    def walk(self, seed: int) -> list[int]:
+        """Play one walk; return when permits were granted."""
+        rng = random.Random(seed)
+        fleet = Fleet(BURSTY, NAMES[: rng.randint(3, 8)])
+        fleet.run(5000, 10, rng)
+        restarts_left = 2
+        for _ in range(8):
+            limiter = fleet.keepers[0]
+            some = set(rng.sample(fleet.names, rng.randint(1, 3)))
+            what = rng.choice(('split', 'pause', 'end', 'heal'))
+            if what == 'split':
+                fleet.side = {n: int(n in some) for n in fleet.names}
+            elif what == 'pause':
+                fleet.paused = rng.choice(({limiter}, some))
+            elif what == 'heal':
+                fleet.side = dict.fromkeys(fleet.names, 0)
+                fleet.paused = set()
+            elif restarts_left:
+                restarts_left -= 1
+                rng.choice((fleet.release, fleet.restart))(limiter)
+            per_s = rng.choice((2, 20, 400))
+            fleet.run(rng.choice((700, 1000, 12_000)), per_s, rng)
+        return fleet.granted
+
+
 class SequencesTest(testtools.TestCase):
     """Any sequence of splits, pauses and restarts keeps the quota."""
 
@@ -288,7 +401,9 @@
             ),
             max_size=10,
         ),
-        strategies.sampled_from([SMALL, organisations.Quota(20, 5), LARGE]),
+        strategies.sampled_from(
+            [SMALL, organisations.Quota(20, 5), LARGE, BURSTY]
+        ),
         strategies.integers(0, 1000),
     )
     def test_walk(self, changes, quota, seed):
--- a/topazring/pooler/hop_frames.py
+++ b/topazring/pooler/hop_frames.py
@@ -88,8 +88,10 @@
     id: int
     limiter: str
     organisations: list[str]
-    # The sender grants nothing any more.
+    # The receiver uses its shares again.
     releases: bool = False
+    # The tokens that come with each share that is released.
+    tokens: list[float] = []
 
 
 class ConfirmFrame(msgspec.Struct, array_like=True, tag='confirm'):
@@ -97,6 +99,8 @@
 
     id: int
     organisations: list[str]
+    # The tokens that come with the share of each.
+    tokens: list[float] = []
 
 
 Frame = (
--- a/topazring/pooler/hop_server.py
+++ b/topazring/pooler/hop_server.py
@@ -51,9 +51,9 @@
         """Return the permits granted and, if none, when one is due, in ms."""
 
     def confirm_limiter(
-        self, limiter: str, names: list[str], releases: bool
-    ) -> list[str]:
-        """Return the organisations that this proxy keeps for the limiter."""
+        self, frame: hop_frames.ContactFrame
+    ) -> dict[str, float]:
+        """Return the organisations that this proxy keeps, with tokens."""
 
 
 class Server(tcpserver.TCPServer):
@@ -130,10 +130,10 @@
             case hop_frames.PermitFrame():
                 self._spawn(self._grant(frame))
             case hop_frames.ContactFrame():
-                confirmed = self.host.confirm_limiter(
-                    frame.limiter, frame.organisations, frame.releases
+                confirmed = self.host.confirm_limiter(frame)
+                answer = hop_frames.ConfirmFrame(
+                    frame.id, list(confirmed), list(confirmed.values())
                 )
-                answer = hop_frames.ConfirmFrame(frame.id, confirmed)
                 hop_frames.write(self.stream, answer)
             case framing.Ping():
                 hop_frames.write(self.stream, framing.Pong())
--- a/topazring/pooler/process.py
+++ b/topazring/pooler/process.py
@@ -30,6 +30,7 @@
 from topazring.pooler import directory as directories
 from topazring.pooler import follower_client
 from topazring.pooler import group_task
+from topazring.pooler import hop_frames
 from topazring.pooler import hop_server
 from topazring.pooler import load_page
 from topazring.pooler import member_records
@@ -301,10 +302,10 @@
         return await self.quotas.grant_in_contact(organisation, wanted)
 
     def confirm_limiter(
-        self, limiter: str, names: list[str], releases: bool
-    ) -> list[str]:
-        """Return the organisations that this proxy keeps for the limiter."""
-        return self.quotas.confirm_limiter(limiter, names, releases)
+        self, frame: hop_frames.ContactFrame
+    ) -> dict[str, float]:
+        """Return the organisations that this proxy keeps, with tokens."""
+        return self.quotas.confirm_limiter(frame)
 
     def withdraw(self, service: str, transaction: int) -> None:
         """Abort a transaction, wherever it was begun."""
--- a/topazring/pooler/quotas.py
+++ b/topazring/pooler/quotas.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import collections.abc
 
 from topazring.core import organisations
 from topazring.core import outcomes
@@ -39,7 +40,8 @@
 # Interval of queries to the other keepers: a third of the time that an answer
 # lasts.
 CONTACT_INTERVAL_S = rules.CONTACT_MS / 3000
-# Organisations without operations for this long need no contact.
+# Organisations without operations for this long need no contact; the shares of
+# their keepers are released.
 ACTIVE_MS = 2000
 # Organisations that metrics name, and the name of all others together; no
 # organisation has a name with a blank.
@@ -296,26 +298,48 @@
         return counter
 
     def confirm_limiter(
-        self, limiter: str, names: list[str], releases: bool = False
-    ) -> list[str]:
+        self, frame: hop_frames.ContactFrame
+    ) -> dict[str, float]:
         """Return the organisations whose limiter this is, and a keeper here.
 
-        After the answer the limiter may use this keeper's share for a while,
-        or grants nothing any more if it releases them.
+        After the answer the limiter may use this keeper's shares for a while,
+        and the tokens that are returned by organisation. If it releases the
+        shares, they are used here again.
         """
         confirmed = [
             name
-            for name in names
+            for name in frame.organisations
             if self._quota(name) is not None
-            and self._keepers(name)[0] == limiter
+            and self._keepers(name)[0] == frame.limiter
             and self.name in self._keepers(name)
         ]
+        if not frame.releases:
+            return {name: self._surrender(name) for name in confirmed}
+        # An older build sends no tokens.
+        tokens = dict(zip(frame.organisations, frame.tokens, strict=False))
         now_ms = clock.boottime_ms()
         for name in confirmed:
             counter = self._counter(name)
-            counter.answered_ms = now_ms
-            counter.is_released = releases
-        return confirmed
+            rules.receive_share(counter, now_ms, tokens.get(name, 0.0))
+        return dict.fromkeys(confirmed, 0.0)
+
+    def _surrender(self, name: str) -> float:
+        """Let the limiter use the share of an organisation kept here."""
+        now_ms = clock.boottime_ms()
+        return rules.surrender_share(
+            self._counter(name),
+            now_ms,
+            self._quota(name),
+            self.overrun,
+            self._share(name, now_ms),
+        )
+
+    def _share(self, name: str, now_ms: int) -> float:
+        """Return which share of a quota this proxy uses as a keeper."""
+        share = rules.held_share(
+            self._counter(name), now_ms, self.name, self._keepers(name)
+        )
+        return share or 0.0
 
     async def _contact_forever(self) -> None:
         while True:
@@ -326,14 +350,16 @@
                 # The regular interval has passed.
                 pass
             self.contact_needed.clear()
-            waiting = self._other_keepers()
-            if waiting:
-                await asyncio.gather(
-                    *(
-                        self._contact(keeper, names)
-                        for keeper, names in waiting.items()
-                    )
-                )
+            await asyncio.gather(
+                *(
+                    self._contact(keeper, names)
+                    for keeper, names in self._other_keepers().items()
+                ),
+                *(
+                    self._release(keeper, tokens)
+                    for keeper, tokens in self._divide_idle().items()
+                ),
+            )
 
     def _other_keepers(self) -> dict[str, list[str]]:
         """Return the organisations that this proxy limits, by keeper."""
@@ -348,37 +374,112 @@
                     found[keeper].append(name)
         return found
 
+    def _divide_idle(self) -> dict[str, dict[str, float]]:
+        """Stop using other keepers' shares of idle organisations.
+
+        Each keeper's bucket fills on its own from then on. Return the tokens
+        that it gets, by keeper and organisation.
+        """
+        now_ms = clock.boottime_ms()
+        found: dict[str, dict[str, float]] = collections.defaultdict(dict)
+        for name, counter in self.counters.items():
+            is_idle = now_ms - counter.used_ms >= ACTIVE_MS
+            if is_idle and self._is_in_contact(counter, now_ms):
+                self._divide(found, name)
+        return found
+
+    def _divide(self, found: dict[str, dict[str, float]], name: str) -> None:
+        """Divide the tokens of an organisation among all its keepers."""
+        keepers = self._keepers(name)
+        if keepers[:1] != (self.name,):
+            return
+        others = keepers[1:]
+        now_ms = clock.boottime_ms()
+        counter = self._counter(name)
+        share = self._share(name, now_ms)
+        for place, keeper in enumerate(others):
+            sent_ms = counter.contact_ms.get(keeper, rules.NEVER_MS)
+            if now_ms - sent_ms >= rules.CONTACT_MS:
+                continue
+            found[keeper][name] = rules.take_tokens(
+                counter,
+                now_ms,
+                self._quota(name),
+                self.overrun,
+                share,
+                1 / (len(others) + 1 - place),
+            )
+            counter.contact_ms[keeper] = rules.NEVER_MS
+
     async def release(self) -> None:
         """Grant nothing any more, and let the keepers use their shares."""
         self.close()
         self.is_released = True
+        divided: dict[str, dict[str, float]] = collections.defaultdict(dict)
+        for name in list(self.counters):
+            if self._quota(name) is not None:
+                self._divide(divided, name)
         await asyncio.gather(
             *(
-                self._contact(keeper, names)
-                for keeper, names in self._other_keepers().items()
+                self._release(keeper, tokens)
+                for keeper, tokens in divided.items()
             )
         )
 
+    async def _release(self, keeper: str, tokens: dict[str, float]) -> None:
+        """Release shares to a keeper; tokens that do not arrive are lost."""
+        await self._ask_contact(
+            keeper,
+            lambda number: hop_frames.ContactFrame(
+                number, self.name, list(tokens), True, list(tokens.values())
+            ),
+        )
+
     async def _contact(self, keeper: str, names: list[str]) -> None:
+        sent_ms = clock.boottime_ms()
+        answer = await self._ask_contact(
+            keeper,
+            lambda number: hop_frames.ContactFrame(number, self.name, names),
+        )
+        if answer is None or self.is_released:
+            return
+        # An older build sends no tokens.
+        tokens = dict(zip(answer.organisations, answer.tokens, strict=False))
+        for name in answer.organisations:
+            if name in self.counters and self._quota(name) is not None:
+                self._collect(name, keeper, sent_ms, tokens.get(name, 0.0))
+
+    def _collect(
+        self, name: str, keeper: str, sent_ms: int, tokens: float
+    ) -> None:
+        now_ms = clock.boottime_ms()
+        rules.collect_share(
+            self.counters[name],
+            now_ms,
+            self._quota(name),
+            self.overrun,
+            self._share(name, now_ms),
+            keeper,
+            sent_ms,
+            tokens,
+        )
+
+    async def _ask_contact(
+        self,
+        keeper: str,
+        make_frame: collections.abc.Callable[[int], hop_frames.ContactFrame],
+    ) -> hop_frames.ConfirmFrame | None:
+        """Return a keeper's answer, None if it does not answer."""
         link = self.router.reachable_link(keeper)
         if link is None:
-            return
-        sent_ms = clock.boottime_ms()
+            return None
         try:
             async with asyncio.timeout(PERMIT_TIMEOUT_S):
-                answer = await link.ask(
-                    lambda number: hop_frames.ContactFrame(
-                        number, self.name, names, self.is_released
-                    )
-                )
+                answer = await link.ask(make_frame)
         except TimeoutError:
-            return
-        if self.is_released or not isinstance(answer, hop_frames.ConfirmFrame):
-            return
-        for name in answer.organisations:
-            counter = self.counters.get(name)
-            if counter is not None:
-                counter.contact_ms[keeper] = sent_ms
+            return None
+        is_answer = isinstance(answer, hop_frames.ConfirmFrame)
+        return answer if is_answer else None
 
 
 def _is_counted(request: messages.Request) -> bool:
--- a/topazring/pooler/tests/test_quotas.py
+++ b/topazring/pooler/tests/test_quotas.py
@@ -10,6 +10,7 @@
 from topazring.core import quotas as rules
 from topazring.core.synchronous import messages
 from topazring.core.synchronous import statements
+from topazring.plumbing import clock
 from topazring.plumbing import events
 from topazring.pooler import hop_frames
 from topazring.pooler import quotas
@@ -18,6 +19,8 @@
 NAMES = ('p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7')
 POLICY = messages.Policy('d', 's', messages.Freshness.PRIMARY, anonymous=False)
 QUOTA = organisations.Quota(1, 1)
+# Less than the bucket of the quota's burst holds.
+TOKENS = 4.0
 
 
 def request(organisation: str = 'ash', **more) -> messages.Request:
@@ -47,10 +50,10 @@
                 frame.organisation, frame.wanted
             )
             return hop_frames.GrantFrame(1, granted, wait_ms)
-        confirmed = self.far.confirm_limiter(
-            frame.limiter, frame.organisations, frame.releases
+        confirmed = self.far.confirm_limiter(frame)
+        return hop_frames.ConfirmFrame(
+            1, list(confirmed), list(confirmed.values())
         )
-        return hop_frames.ConfirmFrame(1, confirmed)
 
 
 class FakeRouter:
@@ -174,11 +177,65 @@
             counter = standby.counters['ash']
             self.assertTrue(counter.is_released)
             self.assertEqual([], await self.admit(1))
-            standby.confirm_limiter(limiter.name, ['ash'])
+            standby.confirm_limiter(
+                hop_frames.ContactFrame(1, limiter.name, ['ash'])
+            )
             self.assertFalse(counter.is_released)
 
         self.play(steps)
 
+    async def fill_bucket(self) -> None:
+        """Have the limiter use all shares, with some tokens."""
+        await self.admit(1)
+        await asyncio.sleep(0.05)
+        counter = self.fleet[self.keepers[0]].counters['ash']
+        counter.burst = rules.Bucket(TOKENS, clock.boottime_ms())
+
+    def tokens(self) -> dict[str, float]:
+        """Return the tokens that each keeper has."""
+        found = {}
+        for name in self.keepers:
+            counter = self.fleet[name].counters['ash']
+            bucket = 0.0 if counter.burst is None else counter.burst.tokens
+            found[name] = bucket + counter.received_tokens
+        return found
+
+    def test_tokens_of_an_idle_organisation(self):
+        """Guards against tokens that two keepers count on, or none has.
+
+        The limiter stops querying the others, which use their shares again.
+        """
+
+        async def steps():
+            await self.fill_bucket()
+            with mock.patch.object(quotas, 'ACTIVE_MS', 50):
+                await asyncio.sleep(0.3)
+            divided = self.tokens()
+            self.assertLess(max(divided.values()), 0.3 * TOKENS)
+            self.assertAlmostEqual(TOKENS, sum(divided.values()), delta=0.5)
+            await self.admit(1)
+            await asyncio.sleep(0.05)
+            collected = self.tokens()
+            others = [collected[name] for name in self.keepers[1:]]
+            self.assertEqual(0.0, max(others))
+            self.assertGreater(collected[self.keepers[0]], 0.5 * TOKENS)
+
+        self.play(steps)
+
+    def test_tokens_of_a_limiter_that_shuts_down(self):
+        """Guards against a burst that is refused in each rolling restart."""
+
+        async def steps():
+            await self.fill_bucket()
+            await self.fleet[self.keepers[0]].release()
+            tokens = self.tokens()
+            left = [tokens[name] for name in self.keepers[1:]]
+            part = TOKENS / len(self.keepers)
+            self.assertAlmostEqual(part, min(left), delta=0.1)
+            self.assertAlmostEqual(part, max(left), delta=0.1)
+
+        self.play(steps)
+
     def test_nobody_answers(self):
         """Guards against a caller that waits for a permit."""
 
