Resume nobody while the store does not answer

Cause: members were resumed without a record while the store did not answer. A holder that is cut off from it may have been replaced.

Fix: a resume is sent once the store holds its record, which only the present holder can write. While the store is away members stay paused; if writes hang for that, one of them is promoted, and that ends the pauses. So an attempt in vain beside an outage of the store costs a promotion.

LateEffectsTest.test_splits_beside_releases and test_resume_of_a_replaced_holder failed before.

--- a/topazring/core/synchronous/messages.py
+++ b/topazring/core/synchronous/messages.py
@@ -250,7 +250,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResumesRecorded:
-    """Report that these members may be resumed."""
+    """Report that the store names these members, which may be resumed."""
 
     upstreams: frozenset[str]
 
@@ -450,8 +450,7 @@
 class RecordResumes:
     """Record in the store which members may still obey a resume.
 
-    `ResumesRecorded` with the same members follows, also if the store does not
-    answer in time.
+    `ResumesRecorded` with the same members follows once it has.
     """
 
     upstreams: frozenset[str]
--- a/topazring/core/synchronous/outstanding_resumes.py
+++ b/topazring/core/synchronous/outstanding_resumes.py
@@ -8,7 +8,8 @@
 proxies have stopped acknowledging writes.
 
 The members are recorded in the store before they are resumed, so the next
-lease holder knows of them.
+lease holder knows of them. While the store is away they stay paused. If writes
+hang for that, one of them is promoted, which ends the pauses.
 """
 
 from topazring.core.synchronous import messages
@@ -96,7 +97,7 @@
 def handle_recorded(
     state: states.GroupState, message: messages.ResumesRecorded
 ) -> None:
-    """Note which members may be resumed: the store holds the record."""
+    """Note which members may be resumed."""
     state.resumes_record_sent_ms = states.NEVER_MS
     state.recorded_resumes |= message.upstreams & state.wanted_resumes
 
--- a/topazring/pooler/group_task.py
+++ b/topazring/pooler/group_task.py
@@ -369,9 +369,10 @@
         )
 
     async def _record_resumes(self, out: messages.RecordResumes) -> None:
-        if self.record_resumes is not None:
-            await self.record_resumes(self.service, out.upstreams)
-        self.post(messages.ResumesRecorded(out.upstreams))
+        if self.record_resumes is None:
+            return
+        if await self.record_resumes(self.service, out.upstreams):
+            self.post(messages.ResumesRecorded(out.upstreams))
 
     async def _is_lease_held(self) -> bool:
         return self.verify_holder is None or await self.verify_holder()
--- a/topazring/pooler/order_records.py
+++ b/topazring/pooler/order_records.py
@@ -188,7 +188,7 @@
         self.wanted[service] = self.outstanding(service) | {upstream}
         is_recorded = False
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._timeout_s(self.is_optional)):
+            async with asyncio.timeout(self._timeout_s()):
                 is_recorded = await self._record(service, upstream)
         if not is_recorded:
             inputs = {'upstream': upstream}
@@ -196,9 +196,9 @@
             self.settled.set()
         return is_recorded
 
-    def _timeout_s(self, is_optional: bool) -> float:
-        """Return how long to wait for a record."""
-        if not is_optional:
+    def _timeout_s(self) -> float:
+        """Return how long an order waits for its record."""
+        if not self.is_optional:
             return RECORD_TIMEOUT_S
         if self.directory.unavailable_since_ms is not None:
             # It is written as soon as the store is back.
@@ -229,35 +229,36 @@
 
     async def record_resumes(
         self, service: str, members: frozenset[str]
-    ) -> None:
-        """Record which members may still obey a resume, if that is possible.
+    ) -> bool:
+        """Record which members may still obey a resume.
 
-        A group whose members stay paused serves no writes, so they are not
-        left paused while the store is away.
+        Return whether the store holds the record.
         """
         if not self.token:
-            return
+            return False
         self.wanted_resumed[service] = members
         if not members:
             del self.wanted_resumed[service]
         self.settled.set()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._timeout_s(is_optional=True)):
-                await self._store_resumes(service, members)
-                return
+            async with asyncio.timeout(OPTIONAL_RECORD_TIMEOUT_S):
+                if await self._store_resumes(service, members):
+                    return True
         inputs = {'members': sorted(members)}
         self.log.emit('duty', 'resumes not recorded', '', service, inputs)
+        return False
 
     async def _store_resumes(
         self, service: str, members: frozenset[str]
-    ) -> None:
+    ) -> bool:
         """Write until the store holds these members, or others are wanted."""
         token = self.token
-        while self.token == token and not self._is_up_to_date():
-            if self.resumed(service) != members:
-                return
+        while not self._is_up_to_date():
             if not await self._write():
                 await asyncio.sleep(RETRY_S)
+            if self.token != token or self.resumed(service) != members:
+                return False
+        return self.token == token
 
     def resumed(self, service: str) -> frozenset[str]:
         """Return the members that may still obey a resume, by this record."""
