--- a/topazring/core/synchronous/tests/test_late_effects.py
+++ b/topazring/core/synchronous/tests/test_late_effects.py
@@ -30,6 +30,18 @@
                 seed, steps, actions, walks.SLOW_PROMOTE_MS, platform=PLATFORM
             )
 
+    def test_members_restart_and_leave(self):
+        """Guards against writes acknowledged while an order is outstanding."""
+        self.play(walks.ACTIONS, 400, 9)
+
+    def test_splits(self):
+        """Guards against the word that no promotion is under way."""
+        self.play(walks.SPLITS, 200, 39, 45)
+
+    def test_members_that_lose_their_pause(self):
+        """Guards against an order that a later one has not replaced."""
+        self.play(walks.LOST_PAUSES, 200, 1085, 1091)
+
     def test_splits_beside_releases(self):
         """Guards against a holder that resumes members once replaced."""
-        self.play(test_fence_gaps.MIXED_SPLITS, 100, 70)
+        self.play(test_fence_gaps.MIXED_SPLITS, 100, 70, 1050)
