--- a/topazring/pooler/order_records.py
+++ b/topazring/pooler/order_records.py
@@ -37,7 +37,8 @@
 KEY = directories.OWN_PREFIX + 'orders'
 # A group without a primary waits for the record.
 RECORD_TIMEOUT_S = 1.0
-# The same where an order is sent without a record as well.
+# The same for an order that is sent without a record as well, and for a
+# resume, which is tried again.
 OPTIONAL_RECORD_TIMEOUT_S = 0.1
 RETRY_S = 0.05
 # A settled order that is still recorded only makes the next holder wait.
